--- /dev/null
+++ b/Makefile
@@ -0,0 +1,66 @@
+# Front door of the workspace; CMake does the building.
+BUILD ?= build
+JOBS ?= 6
+SOURCES = $(shell git ls-files 'packages/*.[ch]' 'apps/*.[ch]' 'bench/*.[ch]' 'examples/*.[ch]' | grep -v /gen/)
+
+.PHONY: all setup build test test-asan test-tsan fmt fmt-check lint run bench \
+    bench-quick plots capacity clean
+
+all: build
+
+setup:
+	sh tools/setup.sh
+
+build: setup
+	cmake -S . -B $(BUILD) >/dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
+	sh tools/known_red.sh
+
+test-asan: setup
+	cmake -S . -B build-asan -DGGS_SANITIZE=address,undefined >/dev/null
+	cmake --build build-asan -j $(JOBS)
+	ctest --test-dir build-asan --output-on-failure -j $(JOBS)
+
+test-tsan: setup
+	cmake -S . -B build-tsan -DGGS_SANITIZE=thread >/dev/null
+	cmake --build build-tsan -j $(JOBS)
+	ctest --test-dir build-tsan --output-on-failure -j $(JOBS)
+
+fmt: setup
+	clang-format -i $(SOURCES)
+
+fmt-check: setup
+	clang-format --dry-run -Werror $(SOURCES)
+
+lint: setup
+	sh tools/lint.sh $(BUILD)
+
+run: build
+	sh tools/run.sh
+
+bench: build
+	sh bench/bench.sh full
+
+bench-quick: build
+	sh bench/bench.sh quick
+
+plots: build
+	sh bench/plots.sh
+
+capacity: build
+	sh bench/capacity.sh
+
+clean:
+	rm -rf $(BUILD) build-asan build-tsan
+
+# Regenerates the committed XDR code from wire.x.
+.PHONY: wire
+wire:
+	cd packages/wire && rm -f gen/wire_xdr.[ch] && \
+	    rpcgen -N -C -h -o gen/wire_xdr.h wire.x && \
+	    rpcgen -N -C -c -o gen/wire_xdr.c wire.x && \
+	    sed -i '/^#include "wire/d' gen/wire_xdr.c && \
+	    sed -i '0,/^$$/s//\n#include "wire_xdr.h"\n/' gen/wire_xdr.c
--- /dev/null
+++ b/packages/agent/agent.h
@@ -0,0 +1,97 @@
+/*
+ * The node's control client: follows the table and the endpoint sets that the
+ * node needs, announces the node's own endpoint and opens and closes claims.
+ */
+#ifndef AGENT_H
+#define AGENT_H
+
+#include "base.h"
+#include "event.h"
+#include "table.h"
+#include "wire.h"
+
+#define AGENT_CONTROL_MAX 17 /* control processes a node knows */
+#define AGENT_HEARTBEAT_MS 10000 /* longest wait of a watch */
+#define AGENT_OVERDUE_MS 12000 /* a watch unanswered for longer is dead */
+#define AGENT_STALE_MS 2000 /* no leader contact: control is stale */
+
+struct agent;
+
+struct agent_config {
+	struct clock_source clock;
+	struct event_log *events; /* may be NULL */
+	const char *node; /* node name */
+	const char *zone;
+	const char *controls[AGENT_CONTROL_MAX]; /* "IP:port" */
+	size_t control_count;
+	struct str key; /* fleet key in use */
+	struct str next_key; /* also accepted; empty: none */
+	const char *interest[WIRE_INTEREST_MAX]; /* services followed at once */
+	size_t interest_count;
+	uint64_t seed; /* of reconnect jitter */
+};
+
+/* The endpoints of one service, immutable; held by reference count. */
+struct endpoint_set {
+	char service[TABLE_NAME_BYTES];
+	uint64_t set_version;
+	size_t count;
+	struct wire_endpoint *endpoints;
+	int refs; /* owned by the agent */
+};
+
+/* What became of a claim request. */
+struct claim_result {
+	int status; /* 0 granted; ERR_CONFLICT held; ERR_UNAVAILABLE; ... */
+	enum wire_claim_state state; /* of the claim that holds the key */
+	int http_status;
+	struct str answer; /* valid during the callback */
+	bool answer_whole;
+};
+
+typedef void (*claim_fn)(void *arg, const struct claim_result *result);
+
+/* A claim to open or close. Strings are copied. */
+struct claim_request {
+	struct str kind;
+	struct str key;
+	unsigned char claim_id[WIRE_CLAIM_ID_BYTES];
+	enum wire_claim_state state; /* WIRE_CLAIM_OPEN opens */
+	uint32_t keep_s;
+	int http_status;
+	struct str answer;
+	bool answer_whole;
+	int timeout_ms;
+};
+
+int start_agent(
+    const struct agent_config *cfg, struct agent **out, struct fault *f);
+void stop_agent(struct agent *a); /* sends GONE when it can, then ends */
+
+/* The table in force; NULL before the first one. Never goes back. */
+const struct table *acquire_table(struct agent *a);
+void release_table(struct agent *a, const struct table *t);
+
+/*
+ * The endpoints of a service; NULL when the node does not hold them. The first
+ * request for a service adds it to the interest.
+ */
+const struct endpoint_set *acquire_endpoints(
+    struct agent *a, struct str service);
+void release_endpoints(struct agent *a, const struct endpoint_set *s);
+
+/* Announces this node's endpoint; the agent sets incarnation and seq. */
+int announce_endpoint(struct agent *a, const struct wire_endpoint *self);
+
+/*
+ * Sends a claim request without blocking; fn runs on an agent thread exactly
+ * once. An open whose answer is lost or late is closed as not run in the
+ * background until a control process confirms it.
+ */
+int request_claim(
+    struct agent *a, const struct claim_request *req, claim_fn fn, void *arg);
+
+/* State as a JSON object, for the node's admin listener. */
+int render_agent_status(struct agent *a, struct buf *out);
+
+#endif
--- /dev/null
+++ b/packages/base/tests/test_base.c
@@ -0,0 +1,116 @@
+/*
+ * Strings, buffers, clock and random numbers.
+ */
+#include <check.h>
+#include <stdlib.h>
+
+#include "base.h"
+
+struct parse_case {
+	const char *text;
+	int64_t lo, hi;
+	int want_rc;
+	int64_t want;
+};
+
+static const struct parse_case parse_cases[] = {
+    {"0", 0, 9, 0, 0},
+    {"-5", -9, 9, 0, -5},
+    {"10", 0, 9, ERR_INVALID, 0},
+    {"", 0, 9, ERR_INVALID, 0},
+    {"+1", 0, 9, ERR_INVALID, 0},
+    {" 1", 0, 9, ERR_INVALID, 0},
+    {"1x", 0, 9, ERR_INVALID, 0},
+    {"99999999999999999999999", 0, 9, ERR_INVALID, 0},
+};
+
+/* Guards against accepting a cell that is only partly a number. */
+START_TEST(parse_i64_accepts_whole_decimals_only)
+{
+	const struct parse_case *c = &parse_cases[_i];
+	int64_t v = 0;
+
+	ck_assert_int_eq(
+	    parse_i64(make_str(c->text), c->lo, c->hi, &v), c->want_rc);
+	if (c->want_rc == 0)
+		ck_assert_int_eq(v, c->want);
+}
+END_TEST
+
+/* Guards against a copy that overruns or cuts silently. */
+START_TEST(copy_str_refuses_what_does_not_fit)
+{
+	char dst[4];
+
+	ck_assert_int_eq(copy_str(dst, sizeof(dst), make_str("abc")), 0);
+	ck_assert_str_eq(dst, "abc");
+	ck_assert_int_eq(
+	    copy_str(dst, sizeof(dst), make_str("abcd")), ERR_LIMIT);
+	ck_assert_str_eq(dst, "");
+}
+END_TEST
+
+/* Guards against lost bytes when a buffer grows. */
+START_TEST(buffer_grows_and_keeps_content)
+{
+	struct buf b = {0};
+
+	for (int i = 0; i < 1000; i++)
+		ck_assert_int_eq(append_buf_fmt(&b, "%d,", i), 0);
+	ck_assert_uint_eq(b.len, 3890);
+	ck_assert_int_eq(append_buf(&b, "x", 1), 0);
+	ck_assert_str_eq(b.data + 3886, "999,x");
+	unload_buf(&b);
+}
+END_TEST
+
+/* Guards against tests that depend on real time. */
+START_TEST(paused_clock_moves_only_when_advanced)
+{
+	struct paused_clock pc = {5, 7};
+	struct clock_source c = get_paused_clock(&pc);
+
+	ck_assert_int_eq(read_mono(&c), 5);
+	advance_clock(&pc, 10);
+	ck_assert_int_eq(read_mono(&c), 15);
+	ck_assert_int_eq(read_wall(&c), 17);
+}
+END_TEST
+
+/* Guards against runs that a seed does not repeat. */
+START_TEST(equal_seeds_give_equal_sequences)
+{
+	struct rng a, b;
+
+	seed_rng(&a, 42);
+	seed_rng(&b, 42);
+	for (int i = 0; i < 100; i++)
+		ck_assert_uint_eq(draw_u64(&a), draw_u64(&b));
+	for (int i = 0; i < 1000; i++) {
+		ck_assert_uint_lt(draw_below(&a, 7), 7);
+		ck_assert(draw_unit(&a) < 1.0);
+	}
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("base");
+	TCase *t = tcase_create("base");
+	SRunner *r;
+	int failed;
+
+	tcase_add_loop_test(t, parse_i64_accepts_whole_decimals_only, 0,
+	    sizeof(parse_cases) / sizeof(parse_cases[0]));
+	tcase_add_test(t, copy_str_refuses_what_does_not_fit);
+	tcase_add_test(t, buffer_grows_and_keeps_content);
+	tcase_add_test(t, paused_clock_moves_only_when_advanced);
+	tcase_add_test(t, equal_seeds_give_equal_sequences);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/packages/event/event.c
@@ -0,0 +1,187 @@
+/*
+ * The ring of events of one process.
+ */
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <jansson.h>
+
+#include "event.h"
+
+#define EVENT_NODE_BYTES 64
+
+struct event_log {
+	pthread_mutex_t lock; /* leaf lock */
+	struct clock_source clock;
+	struct hlc last;
+	struct event *ring;
+	size_t capacity;
+	uint64_t written;
+	char node[EVENT_NODE_BYTES];
+};
+
+static struct hlc advance_hlc(struct event_log *l, struct hlc seen);
+static int render_event(
+    const struct event_log *l, const struct event *e, struct buf *out);
+
+/*
+ * Opens a log that keeps the newest capacity events. node names the process in
+ * the rendered events.
+ */
+struct event_log *
+open_event_log(struct clock_source clock, const char *node, size_t capacity)
+{
+	struct event_log *l = calloc(1, sizeof(*l));
+
+	if (l == NULL)
+		return NULL;
+	l->ring = calloc(capacity, sizeof(*l->ring));
+	if (l->ring == NULL) {
+		free(l);
+		return NULL;
+	}
+	pthread_mutex_init(&l->lock, NULL);
+	l->clock = clock;
+	l->capacity = capacity;
+	snprintf(l->node, sizeof(l->node), "%s", node);
+	return l;
+}
+
+void
+close_event_log(struct event_log *l)
+{
+	if (l == NULL)
+		return;
+	pthread_mutex_destroy(&l->lock);
+	free(l->ring);
+	free(l);
+}
+
+/*
+ * Records an event; the oldest one is overwritten when the ring is full. Texts
+ * that are too long are cut.
+ */
+void
+record_event(struct event_log *l, const char *kind, const char *subject,
+    uint64_t version, const char *fmt, ...)
+{
+	struct event *e;
+	va_list ap;
+
+	if (l == NULL)
+		return;
+	pthread_mutex_lock(&l->lock);
+	e = &l->ring[l->written % l->capacity];
+	l->written++;
+	e->stamp = advance_hlc(l, (struct hlc){0});
+	e->version = version;
+	snprintf(e->kind, sizeof(e->kind), "%s", kind);
+	snprintf(e->subject, sizeof(e->subject), "%s", subject);
+	va_start(ap, fmt);
+	vsnprintf(e->detail, sizeof(e->detail), fmt, ap);
+	va_end(ap);
+	pthread_mutex_unlock(&l->lock);
+}
+
+struct hlc
+stamp_hlc(struct event_log *l)
+{
+	struct hlc h;
+
+	if (l == NULL)
+		return (struct hlc){0};
+	pthread_mutex_lock(&l->lock);
+	h = advance_hlc(l, (struct hlc){0});
+	pthread_mutex_unlock(&l->lock);
+	return h;
+}
+
+/*
+ * Takes over the stamp of a received message, so that later events sort after
+ * it.
+ */
+void
+merge_hlc(struct event_log *l, struct hlc seen)
+{
+	if (l == NULL)
+		return;
+	pthread_mutex_lock(&l->lock);
+	advance_hlc(l, seen);
+	pthread_mutex_unlock(&l->lock);
+}
+
+uint64_t
+get_event_drops(struct event_log *l)
+{
+	uint64_t n;
+
+	pthread_mutex_lock(&l->lock);
+	n = l->written > l->capacity ? l->written - l->capacity : 0;
+	pthread_mutex_unlock(&l->lock);
+	return n;
+}
+
+/*
+ * Appends the kept events, oldest first, one JSON object a line.
+ */
+int
+render_events(struct event_log *l, struct buf *out)
+{
+	uint64_t first;
+	int rc = 0;
+
+	pthread_mutex_lock(&l->lock);
+	first = l->written > l->capacity ? l->written - l->capacity : 0;
+	for (uint64_t i = first; i < l->written && rc == 0; i++)
+		rc = render_event(l, &l->ring[i % l->capacity], out);
+	pthread_mutex_unlock(&l->lock);
+	return rc;
+}
+
+/*
+ * Orders stamps by time, then by count.
+ */
+int
+compare_hlc(struct hlc a, struct hlc b)
+{
+	if (a.wall_ns != b.wall_ns)
+		return a.wall_ns < b.wall_ns ? -1 : 1;
+	return a.count < b.count ? -1 : a.count > b.count;
+}
+
+/*
+ * Moves the hybrid logical clock past its last value, past seen and up to the
+ * wall clock, and returns it.
+ */
+static struct hlc
+advance_hlc(struct event_log *l, struct hlc seen)
+{
+	struct hlc now = {read_wall(&l->clock), 0};
+	struct hlc top = compare_hlc(seen, l->last) > 0 ? seen : l->last;
+
+	if (compare_hlc(now, top) <= 0) {
+		now = top;
+		now.count++;
+	}
+	l->last = now;
+	return now;
+}
+
+static int
+render_event(const struct event_log *l, const struct event *e, struct buf *out)
+{
+	json_t *o = json_pack("{s:I,s:I,s:s,s:s,s:s,s:I,s:s}", "wall_ns",
+	    (json_int_t)e->stamp.wall_ns, "count", (json_int_t)e->stamp.count,
+	    "node", l->node, "kind", e->kind, "subject", e->subject, "version",
+	    (json_int_t)e->version, "detail", e->detail);
+	char *text = o != NULL ? json_dumps(o, JSON_COMPACT) : NULL;
+	int rc;
+
+	json_decref(o);
+	if (text == NULL)
+		return ERR_MEMORY;
+	rc = append_buf_fmt(out, "%s\n", text);
+	free(text);
+	return rc;
+}
--- /dev/null
+++ b/packages/metric/metric.c
@@ -0,0 +1,288 @@
+/*
+ * Per-thread counter slots: a thread adds to its own slot without locks, a
+ * reader sums all slots. Slots of ended threads keep their sums.
+ */
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <ck_pr.h>
+
+#include "metric.h"
+
+#define SUB_BITS 3 /* sub-buckets of a power of two, as bits */
+#define SUB_COUNT (1u << SUB_BITS)
+
+struct metric {
+	char name[METRIC_NAME_BYTES];
+	char help[METRIC_NAME_BYTES];
+	enum metric_kind kind;
+	int64_t gauge;
+	uint64_t *buckets; /* HISTOGRAM_BUCKETS, shared by all threads */
+	uint64_t sum;
+};
+
+struct thread_slot {
+	uint64_t counts[METRIC_MAX];
+};
+
+static pthread_mutex_t registry_lock = PTHREAD_MUTEX_INITIALIZER;
+static struct metric metrics[METRIC_MAX];
+static unsigned int metric_count;
+static struct thread_slot *slots[GGS_MAX_THREADS];
+static unsigned int slot_count;
+static struct thread_slot shared_slot; /* for threads above the limit */
+static __thread struct thread_slot *own_slot;
+static __thread bool own_slot_shared;
+
+static struct thread_slot *get_own_slot(void);
+static unsigned int get_bucket(uint64_t value);
+static uint64_t get_bucket_edge(unsigned int bucket);
+static uint64_t find_quantile(const uint64_t *counts, uint64_t total, double q);
+static int render_histogram(struct buf *out, metric_id id);
+static int render_sample(struct buf *out, const struct metric *m,
+    const char *suffix, const char *label, uint64_t value);
+
+metric_id
+register_metric(enum metric_kind kind, const char *name, const char *help)
+{
+	metric_id id = ERR_LIMIT;
+
+	pthread_mutex_lock(&registry_lock);
+	for (unsigned int i = 0; i < metric_count; i++) {
+		if (strcmp(metrics[i].name, name) == 0) {
+			id = (metric_id)i;
+			goto out;
+		}
+	}
+	if (metric_count == METRIC_MAX)
+		goto out;
+	struct metric *m = &metrics[metric_count];
+	if (copy_str(m->name, sizeof(m->name), make_str(name)) != 0)
+		goto out;
+	(void)copy_str(m->help, sizeof(m->help), make_str(help));
+	m->kind = kind;
+	if (kind == METRIC_HISTOGRAM) {
+		m->buckets = calloc(HISTOGRAM_BUCKETS, sizeof(*m->buckets));
+		if (m->buckets == NULL)
+			goto out;
+	}
+	id = (metric_id)metric_count;
+	ck_pr_fence_store();
+	ck_pr_store_uint(&metric_count, metric_count + 1);
+out:
+	pthread_mutex_unlock(&registry_lock);
+	return id;
+}
+
+/*
+ * Adds n to the counter in the calling thread's slot.
+ */
+void
+count_metric(metric_id id, uint64_t n)
+{
+	struct thread_slot *slot;
+
+	if (id < 0)
+		return;
+	slot = get_own_slot();
+	if (own_slot_shared)
+		ck_pr_add_64(&slot->counts[id], n);
+	else
+		ck_pr_store_64(&slot->counts[id], slot->counts[id] + n);
+}
+
+void
+set_metric(metric_id id, int64_t value)
+{
+	if (id >= 0)
+		ck_pr_store_64((uint64_t *)&metrics[id].gauge, (uint64_t)value);
+}
+
+/*
+ * Adds value to a histogram. The bucket's upper edge is at most 12.5% above
+ * the value.
+ */
+void
+observe_metric(metric_id id, uint64_t value)
+{
+	if (id < 0 || metrics[id].buckets == NULL)
+		return;
+	ck_pr_inc_64(&metrics[id].buckets[get_bucket(value)]);
+	ck_pr_add_64(&metrics[id].sum, value);
+}
+
+int64_t
+get_metric(metric_id id)
+{
+	uint64_t sum;
+	unsigned int n;
+
+	if (id < 0)
+		return 0;
+	if (metrics[id].kind == METRIC_GAUGE)
+		return (int64_t)ck_pr_load_64((uint64_t *)&metrics[id].gauge);
+	sum = ck_pr_load_64(&shared_slot.counts[id]);
+	n = ck_pr_load_uint(&slot_count);
+	for (unsigned int i = 0; i < n; i++)
+		sum += ck_pr_load_64(&slots[i]->counts[id]);
+	return (int64_t)sum;
+}
+
+struct histogram_summary
+get_histogram(metric_id id)
+{
+	struct histogram_summary s = {0};
+	uint64_t counts[HISTOGRAM_BUCKETS];
+
+	if (id < 0 || metrics[id].buckets == NULL)
+		return s;
+	for (unsigned int i = 0; i < HISTOGRAM_BUCKETS; i++) {
+		counts[i] = ck_pr_load_64(&metrics[id].buckets[i]);
+		s.count += counts[i];
+		if (counts[i] > 0)
+			s.max = get_bucket_edge(i);
+	}
+	s.sum = ck_pr_load_64(&metrics[id].sum);
+	s.p50 = find_quantile(counts, s.count, 0.5);
+	s.p99 = find_quantile(counts, s.count, 0.99);
+	s.p999 = find_quantile(counts, s.count, 0.999);
+	return s;
+}
+
+/*
+ * Appends all metrics in the Prometheus text format, histograms as summaries.
+ */
+int
+render_metrics(struct buf *out)
+{
+	unsigned int n = ck_pr_load_uint(&metric_count);
+	int rc = 0;
+
+	for (unsigned int i = 0; i < n && rc == 0; i++) {
+		const struct metric *m = &metrics[i];
+		int base = (int)strcspn(m->name, "{");
+
+		rc = append_buf_fmt(out, "# HELP %.*s %s\n# TYPE %.*s %s\n",
+		    base, m->name, m->help, base, m->name,
+		    m->kind == METRIC_COUNTER ? "counter" :
+		    m->kind == METRIC_GAUGE   ? "gauge" :
+						"summary");
+		if (rc != 0)
+			break;
+		if (m->kind == METRIC_HISTOGRAM)
+			rc = render_histogram(out, (metric_id)i);
+		else
+			rc = append_buf_fmt(out, "%s %lld\n", m->name,
+			    (long long)get_metric((metric_id)i));
+	}
+	return rc;
+}
+
+/*
+ * Returns the calling thread's slot. Threads above GGS_MAX_THREADS share one
+ * slot and add to it atomically.
+ */
+static struct thread_slot *
+get_own_slot(void)
+{
+	if (own_slot != NULL)
+		return own_slot;
+	pthread_mutex_lock(&registry_lock);
+	if (slot_count < GGS_MAX_THREADS)
+		own_slot = calloc(1, sizeof(*own_slot));
+	if (own_slot != NULL) {
+		slots[slot_count] = own_slot;
+		ck_pr_fence_store();
+		ck_pr_store_uint(&slot_count, slot_count + 1);
+	} else {
+		own_slot = &shared_slot;
+		own_slot_shared = true;
+	}
+	pthread_mutex_unlock(&registry_lock);
+	return own_slot;
+}
+
+/*
+ * Values below SUB_COUNT have a bucket each; above, every power of two has
+ * SUB_COUNT buckets of equal width.
+ */
+static unsigned int
+get_bucket(uint64_t value)
+{
+	unsigned int shift;
+
+	if (value < SUB_COUNT)
+		return (unsigned int)value;
+	shift = 63u - (unsigned int)__builtin_clzll(value) - SUB_BITS;
+	return (shift + 1) * SUB_COUNT +
+	       (unsigned int)((value >> shift) & (SUB_COUNT - 1));
+}
+
+/*
+ * Returns the highest value that falls into the bucket.
+ */
+static uint64_t
+get_bucket_edge(unsigned int bucket)
+{
+	unsigned int shift;
+
+	if (bucket < SUB_COUNT)
+		return bucket;
+	shift = bucket / SUB_COUNT - 1;
+	return ((uint64_t)(SUB_COUNT + bucket % SUB_COUNT) << shift) +
+	       (((uint64_t)1 << shift) - 1);
+}
+
+static uint64_t
+find_quantile(const uint64_t *counts, uint64_t total, double q)
+{
+	uint64_t need = (uint64_t)((double)total * q), seen = 0;
+
+	for (unsigned int i = 0; i < HISTOGRAM_BUCKETS; i++) {
+		seen += counts[i];
+		if (seen > need || (seen == total && total > 0))
+			return get_bucket_edge(i);
+	}
+	return 0;
+}
+
+static int
+render_histogram(struct buf *out, metric_id id)
+{
+	struct histogram_summary s = get_histogram(id);
+	const struct metric *m = &metrics[id];
+	int rc = render_sample(out, m, "", "quantile=\"0.5\"", s.p50);
+
+	if (rc == 0)
+		rc = render_sample(out, m, "", "quantile=\"0.99\"", s.p99);
+	if (rc == 0)
+		rc = render_sample(out, m, "", "quantile=\"0.999\"", s.p999);
+	if (rc == 0)
+		rc = render_sample(out, m, "_sum", NULL, s.sum);
+	if (rc == 0)
+		rc = render_sample(out, m, "_count", NULL, s.count);
+	return rc;
+}
+
+/*
+ * Writes one sample line, putting suffix before and label among the labels
+ * that the metric's name carries.
+ */
+static int
+render_sample(struct buf *out, const struct metric *m, const char *suffix,
+    const char *label, uint64_t value)
+{
+	size_t base = strcspn(m->name, "{");
+	const char *labels = m->name + base;
+	size_t inner = labels[0] == '{' ? strlen(labels) - 2 : 0;
+	const char *comma = inner > 0 && label != NULL ? "," : "";
+
+	if (label == NULL && inner == 0)
+		return append_buf_fmt(out, "%s%s %llu\n", m->name, suffix,
+		    (unsigned long long)value);
+	return append_buf_fmt(out, "%.*s%s{%.*s%s%s} %llu\n", (int)base,
+	    m->name, suffix, (int)inner, labels + (inner > 0), comma,
+	    label != NULL ? label : "", (unsigned long long)value);
+}
--- /dev/null
+++ b/packages/wire/wire.c
@@ -0,0 +1,64 @@
+/*
+ * Encoding of XDR messages.
+ */
+#include <string.h>
+
+#include "wire.h"
+
+/*
+ * Appends the encoded value to out. Returns ERR_LIMIT when it exceeds
+ * WIRE_MESSAGE_MAX and ERR_INVALID when it breaks a bound of wire.x.
+ */
+int
+encode_wire(xdrproc_t proc, const void *value, struct buf *out)
+{
+	unsigned long size = xdr_sizeof(proc, (void *)(uintptr_t)value);
+	size_t at = out->len;
+	XDR x;
+	int rc;
+
+	if (size == 0)
+		return 0;
+	if (size > WIRE_MESSAGE_MAX)
+		return ERR_LIMIT;
+	rc = append_buf_fmt(out, "%*s", (int)size, "");
+	if (rc != 0)
+		return rc;
+	xdrmem_create(&x, out->data + at, (unsigned int)size, XDR_ENCODE);
+	if (!proc(&x, (void *)(uintptr_t)value)) {
+		out->len = at;
+		rc = ERR_INVALID;
+	} else {
+		out->len = at + xdr_getpos(&x);
+	}
+	xdr_destroy(&x);
+	return rc;
+}
+
+/*
+ * Decodes all of bytes into value, which must be zeroed. Returns ERR_CORRUPT,
+ * with nothing left to free, on short, oversized or trailing input.
+ */
+int
+decode_wire(xdrproc_t proc, struct str bytes, void *value)
+{
+	XDR x;
+	bool ok;
+
+	if (bytes.len > WIRE_MESSAGE_MAX)
+		return ERR_LIMIT;
+	xdrmem_create(&x, (char *)(uintptr_t)bytes.data,
+	    (unsigned int)bytes.len, XDR_DECODE);
+	ok = proc(&x, value) && xdr_getpos(&x) == bytes.len;
+	xdr_destroy(&x);
+	if (ok)
+		return 0;
+	xdr_free(proc, (char *)value);
+	return ERR_CORRUPT;
+}
+
+void
+unload_wire(xdrproc_t proc, void *value)
+{
+	xdr_free(proc, (char *)value);
+}
