table: add schema, CSV loading, edits, differences and digest

Cause: operators, control processes and nodes need one definition of a valid table, and a bad version must never be applied in part. Change: packages/table validates cells, rows and the floors of a service as a whole, and names row, column, value and what is accepted. Edits and differences make a new immutable table.

--- /dev/null
+++ b/packages/table/table.c
@@ -0,0 +1,284 @@
+/*
+ * Tables: loading from CSV, rendering and look-up.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <csv.h>
+#include <xxhash.h>
+
+#include "schema.h"
+
+/* State of a CSV parse. */
+struct loader {
+	struct row *rows;
+	size_t count;
+	size_t cap;
+	enum column order[COLUMN_COUNT]; /* column of each field */
+	size_t field_count; /* fields of the header line */
+	size_t field; /* field of the current line */
+	long line; /* lines read before this one */
+	bool seen[COLUMN_COUNT];
+	int rc;
+	struct fault *f;
+};
+
+static void read_field(void *data, size_t len, void *arg);
+static void read_line_end(int c, void *arg);
+static void read_header_field(struct loader *l, struct str name);
+static void check_header(struct loader *l);
+static int start_row(struct loader *l);
+
+/*
+ * Loads a table from CSV whose first line names all columns in any order.
+ * Returns ERR_INVALID or ERR_LIMIT with a fault that names the place; nothing
+ * is kept of a file with an error.
+ */
+int
+load_table_csv(
+    struct str csv, uint64_t version, struct table **out, struct fault *f)
+{
+	struct loader l = {.f = f};
+	struct csv_parser p;
+
+	if (csv.len > TABLE_MAX_CSV)
+		return set_fault(f, ERR_LIMIT,
+		    "the file has %zu bytes; at most %d are accepted", csv.len,
+		    TABLE_MAX_CSV);
+	if (csv_init(&p, CSV_STRICT | CSV_STRICT_FINI) != 0)
+		return set_fault(f, ERR_MEMORY, "out of memory for CSV");
+	if (csv_parse(&p, csv.data, csv.len, read_field, read_line_end, &l) !=
+		csv.len ||
+	    csv_fini(&p, read_field, read_line_end, &l) != 0) {
+		if (l.rc == 0)
+			l.rc = set_fault(f, ERR_INVALID,
+			    "line %ld is not valid CSV (%s); check its quotes",
+			    l.line + 1, csv_strerror(csv_error(&p)));
+	}
+	csv_free(&p);
+	if (l.rc == 0 && l.line == 0)
+		l.rc = set_fault(f, ERR_INVALID,
+		    "the file has no header line; start it with the column "
+		    "names, the first being kind");
+	if (l.rc == 0)
+		l.rc = make_table(l.rows, l.count, version, out, f);
+	free(l.rows);
+	return l.rc;
+}
+
+/*
+ * Returns the table that is in force before the first accepted version, or
+ * NULL when out of memory.
+ */
+struct table *
+load_empty_table(void)
+{
+	struct table *t = NULL;
+
+	(void)make_table(NULL, 0, 0, &t, NULL);
+	return t;
+}
+
+void
+unload_table(struct table *t)
+{
+	free(t);
+}
+
+/*
+ * Returns the row of that kind, or NULL. Rows are sorted, so the search takes
+ * log2(rows) comparisons.
+ */
+const struct row *
+find_row(const struct table *t, struct str kind)
+{
+	size_t lo = 0, hi = t->row_count;
+
+	while (lo < hi) {
+		size_t mid = lo + (hi - lo) / 2;
+		int c = compare_str(kind, make_str(t->rows[mid].kind));
+
+		if (c == 0)
+			return &t->rows[mid];
+		if (c < 0)
+			hi = mid;
+		else
+			lo = mid + 1;
+	}
+	return NULL;
+}
+
+bool
+has_service(const struct table *t, struct str service)
+{
+	for (size_t i = 0; i < t->row_count; i++) {
+		if (is_str_equal(service, make_str(t->rows[i].service)))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Appends the canonical CSV: columns in schema order, rows by kind, "\n" line
+ * ends, no quotes (no accepted cell needs them).
+ */
+int
+render_table_csv(const struct table *t, struct buf *out)
+{
+	char cell[TABLE_CELL_BYTES];
+	int rc = 0;
+
+	for (int c = 0; c < COLUMN_COUNT && rc == 0; c++)
+		rc = append_buf_fmt(
+		    out, "%s%s", c > 0 ? "," : "", get_column_name(c));
+	if (rc == 0)
+		rc = append_buf(out, "\n", 1);
+	for (size_t i = 0; i < t->row_count && rc == 0; i++) {
+		for (int c = 0; c < COLUMN_COUNT && rc == 0; c++) {
+			(void)render_cell(&t->rows[i], c, cell, sizeof(cell));
+			rc =
+			    append_buf_fmt(out, "%s%s", c > 0 ? "," : "", cell);
+		}
+		if (rc == 0)
+			rc = append_buf(out, "\n", 1);
+	}
+	return rc;
+}
+
+/*
+ * Writes the text of one cell with a NUL; ERR_LIMIT when it does not fit.
+ */
+int
+render_cell(const struct row *r, enum column c, char *out, size_t size)
+{
+	int n;
+
+	switch (get_column_spec(c)->type) {
+	case CELL_NAME:
+		n = snprintf(
+		    out, size, "%s", c == COL_KIND ? r->kind : r->service);
+		break;
+	case CELL_YES_NO:
+		n = snprintf(out, size, "%s", r->repeatable ? "yes" : "no");
+		break;
+	default:
+		n = snprintf(out, size, "%d", r->values[c]);
+		break;
+	}
+	return n >= 0 && (size_t)n < size ? 0 : ERR_LIMIT;
+}
+
+uint64_t
+compute_digest(struct str csv)
+{
+	return XXH3_64bits(csv.data, csv.len);
+}
+
+/*
+ * Takes one CSV field: a column name on the first line, a cell on the others.
+ */
+static void
+read_field(void *data, size_t len, void *arg)
+{
+	struct loader *l = arg;
+	struct str value = make_str_n(data, len);
+
+	if (l->rc != 0)
+		return;
+	if (l->line == 0) {
+		read_header_field(l, value);
+		return;
+	}
+	if (l->field == l->field_count) {
+		l->rc = set_fault(l->f, ERR_INVALID,
+		    "line %ld has more than %zu fields; remove the rest",
+		    l->line + 1, l->field_count);
+		return;
+	}
+	if (l->field == 0)
+		l->rc = start_row(l);
+	if (l->rc == 0)
+		l->rc = set_cell(
+		    &l->rows[l->count - 1], l->order[l->field], value, l->f);
+	l->field++;
+}
+
+static void
+read_line_end(int c, void *arg)
+{
+	struct loader *l = arg;
+
+	(void)c;
+	if (l->rc == 0) {
+		if (l->line == 0)
+			check_header(l);
+		else if (l->field != l->field_count)
+			l->rc = set_fault(l->f, ERR_INVALID,
+			    "line %ld has %zu fields; fill in all %zu columns",
+			    l->line + 1, l->field, l->field_count);
+	}
+	l->line++;
+	l->field = 0;
+}
+
+static void
+read_header_field(struct loader *l, struct str name)
+{
+	int c = find_column(name);
+	int shown = name.len > 40 ? 40 : (int)name.len;
+
+	if (c < 0 || l->seen[c]) {
+		l->rc = set_fault(l->f, ERR_INVALID,
+		    "header: column '%.*s' is %s; the columns are those of "
+		    "'greengagespurctl table export'",
+		    shown, name.data, c < 0 ? "unknown" : "named twice");
+		return;
+	}
+	l->seen[c] = true;
+	l->order[l->field_count++] = (enum column)c;
+}
+
+/*
+ * All columns must be there; kind must come first, since later faults of a
+ * line name its row.
+ */
+static void
+check_header(struct loader *l)
+{
+	if (l->field_count > 0 && l->order[0] != COL_KIND) {
+		l->rc = set_fault(l->f, ERR_INVALID,
+		    "header: the first column is '%s'; put kind first",
+		    get_column_name(l->order[0]));
+		return;
+	}
+	for (int c = 0; c < COLUMN_COUNT; c++) {
+		if (!l->seen[c]) {
+			l->rc = set_fault(l->f, ERR_INVALID,
+			    "header: column '%s' is missing; add it",
+			    get_column_name(c));
+			return;
+		}
+	}
+}
+
+static int
+start_row(struct loader *l)
+{
+	struct row *p;
+	size_t cap = l->cap != 0 ? l->cap * 2 : 16;
+
+	if (l->count == TABLE_MAX_ROWS)
+		return set_fault(l->f, ERR_LIMIT,
+		    "the file has more than %d rows; remove some",
+		    TABLE_MAX_ROWS);
+	if (l->count == l->cap) {
+		p = realloc(l->rows, cap * sizeof(*p));
+		if (p == NULL)
+			return set_fault(l->f, ERR_MEMORY, "out of memory");
+		l->rows = p;
+		l->cap = cap;
+	}
+	init_row(&l->rows[l->count++], make_str(""));
+	return 0;
+}
--- a/packages/table/table.h
+++ b/packages/table/table.h
@@ -77,6 +77,7 @@
 int find_column(struct str name); /* ERR_NOT_FOUND */
 const char *get_column_name(enum column c);
 bool has_service(const struct table *t, struct str service);
+uint64_t compute_digest(struct str csv); /* xxh3, 64 bits */
 
 /* Changes: each makes a new table of the given version */
 int apply_cells(const struct table *base, const struct cell_list *cells,
--- /dev/null
+++ b/packages/table/tests/test_table.c
@@ -0,0 +1,244 @@
+/*
+ * Table validation, edits, differences and the cell list codec.
+ */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "table.h"
+
+#define HEADER                                                            \
+	"kind,service,rank,weight,floor_pct,limit_pct,target_ms,"         \
+	"deadline_ms,queue_max,retries,retry_pct,hedge_ms,repeat,keep_s," \
+	"body_max_kb,drain_s\n"
+#define ROW_A "a,svc,1,10,10,100,100,1000,10,1,10,0,yes,0,16,10\n"
+#define ROW_B "b,svc,2,20,20,100,100,1000,10,1,10,0,no,600,16,10\n"
+
+struct load_case {
+	const char *csv;
+	int want_rc;
+	const char *want_text; /* part of the fault */
+};
+
+static const struct load_case load_cases[] = {
+    {HEADER ROW_A ROW_B, 0, NULL},
+    {HEADER, 0, NULL},
+    {"", ERR_INVALID, "no header line"},
+    {"kind,service\na,b\n", ERR_INVALID, "'rank' is missing"},
+    {"service,kind\n", ERR_INVALID, "put kind first"},
+    {"kind,colour\n", ERR_INVALID, "'colour' is unknown"},
+    {"kind,rank,rank\n", ERR_INVALID, "'rank' is named twice"},
+    {HEADER "a,svc,0,10,10,100,100,1000,10,1,10,0,yes,0,16,10\n", ERR_INVALID,
+	"column rank: '0' is not accepted; use an integer "
+	"from 1 to 9"},
+    {HEADER "a,svc,1x,10,10,100,100,1000,10,1,10,0,yes,0,16,10\n", ERR_INVALID,
+	"column rank: '1x'"},
+    {HEADER "A,svc,1,10,10,100,100,1000,10,1,10,0,yes,0,16,10\n", ERR_INVALID,
+	"'A' is not a name"},
+    {HEADER "a,svc,1,10,10,100,100,99,10,1,10,0,yes,0,16,10\n", ERR_INVALID,
+	"use 100 or more"},
+    {HEADER "a,svc,1,10,10,100,100,1000,10,1,10,5,no,600,16,10\n", ERR_INVALID,
+	"column hedge_ms: '5' with repeat=no"},
+    {HEADER "a,svc,1,10,10,100,100,1000,10,1,10,0,no,59,16,10\n", ERR_INVALID,
+	"column keep_s: '59'"},
+    {HEADER "a,svc,1,10,10,5,100,1000,10,1,10,0,yes,0,16,10\n", ERR_INVALID,
+	"above limit_pct"},
+    {HEADER ROW_A ROW_A, ERR_INVALID, "row 'a' stands twice"},
+    {HEADER "a,svc,1,10,50,100,100,1000,10,1,10,0,yes,0,16,10\n"
+	    "b,svc,1,10,41,100,100,1000,10,1,10,0,yes,0,16,10\n",
+	ERR_INVALID, "add up to 91"},
+    {HEADER "a,svc,1\n", ERR_INVALID, "has 3 fields"},
+    {HEADER ROW_A "b,svc,2,20,20,100,100,1000,10,1,10,0,no,600,16,10,9\n",
+	ERR_INVALID, "line 3 has more than 16 fields"},
+    {HEADER "\"a,svc\n", ERR_INVALID, "not valid CSV"},
+};
+
+/* Guards against a bad table that is accepted, or a fault with no remedy. */
+START_TEST(load_checks_every_rule)
+{
+	const struct load_case *c = &load_cases[_i];
+	struct table *t = NULL;
+	struct fault f = {0};
+
+	ck_assert_int_eq(
+	    load_table_csv(make_str(c->csv), 1, &t, &f), c->want_rc);
+	if (c->want_rc != 0) {
+		ck_assert_ptr_null(t);
+		ck_assert_msg(
+		    strstr(f.text, c->want_text) != NULL, "%s", f.text);
+	}
+	unload_table(t);
+}
+END_TEST
+
+struct edit_case {
+	const char *cells;
+	int want_rc;
+	const char *want_text;
+};
+
+static const struct edit_case edit_cases[] = {
+    {"a,rank,3\n", 0, NULL},
+    {"a,rank,10\n", ERR_INVALID, "row 'a', column rank: '10'"},
+    {"c,rank,3\n", ERR_NOT_FOUND, "no such row"},
+    {"b,kind,\n", 0, NULL},
+    {"c,kind,\n", ERR_NOT_FOUND, "no such row to remove"},
+    {"a,kind,b\n", ERR_INVALID, "cannot be renamed"},
+    {"a,kind,a\n", ERR_INVALID, "exists already"},
+    {"c,kind,c\nc,service,svc\n", 0, NULL},
+    {"c,kind,c\n", ERR_INVALID, "set the service"},
+    {"a,floor_pct,80\n", ERR_INVALID, "add up to 100"},
+    {"b,kind,\na,floor_pct,80\n", 0, NULL},
+    {"a,hedge_ms,30\nb,hedge_ms,30\n", ERR_INVALID, "row 'b'"},
+};
+
+static struct table *load_sample(void);
+
+/* Guards against an edit that is applied in part or past a rule. */
+START_TEST(edits_apply_whole_or_not_at_all)
+{
+	const struct edit_case *c = &edit_cases[_i];
+	struct table *base = load_sample(), *t = NULL;
+	struct cell_list l = {0};
+	struct fault f = {0};
+	uint64_t digest = base->digest;
+
+	ck_assert_int_eq(decode_cells(make_str(c->cells), &l, &f), 0);
+	ck_assert_int_eq(apply_cells(base, &l, 2, &t, &f), c->want_rc);
+	ck_assert_uint_eq(base->digest, digest);
+	if (c->want_rc == 0) {
+		ck_assert_uint_eq(t->version, 2);
+		ck_assert_uint_ne(t->digest, digest);
+	} else {
+		ck_assert_ptr_null(t);
+		ck_assert_msg(
+		    strstr(f.text, c->want_text) != NULL, "%s", f.text);
+	}
+	unload_table(t);
+	unload_cells(&l);
+	unload_table(base);
+}
+END_TEST
+
+/* Guards against a delta that gives a node other content than a snapshot. */
+START_TEST(difference_of_any_two_tables_leads_from_one_to_the_other)
+{
+	struct rng r;
+	struct table *a = load_sample();
+
+	seed_rng(&r, 7);
+	for (int i = 0; i < 200; i++) {
+		struct cell_list edits = {0}, diff = {0}, copy = {0};
+		struct table *b = NULL, *c = NULL;
+		struct buf text = {0};
+		char row[2] = {(char)('a' + draw_below(&r, 6)), '\0'};
+		char value[16];
+
+		snprintf(
+		    value, sizeof(value), "%d", 1 + (int)draw_below(&r, 9));
+		if (find_row(a, make_str(row)) == NULL) {
+			append_cell(
+			    &edits, make_str(row), COL_KIND, make_str(row));
+			append_cell(&edits, make_str(row), COL_SERVICE,
+			    make_str("svc"));
+		} else if (draw_below(&r, 4) == 0) {
+			append_cell(
+			    &edits, make_str(row), COL_KIND, make_str(""));
+		}
+		if (edits.count != 1)
+			append_cell(
+			    &edits, make_str(row), COL_RANK, make_str(value));
+		ck_assert_int_eq(apply_cells(a, &edits, 2, &b, NULL), 0);
+		ck_assert_int_eq(diff_tables(a, b, &diff), 0);
+		ck_assert_int_eq(encode_cells(&diff, &text), 0);
+		ck_assert_int_eq(decode_cells(view_buf(&text), &copy, NULL), 0);
+		ck_assert_int_eq(apply_cells(a, &copy, 2, &c, NULL), 0);
+		ck_assert_uint_eq(b->digest, c->digest);
+		unload_cells(&edits);
+		unload_cells(&diff);
+		unload_cells(&copy);
+		unload_buf(&text);
+		unload_table(c);
+		unload_table(a);
+		a = b;
+	}
+	unload_table(a);
+}
+END_TEST
+
+/* Guards against a crash or an accepted delta on damaged bytes. */
+START_TEST(decoders_survive_mutated_input)
+{
+	const char *text = HEADER ROW_A ROW_B;
+	size_t len = strlen(text);
+	struct rng r;
+	char copy[512];
+
+	seed_rng(&r, 11);
+	for (int i = 0; i < 20000; i++) {
+		struct cell_list l = {0};
+		struct table *t = NULL;
+		size_t n = draw_below(&r, len + 1);
+
+		memcpy(copy, text, len);
+		for (int k = 0; k < 3; k++)
+			copy[draw_below(&r, len)] = (char)draw_below(&r, 256);
+		if (load_table_csv(make_str_n(copy, n), 1, &t, NULL) == 0)
+			unload_table(t);
+		if (decode_cells(make_str_n(copy, n), &l, NULL) == 0)
+			unload_cells(&l);
+	}
+}
+END_TEST
+
+/* Guards against a render that a second load reads differently. */
+START_TEST(canonical_form_is_stable)
+{
+	struct table *a = load_sample(), *b = NULL;
+	struct buf csv = {0};
+
+	ck_assert_int_eq(render_table_csv(a, &csv), 0);
+	ck_assert_int_eq(load_table_csv(view_buf(&csv), 1, &b, NULL), 0);
+	ck_assert_uint_eq(a->digest, b->digest);
+	ck_assert_ptr_nonnull(find_row(b, make_str("b")));
+	ck_assert_ptr_null(find_row(b, make_str("bb")));
+	unload_buf(&csv);
+	unload_table(a);
+	unload_table(b);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("table");
+	TCase *t = tcase_create("table");
+	SRunner *r;
+	int failed;
+
+	tcase_add_loop_test(t, load_checks_every_rule, 0,
+	    sizeof(load_cases) / sizeof(load_cases[0]));
+	tcase_add_loop_test(t, edits_apply_whole_or_not_at_all, 0,
+	    sizeof(edit_cases) / sizeof(edit_cases[0]));
+	tcase_add_test(
+	    t, difference_of_any_two_tables_leads_from_one_to_the_other);
+	tcase_add_test(t, decoders_survive_mutated_input);
+	tcase_add_test(t, canonical_form_is_stable);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+static struct table *
+load_sample(void)
+{
+	struct table *t = NULL;
+
+	ck_assert_int_eq(
+	    load_table_csv(make_str(HEADER ROW_A ROW_B), 1, &t, NULL), 0);
+	return t;
+}
