Add the public header of the control package

The lead writes the settings and the binaries against this header, so it comes before the modules behind it. It holds the configuration of a voter or relay and the start and stop pair.

--- /dev/null
+++ b/packages/control/control.h
@@ -0,0 +1,45 @@
+/*
+ * A control process: the replicated table, the claims, the endpoint registry,
+ * the watch service of the nodes and the HTTP API of the operators.
+ */
+#ifndef CONTROL_H
+#define CONTROL_H
+
+#include "base.h"
+#include "event.h"
+
+#define CONTROL_PEER_MAX 17 /* control processes of one fleet */
+
+struct control;
+
+/* Strings are copied; a NULL or empty one means not set. */
+struct control_config {
+	uint64_t id; /* this process; 1 or higher, never used again */
+	const char *peers[CONTROL_PEER_MAX]; /* "id=IP:port" of the voters */
+	size_t peer_count;
+	const char *relays[CONTROL_PEER_MAX]; /* "id=IP:port" of the relays */
+	size_t relay_count;
+	const char *zone; /* availability zone */
+	const char *rpc_listen; /* "IP:port" */
+	const char *http_listen; /* "IP:port" */
+	const char *data_dir; /* voter; NULL: relay */
+	struct str key; /* fleet key in use */
+	struct str next_key; /* also accepted; empty: none */
+	const char *token_file; /* operators; NULL: loopback listener only */
+	const char *tls_cert_file; /* PEM; NULL: plain HTTP */
+	const char *tls_key_file; /* PEM, mode 0600 or stricter */
+	struct clock_source clock;
+	struct event_log *events; /* may be NULL */
+	uint64_t seed; /* of jitter and election timeouts */
+	uint32_t snapshot_rate; /* whole tables a second; 0: default */
+};
+
+int start_control(const struct control_config *cfg, struct control **out,
+    struct fault *f); /* listens before it returns */
+void stop_control(struct control *c); /* closes connections, joins threads */
+
+uint64_t get_control_version(struct control *c); /* table held; 0: none */
+bool is_control_leader(struct control *c);
+int render_control_status(struct control *c, struct buf *out); /* JSON */
+
+#endif
