Add the public header of the proxy package

The lead writes settings and main against it: configuration of a node's data path, start, drain, stop and status. No code behind it yet, nothing measured.

--- /dev/null
+++ b/packages/proxy/proxy.h
@@ -0,0 +1,64 @@
+/*
+ * The data path of a node: takes calls from callers and from other nodes,
+ * picks an endpoint, admits calls to the node's own backend server and answers
+ * each call exactly once with ran, failed, not-run or unknown.
+ */
+#ifndef PROXY_H
+#define PROXY_H
+
+#include "agent.h"
+#include "base.h"
+#include "event.h"
+
+#define PROXY_ADDRESS_BYTES 64 /* "IP:port" with NUL */
+#define PROXY_BODY_MEMORY_DEFAULT (64LL * 1024 * 1024)
+
+struct proxy;
+
+/* The backend server beside the node; an empty service means none. */
+struct proxy_backend {
+	const char *service; /* NULL or "": the node is an entry node only */
+	const char *address; /* IP:port */
+	int slots; /* calls that it runs at a time */
+	int connections; /* most connections to it; 0: 100 */
+	const char *health_path; /* NULL: "/health" */
+};
+
+/* Strings are copied by start_proxy(). */
+struct proxy_config {
+	struct clock_source clock;
+	struct event_log *events; /* may be NULL */
+	struct agent *agent; /* outlives the proxy */
+	const char *node; /* node name, the endpoint's id */
+	const char *zone;
+	const char *listen; /* IP:port for callers and other nodes */
+	const char *admin_listen; /* IP:port; NULL: no admin listener */
+	struct proxy_backend backend;
+	int64_t body_memory; /* bytes of buffered request bodies */
+	int drain_s; /* longest wait of drain_proxy(); 0: by the rows */
+	uint64_t seed; /* of picks, jitter and call ids; 0: random */
+};
+
+/* Binds the listeners and starts the threads. */
+int start_proxy(
+    const struct proxy_config *cfg, struct proxy **out, struct fault *f);
+
+/*
+ * Announces draining, refuses new work as not run and waits until the running
+ * calls have ended; ERR_TIMEOUT when some outlast their rows' drain_s.
+ */
+int drain_proxy(struct proxy *p);
+
+/* Ends every call left, closes the listeners and frees p; p may be NULL. */
+void stop_proxy(struct proxy *p);
+
+/* Whether POST /drain on the admin listener asked for a shutdown. */
+bool is_proxy_drain_asked(const struct proxy *p);
+
+/* The port bound for calls or for admin, of use with port 0 in tests. */
+int get_proxy_port(const struct proxy *p, bool admin);
+
+/* State as a JSON object, with the agent's status inside. */
+int render_proxy_status(struct proxy *p, struct buf *out);
+
+#endif
