--- /dev/null
+++ b/packages/raft/raft.h
@@ -0,0 +1,206 @@
+/*
+ * The consensus core: elections, log replication, membership, snapshots and
+ * confirmed reads. It does no I/O, has no clock and takes no locks; its owner
+ * feeds it messages, ticks and storage completions and carries out its output.
+ */
+#ifndef RAFT_H
+#define RAFT_H
+
+#include "base.h"
+
+#define RAFT_MEMBERS_MAX 17 /* voters and learners of a group */
+#define RAFT_ADDRESS_BYTES 64 /* a member's address with its NUL */
+#define RAFT_ENTRY_OVERHEAD 32 /* bytes counted for an entry besides its data */
+
+enum raft_role {
+	RAFT_FOLLOWER = 0,
+	RAFT_PRE_CANDIDATE = 1,
+	RAFT_CANDIDATE = 2,
+	RAFT_LEADER = 3,
+};
+
+enum raft_entry_type {
+	RAFT_ENTRY_COMMAND = 0, /* for the state machine */
+	RAFT_ENTRY_MEMBERS = 1, /* an encoded struct raft_members */
+	RAFT_ENTRY_EMPTY = 2, /* first entry of a leader's term */
+};
+
+/* The first ten values equal enum wire_raft_type. */
+enum raft_message_type {
+	RAFT_PREVOTE = 0,
+	RAFT_PREVOTE_REPLY = 1,
+	RAFT_VOTE = 2,
+	RAFT_VOTE_REPLY = 3,
+	RAFT_APPEND = 4,
+	RAFT_APPEND_REPLY = 5,
+	RAFT_SNAPSHOT = 6,
+	RAFT_SNAPSHOT_REPLY = 7,
+	RAFT_HEARTBEAT = 8,
+	RAFT_HEARTBEAT_REPLY = 9,
+	RAFT_READ = 10, /* follower asks the leader for a read index */
+	RAFT_READ_REPLY = 11,
+	RAFT_CAMPAIGN = 12, /* leader asks the receiver to take over */
+};
+
+enum raft_change_type {
+	RAFT_ADD_LEARNER = 0, /* also updates the address of a member */
+	RAFT_PROMOTE = 1, /* a learner that caught up becomes a voter */
+	RAFT_REMOVE = 2,
+};
+
+/* A member of the group; learners receive the log but do not vote. */
+struct raft_member {
+	uint64_t id; /* never 0 */
+	bool voter;
+	char address[RAFT_ADDRESS_BYTES]; /* opaque to the core */
+};
+
+struct raft_members {
+	size_t count;
+	struct raft_member member[RAFT_MEMBERS_MAX];
+};
+
+struct raft_change {
+	enum raft_change_type type;
+	struct raft_member member; /* PROMOTE and REMOVE read the id only */
+};
+
+struct raft_entry {
+	uint64_t term;
+	enum raft_entry_type type;
+	struct str data;
+};
+
+/* What must survive a restart besides entries and snapshots. */
+struct raft_hard_state {
+	uint64_t term;
+	uint64_t vote; /* member voted for in term, 0 none */
+};
+
+struct raft_snapshot {
+	uint64_t index; /* last entry it includes, 0 none */
+	uint64_t term; /* term of that entry */
+	struct raft_members members;
+	struct str data; /* state machine's bytes */
+};
+
+struct raft_message {
+	enum raft_message_type type;
+	uint64_t from;
+	uint64_t to;
+	uint64_t term;
+	uint64_t log_index; /* APPEND: entry before the first one sent */
+	uint64_t log_term;
+	uint64_t commit;
+	uint64_t context; /* read round or request, echoed */
+	bool reject;
+	uint64_t hint; /* rejecting follower: where to try next */
+	size_t entry_count;
+	const struct raft_entry *entries;
+	uint64_t snapshot_offset;
+	uint64_t snapshot_size;
+	struct str snapshot; /* chunk at snapshot_offset */
+	struct raft_members members; /* SNAPSHOT only */
+};
+
+struct raft_config {
+	uint64_t id;
+	uint64_t seed; /* of election timeouts */
+	unsigned int heartbeat_ticks;
+	unsigned int election_ticks; /* timeouts are drawn from 1x to 2x */
+	size_t append_bytes; /* entry bytes in one APPEND */
+	size_t append_entries; /* entries in one APPEND */
+	size_t append_window; /* unacknowledged APPENDs a member */
+	size_t chunk_bytes; /* snapshot bytes in one SNAPSHOT */
+	size_t uncommitted_bytes; /* proposals beyond get ERR_LIMIT */
+};
+
+/* What storage holds at start; everything is copied. */
+struct raft_stored {
+	struct raft_hard_state hard;
+	struct raft_snapshot snapshot; /* index 0: none, members may be set */
+	size_t entry_count;
+	const struct raft_entry *entries; /* first is at snapshot.index + 1 */
+};
+
+/* One unit of storage work, in this order: snapshot, hard state, entries. */
+struct raft_store {
+	uint64_t seq; /* for complete_raft_store() */
+	bool has_hard;
+	struct raft_hard_state hard;
+	const struct raft_snapshot *snapshot; /* NULL: none; resets the log */
+	uint64_t first; /* entries at first and after are replaced */
+	size_t entry_count;
+	const struct raft_entry *entries;
+};
+
+/* One step of the state machine: a snapshot to load or an entry to apply. */
+struct raft_apply {
+	const struct raft_snapshot *snapshot; /* NULL: apply the entry */
+	uint64_t index;
+	struct raft_entry entry;
+};
+
+/* A finished read request. */
+struct raft_read {
+	uint64_t context; /* as given to request_raft_read() */
+	int status; /* 0 or ERR_UNAVAILABLE */
+	uint64_t index; /* serve the read once this is applied */
+};
+
+struct raft_status {
+	enum raft_role role;
+	uint64_t leader; /* 0: unknown */
+	uint64_t term;
+	uint64_t commit;
+	uint64_t applied;
+	uint64_t last; /* index of the last entry */
+	uint64_t snapshot; /* index of the snapshot */
+	uint64_t contacts; /* grows with each contact with a quorum */
+	size_t log_bytes; /* of the entries after the snapshot */
+	bool transferring; /* leader hands over; takes no proposals */
+	bool voter; /* this member votes */
+};
+
+struct raft;
+
+/* Life */
+int open_raft(const struct raft_config *cfg, const struct raft_stored *stored,
+    struct raft **out, struct fault *f);
+void close_raft(struct raft *r);
+
+/* Input */
+int step_raft(struct raft *r, const struct raft_message *m); /* copies m */
+int tick_raft(struct raft *r); /* one tick of time passed */
+int complete_raft_store(struct raft *r, uint64_t seq); /* seq is durable */
+int propose_raft(struct raft *r, struct str command, uint64_t *index);
+int change_raft_members(struct raft *r, const struct raft_change *change,
+    uint64_t *index, struct fault *f);
+int request_raft_read(struct raft *r, uint64_t context);
+int transfer_raft(struct raft *r, uint64_t target); /* 0: best voter */
+int campaign_raft(struct raft *r); /* stand for election now */
+int compact_raft(struct raft *r, uint64_t index, struct str data);
+
+/*
+ * Output. Each returns false when nothing is left. Pointers are valid until
+ * the next input.
+ */
+bool take_raft_message(struct raft *r, struct raft_message *out);
+bool take_raft_store(struct raft *r, struct raft_store *out);
+bool take_raft_apply(struct raft *r, struct raft_apply *out);
+bool take_raft_read(struct raft *r, struct raft_read *out);
+
+/* Queries */
+struct raft_status get_raft_status(const struct raft *r);
+const struct raft_members *get_raft_members(const struct raft *r);
+const struct raft_snapshot *get_raft_snapshot(const struct raft *r);
+uint64_t get_raft_term_at(const struct raft *r, uint64_t index); /* 0 none */
+uint64_t get_raft_match(const struct raft *r, uint64_t id); /* on a leader */
+
+/* Membership as bytes */
+int encode_raft_members(const struct raft_members *m, struct buf *out);
+int decode_raft_members(struct str bytes, struct raft_members *out);
+const struct raft_member *find_raft_member(
+    const struct raft_members *m, uint64_t id); /* NULL: none */
+
+#endif
