--- /dev/null
+++ b/packages/policy/retry.h
@@ -0,0 +1,69 @@
+/*
+ * Retry and hedge decisions at the entry node, their budgets and the chain
+ * budget (X-Ggs-Retry-Budget).
+ *
+ * The chain budget is the number of retries that a whole chain of calls may
+ * still make. A request passes it down; the level that sees a failure first
+ * spends it or gives it up, and answers upwards with zero.
+ */
+#ifndef RETRY_H
+#define RETRY_H
+
+#include "outcome.h"
+#include "table.h"
+
+#define RETRY_BUDGET_ABSENT (-1) /* no X-Ggs-Retry-Budget header */
+
+/* Token bucket of one row: each call adds retry_pct / 100 tokens. */
+struct retry_budget {
+	double tokens;
+};
+
+/* What is known when an attempt has ended without success. */
+struct retry_input {
+	const struct row *row;
+	struct attempt_verdict verdict;
+	int attempts; /* made so far, hedges included */
+	int chain_budget; /* retries the chain may still make */
+	bool has_other_endpoint; /* one that was not tried */
+	int64_t retry_after_ns; /* from the answer; 0: none */
+	int64_t usual_ns; /* usual latency of an attempt; 0: unknown */
+	int64_t deadline; /* mono ns */
+};
+
+/* Why no retry is made. */
+enum retry_refusal {
+	RETRY_ALLOWED,
+	RETRY_NOT_SAFE, /* the work may have run and must not repeat */
+	RETRY_COUNT, /* column retries */
+	RETRY_CHAIN, /* the chain budget is spent */
+	RETRY_BUDGET, /* the row's budget is spent */
+	RETRY_DEADLINE, /* no time is left */
+};
+
+struct retry_decision {
+	bool retry;
+	enum retry_refusal refusal;
+	int64_t delay_ns; /* before the next attempt */
+	int chain_budget; /* for the next attempt's request header */
+};
+
+void start_retry_budget(struct retry_budget *b);
+void add_retry_budget_call(struct retry_budget *b, const struct row *row);
+/* Chain budget of an arriving call: the header's, within the row's retries. */
+int start_chain_budget(const struct row *row, int header);
+/* Chain budget left after an attempt that carried sent. */
+int get_chain_budget_after(int sent, bool answered, int header);
+/* Takes a token when it allows a retry. */
+struct retry_decision decide_retry(const struct retry_input *in,
+    struct retry_budget *b, struct rng *r, int64_t now);
+/*
+ * Whether to send a second attempt of a read now that elapsed_ns have passed
+ * without an answer. Takes a token when it allows one. A hedge's request
+ * carries chain budget 0.
+ */
+bool decide_hedge(const struct retry_input *in, struct retry_budget *b,
+    int64_t elapsed_ns, int64_t now);
+const char *get_retry_refusal_name(enum retry_refusal r);
+
+#endif
