settings: add flags, environment variables and defaults with checks

Cause: both binaries need the same settings rules, with clear errors before anything starts. Secrets come only from files that others cannot read.

--- /dev/null
+++ b/packages/settings/settings.c
@@ -0,0 +1,312 @@
+/*
+ * Loading of settings: a flag beats a variable, a variable beats the default.
+ */
+#include <argp.h>
+#include <ctype.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "validate.h"
+
+#define ENV_NAME_BYTES 96
+#define FLAG_KEY_BASE 256 /* above the characters of short options */
+#define SECRET_MAX_BYTES 65536
+
+/* The value of one setting. */
+struct value {
+	char *text;
+	char *items; /* a list with NULs for its commas */
+	int64_t number;
+	enum setting_source source;
+	bool set;
+};
+
+struct settings {
+	const struct settings_program *program;
+	struct value values[SETTINGS_MAX];
+};
+
+/* State of an argp run. */
+struct parse {
+	const struct settings_program *program;
+	const char *texts[SETTINGS_MAX];
+	int words;
+};
+
+static error_t read_flag(int key, char *arg, struct argp_state *state);
+static void print_version(FILE *stream, struct argp_state *state);
+static int parse_flags(
+    const struct settings_program *p, int argc, char **argv, struct parse *out);
+static int set_value(
+    struct settings *s, size_t i, const char *flag, struct fault *f);
+static void make_env_name(
+    const struct settings_program *p, size_t i, char *out, size_t size);
+static const struct value *find_value(
+    const struct settings *s, const char *name);
+
+int
+load_settings(const struct settings_program *program, int argc, char **argv,
+    struct settings **out, int *words, struct fault *f)
+{
+	struct parse parse = {.program = program, .words = argc};
+	struct settings *s = calloc(1, sizeof(*s));
+	int rc;
+
+	if (s == NULL || program->spec_count > SETTINGS_MAX) {
+		free(s);
+		return set_fault(f, ERR_MEMORY, "out of memory for settings");
+	}
+	s->program = program;
+	rc = parse_flags(program, argc, argv, &parse);
+	if (rc != 0)
+		rc = set_fault(f, ERR_INVALID,
+		    "the command line is wrong; "
+		    "see --help");
+	for (size_t i = 0; i < program->spec_count && rc == 0; i++)
+		rc = set_value(s, i, parse.texts[i], f);
+	if (rc != 0) {
+		unload_settings(s);
+		return rc;
+	}
+	*words = parse.words;
+	*out = s;
+	return 0;
+}
+
+void
+unload_settings(struct settings *s)
+{
+	if (s == NULL)
+		return;
+	for (size_t i = 0; i < SETTINGS_MAX; i++) {
+		free(s->values[i].text);
+		free(s->values[i].items);
+	}
+	free(s);
+}
+
+bool
+has_setting(const struct settings *s, const char *name)
+{
+	const struct value *v = find_value(s, name);
+
+	return v != NULL && v->set;
+}
+
+const char *
+get_setting(const struct settings *s, const char *name)
+{
+	const struct value *v = find_value(s, name);
+
+	return v != NULL && v->set ? v->text : "";
+}
+
+/*
+ * Returns a number, a duration in ms or a size in bytes; 0 when not set.
+ */
+int64_t
+get_setting_number(const struct settings *s, const char *name)
+{
+	const struct value *v = find_value(s, name);
+
+	return v != NULL && v->set ? v->number : 0;
+}
+
+bool
+get_setting_flag(const struct settings *s, const char *name)
+{
+	return get_setting_number(s, name) == 1;
+}
+
+int
+get_setting_list(
+    const struct settings *s, const char *name, const char **items, size_t max)
+{
+	const struct value *v = find_value(s, name);
+	const char *end;
+	size_t n = 0;
+
+	if (v == NULL || v->items == NULL)
+		return 0;
+	end = v->items + strlen(v->text);
+	for (const char *t = v->items; t < end; t += strlen(t) + 1) {
+		if (*t == '\0')
+			continue;
+		if (n == max)
+			return ERR_LIMIT;
+		items[n++] = t;
+	}
+	return (int)n;
+}
+
+int
+render_settings(const struct settings *s, struct buf *out)
+{
+	const struct settings_program *p = s->program;
+	char env[ENV_NAME_BYTES];
+	int rc = 0;
+
+	for (size_t i = 0; i < p->spec_count && rc == 0; i++) {
+		const struct value *v = &s->values[i];
+
+		make_env_name(p, i, env, sizeof(env));
+		rc = append_buf_fmt(out, "%-22s %-28s %s%s\n", p->specs[i].name,
+		    v->set ? v->text : "(not set)",
+		    v->source == SETTING_FROM_FLAG	  ? "flag" :
+		    v->source == SETTING_FROM_ENVIRONMENT ? "variable " :
+							    "default",
+		    v->source == SETTING_FROM_ENVIRONMENT ? env : "");
+	}
+	return rc;
+}
+
+/*
+ * Reads at most SECRET_MAX_BYTES from a file that only its owner can read, and
+ * drops line ends at the end.
+ */
+int
+load_secret(const char *path, struct buf *out, struct fault *f)
+{
+	char block[4096];
+	struct stat st;
+	ssize_t n;
+	int fd = open(path, O_RDONLY | O_CLOEXEC), rc = 0;
+
+	if (fd < 0 || fstat(fd, &st) != 0) {
+		rc = set_fault(f, ERR_IO,
+		    "cannot read '%s' (%s); create it "
+		    "with mode 0600",
+		    path, strerror(errno));
+		goto out;
+	}
+	if ((st.st_mode & (S_IRWXG | S_IRWXO)) != 0) {
+		rc = set_fault(f, ERR_DENIED,
+		    "'%s' can be read by others; run chmod 600 on it", path);
+		goto out;
+	}
+	while (rc == 0 && (n = read(fd, block, sizeof(block))) > 0) {
+		rc = out->len + (size_t)n > SECRET_MAX_BYTES ?
+			 set_fault(f, ERR_LIMIT, "'%s' is longer than %d bytes",
+			     path, SECRET_MAX_BYTES) :
+			 append_buf(out, block, (size_t)n);
+	}
+	while (out->len > 0 && strchr("\r\n", out->data[out->len - 1]) != NULL)
+		out->data[--out->len] = '\0';
+out:
+	if (fd >= 0)
+		close(fd);
+	return rc;
+}
+
+static error_t
+read_flag(int key, char *arg, struct argp_state *state)
+{
+	struct parse *p = state->input;
+	size_t i = (size_t)(key - FLAG_KEY_BASE);
+
+	if (key == ARGP_KEY_ARG) {
+		p->words = state->next - 1;
+		state->next = state->argc;
+		return 0;
+	}
+	if (key < FLAG_KEY_BASE || i >= p->program->spec_count)
+		return ARGP_ERR_UNKNOWN;
+	p->texts[i] = arg != NULL ? arg : "yes";
+	return 0;
+}
+
+static void
+print_version(FILE *stream, struct argp_state *state)
+{
+	fprintf(stream, "%s %s\n", state->name, GGS_VERSION);
+}
+
+/*
+ * Runs argp over options made from the specs.
+ */
+static int
+parse_flags(
+    const struct settings_program *p, int argc, char **argv, struct parse *out)
+{
+	struct argp_option options[SETTINGS_MAX + 1] = {0};
+	struct argp argp = {
+	    options, read_flag, p->usage, p->about, NULL, NULL, NULL};
+
+	argp_program_version_hook = print_version;
+	argp_err_exit_status = SETTINGS_EXIT_INVALID;
+	for (size_t i = 0; i < p->spec_count; i++) {
+		options[i].name = p->specs[i].name;
+		options[i].key = FLAG_KEY_BASE + (int)i;
+		options[i].arg =
+		    p->specs[i].type == SETTING_FLAG ? NULL : "VALUE";
+		options[i].doc = p->specs[i].help;
+	}
+	return argp_parse(&argp, argc, argv, ARGP_IN_ORDER, NULL, out);
+}
+
+/*
+ * Takes the value of setting i from the flag, the variable or the default and
+ * checks it. A fault of a variable names the variable.
+ */
+static int
+set_value(struct settings *s, size_t i, const char *flag, struct fault *f)
+{
+	const struct setting_spec *spec = &s->program->specs[i];
+	struct value *v = &s->values[i];
+	char env[ENV_NAME_BYTES], detail[FAULT_TEXT_BYTES];
+	const char *text = flag;
+	int rc;
+
+	make_env_name(s->program, i, env, sizeof(env));
+	v->source = SETTING_FROM_FLAG;
+	if (text == NULL) {
+		v->source = SETTING_FROM_ENVIRONMENT;
+		text = getenv(env);
+	}
+	if (text == NULL) {
+		v->source = SETTING_FROM_DEFAULT;
+		text = spec->initial;
+	}
+	if (text == NULL)
+		return 0;
+	rc = check_setting(spec, text, &v->number, f);
+	if (rc != 0) {
+		if (v->source == SETTING_FROM_ENVIRONMENT && f != NULL) {
+			snprintf(detail, sizeof(detail), "%s", f->text);
+			set_fault(f, rc, "%s: %.200s", env, detail);
+		}
+		return rc;
+	}
+	v->text = strdup(text);
+	v->items = spec->type == SETTING_LIST ? strdup(text) : NULL;
+	if (v->text == NULL || (spec->type == SETTING_LIST && v->items == NULL))
+		return set_fault(f, ERR_MEMORY, "out of memory for settings");
+	for (char *c = v->items; c != NULL && *c != '\0'; c++)
+		*c = *c == ',' ? '\0' : *c;
+	v->set = true;
+	return 0;
+}
+
+static void
+make_env_name(
+    const struct settings_program *p, size_t i, char *out, size_t size)
+{
+	snprintf(out, size, "%s%s", p->env_prefix, p->specs[i].name);
+	for (char *c = out; *c != '\0'; c++)
+		*c = *c == '-' ? '_' : (char)toupper((unsigned char)*c);
+}
+
+static const struct value *
+find_value(const struct settings *s, const char *name)
+{
+	for (size_t i = 0; i < s->program->spec_count; i++) {
+		if (strcmp(s->program->specs[i].name, name) == 0)
+			return &s->values[i];
+	}
+	return NULL;
+}
