apps: add the operators' command and the daemon's main program

Cause: operators need a command line, and both roles need one daemon with checked settings. Flags may also follow the command words.

--- /dev/null
+++ b/apps/greengagespurctl/table_commands.c
@@ -0,0 +1,288 @@
+/*
+ * The commands on the table.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "ctl.h"
+
+#define KEY_BYTES 33 /* hexadecimal idempotency key, with NUL */
+#define PATH_BYTES 256
+#define FILE_MAX_BYTES (512 * 1024)
+#define RESENDS 3 /* further attempts of a change, same key */
+
+static int run_show(struct ctl *c, char **words, int count);
+static int run_export(struct ctl *c, char **words, int count);
+static int run_import(struct ctl *c, char **words, int count);
+static int run_set(struct ctl *c, char **words, int count);
+static int run_check(struct ctl *c, char **words, int count);
+static int run_history(struct ctl *c, char **words, int count);
+static int run_diff(struct ctl *c, char **words, int count);
+static int run_revert(struct ctl *c, char **words, int count);
+static int run_get(struct ctl *c, const char *path);
+static int send_change(struct ctl *c, const char *path, json_t *body);
+static int add_base(struct ctl *c, json_t *body);
+static void add_key(struct ctl *c, json_t *body);
+static int read_file(const char *path, struct buf *out);
+
+static const struct command commands[] = {
+    {"show", "", "Print the table in force", 0, 0, run_show},
+    {"export", "[FILE]", "Write the table as CSV", 0, 1, run_export},
+    {"import", "FILE", "Replace the whole table by a CSV file", 1, 1,
+	run_import},
+    {"set", "ROW COLUMN VALUE", "Edit one cell", 3, 3, run_set},
+    {"check", "FILE", "Check a CSV file without changing anything", 1, 1,
+	run_check},
+    {"history", "", "List the accepted versions", 0, 0, run_history},
+    {"diff", "FROM TO", "Show the cells that changed between versions", 2, 2,
+	run_diff},
+    {"revert", "VERSION", "Make an old version's content the newest", 1, 1,
+	run_revert},
+    {0},
+};
+
+const struct command *
+get_table_commands(void)
+{
+	return commands;
+}
+
+static int
+run_show(struct ctl *c, char **words, int count)
+{
+	(void)words;
+	(void)count;
+	return run_get(c, "/v1/table?format=json");
+}
+
+static int
+run_export(struct ctl *c, char **words, int count)
+{
+	struct answer a = {0};
+	FILE *to = stdout;
+	int status;
+
+	(void)request_control(c, "GET", "/v1/table?format=csv", NULL, &a);
+	status = get_exit(a.status);
+	if (status != CTL_OK) {
+		status = print_answer(c, &a);
+	} else {
+		if (count > 0)
+			to = fopen(words[0], "w");
+		if (to == NULL ||
+		    fwrite(a.body.data, 1, a.body.len, to) != a.body.len ||
+		    fflush(to) != 0) {
+			perror(count > 0 ? words[0] : "standard output");
+			status = CTL_FAILED;
+		}
+		if (to != NULL && to != stdout)
+			fclose(to);
+	}
+	unload_answer(&a);
+	return status;
+}
+
+static int
+run_import(struct ctl *c, char **words, int count)
+{
+	struct buf csv = {0};
+	int status = read_file(words[0], &csv);
+
+	(void)count;
+	if (status == CTL_OK)
+		status = send_change(c, "/v1/import",
+		    json_pack("{s:s%}", "csv", csv.data, csv.len));
+	unload_buf(&csv);
+	return status;
+}
+
+static int
+run_set(struct ctl *c, char **words, int count)
+{
+	(void)count;
+	return send_change(c, "/v1/edit",
+	    json_pack("{s:s,s:s,s:s}", "row", words[0], "column", words[1],
+		"value", words[2]));
+}
+
+static int
+run_check(struct ctl *c, char **words, int count)
+{
+	struct answer a = {0};
+	struct buf csv = {0};
+	json_t *body;
+	char *text;
+	int status = read_file(words[0], &csv);
+
+	(void)count;
+	if (status != CTL_OK)
+		return status;
+	body = json_pack("{s:s%}", "csv", csv.data, csv.len);
+	text = json_dumps(body, JSON_COMPACT);
+	(void)request_control(c, "POST", "/v1/check", text, &a);
+	status = print_answer(c, &a);
+	free(text);
+	json_decref(body);
+	unload_buf(&csv);
+	unload_answer(&a);
+	return status;
+}
+
+static int
+run_history(struct ctl *c, char **words, int count)
+{
+	(void)words;
+	(void)count;
+	return run_get(c, "/v1/history");
+}
+
+static int
+run_diff(struct ctl *c, char **words, int count)
+{
+	char path[PATH_BYTES];
+
+	(void)count;
+	snprintf(path, sizeof(path), "/v1/diff?from=%.20s&to=%.20s", words[0],
+	    words[1]);
+	return run_get(c, path);
+}
+
+static int
+run_revert(struct ctl *c, char **words, int count)
+{
+	int64_t version;
+
+	(void)count;
+	if (parse_i64(make_str(words[0]), 1, INT64_MAX, &version) != 0) {
+		fprintf(stderr,
+		    "revert: '%s' is not a version; see table "
+		    "history\n",
+		    words[0]);
+		return CTL_USAGE;
+	}
+	return send_change(c, "/v1/revert",
+	    json_pack("{s:I}", "version", (json_int_t)version));
+}
+
+static int
+run_get(struct ctl *c, const char *path)
+{
+	struct answer a = {0};
+	int status;
+
+	(void)request_control(c, "GET", path, NULL, &a);
+	status = print_answer(c, &a);
+	unload_answer(&a);
+	return status;
+}
+
+/*
+ * Adds base and key to the body, sends it and resends it under the same key
+ * while the outcome is unknown. Takes over body.
+ */
+static int
+send_change(struct ctl *c, const char *path, json_t *body)
+{
+	struct answer a = {0};
+	char *text = NULL;
+	int status = body != NULL ? add_base(c, body) : CTL_FAILED;
+
+	if (status == CTL_OK) {
+		add_key(c, body);
+		text = json_dumps(body, JSON_COMPACT);
+		for (int i = 0; i <= RESENDS; i++) {
+			(void)request_control(c, "POST", path, text, &a);
+			status = get_exit(a.status);
+			if (status != CTL_UNAVAILABLE)
+				break;
+		}
+		status = print_answer(c, &a);
+		if (status == CTL_UNAVAILABLE)
+			fprintf(stderr,
+			    "The change may still take effect; "
+			    "resend it with --key=%s --base=%lld\n",
+			    json_string_value(json_object_get(body, "key")),
+			    (long long)json_integer_value(
+				json_object_get(body, "base")));
+	}
+	free(text);
+	json_decref(body);
+	unload_answer(&a);
+	return status;
+}
+
+/*
+ * Sets base from --base or from the version in force now.
+ */
+static int
+add_base(struct ctl *c, json_t *body)
+{
+	struct answer a = {0};
+	json_t *table, *version;
+	int status = CTL_OK;
+
+	if (has_setting(c->settings, "base")) {
+		json_object_set_new(body, "base",
+		    json_integer(get_setting_number(c->settings, "base")));
+		return CTL_OK;
+	}
+	(void)request_control(c, "GET", "/v1/table?format=json", NULL, &a);
+	table = json_loadb(
+	    a.body.data != NULL ? a.body.data : "", a.body.len, 0, NULL);
+	version = json_object_get(table, "version");
+	if (a.status == 200 && json_is_integer(version))
+		json_object_set(body, "base", version);
+	else
+		status = print_answer(c, &a);
+	json_decref(table);
+	unload_answer(&a);
+	return status;
+}
+
+/*
+ * Sets the idempotency key from --key or makes a random one.
+ */
+static void
+add_key(struct ctl *c, json_t *body)
+{
+	unsigned char raw[(KEY_BYTES - 1) / 2];
+	char key[KEY_BYTES];
+
+	if (has_setting(c->settings, "key")) {
+		json_object_set_new(
+		    body, "key", json_string(get_setting(c->settings, "key")));
+		return;
+	}
+	randombytes_buf(raw, sizeof(raw));
+	sodium_bin2hex(key, sizeof(key), raw, sizeof(raw));
+	json_object_set_new(body, "key", json_string(key));
+}
+
+static int
+read_file(const char *path, struct buf *out)
+{
+	char block[4096];
+	FILE *in = fopen(path, "r");
+	size_t n;
+
+	if (in == NULL) {
+		perror(path);
+		return CTL_USAGE;
+	}
+	while ((n = fread(block, 1, sizeof(block), in)) > 0 &&
+	       out->len <= FILE_MAX_BYTES) {
+		if (append_buf(out, block, n) != 0)
+			break;
+	}
+	fclose(in);
+	if (out->len == 0 || out->len > FILE_MAX_BYTES) {
+		fprintf(stderr, "%s: a table has 1 to %d bytes\n", path,
+		    FILE_MAX_BYTES);
+		unload_buf(out);
+		return CTL_USAGE;
+	}
+	return CTL_OK;
+}
--- /dev/null
+++ b/apps/greengagespurd/main.c
@@ -0,0 +1,160 @@
+/*
+ * greengagespurd: one process of the system, a control process or a node.
+ */
+#include <errno.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon.h"
+
+#define STOP_POLL_NS (200 * NSEC_PER_MSEC) /* look for a stop by other means */
+
+static const struct role *get_role(const struct settings *s);
+static int check_settings(
+    const struct settings *s, const struct role **role, struct fault *f);
+static int run_role(const struct settings *s, const struct role *role);
+static void wait_for_stop(const struct role *role);
+static enum log_level get_level(const char *name);
+
+int
+main(int argc, char **argv)
+{
+	struct settings *s = NULL;
+	const struct role *role = NULL;
+	struct buf text = {0};
+	struct fault f = {0};
+	int words = 0, status;
+
+	if (load_settings(get_daemon_program(), argc, argv, &s, &words, &f) !=
+		0 ||
+	    check_settings(s, &role, &f) != 0) {
+		fprintf(stderr, "greengagespurd: %s\n", f.text);
+		unload_settings(s);
+		return SETTINGS_EXIT_INVALID;
+	}
+	if (words < argc) {
+		fprintf(stderr,
+		    "greengagespurd: unknown word '%s'; see --help\n",
+		    argv[words]);
+		status = SETTINGS_EXIT_INVALID;
+	} else if (get_setting_flag(s, "check-settings")) {
+		status = render_settings(s, &text) == 0 ? EXIT_SUCCESS :
+							  EXIT_START_FAILED;
+		if (text.data != NULL)
+			fputs(text.data, stdout);
+	} else {
+		status = run_role(s, role);
+	}
+	unload_buf(&text);
+	unload_settings(s);
+	return status;
+}
+
+static const struct role *
+get_role(const struct settings *s)
+{
+	return strcmp(get_setting(s, "role"), "control") == 0 ?
+		   get_control_role() :
+		   get_node_role();
+}
+
+/*
+ * Checks the settings that every role needs, then those of the role.
+ */
+static int
+check_settings(
+    const struct settings *s, const struct role **role, struct fault *f)
+{
+	const struct role *r = get_role(s);
+	int rc = require_setting(s, "...", "role", "node", f);
+
+	if (rc == 0)
+		rc = require_setting(s, r->name, "name", "node-1", f);
+	if (rc == 0)
+		rc = require_setting(s, r->name, "zone", "odense-a", f);
+	if (rc == 0)
+		rc = require_setting(
+		    s, r->name, "key-file", "/etc/greengagespur/key", f);
+	if (rc == 0)
+		rc = r->check(s, f);
+	*role = r;
+	return rc;
+}
+
+/*
+ * Runs the role until a stop is asked for. Signals are blocked in all threads
+ * and taken by the main thread alone.
+ */
+static int
+run_role(const struct settings *s, const struct role *role)
+{
+	struct fleet_keys keys = {0};
+	struct event_log *events;
+	struct fault f = {0};
+	sigset_t set;
+	int rc;
+
+	set_log_name(get_setting(s, "name"));
+	set_log_level(get_level(get_setting(s, "log-level")));
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGPIPE);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	events = open_event_log(get_real_clock(), get_setting(s, "name"),
+	    (size_t)get_setting_number(s, "event-ring"));
+	rc = load_fleet_keys(s, &keys, &f);
+	if (rc == 0)
+		rc = role->start(s, &keys, events, &f);
+	unload_fleet_keys(&keys);
+	if (rc != 0) {
+		write_log(LOG_LEVEL_ERR, "cannot start: %s", f.text);
+		close_event_log(events);
+		return EXIT_START_FAILED;
+	}
+	write_log(LOG_LEVEL_NOTICE, "started: role %s, version %s", role->name,
+	    GGS_VERSION);
+	record_event(
+	    events, "start", get_setting(s, "name"), 0, "role %s", role->name);
+	wait_for_stop(role);
+	write_log(LOG_LEVEL_NOTICE, "stopping");
+	role->stop();
+	write_log(LOG_LEVEL_NOTICE, "stopped");
+	close_event_log(events);
+	return EXIT_SUCCESS;
+}
+
+/*
+ * Returns on SIGTERM, SIGINT, or when the role was asked to stop.
+ */
+static void
+wait_for_stop(const struct role *role)
+{
+	struct timespec poll = {0, STOP_POLL_NS};
+	sigset_t set;
+	int sig;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	for (;;) {
+		sig = sigtimedwait(&set, NULL, &poll);
+		if (sig == SIGTERM || sig == SIGINT || role->is_stop_asked())
+			return;
+		if (sig < 0 && errno != EAGAIN && errno != EINTR)
+			return;
+	}
+}
+
+static enum log_level
+get_level(const char *name)
+{
+	if (strcmp(name, "err") == 0)
+		return LOG_LEVEL_ERR;
+	if (strcmp(name, "warning") == 0)
+		return LOG_LEVEL_WARNING;
+	return strcmp(name, "notice") == 0 ? LOG_LEVEL_NOTICE : LOG_LEVEL_INFO;
+}
--- a/packages/settings/settings.c
+++ b/packages/settings/settings.c
@@ -246,7 +246,7 @@
 		    p->specs[i].type == SETTING_FLAG ? NULL : "VALUE";
 		options[i].doc = p->specs[i].help;
 	}
-	return argp_parse(&argp, argc, argv, ARGP_IN_ORDER, NULL, out);
+	return argp_parse(&argp, argc, argv, 0, NULL, out);
 }
 
 /*
--- a/packages/settings/tests/test_settings.c
+++ b/packages/settings/tests/test_settings.c
@@ -84,7 +84,7 @@
 }
 END_TEST
 
-/* Guards against units that are lost and lists that are cut wrongly. */
+/* Guards against lost units, wrong lists and flags ignored after words. */
 START_TEST(numbers_and_lists_are_converted)
 {
 	char name[] = "test", list[] = "--interest=a,b,c", word[] = "status";
