--- /dev/null
+++ b/packages/control/command.c
@@ -0,0 +1,134 @@
+/*
+ * Commands, results and snapshot records as bytes.
+ */
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "command.h"
+#include "wire.h"
+
+#define RECORD_HEAD_BYTES 8 /* type and length, big endian */
+
+static void store_u32(unsigned char *p, uint32_t v);
+static uint32_t load_u32(const unsigned char *p);
+
+int
+encode_command(const struct command *c, struct buf *out)
+{
+	return encode_wire((xdrproc_t)xdr_command, c, out);
+}
+
+int
+decode_command(struct str bytes, struct command *out)
+{
+	memset(out, 0, sizeof(*out));
+	if (bytes.len == 0)
+		return ERR_CORRUPT;
+	return decode_wire((xdrproc_t)xdr_command, bytes, out);
+}
+
+void
+unload_command(struct command *c)
+{
+	unload_wire((xdrproc_t)xdr_command, c);
+}
+
+/*
+ * Appends a result. XDR strings must not be NULL, so unset ones are sent empty.
+ */
+int
+encode_result(const struct command_result *r, struct buf *out)
+{
+	static char empty[1];
+	struct command_result c = *r;
+	char **texts[] = {&c.winner.row, &c.winner.value, &c.winner_author,
+	    &c.text, &c.holder};
+
+	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+		if (*texts[i] == NULL)
+			*texts[i] = empty;
+	}
+	return encode_wire((xdrproc_t)xdr_command_result, &c, out);
+}
+
+int
+decode_result(struct str bytes, struct command_result *out)
+{
+	memset(out, 0, sizeof(*out));
+	if (bytes.len == 0)
+		return ERR_CORRUPT;
+	return decode_wire((xdrproc_t)xdr_command_result, bytes, out);
+}
+
+void
+unload_result(struct command_result *r)
+{
+	unload_wire((xdrproc_t)xdr_command_result, r);
+}
+
+uint64_t
+fingerprint_command(const struct command *c)
+{
+	struct command copy = *c;
+	struct buf b = {0};
+	uint64_t h = 0;
+
+	copy.base = 0;
+	if (encode_command(&copy, &b) == 0)
+		h = XXH3_64bits(b.data, b.len);
+	unload_buf(&b);
+	return h;
+}
+
+int
+append_record(
+    struct buf *out, enum stored_type type, xdrproc_t proc, const void *value)
+{
+	unsigned char head[RECORD_HEAD_BYTES] = {0};
+	size_t at = out->len;
+	int rc = append_buf(out, head, sizeof(head));
+
+	if (rc == 0 && proc != NULL)
+		rc = encode_wire(proc, value, out);
+	if (rc != 0) {
+		out->len = at;
+		return rc;
+	}
+	store_u32(head, (uint32_t)type);
+	store_u32(head + 4, (uint32_t)(out->len - at - sizeof(head)));
+	memcpy(out->data + at, head, sizeof(head));
+	return 0;
+}
+
+int
+take_record(struct str *data, enum stored_type *type, struct str *body)
+{
+	const unsigned char *p = (const unsigned char *)data->data;
+	uint32_t len;
+
+	if (data->len < RECORD_HEAD_BYTES)
+		return ERR_CORRUPT;
+	*type = (enum stored_type)load_u32(p);
+	len = load_u32(p + 4);
+	if (len > data->len - RECORD_HEAD_BYTES)
+		return ERR_CORRUPT;
+	*body = make_str_n(data->data + RECORD_HEAD_BYTES, len);
+	data->data += RECORD_HEAD_BYTES + len;
+	data->len -= RECORD_HEAD_BYTES + len;
+	return 0;
+}
+
+static void
+store_u32(unsigned char *p, uint32_t v)
+{
+	for (int i = 0; i < 4; i++)
+		p[i] = (unsigned char)(v >> (24 - 8 * i));
+}
+
+static uint32_t
+load_u32(const unsigned char *p)
+{
+	return (uint32_t)p[0] << 24 | (uint32_t)p[1] << 16 |
+	       (uint32_t)p[2] << 8 | (uint32_t)p[3];
+}
--- /dev/null
+++ b/packages/control/command.x
@@ -0,0 +1,148 @@
+/*
+ * Commands of the replicated state machine, their results and the records of
+ * its snapshots. rpcgen makes gen/command_xdr.h and gen/command_xdr.c from
+ * this file; both are committed (make command).
+ */
+
+const COMMAND_NAME_MAX = 32;       /* bytes of a row's name or a cell */
+const COMMAND_AUTHOR_MAX = 64;     /* bytes of an operator's name */
+const COMMAND_KEY_MAX = 128;       /* bytes of an idempotency key */
+const COMMAND_CELLS_MAX = 1024;    /* cells of one edit */
+const COMMAND_CSV_MAX = 524288;    /* bytes of a table as CSV */
+const COMMAND_TEXT_MAX = 320;      /* bytes of a message for people */
+const COMMAND_ANSWER_MAX = 1024;   /* bytes of a stored response */
+const COMMAND_CLAIM_ID_BYTES = 16;
+const COMMAND_RETIRED_MAX = 4;     /* cancelled claim ids of a claim */
+const COMMAND_RESULT_MAX = 2048;   /* bytes of an encoded result */
+
+enum command_type {
+	COMMAND_EDIT = 1,
+	COMMAND_IMPORT = 2,
+	COMMAND_REVERT = 3,
+	COMMAND_CLAIM = 4
+};
+
+/* Column kind with the row's name adds a row, with no value removes it. */
+struct command_cell {
+	string row<COMMAND_NAME_MAX>;
+	int column;
+	string value<COMMAND_NAME_MAX>;
+};
+
+struct command_edit {
+	command_cell cells<COMMAND_CELLS_MAX>;
+};
+
+struct command_import {
+	opaque csv<COMMAND_CSV_MAX>;
+};
+
+struct command_revert {
+	unsigned hyper target;     /* version whose content returns */
+};
+
+/* states are those of wire_claim_state */
+struct command_claim {
+	string kind<COMMAND_NAME_MAX>;
+	opaque claim_id[COMMAND_CLAIM_ID_BYTES];
+	string node<COMMAND_AUTHOR_MAX>;
+	unsigned hyper incarnation;
+	int state;
+	unsigned int keep_s;
+	int http_status;
+	opaque answer<COMMAND_ANSWER_MAX>;
+	bool answer_whole;
+};
+
+union command_body switch (command_type type) {
+case COMMAND_EDIT:
+	command_edit edit;
+case COMMAND_IMPORT:
+	command_import import;
+case COMMAND_REVERT:
+	command_revert revert;
+case COMMAND_CLAIM:
+	command_claim claim;
+};
+
+struct command {
+	string author<COMMAND_AUTHOR_MAX>;
+	string key<COMMAND_KEY_MAX>;
+	unsigned hyper base;
+	command_body body;
+};
+
+/* The answer to a command; status is zero or a negative error number. */
+struct command_result {
+	int status;
+	unsigned hyper table_version; /* made by the command, else in force */
+	bool unchanged;            /* accepted, but the content was the same */
+	command_cell winner;       /* conflict: the cell in force */
+	string winner_author<COMMAND_AUTHOR_MAX>;
+	unsigned hyper winner_version;
+	string text<COMMAND_TEXT_MAX>;
+	int claim_state;
+	string holder<COMMAND_AUTHOR_MAX>;
+	int http_status;
+	opaque answer<COMMAND_ANSWER_MAX>;
+	bool answer_whole;
+};
+
+/* Records of a snapshot */
+
+enum stored_type {
+	STORED_HEAD = 1,
+	STORED_VERSION = 2,
+	STORED_ANSWER = 3,
+	STORED_CLAIM = 4,
+	STORED_END = 5
+};
+
+struct stored_head {
+	unsigned int format;       /* 1 */
+	hyper log_ns;
+	hyper claims_swept_ns;
+	unsigned hyper table_version;
+	unsigned hyper table_digest;
+	opaque csv<COMMAND_CSV_MAX>;
+};
+
+/* One accepted version. */
+struct stored_version {
+	unsigned hyper number;
+	unsigned hyper base;
+	hyper time_ns;
+	int type;                  /* command_type */
+	string author<COMMAND_AUTHOR_MAX>;
+	unsigned int cell_count;
+	bool cells_cut;            /* cells were too long to keep */
+	opaque cells<262144>;      /* values after, see encode_cells */
+	bool undo_whole;           /* undo is the whole table before */
+	opaque undo<COMMAND_CSV_MAX>; /* values before */
+};
+
+struct stored_answer {
+	string author<COMMAND_AUTHOR_MAX>;
+	string key<COMMAND_KEY_MAX>;
+	unsigned hyper fingerprint;
+	hyper time_ns;
+	opaque result<COMMAND_RESULT_MAX>;
+};
+
+struct stored_claim_id {
+	opaque id[COMMAND_CLAIM_ID_BYTES];
+};
+
+struct stored_claim {
+	string kind<COMMAND_NAME_MAX>;
+	string key<COMMAND_KEY_MAX>;
+	opaque claim_id[COMMAND_CLAIM_ID_BYTES];
+	string node<COMMAND_AUTHOR_MAX>;
+	unsigned hyper incarnation;
+	int state;
+	hyper expires_ns;
+	int http_status;
+	opaque answer<COMMAND_ANSWER_MAX>;
+	bool answer_whole;
+	stored_claim_id retired<COMMAND_RETIRED_MAX>;
+};
--- /dev/null
+++ b/packages/control/edits.c
@@ -0,0 +1,182 @@
+/*
+ * Compare-and-set of cells and whole tables.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "edits.h"
+
+static void decide_cells(const struct history *h, const struct table *current,
+    const struct command *c, struct edit_outcome *out);
+static void decide_whole(const struct history *h, const struct table *current,
+    const struct command *c, struct edit_outcome *out);
+static bool check_cell(const struct history *h, const struct table *current,
+    uint64_t base, const struct command_cell *e, struct edit_outcome *out);
+static void refuse_edit(struct edit_outcome *out, int status, const char *text);
+static void set_winner(const struct table *current, struct str row, int column,
+    const struct stored_version *v, struct edit_outcome *out);
+
+void
+decide_edit(const struct history *h, const struct table *current,
+    const struct command *c, struct edit_outcome *out)
+{
+	*out = (struct edit_outcome){.version = current->version};
+	if (c->base > current->version) {
+		refuse_edit(out, ERR_INVALID,
+		    "the base version is above the version in force; read the "
+		    "table again");
+		return;
+	}
+	if (c->body.type == COMMAND_EDIT)
+		decide_cells(h, current, c, out);
+	else
+		decide_whole(h, current, c, out);
+	if (out->next != NULL && out->next->digest == current->digest) {
+		unload_table(out->next);
+		out->next = NULL;
+		out->unchanged = true;
+	}
+	if (out->next != NULL)
+		out->version = out->next->version;
+}
+
+/*
+ * An edit conflicts only if one of its own cells changed since the base. A
+ * base that the history does not reach cannot be compared, so it is refused
+ * as stale.
+ */
+static void
+decide_cells(const struct history *h, const struct table *current,
+    const struct command *c, struct edit_outcome *out)
+{
+	const struct command_edit *e = &c->body.command_body_u.edit;
+	struct cell_list l = {0};
+	struct fault f = {0};
+	int rc = 0;
+
+	if (e->cells.cells_len == 0) {
+		refuse_edit(out, ERR_INVALID, "the edit names no cell");
+		return;
+	}
+	if (!covers_version(h, current, c->base)) {
+		refuse_edit(out, ERR_STALE,
+		    "the base version is older than the history kept; read the "
+		    "table again and edit that version");
+		return;
+	}
+	for (unsigned int i = 0; i < e->cells.cells_len && rc == 0; i++) {
+		const struct command_cell *cell = &e->cells.cells_val[i];
+
+		if (cell->column < 0 || cell->column >= COLUMN_COUNT)
+			rc = set_fault(&f, ERR_INVALID,
+			    "column number %d does not exist; upgrade the "
+			    "control processes to one release",
+			    cell->column);
+		else if (!check_cell(h, current, c->base, cell, out))
+			goto out;
+		else
+			rc = append_cell(&l, make_str(cell->row),
+			    (enum column)cell->column, make_str(cell->value));
+	}
+	if (rc == 0)
+		rc = apply_cells(
+		    current, &l, current->version + 1, &out->next, &f);
+	if (rc != 0)
+		refuse_edit(out, rc, f.text);
+out:
+	unload_cells(&l);
+}
+
+/*
+ * An import or a revert replaces every cell, so its base must be the version
+ * in force.
+ */
+static void
+decide_whole(const struct history *h, const struct table *current,
+    const struct command *c, struct edit_outcome *out)
+{
+	const struct command_import *in = &c->body.command_body_u.import;
+	struct table *old = NULL;
+	struct fault f = {0};
+	struct buf csv = {0};
+	int rc;
+
+	if (c->base != current->version) {
+		const struct stored_version *v =
+		    find_version(h, current->version);
+
+		refuse_edit(out, ERR_CONFLICT,
+		    "the table changed since the base version; read it again "
+		    "and repeat the change on the version in force");
+		out->winner_version = current->version;
+		if (v != NULL)
+			snprintf(out->winner_author, sizeof(out->winner_author),
+			    "%s", v->author);
+		return;
+	}
+	if (c->body.type == COMMAND_IMPORT) {
+		rc =
+		    load_table_csv(make_str_n(in->csv.csv_val, in->csv.csv_len),
+			current->version + 1, &out->next, &f);
+	} else {
+		rc = rebuild_table(
+		    h, current, c->body.command_body_u.revert.target, &old, &f);
+		if (rc == 0)
+			rc = render_table_csv(old, &csv);
+		if (rc == 0)
+			rc = load_table_csv(view_buf(&csv),
+			    current->version + 1, &out->next, &f);
+		unload_table(old);
+		unload_buf(&csv);
+	}
+	if (rc != 0)
+		refuse_edit(out, rc, f.text);
+}
+
+/*
+ * Returns false, with the conflict in out, when the cell changed since base or
+ * its row is gone. Adding or removing a row is a change of all its cells.
+ */
+static bool
+check_cell(const struct history *h, const struct table *current, uint64_t base,
+    const struct command_cell *e, struct edit_outcome *out)
+{
+	struct str row = make_str(e->row);
+	int column = e->column == COL_KIND ? COLUMN_COUNT : e->column;
+	const struct stored_version *v = find_change(h, base, row, column);
+
+	if (v == NULL && e->column != COL_KIND)
+		v = find_change(h, base, row, COL_KIND);
+	if (v == NULL)
+		return true;
+	refuse_edit(out, ERR_CONFLICT,
+	    "another change of this cell won; read the table again");
+	set_winner(current, row, e->column, v, out);
+	return false;
+}
+
+static void
+refuse_edit(struct edit_outcome *out, int status, const char *text)
+{
+	out->status = status;
+	snprintf(out->text, sizeof(out->text), "%s", text);
+}
+
+/*
+ * Names the cell in force; for a row that is gone, its empty kind.
+ */
+static void
+set_winner(const struct table *current, struct str row, int column,
+    const struct stored_version *v, struct edit_outcome *out)
+{
+	const struct row *r = find_row(current, row);
+
+	(void)copy_str(out->winner.row, sizeof(out->winner.row), row);
+	out->winner.column = r != NULL ? (enum column)column : COL_KIND;
+	if (r != NULL)
+		(void)render_cell(r, out->winner.column, out->winner.value,
+		    sizeof(out->winner.value));
+	out->winner_version = v->number;
+	snprintf(
+	    out->winner_author, sizeof(out->winner_author), "%s", v->author);
+}
--- /dev/null
+++ b/packages/control/history.c
@@ -0,0 +1,296 @@
+/*
+ * Ring of accepted versions.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "history.h"
+#include "wire.h"
+
+#define CELLS_MAX (256 * 1024) /* bytes of cells kept, as in command.x */
+
+static int render_undo(
+    const struct table *from, const struct table *to, struct stored_version *v);
+static int render_cells(
+    const struct table *from, const struct table *to, struct stored_version *v);
+static void drop_oldest(struct history *h);
+static size_t measure_version(const struct stored_version *v);
+static bool has_cell(struct str cells, struct str row, int column);
+static int collect_undo(const struct history *h, uint64_t newest,
+    uint64_t number, struct cell_list *out, struct fault *f);
+
+/*
+ * Makes the record of the change between two tables. The record is freed with
+ * unload_version().
+ */
+int
+make_version(const struct table *from, const struct table *to,
+    struct stored_version **out)
+{
+	struct stored_version *v = calloc(1, sizeof(*v));
+	int rc;
+
+	if (v == NULL)
+		return ERR_MEMORY;
+	v->number = to->version;
+	v->author = strdup("");
+	rc = v->author != NULL ? render_cells(from, to, v) : ERR_MEMORY;
+	if (rc == 0)
+		rc = render_undo(from, to, v);
+	if (rc != 0) {
+		unload_version(v);
+		return rc;
+	}
+	*out = v;
+	return 0;
+}
+
+void
+unload_version(struct stored_version *v)
+{
+	if (v == NULL)
+		return;
+	unload_wire((xdrproc_t)xdr_stored_version, v);
+	free(v);
+}
+
+/*
+ * Appends the next version. The oldest ones go when a bound is exceeded; the
+ * newest always stays.
+ */
+void
+append_version(struct history *h, struct stored_version *v)
+{
+	if (h->count == HISTORY_MAX)
+		drop_oldest(h);
+	h->ring[(h->first + h->count) % HISTORY_MAX] = v;
+	h->count++;
+	h->bytes += measure_version(v);
+	while (h->count > 1 && h->bytes > HISTORY_BYTES_MAX)
+		drop_oldest(h);
+}
+
+void
+clear_history(struct history *h)
+{
+	while (h->count > 0)
+		drop_oldest(h);
+	h->first = 0;
+}
+
+const struct stored_version *
+get_version(const struct history *h, size_t i)
+{
+	return i < h->count ? h->ring[(h->first + i) % HISTORY_MAX] : NULL;
+}
+
+const struct stored_version *
+find_version(const struct history *h, uint64_t number)
+{
+	uint64_t oldest;
+
+	if (h->count == 0)
+		return NULL;
+	oldest = get_version(h, 0)->number;
+	return number >= oldest ? get_version(h, number - oldest) : NULL;
+}
+
+/*
+ * Says whether the table of the version can be rebuilt: the versions kept
+ * reach from the one after it to the current one.
+ */
+bool
+covers_version(
+    const struct history *h, const struct table *current, uint64_t number)
+{
+	if (number >= current->version)
+		return number == current->version;
+	return find_version(h, number + 1) != NULL;
+}
+
+/*
+ * Rebuilds the table of an older version by undoing the changes since. Returns
+ * ERR_NOT_FOUND when the history does not reach back that far.
+ */
+int
+rebuild_table(const struct history *h, const struct table *current,
+    uint64_t number, struct table **out, struct fault *f)
+{
+	struct cell_list undo = {0};
+	struct table *whole = NULL;
+	uint64_t newest = current->version;
+	int rc = 0;
+
+	if (!covers_version(h, current, number))
+		return set_fault(f, ERR_NOT_FOUND,
+		    "version %llu is not kept; read the current table instead",
+		    (unsigned long long)number);
+	for (uint64_t n = number + 1; n <= newest; n++) {
+		const struct stored_version *v = find_version(h, n);
+
+		if (!v->undo_whole)
+			continue;
+		newest = n - 1;
+		rc = load_table_csv(
+		    make_str_n(v->undo.undo_val, v->undo.undo_len), newest,
+		    &whole, f);
+	}
+	if (rc == 0)
+		rc = collect_undo(h, newest, number, &undo, f);
+	if (rc == 0)
+		rc = apply_cells(
+		    whole != NULL ? whole : current, &undo, number, out, f);
+	unload_table(whole);
+	unload_cells(&undo);
+	return rc;
+}
+
+const struct stored_version *
+find_change(const struct history *h, uint64_t base, struct str row, int column)
+{
+	for (size_t i = h->count; i > 0; i--) {
+		const struct stored_version *v = get_version(h, i - 1);
+
+		if (v->number <= base)
+			break;
+		if (v->cells_cut ||
+		    has_cell(make_str_n(v->cells.cells_val, v->cells.cells_len),
+			row, column))
+			return v;
+	}
+	return NULL;
+}
+
+/*
+ * Stores the cells after the change. A list that is too long is left out and
+ * then counts as a change of every cell.
+ */
+static int
+render_cells(
+    const struct table *from, const struct table *to, struct stored_version *v)
+{
+	struct cell_list l = {0};
+	struct buf b = {0};
+	int rc = diff_tables(from, to, &l);
+
+	v->cell_count = (unsigned int)l.count;
+	if (rc == 0)
+		rc = encode_cells(&l, &b);
+	unload_cells(&l);
+	if (rc == 0 && b.len > CELLS_MAX) {
+		v->cells_cut = TRUE;
+		b.len = 0;
+	}
+	if (rc != 0 || b.len == 0) {
+		unload_buf(&b);
+		return rc;
+	}
+	v->cells.cells_val = b.data;
+	v->cells.cells_len = (unsigned int)b.len;
+	return 0;
+}
+
+/*
+ * Stores what undoes the change: cells, or the table before when it is
+ * shorter.
+ */
+static int
+render_undo(
+    const struct table *from, const struct table *to, struct stored_version *v)
+{
+	struct cell_list l = {0};
+	struct buf cells = {0}, whole = {0};
+	int rc = diff_tables(to, from, &l);
+
+	if (rc == 0)
+		rc = encode_cells(&l, &cells);
+	if (rc == 0 && from->row_count > 0)
+		rc = render_table_csv(from, &whole);
+	unload_cells(&l);
+	if (rc != 0) {
+		unload_buf(&cells);
+		unload_buf(&whole);
+		return rc;
+	}
+	v->undo_whole = whole.len > 0 && whole.len < cells.len;
+	if (v->undo_whole) {
+		unload_buf(&cells);
+		cells = whole;
+	} else {
+		unload_buf(&whole);
+	}
+	v->undo.undo_val = cells.data;
+	v->undo.undo_len = (unsigned int)cells.len;
+	return 0;
+}
+
+static void
+drop_oldest(struct history *h)
+{
+	struct stored_version *v = h->ring[h->first];
+
+	h->bytes -= measure_version(v);
+	h->ring[h->first] = NULL;
+	h->first = (h->first + 1) % HISTORY_MAX;
+	h->count--;
+	unload_version(v);
+}
+
+static size_t
+measure_version(const struct stored_version *v)
+{
+	return sizeof(*v) + v->cells.cells_len + v->undo.undo_len;
+}
+
+/*
+ * Looks for a "row,column,value" line.
+ */
+static bool
+has_cell(struct str cells, struct str row, int column)
+{
+	struct str name = make_str(
+	    column < COLUMN_COUNT ? get_column_name((enum column)column) : "");
+	size_t need = row.len + 1 + (name.len > 0 ? name.len + 1 : 0);
+
+	for (size_t at = 0; at < cells.len;) {
+		const char *line = cells.data + at;
+		const char *end = memchr(line, '\n', cells.len - at);
+		size_t len =
+		    end != NULL ? (size_t)(end - line) : cells.len - at;
+
+		at += len + 1;
+		if (len < need || memcmp(line, row.data, row.len) != 0 ||
+		    line[row.len] != ',')
+			continue;
+		if (name.len == 0)
+			return true;
+		if (memcmp(line + row.len + 1, name.data, name.len) == 0 &&
+		    line[need - 1] == ',')
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Appends the undo cells of the versions newest down to number + 1, in the
+ * order in which they apply.
+ */
+static int
+collect_undo(const struct history *h, uint64_t newest, uint64_t number,
+    struct cell_list *out, struct fault *f)
+{
+	int rc = 0;
+
+	for (uint64_t n = newest; n > number && rc == 0; n--) {
+		const struct stored_version *v = find_version(h, n);
+		struct cell_list l = {0};
+
+		rc = decode_cells(
+		    make_str_n(v->undo.undo_val, v->undo.undo_len), &l, f);
+		for (size_t i = 0; i < l.count && rc == 0; i++)
+			rc = append_cell(out, make_str(l.cells[i].row),
+			    l.cells[i].column, make_str(l.cells[i].value));
+		unload_cells(&l);
+	}
+	return rc;
+}
--- /dev/null
+++ b/packages/control/state.c
@@ -0,0 +1,411 @@
+/*
+ * Applies commands; writes and reads snapshots.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "state.h"
+
+static void apply_change(
+    struct state *s, const struct command *c, struct buf *result);
+static void commit_change(struct state *s, const struct command *c,
+    struct edit_outcome *o, struct buf *result);
+static int encode_outcome(const struct edit_outcome *o, struct buf *out);
+static int encode_status(
+    const struct state *s, int status, const char *text, struct buf *out);
+static int find_stored_answer(
+    const struct state *s, const struct command *c, struct buf *out);
+static void require(int rc);
+static int save_head(const struct state *s, struct buf *out);
+static int load_record(struct state *s, enum stored_type type, struct str body);
+static int load_head(struct state *s, struct str body);
+static int load_version(struct state *s, struct str body);
+static int load_stored_answer(struct state *s, struct str body);
+static int load_stored_claim(struct state *s, struct str body);
+static int check_history(const struct state *s);
+static void clear_state(struct state *s);
+
+int
+open_state(size_t claims_max, struct state **out)
+{
+	struct state *s = calloc(1, sizeof(*s));
+
+	if (s == NULL)
+		return ERR_MEMORY;
+	s->table = load_empty_table();
+	s->claims.max = claims_max;
+	if (s->table == NULL) {
+		free(s);
+		return ERR_MEMORY;
+	}
+	*out = s;
+	return 0;
+}
+
+void
+close_state(struct state *s)
+{
+	if (s == NULL)
+		return;
+	clear_state(s);
+	unload_table(s->table);
+	free(s);
+}
+
+void
+apply_state(
+    struct state *s, int64_t wall_ns, struct str bytes, struct buf *result)
+{
+	struct command_result r = {.table_version = s->table->version};
+	struct command c;
+
+	if (wall_ns > s->log_ns)
+		s->log_ns = wall_ns;
+	if (decode_command(bytes, &c) != 0) {
+		require(encode_status(s, ERR_INVALID,
+		    "the command is malformed; upgrade the control processes "
+		    "to one release",
+		    result));
+		return;
+	}
+	expire_answers(&s->answers, s->log_ns);
+	if (c.body.type == COMMAND_CLAIM) {
+		apply_claim(&s->claims, s->log_ns, &c, &r);
+		require(r.status == ERR_MEMORY ? ERR_MEMORY : 0);
+		require(encode_result(&r, result));
+	} else {
+		apply_change(s, &c, result);
+	}
+	unload_command(&c);
+}
+
+bool
+answer_early(const struct state *s, struct str bytes, struct buf *result)
+{
+	struct edit_outcome o;
+	struct command c;
+	bool early;
+	int rc;
+
+	if (decode_command(bytes, &c) != 0)
+		return encode_status(s, ERR_INVALID, "the command is malformed",
+			   result) == 0;
+	if (c.body.type == COMMAND_CLAIM) {
+		unload_command(&c);
+		return false;
+	}
+	rc = find_stored_answer(s, &c, result);
+	early = rc == 0;
+	if (rc == ERR_NOT_FOUND) {
+		decide_edit(&s->history, s->table, &c, &o);
+		unload_table(o.next);
+		early = (o.status == ERR_INVALID || o.status == ERR_NOT_FOUND ||
+			    o.status == ERR_LIMIT) &&
+			encode_outcome(&o, result) == 0;
+	}
+	unload_command(&c);
+	return early;
+}
+
+/*
+ * Appends the whole state as records. Equal states give equal bytes.
+ */
+int
+save_state(const struct state *s, struct buf *out)
+{
+	int rc = save_head(s, out);
+
+	for (size_t i = 0; i < s->history.count && rc == 0; i++)
+		rc = append_record(out, STORED_VERSION,
+		    (xdrproc_t)xdr_stored_version, get_version(&s->history, i));
+	for (const struct answer *a = s->answers.oldest; a != NULL && rc == 0;
+	     a = a->newer)
+		rc = append_record(out, STORED_ANSWER,
+		    (xdrproc_t)xdr_stored_answer, &a->stored);
+	if (rc == 0)
+		rc = save_claims(&s->claims, out);
+	if (rc == 0)
+		rc = append_record(out, STORED_END, NULL, NULL);
+	return rc;
+}
+
+/*
+ * Replaces the state by a saved one. On ERR_CORRUPT the state is empty.
+ */
+int
+load_state(struct state *s, struct str data, struct fault *f)
+{
+	enum stored_type type = STORED_HEAD;
+	struct str body;
+	bool first = true;
+	int rc = 0;
+
+	clear_state(s);
+	while (rc == 0 && type != STORED_END) {
+		rc = take_record(&data, &type, &body);
+		if (rc == 0 && first != (type == STORED_HEAD))
+			rc = ERR_CORRUPT;
+		if (rc == 0)
+			rc = load_record(s, type, body);
+		first = false;
+	}
+	if (rc == 0 && data.len != 0)
+		rc = ERR_CORRUPT;
+	if (rc == 0)
+		rc = check_history(s);
+	if (rc == 0)
+		return 0;
+	clear_state(s);
+	return set_fault(f, rc,
+	    "the snapshot of the state machine is damaged or of another "
+	    "release; wipe the data directory and rejoin as a new member");
+}
+
+static void
+apply_change(struct state *s, const struct command *c, struct buf *result)
+{
+	size_t at = result->len;
+	struct edit_outcome o;
+	int rc = find_stored_answer(s, c, result);
+
+	if (rc == 0)
+		return;
+	require(rc == ERR_MEMORY ? rc : 0);
+	decide_edit(&s->history, s->table, c, &o);
+	require(o.status == ERR_MEMORY ? o.status : 0);
+	if (o.next != NULL)
+		commit_change(s, c, &o, result);
+	else
+		require(encode_outcome(&o, result));
+	if (c->key[0] != '\0')
+		require(append_answer(&s->answers, make_str(c->author),
+		    make_str(c->key), fingerprint_command(c), s->log_ns,
+		    make_str_n(result->data + at, result->len - at)));
+}
+
+static void
+commit_change(struct state *s, const struct command *c, struct edit_outcome *o,
+    struct buf *result)
+{
+	struct stored_version *v = NULL;
+
+	require(make_version(s->table, o->next, &v));
+	free(v->author);
+	v->author = strdup(c->author);
+	require(v->author == NULL ? ERR_MEMORY : 0);
+	v->base = c->base;
+	v->time_ns = s->log_ns;
+	v->type = (int)c->body.type;
+	append_version(&s->history, v);
+	unload_table(s->table);
+	s->table = o->next;
+	o->next = NULL;
+	require(encode_outcome(o, result));
+}
+
+static int
+encode_outcome(const struct edit_outcome *o, struct buf *out)
+{
+	struct command_result r = {
+	    .status = o->status,
+	    .table_version = o->version,
+	    .unchanged = o->unchanged,
+	    .winner_version = o->winner_version,
+	};
+
+	r.winner.row = (char *)(uintptr_t)o->winner.row;
+	r.winner.column = (int)o->winner.column;
+	r.winner.value = (char *)(uintptr_t)o->winner.value;
+	r.winner_author = (char *)(uintptr_t)o->winner_author;
+	r.text = (char *)(uintptr_t)o->text;
+	return encode_result(&r, out);
+}
+
+static int
+encode_status(
+    const struct state *s, int status, const char *text, struct buf *out)
+{
+	struct command_result r = {
+	    .status = status, .table_version = s->table->version};
+
+	r.text = (char *)(uintptr_t)text;
+	return encode_result(&r, out);
+}
+
+/*
+ * Appends the stored answer to the command's key. Returns ERR_NOT_FOUND when
+ * there is none. A key that was used for another change is refused.
+ */
+static int
+find_stored_answer(
+    const struct state *s, const struct command *c, struct buf *out)
+{
+	const struct stored_answer *a =
+	    find_answer(&s->answers, make_str(c->author), make_str(c->key));
+
+	if (a == NULL || c->key[0] == '\0')
+		return ERR_NOT_FOUND;
+	if (a->fingerprint != fingerprint_command(c))
+		return encode_status(s, ERR_INVALID,
+		    "the key was used for another change; send this one with "
+		    "a new key",
+		    out);
+	return append_buf(out, a->result.result_val, a->result.result_len);
+}
+
+static void
+require(int rc)
+{
+	if (rc == 0)
+		return;
+	write_log(LOG_LEVEL_ERR,
+	    "cannot apply a committed command (%s); the process ends so that "
+	    "it does not differ from the others; give it more memory",
+	    get_err_name(rc));
+	abort();
+}
+
+static int
+save_head(const struct state *s, struct buf *out)
+{
+	struct stored_head h = {
+	    .format = STATE_FORMAT,
+	    .log_ns = s->log_ns,
+	    .claims_swept_ns = s->claims.swept_ns,
+	    .table_version = s->table->version,
+	    .table_digest = s->table->digest,
+	};
+	struct buf csv = {0};
+	int rc = render_table_csv(s->table, &csv);
+
+	h.csv.csv_val = csv.data;
+	h.csv.csv_len = (unsigned int)csv.len;
+	if (rc == 0)
+		rc = append_record(
+		    out, STORED_HEAD, (xdrproc_t)xdr_stored_head, &h);
+	unload_buf(&csv);
+	return rc;
+}
+
+static int
+load_record(struct state *s, enum stored_type type, struct str body)
+{
+	switch (type) {
+	case STORED_HEAD:
+		return load_head(s, body);
+	case STORED_VERSION:
+		return load_version(s, body);
+	case STORED_ANSWER:
+		return load_stored_answer(s, body);
+	case STORED_CLAIM:
+		return load_stored_claim(s, body);
+	case STORED_END:
+		return body.len == 0 ? 0 : ERR_CORRUPT;
+	}
+	return ERR_CORRUPT;
+}
+
+static int
+load_head(struct state *s, struct str body)
+{
+	struct stored_head h = {0};
+	struct table *t = NULL;
+	int rc = decode_wire((xdrproc_t)xdr_stored_head, body, &h);
+
+	if (rc != 0)
+		return rc;
+	rc = h.format == STATE_FORMAT ? 0 : ERR_CORRUPT;
+	if (rc == 0)
+		rc = load_table_csv(make_str_n(h.csv.csv_val, h.csv.csv_len),
+		    h.table_version, &t, NULL);
+	if (rc == 0 && t->digest != h.table_digest)
+		rc = ERR_CORRUPT;
+	if (rc == 0) {
+		unload_table(s->table);
+		s->table = t;
+		t = NULL;
+		s->log_ns = h.log_ns;
+		s->claims.swept_ns = h.claims_swept_ns;
+	}
+	unload_table(t);
+	unload_wire((xdrproc_t)xdr_stored_head, &h);
+	return rc == 0 || rc == ERR_MEMORY ? rc : ERR_CORRUPT;
+}
+
+static int
+load_version(struct state *s, struct str body)
+{
+	struct stored_version *v = calloc(1, sizeof(*v));
+	const struct stored_version *last;
+	int rc;
+
+	if (v == NULL)
+		return ERR_MEMORY;
+	rc = decode_wire((xdrproc_t)xdr_stored_version, body, v);
+	if (rc != 0) {
+		free(v);
+		return rc;
+	}
+	last = get_version(&s->history, s->history.count - 1);
+	if (last != NULL && v->number != last->number + 1) {
+		unload_version(v);
+		return ERR_CORRUPT;
+	}
+	append_version(&s->history, v);
+	return 0;
+}
+
+static int
+load_stored_answer(struct state *s, struct str body)
+{
+	struct stored_answer a = {0};
+	int rc = decode_wire((xdrproc_t)xdr_stored_answer, body, &a);
+
+	return rc == 0 ? load_answer(&s->answers, &a) : rc;
+}
+
+static int
+load_stored_claim(struct state *s, struct str body)
+{
+	struct stored_claim c = {0};
+	int rc = decode_wire((xdrproc_t)xdr_stored_claim, body, &c);
+
+	if (rc != 0)
+		return rc;
+	if (find_claim(&s->claims, make_str(c.kind), make_str(c.key)) != NULL) {
+		unload_wire((xdrproc_t)xdr_stored_claim, &c);
+		return ERR_CORRUPT;
+	}
+	return load_claim(&s->claims, &c);
+}
+
+/*
+ * The newest version of the history must be the table in force.
+ */
+static int
+check_history(const struct state *s)
+{
+	const struct stored_version *v =
+	    get_version(&s->history, s->history.count - 1);
+	uint64_t newest = v != NULL ? v->number : 0;
+
+	return newest == s->table->version ? 0 : ERR_CORRUPT;
+}
+
+/*
+ * Empties the state. Out of memory, the table stays: there always is one.
+ */
+static void
+clear_state(struct state *s)
+{
+	struct table *t = load_empty_table();
+
+	clear_history(&s->history);
+	clear_answers(&s->answers);
+	clear_claims(&s->claims);
+	s->log_ns = 0;
+	if (t == NULL)
+		return;
+	unload_table(s->table);
+	s->table = t;
+}
--- /dev/null
+++ b/packages/control/tests/test_watch.c
@@ -0,0 +1,472 @@
+/*
+ * Decisions of the watch service.
+ */
+#include "nodes.h"
+#include "state_fixture.h"
+#include "watch.h"
+
+enum {
+	NONE = 0,
+	DELTA = 1,
+	WHOLE = 2
+}; /* as in enum wire_table_form */
+
+struct verdict_case {
+	uint64_t version; /* of the process */
+	bool stale;
+	bool confirmed;
+	bool due;
+	uint64_t held; /* by the node */
+	uint64_t refused;
+	bool newer_set;
+	enum watch_verdict want;
+};
+
+static const struct verdict_case verdict_cases[] = {
+    {5, false, false, false, 5, 0, false, WATCH_HOLD},
+    {5, false, false, true, 5, 0, false, WATCH_REPLY}, /* heartbeat */
+    {6, false, false, false, 5, 0, false, WATCH_REPLY},
+    {5, false, false, false, 5, 0, true, WATCH_REPLY},
+    /* the process lags behind the node: never an older table */
+    {4, false, false, false, 5, 0, false, WATCH_HOLD},
+    /* a refused version is not sent again, the next one is */
+    {6, false, false, false, 5, 6, false, WATCH_HOLD},
+    {7, false, false, false, 5, 6, false, WATCH_REPLY},
+    /* a cut-off process answers stale, whatever it holds */
+    {6, true, false, false, 5, 0, true, WATCH_STALE},
+    {5, true, false, false, 5, 0, false, WATCH_STALE},
+    {5, true, true, true, 0, 0, true, WATCH_STALE},
+    /* a node without a table waits for a confirmed read */
+    {5, false, false, false, 0, 0, true, WATCH_READ},
+    {5, false, false, true, 0, 0, true, WATCH_READ},
+    {5, false, true, false, 0, 0, false, WATCH_REPLY},
+    /* no table has been accepted yet */
+    {0, false, true, false, 0, 0, false, WATCH_HOLD},
+    {0, false, true, true, 0, 0, false, WATCH_REPLY},
+};
+
+/*
+ * Guards against an older table for a node, above all one without a table at
+ * a control process that is cut off, and against a reply that is held too
+ * long.
+ */
+START_TEST(verdicts_follow_version_and_contact)
+{
+	const struct verdict_case *c = &verdict_cases[_i];
+	struct registry *g = NULL;
+	struct wire_interest interest = {
+	    (char *)(uintptr_t) "svc", c->newer_set ? 0 : 1};
+	struct wire_watch_args a = {.held_version = c->held,
+	    .refused_version = c->refused,
+	    .registry_id = 77};
+	struct watch_view v = {
+	    c->version, c->stale, c->confirmed, c->due, NULL};
+
+	ck_assert_int_eq(open_registry(1, 77, &g), 0);
+	v.registry = g;
+	a.interest.interest_len = 1;
+	a.interest.interest_val = &interest;
+	ck_assert_int_eq(decide_watch(&v, &a), c->want);
+	close_registry(g);
+}
+END_TEST
+
+/* Makes a state of many rows, so that a delta is shorter than the table. */
+static struct state *
+open_many_rows(void)
+{
+	struct state *s = open_sample();
+	struct buf csv = {0};
+	struct command_result r;
+
+	(void)append_buf_str(&csv, make_str(HEADER));
+	for (int i = 0; i < 100; i++)
+		(void)append_buf_fmt(&csv,
+		    "row%03d,s%03d,1,10,5,100,100,1000,100,1,10,0,yes,0,64,"
+		    "30\n",
+		    i, i);
+	r = apply_import(s, "anna", "", 0, csv.data);
+	ck_assert_int_eq(r.status, 0);
+	unload_result(&r);
+	unload_buf(&csv);
+	return s;
+}
+
+static void
+edit_row(struct state *s, int row, const char *value)
+{
+	char name[16];
+	struct command_result r;
+
+	snprintf(name, sizeof(name), "row%03d", row);
+	r = apply_edit(
+	    s, "anna", "", s->table->version, name, COL_WEIGHT, value);
+	ck_assert_int_eq(r.status, 0);
+	unload_result(&r);
+}
+
+/* Takes a reply over as a node does and checks the digest. */
+static struct table *
+follow(const struct table *held, struct str bytes, int form)
+{
+	struct wire_watch_reply r = {0};
+	struct table *t = NULL;
+	struct cell_list l = {0};
+	struct fault f;
+	struct str body;
+
+	ck_assert_int_eq(
+	    decode_wire((xdrproc_t)xdr_wire_watch_reply, bytes, &r), 0);
+	ck_assert_int_eq(r.table.form, form);
+	body = make_str_n(r.table.body.body_val, r.table.body.body_len);
+	if (form == WHOLE) {
+		ck_assert_int_eq(
+		    load_table_csv(body, r.table.table_version, &t, &f), 0);
+	} else if (form == DELTA) {
+		ck_assert_uint_eq(r.table.base, held->version);
+		ck_assert_int_eq(decode_cells(body, &l, &f), 0);
+		ck_assert_int_eq(
+		    apply_cells(held, &l, r.table.table_version, &t, &f), 0);
+		unload_cells(&l);
+	}
+	if (t != NULL)
+		ck_assert_uint_eq(t->digest, r.table.digest);
+	unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+	return t;
+}
+
+struct form_case {
+	uint64_t held;
+	int want;
+};
+
+/* The process is at version 41: an import, 39 edits of cells, one import. */
+static const struct form_case form_cases[] = {
+    {0, WHOLE}, {1, DELTA}, {20, DELTA}, {40, DELTA}, {41, NONE}, {42, NONE}};
+
+/*
+ * Guards against an update that does not lead to the table in force, and
+ * against more bytes than needed: one delta for any number of missed changes,
+ * encoded once for all nodes with the same base.
+ */
+START_TEST(updates_lead_to_the_table_in_force)
+{
+	struct state *s = open_many_rows();
+	struct watch_cache *cache = calloc(1, sizeof(*cache));
+	struct registry *g = NULL;
+	struct wire_hlc stamp = {1, 2};
+
+	ck_assert_int_eq(open_registry(1, 77, &g), 0);
+	for (int i = 0; i < 40; i++)
+		edit_row(s, i % 30, i < 30 ? "20" : "30");
+	for (size_t i = 0; i < sizeof(form_cases) / sizeof(form_cases[0]);
+	     i++) {
+		const struct form_case *c = &form_cases[i];
+		struct wire_watch_args a = {.held_version = c->held};
+		struct table *held = NULL, *next;
+		struct buf first = {0}, again = {0};
+		struct fault f;
+		uint64_t encoded;
+
+		if (c->held > 0 && c->held <= 41)
+			ck_assert_int_eq(rebuild_table(&s->history, s->table,
+					     c->held, &held, &f),
+			    0);
+		ck_assert_int_eq(
+		    encode_watch_reply(cache, s, g, &a, &stamp, &first), 0);
+		encoded = cache->encoded;
+		ck_assert_int_eq(
+		    encode_watch_reply(cache, s, g, &a, &stamp, &again), 0);
+		ck_assert(is_str_equal(view_buf(&first), view_buf(&again)));
+		if (c->want != NONE)
+			ck_assert_uint_eq(cache->encoded, encoded);
+		next = follow(held, view_buf(&first), c->want);
+		if (next != NULL)
+			ck_assert_uint_eq(next->digest, s->table->digest);
+		if (c->want == DELTA)
+			ck_assert_uint_lt(first.len, 1500);
+		unload_table(held);
+		unload_table(next);
+		unload_buf(&first);
+		unload_buf(&again);
+	}
+	/* A later version must not be answered from the cache. */
+	struct wire_watch_args a = {.held_version = 41};
+	struct buf reply = {0};
+	struct table *held = NULL, *next;
+	struct fault f;
+
+	edit_row(s, 99, "44");
+	ck_assert_int_eq(
+	    rebuild_table(&s->history, s->table, 41, &held, &f), 0);
+	ck_assert_int_eq(
+	    encode_watch_reply(cache, s, g, &a, &stamp, &reply), 0);
+	ck_assert_uint_lt(reply.len, 400);
+	next = follow(held, view_buf(&reply), DELTA);
+	ck_assert_uint_eq(next->digest, s->table->digest);
+	unload_table(held);
+	unload_table(next);
+	unload_buf(&reply);
+	clear_cache(cache);
+	free(cache);
+	close_registry(g);
+	close_state(s);
+}
+END_TEST
+
+/* Guards against a delta that is longer than the table, or out of reach. */
+START_TEST(whole_table_when_it_is_shorter_or_history_is_gone)
+{
+	struct state *s = open_many_rows();
+	struct watch_cache *cache = calloc(1, sizeof(*cache));
+	struct watch_update *u = NULL;
+
+	ck_assert_int_eq(find_update(cache, s, 0, &u), 0);
+	ck_assert_int_eq(u->form, WHOLE);
+	struct command_result r =
+	    apply_import(s, "anna", "", 1, SAMPLE); /* three rows */
+
+	ck_assert_int_eq(r.status, 0);
+	unload_result(&r);
+	ck_assert_int_eq(find_update(cache, s, 1, &u), 0);
+	ck_assert_int_eq(u->form, WHOLE);
+	ck_assert_uint_eq(get_update_tokens(u), 1);
+	for (int i = 0; i < HISTORY_MAX; i++) {
+		r = apply_edit(s, "anna", "", s->table->version, "a", COL_RANK,
+		    i % 2 == 0 ? "5" : "6");
+		unload_result(&r);
+	}
+	ck_assert_int_eq(find_update(cache, s, 2, &u), 0);
+	ck_assert_int_eq(u->form, DELTA);
+	ck_assert_uint_eq(get_update_tokens(u), 0);
+	ck_assert_int_eq(find_update(cache, s, 1, &u), 0);
+	ck_assert_int_eq(u->form, WHOLE);
+	clear_cache(cache);
+	free(cache);
+	close_state(s);
+}
+END_TEST
+
+/* Guards against a reply that carries too much, too little or other sets. */
+START_TEST(replies_carry_the_newer_sets_only)
+{
+	struct state *s = open_sample();
+	struct watch_cache *cache = calloc(1, sizeof(*cache));
+	struct registry *g = NULL;
+	struct wire_hlc stamp = {1, 2};
+	struct wire_endpoint e = {.id = (char *)(uintptr_t) "n",
+	    .incarnation = 1,
+	    .service = (char *)(uintptr_t) "one",
+	    .address = (char *)(uintptr_t) "127.0.0.1:1",
+	    .zone = (char *)(uintptr_t) "z",
+	    .state = WIRE_ENDPOINT_READY};
+	struct wire_interest interest[2] = {
+	    {(char *)(uintptr_t) "one", 0}, {(char *)(uintptr_t) "none", 0}};
+	struct wire_watch_args a = {.registry_id = 77};
+	static const unsigned int want[] = {2, 0, 1, 2};
+
+	ck_assert_int_eq(open_registry(1, 77, &g), 0);
+	a.interest.interest_len = 2;
+	a.interest.interest_val = interest;
+	(void)announce_endpoint_record(g, 0, &e);
+	for (int i = 0; i < 4; i++) {
+		struct wire_watch_reply r = {0};
+		struct buf b = {0};
+
+		if (i == 2) {
+			e.seq = 9;
+			(void)announce_endpoint_record(g, 0, &e);
+		}
+		if (i == 3)
+			a.registry_id = 1; /* held from another process */
+		ck_assert_int_eq(
+		    encode_watch_reply(cache, s, g, &a, &stamp, &b), 0);
+		ck_assert_int_eq(decode_wire((xdrproc_t)xdr_wire_watch_reply,
+				     view_buf(&b), &r),
+		    0);
+		ck_assert_uint_eq(r.sets.sets_len, want[i]);
+		ck_assert_uint_eq(r.registry_id, 77);
+		for (unsigned int k = 0; k < r.sets.sets_len; k++) {
+			const struct wire_endpoint_set *set =
+			    &r.sets.sets_val[k];
+			bool one = strcmp(set->service, "one") == 0;
+
+			ck_assert_uint_eq(set->endpoints.endpoints_len, one);
+			ck_assert_int_eq(set->whole, i != 2);
+			interest[one ? 0 : 1].set_version = set->set_version;
+		}
+		unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+		unload_buf(&b);
+	}
+	free(cache);
+	close_registry(g);
+	close_state(s);
+}
+END_TEST
+
+/* Guards against a reply above the message limit: a relay's first PULL. */
+START_TEST(sets_that_do_not_fit_follow_in_the_next_reply)
+{
+	enum {
+		SERVICES = 240,
+		EACH = 40
+	};
+	struct state *s = open_sample();
+	struct watch_cache *cache = calloc(1, sizeof(*cache));
+	struct registry *g = NULL;
+	struct wire_hlc stamp = {1, 2};
+	static struct wire_interest interest[SERVICES];
+	static char names[SERVICES][16];
+	struct wire_watch_args a = {.registry_id = 77};
+	size_t got = 0;
+	int replies = 0;
+
+	ck_assert_int_eq(open_registry(1, 77, &g), 0);
+	for (int i = 0; i < SERVICES; i++) {
+		snprintf(names[i], sizeof(names[i]), "service-%03d", i);
+		interest[i] = (struct wire_interest){names[i], 0};
+		for (int k = 0; k < EACH; k++) {
+			char id[40];
+			struct wire_endpoint e = {.id = id,
+			    .incarnation = 1,
+			    .service = names[i],
+			    .address = (char *)(uintptr_t) "127.100.100.1:9000",
+			    .zone = (char *)(uintptr_t) "milano-a-north",
+			    .state = WIRE_ENDPOINT_READY};
+
+			snprintf(id, sizeof(id), "region-one-node-%d-%d", i, k);
+			ck_assert_int_eq(announce_endpoint_record(g, 0, &e),
+			    REGISTRY_CHANGED);
+		}
+	}
+	a.interest.interest_len = SERVICES;
+	a.interest.interest_val = interest;
+	while (got < SERVICES * EACH && replies < 10) {
+		struct wire_watch_reply r = {0};
+		struct buf b = {0};
+
+		ck_assert_int_eq(
+		    encode_watch_reply(cache, s, g, &a, &stamp, &b), 0);
+		ck_assert_int_eq(decode_wire((xdrproc_t)xdr_wire_watch_reply,
+				     view_buf(&b), &r),
+		    0);
+		for (unsigned int k = 0; k < r.sets.sets_len; k++) {
+			int i = atoi(r.sets.sets_val[k].service + 8);
+
+			interest[i].set_version =
+			    r.sets.sets_val[k].set_version;
+			got += r.sets.sets_val[k].endpoints.endpoints_len;
+		}
+		replies++;
+		unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+		unload_buf(&b);
+	}
+	ck_assert_uint_eq(got, SERVICES * EACH);
+	ck_assert_int_ge(replies, 2);
+	free(cache);
+	close_registry(g);
+	close_state(s);
+}
+END_TEST
+
+/*
+ * Guards against a reconnect storm that takes all the bandwidth, and against
+ * retry times that bring everybody back at once.
+ */
+START_TEST(bucket_spreads_a_storm)
+{
+	enum {
+		RATE = 100,
+		NODES = 1000
+	};
+	struct token_bucket b;
+	int64_t now = 5 * NSEC_PER_SEC;
+	int64_t next[NODES];
+	int served = 0, second_served[40] = {0}, tries = 0;
+	struct rng r;
+
+	seed_rng(&r, 4);
+	open_bucket(&b, RATE, now);
+	for (int i = 0; i < NODES; i++)
+		next[i] = now;
+	for (int64_t t = 0; t < 40 * 1000; t += 10) {
+		for (int i = 0; i < NODES; i++) {
+			int64_t at = now + t * NSEC_PER_MSEC;
+			int retry;
+
+			if (next[i] < 0 || next[i] > at)
+				continue;
+			retry = take_tokens(&b, 1, at);
+			tries++;
+			if (retry == 0) {
+				served++;
+				second_served[t / 1000]++;
+				next[i] = -1;
+			} else {
+				ck_assert_int_le(retry, WATCH_RETRY_MAX_MS);
+				next[i] = at + NSEC_PER_MSEC *
+						   (int64_t)draw_below(
+						       &r, (uint64_t)retry + 1);
+			}
+		}
+	}
+	ck_assert_int_eq(served, NODES);
+	/* A bucket gives its content and its rate, at most, in any time. */
+	for (int i = 0, sum = 0; i < 40; i++) {
+		sum += second_served[i];
+		ck_assert_int_le(sum, RATE * (i + 2));
+	}
+	ck_assert_int_lt(tries, 10 * NODES);
+	/* A table larger than the bucket is served when the bucket is full. */
+	ck_assert_int_eq(
+	    take_tokens(&b, 10 * RATE, now + 100 * NSEC_PER_SEC), 0);
+	ck_assert_int_gt(take_tokens(&b, 1, now + 100 * NSEC_PER_SEC), 0);
+}
+END_TEST
+
+/* Guards against a status that hides a refusal or a node that is gone. */
+START_TEST(node_reports_are_kept)
+{
+	struct node_list l = {0};
+	struct wire_watch_args a = {.node = (char *)(uintptr_t) "n1",
+	    .zone = (char *)(uintptr_t) "z",
+	    .held_version = 4,
+	    .refused_reason = (char *)(uintptr_t) ""};
+	struct node_report *n;
+
+	ck_assert(note_node(&l, &a, 7, 1, 100));
+	ck_assert(!note_node(&l, &a, 7, 2, 200));
+	a.refused_version = 5;
+	a.refused_reason = (char *)(uintptr_t) "floor";
+	ck_assert(note_node(&l, &a, 8, 3, 300));
+	ck_assert_ptr_null(take_closed_node(&l, 7)); /* it moved to conn 8 */
+	n = take_closed_node(&l, 8);
+	ck_assert_ptr_nonnull(n);
+	ck_assert_ptr_null(take_closed_node(&l, 8));
+	ck_assert_int_eq(n->version_wall_ns, 100);
+	ck_assert_uint_eq(n->refused_version, 5);
+	ck_assert_str_eq(n->refused_reason, "floor");
+	expire_nodes(&l, 3 + NODES_KEEP_NS - 1);
+	ck_assert_uint_eq(l.index.count, 1);
+	expire_nodes(&l, 3 + NODES_KEEP_NS);
+	ck_assert_uint_eq(l.index.count, 0);
+	clear_nodes(&l);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *t = tcase_create("watch");
+
+	tcase_set_timeout(t, 60);
+	tcase_add_loop_test(t, verdicts_follow_version_and_contact, 0,
+	    sizeof(verdict_cases) / sizeof(verdict_cases[0]));
+	tcase_add_test(t, updates_lead_to_the_table_in_force);
+	tcase_add_test(t, whole_table_when_it_is_shorter_or_history_is_gone);
+	tcase_add_test(t, replies_carry_the_newer_sets_only);
+	tcase_add_test(t, sets_that_do_not_fit_follow_in_the_next_reply);
+	tcase_add_test(t, bucket_spreads_a_storm);
+	tcase_add_test(t, node_reports_are_kept);
+	return run_suite("watch", t);
+}
--- /dev/null
+++ b/packages/control/watch.c
@@ -0,0 +1,314 @@
+/*
+ * Decisions and encoded replies of the watch service.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "watch.h"
+
+static bool has_newer_set(
+    const struct registry *g, const struct wire_watch_args *a);
+static uint64_t get_held_set(const struct registry *g,
+    const struct wire_watch_args *a, const struct wire_interest *i);
+static int fill_update(struct watch_cache *c, const struct state *s,
+    uint64_t base, struct watch_update *u);
+static int make_delta(
+    const struct state *s, uint64_t base, size_t limit, struct buf *out);
+static void fill_table(const struct state *s, const struct watch_update *u,
+    struct wire_table_update *out);
+static int fill_sets(const struct registry *g, const struct wire_watch_args *a,
+    size_t used, struct wire_watch_reply *r);
+static void unload_sets(struct wire_watch_reply *r);
+
+enum watch_verdict
+decide_watch(const struct watch_view *v, const struct wire_watch_args *a)
+{
+	if (v->stale)
+		return WATCH_STALE;
+	if (a->held_version == 0 && !v->confirmed)
+		return WATCH_READ;
+	if (v->due || needs_table(v->version, a) ||
+	    has_newer_set(v->registry, a))
+		return WATCH_REPLY;
+	return WATCH_HOLD;
+}
+
+/*
+ * A node that refused the version in force does not get it again; it waits for
+ * the next one.
+ */
+bool
+needs_table(uint64_t version, const struct wire_watch_args *a)
+{
+	return version > a->held_version && version != a->refused_version;
+}
+
+void
+open_bucket(struct token_bucket *b, uint32_t rate, int64_t now)
+{
+	b->rate = rate != 0 ? rate : WATCH_TOKEN_RATE;
+	b->filled_ns = now;
+	b->tokens = b->rate;
+	b->refused = 0;
+}
+
+/*
+ * Takes count tokens. The retry time grows with the number of those refused
+ * before, so that they come back at the rate at which they can be served. A
+ * full bucket serves a request of any size.
+ */
+int
+take_tokens(struct token_bucket *b, uint32_t count, int64_t now)
+{
+	double add = (double)(now - b->filled_ns) / NSEC_PER_SEC * b->rate;
+	double need = count < b->rate ? count : b->rate;
+	double ms;
+
+	if (add > 0) {
+		b->filled_ns = now;
+		b->tokens += add;
+		b->refused -= add;
+	}
+	if (b->tokens > b->rate)
+		b->tokens = b->rate;
+	if (b->refused < 0)
+		b->refused = 0;
+	if (b->tokens >= need) {
+		b->tokens -= need;
+		return 0;
+	}
+	b->refused += need;
+	ms = (b->refused + need - b->tokens) * 1000.0 / b->rate;
+	if (ms > WATCH_RETRY_MAX_MS)
+		ms = WATCH_RETRY_MAX_MS;
+	return ms < 1 ? 1 : (int)ms;
+}
+
+/*
+ * Finds or makes the update from base to the table in force.
+ */
+int
+find_update(struct watch_cache *c, const struct state *s, uint64_t base,
+    struct watch_update **out)
+{
+	struct watch_update *u;
+	int rc;
+
+	if (c->version != s->table->version)
+		clear_cache(c);
+	c->version = s->table->version;
+	for (size_t i = 0; i < WATCH_CACHE_MAX; i++) {
+		u = &c->updates[i];
+		if (u->used && u->base == base) {
+			*out = u;
+			return 0;
+		}
+	}
+	u = &c->updates[c->next];
+	c->next = (c->next + 1) % WATCH_CACHE_MAX;
+	unload_buf(&u->body);
+	unload_buf(&u->reply);
+	*u = (struct watch_update){.base = base};
+	rc = fill_update(c, s, base, u);
+	if (rc != 0)
+		return rc;
+	u->used = true;
+	*out = u;
+	return 0;
+}
+
+void
+clear_cache(struct watch_cache *c)
+{
+	for (size_t i = 0; i < WATCH_CACHE_MAX; i++) {
+		unload_buf(&c->updates[i].body);
+		unload_buf(&c->updates[i].reply);
+		c->updates[i].used = false;
+	}
+	unload_buf(&c->whole);
+	c->next = 0;
+}
+
+int
+encode_watch_reply(struct watch_cache *c, const struct state *s,
+    const struct registry *g, const struct wire_watch_args *a,
+    const struct wire_hlc *stamp, struct buf *out)
+{
+	struct wire_watch_reply r = {.status = WIRE_OK, .stamp = *stamp};
+	struct watch_update *u = NULL;
+	bool shared = !has_newer_set(g, a);
+	int rc = 0;
+
+	r.registry_id = get_registry_id(g);
+	r.table.table_version = s->table->version;
+	r.table.digest = s->table->digest;
+	if (needs_table(s->table->version, a))
+		rc = find_update(c, s, a->held_version, &u);
+	if (rc != 0)
+		return rc;
+	if (shared && u != NULL && u->reply.len > 0)
+		return append_buf_str(out, view_buf(&u->reply));
+	if (u != NULL)
+		fill_table(s, u, &r.table);
+	if (!shared)
+		rc = fill_sets(g, a, r.table.body.body_len, &r);
+	if (rc == 0 && shared && u != NULL) {
+		rc =
+		    encode_wire((xdrproc_t)xdr_wire_watch_reply, &r, &u->reply);
+		if (rc == 0)
+			rc = append_buf_str(out, view_buf(&u->reply));
+		c->encoded++;
+	} else if (rc == 0) {
+		rc = encode_wire((xdrproc_t)xdr_wire_watch_reply, &r, out);
+		c->encoded++;
+	}
+	unload_sets(&r);
+	return rc;
+}
+
+int
+encode_watch_refusal(wire_status status, int retry_ms,
+    const struct wire_hlc *stamp, struct buf *out)
+{
+	struct wire_watch_reply r = {
+	    .status = status, .stamp = *stamp, .retry_ms = retry_ms};
+
+	return encode_wire((xdrproc_t)xdr_wire_watch_reply, &r, out);
+}
+
+uint32_t
+get_update_tokens(const struct watch_update *u)
+{
+	if (u->form != WIRE_TABLE_WHOLE)
+		return 0;
+	return (uint32_t)(1 + u->body.len / WATCH_TOKEN_BYTES);
+}
+
+static bool
+has_newer_set(const struct registry *g, const struct wire_watch_args *a)
+{
+	for (unsigned int k = 0; k < a->interest.interest_len; k++) {
+		const struct wire_interest *i = &a->interest.interest_val[k];
+
+		if (get_set_version(g, make_str(i->service)) !=
+		    get_held_set(g, a, i))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Returns the set version that the node holds; none when it comes from the
+ * registry of another process or of an earlier start.
+ */
+static uint64_t
+get_held_set(const struct registry *g, const struct wire_watch_args *a,
+    const struct wire_interest *i)
+{
+	return a->registry_id == get_registry_id(g) ? i->set_version : 0;
+}
+
+static int
+fill_update(struct watch_cache *c, const struct state *s, uint64_t base,
+    struct watch_update *u)
+{
+	struct buf delta = {0};
+	int rc = 0;
+
+	if (c->whole.len == 0)
+		rc = render_table_csv(s->table, &c->whole);
+	if (rc != 0)
+		return rc;
+	if (base != 0 && covers_version(&s->history, s->table, base))
+		rc = make_delta(s, base, c->whole.len, &delta);
+	else
+		rc = ERR_LIMIT;
+	if (rc == 0) {
+		u->form = WIRE_TABLE_DELTA;
+		u->body = delta;
+		return 0;
+	}
+	unload_buf(&delta);
+	if (rc != ERR_LIMIT)
+		return rc;
+	u->form = WIRE_TABLE_WHOLE;
+	return append_buf_str(&u->body, view_buf(&c->whole));
+}
+
+/*
+ * Appends the cells that differ between the base and the table in force.
+ * Returns ERR_LIMIT when they are not shorter than limit.
+ */
+static int
+make_delta(const struct state *s, uint64_t base, size_t limit, struct buf *out)
+{
+	struct cell_list l = {0};
+	struct table *old = NULL;
+	struct fault f = {0};
+	int rc = rebuild_table(&s->history, s->table, base, &old, &f);
+
+	if (rc == 0)
+		rc = diff_tables(old, s->table, &l);
+	if (rc == 0)
+		rc = encode_cells(&l, out);
+	if (rc == 0 && out->len >= limit)
+		rc = ERR_LIMIT;
+	unload_cells(&l);
+	unload_table(old);
+	return rc;
+}
+
+static void
+fill_table(const struct state *s, const struct watch_update *u,
+    struct wire_table_update *out)
+{
+	out->table_version = s->table->version;
+	out->digest = s->table->digest;
+	out->base = u->form == WIRE_TABLE_DELTA ? u->base : 0;
+	out->form = u->form;
+	out->body.body_val = u->body.data;
+	out->body.body_len = (unsigned int)u->body.len;
+}
+
+/*
+ * Adds the newer sets. Those that do not fit are left out; the node asks for
+ * them again with the version it holds.
+ */
+static int
+fill_sets(const struct registry *g, const struct wire_watch_args *a,
+    size_t used, struct wire_watch_reply *r)
+{
+	size_t n = a->interest.interest_len;
+	int rc = 0;
+
+	r->sets.sets_val = calloc(n, sizeof(struct wire_endpoint_set));
+	if (r->sets.sets_val == NULL)
+		return ERR_MEMORY;
+	for (size_t k = 0; k < n && rc == 0; k++) {
+		const struct wire_interest *i = &a->interest.interest_val[k];
+		struct str service = make_str(i->service);
+		uint64_t held = get_held_set(g, a, i);
+		struct wire_endpoint_set *set =
+		    &r->sets.sets_val[r->sets.sets_len];
+
+		if (get_set_version(g, service) == held)
+			continue;
+		rc = list_endpoints(g, service, held, set);
+		r->sets.sets_len++;
+		used += xdr_sizeof((xdrproc_t)xdr_wire_endpoint_set, set);
+		if (used > WATCH_REPLY_BYTES) {
+			r->sets.sets_len--;
+			free(set->endpoints.endpoints_val);
+			break;
+		}
+	}
+	return rc;
+}
+
+static void
+unload_sets(struct wire_watch_reply *r)
+{
+	for (unsigned int k = 0; k < r->sets.sets_len; k++)
+		free(r->sets.sets_val[k].endpoints.endpoints_val);
+	free(r->sets.sets_val);
+}
