bench: add the scenario runner

Cause: proofs under failure need scripts that start and end real processes, cut and delay the links between them, and check what came of it. A script language of our own was weighed and dropped: Lua needs no parser of ours.

--- /dev/null
+++ b/bench/scenario_link.c
@@ -0,0 +1,502 @@
+/*
+ * Links: TCP forwarders that hold, delay, silence or break what they carry.
+ * One thread polls all sockets; the lock covers all state of this file.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <lauxlib.h>
+
+#include "scenario.h"
+
+#define PAIR_MAX 8192 /* forwarded connections */
+#define CHUNK_BYTES 65536 /* read at a time */
+#define POLL_MS 2 /* how late a delayed chunk may leave */
+#define BACKLOG 256
+
+/* Bytes on their way. */
+struct chunk {
+	struct chunk *next;
+	int64_t due_ns;
+	size_t len;
+	size_t sent;
+	char data[];
+};
+
+/* One direction of a forwarded connection. */
+struct stream {
+	struct chunk *first;
+	struct chunk **last;
+	bool ended; /* the reading side closed */
+};
+
+struct pair {
+	int fds[2]; /* 0: the side that connected, 1: the target */
+	struct stream streams[2];
+	int link;
+	bool silent;
+};
+
+struct link {
+	int fd;
+	struct sockaddr_in target;
+	enum link_mode modes[2];
+	int64_t delay_ns;
+	bool refuse;
+	struct link_bytes bytes;
+};
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_t thread;
+static bool running;
+static struct link links[SCENARIO_LINK_MAX];
+static int link_count;
+static struct pair *pairs[PAIR_MAX];
+static int pair_count;
+
+static void *run_links(void *arg);
+static int fill_polls(struct pollfd *polls);
+static void accept_pair(int id);
+static void serve_pair(struct pair *p, const struct pollfd *polls);
+static bool read_side(struct pair *p, int side);
+static bool write_side(struct pair *p, int side, int64_t now);
+static void close_pair(int at);
+static void unload_stream(struct stream *s);
+static int parse_address(const char *text, struct sockaddr_in *out);
+static int64_t get_now(void);
+static int lua_open(lua_State *l);
+static int lua_set(lua_State *l);
+static int lua_refuse(lua_State *l);
+static int lua_silence(lua_State *l);
+static int lua_break(lua_State *l);
+static int lua_bytes(lua_State *l);
+
+int
+start_links(void)
+{
+	running = true;
+	return pthread_create(&thread, NULL, run_links, NULL) == 0 ? 0 : ERR_IO;
+}
+
+void
+stop_links(void)
+{
+	pthread_mutex_lock(&lock);
+	running = false;
+	pthread_mutex_unlock(&lock);
+	pthread_join(thread, NULL);
+	while (pair_count > 0)
+		close_pair(pair_count - 1);
+	for (int i = 0; i < link_count; i++)
+		close(links[i].fd);
+}
+
+/*
+ * Listens on one address and forwards connections to another, both "IP:port".
+ */
+int
+open_link(const char *listen_at, const char *target)
+{
+	struct sockaddr_in at;
+	struct link *k;
+	int one = 1, fd, id;
+
+	if (parse_address(listen_at, &at) != 0)
+		return ERR_INVALID;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return ERR_IO;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&at, sizeof(at)) != 0 ||
+	    listen(fd, BACKLOG) != 0) {
+		close(fd);
+		return ERR_IO;
+	}
+	pthread_mutex_lock(&lock);
+	id = link_count < SCENARIO_LINK_MAX ? link_count : ERR_LIMIT;
+	if (id >= 0) {
+		k = &links[id];
+		memset(k, 0, sizeof(*k));
+		k->fd = fd;
+		if (parse_address(target, &k->target) != 0)
+			id = ERR_INVALID;
+		else
+			link_count++;
+	}
+	pthread_mutex_unlock(&lock);
+	if (id < 0)
+		close(fd);
+	return id;
+}
+
+void
+set_link(int id, enum link_mode forward, enum link_mode back, int delay_ms)
+{
+	pthread_mutex_lock(&lock);
+	links[id].modes[0] = forward;
+	links[id].modes[1] = back;
+	links[id].delay_ns = delay_ms * NSEC_PER_MSEC;
+	pthread_mutex_unlock(&lock);
+}
+
+void
+set_link_refuse(int id, bool refuse)
+{
+	pthread_mutex_lock(&lock);
+	links[id].refuse = refuse;
+	pthread_mutex_unlock(&lock);
+}
+
+void
+silence_link(int id)
+{
+	pthread_mutex_lock(&lock);
+	for (int i = 0; i < pair_count; i++) {
+		if (pairs[i]->link == id)
+			pairs[i]->silent = true;
+	}
+	pthread_mutex_unlock(&lock);
+}
+
+void
+break_link(int id)
+{
+	pthread_mutex_lock(&lock);
+	for (int i = pair_count - 1; i >= 0; i--) {
+		if (pairs[i]->link == id)
+			close_pair(i);
+	}
+	pthread_mutex_unlock(&lock);
+}
+
+struct link_bytes
+get_link_bytes(int id)
+{
+	struct link_bytes b;
+
+	pthread_mutex_lock(&lock);
+	b = links[id].bytes;
+	pthread_mutex_unlock(&lock);
+	return b;
+}
+
+/*
+ * link.open(listen, target), link.set(id, forward, back, delay_ms) with modes
+ * "pass" and "hold", link.refuse(id, bool), link.silence(id),
+ * link.break_now(id), link.bytes(id).
+ */
+void
+load_link_library(lua_State *l)
+{
+	static const luaL_Reg functions[] = {
+	    {"open", lua_open},
+	    {"set", lua_set},
+	    {"refuse", lua_refuse},
+	    {"silence", lua_silence},
+	    {"break_now", lua_break},
+	    {"bytes", lua_bytes},
+	    {NULL, NULL},
+	};
+
+	luaL_newlib(l, functions);
+	lua_setglobal(l, "link");
+}
+
+static void *
+run_links(void *arg)
+{
+	static struct pollfd polls[SCENARIO_LINK_MAX + 2 * PAIR_MAX];
+	int n, links_then, pairs_then;
+
+	(void)arg;
+	for (;;) {
+		pthread_mutex_lock(&lock);
+		if (!running) {
+			pthread_mutex_unlock(&lock);
+			return NULL;
+		}
+		n = fill_polls(polls);
+		links_then = link_count;
+		pairs_then = pair_count;
+		pthread_mutex_unlock(&lock);
+		poll(polls, (nfds_t)n, POLL_MS);
+		pthread_mutex_lock(&lock);
+		if (pair_count == pairs_then) {
+			for (int i = 0; i < pairs_then; i++)
+				serve_pair(
+				    pairs[i], &polls[links_then + 2 * i]);
+			for (int i = pair_count - 1; i >= 0; i--) {
+				if (pairs[i]->fds[0] < 0)
+					close_pair(i);
+			}
+		}
+		for (int i = 0; i < links_then; i++) {
+			if (polls[i].revents & POLLIN)
+				accept_pair(i);
+		}
+		pthread_mutex_unlock(&lock);
+	}
+}
+
+/*
+ * Sockets of held directions are not polled for input.
+ */
+static int
+fill_polls(struct pollfd *polls)
+{
+	int n = 0;
+
+	for (int i = 0; i < link_count; i++)
+		polls[n++] = (struct pollfd){links[i].fd, POLLIN, 0};
+	for (int i = 0; i < pair_count; i++) {
+		for (int side = 0; side < 2; side++) {
+			const struct pair *p = pairs[i];
+			bool hold = p->silent ||
+				    links[p->link].modes[side] == LINK_HOLD ||
+				    p->streams[side].ended;
+
+			polls[n++] = (struct pollfd){
+			    p->fds[side], (short)(hold ? 0 : POLLIN), 0};
+		}
+	}
+	return n;
+}
+
+static void
+accept_pair(int id)
+{
+	struct link *k = &links[id];
+	struct pair *p;
+	int one = 1, in, out;
+
+	in = accept4(k->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	if (in < 0)
+		return;
+	out = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	p = calloc(1, sizeof(*p));
+	if (k->refuse || pair_count == PAIR_MAX || p == NULL || out < 0 ||
+	    connect(out, (struct sockaddr *)&k->target, sizeof(k->target)) !=
+		0) {
+		close(in);
+		if (out >= 0)
+			close(out);
+		free(p);
+		return;
+	}
+	fcntl(out, F_SETFL, O_NONBLOCK);
+	setsockopt(in, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(out, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	p->fds[0] = in;
+	p->fds[1] = out;
+	p->link = id;
+	for (int side = 0; side < 2; side++)
+		p->streams[side].last = &p->streams[side].first;
+	pairs[pair_count++] = p;
+}
+
+/*
+ * Moves bytes both ways; a pair that is done gets fds[0] = -1.
+ */
+static void
+serve_pair(struct pair *p, const struct pollfd *polls)
+{
+	int64_t now = get_now();
+	bool alive = true;
+
+	for (int side = 0; side < 2 && alive; side++) {
+		if (p->silent)
+			continue;
+		if (links[p->link].modes[side] == LINK_HOLD)
+			continue;
+		if (polls[side].revents & (POLLIN | POLLHUP | POLLERR))
+			alive = read_side(p, side);
+		if (alive)
+			alive = write_side(p, side, now);
+	}
+	if (alive)
+		return;
+	close(p->fds[0]);
+	close(p->fds[1]);
+	p->fds[0] = p->fds[1] = -1;
+}
+
+/*
+ * Reads one chunk from a side into its stream; false when the pair must close.
+ */
+static bool
+read_side(struct pair *p, int side)
+{
+	struct stream *s = &p->streams[side];
+	struct link *k = &links[p->link];
+	struct chunk *c;
+	ssize_t n;
+
+	if (s->ended)
+		return true;
+	c = malloc(sizeof(*c) + CHUNK_BYTES);
+	if (c == NULL)
+		return false;
+	n = read(p->fds[side], c->data, CHUNK_BYTES);
+	if (n <= 0) {
+		free(c);
+		if (n < 0 && (errno == EAGAIN || errno == EINTR))
+			return true;
+		s->ended = n == 0;
+		return n == 0;
+	}
+	c->next = NULL;
+	c->due_ns = get_now() + k->delay_ns;
+	c->len = (size_t)n;
+	c->sent = 0;
+	*s->last = c;
+	s->last = &c->next;
+	if (side == 0)
+		k->bytes.forward += (uint64_t)n;
+	else
+		k->bytes.back += (uint64_t)n;
+	return true;
+}
+
+/*
+ * Writes due chunks of a side to the other one; false when the pair must
+ * close, among others after the last chunk of a closed side.
+ */
+static bool
+write_side(struct pair *p, int side, int64_t now)
+{
+	struct stream *s = &p->streams[side];
+	int to = p->fds[1 - side];
+	struct chunk *c;
+	ssize_t n;
+
+	while ((c = s->first) != NULL && c->due_ns <= now) {
+		n = send(to, c->data + c->sent, c->len - c->sent, MSG_NOSIGNAL);
+		if (n < 0)
+			return errno == EAGAIN || errno == EINTR;
+		c->sent += (size_t)n;
+		if (c->sent < c->len)
+			return true;
+		s->first = c->next;
+		if (s->first == NULL)
+			s->last = &s->first;
+		free(c);
+	}
+	return !(s->ended && s->first == NULL);
+}
+
+static void
+close_pair(int at)
+{
+	struct pair *p = pairs[at];
+
+	if (p->fds[0] >= 0) {
+		close(p->fds[0]);
+		close(p->fds[1]);
+	}
+	unload_stream(&p->streams[0]);
+	unload_stream(&p->streams[1]);
+	free(p);
+	pairs[at] = pairs[--pair_count];
+}
+
+static void
+unload_stream(struct stream *s)
+{
+	struct chunk *c;
+
+	while ((c = s->first) != NULL) {
+		s->first = c->next;
+		free(c);
+	}
+}
+
+static int
+parse_address(const char *text, struct sockaddr_in *out)
+{
+	char ip[INET_ADDRSTRLEN];
+	const char *colon = strrchr(text, ':');
+	int64_t port;
+
+	memset(out, 0, sizeof(*out));
+	out->sin_family = AF_INET;
+	if (colon == NULL ||
+	    copy_str(ip, sizeof(ip),
+		make_str_n(text, (size_t)(colon - text))) != 0 ||
+	    parse_i64(make_str(colon + 1), 0, 65535, &port) != 0 ||
+	    inet_pton(AF_INET, ip, &out->sin_addr) != 1)
+		return ERR_INVALID;
+	out->sin_port = htons((uint16_t)port);
+	return 0;
+}
+
+static int64_t
+get_now(void)
+{
+	struct clock_source c = get_real_clock();
+
+	return read_mono(&c);
+}
+
+static int
+lua_open(lua_State *l)
+{
+	int id = open_link(luaL_checkstring(l, 1), luaL_checkstring(l, 2));
+
+	if (id < 0)
+		return luaL_error(l, "link.open %s: %s", lua_tostring(l, 1),
+		    get_err_name(id));
+	lua_pushinteger(l, id);
+	return 1;
+}
+
+static int
+lua_set(lua_State *l)
+{
+	static const char *const names[] = {"pass", "hold", NULL};
+
+	set_link((int)luaL_checkinteger(l, 1),
+	    (enum link_mode)luaL_checkoption(l, 2, NULL, names),
+	    (enum link_mode)luaL_checkoption(l, 3, NULL, names),
+	    (int)luaL_optinteger(l, 4, 0));
+	return 0;
+}
+
+static int
+lua_refuse(lua_State *l)
+{
+	set_link_refuse((int)luaL_checkinteger(l, 1), lua_toboolean(l, 2));
+	return 0;
+}
+
+static int
+lua_silence(lua_State *l)
+{
+	silence_link((int)luaL_checkinteger(l, 1));
+	return 0;
+}
+
+static int
+lua_break(lua_State *l)
+{
+	break_link((int)luaL_checkinteger(l, 1));
+	return 0;
+}
+
+static int
+lua_bytes(lua_State *l)
+{
+	struct link_bytes b = get_link_bytes((int)luaL_checkinteger(l, 1));
+
+	lua_pushinteger(l, (lua_Integer)b.forward);
+	lua_pushinteger(l, (lua_Integer)b.back);
+	return 2;
+}
--- /dev/null
+++ b/bench/scenario_process.c
@@ -0,0 +1,321 @@
+/*
+ * Processes of a scenario.
+ */
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <lauxlib.h>
+
+#include "scenario.h"
+
+#define ARGS_MAX 64
+#define END_WAIT_MS 3000 /* after SIGTERM, before SIGKILL */
+#define POLL_MS 5
+
+struct process {
+	pid_t pid;
+	bool ended;
+	int status;
+};
+
+static struct process processes[SCENARIO_PROCESS_MAX];
+static int process_count;
+
+static void run_child(
+    char *const *argv, const char *log_path, int64_t file_limit);
+static void sleep_ms(int ms);
+static int get_status_kb(const char *text, const char *name, int64_t *out);
+static int lua_start(lua_State *l);
+static int lua_signal(lua_State *l);
+static int lua_wait(lua_State *l);
+static int lua_usage(lua_State *l);
+static int lua_pid(lua_State *l);
+
+int
+start_process(char *const *argv, const char *log_path, int64_t file_limit,
+    struct fault *f)
+{
+	pid_t pid;
+
+	if (process_count == SCENARIO_PROCESS_MAX)
+		return set_fault(f, ERR_LIMIT,
+		    "a scenario may start %d processes", SCENARIO_PROCESS_MAX);
+	pid = fork();
+	if (pid < 0)
+		return set_fault(f, ERR_IO, "fork: %s", strerror(errno));
+	if (pid == 0)
+		run_child(argv, log_path, file_limit);
+	processes[process_count] = (struct process){.pid = pid};
+	return process_count++;
+}
+
+int
+signal_process(int id, int sig)
+{
+	if (id < 0 || id >= process_count)
+		return ERR_NOT_FOUND;
+	if (processes[id].ended)
+		return ERR_CLOSED;
+	return kill(processes[id].pid, sig) == 0 ? 0 : ERR_IO;
+}
+
+/*
+ * Waits up to timeout_ms for the process to end. status is its exit status, or
+ * 128 plus the signal that ended it.
+ */
+int
+wait_process(int id, int timeout_ms, int *status)
+{
+	struct process *p = &processes[id];
+	int raw;
+
+	if (id < 0 || id >= process_count)
+		return ERR_NOT_FOUND;
+	for (int left = timeout_ms; !p->ended; left -= POLL_MS) {
+		if (waitpid(p->pid, &raw, WNOHANG) == p->pid) {
+			p->ended = true;
+			p->status = WIFEXITED(raw) ? WEXITSTATUS(raw) :
+						     128 + WTERMSIG(raw);
+			break;
+		}
+		if (left <= 0)
+			return ERR_TIMEOUT;
+		sleep_ms(POLL_MS);
+	}
+	*status = p->status;
+	return 0;
+}
+
+/*
+ * Reads CPU time and memory from the proc file system.
+ */
+int
+get_process_usage(int id, struct process_usage *out)
+{
+	char path[64], text[4096];
+	unsigned long user = 0, sys = 0;
+	const char *at;
+	FILE *in;
+	size_t n;
+
+	if (id < 0 || id >= process_count || processes[id].ended)
+		return ERR_NOT_FOUND;
+	snprintf(path, sizeof(path), "/proc/%d/stat", (int)processes[id].pid);
+	in = fopen(path, "r");
+	if (in == NULL)
+		return ERR_NOT_FOUND;
+	n = fread(text, 1, sizeof(text) - 1, in);
+	fclose(in);
+	text[n] = '\0';
+	at = strrchr(text, ')');
+	if (at == NULL || sscanf(at,
+			      ") %*c %*d %*d %*d %*d %*d %*u %*u %*u "
+			      "%*u %*u %lu %lu",
+			      &user, &sys) != 2)
+		return ERR_CORRUPT;
+	out->cpu_ms = (int64_t)(user + sys) * 1000 / sysconf(_SC_CLK_TCK);
+	snprintf(path, sizeof(path), "/proc/%d/status", (int)processes[id].pid);
+	in = fopen(path, "r");
+	if (in == NULL)
+		return ERR_NOT_FOUND;
+	n = fread(text, 1, sizeof(text) - 1, in);
+	fclose(in);
+	text[n] = '\0';
+	if (get_status_kb(text, "VmRSS:", &out->rss_kb) != 0 ||
+	    get_status_kb(text, "VmHWM:", &out->peak_kb) != 0)
+		return ERR_CORRUPT;
+	return 0;
+}
+
+pid_t
+get_process_pid(int id)
+{
+	return id >= 0 && id < process_count ? processes[id].pid : -1;
+}
+
+/*
+ * Ends what still runs: first with SIGTERM, after END_WAIT_MS with SIGKILL.
+ */
+void
+end_all_processes(void)
+{
+	int status, left = END_WAIT_MS;
+
+	for (int i = 0; i < process_count; i++) {
+		(void)signal_process(i, SIGCONT);
+		(void)signal_process(i, SIGTERM);
+	}
+	for (int i = 0; i < process_count; i++) {
+		while (wait_process(i, 0, &status) == ERR_TIMEOUT && left > 0) {
+			sleep_ms(POLL_MS);
+			left -= POLL_MS;
+		}
+	}
+	for (int i = 0; i < process_count; i++) {
+		(void)signal_process(i, SIGKILL);
+		(void)wait_process(i, END_WAIT_MS, &status);
+	}
+}
+
+/*
+ * process.start{args={...}, log=path, file_limit=bytes}, process.kill(id,
+ * "KILL"|"TERM"|"STOP"|"CONT"), process.wait(id, ms), process.usage(id),
+ * process.pid(id).
+ */
+void
+load_process_library(lua_State *l)
+{
+	static const luaL_Reg functions[] = {
+	    {"start", lua_start},
+	    {"kill", lua_signal},
+	    {"wait", lua_wait},
+	    {"usage", lua_usage},
+	    {"pid", lua_pid},
+	    {NULL, NULL},
+	};
+
+	luaL_newlib(l, functions);
+	lua_setglobal(l, "process");
+}
+
+/*
+ * Runs in the child; the kernel ends it with the runner, so that a runner that
+ * is killed leaves nothing behind.
+ */
+static void
+run_child(char *const *argv, const char *log_path, int64_t file_limit)
+{
+	struct rlimit r = {(rlim_t)file_limit, (rlim_t)file_limit};
+	sigset_t none;
+	int fd;
+
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	sigemptyset(&none);
+	sigprocmask(SIG_SETMASK, &none, NULL);
+	if (file_limit > 0) {
+		setrlimit(RLIMIT_FSIZE, &r);
+		signal(SIGXFSZ, SIG_IGN);
+	}
+	fd = open(log_path, O_WRONLY | O_CREAT | O_APPEND, 0600);
+	if (fd >= 0) {
+		dup2(fd, STDOUT_FILENO);
+		dup2(fd, STDERR_FILENO);
+	}
+	for (int i = STDERR_FILENO + 1; i < 1024; i++)
+		close(i);
+	execv(argv[0], argv);
+	_exit(127);
+}
+
+static void
+sleep_ms(int ms)
+{
+	struct timespec ts = {ms / 1000, ms % 1000 * NSEC_PER_MSEC};
+
+	nanosleep(&ts, NULL);
+}
+
+static int
+get_status_kb(const char *text, const char *name, int64_t *out)
+{
+	const char *at = strstr(text, name);
+	long long v;
+
+	if (at == NULL || sscanf(at + strlen(name), "%lld", &v) != 1)
+		return ERR_NOT_FOUND;
+	*out = v;
+	return 0;
+}
+
+static int
+lua_start(lua_State *l)
+{
+	char *argv[ARGS_MAX + 1] = {0};
+	const char *log_path;
+	struct fault f = {0};
+	int64_t limit;
+	lua_Integer n;
+	int id;
+
+	lua_getfield(l, 1, "args");
+	n = luaL_len(l, -1);
+	if (n < 1 || n > ARGS_MAX)
+		return luaL_error(l, "start: 1 to %d args", ARGS_MAX);
+	for (int i = 0; i < n; i++) {
+		lua_geti(l, 2, i + 1);
+		argv[i] = (char *)(uintptr_t)luaL_checkstring(l, -1);
+	}
+	lua_getfield(l, 1, "log");
+	log_path = luaL_optstring(l, -1, "/dev/null");
+	lua_getfield(l, 1, "file_limit");
+	limit = luaL_optinteger(l, -1, 0);
+	id = start_process(argv, log_path, limit, &f);
+	if (id < 0)
+		return luaL_error(l, "start: %s", f.text);
+	lua_pushinteger(l, id);
+	return 1;
+}
+
+static int
+lua_signal(lua_State *l)
+{
+	static const char *const names[] = {
+	    "KILL", "TERM", "STOP", "CONT", NULL};
+	static const int signals[] = {SIGKILL, SIGTERM, SIGSTOP, SIGCONT};
+	int id = (int)luaL_checkinteger(l, 1);
+
+	lua_pushboolean(
+	    l, signal_process(
+		   id, signals[luaL_checkoption(l, 2, "TERM", names)]) == 0);
+	return 1;
+}
+
+static int
+lua_wait(lua_State *l)
+{
+	int status, rc;
+
+	rc = wait_process((int)luaL_checkinteger(l, 1),
+	    (int)luaL_checkinteger(l, 2), &status);
+	if (rc == 0)
+		lua_pushinteger(l, status);
+	else
+		lua_pushnil(l);
+	return 1;
+}
+
+static int
+lua_usage(lua_State *l)
+{
+	struct process_usage u;
+
+	if (get_process_usage((int)luaL_checkinteger(l, 1), &u) != 0) {
+		lua_pushnil(l);
+		return 1;
+	}
+	lua_createtable(l, 0, 3);
+	lua_pushinteger(l, u.cpu_ms);
+	lua_setfield(l, -2, "cpu_ms");
+	lua_pushinteger(l, u.rss_kb);
+	lua_setfield(l, -2, "rss_kb");
+	lua_pushinteger(l, u.peak_kb);
+	lua_setfield(l, -2, "peak_kb");
+	return 1;
+}
+
+static int
+lua_pid(lua_State *l)
+{
+	lua_pushinteger(l, get_process_pid((int)luaL_checkinteger(l, 1)));
+	return 1;
+}
