--- /dev/null
+++ b/scenarios/fleet.lua
@@ -0,0 +1,416 @@
+-- Builds fleets of real processes on loopback and asks them questions.
+-- Every process has a loopback address of its own, taken from the runner's
+-- process id, so that runs side by side do not meet.
+
+local M = {}
+
+local CONTROL_RPC, CONTROL_HTTP = 7401, 7400
+local NODE_PORT, NODE_ADMIN = 7500, 7501
+local SERVER_PORT = 7600
+
+local pid = sys.pid()
+local next_host = 1
+
+M.grants = {
+	table = "grants", region = "nord-italia",
+	zones = {"milano-a", "verona-b", "torino-c"},
+	services = {{"fascicoli", 5}, {"erogazioni", 3}, {"rilievi", 3}},
+	slots = 20,
+}
+M.workshop = {
+	table = "workshop", region = "dk-fyn",
+	zones = {"odense-a", "odense-b", "nyborg"},
+	services = {{"status", 5}, {"booking", 3}, {"photos", 3}},
+	slots = 6,
+}
+
+-- A loopback address that no other process of this run has.
+function M.address()
+	local n = next_host
+	next_host = next_host + 1
+	return string.format("127.%d.%d.%d", 64 + pid % 128,
+		math.floor(pid / 128) % 256 ~ (n >> 8), n & 255)
+end
+
+-- Ends the script with a message when the condition does not hold.
+function M.check(ok, fmt, ...)
+	if not ok then
+		error(string.format("check failed: " .. fmt, ...), 2)
+	end
+end
+
+-- Polls until fn() gives a true value; fails after limit_ms.
+function M.wait_until(what, limit_ms, fn)
+	local start = sys.now_ms()
+	while true do
+		local v = fn()
+		if v then
+			return v, sys.now_ms() - start
+		end
+		if sys.now_ms() - start > limit_ms then
+			error("not reached within " .. limit_ms .. " ms: " ..
+				what, 2)
+		end
+		sys.sleep(10)
+	end
+end
+
+function M.result(experiment, params, metric, value, unit)
+	local line = json.encode({experiment = experiment, params = params,
+		metric = metric, value = value, unit = unit,
+		commit = os.getenv("GGS_COMMIT") or "unknown"})
+	print(line)
+	local path = os.getenv("GGS_RESULTS")
+	if path then
+		sys.append(path, line .. "\n")
+	end
+end
+
+local Fleet = {}
+Fleet.__index = Fleet
+
+-- Makes the folder, the fleet key and an operator's token; starts nothing.
+function M.new(name, opts)
+	opts = opts or {}
+	local f = setmetatable({name = name, opts = opts, controls = {},
+		nodes = {}, servers = {}}, Fleet)
+	sys.folder(BUILD .. "/runs")
+	f.dir = string.format("%s/runs/%s-%d", BUILD, name, pid)
+	sys.remove(f.dir)
+	sys.folder(f.dir)
+	f.key_file = f.dir .. "/key"
+	sys.write(f.key_file, "fleet-key-of-" .. name .. "-" .. pid .. "\n",
+		tonumber("600", 8))
+	f.token_file = f.dir .. "/tokens"
+	sys.write(f.token_file, "anna token-anna-0001\nbruno token-bruno-0002\n",
+		tonumber("600", 8))
+	return f
+end
+
+local function daemon()
+	return BUILD .. "/apps/greengagespurd/greengagespurd"
+end
+
+-- Starts count control processes, one a zone. With links, every connection to
+-- a control process passes a link of its own that the script can fault.
+function Fleet:add_controls(count, zones)
+	local peers = {}
+	for i = 1, count do
+		local c = {id = i, host = M.address(), zone = zones[(i - 1) %
+			#zones + 1], links = {}}
+		c.name = string.format("control-%d", i)
+		c.rpc = c.host .. ":" .. CONTROL_RPC
+		c.http = c.host .. ":" .. CONTROL_HTTP
+		c.data = self.dir .. "/data-" .. i
+		sys.folder(c.data)
+		self.controls[i] = c
+		peers[i] = i .. "=" .. c.rpc
+	end
+	for i = 1, count do
+		local c, own = self.controls[i], {}
+		for k = 1, count do
+			own[k] = peers[k]
+			if self.opts.links and k ~= i then
+				local at = M.address() .. ":" .. CONTROL_RPC
+				c.links[k] = link.open(at, self.controls[k].rpc)
+				own[k] = k .. "=" .. at
+			end
+		end
+		c.args = {daemon(), "--role=control", "--name=" .. c.name,
+			"--id=" .. i, "--zone=" .. c.zone,
+			"--peers=" .. table.concat(own, ","),
+			"--rpc-listen=" .. c.rpc, "--http-listen=" .. c.http,
+			"--data-dir=" .. c.data, "--key-file=" .. self.key_file,
+			"--token-file=" .. self.token_file}
+		self:start(c)
+	end
+end
+
+function Fleet:start(p, file_limit)
+	p.proc = process.start{args = p.args, file_limit = file_limit,
+		log = self.dir .. "/" .. p.name .. ".log"}
+	p.running = true
+end
+
+function Fleet:kill(p, signal)
+	process.kill(p.proc, signal or "KILL")
+	if signal == nil or signal == "KILL" or signal == "TERM" then
+		p.running = false
+		return process.wait(p.proc, 30000)
+	end
+end
+
+function Fleet:freeze(p) process.kill(p.proc, "STOP") end
+function Fleet:thaw(p) process.kill(p.proc, "CONT") end
+
+-- Cuts a control process off from the other ones; both ways unless one is
+-- named "in" or "out". Needs links.
+function Fleet:cut(c, way)
+	for _, other in ipairs(self.controls) do
+		if other ~= c then
+			local out, back = c.links[other.id], other.links[c.id]
+			if way ~= "in" then
+				link.set(out, "hold", way and "pass" or "hold")
+			end
+			if way ~= "out" then
+				link.set(back, "hold", way and "pass" or "hold")
+			end
+		end
+	end
+end
+
+function Fleet:heal(c)
+	for _, other in ipairs(self.controls) do
+		if other ~= c then
+			link.set(c.links[other.id], "pass", "pass")
+			link.set(other.links[c.id], "pass", "pass")
+		end
+	end
+end
+
+-- Adds a node; with service also the stand-in backend server beside it.
+function Fleet:add_node(o)
+	local n = {name = o.name, host = M.address(), zone = o.zone,
+		service = o.service, slots = o.slots or 20, links = {}}
+	n.address = n.host .. ":" .. NODE_PORT
+	n.admin = n.host .. ":" .. NODE_ADMIN
+	local controls = {}
+	for i, c in ipairs(self.controls) do
+		controls[i] = c.rpc
+		if self.opts.links then
+			controls[i] = M.address() .. ":" .. CONTROL_RPC
+			n.links[i] = link.open(controls[i], c.rpc)
+		end
+	end
+	n.args = {daemon(), "--role=node", "--name=" .. n.name,
+		"--zone=" .. n.zone, "--controls=" .. table.concat(controls,
+		","), "--listen=" .. n.address, "--admin-listen=" .. n.admin,
+		"--key-file=" .. self.key_file}
+	if o.interest then
+		n.args[#n.args + 1] = "--interest=" .. o.interest
+	end
+	if o.service and not o.bare then
+		n.server = self:add_server(n, o)
+		n.args[#n.args + 1] = "--service=" .. o.service
+		n.args[#n.args + 1] = "--backend=" .. n.server.address
+		n.args[#n.args + 1] = "--slots=" .. n.slots
+	end
+	for _, a in ipairs(o.args or {}) do
+		n.args[#n.args + 1] = a
+	end
+	self:start(n)
+	self.nodes[#self.nodes + 1] = n
+	return n
+end
+
+function Fleet:add_server(n, o)
+	local s = {name = n.name .. "-server", address = n.host .. ":" ..
+		SERVER_PORT, node = n}
+	s.args = {BUILD .. "/bench/standin", "--listen=" .. s.address,
+		"--slots=" .. n.slots}
+	for _, a in ipairs(o.server_args or {}) do
+		s.args[#s.args + 1] = a
+	end
+	self:start(s)
+	self.servers[#self.servers + 1] = s
+	return s
+end
+
+-- Adds a node for every backend server of a deployment.
+function Fleet:add_deployment(d, opts)
+	opts = opts or {}
+	for _, s in ipairs(d.services) do
+		for i = 1, s[2] do
+			self:add_node{name = s[1] .. "-" .. i, service = s[1],
+				zone = d.zones[(i - 1) % #d.zones + 1],
+				slots = d.slots, server_args = opts.server_args,
+				args = opts.args}
+		end
+	end
+end
+
+function Fleet:node(name)
+	for _, n in ipairs(self.nodes) do
+		if n.name == name then
+			return n
+		end
+	end
+end
+
+-- Sends an operator's request to one control process.
+function M.ask(c, method, path, body, opts)
+	opts = opts or {}
+	local r = http.request{method = method, url = "http://" .. c.http ..
+		path, body = body and json.encode(body),
+		timeout_ms = opts.timeout_ms or 5000,
+		headers = {"Authorization: Bearer " ..
+		(opts.token or "token-anna-0001"),
+		"Content-Type: application/json"}}
+	r.json = json.decode(r.body ~= "" and r.body or "null")
+	return r
+end
+
+-- Sends to each running control process until one answers with 200.
+function Fleet:ask_any(method, path, body, limit_ms)
+	return M.wait_until(method .. " " .. path, limit_ms or 15000, function()
+		for _, c in ipairs(self.controls) do
+			if c.running then
+				local r = M.ask(c, method, path, body)
+				if r.status ~= 503 and r.status ~= 0 and
+				    r.status ~= 504 then
+					return r
+				end
+			end
+		end
+	end)
+end
+
+local key_count = 0
+
+function M.key()
+	key_count = key_count + 1
+	return string.format("key-%d-%d", pid, key_count)
+end
+
+function Fleet:import(path)
+	local file = assert(io.open(path, "r"))
+	local csv = file:read("a")
+	file:close()
+	local base = self:ask_any("GET", "/v1/table?format=json").json.version
+	local r = self:ask_any("POST", "/v1/import", {csv = csv, base = base,
+		key = M.key()})
+	M.check(r.status == 200, "import: %d %s", r.status, r.body)
+	return r.json.version
+end
+
+-- Edits one cell through any control process; returns the new version.
+function Fleet:set(row, column, value)
+	local base = self:ask_any("GET", "/v1/table?format=json").json.version
+	local r = self:ask_any("POST", "/v1/edit", {row = row, column = column,
+		value = tostring(value), base = base, key = M.key()})
+	M.check(r.status == 200, "edit: %d %s", r.status, r.body)
+	return r.json.version
+end
+
+-- The admin status of a node, or nil.
+function M.node_status(n)
+	local r = http.request{url = "http://" .. n.admin .. "/status",
+		timeout_ms = 1000}
+	return r.status == 200 and json.decode(r.body) or nil
+end
+
+-- The table version in force on every running node, by node name.
+function Fleet:versions()
+	local requests, list, out = {}, {}, {}
+	for _, n in ipairs(self.nodes) do
+		if n.running then
+			list[#list + 1] = n
+			requests[#requests + 1] = {url = "http://" .. n.admin ..
+				"/status", timeout_ms = 2000}
+		end
+	end
+	for i, r in ipairs(http.parallel(requests)) do
+		local s = r.status == 200 and json.decode(r.body)
+		out[list[i].name] = s and s.version or 0
+	end
+	return out
+end
+
+-- Waits until every running node has this version or a later one in force.
+function Fleet:wait_version(version, limit_ms)
+	local _, ms = M.wait_until("version " .. version .. " on every node",
+		limit_ms or 15000, function()
+		for _, v in pairs(self:versions()) do
+			if v < version then
+				return false
+			end
+		end
+		return true
+	end)
+	return ms
+end
+
+-- Events of a kind from a process's own time line.
+function M.events(p, kind)
+	local url = p.admin and "http://" .. p.admin .. "/events" or
+		"http://" .. p.http .. "/v1/timeline"
+	local r = http.request{url = url, headers = {
+		"Authorization: Bearer token-anna-0001"}}
+	local out = {}
+	for line in r.body:gmatch("[^\n]+") do
+		local e = json.decode(line)
+		if e and (not kind or e.kind == kind) then
+			out[#out + 1] = e
+		end
+	end
+	return out
+end
+
+-- A metric's value from the text of a process, summed over labels.
+function M.metric(p, name)
+	local url = "http://" .. (p.admin or p.http) .. "/metrics"
+	local r = http.request{url = url, headers = {
+		"Authorization: Bearer token-anna-0001"}}
+	local sum = 0
+	for line in r.body:gmatch("[^\n]+") do
+		local n, v = line:match("^([%w_]+)[^ ]* (%-?[%d.]+)$")
+		if n == name then
+			sum = sum + tonumber(v)
+		end
+	end
+	return sum
+end
+
+function M.call(n, kind, opts)
+	opts = opts or {}
+	local headers = {}
+	for _, h in ipairs(opts.headers or {}) do
+		headers[#headers + 1] = h
+	end
+	if opts.key then
+		headers[#headers + 1] = "Idempotency-Key: " .. opts.key
+	end
+	return http.request{url = "http://" .. n.address .. "/call/" .. kind ..
+		(opts.path or "/"), method = opts.method or "POST",
+		body = opts.body or "", headers = headers,
+		timeout_ms = opts.timeout_ms or 10000}
+end
+
+-- The leading control process, or nil.
+function Fleet:leader()
+	for _, c in ipairs(self.controls) do
+		if c.running then
+			local r = M.ask(c, "GET", "/v1/status", nil,
+				{timeout_ms = 1000})
+			if r.status == 200 and r.json and
+			    r.json.role == "leader" then
+				return c
+			end
+		end
+	end
+end
+
+function Fleet:wait_leader(limit_ms)
+	return M.wait_until("a leader", limit_ms or 15000, function()
+		return self:leader()
+	end)
+end
+
+-- Ends everything; nodes first, so that their drain is seen.
+function Fleet:stop()
+	for _, group in ipairs{self.nodes, self.controls, self.servers} do
+		for _, p in ipairs(group) do
+			if p.running then
+				process.kill(p.proc, "TERM")
+			end
+		end
+		for _, p in ipairs(group) do
+			if p.running then
+				p.status = process.wait(p.proc, 30000)
+				p.running = false
+			end
+		end
+	end
+end
+
+return M
