Add outcome, deadline and concurrency limit decisions

Cause: the proxy must say ran, failed, not-run or unknown from what it knows of an attempt, shrink deadlines over hops, and use fewer slots than announced while a backend server is cold, slow or shedding. Conclusion: ready for use by packages/proxy.

--- /dev/null
+++ b/packages/policy/admission.c
@@ -0,0 +1,599 @@
+/*
+ * Admission: the life of a call at one backend server. Which row gets a slot is
+ * decided in sharing.c, how many slots there are in limiter.c.
+ */
+#include "admission.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "deadline.h"
+#include "limiter.h"
+#include "sharing.h"
+
+#define POLL_NS (10 * NSEC_PER_MSEC) /* wake-up while slots are held back */
+#define RETRY_AFTER_MIN_NS (50 * NSEC_PER_MSEC)
+#define RETRY_AFTER_MAX_NS (30 * NSEC_PER_SEC)
+#define RETRY_AFTER_DRAIN_NS NSEC_PER_SEC /* others serve the service */
+
+struct admission {
+	const struct sharing_policy *policy;
+	struct sharing_view view;
+	struct limiter limiter;
+	bool fixed_limit;
+	bool draining;
+	int64_t accrued_at;
+	uint64_t next_seq;
+};
+
+static void accrue(struct admission *a, int64_t now);
+static void pump(
+    struct admission *a, int64_t now, struct admission_changes *out);
+static void start_call(struct admission *a, struct lane *l,
+    struct admission_call *c, int64_t now, struct admission_changes *out);
+static void drop_waiting(struct admission *a, struct lane *l,
+    struct admission_call *c, enum refuse_reason reason,
+    struct admission_changes *out);
+static void end_refused(const struct admission *a, const struct lane *l,
+    struct admission_call *c, enum refuse_reason reason,
+    struct admission_changes *out);
+static bool is_late(const struct admission *a, const struct lane *l,
+    const struct admission_call *c, int64_t now);
+static void expire_lane(struct admission *a, struct lane *l, int64_t now,
+    struct admission_changes *out);
+static struct admit_verdict refuse_offer(
+    struct admission *a, struct admission_call *c, enum refuse_reason reason);
+static bool is_hopeless(const struct admission *a, const struct lane *l,
+    const struct admission_call *c, int64_t now);
+static double estimate_wait(const struct admission *a, const struct lane *l);
+static int64_t get_retry_after(
+    const struct admission *a, const struct lane *l, enum refuse_reason reason);
+static int find_lane(const struct admission *a, struct str kind);
+static int add_lane(struct admission *a, int *out);
+static void reap_lane(struct lane *l);
+static void append_call(struct admission_call **list, struct admission_call *c);
+static bool remove_listed(
+    struct admission_call **list, struct admission_call *c);
+
+/* Creates the admission of a backend server; it has no rows yet. */
+int
+create_admission(
+    const struct admission_config *cfg, int64_t now, struct admission **out)
+{
+	struct admission *a = calloc(1, sizeof(*a));
+
+	if (a == NULL)
+		return ERR_MEMORY;
+	a->policy = get_sharing_policy(cfg->policy);
+	a->fixed_limit = cfg->fixed_limit || !a->policy->bounded;
+	a->accrued_at = now;
+	start_limiter(&a->limiter, cfg->slots, cfg->cold, now);
+	*out = a;
+	return 0;
+}
+
+/* Frees the module's memory. Calls still known to it are forgotten. */
+void
+destroy_admission(struct admission *a)
+{
+	if (a == NULL)
+		return;
+	for (size_t i = 0; i < a->view.lane_count; i++)
+		unload_lane(&a->view.lanes[i]);
+	free(a->view.lanes);
+	free(a);
+}
+
+/*
+ * Switches to the rows of a service in a table, of which nothing is kept.
+ * Waiting calls are shared out by the new cells at once. Rows that left the
+ * table take no new calls; their waiting and running calls finish under the
+ * cells they had. Returns ERR_MEMORY with the former rows in force.
+ */
+int
+set_admission_table(struct admission *a, const struct table *t,
+    struct str service, int64_t now, struct admission_changes *out)
+{
+	struct lane *lanes;
+	int i;
+
+	accrue(a, now);
+	for (size_t n = 0; n < t->row_count; n++) {
+		if (is_str_equal(make_str(t->rows[n].service), service) &&
+		    find_lane(a, make_str(t->rows[n].kind)) < 0) {
+			if (add_lane(a, &i) != 0)
+				return ERR_MEMORY;
+			lanes = a->view.lanes;
+			load_lane(
+			    &lanes[i], &t->rows[n], a->policy->by_deadline);
+		}
+	}
+	lanes = a->view.lanes;
+	for (size_t n = 0; n < a->view.lane_count; n++)
+		lanes[n].retired = lanes[n].used;
+	for (size_t n = 0; n < t->row_count; n++) {
+		if (!is_str_equal(make_str(t->rows[n].service), service))
+			continue;
+		i = find_lane(a, make_str(t->rows[n].kind));
+		load_lane(&lanes[i], &t->rows[n], a->policy->by_deadline);
+	}
+	for (size_t n = 0; n < a->view.lane_count; n++)
+		reap_lane(&lanes[n]);
+	pump(a, now, out);
+	return 0;
+}
+
+/* Returns the index of a row in the present table, or ERR_NOT_FOUND. */
+int
+find_admission_row(const struct admission *a, struct str kind)
+{
+	int i = find_lane(a, kind);
+
+	if (i < 0 || a->view.lanes[i].retired)
+		return ERR_NOT_FOUND;
+	return i;
+}
+
+/*
+ * Offers a call of a row. The verdict is final for this call unless it says
+ * queued; then a later operation lists the call as run or refused. A call whose
+ * deadline cannot be met by the present estimate is refused at once.
+ */
+struct admit_verdict
+offer_call(struct admission *a, struct admission_call *c, int row, int64_t now,
+    struct admission_changes *out)
+{
+	struct admit_verdict v = {.action = ADMIT_RUN};
+	struct lane *l;
+
+	c->arrived = now;
+	c->seq = a->next_seq++;
+	c->lane = -1;
+	c->next = NULL;
+	if (a->draining)
+		return refuse_offer(a, c, REFUSE_DRAINING);
+	if (row < 0 || (size_t)row >= a->view.lane_count ||
+	    !a->view.lanes[row].used || a->view.lanes[row].retired)
+		return refuse_offer(a, c, REFUSE_UNKNOWN_KIND);
+	accrue(a, now);
+	l = &a->view.lanes[row];
+	c->lane = row;
+	if (is_hopeless(a, l, c, now))
+		return refuse_offer(a, c, REFUSE_DEADLINE);
+	if (push_call(l, c) != 0)
+		return refuse_offer(a, c, REFUSE_OVERLOAD);
+	c->state = CALL_WAITING;
+	a->view.waiting++;
+	pump(a, now, out);
+	if (c->state == CALL_RUNNING) {
+		(void)remove_listed(&out->run, c);
+		return v;
+	}
+	if (c->state == CALL_WAITING && a->policy->bounded &&
+	    l->waiting > (size_t)l->queue_max)
+		drop_waiting(a, l, c, REFUSE_OVERLOAD, out);
+	if (c->state == CALL_ENDED) {
+		(void)remove_listed(&out->refused, c);
+		return (struct admit_verdict){.action = ADMIT_REFUSED,
+		    .reason = c->reason,
+		    .retry_after_ns = c->retry_after_ns};
+	}
+	v.action = ADMIT_QUEUED;
+	return v;
+}
+
+/*
+ * Ends a running call and starts others in its place. service_ns is the time
+ * from dispatch to the answer. NOT_RUN says that the backend server shed the
+ * call: its time tells nothing about the row, but the limit falls.
+ */
+void
+finish_call(struct admission *a, struct admission_call *c,
+    enum call_outcome outcome, int64_t service_ns, int64_t now,
+    struct admission_changes *out)
+{
+	struct lane *l = &a->view.lanes[c->lane];
+
+	if (c->state != CALL_RUNNING)
+		return;
+	accrue(a, now);
+	if (outcome == OUTCOME_NOT_RUN) {
+		add_limiter_shed(&a->limiter, a->view.in_flight, now);
+	} else if (service_ns > 0) {
+		add_service_sample(l, (double)service_ns);
+		add_limiter_sample(
+		    &a->limiter, (double)service_ns / l->usual_ns, now);
+	}
+	c->state = CALL_ENDED;
+	l->in_flight--;
+	a->view.in_flight--;
+	reap_lane(l);
+	pump(a, now, out);
+}
+
+/*
+ * Takes back a waiting call, which then counts as not run. Returns ERR_INVALID
+ * when the call does not wait; a running call ends by finish_call() only.
+ */
+int
+cancel_call(struct admission *a, struct admission_call *c, int64_t now,
+    struct admission_changes *out)
+{
+	struct lane *l;
+
+	if (c->state != CALL_WAITING)
+		return ERR_INVALID;
+	l = &a->view.lanes[c->lane];
+	accrue(a, now);
+	remove_call(l, c);
+	a->view.waiting--;
+	c->state = CALL_ENDED;
+	reap_lane(l);
+	pump(a, now, out);
+	return 0;
+}
+
+/*
+ * Refuses the waiting calls that can no longer meet their deadline and starts
+ * calls whose slots were held back. Called at get_admission_wakeup().
+ */
+void
+expire_calls(struct admission *a, int64_t now, struct admission_changes *out)
+{
+	accrue(a, now);
+	for (size_t i = 0; i < a->view.lane_count; i++) {
+		struct lane *l = &a->view.lanes[i];
+
+		expire_lane(a, l, now, out);
+		reap_lane(l);
+	}
+	pump(a, now, out);
+}
+
+/* Takes over a new announced number of slots; running calls go on. */
+void
+set_admission_slots(
+    struct admission *a, int slots, int64_t now, struct admission_changes *out)
+{
+	accrue(a, now);
+	set_limiter_slots(&a->limiter, slots, now);
+	pump(a, now, out);
+}
+
+/*
+ * Refuses every waiting call and every later offer as draining, so that entry
+ * nodes send them elsewhere. Running calls end by finish_call().
+ */
+void
+drain_admission(struct admission *a, int64_t now, struct admission_changes *out)
+{
+	accrue(a, now);
+	a->draining = true;
+	for (size_t i = 0; i < a->view.lane_count; i++) {
+		struct lane *l = &a->view.lanes[i];
+
+		while (l->waiting != 0)
+			drop_waiting(
+			    a, l, get_first_call(l), REFUSE_DRAINING, out);
+		reap_lane(l);
+	}
+}
+
+/* Returns the counts for metrics and X-Ggs-Load. */
+struct admission_load
+get_admission_load(const struct admission *a, int64_t now)
+{
+	return (struct admission_load){.in_flight = a->view.in_flight,
+	    .queued = (int)a->view.waiting,
+	    .slots = a->limiter.slots,
+	    .limit = a->fixed_limit ? a->limiter.slots :
+				      get_limit(&a->limiter, now)};
+}
+
+/* Returns the running calls of a row. */
+int
+get_row_in_flight(const struct admission *a, int row)
+{
+	return a->view.lanes[row].in_flight;
+}
+
+/* Returns the waiting calls of a row. */
+int
+get_row_queued(const struct admission *a, int row)
+{
+	return (int)a->view.lanes[row].waiting;
+}
+
+/* Returns the recent mean service time of a row in ns, 0 when unknown. */
+int64_t
+get_row_service_ns(const struct admission *a, int row)
+{
+	return (int64_t)a->view.lanes[row].service_ns;
+}
+
+/*
+ * Returns the time of the next expiry. While calls wait beside free slots
+ * (held back for floors, or a limit that grows) the next look is soon.
+ */
+int64_t
+get_admission_wakeup(const struct admission *a, int64_t now)
+{
+	struct admission_load load = get_admission_load(a, now);
+	int64_t at = INT64_MAX;
+
+	if (a->view.waiting == 0)
+		return at;
+	if (load.in_flight < load.limit || load.limit < load.slots ||
+	    !a->policy->by_deadline)
+		at = now + POLL_NS;
+	for (size_t i = 0; i < a->view.lane_count; i++) {
+		const struct lane *l = &a->view.lanes[i];
+		const struct admission_call *c = get_first_call(l);
+		int64_t need = a->policy->sheds ? (int64_t)l->service_ns : 0;
+
+		if (c != NULL && c->deadline - need < at)
+			at = c->deadline - need;
+	}
+	return at < now ? now : at;
+}
+
+/* Returns the name of a policy for settings and reports. */
+const char *
+get_policy_name(enum admission_policy_id id)
+{
+	return get_sharing_policy(id)->name;
+}
+
+/* Moves the time-weighted state of all rows to now and refreshes the limit. */
+static void
+accrue(struct admission *a, int64_t now)
+{
+	double dt = (double)(now - a->accrued_at);
+
+	a->view.limit = get_admission_load(a, now).limit;
+	if (dt <= 0)
+		return;
+	a->accrued_at = now;
+	for (size_t i = 0; i < a->view.lane_count; i++) {
+		if (a->view.lanes[i].used)
+			accrue_lane(&a->view.lanes[i], a->view.limit, dt);
+	}
+}
+
+/* Starts waiting calls while slots are free. */
+static void
+pump(struct admission *a, int64_t now, struct admission_changes *out)
+{
+	a->view.limit = get_admission_load(a, now).limit;
+	while (a->view.waiting != 0 && a->view.in_flight < a->view.limit) {
+		int i = a->policy->choose_lane(&a->view);
+		struct lane *l;
+
+		if (i < 0)
+			return;
+		l = &a->view.lanes[i];
+		start_call(a, l, get_first_call(l), now, out);
+	}
+}
+
+/* Starts one waiting call, or refuses it when it is too late for it. */
+static void
+start_call(struct admission *a, struct lane *l, struct admission_call *c,
+    int64_t now, struct admission_changes *out)
+{
+	if (is_late(a, l, c, now)) {
+		drop_waiting(a, l, c, REFUSE_DEADLINE, out);
+		return;
+	}
+	remove_call(l, c);
+	a->view.waiting--;
+	l->in_flight++;
+	a->view.in_flight++;
+	c->state = CALL_RUNNING;
+	c->started = now;
+	a->policy->charge_lane(&a->view, l);
+	append_call(&out->run, c);
+}
+
+/* Refuses a waiting call. */
+static void
+drop_waiting(struct admission *a, struct lane *l, struct admission_call *c,
+    enum refuse_reason reason, struct admission_changes *out)
+{
+	remove_call(l, c);
+	a->view.waiting--;
+	end_refused(a, l, c, reason, out);
+}
+
+/* Lists a call that has left its heap as refused; the order is of no use. */
+static void
+end_refused(const struct admission *a, const struct lane *l,
+    struct admission_call *c, enum refuse_reason reason,
+    struct admission_changes *out)
+{
+	c->state = CALL_ENDED;
+	c->reason = reason;
+	c->retry_after_ns = get_retry_after(a, l, reason);
+	c->next = out->refused;
+	out->refused = c;
+}
+
+/*
+ * Refuses the late calls of a row. In a heap by deadline they are on top; in a
+ * heap by arrival they may be anywhere, so all calls are looked at.
+ */
+static void
+expire_lane(struct admission *a, struct lane *l, int64_t now,
+    struct admission_changes *out)
+{
+	size_t kept = 0, count = l->waiting;
+
+	if (l->by_deadline) {
+		while (l->waiting != 0 && is_late(a, l, l->heap[0], now))
+			drop_waiting(a, l, l->heap[0], REFUSE_DEADLINE, out);
+		return;
+	}
+	for (size_t i = 0; i < count; i++) {
+		struct admission_call *c = l->heap[i];
+
+		if (is_late(a, l, c, now))
+			end_refused(a, l, c, REFUSE_DEADLINE, out);
+		else
+			l->heap[kept++] = c;
+	}
+	a->view.waiting -= count - kept;
+	l->waiting = kept;
+	if (kept != count)
+		rebuild_heap(l);
+}
+
+/* Says whether a call that starts now ends too late. */
+static bool
+is_late(const struct admission *a, const struct lane *l,
+    const struct admission_call *c, int64_t now)
+{
+	int64_t need = a->policy->sheds ? (int64_t)l->service_ns : 0;
+
+	return !can_meet_deadline(now, c->deadline, need);
+}
+
+/* Ends an offered call as refused. */
+static struct admit_verdict
+refuse_offer(
+    struct admission *a, struct admission_call *c, enum refuse_reason reason)
+{
+	const struct lane *l = c->lane < 0 ? NULL : &a->view.lanes[c->lane];
+
+	c->state = CALL_ENDED;
+	c->reason = reason;
+	c->retry_after_ns = get_retry_after(a, l, reason);
+	return (struct admit_verdict){.action = ADMIT_REFUSED,
+	    .reason = reason,
+	    .retry_after_ns = c->retry_after_ns};
+}
+
+/* Says whether a new call cannot end by its deadline, by the estimate. */
+static bool
+is_hopeless(const struct admission *a, const struct lane *l,
+    const struct admission_call *c, int64_t now)
+{
+	double wait = 0;
+
+	if (now >= c->deadline)
+		return true;
+	if (!a->policy->sheds)
+		return false;
+	if (l->waiting != 0 && c->deadline >= get_first_call(l)->deadline)
+		wait = estimate_wait(a, l);
+	return (double)(c->deadline - now) < wait + l->service_ns;
+}
+
+/*
+ * Estimates how long a new call of a row waits, in ns: the work that goes
+ * before it over all slots, or the work of its own row over the slots of its
+ * floor, whichever is shorter. It leaves out later arrivals, so it errs towards
+ * queueing.
+ */
+static double
+estimate_wait(const struct admission *a, const struct lane *l)
+{
+	double floor_slots = get_floor_slots(l, a->view.limit);
+	double own = (double)l->waiting * l->service_ns;
+	double ahead = 0;
+
+	for (size_t i = 0; i < a->view.lane_count; i++) {
+		const struct lane *o = &a->view.lanes[i];
+
+		if (o->used && o->rank <= l->rank)
+			ahead += (double)o->waiting * o->service_ns;
+	}
+	ahead /= a->view.limit;
+	if (floor_slots > 0 && own / floor_slots < ahead)
+		return own / floor_slots;
+	return ahead;
+}
+
+/* Returns when another attempt here may succeed, in ns. */
+static int64_t
+get_retry_after(
+    const struct admission *a, const struct lane *l, enum refuse_reason reason)
+{
+	int64_t ns;
+
+	if (reason == REFUSE_DRAINING)
+		return RETRY_AFTER_DRAIN_NS;
+	if (l == NULL)
+		return 0;
+	ns = (int64_t)estimate_wait(a, l);
+	if (ns < RETRY_AFTER_MIN_NS)
+		return RETRY_AFTER_MIN_NS;
+	return ns > RETRY_AFTER_MAX_NS ? RETRY_AFTER_MAX_NS : ns;
+}
+
+/* Returns the lane of a kind, current or retired, or -1. */
+static int
+find_lane(const struct admission *a, struct str kind)
+{
+	for (size_t i = 0; i < a->view.lane_count; i++) {
+		const struct lane *l = &a->view.lanes[i];
+
+		if (l->used && is_str_equal(make_str(l->kind), kind))
+			return (int)i;
+	}
+	return -1;
+}
+
+/* Finds or makes room for a lane. */
+static int
+add_lane(struct admission *a, int *out)
+{
+	size_t n = a->view.lane_count;
+	struct lane *lanes;
+
+	for (size_t i = 0; i < n; i++) {
+		if (!a->view.lanes[i].used) {
+			*out = (int)i;
+			return 0;
+		}
+	}
+	lanes = realloc(a->view.lanes, (n + 1) * sizeof(*lanes));
+	if (lanes == NULL)
+		return ERR_MEMORY;
+	memset(&lanes[n], 0, sizeof(lanes[n]));
+	a->view.lanes = lanes;
+	a->view.lane_count = n + 1;
+	*out = (int)n;
+	return 0;
+}
+
+/* Frees a lane that left the table, once its last call has ended. */
+static void
+reap_lane(struct lane *l)
+{
+	if (l->used && l->retired && l->waiting == 0 && l->in_flight == 0)
+		unload_lane(l);
+}
+
+/* Appends to a list of changes. */
+static void
+append_call(struct admission_call **list, struct admission_call *c)
+{
+	while (*list != NULL)
+		list = &(*list)->next;
+	c->next = NULL;
+	*list = c;
+}
+
+/* Removes from a list of changes; false when it is not there. */
+static bool
+remove_listed(struct admission_call **list, struct admission_call *c)
+{
+	for (; *list != NULL; list = &(*list)->next) {
+		if (*list == c) {
+			*list = c->next;
+			c->next = NULL;
+			return true;
+		}
+	}
+	return false;
+}
--- a/packages/policy/limiter.h
+++ b/packages/policy/limiter.h
@@ -16,14 +16,12 @@
 	int64_t held_until; /* no further cut before */
 	double ratio_sum; /* of service time over its row's baseline */
 	int ratio_count;
-	bool window_full; /* the limit was reached in this window */
 };
 
 void start_limiter(struct limiter *l, int slots, bool cold, int64_t now);
 void set_limiter_slots(struct limiter *l, int slots, int64_t now);
 /* Adds a finished call: its service time over the usual one of its row. */
-void add_limiter_sample(
-    struct limiter *l, double ratio, int in_flight, int64_t now);
+void add_limiter_sample(struct limiter *l, double ratio, int64_t now);
 void add_limiter_shed(struct limiter *l, int in_flight, int64_t now);
 int get_limit(const struct limiter *l, int64_t now); /* 1..slots */
 
