--- /dev/null
+++ b/packages/policy/tests/test_admission.c
@@ -0,0 +1,618 @@
+/*
+ * Admission: cases on the paused clock and properties on seeded schedules.
+ */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "admission.h"
+
+#define MS NSEC_PER_MSEC
+#define HEADER                                                                \
+	"kind,service,rank,weight,floor_pct,limit_pct,target_ms,deadline_ms," \
+	"queue_max,retries,retry_pct,hedge_ms,repeat,keep_s,body_max_kb,"     \
+	"drain_s\n"
+
+/* Urgent work, reads and bulk work with long calls. */
+#define BULK "bulk,svc,8,10,10,60,30000,600000,50,2,5,0,yes,86400,64,60\n"
+#define PAY "pay,svc,1,1000,50,100,300,5000,200,2,10,0,no,604800,64,60\n"
+#define READ "read,svc,3,40,20,80,200,2000,3,2,10,0,yes,0,16,10\n"
+static const char rows_three[] = HEADER BULK PAY READ;
+static const char rows_two[] = HEADER PAY READ;
+static const char rows_tenth[] =
+    HEADER "a,svc,1,1000,10,100,300,5000,200,2,10,0,no,604800,64,60\n"
+	   "b,svc,2,40,10,100,300,5000,200,2,10,0,yes,0,16,10\n"
+	   "c,svc,3,40,10,100,300,5000,200,2,10,0,yes,0,16,10\n"
+	   "d,svc,4,40,10,100,300,5000,200,2,10,0,yes,0,16,10\n"
+	   "e,svc,5,40,10,100,300,5000,200,2,10,0,yes,0,16,10\n";
+
+static struct paused_clock clock_state;
+
+/* Monotonic time of the paused clock. */
+static int64_t
+read_now(void)
+{
+	struct clock_source c = get_paused_clock(&clock_state);
+
+	return read_mono(&c);
+}
+
+static void
+load_rows(struct admission *a, const char *csv, uint64_t version,
+    struct admission_changes *out)
+{
+	struct table *t = NULL;
+	struct fault f;
+
+	ck_assert_msg(
+	    load_table_csv(make_str(csv), version, &t, &f) == 0, "%s", f.text);
+	ck_assert_int_eq(
+	    set_admission_table(a, t, make_str("svc"), read_now(), out), 0);
+	unload_table(t);
+}
+
+static struct admission *
+open_admission(enum admission_policy_id id, int slots, const char *csv)
+{
+	struct admission_config cfg = {.policy = id, .slots = slots};
+	struct admission_changes out = {0};
+	struct admission *a = NULL;
+
+	clock_state.mono_ns = 1000 * NSEC_PER_SEC;
+	ck_assert_int_eq(create_admission(&cfg, read_now(), &a), 0);
+	load_rows(a, csv, 1, &out);
+	return a;
+}
+
+/* Offers a call with a deadline in ms from now. */
+static struct admit_verdict
+offer_kind(struct admission *a, struct admission_call *c, const char *kind,
+    int64_t ms, struct admission_changes *out)
+{
+	*c = (struct admission_call){
+	    .token = c, .deadline = read_now() + ms * MS};
+	return offer_call(
+	    a, c, find_admission_row(a, make_str(kind)), read_now(), out);
+}
+
+/* Teaches the admission a row's service time, with an idle server. */
+static void
+teach_service(struct admission *a, const char *kind, int64_t ms, int n)
+{
+	struct admission_changes out = {0};
+	struct admission_call c;
+
+	for (int i = 0; i < n; i++) {
+		ck_assert_int_eq(
+		    offer_kind(a, &c, kind, 600000, &out).action, ADMIT_RUN);
+		advance_clock(&clock_state, ms * MS);
+		finish_call(a, &c, OUTCOME_RAN, ms * MS, read_now(), &out);
+	}
+}
+
+/* Guards against a waiting call that nobody starts or refuses. */
+START_TEST(call_waits_for_a_slot_and_runs)
+{
+	struct admission *a = open_admission(_i, 1, rows_three);
+	struct admission_changes out = {0};
+	struct admission_call c[2];
+
+	ck_assert_int_eq(
+	    offer_kind(a, &c[0], "pay", 5000, &out).action, ADMIT_RUN);
+	ck_assert_int_eq(
+	    offer_kind(a, &c[1], "pay", 5000, &out).action, ADMIT_QUEUED);
+	ck_assert_ptr_null(out.run);
+	finish_call(a, &c[0], OUTCOME_RAN, MS, read_now(), &out);
+	ck_assert_ptr_eq(out.run, &c[1]);
+	ck_assert_ptr_eq(out.run->token, &c[1]);
+	ck_assert_int_eq(get_admission_load(a, read_now()).in_flight, 1);
+	out = (struct admission_changes){0};
+	finish_call(a, &c[1], OUTCOME_RAN, MS, read_now(), &out);
+	ck_assert_int_eq(get_admission_load(a, read_now()).in_flight, 0);
+	ck_assert_ptr_null(out.run);
+	destroy_admission(a);
+}
+END_TEST
+
+/* Guards against refusals with the wrong reason, which entry nodes act on. */
+START_TEST(refusals_name_their_reason)
+{
+	struct admission *a = open_admission(ADMISSION_FLOORS, 1, rows_three);
+	struct admission_changes out = {0};
+	struct admission_call run, c[5];
+	struct admit_verdict v;
+
+	ck_assert_int_eq(
+	    offer_kind(a, &run, "pay", 5000, &out).action, ADMIT_RUN);
+	v = offer_kind(a, &c[0], "nothing", 5000, &out);
+	ck_assert_int_eq(v.reason, REFUSE_UNKNOWN_KIND);
+	v = offer_kind(a, &c[0], "read", 0, &out);
+	ck_assert_int_eq(v.action, ADMIT_REFUSED);
+	ck_assert_int_eq(v.reason, REFUSE_DEADLINE);
+	for (int i = 0; i < 3; i++)
+		ck_assert_int_eq(
+		    offer_kind(a, &c[i], "read", 2000, &out).action,
+		    ADMIT_QUEUED);
+	v = offer_kind(a, &c[3], "read", 2000, &out); /* queue_max is 3 */
+	ck_assert_int_eq(v.action, ADMIT_REFUSED);
+	ck_assert_int_eq(v.reason, REFUSE_OVERLOAD);
+	ck_assert_int_gt(v.retry_after_ns, 0);
+	ck_assert_int_eq(cancel_call(a, &c[0], read_now(), &out), 0);
+	ck_assert_int_eq(cancel_call(a, &c[0], read_now(), &out), ERR_INVALID);
+	ck_assert_int_eq(cancel_call(a, &run, read_now(), &out), ERR_INVALID);
+	ck_assert_ptr_null(out.refused);
+	drain_admission(a, read_now(), &out);
+	for (int i = 1; i < 3; i++) {
+		ck_assert_int_eq(c[i].state, CALL_ENDED);
+		ck_assert_int_eq(c[i].reason, REFUSE_DRAINING);
+	}
+	v = offer_kind(a, &c[4], "pay", 5000, &out);
+	ck_assert_int_eq(v.reason, REFUSE_DRAINING);
+	finish_call(a, &run, OUTCOME_RAN, MS, read_now(), &out);
+	ck_assert_int_eq(get_admission_load(a, read_now()).in_flight, 0);
+	destroy_admission(a);
+}
+END_TEST
+
+/* Guards against calls that wait for a slot they can no longer use. */
+START_TEST(hopeless_calls_are_refused_at_once)
+{
+	struct admission *a = open_admission(ADMISSION_FLOORS, 1, rows_three);
+	struct admission_changes out = {0};
+	struct admission_call run, c[3];
+
+	teach_service(a, "pay", 100, 30);
+	ck_assert_int_eq(
+	    offer_kind(a, &c[0], "pay", 99, &out).reason, REFUSE_DEADLINE);
+	ck_assert_int_eq(
+	    offer_kind(a, &run, "pay", 5000, &out).action, ADMIT_RUN);
+	ck_assert_int_eq(
+	    offer_kind(a, &c[0], "pay", 250, &out).action, ADMIT_QUEUED);
+	/* 100 ms of work wait before this one. */
+	ck_assert_int_eq(
+	    offer_kind(a, &c[1], "pay", 260, &out).action, ADMIT_QUEUED);
+	ck_assert_int_eq(
+	    offer_kind(a, &c[2], "pay", 290, &out).reason, REFUSE_DEADLINE);
+	ck_assert_int_eq(
+	    get_admission_wakeup(a, read_now()), read_now() + 150 * MS);
+	advance_clock(&clock_state, 151 * MS);
+	expire_calls(a, read_now(), &out);
+	ck_assert_ptr_eq(out.refused, &c[0]);
+	ck_assert_ptr_null(out.refused->next);
+	ck_assert_int_eq(c[0].reason, REFUSE_DEADLINE);
+	out = (struct admission_changes){0};
+	advance_clock(&clock_state, 20 * MS);
+	finish_call(a, &run, OUTCOME_RAN, 100 * MS, read_now(), &out);
+	ck_assert_ptr_null(out.run);
+	ck_assert_ptr_eq(out.refused, &c[1]);
+	destroy_admission(a);
+}
+END_TEST
+
+/* Guards against calls lost or run under no row when the table changes. */
+START_TEST(table_change_keeps_calls_in_flight)
+{
+	struct admission *a = open_admission(_i, 1, rows_three);
+	struct admission_changes out = {0};
+	struct admission_call run, wait, c;
+
+	ck_assert_int_eq(
+	    offer_kind(a, &run, "bulk", 600000, &out).action, ADMIT_RUN);
+	ck_assert_int_eq(
+	    offer_kind(a, &wait, "bulk", 600000, &out).action, ADMIT_QUEUED);
+	load_rows(a, rows_two, 2, &out);
+	ck_assert_ptr_null(out.refused);
+	ck_assert_int_eq(
+	    find_admission_row(a, make_str("bulk")), ERR_NOT_FOUND);
+	ck_assert_int_eq(
+	    offer_kind(a, &c, "bulk", 9000, &out).reason, REFUSE_UNKNOWN_KIND);
+	finish_call(a, &run, OUTCOME_RAN, MS, read_now(), &out);
+	ck_assert_ptr_eq(out.run, &wait);
+	load_rows(a, rows_three, 3, &out);
+	ck_assert_int_eq(
+	    get_row_in_flight(a, find_admission_row(a, make_str("bulk"))), 1);
+	load_rows(a, rows_two, 4, &out);
+	finish_call(a, &wait, OUTCOME_RAN, MS, read_now(), &out);
+	ck_assert_int_eq(get_admission_load(a, read_now()).in_flight, 0);
+	destroy_admission(a);
+}
+END_TEST
+
+/* Guards against running more calls than a lowered number of slots. */
+START_TEST(fewer_slots_and_sheds_hold_back_dispatch)
+{
+	struct admission *a = open_admission(ADMISSION_FLOORS, 4, rows_three);
+	struct admission_changes out = {0};
+	struct admission_call c[8];
+
+	for (int i = 0; i < 8; i++)
+		(void)offer_kind(a, &c[i], "pay", 5000, &out);
+	ck_assert_int_eq(get_admission_load(a, read_now()).in_flight, 4);
+	set_admission_slots(a, 2, read_now(), &out);
+	finish_call(a, &c[0], OUTCOME_RAN, MS, read_now(), &out);
+	finish_call(a, &c[1], OUTCOME_RAN, MS, read_now(), &out);
+	ck_assert_ptr_null(out.run);
+	finish_call(a, &c[2], OUTCOME_RAN, MS, read_now(), &out);
+	ck_assert_ptr_eq(out.run, &c[4]);
+	out = (struct admission_changes){0};
+	finish_call(a, &c[3], OUTCOME_NOT_RUN, MS, read_now(), &out);
+	ck_assert_ptr_null(out.run); /* the shed lowered the limit to one */
+	set_admission_slots(a, 8, read_now(), &out);
+	ck_assert_int_eq(get_admission_load(a, read_now()).in_flight, 4);
+	destroy_admission(a);
+}
+END_TEST
+
+/* Guards against an adaptive limit that measured service times never reach. */
+START_TEST(growing_latency_lowers_the_limit)
+{
+	struct admission *a = open_admission(ADMISSION_FLOORS, 10, rows_three);
+
+	teach_service(a, "read", 20, 100);
+	ck_assert_int_eq(get_admission_load(a, read_now()).limit, 10);
+	teach_service(a, "read", 60, 40);
+	ck_assert_int_lt(get_admission_load(a, read_now()).limit, 10);
+	teach_service(a, "read", 20, 400);
+	ck_assert_int_eq(get_admission_load(a, read_now()).limit, 10);
+	destroy_admission(a);
+}
+END_TEST
+
+/* Guards against long calls that hold every slot when urgent work arrives. */
+START_TEST(unused_floor_is_not_lent_to_calls_too_long)
+{
+	struct admission *a = open_admission(ADMISSION_FLOORS, 10, rows_three);
+	struct admission_changes out = {0};
+	struct admission_call c[10], urgent;
+
+	teach_service(a, "bulk", 3000, 10);
+	teach_service(a, "pay", 30, 10);
+	teach_service(a, "read", 20, 10);
+	for (int i = 0; i < 10; i++)
+		(void)offer_kind(a, &c[i], "bulk", 600000, &out);
+	/* Floors of 50% and 20% with targets below 3 s stay free. */
+	ck_assert_int_eq(get_admission_load(a, read_now()).in_flight, 3);
+	ck_assert_int_eq(
+	    offer_kind(a, &urgent, "pay", 5000, &out).action, ADMIT_RUN);
+	destroy_admission(a);
+}
+END_TEST
+
+/* Guards against an idle floor that keeps short calls out. */
+START_TEST(unused_floor_is_lent_to_short_calls)
+{
+	struct admission *a = open_admission(ADMISSION_FLOORS, 10, rows_three);
+	struct admission_changes out = {0};
+	struct admission_call c[11];
+
+	teach_service(a, "pay", 30, 10);
+	teach_service(a, "read", 20, 10);
+	for (int i = 0; i < 11; i++)
+		(void)offer_kind(a, &c[i], "read", 2000, &out);
+	ck_assert_int_eq(get_admission_load(a, read_now()).in_flight, 10);
+	destroy_admission(a);
+}
+END_TEST
+
+/* Guards against a row that passes its limit_pct while others wait. */
+START_TEST(limit_caps_a_row_while_others_wait)
+{
+	struct admission *a = open_admission(ADMISSION_STRICT, 10, rows_three);
+	struct admission_changes out = {0};
+	struct admission_call r[12], b;
+
+	for (int i = 0; i < 12; i++)
+		(void)offer_kind(a, &r[i], "read", 2000, &out);
+	ck_assert_int_eq(get_admission_load(a, read_now()).in_flight, 10);
+	ck_assert_int_eq(
+	    offer_kind(a, &b, "bulk", 600000, &out).action, ADMIT_QUEUED);
+	/* Ten of read run; above 80% a free slot goes to bulk. */
+	finish_call(a, &r[0], OUTCOME_RAN, MS, read_now(), &out);
+	ck_assert_ptr_eq(out.run, &b);
+	destroy_admission(a);
+}
+END_TEST
+
+/* Open loop on the paused clock: arrivals, service times, shares of slots. */
+#define SIM_CALLS 4096
+#define SIM_ROWS 5
+
+struct sim {
+	struct admission *a;
+	struct rng rng;
+	struct admission_call calls[SIM_CALLS];
+	int ends[SIM_CALLS]; /* ends seen */
+	int64_t done_at[SIM_CALLS]; /* of running calls, else 0 */
+	int64_t longest_wait[SIM_ROWS];
+	double used[SIM_ROWS]; /* slot-ns */
+	int slots;
+	int running;
+};
+
+/* Starts the listed calls with a drawn service time and counts refusals. */
+static void
+take_changes(struct sim *s, struct admission_changes *out, int64_t mean)
+{
+	struct admission_call *c;
+
+	for (c = out->run; c != NULL; c = c->next) {
+		size_t i = (size_t)(c - s->calls);
+
+		ck_assert_int_eq(s->ends[i], 0);
+		ck_assert_int_eq(s->done_at[i], 0);
+		s->done_at[i] =
+		    read_now() + mean / 2 + (int64_t)draw_below(&s->rng, mean);
+		s->running++;
+		ck_assert_int_le(s->running, s->slots);
+	}
+	for (c = out->refused; c != NULL; c = c->next) {
+		size_t i = (size_t)(c - s->calls);
+
+		ck_assert_int_eq(s->done_at[i], 0);
+		ck_assert_int_eq(s->ends[i]++, 0);
+	}
+	*out = (struct admission_changes){0};
+}
+
+/* Offers call i and books the verdict. */
+static void
+offer_sim(struct sim *s, size_t i, int row, int64_t deadline, int64_t mean)
+{
+	struct admission_changes out = {0};
+	struct admit_verdict v;
+
+	memset(&s->calls[i], 0, sizeof(s->calls[i]));
+	s->calls[i].deadline = deadline;
+	s->ends[i] = 0;
+	s->done_at[i] = 0;
+	v = offer_call(s->a, &s->calls[i], row, read_now(), &out);
+	take_changes(s, &out, mean);
+	if (v.action == ADMIT_RUN)
+		out.run = &s->calls[i];
+	if (v.action == ADMIT_REFUSED)
+		out.refused = &s->calls[i];
+	take_changes(s, &out, mean);
+}
+
+static void
+finish_sim(struct sim *s, size_t i, enum call_outcome o, int64_t mean)
+{
+	struct admission_changes out = {0};
+	int64_t start = s->calls[i].started;
+
+	s->done_at[i] = 0;
+	s->running--;
+	ck_assert_int_eq(s->ends[i]++, 0);
+	finish_call(
+	    s->a, &s->calls[i], o, read_now() - start, read_now(), &out);
+	take_changes(s, &out, mean);
+}
+
+/* One random operation of a schedule. */
+static void
+step_schedule(struct sim *s, size_t *offered)
+{
+	struct admission_changes out = {0};
+	size_t i = draw_below(&s->rng, *offered + 1);
+	int64_t mean = 20 * MS;
+
+	advance_clock(&clock_state, (int64_t)draw_below(&s->rng, 3 * MS));
+	switch (draw_below(&s->rng, 12)) {
+	case 0:
+		expire_calls(s->a, read_now(), &out);
+		take_changes(s, &out, mean);
+		break;
+	case 1:
+		load_rows(s->a, draw_below(&s->rng, 2) ? rows_two : rows_three,
+		    2, &out);
+		take_changes(s, &out, mean);
+		break;
+	case 2:
+		s->slots = 1 + (int)draw_below(&s->rng, 8);
+		if (s->slots < s->running)
+			s->slots = s->running;
+		set_admission_slots(s->a, s->slots, read_now(), &out);
+		take_changes(s, &out, mean);
+		break;
+	case 3:
+		if (i < *offered && s->calls[i].state == CALL_WAITING) {
+			ck_assert_int_eq(
+			    cancel_call(s->a, &s->calls[i], read_now(), &out),
+			    0);
+			ck_assert_int_eq(s->ends[i]++, 0);
+			take_changes(s, &out, mean);
+		}
+		break;
+	case 4:
+	case 5:
+	case 6:
+	case 7:
+		if (i < *offered && s->done_at[i] != 0)
+			finish_sim(s, i, (int)draw_below(&s->rng, 4), mean);
+		break;
+	default:
+		offer_sim(s, (*offered)++, (int)draw_below(&s->rng, 4) - 1,
+		    read_now() + (int64_t)draw_below(&s->rng, 200 * MS), mean);
+	}
+}
+
+/*
+ * Guards, for every policy, against slots that are over-committed, calls both
+ * dispatched and refused, calls that end twice and calls that never end.
+ */
+START_TEST(every_call_ends_once)
+{
+	struct sim *s = calloc(1, sizeof(*s));
+	struct admission_changes out = {0};
+	size_t offered = 0;
+
+	for (uint64_t seed = 1; seed <= 40; seed++) {
+		memset(s, 0, sizeof(*s));
+		s->slots = 6;
+		s->a = open_admission(_i, 6, rows_three);
+		seed_rng(&s->rng, seed);
+		for (offered = 0; offered < 2000;)
+			step_schedule(s, &offered);
+		if (seed % 2 == 0) {
+			drain_admission(s->a, read_now(), &out);
+			take_changes(s, &out, MS);
+		}
+		while (s->running > 0) {
+			for (size_t i = 0; i < offered; i++) {
+				if (s->done_at[i] != 0)
+					finish_sim(s, i, OUTCOME_RAN, MS);
+			}
+		}
+		advance_clock(&clock_state, NSEC_PER_SEC);
+		expire_calls(s->a, read_now(), &out);
+		take_changes(s, &out, MS);
+		for (size_t i = 0; i < offered; i++)
+			ck_assert_msg(
+			    s->ends[i] == 1, "seed %d call %zu", (int)seed, i);
+		ck_assert_int_eq(
+		    get_admission_load(s->a, read_now()).in_flight, 0);
+		ck_assert_int_eq(
+		    get_admission_load(s->a, read_now()).queued, 0);
+		destroy_admission(s->a);
+	}
+	free(s);
+}
+END_TEST
+
+/* Rows of a saturated server: service means and the floors to be kept. */
+struct floor_case {
+	const char *csv;
+	int slots;
+	int rows;
+	const char *kind[SIM_ROWS];
+	int floor_pct[SIM_ROWS];
+	int64_t mean_ms[SIM_ROWS];
+};
+
+static const struct floor_case floor_cases[] = {
+    {rows_three, 20, 3, {"pay", "read", "bulk"}, {50, 20, 10}, {30, 20, 900}},
+    {rows_three, 6, 3, {"pay", "read", "bulk"}, {50, 20, 10}, {30, 20, 900}},
+    {rows_three, 6, 3, {"pay", "read", "bulk"}, {50, 20, 10}, {30, 30, 30}},
+    {rows_tenth, 6, 5, {"a", "b", "c", "d", "e"}, {10, 10, 10, 10, 10},
+	{40, 40, 40, 40, 40}},
+    {rows_tenth, 6, 5, {"a", "b", "c", "d", "e"}, {10, 10, 10, 10, 10},
+	{20, 300, 20, 300, 20}},
+    {rows_tenth, 3, 5, {"a", "b", "c", "d", "e"}, {10, 10, 10, 10, 10},
+	{20, 40, 20, 40, 20}},
+};
+
+/* Keeps two calls of each row waiting for the given time. */
+static void
+run_saturated(struct sim *s, const struct floor_case *fc, int64_t until)
+{
+	int row_of[SIM_CALLS] = {0};
+	size_t live = (size_t)(fc->slots + 2) * SIM_ROWS;
+	int64_t last_start[SIM_ROWS] = {0};
+
+	while (read_now() < until) {
+		for (size_t i = 0; i < live; i++) {
+			int r = (int)(i % (size_t)fc->rows);
+			int row =
+			    find_admission_row(s->a, make_str(fc->kind[r]));
+
+			row_of[i] = r;
+			if (s->done_at[i] != 0 && s->done_at[i] <= read_now()) {
+				s->used[r] +=
+				    (double)(read_now() - s->calls[i].started);
+				finish_sim(
+				    s, i, OUTCOME_RAN, fc->mean_ms[r] * MS);
+			}
+			if (s->calls[i].state != CALL_WAITING &&
+			    s->calls[i].state != CALL_RUNNING &&
+			    get_row_queued(s->a, row) < 2)
+				offer_sim(s, i, row, INT64_MAX / 2,
+				    fc->mean_ms[r] * MS);
+		}
+		for (size_t i = 0; i < live; i++) {
+			int r = row_of[i];
+			int64_t w;
+
+			if (s->calls[i].state == CALL_RUNNING &&
+			    s->calls[i].started > last_start[r])
+				last_start[r] = s->calls[i].started;
+			w = read_now() - last_start[r];
+			if (last_start[r] != 0 && w > s->longest_wait[r])
+				s->longest_wait[r] = w;
+		}
+		advance_clock(&clock_state, MS);
+	}
+}
+
+/* Adds the slot time of calls that still run, which no finish has counted. */
+static void
+count_running(struct sim *s, const struct floor_case *fc)
+{
+	for (size_t i = 0; i < SIM_CALLS; i++) {
+		if (s->done_at[i] != 0)
+			s->used[i % (size_t)fc->rows] +=
+			    (double)(read_now() - s->calls[i].started);
+	}
+}
+
+/*
+ * Guards against a floor that is not kept in time-average beside saturated
+ * urgent rows, also when it is a fraction of a slot, and against starvation of
+ * a row with a floor.
+ */
+START_TEST(floors_are_kept_in_time_average)
+{
+	const struct floor_case *fc = &floor_cases[_i];
+	struct sim *s = calloc(1, sizeof(*s));
+	int64_t span = 120 * NSEC_PER_SEC;
+	double whole = (double)fc->slots * (double)span;
+
+	seed_rng(&s->rng, 7);
+	s->slots = fc->slots;
+	s->a = open_admission(ADMISSION_FLOORS, fc->slots, fc->csv);
+	run_saturated(s, fc, read_now() + span);
+	count_running(s, fc);
+	for (int r = 0; r < fc->rows; r++) {
+		double share = 100 * s->used[r] / whole;
+
+		ck_assert_msg(share >= fc->floor_pct[r],
+		    "%s: %.4f%% of the slots, floor %d%%", fc->kind[r], share,
+		    fc->floor_pct[r]);
+		ck_assert_msg(s->longest_wait[r] < 10 * NSEC_PER_SEC,
+		    "%s: nothing started for %lld ms", fc->kind[r],
+		    (long long)(s->longest_wait[r] / MS));
+	}
+	destroy_admission(s->a);
+	free(s);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("admission");
+	TCase *tc = tcase_create("all");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_loop_test(
+	    tc, call_waits_for_a_slot_and_runs, 0, ADMISSION_POLICY_COUNT);
+	tcase_add_test(tc, refusals_name_their_reason);
+	tcase_add_test(tc, hopeless_calls_are_refused_at_once);
+	tcase_add_loop_test(
+	    tc, table_change_keeps_calls_in_flight, 0, ADMISSION_POLICY_COUNT);
+	tcase_add_test(tc, fewer_slots_and_sheds_hold_back_dispatch);
+	tcase_add_test(tc, growing_latency_lowers_the_limit);
+	tcase_add_test(tc, unused_floor_is_not_lent_to_calls_too_long);
+	tcase_add_test(tc, unused_floor_is_lent_to_short_calls);
+	tcase_add_test(tc, limit_caps_a_row_while_others_wait);
+	tcase_add_loop_test(
+	    tc, every_call_ends_once, 0, ADMISSION_POLICY_COUNT);
+	tcase_add_loop_test(tc, floors_are_kept_in_time_average, 0,
+	    sizeof(floor_cases) / sizeof(floor_cases[0]));
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/packages/policy/tests/test_sharing.c
@@ -0,0 +1,151 @@
+/*
+ * Order of waiting calls within a row and between rows, for every policy.
+ */
+#include <check.h>
+#include <stdlib.h>
+
+#include "sharing.h"
+
+#define MS NSEC_PER_MSEC
+#define HEAP_CALLS 300
+
+/* Guards against a heap that loses its order after removals from inside. */
+START_TEST(waiting_calls_leave_in_order)
+{
+	struct admission_call calls[HEAP_CALLS] = {0};
+	struct lane l = {.used = true, .by_deadline = _i % 2 == 0};
+	struct rng r;
+	int64_t last = -1;
+	size_t kept = 0;
+
+	seed_rng(&r, (uint64_t)_i);
+	for (size_t i = 0; i < HEAP_CALLS; i++) {
+		calls[i].deadline = (int64_t)draw_below(&r, 1000);
+		calls[i].seq = i;
+		ck_assert_int_eq(push_call(&l, &calls[i]), 0);
+	}
+	for (size_t i = 0; i < HEAP_CALLS; i += 3)
+		remove_call(&l, &calls[i]);
+	if (_i >= 4) { /* take more out of the array, as an expiry does */
+		for (size_t i = 0; i < l.waiting; i++) {
+			if (l.heap[i]->seq % 3 != 1)
+				l.heap[kept++] = l.heap[i];
+		}
+		l.waiting = kept;
+		rebuild_heap(&l);
+	}
+	while (l.waiting != 0) {
+		struct admission_call *c = get_first_call(&l);
+		int64_t key = l.by_deadline ? c->deadline : (int64_t)c->seq;
+
+		ck_assert_ptr_eq(l.heap[c->heap_index], c);
+		ck_assert_int_ge(key, last);
+		last = key;
+		remove_call(&l, c);
+	}
+	unload_lane(&l);
+}
+END_TEST
+
+/* Two rows with a waiting call each, and the row each policy must take. */
+struct choice_case {
+	enum admission_policy_id policy;
+	int rank[2];
+	int weight[2];
+	int in_flight[2];
+	double service_ms[2];
+	int64_t deadline[2];
+	double vtime[2];
+	int want;
+};
+
+static const struct choice_case choice_cases[] = {
+    /* policy, rank, weight, in flight, service, deadline, vtime, want */
+    {ADMISSION_FCFS, {9, 1}, {1, 9}, {5, 0}, {9, 1}, {9, 1}, {0, 0}, 0},
+    {ADMISSION_STRICT, {2, 1}, {9, 1}, {0, 5}, {1, 9}, {1, 9}, {0, 0}, 1},
+    {ADMISSION_STRICT, {2, 2}, {9, 1}, {0, 5}, {1, 9}, {9, 1}, {0, 0}, 1},
+    {ADMISSION_STRICT, {2, 2}, {1, 9}, {0, 5}, {1, 9}, {5, 5}, {0, 0}, 1},
+    {ADMISSION_FAIR, {1, 2}, {1, 9}, {0, 0}, {1, 1}, {1, 9}, {5, 2}, 1},
+    {ADMISSION_FLOORS, {2, 1}, {9, 1}, {0, 5}, {1, 9}, {1, 9}, {0, 0}, 1},
+    {ADMISSION_GAIN, {1, 9}, {100, 100}, {0, 0}, {10, 1}, {1, 9}, {0, 0}, 1},
+    {ADMISSION_GAIN, {9, 1}, {100, 100}, {4, 0}, {1, 1}, {1, 9}, {0, 0}, 1},
+    {ADMISSION_GAIN, {9, 1}, {10, 100}, {0, 0}, {1, 1}, {1, 9}, {0, 0}, 1},
+};
+
+/* Guards against a policy that decides by another column than its own. */
+START_TEST(policy_takes_its_own_order)
+{
+	const struct choice_case *cc = &choice_cases[_i];
+	struct admission_call calls[2] = {0};
+	struct lane lanes[2] = {0};
+	struct sharing_view v = {
+	    .lanes = lanes, .lane_count = 2, .limit = 20, .waiting = 2};
+
+	for (int i = 0; i < 2; i++) {
+		lanes[i] = (struct lane){.used = true,
+		    .rank = cc->rank[i],
+		    .weight = cc->weight[i],
+		    .limit_pct = 100,
+		    .target_ns = 1000 * MS,
+		    .in_flight = cc->in_flight[i],
+		    .service_ns = cc->service_ms[i] * 1e6,
+		    .served = 1,
+		    .vtime = cc->vtime[i]};
+		calls[i].deadline = cc->deadline[i];
+		calls[i].seq = (uint64_t)i;
+		v.in_flight += cc->in_flight[i];
+		ck_assert_int_eq(push_call(&lanes[i], &calls[i]), 0);
+	}
+	ck_assert_int_eq(
+	    get_sharing_policy(cc->policy)->choose_lane(&v), cc->want);
+	for (int i = 0; i < 2; i++)
+		unload_lane(&lanes[i]);
+}
+END_TEST
+
+/* Guards against weights without effect, and an idle row that saves up. */
+START_TEST(fair_shares_follow_weights)
+{
+	const struct sharing_policy *p = get_sharing_policy(ADMISSION_FAIR);
+	struct admission_call calls[2] = {0};
+	struct lane lanes[2] = {{.used = true, .weight = 30, .limit_pct = 100},
+	    {.used = true, .weight = 10, .limit_pct = 100}};
+	struct sharing_view v = {
+	    .lanes = lanes, .lane_count = 2, .limit = 20, .waiting = 2};
+	int got[2] = {0};
+
+	v.vtime = 1e9; /* both were idle while others ran */
+	lanes[1].vtime = 1e9;
+	for (int i = 0; i < 2; i++)
+		ck_assert_int_eq(push_call(&lanes[i], &calls[i]), 0);
+	for (int i = 0; i < 400; i++) {
+		int k = p->choose_lane(&v);
+
+		got[k]++;
+		p->charge_lane(&v, &lanes[k]);
+	}
+	ck_assert_int_ge(got[0], 298);
+	ck_assert_int_le(got[0], 302);
+	for (int i = 0; i < 2; i++)
+		unload_lane(&lanes[i]);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("sharing");
+	TCase *tc = tcase_create("all");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_add_loop_test(tc, waiting_calls_leave_in_order, 0, 8);
+	tcase_add_loop_test(tc, policy_takes_its_own_order, 0,
+	    sizeof(choice_cases) / sizeof(choice_cases[0]));
+	tcase_add_test(tc, fair_shares_follow_weights);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed == 0 ? 0 : 1;
+}
