--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= 6
 SOURCES = $(shell git ls-files 'packages/*.[ch]' 'apps/*.[ch]' 'bench/*.[ch]' 'examples/*.[ch]' | grep -v /gen/)
 
-.PHONY: all setup build test test-asan test-tsan fmt fmt-check lint run bench \
+.PHONY: scenarios all setup build test test-asan test-tsan fmt fmt-check lint run bench \
     bench-quick plots capacity clean
 
 all: build
@@ -38,6 +38,9 @@
 lint: setup
 	sh tools/lint.sh $(BUILD)
 
+scenarios: build
+	sh scenarios/run_all.sh
+
 run: build
 	sh tools/run.sh
 
--- /dev/null
+++ b/scenarios/run_all.sh
@@ -0,0 +1,19 @@
+#!/bin/sh
+# Runs the fault scenarios one after the other and counts the results.
+# usage: run_all.sh [NAME...]
+set -u
+cd "$(dirname "$0")/.." || exit 1
+GGS_COMMIT=$(git rev-parse --short HEAD 2>/dev/null || echo unknown)
+export GGS_COMMIT
+[ $# -gt 0 ] || set -- race catchup silence partition herd drain zone once
+passed=0 failed=0
+for name in "$@"; do
+	if build/bench/scenario "scenarios/$name.lua"; then
+		passed=$((passed + 1))
+	else
+		failed=$((failed + 1))
+		echo "FAILED: build/bench/scenario scenarios/$name.lua"
+	fi
+done
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
