--- a/packages/control/command.x
+++ b/packages/control/command.x
@@ -1,7 +1,7 @@
 /*
  * Commands of the replicated state machine, their results and the records of
  * its snapshots. rpcgen makes gen/command_xdr.h and gen/command_xdr.c from
- * this file; both are committed (make command).
+ * this file; both are committed (gen.sh makes them anew).
  */
 
 const COMMAND_NAME_MAX = 32;       /* bytes of a row's name or a cell */
@@ -110,6 +110,7 @@
 /* One accepted version. */
 struct stored_version {
 	unsigned hyper number;
+	unsigned hyper after;      /* version before; a relay may skip some */
 	unsigned hyper base;
 	hyper time_ns;
 	int type;                  /* command_type */
--- /dev/null
+++ b/packages/control/control.c
@@ -0,0 +1,391 @@
+/*
+ * Start and stop of a control process.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+#include <sodium.h>
+
+#include "api.h"
+#include "service.h"
+
+#define SERVER_WORKERS 4
+#define SERVER_CONNECTIONS 4096 /* all nodes of a region at design size */
+
+static int copy_texts(
+    struct control *c, const struct control_config *cfg, struct fault *f);
+static const char *keep_text(struct control *c, const char *text);
+static int check_config(const struct control_config *cfg, struct fault *f);
+static void register_metrics(struct control_metrics *m);
+static int init_locks(struct control *c);
+static int start_parts(struct control *c, struct fault *f);
+static int start_client(struct control *c, struct fault *f);
+static int start_server(struct control *c, struct fault *f);
+static void handle_request(
+    void *arg, const struct rpc_request *q, struct rpc_reply *reply);
+static void handle_close(void *arg, uint64_t conn);
+static void free_control(struct control *c);
+
+int
+start_control(
+    const struct control_config *cfg, struct control **out, struct fault *f)
+{
+	struct control *c;
+	int rc = check_config(cfg, f);
+
+	if (rc != 0)
+		return rc;
+	if (sodium_init() < 0)
+		return set_fault(f, ERR_IO,
+		    "the system gives no random numbers; check /dev/urandom");
+	c = calloc(1, sizeof(*c));
+	if (c == NULL)
+		return set_fault(f, ERR_MEMORY, "out of memory");
+	if (init_locks(c) != 0) {
+		free(c);
+		return set_fault(f, ERR_MEMORY, "out of memory");
+	}
+	rc = copy_texts(c, cfg, f);
+	if (rc == 0)
+		rc = start_parts(c, f);
+	if (rc != 0) {
+		stop_control(c);
+		return rc;
+	}
+	record_event(c->cfg.events, "start", c->cfg.zone, 0,
+	    "control process %llu, %s", (unsigned long long)c->id,
+	    is_relay(c) ? "relay" : "voter");
+	*out = c;
+	return 0;
+}
+
+/*
+ * Ends what waits first, then the replica and the client, which fail their
+ * pending calls, then the listeners, whose handlers have returned by then.
+ */
+void
+stop_control(struct control *c)
+{
+	if (c == NULL)
+		return;
+	pthread_mutex_lock(&c->lock);
+	c->stopping = true;
+	pthread_cond_broadcast(&c->wake);
+	pthread_mutex_unlock(&c->lock);
+	if (c->thread_started)
+		pthread_join(c->thread, NULL);
+	stop_replication(c);
+	if (c->client != NULL)
+		close_rpc_client(c->client);
+	run_submissions(c, read_mono(&c->cfg.clock));
+	stop_http(c);
+	if (c->server != NULL)
+		stop_rpc_server(c->server);
+	free_control(c);
+}
+
+uint64_t
+get_control_version(struct control *c)
+{
+	uint64_t v;
+
+	pthread_mutex_lock(&c->lock);
+	v = c->state->table->version;
+	pthread_mutex_unlock(&c->lock);
+	return v;
+}
+
+bool
+is_control_leader(struct control *c)
+{
+	struct replica_status st;
+
+	return get_replication(c, &st) && st.role == RAFT_LEADER;
+}
+
+int
+render_control_status(struct control *c, struct buf *out)
+{
+	json_t *o = make_status_json(c);
+	char *text = o != NULL ? json_dumps(o, JSON_COMPACT) : NULL;
+	int rc =
+	    text != NULL ? append_buf_str(out, make_str(text)) : ERR_MEMORY;
+
+	free(text);
+	json_decref(o);
+	return rc;
+}
+
+/*
+ * A voter is stale without contact to a quorum, a relay without a good reply
+ * of its voter.
+ */
+bool
+is_control_stale(struct control *c)
+{
+	struct replica_status st;
+
+	if (is_relay(c))
+		return c->upstream.contact_ns < 0 ||
+		       read_mono(&c->cfg.clock) - c->upstream.contact_ns >
+			   WATCH_STALE_NS;
+	return !get_replication(c, &st) || st.failed || st.contact_ns < 0 ||
+	       st.contact_ns > WATCH_STALE_NS;
+}
+
+bool
+is_relay(const struct control *c)
+{
+	return c->cfg.data_dir == NULL;
+}
+
+struct wire_hlc
+stamp_message(struct control *c)
+{
+	struct hlc h = stamp_hlc(c->cfg.events);
+
+	return (struct wire_hlc){h.wall_ns, h.count};
+}
+
+void
+merge_message(struct control *c, const struct wire_hlc *h)
+{
+	merge_hlc(c->cfg.events, (struct hlc){h->wall_ns, h->count});
+}
+
+static int
+check_config(const struct control_config *cfg, struct fault *f)
+{
+	if (cfg->id == 0)
+		return set_fault(f, ERR_INVALID,
+		    "a control process needs an id of 1 or more");
+	if (cfg->rpc_listen == NULL || cfg->http_listen == NULL)
+		return set_fault(f, ERR_INVALID,
+		    "a control process needs an address for rpc and one for "
+		    "HTTP");
+	if (cfg->data_dir == NULL && cfg->peer_count == 0)
+		return set_fault(f, ERR_INVALID,
+		    "a relay needs the voters as peers; a voter needs a data "
+		    "folder");
+	if ((cfg->tls_cert_file == NULL) != (cfg->tls_key_file == NULL))
+		return set_fault(f, ERR_INVALID,
+		    "a certificate and its key go together; set both files");
+	return 0;
+}
+
+static int
+copy_texts(struct control *c, const struct control_config *cfg, struct fault *f)
+{
+	c->cfg = *cfg;
+	c->id = cfg->id;
+	c->cfg.zone = keep_text(c, cfg->zone != NULL ? cfg->zone : "");
+	c->cfg.rpc_listen = keep_text(c, cfg->rpc_listen);
+	c->cfg.http_listen = keep_text(c, cfg->http_listen);
+	c->cfg.data_dir = keep_text(c, cfg->data_dir);
+	c->cfg.token_file = keep_text(c, cfg->token_file);
+	c->cfg.tls_cert_file = keep_text(c, cfg->tls_cert_file);
+	c->cfg.tls_key_file = keep_text(c, cfg->tls_key_file);
+	for (size_t i = 0; i < cfg->peer_count; i++)
+		c->cfg.peers[i] = strdup(cfg->peers[i]);
+	for (size_t i = 0; i < cfg->relay_count; i++)
+		c->cfg.relays[i] = strdup(cfg->relays[i]);
+	for (size_t i = 0; i < c->text_count; i++) {
+		if (c->texts[i] == NULL)
+			return set_fault(f, ERR_MEMORY, "out of memory");
+	}
+	for (size_t i = 0; i < cfg->peer_count; i++) {
+		if (c->cfg.peers[i] == NULL)
+			return set_fault(f, ERR_MEMORY, "out of memory");
+	}
+	seed_rng(&c->rng, cfg->seed + cfg->id);
+	c->upstream.contact_ns = -1;
+	return 0;
+}
+
+/*
+ * Copies a text that lives as long as the process; NULL and "" stay unset.
+ */
+static const char *
+keep_text(struct control *c, const char *text)
+{
+	if (text == NULL)
+		return NULL;
+	c->texts[c->text_count] = strdup(text);
+	return c->texts[c->text_count++];
+}
+
+static int
+init_locks(struct control *c)
+{
+	pthread_condattr_t attr;
+
+	if (pthread_mutex_init(&c->lock, NULL) != 0 ||
+	    pthread_mutex_init(&c->peers_lock, NULL) != 0 ||
+	    pthread_rwlock_init(&c->replica_guard, NULL) != 0 ||
+	    pthread_condattr_init(&attr) != 0)
+		return ERR_MEMORY;
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	if (pthread_cond_init(&c->wake, &attr) != 0)
+		return ERR_MEMORY;
+	pthread_condattr_destroy(&attr);
+	return 0;
+}
+
+static int
+start_parts(struct control *c, struct fault *f)
+{
+	int64_t wall = read_wall(&c->cfg.clock);
+	int rc = open_state(CLAIMS_MAX, &c->state);
+
+	if (rc == 0)
+		rc = open_registry(c->id, (uint64_t)wall, &c->registry);
+	if (rc != 0)
+		return set_fault(f, rc, "out of memory");
+	open_bucket(&c->bucket, c->cfg.snapshot_rate, read_mono(&c->cfg.clock));
+	register_metrics(&c->metrics);
+	if (c->cfg.token_file != NULL)
+		rc = load_tokens(c->cfg.token_file, &c->tokens, f);
+	if (rc == 0)
+		rc = start_client(c, f);
+	if (rc == 0)
+		rc = open_peers(c, f);
+	if (rc == 0 && !is_relay(c))
+		rc = start_replication(c, f);
+	if (rc == 0)
+		rc = start_server(c, f);
+	if (rc == 0)
+		rc = start_http(c, f);
+	if (rc == 0 && pthread_create(&c->thread, NULL, run_service, c) != 0)
+		rc = set_fault(f, ERR_LIMIT,
+		    "cannot start a thread; raise the limit of processes");
+	c->thread_started = rc == 0;
+	return rc;
+}
+
+static int
+start_client(struct control *c, struct fault *f)
+{
+	struct rpc_client_config r = {
+	    .clock = c->cfg.clock,
+	    .key = c->cfg.key,
+	    .procs = get_ggs_procs(),
+	    .hooks = c->cfg.hooks,
+	};
+
+	return open_rpc_client(&r, &c->client, f);
+}
+
+static int
+start_server(struct control *c, struct fault *f)
+{
+	struct rpc_server_config r = {
+	    .clock = c->cfg.clock,
+	    .address = c->cfg.rpc_listen,
+	    .key = c->cfg.key,
+	    .next_key = c->cfg.next_key,
+	    .procs = get_ggs_procs(),
+	    .handler = handle_request,
+	    .on_close = handle_close,
+	    .arg = c,
+	    .workers = SERVER_WORKERS,
+	    .max_connections = SERVER_CONNECTIONS,
+	    .hooks = c->cfg.hooks,
+	};
+
+	return start_rpc_server(&r, &c->server, f);
+}
+
+static void
+handle_request(void *arg, const struct rpc_request *q, struct rpc_reply *reply)
+{
+	struct control *c = arg;
+
+	switch (q->proc) {
+	case GGS_RAFT_STEP:
+		handle_raft_step(c, q, reply);
+		break;
+	case GGS_READ_INDEX:
+		handle_read_index(c, reply);
+		break;
+	case GGS_PROPOSE:
+		handle_propose(c, q, reply);
+		break;
+	case GGS_ENDPOINT_SYNC:
+		handle_sync(c, q, reply);
+		break;
+	case GGS_WATCH:
+	case GGS_PULL:
+		handle_watch(c, q, reply, q->proc == GGS_PULL);
+		break;
+	case GGS_CLAIM:
+		handle_claim(c, q, reply);
+		break;
+	default:
+		complete_rpc(reply, ERR_NOT_FOUND, make_str(""));
+	}
+}
+
+static void
+handle_close(void *arg, uint64_t conn)
+{
+	drop_connection(arg, conn);
+}
+
+static void
+register_metrics(struct control_metrics *m)
+{
+	static const struct {
+		size_t at;
+		enum metric_kind kind;
+		const char *name;
+		const char *help;
+	} all[] = {
+#define ENTRY(field, kind, help) \
+	{offsetof(struct control_metrics, field), kind, "control_" #field, help}
+	    ENTRY(version, METRIC_GAUGE, "Table version held"),
+	    ENTRY(watches, METRIC_COUNTER, "WATCH and PULL calls"),
+	    ENTRY(held, METRIC_GAUGE, "Watches that wait for news"),
+	    ENTRY(stale, METRIC_COUNTER, "Watches answered as stale"),
+	    ENTRY(limited, METRIC_COUNTER, "Whole tables put off"),
+	    ENTRY(whole, METRIC_COUNTER, "Whole tables sent"),
+	    ENTRY(delta, METRIC_COUNTER, "Deltas sent"),
+	    ENTRY(encoded, METRIC_GAUGE, "Replies encoded"),
+	    ENTRY(refused, METRIC_COUNTER, "Versions refused by nodes"),
+	    ENTRY(digest_mismatch, METRIC_COUNTER, "Nodes with another table"),
+	    ENTRY(commands, METRIC_COUNTER, "Commands submitted"),
+	    ENTRY(retries, METRIC_COUNTER, "Commands sent again"),
+	    ENTRY(claims, METRIC_COUNTER, "CLAIM calls"),
+	    ENTRY(endpoints, METRIC_GAUGE, "Endpoints listed"),
+	    ENTRY(resends, METRIC_COUNTER, "Digests that differed"),
+#undef ENTRY
+	};
+
+	for (size_t i = 0; i < sizeof(all) / sizeof(all[0]); i++) {
+		metric_id *id = (metric_id *)((char *)m + all[i].at);
+
+		*id = register_metric(all[i].kind, all[i].name, all[i].help);
+	}
+}
+
+static void
+free_control(struct control *c)
+{
+	unload_tokens(c->tokens);
+	clear_cache(&c->cache);
+	clear_nodes(&c->nodes);
+	close_registry(c->registry);
+	close_state(c->state);
+	for (size_t i = 0; i < c->text_count; i++)
+		free(c->texts[i]);
+	for (size_t i = 0; i < c->cfg.peer_count; i++)
+		free((char *)(uintptr_t)c->cfg.peers[i]);
+	for (size_t i = 0; i < c->cfg.relay_count; i++)
+		free((char *)(uintptr_t)c->cfg.relays[i]);
+	pthread_mutex_destroy(&c->lock);
+	pthread_mutex_destroy(&c->peers_lock);
+	pthread_rwlock_destroy(&c->replica_guard);
+	pthread_cond_destroy(&c->wake);
+	free(c);
+}
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -11,11 +11,14 @@
 #define CONTROL_PEER_MAX 17 /* control processes of one fleet */
 
 struct control;
+struct rpc_fault_hooks;
 
 /* Strings are copied; a NULL or empty one means not set. */
 struct control_config {
 	uint64_t id; /* this process; 1 or higher, never used again */
-	const char *peers[CONTROL_PEER_MAX]; /* "id=IP:port" of the voters */
+	/* "id=IP:port" of the founding voters, this one included; a voter
+	 * that is not among them joins when it is added as a member. */
+	const char *peers[CONTROL_PEER_MAX];
 	size_t peer_count;
 	const char *relays[CONTROL_PEER_MAX]; /* "id=IP:port" of the relays */
 	size_t relay_count;
@@ -31,7 +34,8 @@
 	struct clock_source clock;
 	struct event_log *events; /* may be NULL */
 	uint64_t seed; /* of jitter and election timeouts */
-	uint32_t snapshot_rate; /* whole tables a second; 0: default */
+	const struct rpc_fault_hooks *hooks; /* of the transport; tests only */
+	uint32_t snapshot_rate; /* tables of 16 KB a second; 0: 1000 */
 };
 
 int start_control(const struct control_config *cfg, struct control **out,
--- a/packages/control/gen/command_xdr.c
+++ b/packages/control/gen/command_xdr.c
@@ -262,6 +262,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->number))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->after))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->base))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->time_ns))
--- a/packages/control/gen/command_xdr.h
+++ b/packages/control/gen/command_xdr.h
@@ -138,6 +138,7 @@
 
 struct stored_version {
 	u_quad_t number;
+	u_quad_t after;
 	u_quad_t base;
 	quad_t time_ns;
 	int type;
--- a/packages/control/history.c
+++ b/packages/control/history.c
@@ -16,8 +16,9 @@
 static void drop_oldest(struct history *h);
 static size_t measure_version(const struct stored_version *v);
 static bool has_cell(struct str cells, struct str row, int column);
-static int collect_undo(const struct history *h, uint64_t newest,
-    uint64_t number, struct cell_list *out, struct fault *f);
+static int collect_undo(const struct history *h, size_t first, size_t end,
+    struct cell_list *out, struct fault *f);
+static size_t find_first_above(const struct history *h, uint64_t number);
 
 /*
  * Makes the record of the change between two tables. The record is freed with
@@ -33,6 +34,7 @@
 	if (v == NULL)
 		return ERR_MEMORY;
 	v->number = to->version;
+	v->after = from->version;
 	v->author = strdup("");
 	rc = v->author != NULL ? render_cells(from, to, v) : ERR_MEMORY;
 	if (rc == 0)
@@ -87,25 +89,27 @@
 const struct stored_version *
 find_version(const struct history *h, uint64_t number)
 {
-	uint64_t oldest;
+	size_t i = find_first_above(h, number);
 
-	if (h->count == 0)
-		return NULL;
-	oldest = get_version(h, 0)->number;
-	return number >= oldest ? get_version(h, number - oldest) : NULL;
+	return i > 0 && get_version(h, i - 1)->number == number ?
+		   get_version(h, i - 1) :
+		   NULL;
 }
 
 /*
- * Says whether the table of the version can be rebuilt: the versions kept
- * reach from the one after it to the current one.
+ * Says whether the table of the version can be rebuilt: it is the one in force
+ * or the one before a version that is kept.
  */
 bool
 covers_version(
     const struct history *h, const struct table *current, uint64_t number)
 {
+	const struct stored_version *v;
+
 	if (number >= current->version)
 		return number == current->version;
-	return find_version(h, number + 1) != NULL;
+	v = get_version(h, find_first_above(h, number));
+	return v != NULL && v->after == number;
 }
 
 /*
@@ -118,25 +122,25 @@
 {
 	struct cell_list undo = {0};
 	struct table *whole = NULL;
-	uint64_t newest = current->version;
+	size_t first = find_first_above(h, number), end = h->count;
 	int rc = 0;
 
 	if (!covers_version(h, current, number))
 		return set_fault(f, ERR_NOT_FOUND,
 		    "version %llu is not kept; read the current table instead",
 		    (unsigned long long)number);
-	for (uint64_t n = number + 1; n <= newest; n++) {
-		const struct stored_version *v = find_version(h, n);
+	for (size_t i = first; i < end; i++) {
+		const struct stored_version *v = get_version(h, i);
 
 		if (!v->undo_whole)
 			continue;
-		newest = n - 1;
+		end = i;
 		rc = load_table_csv(
-		    make_str_n(v->undo.undo_val, v->undo.undo_len), newest,
+		    make_str_n(v->undo.undo_val, v->undo.undo_len), v->after,
 		    &whole, f);
 	}
 	if (rc == 0)
-		rc = collect_undo(h, newest, number, &undo, f);
+		rc = collect_undo(h, first, end, &undo, f);
 	if (rc == 0)
 		rc = apply_cells(
 		    whole != NULL ? whole : current, &undo, number, out, f);
@@ -272,25 +276,45 @@
 }
 
 /*
- * Appends the undo cells of the versions newest down to number + 1, in the
- * order in which they apply.
+ * Appends the undo cells of the versions at positions end - 1 down to first,
+ * in the order in which they apply.
  */
 static int
-collect_undo(const struct history *h, uint64_t newest, uint64_t number,
+collect_undo(const struct history *h, size_t first, size_t end,
     struct cell_list *out, struct fault *f)
 {
 	int rc = 0;
 
-	for (uint64_t n = newest; n > number && rc == 0; n--) {
-		const struct stored_version *v = find_version(h, n);
+	for (size_t i = end; i > first && rc == 0; i--) {
+		const struct stored_version *v = get_version(h, i - 1);
 		struct cell_list l = {0};
 
 		rc = decode_cells(
 		    make_str_n(v->undo.undo_val, v->undo.undo_len), &l, f);
-		for (size_t i = 0; i < l.count && rc == 0; i++)
-			rc = append_cell(out, make_str(l.cells[i].row),
-			    l.cells[i].column, make_str(l.cells[i].value));
+		for (size_t k = 0; k < l.count && rc == 0; k++)
+			rc = append_cell(out, make_str(l.cells[k].row),
+			    l.cells[k].column, make_str(l.cells[k].value));
 		unload_cells(&l);
 	}
 	return rc;
 }
+
+/*
+ * Returns the position of the oldest version above number; the count when
+ * there is none.
+ */
+static size_t
+find_first_above(const struct history *h, uint64_t number)
+{
+	size_t lo = 0, hi = h->count;
+
+	while (lo < hi) {
+		size_t mid = lo + (hi - lo) / 2;
+
+		if (get_version(h, mid)->number > number)
+			hi = mid;
+		else
+			lo = mid + 1;
+	}
+	return lo;
+}
--- /dev/null
+++ b/packages/control/http.c
@@ -0,0 +1,334 @@
+/*
+ * Transport of the operators' API: libmicrohttpd with a thread a connection.
+ * Operators are few, and a change waits for the quorum, so threads that block
+ * cost less than suspended connections.
+ */
+#include <netdb.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+
+#include <microhttpd.h>
+
+#include "api.h"
+
+#define HTTP_CONNECTIONS 64
+#define HTTP_HEADER_BYTES (32 * 1024)
+#define HTTP_IDLE_S 15
+#define HTTP_REQUEST_NS (30 * NSEC_PER_SEC) /* from first byte to last */
+#define PEM_BYTES (64 * 1024)
+
+/* A request while its body arrives. */
+struct http_request {
+	struct buf body;
+	int64_t started_ns;
+	bool too_large;
+};
+
+/* Files that libmicrohttpd reads while it starts. */
+struct tls_files {
+	struct buf cert;
+	struct buf key;
+};
+
+static int resolve_listen(
+    const char *text, struct sockaddr_storage *out, struct fault *f);
+static bool is_loopback(const struct sockaddr *sa);
+static int load_tls(
+    const struct control *c, struct tls_files *t, struct fault *f);
+static int load_pem(
+    const char *path, bool secret, struct buf *out, struct fault *f);
+static struct MHD_Daemon *start_daemon(
+    struct control *c, const struct sockaddr *sa, struct tls_files *t);
+static enum MHD_Result handle_http(void *arg, struct MHD_Connection *conn,
+    const char *url, const char *method, const char *version, const char *data,
+    size_t *size, void **state);
+static enum MHD_Result take_body(
+    struct control *c, struct http_request *r, const char *data, size_t *size);
+static enum MHD_Result serve_request(struct control *c,
+    struct MHD_Connection *conn, const char *url, const char *method,
+    struct http_request *r);
+static const char *find_author(struct control *c, struct MHD_Connection *conn);
+static const char *get_argument(void *arg, const char *name);
+static enum MHD_Result send_answer(
+    struct MHD_Connection *conn, struct api_answer *a);
+static void finish_request(void *arg, struct MHD_Connection *conn, void **state,
+    enum MHD_RequestTerminationCode code);
+
+/*
+ * Starts the listener. Without a token file anybody who reaches it is an
+ * operator, so only loopback addresses are accepted then.
+ */
+int
+start_http(struct control *c, struct fault *f)
+{
+	struct sockaddr_storage sa = {0};
+	struct tls_files t = {0};
+	int rc = resolve_listen(c->cfg.http_listen, &sa, f);
+
+	if (rc == 0 && c->tokens == NULL &&
+	    !is_loopback((const struct sockaddr *)&sa))
+		rc = set_fault(f, ERR_DENIED,
+		    "%s is not a loopback address; give a token file, or "
+		    "listen on 127.0.0.1",
+		    c->cfg.http_listen);
+	if (rc == 0)
+		rc = load_tls(c, &t, f);
+	if (rc == 0) {
+		c->http = start_daemon(c, (const struct sockaddr *)&sa, &t);
+		if (c->http == NULL)
+			rc = set_fault(f, ERR_IO,
+			    "cannot listen on %s; check that the address is "
+			    "free and the certificate fits its key",
+			    c->cfg.http_listen);
+	}
+	if (t.key.data != NULL)
+		memset(t.key.data, 0, t.key.len);
+	unload_buf(&t.cert);
+	unload_buf(&t.key);
+	return rc;
+}
+
+void
+stop_http(struct control *c)
+{
+	if (c->http != NULL)
+		MHD_stop_daemon(c->http);
+	c->http = NULL;
+}
+
+static int
+resolve_listen(const char *text, struct sockaddr_storage *out, struct fault *f)
+{
+	const char *colon = strrchr(text, ':');
+	char host[RPC_ADDRESS_BYTES];
+	struct str name = make_str_n(
+	    text, colon != NULL ? (size_t)(colon - text) : strlen(text));
+	struct addrinfo hints = {
+	    .ai_flags = AI_NUMERICHOST | AI_NUMERICSERV | AI_PASSIVE,
+	    .ai_socktype = SOCK_STREAM};
+	struct addrinfo *found = NULL;
+
+	if (name.len > 2 && name.data[0] == '[' &&
+	    name.data[name.len - 1] == ']')
+		name = make_str_n(name.data + 1, name.len - 2);
+	if (colon == NULL || copy_str(host, sizeof(host), name) != 0 ||
+	    getaddrinfo(host, colon + 1, &hints, &found) != 0)
+		return set_fault(f, ERR_INVALID,
+		    "'%s' is no address; write IP:port or [IPv6]:port", text);
+	memcpy(out, found->ai_addr, found->ai_addrlen);
+	freeaddrinfo(found);
+	return 0;
+}
+
+static bool
+is_loopback(const struct sockaddr *sa)
+{
+	if (sa->sa_family == AF_INET) {
+		const struct sockaddr_in *v4 = (const struct sockaddr_in *)sa;
+
+		return (ntohl(v4->sin_addr.s_addr) >> 24) == 127;
+	}
+	return sa->sa_family == AF_INET6 &&
+	       IN6_IS_ADDR_LOOPBACK(
+		   &((const struct sockaddr_in6 *)sa)->sin6_addr);
+}
+
+static int
+load_tls(const struct control *c, struct tls_files *t, struct fault *f)
+{
+	int rc;
+
+	if (c->cfg.tls_cert_file == NULL)
+		return 0;
+	if (MHD_is_feature_supported(MHD_FEATURE_TLS) != MHD_YES)
+		return set_fault(f, ERR_INVALID,
+		    "this libmicrohttpd has no TLS; install one with GnuTLS");
+	rc = load_pem(c->cfg.tls_cert_file, false, &t->cert, f);
+	if (rc == 0)
+		rc = load_pem(c->cfg.tls_key_file, true, &t->key, f);
+	return rc;
+}
+
+static int
+load_pem(const char *path, bool secret, struct buf *out, struct fault *f)
+{
+	char chunk[4096];
+	struct stat st;
+	FILE *in = fopen(path, "re");
+	size_t n;
+	int rc = 0;
+
+	if (in == NULL || fstat(fileno(in), &st) != 0)
+		rc = set_fault(
+		    f, ERR_IO, "cannot read %s; check its path and mode", path);
+	else if (secret && (st.st_mode & 077) != 0)
+		rc = set_fault(f, ERR_DENIED,
+		    "the key file %s has mode %03o; run chmod 600 on it", path,
+		    (unsigned int)st.st_mode & 0777);
+	while (rc == 0 && (n = fread(chunk, 1, sizeof(chunk), in)) > 0) {
+		rc = out->len + n <= PEM_BYTES ? append_buf(out, chunk, n) :
+						 ERR_LIMIT;
+		if (rc != 0)
+			(void)set_fault(
+			    f, rc, "%s exceeds 64 KiB; give a PEM file", path);
+	}
+	if (in != NULL)
+		fclose(in);
+	return rc;
+}
+
+static struct MHD_Daemon *
+start_daemon(struct control *c, const struct sockaddr *sa, struct tls_files *t)
+{
+	unsigned int flags = MHD_USE_INTERNAL_POLLING_THREAD |
+			     MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL;
+	struct MHD_OptionItem tls[] = {
+	    {MHD_OPTION_HTTPS_MEM_CERT, 0, t->cert.data},
+	    {MHD_OPTION_HTTPS_MEM_KEY, 0, t->key.data},
+	    {MHD_OPTION_END, 0, NULL},
+	};
+
+	if (sa->sa_family == AF_INET6)
+		flags |= MHD_USE_IPv6;
+	if (t->cert.len > 0)
+		flags |= MHD_USE_TLS;
+	return MHD_start_daemon(flags, 0, NULL, NULL, handle_http, c,
+	    MHD_OPTION_SOCK_ADDR, sa, MHD_OPTION_CONNECTION_LIMIT,
+	    (unsigned int)HTTP_CONNECTIONS, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+	    (size_t)HTTP_HEADER_BYTES, MHD_OPTION_CONNECTION_TIMEOUT,
+	    (unsigned int)HTTP_IDLE_S, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+	    MHD_OPTION_NOTIFY_COMPLETED, finish_request, NULL, MHD_OPTION_ARRAY,
+	    t->cert.len > 0 ? tls : tls + 2, MHD_OPTION_END);
+}
+
+static enum MHD_Result
+handle_http(void *arg, struct MHD_Connection *conn, const char *url,
+    const char *method, const char *version, const char *data, size_t *size,
+    void **state)
+{
+	struct control *c = arg;
+	struct http_request *r = *state;
+
+	(void)version;
+	if (r == NULL) {
+		r = calloc(1, sizeof(*r));
+		if (r == NULL)
+			return MHD_NO;
+		r->started_ns = read_mono(&c->cfg.clock);
+		*state = r;
+		return MHD_YES;
+	}
+	if (*size > 0)
+		return take_body(c, r, data, size);
+	return serve_request(c, conn, url, method, r);
+}
+
+/*
+ * Collects the body. A body that is too large is read to its end, so that the
+ * client gets the answer, but not kept; one that takes too long ends the
+ * connection.
+ */
+static enum MHD_Result
+take_body(
+    struct control *c, struct http_request *r, const char *data, size_t *size)
+{
+	if (read_mono(&c->cfg.clock) - r->started_ns > HTTP_REQUEST_NS)
+		return MHD_NO;
+	if (r->body.len + *size > API_BODY_MAX)
+		r->too_large = true;
+	if (!r->too_large && append_buf(&r->body, data, *size) != 0)
+		return MHD_NO;
+	*size = 0;
+	return MHD_YES;
+}
+
+static enum MHD_Result
+serve_request(struct control *c, struct MHD_Connection *conn, const char *url,
+    const char *method, struct http_request *r)
+{
+	struct api_answer a = {0};
+	struct api_request q = {
+	    .method = method,
+	    .path = url,
+	    .author = find_author(c, conn),
+	    .body = view_buf(&r->body),
+	    .get_argument = get_argument,
+	    .arg = conn,
+	};
+
+	if (q.author == NULL)
+		answer_error(&a, 401, "denied",
+		    "send Authorization: Bearer with a token of the token file",
+		    false);
+	else if (r->too_large)
+		answer_error(&a, 413, "limit", "the body exceeds 1 MiB", false);
+	else
+		run_api(c, &q, &a);
+	return send_answer(conn, &a);
+}
+
+/*
+ * Returns the operator's name; NULL when the token is missing or wrong.
+ */
+static const char *
+find_author(struct control *c, struct MHD_Connection *conn)
+{
+	static const char scheme[] = "Bearer ";
+	const char *value;
+
+	if (c->tokens == NULL)
+		return "loopback";
+	value = MHD_lookup_connection_value(
+	    conn, MHD_HEADER_KIND, MHD_HTTP_HEADER_AUTHORIZATION);
+	if (value == NULL ||
+	    strncasecmp(value, scheme, sizeof(scheme) - 1) != 0)
+		return NULL;
+	return find_operator(c->tokens, make_str(value + sizeof(scheme) - 1));
+}
+
+static const char *
+get_argument(void *arg, const char *name)
+{
+	return MHD_lookup_connection_value(arg, MHD_GET_ARGUMENT_KIND, name);
+}
+
+static enum MHD_Result
+send_answer(struct MHD_Connection *conn, struct api_answer *a)
+{
+	struct MHD_Response *r = MHD_create_response_from_buffer(
+	    a->body.len, a->body.data, MHD_RESPMEM_MUST_COPY);
+	enum MHD_Result rc = MHD_NO;
+
+	if (r != NULL) {
+		(void)MHD_add_response_header(
+		    r, MHD_HTTP_HEADER_CONTENT_TYPE, a->type);
+		if (a->status == 401)
+			(void)MHD_add_response_header(
+			    r, MHD_HTTP_HEADER_WWW_AUTHENTICATE, "Bearer");
+		if (a->status == 503)
+			(void)MHD_add_response_header(
+			    r, MHD_HTTP_HEADER_RETRY_AFTER, "1");
+		rc = MHD_queue_response(conn, (unsigned int)a->status, r);
+		MHD_destroy_response(r);
+	}
+	unload_buf(&a->body);
+	return rc;
+}
+
+static void
+finish_request(void *arg, struct MHD_Connection *conn, void **state,
+    enum MHD_RequestTerminationCode code)
+{
+	struct http_request *r = *state;
+
+	(void)arg;
+	(void)conn;
+	(void)code;
+	if (r == NULL)
+		return;
+	unload_buf(&r->body);
+	free(r);
+	*state = NULL;
+}
--- a/packages/control/nodes.c
+++ b/packages/control/nodes.c
@@ -31,6 +31,10 @@
 	snprintf(n->zone, sizeof(n->zone), "%s", a->zone);
 	snprintf(n->refused_reason, sizeof(n->refused_reason), "%s",
 	    a->refused_reason);
+	for (char *p = n->refused_reason; *p != '\0'; p++) {
+		if (*p < ' ' || *p > '~')
+			*p = '?'; /* it is printed in JSON and logs */
+	}
 	n->refused_version = a->refused_version;
 	n->switch_ms = a->switch_ms;
 	n->heard_ns = mono_ns;
--- /dev/null
+++ b/packages/control/peers.c
@@ -0,0 +1,220 @@
+/*
+ * The other control processes, and the synchronization of endpoint records
+ * with them.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "service.h"
+
+static int parse_peer(
+    const char *text, uint64_t *id, const char **address, struct fault *f);
+static void send_sync(
+    struct control *c, struct peer *only, struct wire_sync_args *a);
+static void finish_sync(void *arg, const struct rpc_result *r);
+static void send_parts(struct control *c, struct peer *p);
+
+/*
+ * Opens a peer for every voter of the settings but this process.
+ */
+int
+open_peers(struct control *c, struct fault *f)
+{
+	for (size_t i = 0; i < c->cfg.peer_count; i++) {
+		const char *address = "";
+		uint64_t id = 0;
+		int rc = parse_peer(c->cfg.peers[i], &id, &address, f);
+
+		if (rc != 0)
+			return rc;
+		if (id == c->id)
+			continue;
+		if (find_peer(c, id) != NULL)
+			return set_fault(f, ERR_INVALID,
+			    "control process %llu is listed twice; give every "
+			    "process an id of its own",
+			    (unsigned long long)id);
+		update_peer(c, id, address);
+		if (find_peer(c, id) == NULL)
+			return set_fault(f, ERR_INVALID,
+			    "'%s' is no peer; write id=IP:port",
+			    c->cfg.peers[i]);
+	}
+	return 0;
+}
+
+/*
+ * Adds a peer or changes its address. Peers stay until the process ends: a
+ * member that was removed only costs failed connections.
+ */
+void
+update_peer(struct control *c, uint64_t id, const char *address)
+{
+	struct peer *p = find_peer(c, id);
+	struct rpc_peer *rpc = NULL;
+	struct fault f;
+
+	if (p != NULL && strcmp(p->address, address) == 0)
+		return;
+	if (open_rpc_peer(c->client, address, &rpc, &f) != 0) {
+		write_log(LOG_LEVEL_WARNING, "control process %llu: %s",
+		    (unsigned long long)id, f.text);
+		return;
+	}
+	pthread_mutex_lock(&c->peers_lock);
+	if (p == NULL && c->peer_count < CONTROL_PEER_MAX) {
+		p = &c->peers[c->peer_count];
+		*p = (struct peer){.id = id, .voter = true, .control = c};
+		c->peer_count++;
+	}
+	if (p != NULL) {
+		p->rpc = rpc;
+		(void)copy_str(
+		    p->address, sizeof(p->address), make_str(address));
+	}
+	pthread_mutex_unlock(&c->peers_lock);
+}
+
+struct peer *
+find_peer(struct control *c, uint64_t id)
+{
+	struct peer *p = NULL;
+
+	pthread_mutex_lock(&c->peers_lock);
+	for (size_t i = 0; i < c->peer_count && p == NULL; i++) {
+		if (c->peers[i].id == id)
+			p = &c->peers[i];
+	}
+	pthread_mutex_unlock(&c->peers_lock);
+	return p;
+}
+
+/*
+ * Sends the changes since the last tick, digests when they are due, and all
+ * owned records to the peers whose digest differed.
+ */
+void
+sync_peers(struct control *c, int64_t now)
+{
+	struct wire_sync_args a;
+	bool digest = now - c->digest_ns >= SERVICE_DIGEST_NS;
+
+	while (take_sync(c->registry, &a)) {
+		send_sync(c, NULL, &a);
+		unload_sync(&a);
+	}
+	for (size_t i = 0; i < c->peer_count; i++) {
+		if (c->peers[i].resend)
+			send_parts(c, &c->peers[i]);
+	}
+	if (!digest)
+		return;
+	c->digest_ns = now;
+	give_sync_digest(c->registry, &a);
+	send_sync(c, NULL, &a);
+}
+
+void
+handle_sync(
+    struct control *c, const struct rpc_request *q, struct rpc_reply *reply)
+{
+	struct wire_sync_args a = {0};
+	struct wire_sync_reply r = {.status = WIRE_OK};
+	struct buf b = {0};
+	bool resend = false;
+	int rc = decode_wire((xdrproc_t)xdr_wire_sync_args, q->args, &a);
+
+	if (rc != 0) {
+		complete_rpc(reply, ERR_INVALID, make_str(""));
+		return;
+	}
+	merge_message(c, &a.stamp);
+	pthread_mutex_lock(&c->lock);
+	rc = apply_sync(c->registry, read_mono(&c->cfg.clock), &a, &resend);
+	serve_watches(c, read_mono(&c->cfg.clock));
+	pthread_mutex_unlock(&c->lock);
+	unload_wire((xdrproc_t)xdr_wire_sync_args, &a);
+	if (rc != 0)
+		r.status = WIRE_INVALID;
+	r.resend = resend;
+	r.stamp = stamp_message(c);
+	rc = encode_wire((xdrproc_t)xdr_wire_sync_reply, &r, &b);
+	complete_rpc(reply, rc, view_buf(&b));
+	unload_buf(&b);
+}
+
+/*
+ * Reads "id=IP:port"; address points into text.
+ */
+static int
+parse_peer(
+    const char *text, uint64_t *id, const char **address, struct fault *f)
+{
+	const char *mark = strchr(text, '=');
+	int64_t v = 0;
+
+	if (mark == NULL || parse_i64(make_str_n(text, (size_t)(mark - text)),
+				1, INT64_MAX, &v) != 0)
+		return set_fault(f, ERR_INVALID,
+		    "'%s' is no peer; write id=IP:port with an id of 1 or more",
+		    text);
+	*id = (uint64_t)v;
+	*address = mark + 1;
+	return 0;
+}
+
+/*
+ * Encodes a message once and sends it to one peer or to all.
+ */
+static void
+send_sync(struct control *c, struct peer *only, struct wire_sync_args *a)
+{
+	struct buf b = {0};
+
+	a->stamp = stamp_message(c);
+	if (encode_wire((xdrproc_t)xdr_wire_sync_args, a, &b) == 0) {
+		for (size_t i = 0; i < c->peer_count; i++) {
+			struct peer *p = &c->peers[i];
+
+			if (only == NULL || only == p)
+				(void)call_rpc(p->rpc, GGS_ENDPOINT_SYNC,
+				    view_buf(&b), SERVICE_SYNC_MS, finish_sync,
+				    p);
+		}
+	}
+	unload_buf(&b);
+}
+
+static void
+finish_sync(void *arg, const struct rpc_result *r)
+{
+	struct wire_sync_reply reply = {0};
+	struct peer *p = arg;
+	struct control *c = p->control;
+
+	if (r->status != 0 ||
+	    decode_wire((xdrproc_t)xdr_wire_sync_reply, r->body, &reply) != 0)
+		return;
+	merge_message(c, &reply.stamp);
+	if (reply.resend) {
+		pthread_mutex_lock(&c->lock);
+		p->resend = true;
+		p->resend_at = 0;
+		pthread_mutex_unlock(&c->lock);
+		count_metric(c->metrics.resends, 1);
+	}
+	unload_wire((xdrproc_t)xdr_wire_sync_reply, &reply);
+}
+
+static void
+send_parts(struct control *c, struct peer *p)
+{
+	struct wire_sync_args a;
+
+	p->resend = false;
+	do {
+		p->resend_at = give_sync_all(c->registry, p->resend_at, &a);
+		send_sync(c, p, &a);
+		unload_sync(&a);
+	} while (p->resend_at != 0);
+}
--- a/packages/control/registry.c
+++ b/packages/control/registry.c
@@ -272,6 +272,21 @@
 	       e->slots >= 0 && e->state <= WIRE_ENDPOINT_SUSPECT;
 }
 
+/*
+ * Names are printed in JSON and logs, so they hold printable ASCII only.
+ */
+bool
+is_plain_name(const char *s)
+{
+	if (s == NULL || s[0] == '\0')
+		return false;
+	for (; *s != '\0'; s++) {
+		if (*s <= ' ' || *s > '~')
+			return false;
+	}
+	return true;
+}
+
 /*
  * Adds a record, or replaces one that the caller found to be older; a
  * tombstone comes back to life.
--- a/packages/control/registry.h
+++ b/packages/control/registry.h
@@ -61,6 +61,7 @@
     struct registry *g, int64_t now, const struct wire_endpoint_set *s);
 
 /* Queries */
+bool is_plain_name(const char *s); /* printable, not empty */
 uint64_t get_registry_id(const struct registry *g);
 uint64_t get_set_version(const struct registry *g, struct str service);
 uint64_t get_newest_version(const struct registry *g); /* of all sets */
--- /dev/null
+++ b/packages/control/replication.c
@@ -0,0 +1,376 @@
+/*
+ * The replica of a voter: its state machine and transport, and the rounds of
+ * confirmed reads.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "service.h"
+
+/* A READ_INDEX call that waits. */
+struct read_call {
+	struct rpc_reply *reply;
+	struct control *control;
+};
+
+static void apply_entry(void *arg, uint64_t index, int64_t wall_ns,
+    struct str bytes, struct buf *result);
+static int save_machine(void *arg, struct buf *out);
+static int load_machine(void *arg, uint64_t index, struct str data);
+static void send_raft(
+    void *arg, uint64_t to, const struct wire_raft_message *m);
+static void update_members(void *arg, const struct raft_members *m);
+static void ignore_reply(void *arg, const struct rpc_result *r);
+static void confirm_round(void *arg, int status, uint64_t index);
+static void answer_read(void *arg, int status, uint64_t index);
+static bool find_founders(struct control *c, struct raft_members *out);
+static void note_version(struct control *c, uint64_t before);
+
+/*
+ * Starts the replica of a voter. One that the settings list among the voters
+ * founds the group; another one joins when the group adds it.
+ */
+int
+start_replication(struct control *c, struct fault *f)
+{
+	struct raft_members founders = {0};
+	struct replica_config r = {
+	    .clock = c->cfg.clock,
+	    .id = c->id,
+	    .data_dir = c->cfg.data_dir,
+	    .machine = {apply_entry, save_machine, load_machine, c},
+	    .transport = {send_raft, update_members, c},
+	    .seed = c->cfg.seed,
+	};
+	struct replica *started = NULL;
+	int rc;
+
+	if (find_founders(c, &founders))
+		r.bootstrap = &founders;
+	rc = start_replica(&r, &started, f);
+	if (rc != 0)
+		return rc;
+	pthread_rwlock_wrlock(&c->replica_guard);
+	c->replica = started;
+	pthread_rwlock_unlock(&c->replica_guard);
+	return 0;
+}
+
+void
+stop_replication(struct control *c)
+{
+	struct replica *r;
+
+	pthread_rwlock_wrlock(&c->replica_guard);
+	r = c->replica;
+	c->replica = NULL;
+	pthread_rwlock_unlock(&c->replica_guard);
+	if (r != NULL)
+		stop_replica(r);
+}
+
+bool
+get_replication(struct control *c, struct replica_status *out)
+{
+	bool present;
+
+	memset(out, 0, sizeof(*out));
+	out->contact_ns = -1;
+	pthread_rwlock_rdlock(&c->replica_guard);
+	present = c->replica != NULL;
+	if (present)
+		*out = get_replica_status(c->replica);
+	pthread_rwlock_unlock(&c->replica_guard);
+	return present;
+}
+
+int
+get_replication_members(struct control *c, struct raft_members *out)
+{
+	int rc = ERR_UNAVAILABLE;
+
+	out->count = 0;
+	pthread_rwlock_rdlock(&c->replica_guard);
+	if (c->replica != NULL) {
+		get_replica_members(c->replica, out);
+		rc = 0;
+	}
+	pthread_rwlock_unlock(&c->replica_guard);
+	return rc;
+}
+
+int
+propose_locally(struct control *c, struct str bytes, int timeout_ms,
+    replica_propose_fn fn, void *arg)
+{
+	int rc = ERR_UNAVAILABLE;
+
+	pthread_rwlock_rdlock(&c->replica_guard);
+	if (c->replica != NULL)
+		rc = propose_replica(c->replica, bytes, timeout_ms, fn, arg);
+	pthread_rwlock_unlock(&c->replica_guard);
+	return rc;
+}
+
+void
+handle_raft_step(
+    struct control *c, const struct rpc_request *q, struct rpc_reply *reply)
+{
+	struct wire_raft_message m = {0};
+	int rc = decode_wire((xdrproc_t)xdr_wire_raft_message, q->args, &m);
+
+	if (rc != 0) {
+		complete_rpc(reply, ERR_INVALID, make_str(""));
+		return;
+	}
+	pthread_rwlock_rdlock(&c->replica_guard);
+	if (c->replica != NULL)
+		(void)step_replica(c->replica, &m);
+	pthread_rwlock_unlock(&c->replica_guard);
+	unload_wire((xdrproc_t)xdr_wire_raft_message, &m);
+	complete_rpc(reply, 0, make_str(""));
+}
+
+void
+handle_read_index(struct control *c, struct rpc_reply *reply)
+{
+	struct read_call *call = calloc(1, sizeof(*call));
+	int rc = ERR_UNAVAILABLE;
+
+	if (call == NULL) {
+		complete_rpc(reply, ERR_LIMIT, make_str(""));
+		return;
+	}
+	*call = (struct read_call){reply, c};
+	pthread_rwlock_rdlock(&c->replica_guard);
+	if (c->replica != NULL)
+		rc = read_replica(
+		    c->replica, SERVICE_READ_MS, answer_read, call);
+	pthread_rwlock_unlock(&c->replica_guard);
+	if (rc != 0)
+		answer_read(call, rc, 0);
+}
+
+/*
+ * Returns the round that confirms a read requested now: the next one to start.
+ */
+uint64_t
+join_read(struct control *c)
+{
+	return c->reads.started + 1;
+}
+
+/*
+ * Starts the next round unless one runs.
+ */
+void
+run_reads(struct control *c)
+{
+	int rc = ERR_UNAVAILABLE;
+
+	if (c->reads.busy || c->stopping)
+		return;
+	c->reads.started++;
+	c->reads.busy = true;
+	if (is_relay(c)) {
+		if (!pull_confirmed(c))
+			finish_read(c, false);
+		return;
+	}
+	pthread_rwlock_rdlock(&c->replica_guard);
+	if (c->replica != NULL)
+		rc =
+		    read_replica(c->replica, SERVICE_READ_MS, confirm_round, c);
+	pthread_rwlock_unlock(&c->replica_guard);
+	if (rc != 0)
+		finish_read(c, false);
+}
+
+void
+finish_read(struct control *c, bool confirmed)
+{
+	if (confirmed)
+		c->reads.confirmed = c->reads.started;
+	else
+		c->reads.failed = c->reads.started;
+	c->reads.busy = false;
+	pthread_cond_broadcast(&c->wake);
+}
+
+/*
+ * Waits until a read requested now is confirmed. Returns ERR_UNAVAILABLE when
+ * it fails or the time is over.
+ */
+int
+wait_read(struct control *c, int timeout_ms)
+{
+	struct timespec until;
+	uint64_t round;
+	int rc = 0;
+
+	clock_gettime(CLOCK_MONOTONIC, &until);
+	until.tv_sec += timeout_ms / 1000;
+	until.tv_nsec += timeout_ms % 1000 * NSEC_PER_MSEC;
+	if (until.tv_nsec >= NSEC_PER_SEC) {
+		until.tv_nsec -= NSEC_PER_SEC;
+		until.tv_sec++;
+	}
+	pthread_mutex_lock(&c->lock);
+	round = join_read(c);
+	while (rc == 0 && c->reads.confirmed < round) {
+		if (c->stopping || c->reads.failed >= round) {
+			rc = ERR_UNAVAILABLE;
+			break;
+		}
+		run_reads(c);
+		if (c->reads.confirmed >= round || c->reads.failed >= round)
+			continue;
+		if (pthread_cond_timedwait(&c->wake, &c->lock, &until) != 0)
+			rc = ERR_UNAVAILABLE;
+	}
+	pthread_mutex_unlock(&c->lock);
+	return rc;
+}
+
+static void
+apply_entry(void *arg, uint64_t index, int64_t wall_ns, struct str bytes,
+    struct buf *result)
+{
+	struct control *c = arg;
+	uint64_t before;
+
+	(void)index;
+	pthread_mutex_lock(&c->lock);
+	before = c->state->table->version;
+	apply_state(c->state, wall_ns, bytes, result);
+	note_version(c, before);
+	pthread_mutex_unlock(&c->lock);
+}
+
+static int
+save_machine(void *arg, struct buf *out)
+{
+	struct control *c = arg;
+	int rc;
+
+	pthread_mutex_lock(&c->lock);
+	rc = save_state(c->state, out);
+	pthread_mutex_unlock(&c->lock);
+	return rc;
+}
+
+static int
+load_machine(void *arg, uint64_t index, struct str data)
+{
+	struct control *c = arg;
+	struct fault f = {0};
+	uint64_t before;
+	int rc;
+
+	(void)index;
+	pthread_mutex_lock(&c->lock);
+	before = c->state->table->version;
+	rc = load_state(c->state, data, &f);
+	if (rc == 0)
+		note_version(c, before);
+	else
+		write_log(LOG_LEVEL_ERR, "%s", f.text);
+	pthread_mutex_unlock(&c->lock);
+	return rc;
+}
+
+static void
+send_raft(void *arg, uint64_t to, const struct wire_raft_message *m)
+{
+	struct control *c = arg;
+	struct peer *p = find_peer(c, to);
+	struct buf b = {0};
+
+	if (p == NULL)
+		return;
+	if (encode_wire((xdrproc_t)xdr_wire_raft_message, m, &b) == 0)
+		(void)call_rpc(p->rpc, GGS_RAFT_STEP, view_buf(&b),
+		    SERVICE_SYNC_MS, ignore_reply, NULL);
+	unload_buf(&b);
+}
+
+static void
+update_members(void *arg, const struct raft_members *m)
+{
+	struct control *c = arg;
+
+	for (size_t i = 0; i < m->count; i++) {
+		if (m->member[i].id != c->id)
+			update_peer(c, m->member[i].id, m->member[i].address);
+	}
+}
+
+static void
+ignore_reply(void *arg, const struct rpc_result *r)
+{
+	(void)arg;
+	(void)r;
+}
+
+static void
+confirm_round(void *arg, int status, uint64_t index)
+{
+	struct control *c = arg;
+
+	(void)index;
+	pthread_mutex_lock(&c->lock);
+	finish_read(c, status == 0);
+	pthread_mutex_unlock(&c->lock);
+}
+
+static void
+answer_read(void *arg, int status, uint64_t index)
+{
+	struct read_call *call = arg;
+	struct wire_read_reply r = {
+	    .status = status == 0 ? WIRE_OK : WIRE_UNAVAILABLE, .index = index};
+	struct buf b = {0};
+	int rc = encode_wire((xdrproc_t)xdr_wire_read_reply, &r, &b);
+
+	complete_rpc(call->reply, rc, view_buf(&b));
+	unload_buf(&b);
+	free(call);
+}
+
+/*
+ * Fills in the founding members; false when this process is not among them.
+ */
+static bool
+find_founders(struct control *c, struct raft_members *out)
+{
+	bool found = false;
+
+	for (size_t i = 0; i < c->cfg.peer_count; i++) {
+		struct raft_member *m = &out->member[out->count];
+		char *end;
+
+		m->id = strtoull(c->cfg.peers[i], &end, 10);
+		m->voter = true;
+		(void)copy_str(
+		    m->address, sizeof(m->address), make_str(end + 1));
+		out->count++;
+		if (m->id == c->id)
+			found = true;
+	}
+	return found;
+}
+
+static void
+note_version(struct control *c, uint64_t before)
+{
+	const struct stored_version *v;
+	uint64_t now = c->state->table->version;
+
+	if (now == before)
+		return;
+	v = find_version(&c->state->history, now);
+	record_event(c->cfg.events, "version", v != NULL ? v->author : "", now,
+	    "accepted, %u cells", v != NULL ? v->cell_count : 0);
+	set_metric(c->metrics.version, (int64_t)now);
+	pthread_cond_broadcast(&c->wake);
+}
--- /dev/null
+++ b/packages/control/service.c
@@ -0,0 +1,74 @@
+/*
+ * The service thread: replies to held watches, leases, synchronization and
+ * repeated attempts of commands.
+ */
+#include "service.h"
+
+static void wait_tick(struct control *c);
+static void run_tick(struct control *c, int64_t now);
+
+void *
+run_service(void *arg)
+{
+	struct control *c = arg;
+	bool stopping = false;
+
+	while (!stopping) {
+		int64_t now = read_mono(&c->cfg.clock);
+
+		pthread_mutex_lock(&c->lock);
+		if (!c->stopping) {
+			run_tick(c, now);
+			serve_watches(c, now);
+			wait_tick(c);
+		}
+		stopping = c->stopping;
+		pthread_mutex_unlock(&c->lock);
+		run_submissions(c, read_mono(&c->cfg.clock));
+	}
+	pthread_mutex_lock(&c->lock);
+	drop_watches(c);
+	pthread_mutex_unlock(&c->lock);
+	return NULL;
+}
+
+void
+wake_service(struct control *c)
+{
+	pthread_mutex_lock(&c->lock);
+	pthread_cond_broadcast(&c->wake);
+	pthread_mutex_unlock(&c->lock);
+}
+
+/*
+ * Waits for a new version, a finished read or the next tick.
+ */
+static void
+wait_tick(struct control *c)
+{
+	struct timespec until;
+
+	clock_gettime(CLOCK_MONOTONIC, &until);
+	until.tv_nsec += SERVICE_TICK_MS * NSEC_PER_MSEC;
+	if (until.tv_nsec >= NSEC_PER_SEC) {
+		until.tv_nsec -= NSEC_PER_SEC;
+		until.tv_sec++;
+	}
+	(void)pthread_cond_timedwait(&c->wake, &c->lock, &until);
+}
+
+static void
+run_tick(struct control *c, int64_t now)
+{
+	if (is_relay(c))
+		run_relay(c, now);
+	if (now - c->tick_ns < SERVICE_TICK_MS * NSEC_PER_MSEC)
+		return;
+	c->tick_ns = now;
+	sync_peers(c, now);
+	if (now - c->lease_ns < SERVICE_LEASE_TICK_NS)
+		return;
+	c->lease_ns = now;
+	tick_registry(c->registry, now, !is_control_stale(c));
+	expire_nodes(&c->nodes, now);
+}
--- /dev/null
+++ b/packages/control/service.h
@@ -0,0 +1,217 @@
+/*
+ * Inside of a running control process, shared by its source files only.
+ *
+ * Lock order: service lock < replica_guard < locks of replica and rpc <
+ * metric and event. The replica and the rpc client run callbacks without locks
+ * of theirs, so callbacks may take the service lock.
+ */
+#ifndef SERVICE_H
+#define SERVICE_H
+
+#include <pthread.h>
+
+#include "control.h"
+#include "metric.h"
+#include "nodes.h"
+#include "replica.h"
+#include "rpc.h"
+#include "watch.h"
+
+#define SERVICE_TICK_MS 50 /* batches of endpoint changes */
+#define SERVICE_DIGEST_NS (5 * NSEC_PER_SEC) /* anti-entropy */
+#define SERVICE_LEASE_TICK_NS (500 * NSEC_PER_MSEC)
+#define SERVICE_READ_MS 2000 /* longest wait for a confirmed read */
+#define SERVICE_SYNC_MS 2000 /* longest wait for a peer */
+#define SERVICE_RETRY_NS \
+	(50 * NSEC_PER_MSEC) /* between attempts of a command */
+#define SERVICE_WAIT_MAX_MS 30000 /* longest hold of a watch */
+#define SERVICE_COMMAND_MAX_MS 10000 /* longest wait of a command */
+#define SERVICE_PULL_MS 500 /* heartbeat of a relay's PULL */
+
+/* Another control process. */
+struct peer {
+	uint64_t id;
+	char address[RPC_ADDRESS_BYTES];
+	struct rpc_peer *rpc;
+	bool voter; /* from the settings; takes records and commands */
+	bool resend; /* its digest differs: send all owned records */
+	size_t resend_at; /* position of the next part */
+	struct control *control;
+};
+
+/* A watch or pull that waits for its reply. */
+struct held_watch {
+	struct held_watch *next;
+	struct rpc_reply *reply;
+	struct wire_watch_args args;
+	uint64_t conn;
+	int64_t due_ns;
+	uint64_t read; /* read round that confirms it; 0: none needed */
+	bool sync_read; /* a PULL that asks for a confirmed state at once */
+};
+
+/*
+ * Confirmed reads in rounds: a request that arrives during a round waits for
+ * the next one, so any number of nodes share one quorum round trip.
+ */
+struct read_rounds {
+	uint64_t started;
+	uint64_t confirmed; /* newest confirmed round */
+	uint64_t failed; /* newest failed round */
+	bool busy;
+};
+
+typedef void (*submit_fn)(void *arg, int status, struct str result);
+
+/* A command on its way to the leader. */
+struct submission {
+	struct submission *next;
+	struct control *control;
+	struct buf command;
+	int64_t deadline_ns;
+	int64_t retry_ns; /* next attempt */
+	bool in_flight;
+	bool maybe; /* an attempt may have taken effect */
+	submit_fn fn;
+	void *arg;
+};
+
+/* What a relay knows about the voter that it follows. */
+struct upstream {
+	size_t peer; /* position in peers */
+	bool busy;
+	bool reading; /* the pull in flight confirms a read */
+	int64_t retry_ns;
+	int64_t contact_ns; /* last good reply; -1: none */
+	uint64_t registry_id;
+	struct upstream_set {
+		char service[WIRE_NAME_MAX + 1];
+		uint64_t set_version;
+	} sets[WIRE_INTEREST_MAX];
+	size_t set_count;
+};
+
+struct control_metrics {
+	metric_id version;
+	metric_id watches;
+	metric_id held;
+	metric_id stale;
+	metric_id limited;
+	metric_id whole;
+	metric_id delta;
+	metric_id encoded;
+	metric_id refused;
+	metric_id digest_mismatch;
+	metric_id commands;
+	metric_id retries;
+	metric_id claims;
+	metric_id endpoints;
+	metric_id resends;
+};
+
+struct operator_tokens;
+
+struct control {
+	struct control_config cfg; /* strings point into the fields below */
+	char *texts[8];
+	size_t text_count;
+	uint64_t id;
+	struct rng rng;
+	struct control_metrics metrics;
+
+	pthread_mutex_t lock; /* service lock: all down to the next lock */
+	pthread_cond_t wake; /* service thread, and readers of rounds */
+	bool stopping;
+	struct state *state;
+	struct registry *registry;
+	struct node_list nodes;
+	struct watch_cache cache;
+	struct token_bucket bucket;
+	struct held_watch *held;
+	size_t held_count;
+	struct read_rounds reads;
+	struct submission *submissions;
+	struct upstream upstream;
+	uint64_t leader_hint; /* relay: leader that a voter named */
+	int64_t tick_ns; /* last of each kind */
+	int64_t digest_ns;
+	int64_t lease_ns;
+
+	pthread_rwlock_t replica_guard; /* held while replica is in use */
+	struct replica *replica; /* NULL: relay, or stopped */
+
+	pthread_mutex_t peers_lock; /* leaf */
+	struct peer peers[CONTROL_PEER_MAX];
+	size_t peer_count;
+
+	struct rpc_server *server;
+	struct rpc_client *client;
+	struct operator_tokens *tokens; /* NULL: no authentication */
+	struct MHD_Daemon *http;
+	pthread_t thread;
+	bool thread_started;
+};
+
+/* control.c */
+bool is_control_stale(struct control *c); /* no contact to a leader */
+struct wire_hlc stamp_message(struct control *c);
+void merge_message(struct control *c, const struct wire_hlc *h);
+bool is_relay(const struct control *c);
+
+/* service.c */
+void *run_service(void *arg); /* body of the service thread */
+void wake_service(struct control *c);
+
+/* replication.c: the replica, and confirmed reads */
+int start_replication(struct control *c, struct fault *f);
+void stop_replication(struct control *c);
+bool get_replication(struct control *c, struct replica_status *out);
+int get_replication_members(struct control *c, struct raft_members *out);
+int propose_locally(struct control *c, struct str bytes, int timeout_ms,
+    replica_propose_fn fn, void *arg);
+void handle_raft_step(
+    struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
+void handle_read_index(struct control *c, struct rpc_reply *reply);
+uint64_t join_read(struct control *c); /* round to wait for; lock held */
+void run_reads(struct control *c); /* starts a round when wanted; lock held */
+void finish_read(struct control *c, bool confirmed); /* lock held */
+int wait_read(struct control *c, int timeout_ms); /* takes the lock */
+
+/* peers.c */
+int open_peers(struct control *c, struct fault *f);
+void update_peer(struct control *c, uint64_t id, const char *address);
+struct peer *find_peer(struct control *c, uint64_t id);
+void sync_peers(struct control *c, int64_t now); /* lock held */
+void handle_sync(
+    struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
+
+/* submit.c: commands to the leader */
+int submit_command(struct control *c, struct str bytes, int timeout_ms,
+    submit_fn fn, void *arg); /* fn runs once, without locks */
+void run_submissions(struct control *c, int64_t now); /* takes the lock */
+void handle_propose(
+    struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
+void handle_claim(
+    struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
+
+/* watches.c */
+void handle_watch(struct control *c, const struct rpc_request *q,
+    struct rpc_reply *reply, bool pull);
+void serve_watches(struct control *c, int64_t now); /* lock held */
+void drop_connection(struct control *c, uint64_t conn); /* takes the lock */
+void drop_watches(struct control *c); /* lock held; answers all */
+
+/* relay.c */
+void run_relay(struct control *c, int64_t now); /* lock held */
+bool pull_confirmed(struct control *c); /* lock held; starts a read */
+
+/* http.c and tokens.c */
+int start_http(struct control *c, struct fault *f);
+void stop_http(struct control *c);
+int load_tokens(
+    const char *path, struct operator_tokens **out, struct fault *f);
+void unload_tokens(struct operator_tokens *t);
+/* Name of the operator with that token, or NULL; constant time a token. */
+const char *find_operator(const struct operator_tokens *t, struct str token);
+
+#endif
--- a/packages/control/state.c
+++ b/packages/control/state.c
@@ -203,6 +203,28 @@
 	require(encode_outcome(o, result));
 }
 
+/*
+ * Takes over a newer table of a voter and keeps the change to it, so that a
+ * relay can send deltas too. Takes over next, also on error.
+ */
+int
+adopt_table(struct state *s, struct table *next)
+{
+	struct stored_version *v = NULL;
+	int rc = next->version > s->table->version ?
+		     make_version(s->table, next, &v) :
+		     ERR_STALE;
+
+	if (rc != 0) {
+		unload_table(next);
+		return rc;
+	}
+	append_version(&s->history, v);
+	unload_table(s->table);
+	s->table = next;
+	return 0;
+}
+
 static int
 encode_outcome(const struct edit_outcome *o, struct buf *out)
 {
@@ -347,7 +369,8 @@
 		return rc;
 	}
 	last = get_version(&s->history, s->history.count - 1);
-	if (last != NULL && v->number != last->number + 1) {
+	if (v->number <= v->after ||
+	    (last != NULL && v->after != last->number)) {
 		unload_version(v);
 		return ERR_CORRUPT;
 	}
--- a/packages/control/state.h
+++ b/packages/control/state.h
@@ -37,6 +37,8 @@
  */
 bool answer_early(const struct state *s, struct str bytes, struct buf *result);
 
+int adopt_table(struct state *s, struct table *next); /* on a relay */
+
 int save_state(const struct state *s, struct buf *out);
 int load_state(
     struct state *s, struct str data, struct fault *f); /* replaces */
--- /dev/null
+++ b/packages/control/submit.c
@@ -0,0 +1,489 @@
+/*
+ * Brings commands to the leader. All commands may be sent again: edits carry
+ * an idempotency key, and claims an id; so an attempt with an unknown outcome
+ * is repeated until the time is over.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "service.h"
+
+/* A PROPOSE or CLAIM call that waits. */
+struct waiting_call {
+	struct control *control;
+	struct rpc_reply *reply;
+};
+
+static void try_submission(struct submission *s, int64_t now);
+static void forward_submission(struct submission *s, int left_ms);
+static struct peer *choose_leader(struct control *c);
+static void finish_proposal(
+    void *arg, int status, uint64_t index, struct str result);
+static void finish_forward(void *arg, const struct rpc_result *r);
+static void note_attempt(struct submission *s, int status, struct str result);
+static void end_submission(struct submission *s, int status, struct str result);
+static bool unlink_submission(struct control *c, struct submission *s);
+static void answer_proposal(
+    void *arg, int status, uint64_t index, struct str result);
+static void send_proposal_reply(struct control *c, struct rpc_reply *reply,
+    int status, uint64_t index, struct str result);
+static void answer_claim(void *arg, int status, struct str result);
+static void send_claim_reply(struct control *c, struct rpc_reply *reply,
+    int status, const struct command_result *r);
+static int encode_claim(const struct wire_claim_args *a, struct buf *out);
+static int clamp_wait(int wait_ms);
+static wire_status get_wire_status(int status);
+
+/*
+ * Queues a command. fn runs exactly once unless an error is returned: status 0
+ * with the encoded result, ERR_UNAVAILABLE (no effect) or ERR_UNKNOWN (it may
+ * still take effect).
+ */
+int
+submit_command(struct control *c, struct str bytes, int timeout_ms,
+    submit_fn fn, void *arg)
+{
+	struct submission *s = calloc(1, sizeof(*s));
+	int64_t now = read_mono(&c->cfg.clock);
+
+	if (s == NULL)
+		return ERR_MEMORY;
+	s->control = c;
+	s->fn = fn;
+	s->arg = arg;
+	s->deadline_ns = now + (int64_t)timeout_ms * NSEC_PER_MSEC;
+	s->in_flight = true;
+	if (append_buf_str(&s->command, bytes) != 0) {
+		free(s);
+		return ERR_MEMORY;
+	}
+	pthread_mutex_lock(&c->lock);
+	if (c->stopping) {
+		pthread_mutex_unlock(&c->lock);
+		unload_buf(&s->command);
+		free(s);
+		return ERR_UNAVAILABLE;
+	}
+	s->next = c->submissions;
+	c->submissions = s;
+	pthread_mutex_unlock(&c->lock);
+	count_metric(c->metrics.commands, 1);
+	try_submission(s, now);
+	return 0;
+}
+
+/*
+ * Repeats the attempts that are due and ends those whose time is over. An
+ * attempt in flight ends by its own timeout.
+ */
+void
+run_submissions(struct control *c, int64_t now)
+{
+	struct submission *due = NULL, *s, **p;
+	bool stopping;
+
+	pthread_mutex_lock(&c->lock);
+	stopping = c->stopping;
+	for (p = &c->submissions; (s = *p) != NULL;) {
+		bool over = now >= s->deadline_ns || stopping;
+
+		if (s->in_flight || (!over && now < s->retry_ns)) {
+			p = &s->next;
+			continue;
+		}
+		*p = s->next;
+		s->next = due;
+		due = s;
+	}
+	for (s = due; s != NULL; s = s->next)
+		s->in_flight = true;
+	pthread_mutex_unlock(&c->lock);
+	while ((s = due) != NULL) {
+		due = s->next;
+		if (now >= s->deadline_ns || stopping) {
+			end_submission(s,
+			    s->maybe ? ERR_UNKNOWN : ERR_UNAVAILABLE,
+			    make_str(""));
+			continue;
+		}
+		pthread_mutex_lock(&c->lock);
+		s->next = c->submissions;
+		c->submissions = s;
+		pthread_mutex_unlock(&c->lock);
+		count_metric(c->metrics.retries, 1);
+		try_submission(s, now);
+	}
+}
+
+/*
+ * Answers a PROPOSE of another control process. Only the leader takes it; the
+ * others name the leader they know.
+ */
+void
+handle_propose(
+    struct control *c, const struct rpc_request *q, struct rpc_reply *reply)
+{
+	struct wire_propose_args a = {0};
+	struct waiting_call *w;
+	struct buf early = {0};
+	struct replica_status st;
+	struct str bytes;
+	bool answered = false;
+	int rc = decode_wire((xdrproc_t)xdr_wire_propose_args, q->args, &a);
+
+	if (rc != 0) {
+		complete_rpc(reply, ERR_INVALID, make_str(""));
+		return;
+	}
+	merge_message(c, &a.stamp);
+	bytes = make_str_n(a.command.command_val, a.command.command_len);
+	rc = get_replication(c, &st) && st.role == RAFT_LEADER ?
+		 0 :
+		 ERR_UNAVAILABLE;
+	if (rc == 0) {
+		pthread_mutex_lock(&c->lock);
+		answered = answer_early(c->state, bytes, &early);
+		pthread_mutex_unlock(&c->lock);
+	}
+	if (rc != 0 || answered) {
+		send_proposal_reply(c, reply, rc, 0, view_buf(&early));
+	} else {
+		w = calloc(1, sizeof(*w));
+		rc = w == NULL ? ERR_LIMIT : 0;
+		if (w != NULL) {
+			*w = (struct waiting_call){c, reply};
+			rc = propose_locally(c, bytes, clamp_wait(a.wait_ms),
+			    answer_proposal, w);
+		}
+		if (rc != 0) {
+			free(w);
+			send_proposal_reply(c, reply, rc, 0, make_str(""));
+		}
+	}
+	unload_buf(&early);
+	unload_wire((xdrproc_t)xdr_wire_propose_args, &a);
+}
+
+/*
+ * Answers a CLAIM of a node.
+ */
+void
+handle_claim(
+    struct control *c, const struct rpc_request *q, struct rpc_reply *reply)
+{
+	struct wire_claim_args a = {0};
+	struct waiting_call *w;
+	struct buf bytes = {0};
+	int rc = decode_wire((xdrproc_t)xdr_wire_claim_args, q->args, &a);
+
+	if (rc != 0) {
+		complete_rpc(reply, ERR_INVALID, make_str(""));
+		return;
+	}
+	merge_message(c, &a.stamp);
+	count_metric(c->metrics.claims, 1);
+	rc = encode_claim(&a, &bytes);
+	w = rc == 0 ? calloc(1, sizeof(*w)) : NULL;
+	if (rc == 0 && w == NULL)
+		rc = ERR_LIMIT;
+	if (rc == 0) {
+		*w = (struct waiting_call){c, reply};
+		rc = submit_command(c, view_buf(&bytes), clamp_wait(a.wait_ms),
+		    answer_claim, w);
+	}
+	if (rc != 0) {
+		free(w);
+		send_claim_reply(c, reply, rc, NULL);
+	}
+	unload_buf(&bytes);
+	unload_wire((xdrproc_t)xdr_wire_claim_args, &a);
+}
+
+/*
+ * Makes one attempt. The submission is marked as in flight by the caller.
+ */
+static void
+try_submission(struct submission *s, int64_t now)
+{
+	struct control *c = s->control;
+	int left_ms = (int)((s->deadline_ns - now) / NSEC_PER_MSEC);
+	struct replica_status st;
+	struct buf early = {0};
+	bool answered;
+	int rc;
+
+	if (left_ms < 1)
+		left_ms = 1;
+	if (!get_replication(c, &st) || st.role != RAFT_LEADER) {
+		forward_submission(s, left_ms);
+		return;
+	}
+	pthread_mutex_lock(&c->lock);
+	answered = answer_early(c->state, view_buf(&s->command), &early);
+	pthread_mutex_unlock(&c->lock);
+	if (answered) {
+		note_attempt(s, 0, view_buf(&early));
+	} else {
+		rc = propose_locally(
+		    c, view_buf(&s->command), left_ms, finish_proposal, s);
+		if (rc != 0)
+			note_attempt(s, ERR_UNAVAILABLE, make_str(""));
+	}
+	unload_buf(&early);
+}
+
+/*
+ * Sends the command to the leader, as far as it is known.
+ */
+static void
+forward_submission(struct submission *s, int left_ms)
+{
+	struct control *c = s->control;
+	struct peer *p = choose_leader(c);
+	struct wire_propose_args a = {
+	    .stamp = stamp_message(c), .wait_ms = left_ms};
+	struct buf b = {0};
+	int rc = p != NULL ? 0 : ERR_UNAVAILABLE;
+
+	a.command.command_val = s->command.data;
+	a.command.command_len = (unsigned int)s->command.len;
+	if (rc == 0)
+		rc = encode_wire((xdrproc_t)xdr_wire_propose_args, &a, &b);
+	if (rc == 0)
+		rc = call_rpc(p->rpc, GGS_PROPOSE, view_buf(&b), left_ms,
+		    finish_forward, s);
+	unload_buf(&b);
+	if (rc != 0)
+		note_attempt(s, ERR_UNAVAILABLE, make_str(""));
+}
+
+/*
+ * Returns the leader's peer. A relay that knows none asks any voter, which
+ * names the leader in its answer.
+ */
+static struct peer *
+choose_leader(struct control *c)
+{
+	struct replica_status st;
+	struct peer *p = NULL;
+
+	if (get_replication(c, &st))
+		return st.leader != 0 && st.leader != c->id ?
+			   find_peer(c, st.leader) :
+			   NULL;
+	pthread_mutex_lock(&c->lock);
+	if (c->leader_hint != 0)
+		p = find_peer(c, c->leader_hint);
+	if (p == NULL && c->peer_count > 0)
+		p = &c->peers[draw_below(&c->rng, c->peer_count)];
+	pthread_mutex_unlock(&c->lock);
+	return p;
+}
+
+static void
+finish_proposal(void *arg, int status, uint64_t index, struct str result)
+{
+	(void)index;
+	note_attempt(arg, status, result);
+}
+
+static void
+finish_forward(void *arg, const struct rpc_result *r)
+{
+	struct submission *s = arg;
+	struct control *c = s->control;
+	struct wire_propose_reply reply = {0};
+	int status = r->status == ERR_TIMEOUT ? ERR_UNKNOWN : r->status;
+
+	if (status == 0 && decode_wire((xdrproc_t)xdr_wire_propose_reply,
+			       r->body, &reply) != 0)
+		status = ERR_UNKNOWN;
+	pthread_mutex_lock(&c->lock);
+	c->leader_hint = status == 0 ? reply.leader : 0;
+	pthread_mutex_unlock(&c->lock);
+	if (status != 0) {
+		note_attempt(s, status, make_str(""));
+		return;
+	}
+	merge_message(c, &reply.stamp);
+	note_attempt(s, -(int)reply.status,
+	    make_str_n(reply.result.result_val, reply.result.result_len));
+	unload_wire((xdrproc_t)xdr_wire_propose_reply, &reply);
+}
+
+/*
+ * Takes the outcome of an attempt: ends the submission or lets the service
+ * thread repeat it.
+ */
+static void
+note_attempt(struct submission *s, int status, struct str result)
+{
+	struct control *c = s->control;
+	bool over;
+
+	if (status == 0 || status == ERR_INVALID) {
+		pthread_mutex_lock(&c->lock);
+		(void)unlink_submission(c, s);
+		pthread_mutex_unlock(&c->lock);
+		end_submission(s, status, result);
+		return;
+	}
+	pthread_mutex_lock(&c->lock);
+	if (status == ERR_UNKNOWN || status == ERR_TIMEOUT)
+		s->maybe = true;
+	s->retry_ns = read_mono(&c->cfg.clock) + SERVICE_RETRY_NS;
+	over = c->stopping;
+	if (over)
+		(void)unlink_submission(c, s);
+	else
+		s->in_flight = false;
+	pthread_mutex_unlock(&c->lock);
+	if (over)
+		end_submission(
+		    s, s->maybe ? ERR_UNKNOWN : ERR_UNAVAILABLE, make_str(""));
+}
+
+static void
+end_submission(struct submission *s, int status, struct str result)
+{
+	s->fn(s->arg, status, result);
+	unload_buf(&s->command);
+	free(s);
+}
+
+static bool
+unlink_submission(struct control *c, struct submission *s)
+{
+	struct submission **p = &c->submissions;
+
+	while (*p != NULL && *p != s)
+		p = &(*p)->next;
+	if (*p == NULL)
+		return false;
+	*p = s->next;
+	return true;
+}
+
+static void
+answer_proposal(void *arg, int status, uint64_t index, struct str result)
+{
+	struct waiting_call *w = arg;
+
+	send_proposal_reply(w->control, w->reply, status, index, result);
+	free(w);
+}
+
+static void
+send_proposal_reply(struct control *c, struct rpc_reply *reply, int status,
+    uint64_t index, struct str result)
+{
+	struct wire_propose_reply r = {.index = index};
+	struct replica_status st;
+	struct buf b = {0};
+	int rc;
+
+	/* Called on the replica's thread too, where its status may be read. */
+	if (get_replication(c, &st))
+		r.leader = st.leader;
+	r.status = get_wire_status(status);
+	r.stamp = stamp_message(c);
+	r.result.result_val = (char *)(uintptr_t)result.data;
+	r.result.result_len = (unsigned int)result.len;
+	rc = encode_wire((xdrproc_t)xdr_wire_propose_reply, &r, &b);
+	complete_rpc(reply, rc, view_buf(&b));
+	unload_buf(&b);
+}
+
+static void
+answer_claim(void *arg, int status, struct str result)
+{
+	struct waiting_call *w = arg;
+	struct command_result r = {0};
+
+	if (status == 0 && decode_result(result, &r) != 0)
+		status = ERR_UNKNOWN;
+	send_claim_reply(w->control, w->reply, status, status == 0 ? &r : NULL);
+	if (status == 0)
+		unload_result(&r);
+	free(w);
+}
+
+static void
+send_claim_reply(struct control *c, struct rpc_reply *reply, int status,
+    const struct command_result *r)
+{
+	static char empty[1];
+	struct wire_claim_reply w = {
+	    .holder = empty, .stamp = stamp_message(c)};
+	struct buf b = {0};
+	int rc;
+
+	w.status = get_wire_status(status);
+	if (r != NULL) {
+		w.status = get_wire_status(r->status);
+		w.state = (wire_claim_state)r->claim_state;
+		w.holder = r->holder;
+		w.http_status = r->http_status;
+		w.answer.answer_val = r->answer.answer_val;
+		w.answer.answer_len = r->answer.answer_len;
+		w.answer_whole = r->answer_whole;
+	}
+	rc = encode_wire((xdrproc_t)xdr_wire_claim_reply, &w, &b);
+	complete_rpc(reply, rc, view_buf(&b));
+	unload_buf(&b);
+}
+
+static int
+encode_claim(const struct wire_claim_args *a, struct buf *out)
+{
+	static char empty[1];
+	struct command m = {.author = empty, .key = a->key};
+	struct command_claim *q = &m.body.command_body_u.claim;
+
+	if (strlen(a->kind) > COMMAND_NAME_MAX)
+		return ERR_INVALID;
+	m.body.type = COMMAND_CLAIM;
+	q->kind = a->kind;
+	q->node = a->node;
+	memcpy(q->claim_id, a->claim_id, sizeof(q->claim_id));
+	q->incarnation = a->incarnation;
+	q->state = (int)a->state;
+	q->keep_s = a->keep_s;
+	q->http_status = a->http_status;
+	q->answer.answer_val = a->answer.answer_val;
+	q->answer.answer_len = a->answer.answer_len;
+	q->answer_whole = a->answer_whole;
+	return encode_command(&m, out);
+}
+
+static int
+clamp_wait(int wait_ms)
+{
+	if (wait_ms < 1)
+		return 1;
+	return wait_ms < SERVICE_COMMAND_MAX_MS ? wait_ms :
+						  SERVICE_COMMAND_MAX_MS;
+}
+
+/*
+ * Errors without a wire form are local and passing, such as out of memory.
+ */
+static wire_status
+get_wire_status(int status)
+{
+	switch (status) {
+	case ERR_NONE:
+	case ERR_INVALID:
+	case ERR_NOT_FOUND:
+	case ERR_CONFLICT:
+	case ERR_UNAVAILABLE:
+	case ERR_TIMEOUT:
+	case ERR_LIMIT:
+	case ERR_DENIED:
+	case ERR_STALE:
+	case ERR_UNKNOWN:
+		return (wire_status)-status;
+	default:
+		return WIRE_UNAVAILABLE;
+	}
+}
--- /dev/null
+++ b/packages/control/watches.c
@@ -0,0 +1,256 @@
+/*
+ * Held WATCH and PULL calls.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "service.h"
+
+static bool check_watch(const struct wire_watch_args *a, bool pull);
+static void note_watch(
+    struct control *c, const struct held_watch *w, int64_t now, bool pull);
+static bool serve_watch(
+    struct control *c, struct held_watch *w, bool stale, int64_t now);
+static void reply_update(struct control *c, struct held_watch *w, int64_t now);
+static void reply_refusal(
+    struct control *c, struct held_watch *w, wire_status status, int retry_ms);
+static void free_watch(struct held_watch *w);
+
+void
+handle_watch(struct control *c, const struct rpc_request *q,
+    struct rpc_reply *reply, bool pull)
+{
+	struct held_watch *w = calloc(1, sizeof(*w));
+	int64_t now = read_mono(&c->cfg.clock);
+	int wait_ms;
+
+	if (w == NULL ||
+	    decode_wire((xdrproc_t)xdr_wire_watch_args, q->args, &w->args) !=
+		0 ||
+	    !check_watch(&w->args, pull)) {
+		if (w != NULL)
+			free_watch(w);
+		complete_rpc(reply, ERR_INVALID, make_str(""));
+		return;
+	}
+	merge_message(c, &w->args.stamp);
+	count_metric(c->metrics.watches, 1);
+	wait_ms = w->args.wait_ms;
+	if (wait_ms < 0)
+		wait_ms = 0;
+	if (wait_ms > SERVICE_WAIT_MAX_MS)
+		wait_ms = SERVICE_WAIT_MAX_MS;
+	w->reply = reply;
+	w->conn = q->conn;
+	w->due_ns = now + (int64_t)wait_ms * NSEC_PER_MSEC;
+	w->sync_read = pull && wait_ms == 0;
+	pthread_mutex_lock(&c->lock);
+	note_watch(c, w, now, pull);
+	if (w->args.held_version == 0 || w->sync_read)
+		w->read = join_read(c);
+	if (c->stopping) {
+		reply_refusal(c, w, WIRE_UNAVAILABLE, 0);
+		free_watch(w);
+	} else if (serve_watch(c, w, is_control_stale(c), now)) {
+		free_watch(w);
+	} else {
+		w->next = c->held;
+		c->held = w;
+		c->held_count++;
+		if (w->read != 0)
+			run_reads(c);
+	}
+	pthread_mutex_unlock(&c->lock);
+}
+
+/*
+ * Replies to the held watches for which something is newer, or whose time is
+ * over.
+ */
+void
+serve_watches(struct control *c, int64_t now)
+{
+	bool stale = is_control_stale(c), reading = false;
+	struct held_watch **p = &c->held, *w;
+
+	while ((w = *p) != NULL) {
+		if (serve_watch(c, w, stale, now)) {
+			*p = w->next;
+			c->held_count--;
+			free_watch(w);
+			continue;
+		}
+		if (w->read > c->reads.confirmed)
+			reading = true;
+		p = &w->next;
+	}
+	if (reading)
+		run_reads(c);
+	set_metric(c->metrics.held, (int64_t)c->held_count);
+}
+
+/*
+ * Notes that a connection closed: its node's lease is shortened, and its held
+ * watches end.
+ */
+void
+drop_connection(struct control *c, uint64_t conn)
+{
+	struct held_watch **p = &c->held, *w;
+	struct node_report *n;
+	int64_t now = read_mono(&c->cfg.clock);
+
+	pthread_mutex_lock(&c->lock);
+	while ((n = take_closed_node(&c->nodes, conn)) != NULL)
+		close_node(c->registry, now, make_str(n->name));
+	while ((w = *p) != NULL) {
+		if (w->conn != conn) {
+			p = &w->next;
+			continue;
+		}
+		*p = w->next;
+		c->held_count--;
+		reply_refusal(c, w, WIRE_UNAVAILABLE, 0);
+		free_watch(w);
+	}
+	pthread_mutex_unlock(&c->lock);
+}
+
+void
+drop_watches(struct control *c)
+{
+	struct held_watch *w;
+
+	while ((w = c->held) != NULL) {
+		c->held = w->next;
+		reply_refusal(c, w, WIRE_UNAVAILABLE, 0);
+		free_watch(w);
+	}
+	c->held_count = 0;
+}
+
+/*
+ * A node announces no other node's endpoint.
+ */
+static bool
+check_watch(const struct wire_watch_args *a, bool pull)
+{
+	if (!is_plain_name(a->node) ||
+	    (a->zone[0] != '\0' && !is_plain_name(a->zone)))
+		return false;
+	return pull || a->self == NULL || strcmp(a->self->id, a->node) == 0;
+}
+
+/*
+ * Takes in what the request says about the node, and renews its lease.
+ */
+static void
+note_watch(
+    struct control *c, const struct held_watch *w, int64_t now, bool pull)
+{
+	const struct wire_watch_args *a = &w->args;
+
+	if (pull)
+		return;
+	if (note_node(&c->nodes, a, w->conn, now, read_wall(&c->cfg.clock)) &&
+	    a->refused_version != 0) {
+		count_metric(c->metrics.refused, 1);
+		record_event(c->cfg.events, "refused", a->node,
+		    a->refused_version, "%s", a->refused_reason);
+	}
+	if (a->held_version == c->state->table->version &&
+	    a->held_version != 0 && a->held_digest != c->state->table->digest) {
+		count_metric(c->metrics.digest_mismatch, 1);
+		record_event(c->cfg.events, "digest", a->node, a->held_version,
+		    "the node's table differs from this one");
+	}
+	if (a->self == NULL)
+		hear_node(c->registry, now, make_str(a->node));
+	else if (announce_endpoint_record(c->registry, now, a->self) ==
+		 REGISTRY_CHANGED)
+		record_event(c->cfg.events, "endpoint", a->node, 0,
+		    "announced %llu.%llu state %d",
+		    (unsigned long long)a->self->incarnation,
+		    (unsigned long long)a->self->seq, (int)a->self->state);
+}
+
+/*
+ * Replies if the time has come; false while the watch is held.
+ */
+static bool
+serve_watch(struct control *c, struct held_watch *w, bool stale, int64_t now)
+{
+	struct watch_view v = {
+	    .version = c->state->table->version,
+	    .stale = stale,
+	    .confirmed = w->read != 0 && c->reads.confirmed >= w->read,
+	    .due = now >= w->due_ns,
+	    .registry = c->registry,
+	};
+	enum watch_verdict verdict = decide_watch(&v, &w->args);
+
+	if (verdict != WATCH_STALE && w->sync_read && !v.confirmed)
+		verdict = WATCH_READ;
+	if (verdict == WATCH_READ && c->reads.failed >= w->read)
+		verdict = WATCH_STALE;
+	switch (verdict) {
+	case WATCH_HOLD:
+	case WATCH_READ:
+		return false;
+	case WATCH_STALE:
+		count_metric(c->metrics.stale, 1);
+		reply_refusal(c, w, WIRE_STALE, 0);
+		return true;
+	case WATCH_REPLY:
+		break;
+	}
+	reply_update(c, w, now);
+	return true;
+}
+
+static void
+reply_update(struct control *c, struct held_watch *w, int64_t now)
+{
+	struct wire_hlc stamp = stamp_message(c);
+	struct watch_update *u = NULL;
+	struct buf b = {0};
+	int rc = 0, retry_ms = 0;
+
+	if (needs_table(c->state->table->version, &w->args))
+		rc = find_update(&c->cache, c->state, w->args.held_version, &u);
+	if (rc == 0 && u != NULL && get_update_tokens(u) > 0)
+		retry_ms = take_tokens(&c->bucket, get_update_tokens(u), now);
+	if (retry_ms > 0) {
+		count_metric(c->metrics.limited, 1);
+		reply_refusal(c, w, WIRE_LIMIT, retry_ms);
+		return;
+	}
+	if (rc == 0)
+		rc = encode_watch_reply(
+		    &c->cache, c->state, c->registry, &w->args, &stamp, &b);
+	if (rc == 0 && u != NULL)
+		count_metric(u->form == WIRE_TABLE_WHOLE ? c->metrics.whole :
+							   c->metrics.delta,
+		    1);
+	complete_rpc(w->reply, rc, view_buf(&b));
+	unload_buf(&b);
+}
+
+static void
+reply_refusal(
+    struct control *c, struct held_watch *w, wire_status status, int retry_ms)
+{
+	struct wire_hlc stamp = stamp_message(c);
+	struct buf b = {0};
+	int rc = encode_watch_refusal(status, retry_ms, &stamp, &b);
+
+	complete_rpc(w->reply, rc, view_buf(&b));
+	unload_buf(&b);
+}
+
+static void
+free_watch(struct held_watch *w)
+{
+	unload_wire((xdrproc_t)xdr_wire_watch_args, &w->args);
+	free(w);
+}
