Add retry, hedge and picker decisions

Cause: an entry node must choose an endpoint by what it sees itself, and retry without running work twice or multiplying load over a chain of calls. Change: retry.c (row budget, chain budget, full jitter, hedges only at the first level of a chain and at two tokens), picker.c with endpoint.c (load, room, slow start) and ejection.c (outliers, probation). Policy interface: retry_input gains first_level, pick_result gains status. While testing, light load never came back to an endpoint after one slow or failed call, and equal scores always went to the lower index: measurements are now forgotten after 10 s and ties are drawn.

--- a/packages/policy/picker.h
+++ b/packages/policy/picker.h
@@ -63,6 +63,7 @@
 struct pick_result {
 	enum call_outcome outcome;
 	enum refuse_reason reason; /* of a refusal */
+	int status; /* of a failure: below 500 it is the caller's fault */
 	bool cancelled; /* says nothing about the endpoint */
 	int64_t latency_ns;
 	struct returned_load load;
--- a/packages/policy/retry.h
+++ b/packages/policy/retry.h
@@ -3,8 +3,10 @@
  * budget (X-Ggs-Retry-Budget).
  *
  * The chain budget is the number of retries that a whole chain of calls may
- * still make. A request passes it down; the level that sees a failure first
- * spends it or gives it up, and answers upwards with zero.
+ * still make. Requests carry it down. A serving node that refuses a call
+ * answers with the value it received. An entry node that answers with a failure
+ * has spent the budget or given it up and answers with 0; a serving node passes
+ * on that 0 when a call with the same call id failed through its own node.
  */
 #ifndef RETRY_H
 #define RETRY_H
@@ -25,6 +27,7 @@
 	struct attempt_verdict verdict;
 	int attempts; /* made so far, hedges included */
 	int chain_budget; /* retries the chain may still make */
+	bool first_level; /* came without X-Ggs-Retry-Budget */
 	bool has_other_endpoint; /* one that was not tried */
 	int64_t retry_after_ns; /* from the answer; 0: none */
 	int64_t usual_ns; /* usual latency of an attempt; 0: unknown */
