--- a/apps/greengagespurctl/ctl.h
+++ b/apps/greengagespurctl/ctl.h
@@ -64,6 +64,7 @@
 /* Commands, ended by a NULL name */
 const struct command *get_table_commands(void);
 const struct command *get_fleet_commands(void);
+int run_status(struct ctl *c, char **words, int count);
 int run_timeline(struct ctl *c, char **words, int count);
 
 #endif
--- a/apps/greengagespurctl/fleet_commands.c
+++ b/apps/greengagespurctl/fleet_commands.c
@@ -2,13 +2,14 @@
  * The commands on the fleet: status, endpoints, drain, metrics, timeline.
  */
 #include <stdio.h>
+#include <stdlib.h>
 
 #include "ctl.h"
 
-static int run_status(struct ctl *c, char **words, int count);
 static int run_endpoints(struct ctl *c, char **words, int count);
 static int run_drain(struct ctl *c, char **words, int count);
 static int run_metrics(struct ctl *c, char **words, int count);
+static int run_member(struct ctl *c, char **words, int count);
 static int run_path(struct ctl *c, const char *path);
 
 static const struct command commands[] = {
@@ -21,6 +22,9 @@
 	run_timeline},
     {"metrics", "[ADDRESS]", "Print metrics of a control process or node", 0, 1,
 	run_metrics},
+    {"member", "add|promote|remove ID [ADDRESS]",
+	"Change the group of voters; a new one counts once promoted", 2, 3,
+	run_member},
     {0},
 };
 
@@ -30,14 +34,6 @@
 	return commands;
 }
 
-static int
-run_status(struct ctl *c, char **words, int count)
-{
-	(void)words;
-	(void)count;
-	return run_path(c, "/v1/status");
-}
-
 static int
 run_endpoints(struct ctl *c, char **words, int count)
 {
@@ -73,6 +69,35 @@
 	return status;
 }
 
+/*
+ * Sends a membership change; only the leader accepts it, so all are asked.
+ */
+static int
+run_member(struct ctl *c, char **words, int count)
+{
+	struct answer a = {0};
+	json_t *body;
+	int64_t id;
+	char *text;
+	int status;
+
+	if (parse_i64(make_str(words[1]), 1, INT64_MAX, &id) != 0) {
+		fprintf(stderr, "member: '%s' is not the id of a process\n",
+		    words[1]);
+		return CTL_USAGE;
+	}
+	body = json_pack("{s:s,s:I}", "action", words[0], "id", (json_int_t)id);
+	if (count == 3)
+		json_object_set_new(body, "address", json_string(words[2]));
+	text = json_dumps(body, JSON_COMPACT);
+	(void)request_control(c, "POST", "/v1/members", text, &a);
+	status = print_answer(c, &a);
+	free(text);
+	json_decref(body);
+	unload_answer(&a);
+	return status;
+}
+
 static int
 run_path(struct ctl *c, const char *path)
 {
--- a/apps/greengagespurctl/main.c
+++ b/apps/greengagespurctl/main.c
@@ -44,6 +44,7 @@
     "table diff FROM TO\n"
     "table revert VERSION\n"
     "status\n"
+    "member add|promote|remove ID [ADDRESS]\n"
     "endpoints\n"
     "drain ADDRESS\n"
     "timeline\n"
--- a/apps/greengagespurctl/request.c
+++ b/apps/greengagespurctl/request.c
@@ -86,6 +86,7 @@
 	case 202:
 		return CTL_OK;
 	case 400:
+	case 404:
 	case 413:
 	case 422:
 		return CTL_INVALID;
--- a/scenarios/fleet.lua
+++ b/scenarios/fleet.lua
@@ -382,8 +382,8 @@
 		if c.running then
 			local r = M.ask(c, "GET", "/v1/status", nil,
 				{timeout_ms = 1000})
-			if r.status == 200 and r.json and
-			    r.json.role == "leader" then
+			if r.status == 200 and r.json and r.json.group and
+			    r.json.group.role == "leader" then
 				return c
 			end
 		end
--- a/scenarios/partition.lua
+++ b/scenarios/partition.lua
@@ -33,7 +33,8 @@
 			if c ~= old then
 				local s = fleet.ask(c, "GET", "/v1/status", nil,
 					{timeout_ms = 1000})
-				if s.json and s.json.role == "leader" then
+				if s.json and s.json.group and
+				    s.json.group.role == "leader" then
 					return c
 				end
 			end
