--- /dev/null
+++ b/packages/proxy/front.c
@@ -0,0 +1,346 @@
+/*
+ * The listener for callers and other nodes. Its threads read requests and
+ * write answers; a connection is suspended while the loop has its call.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <ck_pr.h>
+
+#include "call.h"
+
+#define FRONT_THREADS 2
+#define FRONT_CONNECTIONS_MAX 4096
+#define FRONT_IDLE_S 30 /* a connection without progress is closed */
+#define FRONT_MEMORY (32 * 1024) /* headers of a request at most */
+/* Body bytes of a refused request that are read to answer it properly. */
+#define DISCARD_MAX (64UL * 1024 * 1024)
+
+static void *open_call(void *cls, const char *uri, struct MHD_Connection *conn);
+static enum MHD_Result handle_request(void *cls, struct MHD_Connection *conn,
+    const char *url, const char *method, const char *version, const char *data,
+    size_t *size, void **state);
+static enum MHD_Result take_upload(
+    struct call *c, const char *data, size_t *size);
+static enum MHD_Result append_upload(
+    struct call *c, const char *data, size_t *size);
+static enum MHD_Result send_answer(struct call *c);
+static void add_headers(struct MHD_Response *r, struct call *c);
+static void add_answer_headers(struct MHD_Response *r, struct str head);
+static void close_call(void *cls, struct MHD_Connection *conn, void **state,
+    enum MHD_RequestTerminationCode code);
+
+/*
+ * Starts the listener's threads. Returns ERR_INVALID, ERR_IO or ERR_LIMIT.
+ */
+int
+open_front(struct proxy *p, struct fault *f)
+{
+	int fd;
+	int rc = open_listener(p->listen, &fd, &p->port, f);
+
+	if (rc != 0)
+		return rc;
+	p->front = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD |
+					MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
+	    0, NULL, NULL, handle_request, p, MHD_OPTION_LISTEN_SOCKET, fd,
+	    MHD_OPTION_THREAD_POOL_SIZE, (unsigned int)FRONT_THREADS,
+	    MHD_OPTION_CONNECTION_LIMIT, (unsigned int)FRONT_CONNECTIONS_MAX,
+	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)FRONT_IDLE_S,
+	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)FRONT_MEMORY,
+	    MHD_OPTION_URI_LOG_CALLBACK, open_call, p,
+	    MHD_OPTION_NOTIFY_COMPLETED, close_call, p, MHD_OPTION_END);
+	if (p->front != NULL)
+		return 0;
+	close(fd);
+	return set_fault(f, ERR_LIMIT,
+	    "the listener on %s did not start: raise the limits on threads "
+	    "and open files",
+	    p->listen);
+}
+
+/*
+ * Sets the answer of a call that is refused before the loop sees it. The rest
+ * of its body is read and dropped, so that the caller gets the answer.
+ */
+void
+refuse_early(
+    struct call *c, int status, enum refuse_reason reason, const char *note)
+{
+	release_body(c);
+	c->refused = true;
+	c->ended = true;
+	c->outcome = OUTCOME_NOT_RUN;
+	c->status = status;
+	c->answer = make_refusal(reason, note, status);
+}
+
+/*
+ * Suspends a call's connection, to be resumed by the loop. The listener must
+ * not stop while a connection is suspended, so a stopping proxy suspends none.
+ */
+bool
+suspend_call(struct call *c)
+{
+	struct proxy *p = c->proxy;
+
+	ck_pr_inc_int(&p->suspended);
+	ck_pr_fence_memory();
+	if (ck_pr_load_8((uint8_t *)&p->stopping)) {
+		ck_pr_dec_int(&p->suspended);
+		return false;
+	}
+	MHD_suspend_connection(c->conn);
+	return true;
+}
+
+/*
+ * Gives a call back to the listener's thread; c may be gone on return.
+ */
+void
+resume_call(struct call *c)
+{
+	struct proxy *p = c->proxy;
+
+	MHD_resume_connection(c->conn);
+	ck_pr_dec_int(&p->suspended);
+}
+
+/*
+ * Called when the request line is complete; the value becomes the request's
+ * state. The unescaped path that later calls get has lost information.
+ */
+static void *
+open_call(void *cls, const char *uri, struct MHD_Connection *conn)
+{
+	struct call *c = calloc(1, sizeof(*c));
+
+	if (c == NULL)
+		return NULL;
+	c->proxy = cls;
+	c->conn = conn;
+	c->target = strdup(uri);
+	if (c->target == NULL) {
+		free(c);
+		return NULL;
+	}
+	return c;
+}
+
+/*
+ * Called with the headers, with each piece of the body, when the body is
+ * complete, and again after the connection was resumed.
+ */
+static enum MHD_Result
+handle_request(void *cls, struct MHD_Connection *conn, const char *url,
+    const char *method, const char *version, const char *data, size_t *size,
+    void **state)
+{
+	struct call *c = *state;
+
+	(void)cls;
+	(void)conn;
+	(void)url;
+	(void)version;
+	if (c == NULL)
+		return MHD_NO;
+	if (!c->begun) {
+		c->begun = true;
+		ck_pr_inc_int(&c->proxy->active);
+		snprintf(c->method, sizeof(c->method), "%s", method);
+		read_request(c);
+		return MHD_YES;
+	}
+	if (*size > 0)
+		return take_upload(c, data, size);
+	if (c->ended)
+		return send_answer(c);
+	if (!suspend_call(c)) {
+		refuse_early(c, 503, REFUSE_DRAINING, NULL);
+		return send_answer(c);
+	}
+	c->task.run = start_call;
+	post_task(c->proxy->loop, &c->task);
+	return MHD_YES;
+}
+
+/*
+ * Takes a piece of the body. While the body budget is used up the connection
+ * is suspended and the piece stays where it is.
+ */
+static enum MHD_Result
+take_upload(struct call *c, const char *data, size_t *size)
+{
+	struct budget *b = c->proxy->budget;
+
+	if (!c->refused && read_mono(&c->proxy->cfg.clock) >= c->deadline)
+		refuse_early(c, 503, REFUSE_DEADLINE, NULL);
+	if (c->refused) {
+		c->discarded += *size;
+		*size = 0;
+		return c->discarded <= DISCARD_MAX ? MHD_YES : MHD_NO;
+	}
+	if (c->body != NULL)
+		return append_upload(c, data, size);
+	if (c->reserved == 0) {
+		if (!reserve_budget(b, (int64_t)c->body_cap)) {
+			if (suspend_call(c))
+				wait_for_budget(c);
+			else
+				refuse_early(c, 503, REFUSE_DRAINING, NULL);
+			return MHD_YES;
+		}
+		c->reserved = (int64_t)c->body_cap;
+	}
+	c->body = malloc(c->body_cap);
+	if (c->body == NULL) {
+		refuse_early(c, 503, REFUSE_OVERLOAD, NULL);
+		return MHD_YES;
+	}
+	return append_upload(c, data, size);
+}
+
+/*
+ * Appends a piece of the body. Only a body without a declared length can grow
+ * past its row's limit here.
+ */
+static enum MHD_Result
+append_upload(struct call *c, const char *data, size_t *size)
+{
+	if (c->body_len + *size > c->body_cap) {
+		refuse_early(c, 413, REFUSE_NONE, "body-limit");
+		return MHD_YES;
+	}
+	memcpy(c->body + c->body_len, data, *size);
+	c->body_len += *size;
+	*size = 0;
+	return MHD_YES;
+}
+
+/*
+ * Queues the answer. The body's memory passes to the response.
+ */
+static enum MHD_Result
+send_answer(struct call *c)
+{
+	struct MHD_Response *r =
+	    MHD_create_response_from_buffer(c->answer.body_len,
+		c->answer.body_len > 0 ? c->answer.body : (void *)"",
+		c->answer.body_len > 0 ? MHD_RESPMEM_MUST_FREE :
+					 MHD_RESPMEM_PERSISTENT);
+	enum MHD_Result rc;
+
+	if (r == NULL)
+		return MHD_NO;
+	if (c->answer.body_len > 0)
+		c->answer.body = NULL;
+	add_headers(r, c);
+	rc = MHD_queue_response(c->conn, (unsigned int)c->status, r);
+	MHD_destroy_response(r);
+	return rc;
+}
+
+/*
+ * Adds the outcome headers and those that the backend server sent.
+ */
+static void
+add_headers(struct MHD_Response *r, struct call *c)
+{
+	char text[CALL_NOTE_BYTES];
+
+	add_answer_headers(r, view_buf(&c->answer.head));
+	MHD_add_response_header(
+	    r, "X-Ggs-Outcome", get_outcome_name(c->outcome));
+	MHD_add_response_header(r, "X-Ggs-Call-Id", c->id);
+	if (c->answer.reason != REFUSE_NONE)
+		MHD_add_response_header(
+		    r, "X-Ggs-Reason", get_refuse_name(c->answer.reason));
+	else if (c->answer.note[0] != '\0')
+		MHD_add_response_header(r, "X-Ggs-Reason", c->answer.note);
+	if (c->table != NULL) {
+		snprintf(text, sizeof(text), "%llu",
+		    (unsigned long long)c->table->version);
+		MHD_add_response_header(r, "X-Ggs-Version", text);
+	}
+	if (c->answer.chain_budget >= 0) {
+		snprintf(text, sizeof(text), "%d", c->answer.chain_budget);
+		MHD_add_response_header(r, "X-Ggs-Retry-Budget", text);
+	}
+	if (c->answer.load.known &&
+	    render_load(&c->answer.load, text, sizeof(text)) == 0)
+		MHD_add_response_header(r, "X-Ggs-Load", text);
+	if (c->outcome == OUTCOME_NOT_RUN && c->answer.retry_after_ns > 0) {
+		snprintf(text, sizeof(text), "%lld",
+		    (long long)((c->answer.retry_after_ns + NSEC_PER_SEC - 1) /
+				NSEC_PER_SEC));
+		MHD_add_response_header(r, "Retry-After", text);
+	}
+	if (ck_pr_load_8((uint8_t *)&c->proxy->draining))
+		MHD_add_response_header(r, "Connection", "close");
+}
+
+/*
+ * Adds "Name: value" lines, each ended by CR LF.
+ */
+static void
+add_answer_headers(struct MHD_Response *r, struct str head)
+{
+	char name[256], value[8192];
+	const char *at = head.data, *end = head.data + head.len;
+
+	while (at < end) {
+		const char *eol = memchr(at, '\r', (size_t)(end - at));
+		const char *colon;
+
+		if (eol == NULL)
+			return;
+		colon = memchr(at, ':', (size_t)(eol - at));
+		if (colon != NULL &&
+		    copy_str(name, sizeof(name),
+			make_str_n(at, (size_t)(colon - at))) == 0 &&
+		    copy_str(value, sizeof(value),
+			make_str_n(colon + 2, (size_t)(eol - colon - 2))) == 0)
+			MHD_add_response_header(r, name, value);
+		at = eol + 2;
+	}
+}
+
+/*
+ * Called when the answer is sent or the connection ended before that.
+ */
+static void
+close_call(void *cls, struct MHD_Connection *conn, void **state,
+    enum MHD_RequestTerminationCode code)
+{
+	struct call *c = *state;
+	struct proxy *p = cls;
+
+	(void)conn;
+	(void)code;
+	if (c == NULL)
+		return;
+	*state = NULL;
+	release_body(c);
+	if (c->begun && !c->ended) {
+		c->outcome = OUTCOME_NOT_RUN;
+		c->ended = true;
+	}
+	if (c->begun)
+		count_end(c);
+	if (c->table != NULL)
+		release_table(p->cfg.agent, c->table);
+	unload_result(&c->answer);
+	unload_buf(&c->head);
+	free(c->target);
+	if (c->begun) {
+		ck_pr_dec_int(&p->active);
+		if (ck_pr_load_8((uint8_t *)&p->draining)) {
+			pthread_mutex_lock(&p->lock);
+			pthread_cond_broadcast(&p->idle);
+			pthread_mutex_unlock(&p->lock);
+		}
+	}
+	free(c);
+}
--- /dev/null
+++ b/packages/proxy/loop.c
@@ -0,0 +1,493 @@
+/*
+ * The event loop: epoll, a heap of timers, a queue of posted tasks and the
+ * curl multi handle, all driven by one thread.
+ */
+#include <pthread.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "loop.h"
+
+#define LOOP_BATCH 64 /* events taken from one epoll_wait */
+#define LOOP_IDLE_MS 1000 /* longest wait, bounds the delay of a paused clock */
+#define LOOP_SETTLE_MAX 64 /* rounds before sockets are looked at again */
+
+struct loop {
+	struct clock_source clock;
+	struct loop_hooks hooks;
+	int epoll_fd;
+	struct loop_watch wake; /* eventfd written by post_task() */
+	CURLM *curl;
+	int64_t curl_at; /* when curl wants to be called; -1: never */
+	struct loop_timer **heap;
+	size_t heap_count, heap_cap;
+	struct epoll_event batch[LOOP_BATCH];
+	int batch_at, batch_count;
+	pthread_t thread;
+	bool running;
+	bool stop; /* loop thread only, set by a task */
+	struct loop_task stop_task;
+	pthread_mutex_t lock; /* leaf lock of the queue */
+	struct loop_task *head, **tail;
+};
+
+static void *run_thread(void *arg);
+static void run_round(struct loop *l);
+static int get_wait_ms(struct loop *l);
+static bool run_tasks(struct loop *l);
+static bool fire_timers(struct loop *l);
+static bool drive_curl(struct loop *l);
+static void drain_wake(struct loop_watch *w, uint32_t events);
+static void request_stop(struct loop_task *t);
+static int change_socket(
+    CURL *easy, curl_socket_t s, int what, void *userp, void *socketp);
+static void handle_socket(struct loop_watch *w, uint32_t events);
+static int change_curl_timer(CURLM *m, long timeout_ms, void *userp);
+static void sift_up(struct loop *l, size_t i);
+static void sift_down(struct loop *l, size_t i);
+static void place_timer(struct loop *l, size_t i, struct loop_timer *t);
+
+/* A watched curl socket; curl keeps the pointer. */
+struct socket_watch {
+	struct loop_watch watch;
+	struct loop *loop;
+};
+
+/*
+ * Creates a loop whose thread has not started. Returns ERR_IO or ERR_MEMORY.
+ */
+int
+open_loop(struct clock_source clock, const struct loop_hooks *hooks,
+    struct loop **out)
+{
+	struct loop *l = calloc(1, sizeof(*l));
+
+	if (l == NULL)
+		return ERR_MEMORY;
+	l->clock = clock;
+	l->hooks = *hooks;
+	l->tail = &l->head;
+	l->curl_at = -1;
+	pthread_mutex_init(&l->lock, NULL);
+	l->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	l->wake.fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	l->wake.ready = drain_wake;
+	l->curl = curl_multi_init();
+	if (l->epoll_fd < 0 || l->wake.fd < 0 || l->curl == NULL ||
+	    watch_fd(l, &l->wake, EPOLLIN) != 0) {
+		close_loop(l);
+		return ERR_IO;
+	}
+	curl_multi_setopt(l->curl, CURLMOPT_SOCKETFUNCTION, change_socket);
+	curl_multi_setopt(l->curl, CURLMOPT_SOCKETDATA, l);
+	curl_multi_setopt(l->curl, CURLMOPT_TIMERFUNCTION, change_curl_timer);
+	curl_multi_setopt(l->curl, CURLMOPT_TIMERDATA, l);
+	*out = l;
+	return 0;
+}
+
+/*
+ * Starts the loop thread. Returns ERR_LIMIT when the system has no thread
+ * left.
+ */
+int
+run_loop(struct loop *l)
+{
+	if (pthread_create(&l->thread, NULL, run_thread, l) != 0)
+		return ERR_LIMIT;
+	l->running = true;
+	return 0;
+}
+
+/*
+ * Ends the thread after the tasks posted so far.
+ */
+void
+stop_loop(struct loop *l)
+{
+	if (!l->running)
+		return;
+	l->stop_task.run = request_stop;
+	post_task(l, &l->stop_task);
+	pthread_join(l->thread, NULL);
+	l->running = false;
+}
+
+/*
+ * Frees the loop. Easy handles must be gone.
+ */
+void
+close_loop(struct loop *l)
+{
+	if (l->curl != NULL)
+		curl_multi_cleanup(l->curl);
+	if (l->epoll_fd >= 0)
+		close(l->epoll_fd);
+	if (l->wake.fd >= 0)
+		close(l->wake.fd);
+	pthread_mutex_destroy(&l->lock);
+	free(l->heap);
+	free(l);
+}
+
+/*
+ * Queues t for the loop thread. The loop is woken only by the first task of a
+ * batch.
+ */
+void
+post_task(struct loop *l, struct loop_task *t)
+{
+	uint64_t one = 1;
+	bool first;
+
+	t->next = NULL;
+	pthread_mutex_lock(&l->lock);
+	first = l->head == NULL;
+	*l->tail = t;
+	l->tail = &t->next;
+	pthread_mutex_unlock(&l->lock);
+	if (first && write(l->wake.fd, &one, sizeof(one)) < 0) {
+		/* the counter is already above zero: the loop wakes anyway */
+	}
+}
+
+/*
+ * Sets or moves a timer. Returns ERR_MEMORY when the heap cannot grow.
+ */
+int
+set_timer(struct loop *l, struct loop_timer *t, int64_t at)
+{
+	if (t->slot != 0) {
+		t->at = at;
+		sift_up(l, t->slot - 1);
+		sift_down(l, t->slot - 1);
+		return 0;
+	}
+	if (l->heap_count == l->heap_cap) {
+		size_t cap = l->heap_cap != 0 ? l->heap_cap * 2 : 64;
+		struct loop_timer **p = realloc(l->heap, cap * sizeof(*p));
+
+		if (p == NULL)
+			return ERR_MEMORY;
+		l->heap = p;
+		l->heap_cap = cap;
+	}
+	t->at = at;
+	place_timer(l, l->heap_count, t);
+	l->heap_count++;
+	sift_up(l, l->heap_count - 1);
+	return 0;
+}
+
+/*
+ * Clears a timer; nothing happens when it is not set.
+ */
+void
+clear_timer(struct loop *l, struct loop_timer *t)
+{
+	struct loop_timer *last;
+	size_t i;
+
+	if (t->slot == 0)
+		return;
+	i = t->slot - 1;
+	t->slot = 0;
+	l->heap_count--;
+	if (i == l->heap_count)
+		return;
+	last = l->heap[l->heap_count];
+	place_timer(l, i, last);
+	sift_up(l, i);
+	sift_down(l, last->slot - 1);
+}
+
+/*
+ * Adds a descriptor to the loop. Returns ERR_IO.
+ */
+int
+watch_fd(struct loop *l, struct loop_watch *w, uint32_t events)
+{
+	struct epoll_event ev = {.events = events, .data.ptr = w};
+
+	return epoll_ctl(l->epoll_fd, EPOLL_CTL_ADD, w->fd, &ev) == 0 ? 0 :
+									ERR_IO;
+}
+
+/*
+ * Removes a descriptor, and its events that wait in the batch at hand, so that
+ * the caller may free w.
+ */
+void
+unwatch_fd(struct loop *l, struct loop_watch *w)
+{
+	epoll_ctl(l->epoll_fd, EPOLL_CTL_DEL, w->fd, NULL);
+	for (int i = l->batch_at; i < l->batch_count; i++) {
+		if (l->batch[i].data.ptr == w)
+			l->batch[i].data.ptr = NULL;
+	}
+}
+
+CURLM *
+get_loop_curl(struct loop *l)
+{
+	return l->curl;
+}
+
+int64_t
+get_loop_time(struct loop *l)
+{
+	return read_mono(&l->clock);
+}
+
+static void *
+run_thread(void *arg)
+{
+	struct loop *l = arg;
+
+	while (!l->stop)
+		run_round(l);
+	return NULL;
+}
+
+/*
+ * One wait and everything that it made ready. Tasks, timers, curl and the
+ * settle hook feed each other, so they repeat until none makes progress.
+ */
+static void
+run_round(struct loop *l)
+{
+	int n = epoll_wait(l->epoll_fd, l->batch, LOOP_BATCH, get_wait_ms(l));
+
+	l->batch_count = n > 0 ? n : 0;
+	for (l->batch_at = 0; l->batch_at < l->batch_count;) {
+		struct epoll_event *ev = &l->batch[l->batch_at++];
+		struct loop_watch *w = ev->data.ptr;
+
+		if (w != NULL)
+			w->ready(w, ev->events);
+	}
+	for (int i = 0; i < LOOP_SETTLE_MAX; i++) {
+		bool more = run_tasks(l);
+
+		more |= fire_timers(l);
+		more |= drive_curl(l);
+		more |= l->hooks.settle(l->hooks.arg);
+		if (!more)
+			break;
+	}
+}
+
+/*
+ * Milliseconds until the next timer, rounded up.
+ */
+static int
+get_wait_ms(struct loop *l)
+{
+	int64_t now = read_mono(&l->clock), at = INT64_MAX, ms;
+	bool queued;
+
+	pthread_mutex_lock(&l->lock);
+	queued = l->head != NULL;
+	pthread_mutex_unlock(&l->lock);
+	if (queued)
+		return 0;
+	if (l->heap_count > 0)
+		at = l->heap[0]->at;
+	if (l->curl_at >= 0 && l->curl_at < at)
+		at = l->curl_at;
+	if (at <= now)
+		return 0;
+	ms = (at - now) / NSEC_PER_MSEC + 1;
+	return ms < LOOP_IDLE_MS ? (int)ms : LOOP_IDLE_MS;
+}
+
+static bool
+run_tasks(struct loop *l)
+{
+	struct loop_task *t, *next;
+
+	pthread_mutex_lock(&l->lock);
+	t = l->head;
+	l->head = NULL;
+	l->tail = &l->head;
+	pthread_mutex_unlock(&l->lock);
+	if (t == NULL)
+		return false;
+	for (; t != NULL; t = next) {
+		next = t->next;
+		t->run(t);
+	}
+	return true;
+}
+
+static bool
+fire_timers(struct loop *l)
+{
+	int64_t now = read_mono(&l->clock);
+	bool fired = false;
+
+	while (l->heap_count > 0 && l->heap[0]->at <= now) {
+		struct loop_timer *t = l->heap[0];
+
+		clear_timer(l, t);
+		t->fire(t);
+		fired = true;
+	}
+	return fired;
+}
+
+/*
+ * Calls curl when its timer is due and reports the transfers that ended.
+ */
+static bool
+drive_curl(struct loop *l)
+{
+	int left, running;
+	bool worked = false;
+	CURLMsg *m;
+
+	if (l->curl_at >= 0 && l->curl_at <= read_mono(&l->clock)) {
+		l->curl_at = -1;
+		curl_multi_socket_action(
+		    l->curl, CURL_SOCKET_TIMEOUT, 0, &running);
+		worked = true;
+	}
+	while ((m = curl_multi_info_read(l->curl, &left)) != NULL) {
+		if (m->msg != CURLMSG_DONE)
+			continue;
+		l->hooks.transfer_done(m->easy_handle, m->data.result);
+		worked = true;
+	}
+	return worked;
+}
+
+static void
+drain_wake(struct loop_watch *w, uint32_t events)
+{
+	uint64_t n;
+
+	(void)events;
+	if (read(w->fd, &n, sizeof(n)) < 0) {
+		/* another round has read it */
+	}
+}
+
+static void
+request_stop(struct loop_task *t)
+{
+	struct loop *l =
+	    (struct loop *)((char *)t - offsetof(struct loop, stop_task));
+
+	l->stop = true;
+}
+
+/*
+ * Curl's request to watch a socket, to change what it waits for, or to forget
+ * it.
+ */
+static int
+change_socket(CURL *easy, curl_socket_t s, int what, void *userp, void *socketp)
+{
+	struct loop *l = userp;
+	struct socket_watch *w = socketp;
+	struct epoll_event ev = {0};
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		if (w != NULL) {
+			unwatch_fd(l, &w->watch);
+			free(w);
+		}
+		curl_multi_assign(l->curl, s, NULL);
+		return 0;
+	}
+	if (what != CURL_POLL_OUT)
+		ev.events |= EPOLLIN;
+	if (what != CURL_POLL_IN)
+		ev.events |= EPOLLOUT;
+	if (w != NULL) {
+		ev.data.ptr = &w->watch;
+		epoll_ctl(l->epoll_fd, EPOLL_CTL_MOD, s, &ev);
+		return 0;
+	}
+	w = calloc(1, sizeof(*w));
+	if (w == NULL)
+		return -1;
+	w->loop = l;
+	w->watch = (struct loop_watch){s, handle_socket};
+	if (watch_fd(l, &w->watch, ev.events) != 0) {
+		free(w);
+		return -1;
+	}
+	curl_multi_assign(l->curl, s, w);
+	return 0;
+}
+
+static void
+handle_socket(struct loop_watch *w, uint32_t events)
+{
+	struct loop *l = ((struct socket_watch *)w)->loop;
+	int mask = 0, running;
+
+	if (events & EPOLLIN)
+		mask |= CURL_CSELECT_IN;
+	if (events & EPOLLOUT)
+		mask |= CURL_CSELECT_OUT;
+	if (events & (EPOLLERR | EPOLLHUP))
+		mask |= CURL_CSELECT_ERR;
+	curl_multi_socket_action(l->curl, w->fd, mask, &running);
+}
+
+static int
+change_curl_timer(CURLM *m, long timeout_ms, void *userp)
+{
+	struct loop *l = userp;
+
+	(void)m;
+	l->curl_at = timeout_ms < 0 ?
+			 -1 :
+			 read_mono(&l->clock) + timeout_ms * NSEC_PER_MSEC;
+	return 0;
+}
+
+static void
+place_timer(struct loop *l, size_t i, struct loop_timer *t)
+{
+	l->heap[i] = t;
+	t->slot = i + 1;
+}
+
+static void
+sift_up(struct loop *l, size_t i)
+{
+	struct loop_timer *t = l->heap[i];
+
+	while (i > 0 && l->heap[(i - 1) / 2]->at > t->at) {
+		place_timer(l, i, l->heap[(i - 1) / 2]);
+		i = (i - 1) / 2;
+	}
+	place_timer(l, i, t);
+}
+
+static void
+sift_down(struct loop *l, size_t i)
+{
+	struct loop_timer *t = l->heap[i];
+
+	for (;;) {
+		size_t c = 2 * i + 1;
+
+		if (c >= l->heap_count)
+			break;
+		if (c + 1 < l->heap_count &&
+		    l->heap[c + 1]->at < l->heap[c]->at)
+			c++;
+		if (l->heap[c]->at >= t->at)
+			break;
+		place_timer(l, i, l->heap[c]);
+		i = c;
+	}
+	place_timer(l, i, t);
+}
--- /dev/null
+++ b/packages/proxy/request.c
@@ -0,0 +1,202 @@
+/*
+ * Reading a request's headers: its row, its limits and what is passed on.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <ck_pr.h>
+
+#include "call.h"
+
+#define CALL_PATH "/call/"
+
+static void read_kind(struct call *c);
+static void read_call_id(struct call *c);
+static int read_number(struct call *c, const char *name, int lo, int absent);
+static enum MHD_Result copy_header(
+    void *cls, enum MHD_ValueKind kind, const char *name, const char *value);
+static void check_request(struct call *c);
+static void check_body(struct call *c);
+static void check_key(struct call *c);
+static const char *get_header(const struct call *c, const char *name);
+
+/*
+ * Reads the headers and either sets the row and its limits or refuses the
+ * call. Runs on a listener's thread.
+ */
+void
+read_request(struct call *c)
+{
+	struct proxy *p = c->proxy;
+	const char *hop = get_header(c, "X-Ggs-Hop");
+
+	c->arrived = read_mono(&p->cfg.clock);
+	c->deadline = INT64_MAX;
+	c->hop = hop != NULL && strcmp(hop, "serve") == 0;
+	c->depth = read_number(c, "X-Ggs-Depth", 0, 0) + !c->hop;
+	c->chain_header =
+	    read_number(c, "X-Ggs-Retry-Budget", 0, RETRY_BUDGET_ABSENT);
+	c->answer.chain_budget = RETRY_BUDGET_ABSENT;
+	read_call_id(c);
+	read_kind(c);
+	MHD_get_connection_values(c->conn, MHD_HEADER_KIND, copy_header, c);
+	c->table = acquire_table(p->cfg.agent);
+	check_request(c);
+}
+
+/*
+ * Counts a call when its answer has left or its caller has gone. Attempts that
+ * other nodes handed over are counted where they are served.
+ */
+void
+count_end(struct call *c)
+{
+	if (c->stats == NULL)
+		c->stats = find_row_state("unknown");
+	if (!c->hop)
+		count_row(c->stats, ROW_CALLS + (int)c->outcome, 1);
+	if (c->outcome == OUTCOME_NOT_RUN)
+		count_row(c->stats, ROW_REFUSED + (int)c->answer.reason, 1);
+}
+
+/*
+ * The kind comes from X-Ggs-Kind, or from a path /call/<kind>/...
+ */
+static void
+read_kind(struct call *c)
+{
+	const char *kind = get_header(c, "X-Ggs-Kind");
+	const char *from;
+
+	if (kind != NULL) {
+		(void)copy_str(c->kind, sizeof(c->kind), make_str(kind));
+		return;
+	}
+	if (strncmp(c->target, CALL_PATH, strlen(CALL_PATH)) != 0)
+		return;
+	from = c->target + strlen(CALL_PATH);
+	(void)copy_str(
+	    c->kind, sizeof(c->kind), make_str_n(from, strcspn(from, "/?")));
+}
+
+/*
+ * Takes the caller's call id when it is a plain token, and makes one otherwise.
+ */
+static void
+read_call_id(struct call *c)
+{
+	const char *id = get_header(c, "X-Ggs-Call-Id");
+	struct proxy *p = c->proxy;
+	uint64_t n;
+
+	if (id != NULL && id[0] != '\0' &&
+	    strspn(id, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+		       "0123456789._:-") == strlen(id) &&
+	    copy_str(c->id, sizeof(c->id), make_str(id)) == 0)
+		return;
+	n = ck_pr_faa_64(&p->id_count, 1);
+	snprintf(c->id, sizeof(c->id), "%016llx-%llu",
+	    (unsigned long long)p->id_seed, (unsigned long long)n);
+}
+
+/*
+ * Returns a header's number, or absent when it is missing or no number.
+ */
+static int
+read_number(struct call *c, const char *name, int lo, int absent)
+{
+	const char *text = get_header(c, name);
+	int64_t n;
+
+	if (text == NULL || parse_i64(make_str(text), lo, INT32_MAX, &n) != 0)
+		return absent;
+	return (int)n;
+}
+
+static enum MHD_Result
+copy_header(
+    void *cls, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+	struct call *c = cls;
+
+	(void)kind;
+	if (is_hop_header(make_str(name)) ||
+	    strcasecmp(name, "Idempotency-Key") == 0)
+		return MHD_YES;
+	if (value == NULL || value[0] == '\0')
+		(void)append_buf_fmt(&c->head, "%s;", name);
+	else
+		(void)append_buf_fmt(&c->head, "%s: %s", name, value);
+	return append_buf(&c->head, "", 1) == 0 ? MHD_YES : MHD_NO;
+}
+
+static void
+check_request(struct call *c)
+{
+	struct proxy *p = c->proxy;
+	int header_ms = read_number(c, "X-Ggs-Deadline-Ms", 0, DEADLINE_ABSENT);
+
+	if (c->table != NULL)
+		c->row = find_row(c->table, make_str(c->kind));
+	if (c->row != NULL)
+		c->stats = find_row_state(c->kind);
+	if (ck_pr_load_8((uint8_t *)&p->draining)) {
+		refuse_early(c, 503, REFUSE_DRAINING, NULL);
+	} else if (c->table == NULL) {
+		refuse_early(c, 503, REFUSE_NO_TABLE, NULL);
+	} else if (c->row == NULL) {
+		refuse_early(c, 404, REFUSE_UNKNOWN_KIND, NULL);
+	} else if (c->depth > CALL_DEPTH_MAX) {
+		refuse_early(c, 503, REFUSE_NONE, "depth");
+	} else {
+		c->deadline = start_deadline(
+		    c->arrived, header_ms, c->row->values[COL_DEADLINE_MS]);
+		c->chain_budget = start_chain_budget(c->row, c->chain_header);
+		check_key(c);
+		if (!c->refused)
+			check_body(c);
+	}
+}
+
+/*
+ * Sets how many body bytes are accepted: the declared length, or the row's
+ * limit when the body comes without one.
+ */
+static void
+check_body(struct call *c)
+{
+	int64_t limit = (int64_t)c->row->values[COL_BODY_MAX_KB] * 1024;
+	int64_t size = get_budget_size(c->proxy->budget);
+	const char *text = get_header(c, "Content-Length");
+	int64_t n = 0;
+
+	if (limit > size)
+		limit = size;
+	if (text == NULL) {
+		c->body_cap = (size_t)limit;
+	} else if (parse_i64(make_str(text), 0, INT64_MAX, &n) != 0 ||
+		   n > limit) {
+		refuse_early(c, 413, REFUSE_NONE, "body-limit");
+	} else {
+		c->body_cap = (size_t)n;
+	}
+}
+
+static void
+check_key(struct call *c)
+{
+	const char *key = get_header(c, "Idempotency-Key");
+
+	if (key != NULL && copy_str(c->key, sizeof(c->key), make_str(key)) != 0)
+		refuse_early(c, 400, REFUSE_NONE, "key-too-long");
+	else if (!c->row->repeatable && c->key[0] == '\0')
+		refuse_early(c, 400, REFUSE_NONE, "no-idempotency-key");
+}
+
+static const char *
+get_header(const struct call *c, const char *name)
+{
+	return MHD_lookup_connection_value(c->conn, MHD_HEADER_KIND, name);
+}
--- /dev/null
+++ b/packages/proxy/rows.h
@@ -0,0 +1,35 @@
+/*
+ * Counters and the retry budget of each row, kept by kind over table versions.
+ */
+#ifndef ROWS_H
+#define ROWS_H
+
+#include "metric.h"
+#include "policy.h"
+
+#define ROWS_MAX 4096 /* kinds over the life of a process */
+
+enum row_counter {
+	ROW_CALLS, /* + outcome: calls of callers */
+	ROW_SERVED = ROW_CALLS + 4, /* + outcome: attempts at the own server */
+	ROW_REFUSED = ROW_SERVED + 4, /* + reason */
+	ROW_RETRIES = ROW_REFUSED + 8,
+	ROW_HEDGES,
+	ROW_QUEUE_US, /* histogram: time waiting for a slot */
+	ROW_ADDED_US, /* histogram: time that this node itself added */
+	ROW_COUNTERS
+};
+
+struct row_state {
+	char kind[TABLE_NAME_BYTES];
+	struct retry_budget budget; /* loop thread only */
+	metric_id ids[ROW_COUNTERS]; /* plus 2; 0: not registered */
+	uint64_t counts[ROW_COUNTERS]; /* also kept when metrics are full */
+};
+
+struct row_state *find_row_state(const char *kind); /* never NULL */
+void count_row(struct row_state *s, int counter, uint64_t n);
+void observe_row(struct row_state *s, int counter, int64_t ns);
+int render_rows(struct buf *out); /* JSON object by kind */
+
+#endif
--- /dev/null
+++ b/packages/proxy/tests/fake_agent.c
@@ -0,0 +1,497 @@
+/*
+ * The test double of the agent. One thread answers claims, so that answers
+ * come on another thread than the requests, as with the real agent.
+ */
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "fake_agent.h"
+
+#define FAKE_TABLES 16
+#define FAKE_ENDPOINTS 16
+#define FAKE_SETS 8
+#define FAKE_CLAIMS 512
+
+struct fake_claim {
+	char key[WIRE_KEY_MAX + 1];
+	unsigned char id[WIRE_CLAIM_ID_BYTES];
+	enum wire_claim_state state;
+	int http_status;
+	char answer[WIRE_ANSWER_MAX];
+	size_t answer_len;
+	bool answer_whole;
+};
+
+struct fake_answer {
+	struct fake_answer *next;
+	claim_fn fn;
+	void *arg;
+	struct claim_result result;
+	char text[WIRE_ANSWER_MAX];
+	bool late; /* waits for release_fake_claims() */
+	int64_t due; /* mono ns */
+};
+
+struct fake_set {
+	struct endpoint_set set;
+	struct wire_endpoint endpoints[FAKE_ENDPOINTS];
+	char ids[FAKE_ENDPOINTS][WIRE_NAME_MAX + 1];
+	char addresses[FAKE_ENDPOINTS][WIRE_NAME_MAX + 1];
+	struct fake_set *older; /* kept to the end, readers may hold it */
+};
+
+struct agent {
+	pthread_mutex_t lock;
+	pthread_cond_t wake;
+	pthread_t thread;
+	bool stop;
+	struct table *tables[FAKE_TABLES];
+	int table_count;
+	int table_refs;
+	bool has_table;
+	struct fake_set *sets[FAKE_SETS];
+	int set_count;
+	uint64_t next_set_version;
+	struct fake_claim claims[FAKE_CLAIMS];
+	int claim_count;
+	uint64_t opens;
+	enum fake_claim_mode mode;
+	bool release_late;
+	struct fake_answer *answers;
+	int state;
+};
+
+static void *answer_claims(void *arg);
+static struct fake_answer *take_answer_due(struct agent *a);
+static void run_claim(
+    struct agent *a, const struct claim_request *req, struct fake_answer *ans);
+static struct fake_claim *find_claim(struct agent *a, struct str key);
+static struct fake_set *find_set(struct agent *a, const char *service);
+static void replace_set(struct agent *a, struct fake_set *old,
+    const char *service, struct fake_set **out);
+static int64_t read_time(void);
+
+struct agent *
+open_fake_agent(void)
+{
+	struct agent *a = calloc(1, sizeof(*a));
+
+	pthread_mutex_init(&a->lock, NULL);
+	pthread_cond_init(&a->wake, NULL);
+	a->state = -1;
+	pthread_create(&a->thread, NULL, answer_claims, a);
+	return a;
+}
+
+void
+close_fake_agent(struct agent *a)
+{
+	struct fake_set *s, *older;
+
+	pthread_mutex_lock(&a->lock);
+	a->stop = true;
+	pthread_cond_broadcast(&a->wake);
+	pthread_mutex_unlock(&a->lock);
+	pthread_join(a->thread, NULL);
+	for (int i = 0; i < a->table_count; i++)
+		unload_table(a->tables[i]);
+	for (int i = 0; i < a->set_count; i++) {
+		for (s = a->sets[i]; s != NULL; s = older) {
+			older = s->older;
+			free(s);
+		}
+	}
+	free(a);
+}
+
+void
+set_fake_table(struct agent *a, const char *csv, uint64_t version)
+{
+	struct fault f = {0};
+	struct table *t = NULL;
+
+	if (load_table_csv(make_str(csv), version, &t, &f) != 0) {
+		fprintf(stderr, "test table: %s\n", f.text);
+		abort();
+	}
+	pthread_mutex_lock(&a->lock);
+	a->tables[a->table_count++] = t;
+	a->has_table = true;
+	pthread_mutex_unlock(&a->lock);
+}
+
+void
+clear_fake_table(struct agent *a)
+{
+	pthread_mutex_lock(&a->lock);
+	a->has_table = false;
+	pthread_mutex_unlock(&a->lock);
+}
+
+void
+clear_fake_endpoints(struct agent *a, const char *service)
+{
+	struct fake_set *s;
+
+	pthread_mutex_lock(&a->lock);
+	replace_set(a, find_set(a, service), service, &s);
+	s->set.count = 0;
+	pthread_mutex_unlock(&a->lock);
+}
+
+void
+add_fake_endpoint(struct agent *a, const char *service, const char *id,
+    const char *address, int slots, enum wire_endpoint_state state)
+{
+	struct fake_set *s;
+	size_t n;
+
+	pthread_mutex_lock(&a->lock);
+	replace_set(a, find_set(a, service), service, &s);
+	n = s->set.count++;
+	snprintf(s->ids[n], sizeof(s->ids[n]), "%s", id);
+	snprintf(s->addresses[n], sizeof(s->addresses[n]), "%s", address);
+	s->endpoints[n] = (struct wire_endpoint){.id = s->ids[n],
+	    .incarnation = 1,
+	    .seq = 1,
+	    .service = s->set.service,
+	    .address = s->addresses[n],
+	    .zone = (char *)"z1",
+	    .slots = slots,
+	    .state = state};
+	pthread_mutex_unlock(&a->lock);
+}
+
+void
+set_fake_claims(struct agent *a, enum fake_claim_mode mode)
+{
+	pthread_mutex_lock(&a->lock);
+	a->mode = mode;
+	a->release_late = false;
+	pthread_mutex_unlock(&a->lock);
+}
+
+void
+release_fake_claims(struct agent *a)
+{
+	pthread_mutex_lock(&a->lock);
+	a->release_late = true;
+	pthread_cond_broadcast(&a->wake);
+	pthread_mutex_unlock(&a->lock);
+}
+
+void
+hold_fake_key(struct agent *a, const char *key)
+{
+	struct fake_claim *c;
+
+	pthread_mutex_lock(&a->lock);
+	c = &a->claims[a->claim_count++];
+	snprintf(c->key, sizeof(c->key), "%s", key);
+	c->state = WIRE_CLAIM_OPEN;
+	memset(c->id, 0xff, sizeof(c->id));
+	pthread_mutex_unlock(&a->lock);
+}
+
+int
+get_fake_claim(struct agent *a, const char *key)
+{
+	struct fake_claim *c;
+	int state = -1;
+
+	pthread_mutex_lock(&a->lock);
+	c = find_claim(a, make_str(key));
+	if (c != NULL)
+		state = (int)c->state;
+	pthread_mutex_unlock(&a->lock);
+	return state;
+}
+
+int
+count_fake_tables(struct agent *a)
+{
+	int n;
+
+	pthread_mutex_lock(&a->lock);
+	n = a->table_refs;
+	pthread_mutex_unlock(&a->lock);
+	return n;
+}
+
+int
+get_fake_state(struct agent *a)
+{
+	int n;
+
+	pthread_mutex_lock(&a->lock);
+	n = a->state;
+	pthread_mutex_unlock(&a->lock);
+	return n;
+}
+
+uint64_t
+count_fake_opens(struct agent *a)
+{
+	uint64_t n;
+
+	pthread_mutex_lock(&a->lock);
+	n = a->opens;
+	pthread_mutex_unlock(&a->lock);
+	return n;
+}
+
+const struct table *
+acquire_table(struct agent *a)
+{
+	const struct table *t = NULL;
+
+	pthread_mutex_lock(&a->lock);
+	if (a->has_table) {
+		t = a->tables[a->table_count - 1];
+		a->table_refs++;
+	}
+	pthread_mutex_unlock(&a->lock);
+	return t;
+}
+
+void
+release_table(struct agent *a, const struct table *t)
+{
+	(void)t;
+	pthread_mutex_lock(&a->lock);
+	a->table_refs--;
+	pthread_mutex_unlock(&a->lock);
+}
+
+const struct endpoint_set *
+acquire_endpoints(struct agent *a, struct str service)
+{
+	char name[TABLE_NAME_BYTES];
+	struct fake_set *s;
+
+	(void)copy_str(name, sizeof(name), service);
+	pthread_mutex_lock(&a->lock);
+	s = find_set(a, name);
+	if (s != NULL)
+		s->set.refs++;
+	pthread_mutex_unlock(&a->lock);
+	return s != NULL ? &s->set : NULL;
+}
+
+void
+release_endpoints(struct agent *a, const struct endpoint_set *s)
+{
+	pthread_mutex_lock(&a->lock);
+	((struct endpoint_set *)s)->refs--;
+	pthread_mutex_unlock(&a->lock);
+}
+
+int
+announce_endpoint(struct agent *a, const struct wire_endpoint *self)
+{
+	pthread_mutex_lock(&a->lock);
+	a->state = (int)self->state;
+	pthread_mutex_unlock(&a->lock);
+	return 0;
+}
+
+int
+render_agent_status(struct agent *a, struct buf *out)
+{
+	(void)a;
+	return append_buf_str(out, make_str("{\"fake\":true}"));
+}
+
+int
+request_claim(
+    struct agent *a, const struct claim_request *req, claim_fn fn, void *arg)
+{
+	struct fake_answer *ans = calloc(1, sizeof(*ans)), **at;
+
+	ans->fn = fn;
+	ans->arg = arg;
+	ans->due = read_time();
+	pthread_mutex_lock(&a->lock);
+	if (req->state == WIRE_CLAIM_OPEN)
+		a->opens++;
+	switch (req->state == WIRE_CLAIM_OPEN ? a->mode : FAKE_CLAIM_NORMAL) {
+	case FAKE_CLAIM_NORMAL:
+		run_claim(a, req, ans);
+		break;
+	case FAKE_CLAIM_LOST:
+		run_claim(a, req, ans);
+		ans->result.status = ERR_TIMEOUT;
+		ans->due += req->timeout_ms * NSEC_PER_MSEC;
+		break;
+	case FAKE_CLAIM_LATE:
+		run_claim(a, req, ans);
+		ans->late = true;
+		break;
+	case FAKE_CLAIM_NONE:
+		ans->result.status = ERR_UNAVAILABLE;
+		break;
+	case FAKE_CLAIM_FULL:
+		ans->result.status = ERR_LIMIT;
+		break;
+	}
+	for (at = &a->answers; *at != NULL; at = &(*at)->next)
+		;
+	*at = ans;
+	pthread_cond_broadcast(&a->wake);
+	pthread_mutex_unlock(&a->lock);
+	return 0;
+}
+
+static void *
+answer_claims(void *arg)
+{
+	struct agent *a = arg;
+	struct fake_answer *ans;
+	struct timespec until;
+
+	pthread_mutex_lock(&a->lock);
+	while (!a->stop || a->answers != NULL) {
+		if (a->stop)
+			a->release_late = true;
+		ans = take_answer_due(a);
+		if (ans == NULL) {
+			clock_gettime(CLOCK_REALTIME, &until);
+			until.tv_nsec += 2 * NSEC_PER_MSEC;
+			if (until.tv_nsec >= NSEC_PER_SEC) {
+				until.tv_nsec -= NSEC_PER_SEC;
+				until.tv_sec++;
+			}
+			pthread_cond_timedwait(&a->wake, &a->lock, &until);
+			continue;
+		}
+		pthread_mutex_unlock(&a->lock);
+		ans->fn(ans->arg, &ans->result);
+		free(ans);
+		pthread_mutex_lock(&a->lock);
+	}
+	pthread_mutex_unlock(&a->lock);
+	return NULL;
+}
+
+static struct fake_answer *
+take_answer_due(struct agent *a)
+{
+	struct fake_answer **at, *ans;
+	int64_t now = read_time();
+
+	for (at = &a->answers; *at != NULL; at = &(*at)->next) {
+		ans = *at;
+		if ((ans->late && !a->release_late) || ans->due > now)
+			continue;
+		*at = ans->next;
+		return ans;
+	}
+	return NULL;
+}
+
+/*
+ * The claim store: an open claim and a closed one hold their key; one closed
+ * as not run lets the next open have it.
+ */
+static void
+run_claim(
+    struct agent *a, const struct claim_request *req, struct fake_answer *ans)
+{
+	struct fake_claim *c = find_claim(a, req->key);
+	bool own =
+	    c != NULL && memcmp(c->id, req->claim_id, sizeof(c->id)) == 0;
+
+	if (req->state == WIRE_CLAIM_OPEN) {
+		if (c != NULL && !own && c->state != WIRE_CLAIM_NOT_RUN) {
+			ans->result.status = ERR_CONFLICT;
+			ans->result.state = c->state;
+			ans->result.http_status = c->http_status;
+			memcpy(ans->text, c->answer, c->answer_len);
+			ans->result.answer =
+			    make_str_n(ans->text, c->answer_len);
+			ans->result.answer_whole = c->answer_whole;
+			return;
+		}
+		if (c == NULL)
+			c = &a->claims[a->claim_count++];
+		(void)copy_str(c->key, sizeof(c->key), req->key);
+		memcpy(c->id, req->claim_id, sizeof(c->id));
+		c->state = WIRE_CLAIM_OPEN;
+		return;
+	}
+	if (!own) {
+		ans->result.status = ERR_CONFLICT;
+		return;
+	}
+	c->state = req->state;
+	c->http_status = req->http_status;
+	c->answer_len = req->answer.len;
+	if (req->answer.len > 0)
+		memcpy(c->answer, req->answer.data, req->answer.len);
+	c->answer_whole = req->answer_whole;
+}
+
+static struct fake_claim *
+find_claim(struct agent *a, struct str key)
+{
+	for (int i = 0; i < a->claim_count; i++) {
+		if (is_str_equal(make_str(a->claims[i].key), key))
+			return &a->claims[i];
+	}
+	return NULL;
+}
+
+static struct fake_set *
+find_set(struct agent *a, const char *service)
+{
+	for (int i = 0; i < a->set_count; i++) {
+		if (strcmp(a->sets[i]->set.service, service) == 0)
+			return a->sets[i];
+	}
+	return NULL;
+}
+
+/*
+ * Puts a copy of old, or an empty set, in its place: sets are immutable to
+ * their readers.
+ */
+static void
+replace_set(struct agent *a, struct fake_set *old, const char *service,
+    struct fake_set **out)
+{
+	struct fake_set *s = calloc(1, sizeof(*s));
+	int i;
+
+	snprintf(s->set.service, sizeof(s->set.service), "%s", service);
+	if (old != NULL) {
+		memcpy(s->ids, old->ids, sizeof(s->ids));
+		memcpy(s->addresses, old->addresses, sizeof(s->addresses));
+		memcpy(s->endpoints, old->endpoints, sizeof(s->endpoints));
+		s->set.count = old->set.count;
+		for (i = 0; i < FAKE_ENDPOINTS; i++) {
+			s->endpoints[i].id = s->ids[i];
+			s->endpoints[i].address = s->addresses[i];
+			s->endpoints[i].service = s->set.service;
+		}
+	}
+	s->set.endpoints = s->endpoints;
+	s->set.set_version = ++a->next_set_version;
+	s->older = old;
+	for (i = 0; i < a->set_count && a->sets[i] != old; i++)
+		;
+	if (i == a->set_count)
+		a->set_count++;
+	a->sets[i] = s;
+	*out = s;
+}
+
+static int64_t
+read_time(void)
+{
+	struct clock_source c = get_real_clock();
+
+	return read_mono(&c);
+}
--- /dev/null
+++ b/packages/proxy/tests/fake_agent.h
@@ -0,0 +1,33 @@
+/*
+ * A test double of the agent: tables and endpoint sets given by the test, and
+ * a claim store in memory whose answers can be lost, late or refused.
+ */
+#ifndef FAKE_AGENT_H
+#define FAKE_AGENT_H
+
+#include "agent.h"
+
+enum fake_claim_mode {
+	FAKE_CLAIM_NORMAL,
+	FAKE_CLAIM_LOST, /* granted, but the answer never comes: timeout */
+	FAKE_CLAIM_LATE, /* granted, answered when the test releases it */
+	FAKE_CLAIM_NONE, /* no quorum */
+	FAKE_CLAIM_FULL, /* the store is full */
+};
+
+struct agent *open_fake_agent(void);
+void close_fake_agent(struct agent *a);
+void set_fake_table(struct agent *a, const char *csv, uint64_t version);
+void clear_fake_table(struct agent *a);
+void clear_fake_endpoints(struct agent *a, const char *service);
+void add_fake_endpoint(struct agent *a, const char *service, const char *id,
+    const char *address, int slots, enum wire_endpoint_state state);
+void set_fake_claims(struct agent *a, enum fake_claim_mode mode);
+void release_fake_claims(struct agent *a); /* sends the late answers */
+void hold_fake_key(struct agent *a, const char *key); /* by another node */
+int get_fake_claim(struct agent *a, const char *key); /* state; -1: none */
+int count_fake_tables(struct agent *a); /* references still held */
+int get_fake_state(struct agent *a); /* announced endpoint state; -1: none */
+uint64_t count_fake_opens(struct agent *a);
+
+#endif
--- /dev/null
+++ b/packages/proxy/tests/fake_backend.h
@@ -0,0 +1,70 @@
+/*
+ * A scripted backend server on a loopback port, with one thread for each
+ * connection, and blocking HTTP calls for tests.
+ */
+#ifndef FAKE_BACKEND_H
+#define FAKE_BACKEND_H
+
+#include "base.h"
+
+enum fake_mode {
+	FAKE_OK,
+	FAKE_TRUNCATED, /* fewer body bytes than Content-Length, then close */
+	FAKE_OVER_LONG, /* more body bytes than Content-Length */
+	FAKE_WRONG_ID, /* the call id of another call */
+	FAKE_CLOSE_FIRST, /* closes before it reads the request */
+	FAKE_CLOSE_AFTER, /* runs, then closes without an answer */
+	FAKE_CLOSE_HALF, /* closes in the middle of the headers */
+	FAKE_CHUNKS_CUT, /* closes between two chunks */
+	FAKE_NO_LENGTH, /* neither length nor chunks, then close */
+	FAKE_SHED, /* 503 with X-Ggs-Outcome: not-run */
+	FAKE_FALSE_NOT_RUN, /* runs and answers 200 with not-run */
+	FAKE_FAIL, /* runs and answers 500 */
+	FAKE_HELD, /* answers when the test releases it */
+	FAKE_TWICE, /* answers twice; the second is a late, crossed one */
+};
+
+struct fake_backend;
+
+struct fake_backend *open_fake_backend(void);
+void close_fake_backend(struct fake_backend *b);
+const char *get_fake_address(const struct fake_backend *b);
+void set_fake_mode(struct fake_backend *b, enum fake_mode mode, int times);
+void set_fake_then(
+    struct fake_backend *b, enum fake_mode mode); /* after times */
+void set_fake_health(struct fake_backend *b, const char *body, int status);
+void release_fake_held(struct fake_backend *b);
+int count_fake_runs(struct fake_backend *b); /* calls that ran */
+int count_fake_arrivals(struct fake_backend *b); /* requests read whole */
+int count_fake_gone(struct fake_backend *b); /* callers gone while held */
+int count_fake_connections(struct fake_backend *b);
+int get_fake_depth(struct fake_backend *b); /* last X-Ggs-Depth */
+
+/* One blocking HTTP request; headers are lines ended by "\n". */
+struct fake_request {
+	int port;
+	const char *method;
+	const char *path;
+	const char *headers;
+	const char *body;
+	size_t body_len;
+};
+
+struct fake_reply {
+	int status; /* 0: the connection ended without a whole answer */
+	char outcome[16];
+	char reason[64];
+	char call_id[80];
+	char load[64];
+	char body[4096];
+	size_t body_len;
+	bool whole; /* the body has its declared length */
+};
+
+void call_fake(const struct fake_request *req, struct fake_reply *out);
+int connect_fake(int port); /* a plain socket */
+void send_fake(int fd, const char *text, size_t len);
+void read_fake_reply(int fd, struct fake_reply *out);
+bool wait_fake(bool (*is_done)(void *arg), void *arg); /* up to 30 s */
+
+#endif
--- /dev/null
+++ b/packages/proxy/tests/world.c
@@ -0,0 +1,138 @@
+/*
+ * Nodes on loopback for tests.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "metric.h"
+#include "world.h"
+
+static const char default_table[] =
+    TABLE_HEAD "read,svc,3,10,0,100,500,20000,100,0,50,0,yes,0,64,5\n"
+	       "again,svc,3,10,0,100,500,20000,100,2,50,0,yes,0,64,5\n"
+	       "hedged,svc,3,10,0,100,50,20000,100,1,50,20,yes,0,64,5\n"
+	       "pay,svc,1,10,0,100,500,20000,100,2,50,0,no,60,64,5\n"
+	       "slow,svc,5,10,0,100,500,20000,1,0,0,0,yes,0,64,1\n"
+	       "big,svc,5,10,0,100,500,20000,100,0,0,0,yes,0,1024,5\n"
+	       "lost,nowhere,5,10,0,100,500,20000,100,0,0,0,yes,0,64,5\n";
+
+static struct proxy *open_node(
+    struct world *w, const struct world_config *cfg, int i);
+static bool is_ready(void *arg);
+
+void
+open_world(struct world *w, const struct world_config *cfg)
+{
+	char address[32], id[8];
+
+	*w = (struct world){0};
+	set_log_level(LOG_LEVEL_ERR);
+	w->agent = open_fake_agent();
+	w->events = open_event_log(get_real_clock(), "test", 4096);
+	set_fake_table(
+	    w->agent, cfg->table != NULL ? cfg->table : default_table, 1);
+	clear_fake_endpoints(w->agent, "svc");
+	for (int i = 0; i < cfg->nodes; i++) {
+		w->backends[i] = open_fake_backend();
+		w->nodes[i] = open_node(w, cfg, i);
+		snprintf(id, sizeof(id), "n%d", i);
+		snprintf(address, sizeof(address), "127.0.0.1:%d",
+		    get_proxy_port(w->nodes[i], false));
+		add_fake_endpoint(w->agent, "svc", id, address,
+		    cfg->slots != 0 ? cfg->slots : 8, WIRE_ENDPOINT_READY);
+		w->count++;
+	}
+	if (cfg->entry)
+		w->entry = open_node(w, cfg, -1);
+	w->port =
+	    get_proxy_port(w->entry != NULL ? w->entry : w->nodes[0], false);
+	if (cfg->nodes > 0 && !wait_fake(is_ready, w))
+		abort();
+}
+
+void
+close_world(struct world *w)
+{
+	for (int i = 0; i < w->count; i++)
+		release_fake_held(w->backends[i]);
+	stop_proxy(w->entry);
+	for (int i = 0; i < w->count; i++)
+		stop_proxy(w->nodes[i]);
+	for (int i = 0; i < w->count; i++)
+		close_fake_backend(w->backends[i]);
+	close_fake_agent(w->agent);
+	close_event_log(w->events);
+}
+
+void
+call_world(
+    struct world *w, const char *kind, const char *more, struct fake_reply *out)
+{
+	char headers[512];
+	struct fake_request req = {.port = w->port,
+	    .headers = headers,
+	    .body = "hello",
+	    .body_len = 5};
+
+	snprintf(headers, sizeof(headers), "X-Ggs-Kind: %s\n%s", kind,
+	    more != NULL ? more : "");
+	call_fake(&req, out);
+}
+
+bool
+has_event(struct world *w, const char *kind)
+{
+	struct buf b = {0};
+	char want[64];
+	bool found;
+
+	snprintf(want, sizeof(want), "\"kind\":\"%s\"", kind);
+	(void)render_events(w->events, &b);
+	found = b.data != NULL && strstr(b.data, want) != NULL;
+	unload_buf(&b);
+	return found;
+}
+
+int64_t
+get_count(const char *name)
+{
+	return get_metric(register_metric(METRIC_COUNTER, name, "test"));
+}
+
+static struct proxy *
+open_node(struct world *w, const struct world_config *cfg, int i)
+{
+	char id[8];
+	struct proxy_config pc = {.clock = get_real_clock(),
+	    .events = w->events,
+	    .agent = w->agent,
+	    .node = i < 0 ? "entry" : id,
+	    .zone = "z1",
+	    .listen = "127.0.0.1:0",
+	    .admin_listen = "127.0.0.1:0",
+	    .body_memory = cfg->body_memory,
+	    .seed = 42};
+	struct proxy *p = NULL;
+	struct fault f = {0};
+
+	snprintf(id, sizeof(id), "n%d", i);
+	if (i >= 0) {
+		pc.backend.service = "svc";
+		pc.backend.address = get_fake_address(w->backends[i]);
+		pc.backend.slots = cfg->slots != 0 ? cfg->slots : 8;
+	}
+	if (start_proxy(&pc, &p, &f) != 0) {
+		fprintf(stderr, "%s\n", f.text);
+		abort();
+	}
+	return p;
+}
+
+static bool
+is_ready(void *arg)
+{
+	struct world *w = arg;
+
+	return get_fake_state(w->agent) == WIRE_ENDPOINT_READY;
+}
--- /dev/null
+++ b/packages/proxy/uploads.c
@@ -0,0 +1,107 @@
+/*
+ * Calls whose bodies wait for the memory budget. Their connections are
+ * suspended, so the sender is held back by TCP and nothing is lost.
+ */
+#include <stdlib.h>
+#include <sys/epoll.h>
+
+#include <ck_pr.h>
+
+#include "call.h"
+
+/* How often waiting bodies are looked at again. */
+#define BUDGET_LOOK_NS (5 * NSEC_PER_MSEC)
+
+static void queue_upload(struct loop_task *t);
+static void look_at_budget(struct loop_timer *t);
+static void note_caller_gone(struct loop_watch *w, uint32_t events);
+static void resume_upload(struct call *c);
+
+/*
+ * Hands a suspended call to the loop until the budget has room, the deadline
+ * passes or the caller goes away.
+ */
+void
+wait_for_budget(struct call *c)
+{
+	c->waits_budget = true;
+	ck_pr_inc_int(&c->proxy->budget_waiting);
+	record_event(c->proxy->cfg.events, "body-wait", c->id, 0,
+	    "kind %s waits for %zu bytes of body memory", c->kind, c->body_cap);
+	c->task.run = queue_upload;
+	post_task(c->proxy->loop, &c->task);
+}
+
+/*
+ * Frees the body and gives its part of the budget back.
+ */
+void
+release_body(struct call *c)
+{
+	free(c->body);
+	c->body = NULL;
+	c->body_len = 0;
+	if (c->reserved > 0)
+		release_budget(c->proxy->budget, c->reserved);
+	c->reserved = 0;
+}
+
+static void
+queue_upload(struct loop_task *t)
+{
+	struct call *c =
+	    (struct call *)((char *)t - offsetof(struct call, task));
+	const union MHD_ConnectionInfo *info =
+	    MHD_get_connection_info(c->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	c->watch = (struct loop_watch){info->connect_fd, note_caller_gone};
+	c->watching = watch_fd(c->proxy->loop, &c->watch, EPOLLRDHUP) == 0;
+	c->timer.fire = look_at_budget;
+	look_at_budget(&c->timer);
+}
+
+static void
+look_at_budget(struct loop_timer *t)
+{
+	struct call *c =
+	    (struct call *)((char *)t - offsetof(struct call, timer));
+	struct proxy *p = c->proxy;
+	int64_t now = get_loop_time(p->loop);
+
+	if (reserve_budget(p->budget, (int64_t)c->body_cap)) {
+		c->reserved = (int64_t)c->body_cap;
+		resume_upload(c);
+	} else if (now >= c->deadline) {
+		refuse_early(c, 503, REFUSE_DEADLINE, NULL);
+		resume_upload(c);
+	} else if (ck_pr_load_8((uint8_t *)&p->stopping)) {
+		refuse_early(c, 503, REFUSE_DRAINING, NULL);
+		resume_upload(c);
+	} else if (set_timer(p->loop, t, now + BUDGET_LOOK_NS) != 0) {
+		refuse_early(c, 503, REFUSE_OVERLOAD, NULL);
+		resume_upload(c);
+	}
+}
+
+static void
+note_caller_gone(struct loop_watch *w, uint32_t events)
+{
+	struct call *c =
+	    (struct call *)((char *)w - offsetof(struct call, watch));
+
+	(void)events;
+	refuse_early(c, 503, REFUSE_NONE, "caller-gone");
+	resume_upload(c);
+}
+
+static void
+resume_upload(struct call *c)
+{
+	clear_timer(c->proxy->loop, &c->timer);
+	if (c->watching)
+		unwatch_fd(c->proxy->loop, &c->watch);
+	c->watching = false;
+	c->waits_budget = false;
+	ck_pr_dec_int(&c->proxy->budget_waiting);
+	resume_call(c);
+}
