--- a/apps/greengagespurctl/status.c
+++ b/apps/greengagespurctl/status.c
@@ -42,7 +42,8 @@
 	(void)count;
 	for (i = 0; i < c->control_count; i++) {
 		o = fetch_status(c, c->controls[i]);
-		missing += o == NULL || json_is_true(json_object_get(o, "stale"));
+		missing +=
+		    o == NULL || json_is_true(json_object_get(o, "stale"));
 		if (o != NULL && get_int(o, "version") > s.version)
 			s.version = get_int(o, "version");
 		if (!c->json)
@@ -50,7 +51,8 @@
 		if (o != NULL)
 			json_array_append_new(all, o);
 	}
-	json_array_foreach(all, i, o) add_nodes(o, &s);
+	json_array_foreach (all, i, o)
+		add_nodes(o, &s);
 	if (c->json) {
 		json_dumpf(all, stdout, JSON_COMPACT);
 		printf("\n");
@@ -59,13 +61,12 @@
 		       "%zu refused a version\n",
 		    s.attached, s.current, (long long)s.version, s.behind,
 		    s.refused);
-		json_array_foreach(all, i, o)
-		{
+		json_array_foreach (all, i, o) {
 			size_t k;
 			json_t *n;
 
-			json_array_foreach(json_object_get(o, "nodes"), k, n)
-			    print_node(n, &s);
+			json_array_foreach (json_object_get(o, "nodes"), k, n)
+				print_node(n, &s);
 		}
 	}
 	json_decref(all);
@@ -117,7 +118,8 @@
 	size_t i;
 	json_t *n;
 
-	json_array_foreach(json_object_get(o, "nodes"), i, n) add_node(n, s);
+	json_array_foreach (json_object_get(o, "nodes"), i, n)
+		add_node(n, s);
 }
 
 /*
@@ -150,8 +152,8 @@
 	    (version == s->version && refused <= version) ||
 	    s->lines++ >= LINES_MAX)
 		return;
-	printf("  %s (%s): version %lld, heard %lld ms ago", get_text(n, "node"),
-	    get_text(n, "zone"), (long long)version,
+	printf("  %s (%s): version %lld, heard %lld ms ago",
+	    get_text(n, "node"), get_text(n, "zone"), (long long)version,
 	    (long long)get_int(n, "heard_ms"));
 	if (refused > version)
 		printf(", refused %lld: %s", (long long)refused,
