--- a/apps/greengagespurctl/status.c
+++ b/apps/greengagespurctl/status.c
@@ -51,8 +51,9 @@
 		if (o != NULL)
 			json_array_append_new(all, o);
 	}
-	json_array_foreach (all, i, o)
+	json_array_foreach (all, i, o) {
 		add_nodes(o, &s);
+	}
 	if (c->json) {
 		json_dumpf(all, stdout, JSON_COMPACT);
 		printf("\n");
@@ -65,8 +66,9 @@
 			size_t k;
 			json_t *n;
 
-			json_array_foreach (json_object_get(o, "nodes"), k, n)
+			json_array_foreach (json_object_get(o, "nodes"), k, n) {
 				print_node(n, &s);
+			}
 		}
 	}
 	json_decref(all);
@@ -118,8 +120,9 @@
 	size_t i;
 	json_t *n;
 
-	json_array_foreach (json_object_get(o, "nodes"), i, n)
+	json_array_foreach (json_object_get(o, "nodes"), i, n) {
 		add_node(n, s);
+	}
 }
 
 /*
