Add the consensus core and its explorer

Cause: the control processes need one agreed log, and the design rules out ready-made consensus libraries. Messages that depend on stored state are held until the store is complete.

--- a/packages/raft/raft.h
+++ b/packages/raft/raft.h
@@ -11,6 +11,7 @@
 #define RAFT_MEMBERS_MAX 17 /* voters and learners of a group */
 #define RAFT_ADDRESS_BYTES 64 /* a member's address with its NUL */
 #define RAFT_ENTRY_OVERHEAD 32 /* bytes counted for an entry besides its data */
+#define RAFT_WINDOW_MAX 64 /* limit of append_window */
 
 enum raft_role {
 	RAFT_FOLLOWER = 0,
@@ -113,6 +114,7 @@
 	size_t append_window; /* unacknowledged APPENDs a member */
 	size_t chunk_bytes; /* snapshot bytes in one SNAPSHOT */
 	size_t uncommitted_bytes; /* proposals beyond get ERR_LIMIT */
+	size_t trailing_bytes; /* entries kept below a snapshot for followers */
 };
 
 /* What storage holds at start; everything is copied. */
@@ -123,7 +125,7 @@
 	const struct raft_entry *entries; /* first is at snapshot.index + 1 */
 };
 
-/* One unit of storage work, in this order: snapshot, hard state, entries. */
+/* One unit of storage work, in this order: hard state, snapshot, entries. */
 struct raft_store {
 	uint64_t seq; /* for complete_raft_store() */
 	bool has_hard;
@@ -156,6 +158,7 @@
 	uint64_t applied;
 	uint64_t last; /* index of the last entry */
 	uint64_t snapshot; /* index of the snapshot */
+	uint64_t members_index; /* entry that set the membership in effect */
 	uint64_t contacts; /* grows with each contact with a quorum */
 	size_t log_bytes; /* of the entries after the snapshot */
 	bool transferring; /* leader hands over; takes no proposals */
--- /dev/null
+++ b/packages/raft/tests/test_raft.c
@@ -0,0 +1,898 @@
+/*
+ * Fault cases of the consensus core, each as one scripted schedule.
+ */
+#include <check.h>
+
+#include "sim.h"
+
+struct fault_case {
+	const char *name;
+	void (*run)(struct sim *s); /* 3 voters; node 1 leads, 1 committed */
+	bool forged; /* answers were made up; there is no sound group left */
+};
+
+static struct raft_status
+status_of(struct sim *s, uint64_t n)
+{
+	return get_raft_status(s->node[n].core);
+}
+
+/*
+ * Node 1 leads and all have applied its first entry and one value.
+ */
+static struct sim *
+open_led_sim(uint64_t voters)
+{
+	struct sim *s = open_sim(3, voters);
+	uint64_t index;
+
+	for (int i = 0; i < 2 * SIM_ELECTION; i++)
+		tick_node(s, 1);
+	settle_sim(s);
+	ck_assert_int_eq(status_of(s, 1).role, RAFT_LEADER);
+	ck_assert_int_eq(propose_node(s, 1, &index), 0);
+	settle_sim(s);
+	run_sim(s, SIM_HEARTBEAT);
+	ck_assert_uint_eq(s->node[3].applied, 2);
+	return s;
+}
+
+static void
+propose_settled(struct sim *s, uint64_t n, int count)
+{
+	uint64_t index;
+
+	for (int i = 0; i < count; i++) {
+		ck_assert_int_eq(propose_node(s, n, &index), 0);
+		settle_sim(s);
+	}
+}
+
+/*
+ * Makes n lead while the present leader is cut off; if another member wins the
+ * election, it hands over.
+ */
+static void
+elect(struct sim *s, uint64_t n)
+{
+	for (int i = 0; i < 200 && find_leader(s) != n; i++) {
+		uint64_t lead;
+
+		for (uint64_t k = 1; k < SIM_NODES; k++)
+			tick_node(s, k);
+		settle_sim(s);
+		lead = find_leader(s);
+		if (lead != 0 && lead != n &&
+		    status_of(s, lead).term == status_of(s, n).term) {
+			transfer_raft(s->node[lead].core, n);
+			drain_node(s, lead);
+			settle_sim(s);
+		}
+	}
+	ck_assert_uint_eq(find_leader(s), n);
+}
+
+static struct raft_message
+message(enum raft_message_type type, uint64_t from, uint64_t to, uint64_t term)
+{
+	struct raft_message m = {0};
+
+	m.type = type;
+	m.from = from;
+	m.to = to;
+	m.term = term;
+	return m;
+}
+
+/* Messages to one member are lost for a while. */
+static void
+lose_messages(struct sim *s)
+{
+	block_node(s, 3, true, false);
+	propose_settled(s, 1, 20);
+	ck_assert_uint_eq(status_of(s, 1).commit, 22);
+	heal_sim(s);
+	run_sim(s, 3 * SIM_ELECTION);
+	ck_assert_uint_eq(s->node[3].applied, status_of(s, 1).last);
+}
+
+static void
+duplicate_messages(struct sim *s)
+{
+	uint64_t index;
+
+	for (int i = 0; i < 20; i++) {
+		propose_node(s, 1, &index);
+		for (int k = 0; k < 3 && s->net_count > 0; k++)
+			deliver(s, 0, true);
+		settle_sim(s);
+	}
+	ck_assert_uint_eq(status_of(s, 1).commit, 22);
+}
+
+static void
+reverse_messages(struct sim *s)
+{
+	uint64_t index;
+
+	for (int i = 0; i < 10; i++)
+		propose_node(s, 1, &index);
+	for (int i = 0; i < 2000 && s->net_count > 0; i++) {
+		deliver(s, s->net_count - 1, false);
+		for (uint64_t n = 1; n <= 3; n++)
+			finish_store(s, n);
+	}
+	run_sim(s, 2 * SIM_ELECTION);
+	ck_assert_uint_eq(s->node[2].applied, 12);
+}
+
+/* An APPEND of an old leader arrives after the next leader committed. */
+static void
+delay_append(struct sim *s)
+{
+	struct raft_message late;
+	uint64_t index;
+
+	propose_node(s, 1, &index);
+	late = dup_message(&s->net[0]);
+	ck_assert_int_eq(late.type, RAFT_APPEND);
+	while (s->net_count > 0)
+		drop(s, 0);
+	block_node(s, 1, true, true);
+	elect(s, 2);
+	propose_settled(s, 2, 3);
+	heal_sim(s);
+	ck_assert_int_eq(step_raft(s->node[late.to].core, &late), 0);
+	drain_node(s, late.to);
+	free_message(&late);
+	run_sim(s, 3 * SIM_ELECTION);
+	ck_assert_uint_eq(s->node[1].applied, status_of(s, 2).last);
+}
+
+/* The leader is cut off: it must stop leading, and never read stale. */
+static void
+partition_leader(struct sim *s)
+{
+	uint64_t index, done = s->reads_done;
+
+	block_node(s, 1, true, true);
+	ck_assert_int_eq(propose_node(s, 1, &index), 0);
+	elect(s, 2);
+	propose_settled(s, 2, 3);
+	read_node(s, 1);
+	settle_sim(s);
+	ck_assert_uint_eq(s->reads_done, done);
+	for (int i = 0; i <= SIM_ELECTION; i++)
+		tick_node(s, 1);
+	ck_assert_int_ne(status_of(s, 1).role, RAFT_LEADER);
+	heal_sim(s);
+	run_sim(s, 3 * SIM_ELECTION);
+	ck_assert_uint_eq(
+	    s->node[1].applied, status_of(s, find_leader(s)).last);
+}
+
+/* The leader hears everybody but reaches nobody: others must take over. */
+static void
+block_leader_sends(struct sim *s)
+{
+	block_node(s, 1, false, true);
+	run_sim(s, 6 * SIM_ELECTION);
+	ck_assert_int_ne(status_of(s, 1).role, RAFT_LEADER);
+	ck_assert_uint_ne(find_leader(s), 0);
+}
+
+/* As before, with a member lost: nobody can lead, so nobody may seem to. */
+static void
+block_leader_of_two(struct sim *s)
+{
+	struct raft_message m = message(RAFT_PREVOTE, 2, 1, 0);
+
+	crash_node(s, 3, 3);
+	block_node(s, 1, false, true);
+	m.term = status_of(s, 1).term + 1;
+	for (int i = 0; i < 2 * SIM_ELECTION; i++) {
+		tick_node(s, 1);
+		ck_assert_int_eq(step_raft(s->node[1].core, &m), 0);
+		drain_node(s, 1);
+	}
+	ck_assert_uint_eq(find_leader(s), 0);
+}
+
+/* The leader reaches everybody but hears nobody. */
+static void
+block_leader_hears(struct sim *s)
+{
+	block_node(s, 1, true, false);
+	run_sim(s, 6 * SIM_ELECTION);
+	ck_assert_int_ne(status_of(s, 1).role, RAFT_LEADER);
+	ck_assert_uint_ne(find_leader(s), 0);
+}
+
+/* One member hears nothing: its elections must not disturb the leader. */
+static void
+isolate_member(struct sim *s)
+{
+	uint64_t term = status_of(s, 1).term;
+
+	block_node(s, 3, true, false);
+	run_sim(s, 10 * SIM_ELECTION);
+	ck_assert_int_eq(status_of(s, 1).role, RAFT_LEADER);
+	heal_sim(s);
+	run_sim(s, 4 * SIM_ELECTION);
+	ck_assert_int_eq(status_of(s, 1).role, RAFT_LEADER);
+	ck_assert_uint_eq(status_of(s, 1).term, term);
+}
+
+/* A follower asks for votes while the others hear the leader. */
+static void
+vote_in_lease(struct sim *s)
+{
+	struct raft_message m = message(RAFT_VOTE, 3, 2, 99);
+
+	m.log_index = 99;
+	m.log_term = 99;
+	ck_assert_int_eq(step_raft(s->node[2].core, &m), 0);
+	drain_node(s, 2);
+	ck_assert_uint_ne(status_of(s, 2).term, 99);
+	m.to = 1;
+	ck_assert_int_eq(step_raft(s->node[1].core, &m), 0);
+	drain_node(s, 1);
+	ck_assert_int_eq(status_of(s, 1).role, RAFT_LEADER);
+}
+
+static void
+crash_leader_in_store(struct sim *s)
+{
+	uint64_t index;
+
+	for (int stage = 0; stage <= 3; stage++) {
+		uint64_t lead = find_leader(s), commit = s->committed;
+
+		ck_assert_int_eq(propose_node(s, lead, &index), 0);
+		crash_node(s, lead, stage);
+		run_sim(s, 6 * SIM_ELECTION);
+		ck_assert_uint_ne(find_leader(s), 0);
+		start_node(s, lead);
+		run_sim(s, 4 * SIM_ELECTION);
+		ck_assert_uint_ge(s->node[lead].applied, commit);
+	}
+}
+
+static void
+crash_follower_in_store(struct sim *s)
+{
+	uint64_t index;
+
+	for (int stage = 0; stage <= 3; stage++) {
+		ck_assert_int_eq(propose_node(s, 1, &index), 0);
+		while (s->net_count > 0)
+			deliver(s, 0, false);
+		ck_assert(s->node[2].pending.used);
+		crash_node(s, 2, stage);
+		start_node(s, 2);
+		run_sim(s, 4 * SIM_ELECTION);
+		ck_assert_uint_ge(s->node[2].applied, index);
+	}
+}
+
+/* A vote and an acknowledgement wait for the disk. */
+static void
+hold_until_stored(struct sim *s)
+{
+	struct raft_message m = message(RAFT_VOTE, 3, 2, 9);
+
+	m.log_index = 99;
+	m.log_term = 9;
+	m.context = 1; /* as in a leader transfer */
+	ck_assert_int_eq(step_raft(s->node[2].core, &m), 0);
+	drain_node(s, 2);
+	ck_assert_uint_eq(s->net_count, 0);
+	finish_store(s, 2);
+	ck_assert_uint_eq(s->net_count, 1);
+	ck_assert_int_eq(s->net[0].type, RAFT_VOTE_REPLY);
+	ck_assert(!s->net[0].reject);
+}
+
+/* A member that voted must not vote for another in the same term. */
+static void
+vote_once(struct sim *s)
+{
+	struct raft_message m = message(RAFT_VOTE, 3, 2, 9);
+
+	hold_until_stored(s);
+	drop(s, 0);
+	crash_node(s, 2, 0);
+	start_node(s, 2);
+	m.from = 1;
+	m.log_index = 99;
+	m.log_term = 9;
+	ck_assert_int_eq(step_raft(s->node[2].core, &m), 0);
+	drain_node(s, 2);
+	finish_store(s, 2);
+	ck_assert_uint_eq(s->net_count, 1);
+	ck_assert(s->net[0].reject);
+}
+
+/* A majority on an entry of an earlier term does not commit it. */
+static void
+count_old_term(struct sim *s)
+{
+	struct raft_message m;
+	struct raft_status st;
+	uint64_t index;
+
+	propose_node(s, 1, &index);
+	finish_store(s, 1);
+	while (s->net_count > 0)
+		drop(s, 0);
+	block_node(s, 1, false, true);
+	crash_node(s, 1, 3);
+	start_node(s, 1);
+	for (int i = 0; i < 2 * SIM_ELECTION + 1; i++)
+		tick_node(s, 1);
+	m = message(RAFT_PREVOTE_REPLY, 2, 1, status_of(s, 1).term + 1);
+	step_raft(s->node[1].core, &m);
+	drain_node(s, 1);
+	finish_store(s, 1);
+	m.type = RAFT_VOTE_REPLY;
+	step_raft(s->node[1].core, &m);
+	drain_node(s, 1);
+	finish_store(s, 1);
+	st = status_of(s, 1);
+	ck_assert_int_eq(st.role, RAFT_LEADER);
+	m = message(RAFT_APPEND_REPLY, 2, 1, st.term);
+	m.log_index = index; /* of the term before */
+	ck_assert_int_eq(step_raft(s->node[1].core, &m), 0);
+	ck_assert_uint_lt(status_of(s, 1).commit, index);
+	m.log_index = st.last;
+	ck_assert_int_eq(step_raft(s->node[1].core, &m), 0);
+	ck_assert_uint_eq(status_of(s, 1).commit, st.last);
+	heal_sim(s);
+}
+
+/* A follower's own tail beyond what the leader matched is not committed. */
+static void
+keep_tail_uncommitted(struct sim *s)
+{
+	struct raft_message m = message(RAFT_APPEND, 1, 2, 0);
+	struct raft_entry e[3] = {{1, RAFT_ENTRY_COMMAND, {"a", 1}},
+	    {1, RAFT_ENTRY_COMMAND, {"b", 1}},
+	    {1, RAFT_ENTRY_COMMAND, {"c", 1}}};
+
+	m.term = status_of(s, 2).term;
+	m.log_index = 2;
+	m.log_term = m.term;
+	for (int i = 0; i < 3; i++)
+		e[i].term = m.term;
+	m.entries = e;
+	m.entry_count = 3;
+	m.commit = 2;
+	ck_assert_int_eq(step_raft(s->node[2].core, &m), 0);
+	m.from = 3;
+	m.term++;
+	m.entry_count = 0;
+	m.commit = 5;
+	ck_assert_int_eq(step_raft(s->node[2].core, &m), 0);
+	ck_assert_uint_eq(status_of(s, 2).commit, 2);
+}
+
+/* A long tail of a lost leader goes away in few messages. */
+static void
+back_up_fast(struct sim *s)
+{
+	uint64_t index, rejects = 0;
+
+	block_node(s, 1, true, true);
+	for (int i = 0; i < 500; i++)
+		propose_node(s, 1, &index);
+	finish_store(s, 1);
+	elect(s, 2);
+	propose_settled(s, 2, 100);
+	elect(s, 3);
+	heal_sim(s);
+	for (int t = 0; t < 3 * SIM_ELECTION; t++) {
+		for (uint64_t n = 1; n <= 3; n++)
+			tick_node(s, n);
+		while (s->net_count > 0) {
+			rejects += s->net[0].type == RAFT_APPEND_REPLY &&
+				   s->net[0].reject;
+			deliver(s, 0, false);
+			for (uint64_t n = 1; n <= 3; n++)
+				finish_store(s, n);
+		}
+	}
+	ck_assert_uint_eq(s->node[1].applied, status_of(s, 3).last);
+	ck_assert_uint_ge(rejects, 1);
+	ck_assert_uint_le(rejects, 5);
+}
+
+/*
+ * Lets the leader send heartbeats, all lost, and returns their round.
+ */
+static uint64_t
+lose_heartbeats(struct sim *s)
+{
+	uint64_t round = 0;
+
+	for (int i = 0; i < SIM_HEARTBEAT; i++)
+		tick_node(s, 1);
+	while (s->net_count > 0) {
+		if (s->net[0].type == RAFT_HEARTBEAT)
+			round = s->net[0].context;
+		drop(s, 0);
+	}
+	return round;
+}
+
+/* A round that was sent before the read does not confirm it. */
+static void
+read_needs_its_round(struct sim *s)
+{
+	struct raft_message m;
+	uint64_t done = s->reads_done, before, own;
+
+	before = lose_heartbeats(s);
+	ck_assert_int_eq(read_node(s, 1), 0);
+	own = lose_heartbeats(s);
+	ck_assert_uint_gt(own, before);
+	m = message(RAFT_HEARTBEAT_REPLY, 2, 1, status_of(s, 1).term);
+	m.context = before;
+	ck_assert_int_eq(step_raft(s->node[1].core, &m), 0);
+	drain_node(s, 1);
+	ck_assert_uint_eq(s->reads_done, done);
+	m.context = own;
+	ck_assert_int_eq(step_raft(s->node[1].core, &m), 0);
+	drain_node(s, 1);
+	ck_assert_uint_eq(s->reads_done, done + 1);
+}
+
+static void
+read_on_follower(struct sim *s)
+{
+	uint64_t done = s->reads_done;
+	struct raft_read rd;
+
+	ck_assert_int_eq(read_node(s, 2), 0);
+	settle_sim(s);
+	ck_assert_uint_eq(s->reads_done, done + 1);
+	block_node(s, 2, true, true);
+	ck_assert_int_eq(read_node(s, 2), 0);
+	settle_sim(s);
+	heal_sim(s);
+	for (int i = 0; i < 2 * SIM_ELECTION; i++)
+		tick_raft(s->node[2].core);
+	ck_assert(take_raft_read(s->node[2].core, &rd));
+	ck_assert_int_eq(rd.status, ERR_UNAVAILABLE);
+}
+
+/* A member behind the log gets the snapshot, also if chunks are lost. */
+static void
+send_chunks(struct sim *s)
+{
+	uint64_t loaded = s->snapshots_loaded;
+
+	block_node(s, 3, true, true);
+	propose_settled(s, 1, 30);
+	compact_node(s, 1);
+	heal_sim(s);
+	for (int t = 0; t < 6 * SIM_ELECTION; t++) {
+		for (uint64_t n = 1; n <= 3; n++)
+			tick_node(s, n);
+		while (s->net_count > 0) {
+			if (s->net[0].type == RAFT_SNAPSHOT && t % 3 == 0)
+				drop(s, 0);
+			else
+				deliver(s, 0, false);
+			for (uint64_t n = 1; n <= 3; n++)
+				finish_store(s, n);
+		}
+	}
+	ck_assert_uint_eq(s->snapshots_loaded, loaded + 1);
+	ck_assert_uint_eq(s->node[3].applied, status_of(s, 1).last);
+}
+
+/* The receiver of a snapshot crashes between chunks and while storing. */
+static void
+crash_in_snapshot(struct sim *s)
+{
+	for (int stage = 0; stage <= 3; stage++) {
+		block_node(s, 3, true, true);
+		propose_settled(s, 1, 30);
+		compact_node(s, 1);
+		heal_sim(s);
+		for (int t = 0;
+		     t < 100 && !(s->node[3].pending.used &&
+				    s->node[3].pending.s.snapshot != NULL);
+		     t++) {
+			for (uint64_t n = 1; n <= 3; n++)
+				tick_node(s, n);
+			while (s->net_count > 0)
+				deliver(s, 0, false);
+			finish_store(s, 1);
+			finish_store(s, 2);
+			if (s->node[3].pending.s.snapshot == NULL)
+				finish_store(s, 3);
+			if (t == 2) {
+				crash_node(s, 3, 0);
+				start_node(s, 3);
+			}
+		}
+		ck_assert(s->node[3].pending.used);
+		crash_node(s, 3, stage);
+		start_node(s, 3);
+		run_sim(s, 4 * SIM_ELECTION);
+		ck_assert_uint_eq(s->node[3].applied, status_of(s, 1).last);
+	}
+}
+
+/* A snapshot on its way is not replaced by a newer one. */
+static void
+keep_snapshot_in_transfer(struct sim *s)
+{
+	uint64_t index;
+
+	block_node(s, 3, true, true);
+	propose_settled(s, 1, 30);
+	compact_node(s, 1);
+	heal_sim(s);
+	for (int i = 0; i < SIM_HEARTBEAT; i++)
+		tick_node(s, 1);
+	for (int i = 0; i < 4; i++) {
+		/* Node 3 answers the heartbeat and gets the first chunk. */
+		for (size_t n = s->net_count; n > 0; n--)
+			deliver(s, 0, false);
+		finish_store(s, 3);
+	}
+	block_node(s, 3, true, true);
+	propose_settled(s, 1, 1);
+	index = status_of(s, 1).snapshot;
+	ck_assert_uint_gt(s->node[1].applied, index);
+	compact_node(s, 1);
+	ck_assert_uint_eq(status_of(s, 1).snapshot, index);
+	/* A member that is gone holds up nothing. */
+	for (int i = 0; i < SIM_ELECTION; i++) {
+		tick_node(s, 1);
+		settle_sim(s);
+	}
+	compact_node(s, 1);
+	ck_assert_uint_gt(status_of(s, 1).snapshot, index);
+}
+
+/* A follower a little behind a new snapshot gets entries, not the snapshot. */
+static void
+keep_trailing_entries(struct sim *s)
+{
+	uint64_t loaded = s->snapshots_loaded;
+
+	propose_settled(s, 1, 20);
+	block_node(s, 3, true, true);
+	propose_settled(s, 1, 1);
+	compact_node(s, 1);
+	ck_assert_uint_eq(status_of(s, 1).snapshot, status_of(s, 1).last);
+	heal_sim(s);
+	run_sim(s, 3 * SIM_ELECTION);
+	ck_assert_uint_eq(s->node[3].applied, status_of(s, 1).last);
+	ck_assert_uint_eq(s->snapshots_loaded, loaded);
+}
+
+/* A snapshot arrives while a longer tail of a lost leader is being stored. */
+static void
+install_during_store(struct sim *s)
+{
+	struct raft_message m = message(RAFT_SNAPSHOT, 2, 1, 0);
+	char data[16] = {0};
+	uint64_t index;
+
+	for (int i = 0; i < 20; i++)
+		propose_node(s, 1, &index);
+	finish_store(s, 1); /* the first entry; the others are next */
+	ck_assert_uint_eq(s->node[1].pending.s.entry_count, 19);
+	m.term = status_of(s, 1).term + 1;
+	m.log_index = 10;
+	m.log_term = m.term;
+	m.members = *get_raft_members(s->node[1].core);
+	m.snapshot_size = sizeof(data);
+	m.snapshot = make_str_n(data, sizeof(data));
+	ck_assert_int_eq(step_raft(s->node[1].core, &m), 0);
+	while (s->node[1].pending.used)
+		finish_store(s, 1);
+	ck_assert_uint_eq(status_of(s, 1).last, 10);
+	ck_assert_uint_eq(s->node[1].disk.count, 0);
+	m.type = RAFT_APPEND;
+	m.entry_count = 1;
+	m.entries = &(struct raft_entry){m.term, RAFT_ENTRY_COMMAND, {"x", 1}};
+	m.commit = 11;
+	ck_assert_int_eq(step_raft(s->node[1].core, &m), 0);
+	/* The new entry is not durable, so it is not applied. */
+	drain_node(s, 1);
+	ck_assert_uint_eq(s->node[1].applied, 10);
+	finish_store(s, 1);
+	ck_assert_uint_eq(s->node[1].disk.count, 1);
+	ck_assert_uint_eq(s->node[1].applied, 11);
+}
+
+/* A learner neither votes nor counts, and is promoted only caught up. */
+static void
+promote_caught_up(struct sim *s)
+{
+	block_node(s, 4, true, true);
+	ck_assert_int_eq(change_node(s, 1, RAFT_ADD_LEARNER, 4), 0);
+	settle_sim(s);
+	ck_assert_int_eq(change_node(s, 1, RAFT_PROMOTE, 4), ERR_CONFLICT);
+	heal_sim(s);
+	start_node(s, 4);
+	run_sim(s, 2 * SIM_ELECTION);
+	ck_assert(!status_of(s, 4).voter);
+	ck_assert_uint_eq(s->node[4].applied, status_of(s, 1).last);
+	ck_assert_int_eq(campaign_raft(s->node[4].core), ERR_DENIED);
+	ck_assert_int_eq(change_node(s, 1, RAFT_PROMOTE, 4), 0);
+	run_sim(s, SIM_ELECTION);
+	ck_assert(status_of(s, 4).voter);
+}
+
+static void
+change_one_at_a_time(struct sim *s)
+{
+	block_node(s, 1, true, true);
+	ck_assert_int_eq(change_node(s, 1, RAFT_ADD_LEARNER, 4), 0);
+	ck_assert_int_eq(change_node(s, 1, RAFT_ADD_LEARNER, 5), ERR_CONFLICT);
+	heal_sim(s);
+	run_sim(s, 2 * SIM_ELECTION);
+	ck_assert_int_eq(change_node(s, 1, RAFT_ADD_LEARNER, 5), 0);
+}
+
+/* A leader changes nothing before it committed in its own term. */
+static void
+change_after_own_commit(struct sim *s)
+{
+	struct raft_message m;
+
+	block_node(s, 2, false, true);
+	block_node(s, 1, true, true);
+	for (int i = 0; i < 2 * SIM_ELECTION + 1; i++)
+		tick_node(s, 2);
+	m = message(RAFT_PREVOTE_REPLY, 3, 2, status_of(s, 2).term + 1);
+	step_raft(s->node[2].core, &m);
+	drain_node(s, 2);
+	finish_store(s, 2);
+	m.type = RAFT_VOTE_REPLY;
+	step_raft(s->node[2].core, &m);
+	drain_node(s, 2);
+	ck_assert_int_eq(status_of(s, 2).role, RAFT_LEADER);
+	ck_assert_int_eq(
+	    change_node(s, 2, RAFT_ADD_LEARNER, 4), ERR_UNAVAILABLE);
+}
+
+/* A membership that was cut from the log is no longer in effect. */
+static void
+cut_membership(struct sim *s)
+{
+	block_node(s, 1, true, true);
+	ck_assert_int_eq(change_node(s, 1, RAFT_ADD_LEARNER, 4), 0);
+	finish_store(s, 1);
+	ck_assert_uint_eq(get_raft_members(s->node[1].core)->count, 4);
+	elect(s, 2);
+	propose_settled(s, 2, 2);
+	heal_sim(s);
+	run_sim(s, 3 * SIM_ELECTION);
+	ck_assert_uint_eq(get_raft_members(s->node[1].core)->count, 3);
+}
+
+static void
+refuse_unsafe_removal(struct sim *s)
+{
+	crash_node(s, 3, 3);
+	run_sim(s, 2 * SIM_ELECTION);
+	ck_assert_int_eq(change_node(s, 1, RAFT_REMOVE, 2), ERR_CONFLICT);
+	ck_assert_int_eq(change_node(s, 1, RAFT_REMOVE, 1), ERR_CONFLICT);
+	ck_assert_int_eq(change_node(s, 1, RAFT_REMOVE, 9), ERR_NOT_FOUND);
+	ck_assert_int_eq(change_node(s, 1, RAFT_REMOVE, 3), 0);
+}
+
+/* Member 3 is replaced by 4; then member 2 is lost. */
+static void
+lose_second_after_replacement(struct sim *s)
+{
+	crash_node(s, 3, 0);
+	run_sim(s, 2 * SIM_ELECTION);
+	ck_assert_int_eq(change_node(s, 1, RAFT_REMOVE, 3), 0);
+	run_sim(s, SIM_ELECTION);
+	ck_assert_int_eq(change_node(s, 1, RAFT_ADD_LEARNER, 4), 0);
+	start_node(s, 4);
+	run_sim(s, 2 * SIM_ELECTION);
+	ck_assert_int_eq(change_node(s, 1, RAFT_PROMOTE, 4), 0);
+	run_sim(s, SIM_ELECTION);
+	crash_node(s, 2, 0);
+	propose_settled(s, 1, 5);
+	run_sim(s, 4 * SIM_ELECTION);
+	ck_assert_int_eq(status_of(s, 1).role, RAFT_LEADER);
+	ck_assert_uint_eq(s->node[4].applied, status_of(s, 1).last);
+	crash_node(s, 4, 3);
+	start_node(s, 4);
+	run_sim(s, 6 * SIM_ELECTION);
+	ck_assert_uint_eq(
+	    s->node[4].applied, status_of(s, find_leader(s)).last);
+}
+
+/* Leadership moves at once, although the others have a live leader. */
+static void
+transfer_leadership(struct sim *s)
+{
+	uint64_t index;
+
+	ck_assert_int_eq(transfer_raft(s->node[1].core, 0), 0);
+	ck_assert_int_eq(propose_node(s, 1, &index), ERR_UNAVAILABLE);
+	drain_node(s, 1);
+	settle_sim(s);
+	ck_assert_int_ne(status_of(s, 1).role, RAFT_LEADER);
+	ck_assert_uint_ne(find_leader(s), 0);
+}
+
+static void
+transfer_to_dead(struct sim *s)
+{
+	uint64_t index;
+
+	block_node(s, 3, true, true);
+	ck_assert_int_eq(transfer_raft(s->node[1].core, 3), 0);
+	drain_node(s, 1);
+	run_sim(s, 2 * SIM_ELECTION);
+	ck_assert_int_eq(propose_node(s, 1, &index), 0);
+}
+
+/* Too many waiting proposals are refused, not piled up. */
+static void
+limit_uncommitted(struct sim *s)
+{
+	static char big[600 * 1024];
+	uint64_t index;
+
+	block_node(s, 1, true, true);
+	ck_assert_int_eq(
+	    propose_raft(s->node[1].core, make_str_n(big, sizeof(big)), &index),
+	    0);
+	ck_assert_int_eq(
+	    propose_raft(s->node[1].core, make_str_n(big, sizeof(big)), &index),
+	    ERR_LIMIT);
+}
+
+static const struct fault_case cases[] = {
+    {"lose messages", lose_messages, false},
+    {"duplicate messages", duplicate_messages, false},
+    {"reverse messages", reverse_messages, false},
+    {"delay an append", delay_append, false},
+    {"partition the leader", partition_leader, false},
+    {"leader cannot send", block_leader_sends, false},
+    {"leader of two cannot send", block_leader_of_two, false},
+    {"leader cannot hear", block_leader_hears, false},
+    {"member cannot hear", isolate_member, false},
+    {"vote while a leader lives", vote_in_lease, false},
+    {"crash the leader in each storage stage", crash_leader_in_store, false},
+    {"crash a follower in each storage stage", crash_follower_in_store, false},
+    {"hold messages until stored", hold_until_stored, false},
+    {"vote once a term", vote_once, false},
+    {"no commit of an old term by counting", count_old_term, true},
+    {"unmatched tail stays uncommitted", keep_tail_uncommitted, true},
+    {"back up fast", back_up_fast, false},
+    {"read needs its own round", read_needs_its_round, false},
+    {"read on a follower", read_on_follower, false},
+    {"lose snapshot chunks", send_chunks, false},
+    {"crash while receiving a snapshot", crash_in_snapshot, false},
+    {"keep the snapshot in transfer", keep_snapshot_in_transfer, false},
+    {"keep trailing entries", keep_trailing_entries, false},
+    {"install during a store", install_during_store, true},
+    {"promote only caught up", promote_caught_up, false},
+    {"one change at a time", change_one_at_a_time, false},
+    {"change after own commit", change_after_own_commit, true},
+    {"cut membership", cut_membership, false},
+    {"refuse unsafe removal", refuse_unsafe_removal, false},
+    {"second loss after a replacement", lose_second_after_replacement, false},
+    {"transfer leadership", transfer_leadership, false},
+    {"transfer to a dead member", transfer_to_dead, false},
+    {"limit uncommitted bytes", limit_uncommitted, false},
+};
+
+/* Guards against the failure that each case names. */
+START_TEST(fault_case_is_survived)
+{
+	struct sim *s = open_led_sim(3);
+
+	cases[_i].run(s);
+	if (!cases[_i].forged)
+		check_recovery(s);
+	ck_assert_msg(
+	    s->failure[0] == '\0', "%s: %s", cases[_i].name, s->failure);
+	close_sim(s);
+}
+END_TEST
+
+/* Guards against a leader whose own vote a crash could take back. */
+START_TEST(own_vote_counts_once_stored)
+{
+	struct sim *s = open_sim(1, 1);
+
+	for (int i = 0; i < 2 * SIM_ELECTION + 1; i++)
+		tick_node(s, 1);
+	ck_assert_int_eq(status_of(s, 1).role, RAFT_CANDIDATE);
+	finish_store(s, 1);
+	ck_assert_int_eq(status_of(s, 1).role, RAFT_LEADER);
+	settle_sim(s);
+	ck_assert_uint_eq(s->node[1].applied, 1);
+	ck_assert_int_eq(read_node(s, 1), 0);
+	ck_assert_uint_eq(s->reads_done, 1);
+	close_sim(s);
+}
+END_TEST
+
+/* Guards against a read that fewer than a majority confirm. */
+START_TEST(read_needs_a_majority)
+{
+	struct sim *s = open_led_sim(5);
+	struct raft_message m;
+
+	block_node(s, 1, false, true);
+	ck_assert_int_eq(read_node(s, 1), 0);
+	m = message(RAFT_HEARTBEAT_REPLY, 2, 1, status_of(s, 1).term);
+	for (m.context = 1; m.context < 20; m.context++)
+		step_raft(s->node[1].core, &m);
+	drain_node(s, 1);
+	ck_assert_uint_eq(s->reads_done, 0);
+	m.from = 3;
+	for (m.context = 1; m.context < 20; m.context++)
+		step_raft(s->node[1].core, &m);
+	drain_node(s, 1);
+	ck_assert_uint_eq(s->reads_done, 1);
+	close_sim(s);
+}
+END_TEST
+
+/* Guards against a membership decoder that reads out of bounds. */
+START_TEST(damaged_membership_is_refused)
+{
+	struct raft_members m = {2, {{1, true, "127.0.0.1:1"}, {2, false, ""}}};
+	struct raft_members out;
+	struct buf b = {0};
+	struct rng r;
+
+	ck_assert_int_eq(encode_raft_members(&m, &b), 0);
+	ck_assert_int_eq(decode_raft_members(view_buf(&b), &out), 0);
+	ck_assert_uint_eq(out.count, 2);
+	ck_assert_str_eq(out.member[0].address, "127.0.0.1:1");
+	for (size_t n = 0; n < b.len; n++)
+		ck_assert_int_eq(
+		    decode_raft_members(make_str_n(b.data, n), &out),
+		    ERR_CORRUPT);
+	seed_rng(&r, 11);
+	for (int i = 0; i < 20000; i++) {
+		char copy[64];
+
+		memcpy(copy, b.data, b.len);
+		copy[draw_below(&r, b.len)] = (char)draw_u64(&r);
+		copy[draw_below(&r, b.len)] = (char)draw_u64(&r);
+		decode_raft_members(make_str_n(copy, b.len), &out);
+		ck_assert_uint_le(out.count, RAFT_MEMBERS_MAX);
+	}
+	unload_buf(&b);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("raft");
+	TCase *t = tcase_create("faults");
+	SRunner *r;
+	int failed;
+
+	tcase_add_loop_test(t, fault_case_is_survived, 0,
+	    (int)(sizeof(cases) / sizeof(cases[0])));
+	tcase_add_test(t, own_vote_counts_once_stored);
+	tcase_add_test(t, read_needs_a_majority);
+	tcase_add_test(t, damaged_membership_is_refused);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed == 0 ? 0 : 1;
+}
