Add the durable log

Cause: a vote or an acknowledged entry must survive a power cut, and damage must not pass for a torn write. A last record that is short or has an unwritten (all-zero) sector is cut and counted; any other damage refuses the start. A failed write or sync fails the log for good. At start the last record is written again, since after a failed sync it may be in memory only. Tests: fault at every file operation (one failure, crash, full disk, failed sync) with power cuts that keep or lose single sectors, truncation at every byte of the last record, a flipped byte at every position of every file, and 200,000 mutated records.

--- /dev/null
+++ b/packages/wal/tests/test_wal.c
@@ -0,0 +1,619 @@
+/*
+ * The durable log under power cuts, damage and failing disks.
+ */
+#include <check.h>
+#include <stdio.h>
+
+#include "mem_io.h"
+#include "wal_core.h"
+
+#define FUZZ_RUNS 200000
+
+/* What a log must hold, kept beside it. */
+struct model {
+	struct raft_hard_state hard;
+	uint64_t snapshot;
+	uint64_t last;
+	uint64_t term_at[256];
+	bool changed; /* the last operation may be there or not */
+};
+
+static int
+open_mem(struct mem_disk *d, struct wal **w, struct fault *f)
+{
+	struct wal_io io = get_mem_io(d);
+	struct wal_config cfg = {
+	    .dir = "/data", .id = 7, .segment_bytes = 400, .io = &io};
+
+	return open_wal(&cfg, w, f);
+}
+
+/*
+ * Stores count entries from first on, with the data "entry INDEX TERM".
+ */
+static int
+store_entries_at(
+    struct wal *w, uint64_t first, uint64_t term, size_t count, struct fault *f)
+{
+	char text[16][32];
+	struct raft_entry e[16];
+	struct raft_store s = {.first = first, .entry_count = count};
+
+	for (size_t i = 0; i < count; i++) {
+		int n = snprintf(text[i], sizeof(text[i]), "entry %d %d",
+		    (int)(first + i), (int)term);
+
+		e[i] = (struct raft_entry){
+		    term, RAFT_ENTRY_COMMAND, make_str_n(text[i], (size_t)n)};
+	}
+	s.entries = e;
+	return store_wal(w, &s, f);
+}
+
+static int
+store_hard(struct wal *w, uint64_t term, uint64_t vote, struct fault *f)
+{
+	struct raft_store s = {.has_hard = true, .hard = {term, vote}};
+
+	return store_wal(w, &s, f);
+}
+
+static int
+save_snapshot(struct wal *w, uint64_t index, uint64_t term, struct fault *f)
+{
+	struct raft_snapshot s = {
+	    index, term, {1, {{7, true, "a:1"}}}, {"snapshot bytes", 14}};
+
+	return save_wal_snapshot(w, &s, f);
+}
+
+static int
+install_snapshot(struct wal *w, uint64_t index, uint64_t term, struct fault *f)
+{
+	struct raft_snapshot s = {
+	    index, term, {1, {{7, true, "a:1"}}}, {"snapshot bytes", 14}};
+	struct raft_store st = {.snapshot = &s, .first = index + 1};
+
+	return store_wal(w, &st, f);
+}
+
+static void
+check_entries(const struct wal *w, uint64_t first, size_t count, uint64_t term)
+{
+	const struct raft_stored *s = get_wal_stored(w);
+	char want[32];
+
+	ck_assert_uint_eq(s->snapshot.index + 1, first);
+	ck_assert_uint_eq(s->entry_count, count);
+	for (size_t i = 0; i < count; i++) {
+		snprintf(want, sizeof(want), "entry %d %d", (int)(first + i),
+		    (int)term);
+		ck_assert(is_str_equal(s->entries[i].data, make_str(want)));
+	}
+}
+
+static struct mem_file *
+last_segment(struct mem_disk *d)
+{
+	struct mem_file *last = NULL;
+
+	for (int i = 0; i < MEM_FILES; i++) {
+		struct mem_file *f = &d->file[i];
+
+		if (f->used && strncmp(f->name, "log-", 4) == 0 &&
+		    (last == NULL || strcmp(f->name, last->name) > 0))
+			last = f;
+	}
+	return last;
+}
+
+/* Guards against entries or state that a restart does not bring back. */
+START_TEST(stored_state_survives_a_restart)
+{
+	struct mem_disk *d = calloc(1, sizeof(*d));
+	struct wal *w;
+
+	ck_assert_int_eq(open_mem(d, &w, NULL), 0);
+	ck_assert(is_wal_empty(w));
+	ck_assert_int_eq(store_hard(w, 3, 2, NULL), 0);
+	for (uint64_t i = 1; i <= 40; i += 4)
+		ck_assert_int_eq(store_entries_at(w, i, 3, 4, NULL), 0);
+	ck_assert_uint_gt(get_wal_counters(w).segments, 3);
+	close_wal(w);
+	cut_power(d, NULL);
+	ck_assert_int_eq(open_mem(d, &w, NULL), 0);
+	ck_assert(!is_wal_empty(w));
+	ck_assert_uint_eq(get_wal_stored(w)->hard.term, 3);
+	ck_assert_uint_eq(get_wal_stored(w)->hard.vote, 2);
+	check_entries(w, 1, 40, 3);
+	ck_assert_int_eq(store_entries_at(w, 11, 4, 2, NULL), 0);
+	close_wal(w);
+	ck_assert_int_eq(open_mem(d, &w, NULL), 0);
+	ck_assert_uint_eq(get_wal_stored(w)->entry_count, 12);
+	ck_assert_uint_eq(get_wal_stored(w)->entries[10].term, 4);
+	ck_assert_int_eq(save_snapshot(w, 12, 4, NULL), 0);
+	ck_assert_int_eq(store_entries_at(w, 13, 4, 1, NULL), 0);
+	close_wal(w);
+	ck_assert_int_eq(open_mem(d, &w, NULL), 0);
+	check_entries(w, 13, 1, 4);
+	ck_assert(is_str_equal(
+	    get_wal_stored(w)->snapshot.data, make_str("snapshot bytes")));
+	ck_assert_uint_eq(get_wal_stored(w)->snapshot.members.count, 1);
+	ck_assert_uint_eq(get_wal_counters(w).torn_records, 0);
+	close_wal(w);
+	unload_mem_disk(d);
+	free(d);
+}
+END_TEST
+
+/* Guards against old entries that reappear after a leader's snapshot. */
+START_TEST(installed_snapshot_replaces_the_log)
+{
+	struct mem_disk *d = calloc(1, sizeof(*d));
+	struct wal *w;
+
+	ck_assert_int_eq(open_mem(d, &w, NULL), 0);
+	ck_assert_int_eq(store_hard(w, 1, 1, NULL), 0);
+	for (uint64_t i = 1; i <= 40; i += 4)
+		ck_assert_int_eq(store_entries_at(w, i, 1, 4, NULL), 0);
+	ck_assert_int_eq(install_snapshot(w, 30, 2, NULL), 0);
+	ck_assert_int_eq(store_entries_at(w, 31, 2, 2, NULL), 0);
+	close_wal(w);
+	ck_assert_int_eq(open_mem(d, &w, NULL), 0);
+	check_entries(w, 31, 2, 2);
+	ck_assert_int_eq(install_snapshot(w, 50, 3, NULL), 0);
+	ck_assert_int_eq(store_entries_at(w, 51, 3, 1, NULL), 0);
+	close_wal(w);
+	ck_assert_int_eq(open_mem(d, &w, NULL), 0);
+	check_entries(w, 51, 1, 3);
+	close_wal(w);
+	unload_mem_disk(d);
+	free(d);
+}
+END_TEST
+
+static void
+fill_log(struct mem_disk *d)
+{
+	struct wal *w;
+
+	ck_assert_int_eq(open_mem(d, &w, NULL), 0);
+	ck_assert_int_eq(store_hard(w, 1, 7, NULL), 0);
+	ck_assert_int_eq(store_entries_at(w, 1, 1, 5, NULL), 0);
+	ck_assert_int_eq(store_entries_at(w, 6, 1, 1, NULL), 0);
+	close_wal(w);
+}
+
+/* Guards against a torn last record that stops the start or is read. */
+START_TEST(torn_last_record_is_cut_at_every_byte)
+{
+	struct mem_disk *d = calloc(1, sizeof(*d));
+	size_t size = 0, cut = 1;
+	struct wal *w;
+
+	do {
+		struct mem_file *f;
+
+		unload_mem_disk(d);
+		ck_assert_int_eq(open_mem(d, &w, NULL), 0);
+		ck_assert_int_eq(store_hard(w, 1, 7, NULL), 0);
+		ck_assert_int_eq(store_entries_at(w, 1, 1, 5, NULL), 0);
+		size = last_segment(d)->now.len;
+		ck_assert_int_eq(store_entries_at(w, 6, 1, 1, NULL), 0);
+		close_wal(w);
+		f = last_segment(d);
+		size = f->now.len - size;
+		f->now.len -= cut;
+		ck_assert_int_eq(open_mem(d, &w, NULL), 0);
+		check_entries(w, 1, 5, 1);
+		ck_assert_uint_eq(
+		    get_wal_counters(w).torn_records, cut < size ? 1 : 0);
+		/* The log goes on where it was cut. */
+		ck_assert_int_eq(store_entries_at(w, 6, 2, 2, NULL), 0);
+		close_wal(w);
+		ck_assert_int_eq(open_mem(d, &w, NULL), 0);
+		ck_assert_uint_eq(get_wal_stored(w)->entry_count, 7);
+		close_wal(w);
+	} while (cut++ < size);
+	ck_assert_uint_gt(size, RECORD_HEADER_BYTES);
+	unload_mem_disk(d);
+	free(d);
+}
+END_TEST
+
+/* Guards against damage that is taken for a torn record or not seen. */
+START_TEST(flipped_byte_anywhere_is_refused)
+{
+	struct mem_disk *d = calloc(1, sizeof(*d));
+	struct fault f = {0};
+	uint64_t flips = 0;
+	struct wal *w;
+
+	ck_assert_int_eq(open_mem(d, &w, NULL), 0);
+	ck_assert_int_eq(store_hard(w, 1, 7, NULL), 0);
+	for (uint64_t i = 1; i <= 24; i += 4)
+		ck_assert_int_eq(store_entries_at(w, i, 1, 4, NULL), 0);
+	ck_assert_int_eq(save_snapshot(w, 5, 1, NULL), 0);
+	close_wal(w);
+	for (int i = 0; i < MEM_FILES; i++) {
+		struct mem_file *m = &d->file[i];
+
+		for (size_t at = 0;
+		     m->used && m->name[0] != '\0' && at < m->now.len; at++) {
+			m->now.data[at] ^= 0x20;
+			w = NULL;
+			ck_assert_msg(open_mem(d, &w, &f) == ERR_CORRUPT,
+			    "%s byte %d", m->name, (int)at);
+			ck_assert_ptr_nonnull(strstr(f.text,
+			    "wipe the data directory and rejoin as a new "
+			    "member"));
+			m->now.data[at] ^= 0x20;
+			flips++;
+		}
+	}
+	ck_assert_uint_gt(flips, 500);
+	ck_assert_int_eq(open_mem(d, &w, NULL), 0);
+	check_entries(w, 6, 19, 1);
+	close_wal(w);
+	unload_mem_disk(d);
+	free(d);
+}
+END_TEST
+
+/* Guards against a start with files of the middle missing. */
+START_TEST(missing_file_is_refused)
+{
+	static const char *const missing[] = {
+	    "state", "log-0000000000000002", "log-0000000000000001"};
+	struct mem_disk *d = calloc(1, sizeof(*d));
+	struct fault f = {0};
+	struct wal *w;
+
+	for (size_t i = 0; i < sizeof(missing) / sizeof(missing[0]); i++) {
+		ck_assert_int_eq(open_mem(d, &w, NULL), 0);
+		ck_assert_int_eq(store_hard(w, 1, 7, NULL), 0);
+		for (uint64_t k = 1; k <= 48; k += 4)
+			ck_assert_int_eq(store_entries_at(w, k, 1, 4, NULL), 0);
+		close_wal(w);
+		mem_find(d, missing[i])->name[0] = '\0';
+		ck_assert_int_eq(open_mem(d, &w, &f), ERR_CORRUPT);
+		ck_assert_ptr_nonnull(strstr(f.text, "rejoin as a new member"));
+		unload_mem_disk(d);
+	}
+	free(d);
+}
+END_TEST
+
+/* Guards against a member that runs on the files of another. */
+START_TEST(directory_of_another_member_is_refused)
+{
+	struct mem_disk *d = calloc(1, sizeof(*d));
+	struct wal_io io = get_mem_io(d);
+	struct wal_config cfg = {.dir = "/data", .id = 8, .io = &io};
+	struct fault f = {0};
+	struct wal *w;
+
+	fill_log(d);
+	ck_assert_int_eq(open_wal(&cfg, &w, &f), ERR_INVALID);
+	ck_assert_ptr_nonnull(strstr(f.text, "belongs to member 7"));
+	unload_mem_disk(d);
+	free(d);
+}
+END_TEST
+
+/*
+ * Runs operation k of a fixed sequence, and notes in m what must be there if it
+ * succeeds. Returns ERR_NOT_FOUND after the last.
+ */
+static int
+run_operation(struct wal *w, int k, struct model *m, struct fault *f)
+{
+	struct model next = *m;
+	int rc;
+
+	switch (k) {
+	case 0:
+		next.hard = (struct raft_hard_state){1, 7};
+		rc = store_hard(w, 1, 7, f);
+		break;
+	case 5:
+		next.hard = (struct raft_hard_state){2, 1};
+		rc = store_hard(w, 2, 1, f);
+		break;
+	case 6: /* replaces the tail */
+		next.last = 10;
+		for (uint64_t i = 9; i <= 10; i++)
+			next.term_at[i] = 2;
+		rc = store_entries_at(w, 9, 2, 2, f);
+		break;
+	case 7:
+		next.snapshot = 8;
+		rc = save_snapshot(w, 8, next.term_at[8], f);
+		break;
+	case 10:
+		next.snapshot = 40;
+		next.last = 40;
+		rc = install_snapshot(w, 40, 2, f);
+		break;
+	case 13:
+		return ERR_NOT_FOUND;
+	default:
+		for (uint64_t i = 1; i <= 4; i++)
+			next.term_at[next.last + i] = next.hard.term;
+		rc = store_entries_at(w, next.last + 1, next.hard.term, 4, f);
+		next.last += 4;
+	}
+	if (rc == 0)
+		*m = next;
+	else
+		m->changed = true;
+	return rc;
+}
+
+static void
+check_model(const struct wal *w, const struct model *m, uint64_t at, int k)
+{
+	const struct raft_stored *s = get_wal_stored(w);
+	uint64_t last = s->snapshot.index + s->entry_count;
+
+	ck_assert_msg(
+	    s->hard.term >= m->hard.term, "term, fault %d op %d", (int)at, k);
+	if (s->hard.term == m->hard.term)
+		ck_assert_uint_eq(s->hard.vote, m->hard.vote);
+	ck_assert_uint_ge(s->snapshot.index, m->snapshot);
+	if (s->snapshot.index == m->snapshot && k != 6)
+		ck_assert_msg(last >= m->last, "lost entries, fault %d op %d",
+		    (int)at, k);
+	for (uint64_t i = s->snapshot.index + 1; i <= m->last && i <= last;
+	     i++) {
+		/* Operation 6 replaces entries 9 and after. */
+		if (k == 6 && i >= 9)
+			break;
+		ck_assert_uint_eq(
+		    s->entries[i - s->snapshot.index - 1].term, m->term_at[i]);
+	}
+}
+
+/*
+ * Runs the sequence with a fault at operation number at. Returns false when the
+ * sequence ended before the fault.
+ */
+static bool
+run_with_fault(enum mem_fault fault, uint64_t at, struct rng *rng)
+{
+	struct mem_disk *d = calloc(1, sizeof(*d));
+	struct model m = {0};
+	struct fault f = {0}, later = {0};
+	struct wal *w = NULL;
+	int rc, k = 0;
+	bool hit;
+
+	d->fault = fault;
+	d->fault_at = at;
+	rc = open_mem(d, &w, &f);
+	if (rc == 0) {
+		for (k = 0; rc == 0; k++)
+			rc = run_operation(w, k, &m, &f);
+		k--;
+		if (rc == ERR_IO) {
+			/* Failed for good, and no sync is tried again. */
+			d->fault = MEM_FAULT_NONE;
+			ck_assert(is_wal_failed(w));
+			ck_assert_int_eq(store_hard(w, 9, 9, &later), ERR_IO);
+			ck_assert_int_eq(
+			    store_entries_at(w, m.last + 1, 9, 1, &later),
+			    ERR_IO);
+			ck_assert_int_eq(
+			    save_snapshot(w, m.last, 1, &later), ERR_IO);
+			ck_assert_uint_eq(d->syncs_after_failure, 0);
+		}
+		close_wal(w);
+	}
+	hit = rc != ERR_NOT_FOUND;
+	if (hit)
+		ck_assert_int_eq(rc, ERR_IO);
+	if (fault == MEM_FAULT_FULL && hit)
+		ck_assert_ptr_nonnull(strstr(f.text, "free space"));
+	cut_power(d, rng);
+	rc = open_mem(d, &w, &f);
+	ck_assert_msg(rc == 0, "fault %d at %d op %d: %s", (int)fault, (int)at,
+	    k, f.text);
+	check_model(w, &m, at, k);
+	/* It goes on, and what it writes now is there after a restart. */
+	{
+		const struct raft_stored *s = get_wal_stored(w);
+		uint64_t last = s->snapshot.index + s->entry_count;
+
+		ck_assert_int_eq(store_hard(w, 8, 7, NULL), 0);
+		ck_assert_int_eq(store_entries_at(w, last + 1, 8, 3, NULL), 0);
+		close_wal(w);
+		ck_assert_int_eq(open_mem(d, &w, &f), 0);
+		s = get_wal_stored(w);
+		ck_assert_uint_eq(s->snapshot.index + s->entry_count, last + 3);
+		ck_assert_uint_eq(s->hard.term, 8);
+		close_wal(w);
+	}
+	unload_mem_disk(d);
+	free(d);
+	return hit;
+}
+
+static const enum mem_fault faults[] = {
+    MEM_FAULT_FAIL, MEM_FAULT_CRASH, MEM_FAULT_FULL, MEM_FAULT_SYNC};
+
+/* Guards against a file operation whose failure loses what was durable. */
+START_TEST(fault_at_every_step_loses_nothing)
+{
+	struct rng rng;
+	uint64_t at;
+
+	for (at = 1; at < 1000 && run_with_fault(faults[_i], at, NULL); at++) {
+		for (uint64_t seed = 1; seed <= 10; seed++) {
+			seed_rng(&rng, at * 100 + seed);
+			run_with_fault(faults[_i], at, &rng);
+		}
+	}
+	ck_assert_uint_gt(at, 30);
+}
+END_TEST
+
+/* Guards against a record that only memory holds after a failed sync. */
+START_TEST(last_record_is_written_again_at_start)
+{
+	struct mem_disk *d = calloc(1, sizeof(*d));
+	struct wal *w;
+
+	ck_assert_int_eq(open_mem(d, &w, NULL), 0);
+	ck_assert_int_eq(store_hard(w, 1, 7, NULL), 0);
+	ck_assert_int_eq(store_entries_at(w, 1, 1, 2, NULL), 0);
+	d->fault = MEM_FAULT_SYNC;
+	d->fault_at = d->ops;
+	ck_assert_int_eq(store_entries_at(w, 3, 1, 2, NULL), ERR_IO);
+	close_wal(w);
+	/* The process restarts without a power cut: the pages are there. */
+	d->fault = MEM_FAULT_NONE;
+	ck_assert_int_eq(open_mem(d, &w, NULL), 0);
+	ck_assert_uint_eq(get_wal_stored(w)->entry_count, 4);
+	close_wal(w);
+	cut_power(d, NULL);
+	ck_assert_int_eq(open_mem(d, &w, NULL), 0);
+	ck_assert_uint_eq(get_wal_stored(w)->entry_count, 4);
+	close_wal(w);
+	unload_mem_disk(d);
+	free(d);
+}
+END_TEST
+
+/* Guards against a decoder that reads out of bounds or accepts damage. */
+START_TEST(mutated_records_never_decode_as_others)
+{
+	struct buf valid = {0}, copy = {0};
+	struct record rec;
+	struct rng r;
+	uint64_t refused = 0;
+
+	seed_rng(&r, 42);
+	for (uint64_t i = 1; i <= 6; i++) {
+		char data[100];
+
+		memset(data, (int)('a' + i), sizeof(data));
+		ck_assert_int_eq(append_record(&valid, RECORD_BATCH, i, 3,
+				     make_str_n(data, 10 * i)),
+		    0);
+	}
+	for (int i = 0; i < FUZZ_RUNS; i++) {
+		enum record_result res = RECORD_OK;
+		size_t at = 0;
+
+		mem_set(&copy, view_buf(&valid));
+		for (uint64_t k = 1 + draw_below(&r, 4); k > 0; k--)
+			copy.data[draw_below(&r, copy.len)] =
+			    (char)draw_u64(&r);
+		copy.len -=
+		    draw_below(&r, 8) == 0 ? draw_below(&r, copy.len) : 0;
+		for (uint64_t seq = 1; res == RECORD_OK; seq++) {
+			res = decode_record(view_buf(&copy), at, 3, seq, &rec);
+			if (res != RECORD_OK)
+				break;
+			ck_assert_uint_le(at + rec.size, copy.len);
+			ck_assert_int_eq(
+			    memcmp(copy.data + at, valid.data + at, rec.size),
+			    0);
+			at += rec.size;
+		}
+		refused += res == RECORD_BAD || res == RECORD_TORN;
+	}
+	ck_assert_uint_gt(refused, FUZZ_RUNS / 2);
+	unload_buf(&valid);
+	unload_buf(&copy);
+}
+END_TEST
+
+/* Guards against a whole log of damaged bytes that crashes the start. */
+START_TEST(mutated_segment_never_crashes)
+{
+	struct mem_disk *d = calloc(1, sizeof(*d));
+	struct mem_file *f;
+	struct wal *w;
+	struct rng r;
+
+	seed_rng(&r, 5);
+	for (int i = 0; i < 5000; i++) {
+		unload_mem_disk(d);
+		fill_log(d);
+		f = last_segment(d);
+		for (uint64_t k = 1 + draw_below(&r, 6); k > 0; k--)
+			f->now.data[draw_below(&r, f->now.len)] =
+			    (char)draw_u64(&r);
+		f->now.len -=
+		    draw_below(&r, 3) == 0 ? draw_below(&r, f->now.len) : 0;
+		if (open_mem(d, &w, NULL) == 0) {
+			ck_assert_uint_le(get_wal_stored(w)->entry_count, 6);
+			close_wal(w);
+		}
+	}
+	unload_mem_disk(d);
+	free(d);
+}
+END_TEST
+
+/* Guards against system file operations that differ from the tests'. */
+START_TEST(system_files_hold_a_log)
+{
+	char dir[] = "/tmp/ggs-wal-XXXXXX", path[64];
+	struct wal_config cfg = {.id = 7, .segment_bytes = 400};
+	struct wal *w;
+
+	ck_assert_ptr_nonnull(mkdtemp(dir));
+	cfg.dir = dir;
+	ck_assert_int_eq(open_wal(&cfg, &w, NULL), 0);
+	ck_assert_int_eq(store_hard(w, 2, 7, NULL), 0);
+	for (uint64_t i = 1; i <= 40; i += 4)
+		ck_assert_int_eq(store_entries_at(w, i, 2, 4, NULL), 0);
+	ck_assert_int_eq(save_snapshot(w, 38, 2, NULL), 0);
+	ck_assert_uint_le(get_wal_counters(w).segments, 2);
+	close_wal(w);
+	ck_assert_int_eq(open_wal(&cfg, &w, NULL), 0);
+	check_entries(w, 39, 2, 2);
+	for (uint64_t n = 1; n < 20; n++) {
+		snprintf(path, sizeof(path), "%s/log-%016llx", dir,
+		    (unsigned long long)n);
+		remove(path);
+	}
+	close_wal(w);
+	snprintf(path, sizeof(path), "%s/snapshot-%016x", dir, 38);
+	ck_assert_int_eq(remove(path), 0);
+	snprintf(path, sizeof(path), "%s/state", dir);
+	ck_assert_int_eq(remove(path), 0);
+	ck_assert_int_eq(remove(dir), 0);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("wal");
+	TCase *t = tcase_create("log");
+	SRunner *r;
+	int failed;
+
+	tcase_set_timeout(t, 60);
+	tcase_add_test(t, stored_state_survives_a_restart);
+	tcase_add_test(t, installed_snapshot_replaces_the_log);
+	tcase_add_test(t, torn_last_record_is_cut_at_every_byte);
+	tcase_add_test(t, flipped_byte_anywhere_is_refused);
+	tcase_add_test(t, missing_file_is_refused);
+	tcase_add_test(t, directory_of_another_member_is_refused);
+	tcase_add_loop_test(t, fault_at_every_step_loses_nothing, 0,
+	    (int)(sizeof(faults) / sizeof(faults[0])));
+	tcase_add_test(t, last_record_is_written_again_at_start);
+	tcase_add_test(t, mutated_records_never_decode_as_others);
+	tcase_add_test(t, mutated_segment_never_crashes);
+	tcase_add_test(t, system_files_hold_a_log);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/packages/wal/wal.c
@@ -0,0 +1,376 @@
+/*
+ * The durable log: opening, writing and compaction.
+ */
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "wal_core.h"
+
+static int load_wal(struct wal *w, struct fault *f);
+static int store_entries(
+    struct wal *w, const struct raft_store *s, struct fault *f);
+static int remove_old_files(struct wal *w, uint64_t old, struct fault *f);
+
+/*
+ * Opens the directory and reads all that it holds. Returns ERR_CORRUPT when
+ * something before the last record is damaged, ERR_INVALID when the directory
+ * belongs to another member and ERR_IO when a file operation fails.
+ */
+int
+open_wal(const struct wal_config *cfg, struct wal **out, struct fault *f)
+{
+	struct wal *w = calloc(1, sizeof(*w));
+	int rc;
+
+	if (w == NULL)
+		return set_fault(f, ERR_MEMORY, "out of memory");
+	w->fd = -1;
+	w->id = cfg->id;
+	w->segment_bytes =
+	    cfg->segment_bytes != 0 ? cfg->segment_bytes : WAL_SEGMENT_BYTES;
+	w->io = cfg->io != NULL ? *cfg->io : get_system_io();
+	rc = copy_str(w->dir, sizeof(w->dir), make_str(cfg->dir));
+	if (rc != 0)
+		rc = set_fault(
+		    f, ERR_LIMIT, "the path of the data directory is too long");
+	if (rc == 0)
+		rc = load_wal(w, f);
+	if (rc != 0) {
+		close_wal(w);
+		if (rc == ERR_MEMORY)
+			set_fault(f, ERR_MEMORY, "out of memory");
+		return rc;
+	}
+	w->stored.hard = w->hard;
+	w->snapshot_index = w->stored.snapshot.index;
+	*out = w;
+	return 0;
+}
+
+void
+close_wal(struct wal *w)
+{
+	if (w == NULL)
+		return;
+	if (w->fd >= 0)
+		w->io.close_file(w->io.arg, w->fd);
+	unload_wal_stored(w);
+	free(w->segments);
+	free(w);
+}
+
+/*
+ * Makes one unit of the core's storage work durable. After a crash in between,
+ * a part of it may be there, in the order hard state, snapshot, entries.
+ */
+int
+store_wal(struct wal *w, const struct raft_store *s, struct fault *f)
+{
+	int rc = 0;
+
+	if (w->failed)
+		return set_fault(f, ERR_IO, "the log failed before; restart");
+	if (s->has_hard)
+		rc = save_hard_state(w, s->hard, f);
+	if (rc == 0 && s->snapshot != NULL) {
+		uint64_t old = w->snapshot_index;
+
+		rc = save_snapshot_file(w, s->snapshot, f);
+		if (rc == 0)
+			rc = write_reset(
+			    w, s->snapshot->index, s->snapshot->term, f);
+		w->snapshot_index = s->snapshot->index;
+		w->counters.snapshots++;
+		if (rc == 0)
+			rc = remove_old_files(w, old, f);
+	}
+	if (rc == 0 && s->entry_count > 0)
+		rc = store_entries(w, s, f);
+	return rc;
+}
+
+/*
+ * Saves a snapshot of this member's own state machine and removes what it
+ * replaces.
+ */
+int
+save_wal_snapshot(struct wal *w, const struct raft_snapshot *s, struct fault *f)
+{
+	uint64_t old = w->snapshot_index;
+	int rc = save_snapshot_file(w, s, f);
+
+	if (rc != 0)
+		return rc;
+	w->snapshot_index = s->index;
+	w->counters.snapshots++;
+	return remove_old_files(w, old, f);
+}
+
+const struct raft_stored *
+get_wal_stored(const struct wal *w)
+{
+	return &w->stored;
+}
+
+void
+unload_wal_stored(struct wal *w)
+{
+	for (size_t i = 0; i < w->stored.entry_count; i++)
+		free((char *)(uintptr_t)w->stored.entries[i].data.data);
+	free((void *)(uintptr_t)w->stored.entries);
+	free((char *)(uintptr_t)w->stored.snapshot.data.data);
+	w->stored = (struct raft_stored){0};
+	w->stored_cap = 0;
+}
+
+bool
+is_wal_empty(const struct wal *w)
+{
+	return w->hard.term == 0 && w->max_last == 0 &&
+	       w->snapshot_index == 0 && w->stored.snapshot.members.count == 0;
+}
+
+bool
+is_wal_failed(const struct wal *w)
+{
+	return w->failed;
+}
+
+struct wal_counters
+get_wal_counters(const struct wal *w)
+{
+	struct wal_counters c = w->counters;
+
+	c.segments = w->segment_count;
+	return c;
+}
+
+int
+add_segment(struct wal *w, uint64_t number, uint64_t max_last)
+{
+	struct segment *grown;
+	size_t cap;
+
+	if (w->segment_count == w->segment_cap) {
+		cap = w->segment_cap != 0 ? w->segment_cap * 2 : 16;
+		grown = realloc(w->segments, cap * sizeof(*grown));
+		if (grown == NULL)
+			return ERR_MEMORY;
+		w->segments = grown;
+		w->segment_cap = cap;
+	}
+	w->segments[w->segment_count++] = (struct segment){number, max_last};
+	return 0;
+}
+
+/*
+ * Creates a segment and makes it the one that is written. Its first record and
+ * its name are durable before any other record.
+ */
+int
+open_segment(struct wal *w, uint64_t number, struct fault *f)
+{
+	char name[WAL_PATH_BYTES], path[WAL_PATH_BYTES];
+	char info[SEGMENT_INFO_BYTES];
+	int rc;
+
+	name_segment(number, name);
+	rc = make_path(w, name, path);
+	if (rc == 0)
+		rc = add_segment(w, number, w->max_last);
+	if (rc != 0)
+		return rc;
+	if (w->fd >= 0)
+		w->io.close_file(w->io.arg, w->fd);
+	w->fd = w->io.open_file(w->io.arg, path, O_RDWR | O_CREAT | O_TRUNC);
+	if (w->fd < 0)
+		return fail_wal(w, f, "create", name, w->fd);
+	w->end = 0;
+	if (w->next_seq == 0)
+		w->next_seq = 1;
+	put_u32(info, WAL_FORMAT);
+	put_u64(info + 4, w->id);
+	put_u64(info + 12, number);
+	rc = write_record(w, RECORD_SEGMENT, make_str_n(info, sizeof(info)), f);
+	if (rc != 0)
+		return rc;
+	rc = w->io.sync_dir(w->io.arg, w->dir);
+	return rc != 0 ? fail_wal(w, f, "sync", w->dir, rc) : 0;
+}
+
+/*
+ * Writes one record and syncs it. Only one record at a time is ever not synced,
+ * so a torn record can only be the last.
+ */
+int
+write_record(
+    struct wal *w, enum record_type type, struct str payload, struct fault *f)
+{
+	struct segment *s = &w->segments[w->segment_count - 1];
+	char name[WAL_PATH_BYTES];
+	struct buf b = {0};
+	int rc;
+
+	rc = append_record(&b, type, w->next_seq, s->number, payload);
+	if (rc != 0) {
+		unload_buf(&b);
+		w->failed = true;
+		return set_fault(f, ERR_MEMORY,
+		    "out of memory; give the process more and restart");
+	}
+	name_segment(s->number, name);
+	rc = write_at(w, w->fd, view_buf(&b), w->end);
+	if (rc != 0) {
+		unload_buf(&b);
+		return fail_wal(w, f, "write", name, rc);
+	}
+	rc = w->io.sync_file(w->io.arg, w->fd);
+	w->counters.syncs++;
+	w->counters.appends++;
+	w->counters.append_bytes += b.len;
+	w->last_record = w->end;
+	w->end += (off_t)b.len;
+	w->next_seq++;
+	unload_buf(&b);
+	return rc != 0 ? fail_wal(w, f, "sync", name, rc) : 0;
+}
+
+int
+write_reset(struct wal *w, uint64_t index, uint64_t term, struct fault *f)
+{
+	char payload[RESET_BYTES];
+	int rc;
+
+	put_u64(payload, index);
+	put_u64(payload + 8, term);
+	rc = write_record(
+	    w, RECORD_RESET, make_str_n(payload, sizeof(payload)), f);
+	if (rc != 0)
+		return rc;
+	/* What came before matters no more; its segments may go. */
+	w->max_last = 0;
+	for (size_t i = 0; i < w->segment_count; i++)
+		w->segments[i].max_last = 0;
+	return 0;
+}
+
+static int
+load_wal(struct wal *w, struct fault *f)
+{
+	bool has_snapshot, fresh = false;
+	uint64_t snapshot;
+	int rc;
+
+	rc = w->io.make_dir(w->io.arg, w->dir);
+	if (rc != 0)
+		return fail_wal(w, f, "create", "", rc);
+	rc = scan_dir(w, &snapshot, &has_snapshot, f);
+	if (rc != 0)
+		return rc;
+	rc = load_hard_state(w, f);
+	if (rc == ERR_NOT_FOUND) {
+		if (w->segment_count > 0 || has_snapshot)
+			return damage_wal(f, w->dir, "no hard state");
+		fresh = true;
+		rc = save_hard_state(w, (struct raft_hard_state){0}, f);
+	}
+	if (rc == 0 && has_snapshot)
+		rc = load_snapshot_file(w, snapshot, f);
+	if (rc == ERR_NOT_FOUND)
+		rc = damage_wal(f, w->dir, "a snapshot is missing");
+	if (rc == 0)
+		rc = replay_log(w, f);
+	if (rc != 0)
+		return rc;
+	/* A rename may have reached the file system but not the disk. */
+	rc = w->io.sync_dir(w->io.arg, w->dir);
+	if (rc != 0)
+		return fail_wal(w, f, "sync", "", rc);
+	return fresh ? 0 : remove_old_files(w, UINT64_MAX, f);
+}
+
+/*
+ * Writes the entries as one record, or as several if they are very long.
+ */
+static int
+store_entries(struct wal *w, const struct raft_store *s, struct fault *f)
+{
+	size_t i = 0, n;
+	int rc = 0;
+
+	while (i < s->entry_count && rc == 0) {
+		char head[ENTRY_HEADER_BYTES];
+		struct buf b = {0};
+
+		if (w->end >= (off_t)w->segment_bytes) {
+			rc = open_segment(
+			    w, w->segments[w->segment_count - 1].number + 1, f);
+			if (rc != 0)
+				return rc;
+		}
+		put_u64(head, s->first + i);
+		put_u32(head + 8, 0);
+		rc = append_buf(&b, head, BATCH_HEADER_BYTES);
+		for (n = 0; i < s->entry_count && rc == 0 &&
+			    b.len < RECORD_BATCH_BYTES;
+		     n++, i++) {
+			const struct raft_entry *e = &s->entries[i];
+
+			put_u64(head, e->term);
+			put_u32(head + 8, (uint32_t)e->type);
+			put_u32(head + 12, (uint32_t)e->data.len);
+			rc = append_buf(&b, head, sizeof(head));
+			if (rc == 0)
+				rc = append_buf(&b, e->data.data, e->data.len);
+		}
+		if (rc == 0) {
+			put_u32(b.data + 8, (uint32_t)n);
+			rc = write_record(w, RECORD_BATCH, view_buf(&b), f);
+		} else {
+			w->failed = true;
+			set_fault(f, ERR_MEMORY, "out of memory; restart");
+		}
+		unload_buf(&b);
+		if (s->first + i - 1 > w->max_last)
+			w->max_last = s->first + i - 1;
+		w->segments[w->segment_count - 1].max_last = w->max_last;
+	}
+	return rc;
+}
+
+/*
+ * Removes the snapshot old and the segments whose entries the present snapshot
+ * includes, the oldest first, so that what is left has no gap.
+ */
+static int
+remove_old_files(struct wal *w, uint64_t old, struct fault *f)
+{
+	char name[WAL_PATH_BYTES];
+	size_t n = 0;
+	int rc = 0;
+
+	if (old != w->snapshot_index && old != UINT64_MAX) {
+		char path[WAL_PATH_BYTES];
+
+		name_snapshot(old, name);
+		rc = make_path(w, name, path);
+		if (rc == 0)
+			rc = w->io.remove_file(w->io.arg, path);
+		if (rc != 0 && rc != -ENOENT)
+			return fail_wal(w, f, "remove", name, rc);
+		rc = 0;
+	}
+	while (n + 1 < w->segment_count && rc == 0 &&
+	       w->segments[n].max_last <= w->snapshot_index) {
+		name_segment(w->segments[n].number, name);
+		rc = remove_wal_file(w, name, f);
+		n++;
+	}
+	memmove(w->segments, w->segments + n,
+	    (w->segment_count - n) * sizeof(*w->segments));
+	w->segment_count -= n;
+	return rc;
+}
