--- a/packages/control/api_change.c
+++ b/packages/control/api_change.c
@@ -33,6 +33,7 @@
 static void finish_member(
     void *arg, int status, uint64_t index, struct str result);
 static void answer_result(struct api_answer *a, const struct command_result *r);
+static int get_http_status(int status);
 
 /*
  * Edits a cell ({row, column, value}) or several at once ({cells: [...]}). Column
@@ -380,9 +381,17 @@
 			get_column_name((enum column)r->winner.column), "value",
 			r->winner.value, "author", r->winner_author, "version",
 			(json_int_t)r->winner_version));
-	answer_json(a,
-	    r->status == ERR_CONFLICT || r->status == ERR_STALE ? 409 :
-	    r->status == ERR_NOT_FOUND				? 404 :
-								  400,
-	    o);
+	answer_json(a, get_http_status(r->status), o);
+}
+
+/*
+ * A row or version that does not exist is a fault of the request's content
+ * (422), not of its path.
+ */
+static int
+get_http_status(int status)
+{
+	if (status == ERR_CONFLICT || status == ERR_STALE)
+		return 409;
+	return status == ERR_NOT_FOUND ? 422 : 400;
 }
--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -62,8 +62,9 @@
 }
 
 /*
- * Ends what waits first, then the replica and the client, which fail their
- * pending calls, then the listeners, whose handlers have returned by then.
+ * Ends what waits first: the replica and the connections fail their pending
+ * calls, so that the handlers of both listeners return. The client goes last,
+ * because a handler may still use it until then.
  */
 void
 stop_control(struct control *c)
@@ -77,12 +78,13 @@
 	if (c->thread_started)
 		pthread_join(c->thread, NULL);
 	stop_replication(c);
-	if (c->client != NULL)
-		close_rpc_client(c->client);
-	run_submissions(c, read_mono(&c->cfg.clock));
+	for (size_t i = 0; i < c->peer_count; i++)
+		reset_rpc_peer(c->peers[i].rpc);
 	stop_http(c);
 	if (c->server != NULL)
 		stop_rpc_server(c->server);
+	if (c->client != NULL)
+		close_rpc_client(c->client);
 	free_control(c);
 }
 
@@ -357,7 +359,6 @@
 	    ENTRY(commands, METRIC_COUNTER, "Commands submitted"),
 	    ENTRY(retries, METRIC_COUNTER, "Commands sent again"),
 	    ENTRY(claims, METRIC_COUNTER, "CLAIM calls"),
-	    ENTRY(endpoints, METRIC_GAUGE, "Endpoints listed"),
 	    ENTRY(resends, METRIC_COUNTER, "Digests that differed"),
 #undef ENTRY
 	};
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -105,7 +105,6 @@
 	metric_id commands;
 	metric_id retries;
 	metric_id claims;
-	metric_id endpoints;
 	metric_id resends;
 };
 
