--- a/scenarios/catchup.lua
+++ b/scenarios/catchup.lua
@@ -26,7 +26,7 @@
 local ms = f:wait_version(version, 30000)
 for _, n in ipairs(f.nodes) do
 	local switches = 0
-	for _, e in ipairs(fleet.events(n, "table-in-force")) do
+	for _, e in ipairs(fleet.events(n, "switch")) do
 		if e.version > version - CHANGES then
 			switches = switches + 1
 		end
--- a/scenarios/run.lua
+++ b/scenarios/run.lua
@@ -30,7 +30,7 @@
 local function control_bytes(f)
 	local sum = 0
 	for _, n in ipairs(f.nodes) do
-		sum = sum + fleet.metric(n, "rpc_client_bytes_total")
+		sum = sum + fleet.metric(n, "ggs_rpc_bytes_total")
 	end
 	return sum
 end
