agent: follow the table, the endpoint sets and the claims

Cause: a node needs the table and the endpoints of its services from whichever control process works, and claims that are never left open by accident.

Change: the decisions are pure modules with the time passed in: agent_follow (which control process, when), agent_table (an update is accepted whole or not at all), agent_claim (retry, report, take back); agent_sets orders endpoint records by (incarnation, seq) and keeps the interest; agent_hold switches the table with split reference counts, so that acquire_table() is one atomic add. agent_watch, agent_claims and agent hold the I/O and one thread.

agent.h gains control_zones (order of control processes), connect_ms and hooks (tests), set_agent_keys() (rotation at run time) and wake_agent() (paused clock), and says what a repeated claim id and each error mean.

Found by the tests: a leaving node gave up before its last record was sent when the control process had not answered a watch yet; the record is now sent at once on any open connection.

Conclusion: ready for the proxy; the claim store must remember a closed claim id (an open may arrive after its own close).

--- /dev/null
+++ b/packages/agent/agent.c
@@ -0,0 +1,542 @@
+/*
+ * The agent's thread and its interface.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <jansson.h>
+
+#include "agent_core.h"
+
+#define EXPIRY_NS (10 * NSEC_PER_SEC) /* between two checks of the interest */
+#define TICK_NS NSEC_PER_SEC /* longest wait of the agent's thread */
+#define LEAVE_NS NSEC_PER_SEC /* stop_agent() waits for GONE and for closes */
+
+static int load_config(
+    struct agent *a, const struct agent_config *cfg, struct fault *f);
+static int open_peers(
+    struct agent *a, const struct agent_config *cfg, struct fault *f);
+static void start_order(struct agent *a, const struct agent_config *cfg);
+static void register_metrics(struct agent_metrics *m);
+static void free_agent(struct agent *a);
+static void *run_agent(void *arg);
+static void take_events(struct agent *a, int64_t now);
+static void wait_agent(struct agent *a, int64_t wait_ns);
+static struct timespec get_real_deadline(int64_t wait_ns);
+static void leave_fleet(struct agent *a);
+static void finish_claims(struct agent *a);
+static int copy_claim(struct agent_claim *c, const struct claim_request *req);
+
+/*
+ * Starts to follow at once; the first table arrives later. Returns ERR_INVALID
+ * (names, addresses, key), ERR_IO (no threads) or ERR_MEMORY.
+ */
+int
+start_agent(const struct agent_config *cfg, struct agent **out, struct fault *f)
+{
+	struct agent *a = calloc(1, sizeof(*a));
+	pthread_condattr_t attr;
+	int rc;
+
+	*out = NULL;
+	if (a == NULL)
+		return set_fault(f, ERR_MEMORY,
+		    "out of memory; give the process more memory");
+	pthread_mutex_init(&a->lock, NULL);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&a->ready, &attr);
+	pthread_cond_init(&a->quiet, &attr);
+	pthread_condattr_destroy(&attr);
+	a->done_tail = &a->done;
+	a->asked_tail = &a->asked;
+	register_metrics(&a->metrics);
+	rc = load_config(a, cfg, f);
+	if (rc == 0)
+		rc = open_peers(a, cfg, f);
+	if (rc == 0) {
+		start_order(a, cfg);
+		if (pthread_create(&a->thread, NULL, run_agent, a) != 0)
+			rc = set_fault(f, ERR_IO,
+			    "cannot start a thread; raise the process limit");
+	}
+	if (rc != 0) {
+		close_rpc_client(a->client);
+		free_agent(a);
+		return rc;
+	}
+	*out = a;
+	return 0;
+}
+
+/*
+ * Announces GONE and confirms open closes when that is possible within
+ * LEAVE_NS, then ends. Nothing acquired may still be held.
+ */
+void
+stop_agent(struct agent *a)
+{
+	if (a == NULL)
+		return;
+	leave_fleet(a);
+	pthread_mutex_lock(&a->lock);
+	a->stopping = true;
+	pthread_cond_signal(&a->ready);
+	pthread_mutex_unlock(&a->lock);
+	pthread_join(a->thread, NULL);
+	close_rpc_client(a->client);
+	finish_claims(a);
+	free_agent(a);
+}
+
+const struct table *
+acquire_table(struct agent *a)
+{
+	return acquire_hold(a->hold);
+}
+
+void
+release_table(struct agent *a, const struct table *t)
+{
+	release_hold(a->hold, t);
+}
+
+const struct endpoint_set *
+acquire_endpoints(struct agent *a, struct str service)
+{
+	int64_t now = read_mono(&a->clock);
+	const struct endpoint_set *set = acquire_set(a->sets, service, now);
+
+	if (set == NULL && add_interest(a->sets, service, false, now) == 1) {
+		pthread_mutex_lock(&a->lock);
+		a->changed = true;
+		pthread_cond_signal(&a->ready);
+		pthread_mutex_unlock(&a->lock);
+	}
+	return set;
+}
+
+void
+release_endpoints(struct agent *a, const struct endpoint_set *s)
+{
+	release_set(a->sets, s);
+}
+
+/*
+ * Replaces the own record; it is sent at once and again on every new
+ * attachment. Returns ERR_LIMIT, with no change, for a text that is too long.
+ */
+int
+announce_endpoint(struct agent *a, const struct wire_endpoint *self)
+{
+	struct agent_self s = {
+	    .announced = true, .slots = self->slots, .state = self->state};
+	int rc = copy_str(s.id, sizeof(s.id), make_str(self->id));
+
+	if (rc == 0)
+		rc = copy_str(
+		    s.service, sizeof(s.service), make_str(self->service));
+	if (rc == 0)
+		rc = copy_str(
+		    s.address, sizeof(s.address), make_str(self->address));
+	if (rc == 0)
+		rc = copy_str(s.zone, sizeof(s.zone), make_str(self->zone));
+	if (rc != 0)
+		return rc;
+	pthread_mutex_lock(&a->lock);
+	if (a->leaving) {
+		rc = ERR_CLOSED;
+	} else {
+		s.seq = a->self.seq + 1;
+		a->self = s;
+		a->changed = true;
+		pthread_cond_signal(&a->ready);
+	}
+	pthread_mutex_unlock(&a->lock);
+	return rc;
+}
+
+int
+request_claim(
+    struct agent *a, const struct claim_request *req, claim_fn fn, void *arg)
+{
+	struct agent_claim *c = calloc(1, sizeof(*c));
+	int rc;
+
+	if (c == NULL)
+		return ERR_MEMORY;
+	c->agent = a;
+	c->fn = fn;
+	c->arg = arg;
+	rc = copy_claim(c, req);
+	pthread_mutex_lock(&a->lock);
+	if (rc == 0 && (a->leaving || a->stopping))
+		rc = ERR_CLOSED;
+	if (rc == 0 && a->claim_count >= AGENT_CLAIMS_MAX)
+		rc = ERR_LIMIT;
+	if (rc == 0) {
+		a->claim_count++;
+		*a->asked_tail = c;
+		a->asked_tail = &c->next;
+		pthread_cond_signal(&a->ready);
+	}
+	pthread_mutex_unlock(&a->lock);
+	if (rc != 0)
+		free(c);
+	return rc;
+}
+
+int
+set_agent_keys(struct agent *a, struct str key, struct str next_key)
+{
+	return set_rpc_client_keys(a->client, key, next_key);
+}
+
+void
+wake_agent(struct agent *a)
+{
+	wake_rpc_client(a->client);
+	pthread_mutex_lock(&a->lock);
+	a->woken = true;
+	pthread_cond_signal(&a->ready);
+	pthread_mutex_unlock(&a->lock);
+}
+
+int
+render_agent_status(struct agent *a, struct buf *out)
+{
+	struct buf sets = {0};
+	json_t *j = NULL;
+	char *text = NULL;
+	int rc = render_sets(a->sets, &sets);
+
+	if (rc == 0) {
+		pthread_mutex_lock(&a->lock);
+		j = json_pack(
+		    "{s:s, s:s, s:I, s:I, s:s, s:b, s:i, s:i, s:i, s:s?, s:I}",
+		    "node", a->node, "zone", a->zone, "version",
+		    (json_int_t)a->shown_version, "refused_version",
+		    (json_int_t)a->shown_refused, "control",
+		    a->controls[a->shown_control], "attached",
+		    a->shown_attached, "claims", a->claim_count,
+		    "claims_closing", a->shown_closing, "versions_held",
+		    count_hold(a->hold), "endpoint",
+		    a->self.announced ? a->self.address : NULL, "endpoint_seq",
+		    (json_int_t)a->self.seq);
+		pthread_mutex_unlock(&a->lock);
+		json_object_set_new(
+		    j, "services", json_loadb(sets.data, sets.len, 0, NULL));
+		text = json_dumps(j, JSON_COMPACT);
+		rc = text != NULL ? append_buf_str(out, make_str(text)) :
+				    ERR_MEMORY;
+	}
+	free(text);
+	json_decref(j);
+	unload_buf(&sets);
+	return rc;
+}
+
+/*
+ * Hands an outcome to the agent's thread.
+ */
+void
+post_agent_event(struct agent_event *e, struct agent *a)
+{
+	pthread_mutex_lock(&a->lock);
+	*a->done_tail = e;
+	a->done_tail = &e->next;
+	pthread_cond_signal(&a->ready);
+	pthread_mutex_unlock(&a->lock);
+}
+
+static int
+load_config(struct agent *a, const struct agent_config *cfg, struct fault *f)
+{
+	int rc;
+
+	a->clock = cfg->clock.read_mono != NULL ? cfg->clock : get_real_clock();
+	a->events = cfg->events;
+	if (cfg->node == NULL || cfg->node[0] == '\0' ||
+	    copy_str(a->node, sizeof(a->node), make_str(cfg->node)) != 0 ||
+	    copy_str(a->zone, sizeof(a->zone), make_str(cfg->zone)) != 0)
+		return set_fault(f, ERR_INVALID,
+		    "node and zone names: give 1 to %d bytes", WIRE_NAME_MAX);
+	if (cfg->control_count == 0 || cfg->control_count > AGENT_CONTROL_MAX)
+		return set_fault(f, ERR_INVALID,
+		    "control processes: name 1 to %d", AGENT_CONTROL_MAX);
+	a->control_count = (int)cfg->control_count;
+	a->incarnation = (uint64_t)read_wall(&a->clock);
+	a->next_expiry = read_mono(&a->clock) + EXPIRY_NS;
+	seed_rng(&a->rng, cfg->seed + 1);
+	a->hold = open_hold();
+	a->sets = open_set_store();
+	if (a->hold == NULL || a->sets == NULL)
+		return set_fault(f, ERR_MEMORY,
+		    "out of memory; give the process more memory");
+	for (size_t i = 0; i < cfg->interest_count; i++) {
+		rc = add_interest(a->sets, make_str(cfg->interest[i]), true,
+		    read_mono(&a->clock));
+		if (rc < 0)
+			return set_fault(f, rc,
+			    "interest \"%s\": use at most %d names of a-z, "
+			    "0-9 and -",
+			    cfg->interest[i], WIRE_INTEREST_MAX);
+	}
+	return 0;
+}
+
+static int
+open_peers(struct agent *a, const struct agent_config *cfg, struct fault *f)
+{
+	struct rpc_client_config rc_cfg = {.clock = a->clock,
+	    .key = cfg->key,
+	    .hooks = cfg->hooks,
+	    .connect_ms = cfg->connect_ms};
+	int rc = open_rpc_client(&rc_cfg, &a->client, f);
+
+	if (rc != 0)
+		return rc;
+	if (cfg->next_key.len > 0 &&
+	    set_rpc_client_keys(a->client, cfg->key, cfg->next_key) != 0)
+		return set_fault(f, ERR_INVALID,
+		    "next fleet key: give %d to %d bytes", RPC_KEY_MIN_BYTES,
+		    RPC_KEY_MAX_BYTES);
+	for (int i = 0; i < a->control_count; i++) {
+		rc =
+		    open_rpc_peer(a->client, cfg->controls[i], &a->peers[i], f);
+		if (rc != 0)
+			return rc;
+		(void)copy_str(a->controls[i], sizeof(a->controls[i]),
+		    make_str(cfg->controls[i]));
+	}
+	return 0;
+}
+
+static void
+start_order(struct agent *a, const struct agent_config *cfg)
+{
+	bool near[AGENT_CONTROL_MAX] = {false};
+
+	for (int i = 0; i < a->control_count; i++)
+		near[i] = cfg->control_zones[i] != NULL &&
+			  strcmp(cfg->control_zones[i], a->zone) == 0;
+	start_follow(&a->follow, a->control_count, near, cfg->seed,
+	    read_mono(&a->clock));
+	a->shown_control = get_follow_control(&a->follow);
+}
+
+static void
+register_metrics(struct agent_metrics *m)
+{
+	m->switches = register_metric(METRIC_COUNTER,
+	    "ggs_agent_switches_total", "Table versions put in force.");
+	m->refused = register_metric(METRIC_COUNTER, "ggs_agent_refused_total",
+	    "Table versions refused as damaged or invalid.");
+	m->ignored = register_metric(METRIC_COUNTER, "ggs_agent_ignored_total",
+	    "Updates not above what is held or without their base.");
+	m->failures = register_metric(METRIC_COUNTER, "ggs_agent_moves_total",
+	    "Control processes left for another one.");
+	m->overdue = register_metric(METRIC_COUNTER, "ggs_agent_overdue_total",
+	    "Watches without a reply in time.");
+	m->limits = register_metric(METRIC_COUNTER, "ggs_agent_limits_total",
+	    "Watches put off by a busy control process.");
+	m->claims = register_metric(
+	    METRIC_COUNTER, "ggs_agent_claims_total", "Claim requests.");
+	m->claim_failures =
+	    register_metric(METRIC_COUNTER, "ggs_agent_claim_failures_total",
+		"Attempts of claim requests without success.");
+	m->closing = register_metric(METRIC_GAUGE, "ggs_agent_claims_closing",
+	    "Claims that are being closed in the background.");
+	m->version = register_metric(
+	    METRIC_GAUGE, "ggs_agent_table_version", "Table version in force.");
+}
+
+/*
+ * Frees what is left after the threads have ended.
+ */
+static void
+free_agent(struct agent *a)
+{
+	struct agent_event *e;
+
+	while ((e = a->done) != NULL) {
+		a->done = e->next;
+		free(e->watch);
+		unload_buf(&e->body);
+		free(e);
+	}
+	close_hold(a->hold);
+	close_set_store(a->sets);
+	pthread_cond_destroy(&a->ready);
+	pthread_cond_destroy(&a->quiet);
+	pthread_mutex_destroy(&a->lock);
+	free(a);
+}
+
+static void *
+run_agent(void *arg)
+{
+	struct agent *a = arg;
+	bool stopping = false;
+
+	while (!stopping) {
+		int64_t now = read_mono(&a->clock);
+		int64_t until = now + TICK_NS;
+
+		take_events(a, now);
+		if (now >= a->next_expiry) {
+			a->next_expiry = now + EXPIRY_NS;
+			if (expire_interest(a->sets, now) > 0)
+				note_follow_changed(&a->follow, now);
+		}
+		step_agent_watch(a, now, &until);
+		step_agent_claims(a, now, &until);
+		wait_agent(a, until - now);
+		pthread_mutex_lock(&a->lock);
+		stopping = a->stopping;
+		pthread_mutex_unlock(&a->lock);
+	}
+	return NULL;
+}
+
+/*
+ * Once the RPC client is closed, all outcomes are here: takes those of claims
+ * and tells every caller that still waits.
+ */
+static void
+finish_claims(struct agent *a)
+{
+	int64_t now = read_mono(&a->clock);
+	struct agent_claim *c;
+
+	for (struct agent_event *e = a->done; e != NULL; e = e->next) {
+		if (e->claim != NULL)
+			take_agent_claim(a, e, now);
+	}
+	while ((c = a->asked) != NULL) {
+		a->asked = c->next;
+		start_agent_claim(a, c, now);
+	}
+	end_agent_claims(a, now);
+}
+
+/*
+ * Takes what callers and RPC callbacks left for the thread.
+ */
+static void
+take_events(struct agent *a, int64_t now)
+{
+	struct agent_event *e, *next;
+	struct agent_claim *c, *next_claim;
+	bool changed, leaving;
+
+	pthread_mutex_lock(&a->lock);
+	e = a->done;
+	a->done = NULL;
+	a->done_tail = &a->done;
+	c = a->asked;
+	a->asked = NULL;
+	a->asked_tail = &a->asked;
+	changed = a->changed;
+	a->changed = false;
+	a->woken = false;
+	leaving = a->leaving;
+	pthread_mutex_unlock(&a->lock);
+	if (changed && leaving)
+		note_follow_leaving(&a->follow);
+	else if (changed)
+		note_follow_changed(&a->follow, now);
+	for (; e != NULL; e = next) {
+		next = e->next;
+		if (e->watch != NULL)
+			take_agent_watch(a, e, now);
+		else
+			take_agent_claim(a, e, now);
+		unload_buf(&e->body);
+		free(e);
+	}
+	for (; c != NULL; c = next_claim) {
+		next_claim = c->next;
+		start_agent_claim(a, c, now);
+	}
+}
+
+static void
+wait_agent(struct agent *a, int64_t wait_ns)
+{
+	struct timespec ts = get_real_deadline(wait_ns);
+
+	pthread_mutex_lock(&a->lock);
+	while (a->done == NULL && a->asked == NULL && !a->changed &&
+	       !a->woken && !a->stopping) {
+		if (pthread_cond_timedwait(&a->ready, &a->lock, &ts) != 0)
+			break;
+	}
+	pthread_mutex_unlock(&a->lock);
+}
+
+static struct timespec
+get_real_deadline(int64_t wait_ns)
+{
+	struct timespec ts;
+	int64_t t;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	t = ts.tv_sec * NSEC_PER_SEC + ts.tv_nsec + (wait_ns > 0 ? wait_ns : 0);
+	ts.tv_sec = t / NSEC_PER_SEC;
+	ts.tv_nsec = t % NSEC_PER_SEC;
+	return ts;
+}
+
+/*
+ * Announces GONE and waits, by real time, until a control process has it and
+ * no claim is unfinished. Without a connection it does not wait for GONE.
+ */
+static void
+leave_fleet(struct agent *a)
+{
+	struct timespec ts = get_real_deadline(LEAVE_NS);
+
+	pthread_mutex_lock(&a->lock);
+	a->leaving = true;
+	if (a->self.announced) {
+		a->self.state = WIRE_ENDPOINT_GONE;
+		a->self.seq++;
+		a->changed = true;
+		pthread_cond_signal(&a->ready);
+	}
+	while ((a->self.announced && !a->left &&
+		   (a->shown_attached || a->shown_watching)) ||
+	       a->claim_count > 0) {
+		if (pthread_cond_timedwait(&a->quiet, &a->lock, &ts) != 0)
+			break;
+	}
+	pthread_mutex_unlock(&a->lock);
+}
+
+/*
+ * Copies a request. Returns ERR_INVALID for a text with a NUL or of a length
+ * that the message does not hold.
+ */
+static int
+copy_claim(struct agent_claim *c, const struct claim_request *req)
+{
+	if (req->kind.len == 0 || req->key.len == 0 || req->timeout_ms <= 0 ||
+	    copy_str(c->kind, sizeof(c->kind), req->kind) != 0 ||
+	    copy_str(c->key, sizeof(c->key), req->key) != 0 ||
+	    strlen(c->kind) != req->kind.len ||
+	    strlen(c->key) != req->key.len ||
+	    req->answer.len > sizeof(c->answer))
+		return ERR_INVALID;
+	memcpy(c->claim_id, req->claim_id, sizeof(c->claim_id));
+	c->state = req->state;
+	c->keep_s = req->keep_s;
+	c->http_status = req->http_status;
+	c->timeout_ms = req->timeout_ms;
+	if (req->answer.len > 0)
+		memcpy(c->answer, req->answer.data, req->answer.len);
+	c->answer_len = req->answer.len;
+	c->answer_whole = req->answer_whole;
+	return 0;
+}
--- a/packages/agent/agent.h
+++ b/packages/agent/agent.h
@@ -16,6 +16,7 @@
 #define AGENT_STALE_MS 2000 /* no leader contact: control is stale */
 
 struct agent;
+struct rpc_fault_hooks; /* rpc.h */
 
 struct agent_config {
 	struct clock_source clock;
@@ -23,12 +24,15 @@
 	const char *node; /* node name */
 	const char *zone;
 	const char *controls[AGENT_CONTROL_MAX]; /* "IP:port" */
+	const char *control_zones[AGENT_CONTROL_MAX]; /* NULL: not known */
 	size_t control_count;
 	struct str key; /* fleet key in use */
 	struct str next_key; /* also accepted; empty: none */
 	const char *interest[WIRE_INTEREST_MAX]; /* services followed at once */
 	size_t interest_count;
 	uint64_t seed; /* of reconnect jitter */
+	int connect_ms; /* longest connecting; 0: default of rpc.h */
+	const struct rpc_fault_hooks *hooks; /* tests; may be NULL */
 };
 
 /* The endpoints of one service, immutable; held by reference count. */
@@ -51,7 +55,11 @@
 
 typedef void (*claim_fn)(void *arg, const struct claim_result *result);
 
-/* A claim to open or close. Strings are copied. */
+/*
+ * A claim to open or close. Strings are copied. Every open needs a claim_id
+ * that was never used before: an open that is not granted may be closed as not
+ * run at any later time.
+ */
 struct claim_request {
 	struct str kind;
 	struct str key;
@@ -84,13 +92,22 @@
 int announce_endpoint(struct agent *a, const struct wire_endpoint *self);
 
 /*
- * Sends a claim request without blocking; fn runs on an agent thread exactly
- * once. An open whose answer is lost or late is closed as not run in the
- * background until a control process confirms it.
+ * Sends a claim request without blocking; fn runs on an agent thread, or in
+ * stop_agent(), exactly once, or not at all when an error is returned: ERR_LIMIT when too many claims
+ * are unfinished, ERR_INVALID for a bad name or length. An open whose answer is
+ * lost or late is reported as ERR_UNAVAILABLE and closed as not run in the
+ * background until a control process confirms it. A close without an answer in
+ * time is reported as ERR_UNKNOWN and goes on in the background.
  */
 int request_claim(
     struct agent *a, const struct claim_request *req, claim_fn fn, void *arg);
 
+/* Replaces the fleet keys; see rpc.h. ERR_INVALID for a bad key. */
+int set_agent_keys(struct agent *a, struct str key, struct str next_key);
+
+/* Makes the agent read a paused clock that a test moved. */
+void wake_agent(struct agent *a);
+
 /* State as a JSON object, for the node's admin listener. */
 int render_agent_status(struct agent *a, struct buf *out);
 
--- /dev/null
+++ b/packages/agent/agent_claim.c
@@ -0,0 +1,191 @@
+/*
+ * A claim request as a state machine. An open that may have taken effect
+ * without the caller's knowledge is closed as not run until that is confirmed.
+ */
+#include "agent_claim.h"
+
+#define MS(n) ((n)*NSEC_PER_MSEC)
+
+static bool is_settled(struct claim_answer answer);
+static void back_off(struct claim_plan *p, int64_t first_ms, int64_t max_ms,
+    struct rng *rng, int64_t now);
+static void start_closing(struct claim_plan *p, int64_t now);
+
+void
+start_claim_plan(struct claim_plan *p, bool opening, int timeout_ms,
+    uint32_t keep_s, int64_t now)
+{
+	uint32_t keep = keep_s > CLAIM_KEEP_MIN_S ? keep_s : CLAIM_KEEP_MIN_S;
+
+	*p = (struct claim_plan){
+	    .opening = opening,
+	    .deadline = now + MS((int64_t)timeout_ms),
+	    .next_at = now,
+	    .give_up_at = now + MS((int64_t)timeout_ms) + keep * NSEC_PER_SEC,
+	};
+}
+
+/*
+ * An attempt gets two thirds of the time left, so that a silent control
+ * process leaves time for another one.
+ */
+struct claim_step
+get_claim_step(const struct claim_plan *p, int64_t now)
+{
+	int64_t left = (p->deadline - now) / NSEC_PER_MSEC;
+	struct claim_step s = {CLAIM_WAIT, INT64_MAX, CLAIM_ATTEMPT_MAX_MS};
+
+	if (p->phase == CLAIM_ENDED) {
+		s.action = CLAIM_FINISH;
+		return s;
+	}
+	if (p->in_flight)
+		return s;
+	if (p->phase == CLAIM_CLOSING && now >= p->give_up_at) {
+		s.action = CLAIM_FINISH;
+		return s;
+	}
+	if (p->phase == CLAIM_ASKING) {
+		if (left < CLAIM_LAST_MS) {
+			s.action = CLAIM_REPORT;
+			return s;
+		}
+		s.timeout_ms = (int)(left * 2 / 3);
+		if (s.timeout_ms < CLAIM_ATTEMPT_MIN_MS)
+			s.timeout_ms = CLAIM_ATTEMPT_MIN_MS;
+		if (s.timeout_ms > CLAIM_ATTEMPT_MAX_MS)
+			s.timeout_ms = CLAIM_ATTEMPT_MAX_MS;
+		if (s.timeout_ms > left)
+			s.timeout_ms = (int)left;
+	}
+	if (now >= p->next_at)
+		s.action = CLAIM_SEND;
+	else
+		s.until = p->next_at;
+	if (p->phase == CLAIM_ASKING && s.until > p->deadline)
+		s.until = p->deadline;
+	return s;
+}
+
+/*
+ * Joins the outcome of the RPC with the status in its reply. "No quorum" is not
+ * certain: the leader may have stored the claim before it lost the quorum.
+ */
+struct claim_answer
+classify_claim_answer(int rpc_status, int answer)
+{
+	if (rpc_status != 0)
+		return (struct claim_answer){
+		    rpc_status, rpc_status != ERR_TIMEOUT, false};
+	switch (answer) {
+	case WIRE_OK:
+		return (struct claim_answer){0, false, true};
+	case WIRE_CONFLICT:
+	case WIRE_INVALID:
+	case WIRE_NOT_FOUND:
+	case WIRE_DENIED:
+	case WIRE_LIMIT:
+		return (struct claim_answer){-answer, true, true};
+	case WIRE_STALE:
+		return (struct claim_answer){ERR_STALE, true, false};
+	default:
+		return (struct claim_answer){-answer, false, false};
+	}
+}
+
+/*
+ * What to send: the caller's state, or not run for an open that must be taken
+ * back.
+ */
+enum wire_claim_state
+get_claim_state(const struct claim_plan *p, enum wire_claim_state asked)
+{
+	return p->opening && p->phase == CLAIM_CLOSING ? WIRE_CLAIM_NOT_RUN :
+							 asked;
+}
+
+void
+note_claim_sent(struct claim_plan *p)
+{
+	p->in_flight = true;
+}
+
+bool
+note_claim_answer(struct claim_plan *p, struct claim_answer answer,
+    struct rng *rng, int64_t now, int *status)
+{
+	p->in_flight = false;
+	if (p->phase == CLAIM_CLOSING) {
+		if (is_settled(answer))
+			p->phase = CLAIM_ENDED;
+		else
+			back_off(p, CLAIM_BACKOFF_MS, CLAIM_BACKOFF_MAX_MS, rng,
+			    now);
+		return false;
+	}
+	if (answer.final) {
+		*status = answer.status;
+		p->phase = CLAIM_ENDED;
+		if (p->opening ? answer.status != 0 && p->maybe_open :
+				 !is_settled(answer))
+			start_closing(p, now);
+		return true;
+	}
+	p->maybe_open = p->maybe_open || !answer.certain;
+	back_off(p, CLAIM_RETRY_MS, CLAIM_RETRY_MS, rng, now);
+	if (p->deadline - now >= MS(CLAIM_LAST_MS))
+		return false;
+	*status = note_claim_report(p, now);
+	return true;
+}
+
+/*
+ * The caller's time is up. An open was not granted, so the call does not run;
+ * a close goes on in the background.
+ */
+int
+note_claim_report(struct claim_plan *p, int64_t now)
+{
+	if (!p->opening) {
+		start_closing(p, now);
+		return ERR_UNKNOWN;
+	}
+	if (p->maybe_open)
+		start_closing(p, now);
+	else
+		p->phase = CLAIM_ENDED;
+	return ERR_UNAVAILABLE;
+}
+
+/*
+ * Tells that no later close of the claim is needed: it was closed, or the
+ * answer shows that it is not open.
+ */
+static bool
+is_settled(struct claim_answer answer)
+{
+	return answer.final && answer.status != ERR_LIMIT &&
+	       answer.status != ERR_DENIED;
+}
+
+static void
+back_off(struct claim_plan *p, int64_t first_ms, int64_t max_ms,
+    struct rng *rng, int64_t now)
+{
+	int64_t bound = first_ms;
+
+	for (unsigned int i = 0; i < p->failures && bound < max_ms; i++)
+		bound *= 2;
+	if (bound > max_ms)
+		bound = max_ms;
+	p->failures++;
+	p->next_at = now + (int64_t)draw_below(rng, (uint64_t)MS(bound) + 1);
+}
+
+static void
+start_closing(struct claim_plan *p, int64_t now)
+{
+	p->phase = CLAIM_CLOSING;
+	p->failures = 0;
+	p->next_at = now;
+}
--- /dev/null
+++ b/packages/agent/agent_hold.h
@@ -0,0 +1,32 @@
+/*
+ * The table in force with the count of its holders. A holder pays one atomic
+ * add to acquire and one to release; a switch waits for nobody. Internal to
+ * the package.
+ */
+#ifndef AGENT_HOLD_H
+#define AGENT_HOLD_H
+
+#include "table.h"
+
+#define HOLD_SLOTS 1024 /* versions held at the same time, and the empty one */
+
+struct hold_slot {
+	struct table *table; /* NULL: free */
+	uint64_t balance; /* releases less acquisitions, once replaced */
+};
+
+/* One writer calls publish_hold(); any thread may acquire and release. */
+struct hold {
+	uint64_t current; /* slot in the high 16 bits, acquisitions below */
+	struct hold_slot slots[HOLD_SLOTS]; /* slot 0: no table */
+};
+
+struct hold *open_hold(void); /* NULL: out of memory */
+void close_hold(struct hold *h); /* nothing may be held any more */
+int publish_hold(struct hold *h, struct table *t); /* takes t; ERR_LIMIT */
+const struct table *acquire_hold(struct hold *h); /* NULL: no table */
+void release_hold(struct hold *h, const struct table *t);
+const struct table *peek_hold(struct hold *h); /* for the writer only */
+int count_hold(struct hold *h); /* versions in memory */
+
+#endif
--- /dev/null
+++ b/packages/agent/agent_sets.h
@@ -0,0 +1,35 @@
+/*
+ * The endpoint sets that the node follows and its interest in services. Any
+ * thread may ask; one thread applies changes. Internal to the package.
+ */
+#ifndef AGENT_SETS_H
+#define AGENT_SETS_H
+
+#include "agent.h"
+
+#define SETS_INTEREST_NS (600 * NSEC_PER_SEC) /* kept after the last use */
+#define SETS_TOMBSTONE_NS (60 * NSEC_PER_SEC) /* twice the lease of 30 s */
+#define SETS_TOMBSTONE_MAX 256 /* removed endpoints remembered a service */
+
+struct set_store;
+
+struct set_store *open_set_store(void); /* NULL: out of memory */
+void close_set_store(struct set_store *s); /* no set may be held any more */
+
+/* Interest. add_interest returns 1 when the service is new; ERR_LIMIT. */
+int add_interest(
+    struct set_store *s, struct str service, bool pinned, int64_t now);
+int expire_interest(struct set_store *s, int64_t now); /* number removed */
+int list_interest(struct set_store *s, struct wire_interest *out,
+    int max); /* names stay valid until the next expiry */
+
+/* Sets */
+const struct endpoint_set *acquire_set(
+    struct set_store *s, struct str service, int64_t now);
+void release_set(struct set_store *s, const struct endpoint_set *set);
+int apply_set(struct set_store *s, const struct wire_endpoint_set *u,
+    int64_t now); /* 1: changed; 0: nothing newer */
+void reset_set_versions(struct set_store *s); /* the registry is another one */
+int render_sets(struct set_store *s, struct buf *out); /* JSON array */
+
+#endif
--- /dev/null
+++ b/packages/agent/tests/test_agent_sets.c
@@ -0,0 +1,310 @@
+/*
+ * Endpoint sets: order of records, changes, registries and interest.
+ */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent_sets.h"
+
+#define NOW (100 * NSEC_PER_SEC)
+
+enum {
+	S = WIRE_ENDPOINT_STARTING,
+	R = WIRE_ENDPOINT_READY,
+	D = WIRE_ENDPOINT_DRAINING,
+	G = WIRE_ENDPOINT_GONE,
+	U = WIRE_ENDPOINT_SUSPECT
+};
+
+/* A record as "id incarnation seq state" of a test case. */
+struct rec {
+	const char *id;
+	uint64_t incarnation, seq;
+	int state;
+};
+
+#define RECS_MAX 4
+
+struct change {
+	uint64_t set_version;
+	bool whole;
+	struct rec recs[RECS_MAX];
+	int want; /* result of apply_set() */
+	bool new_registry; /* before it */
+};
+
+struct set_case {
+	const char *name;
+	struct change changes[4];
+	struct rec want[RECS_MAX]; /* the set at the end */
+};
+
+static const struct set_case set_cases[] = {
+    {"whole set", {{3, true, {{"b", 1, 1, R}, {"a", 1, 1, R}}, 1, false}},
+	{{"a", 1, 1, R}, {"b", 1, 1, R}}},
+    {"empty whole set", {{3, true, {{0}}, 1, false}}, {{0}}},
+    {"change adds, replaces and removes",
+	{{3, true, {{"a", 1, 1, R}, {"b", 1, 1, R}}, 1, false},
+	    {4, false, {{"a", 1, 2, D}, {"b", 1, 2, G}, {"c", 1, 1, S}}, 1,
+		false}},
+	{{"a", 1, 2, D}, {"c", 1, 1, S}}},
+    {"changes without a base",
+	{{3, false, {{"a", 1, 1, R}}, ERR_CONFLICT, false},
+	    {4, true, {{"b", 1, 1, R}}, 1, false}},
+	{{"b", 1, 1, R}}},
+    {"doubled change",
+	{{3, true, {{"a", 1, 1, R}}, 1, false},
+	    {4, false, {{"a", 1, 2, D}}, 1, false},
+	    {4, false, {{"a", 1, 3, R}}, 0, false}},
+	{{"a", 1, 2, D}}},
+    {"overtaken whole set",
+	{{5, true, {{"a", 1, 2, D}}, 1, false},
+	    {4, true, {{"a", 1, 1, R}, {"b", 1, 1, R}}, 0, false}},
+	{{"a", 1, 2, D}}},
+    {"older seq in a change",
+	{{3, true, {{"a", 1, 5, D}}, 1, false},
+	    {4, false, {{"a", 1, 4, R}}, 1, false}},
+	{{"a", 1, 5, D}}},
+    {"older incarnation with a higher seq",
+	{{3, true, {{"a", 2, 1, R}}, 1, false},
+	    {4, false, {{"a", 1, 9, D}}, 1, false}},
+	{{"a", 2, 1, R}}},
+    {"newer incarnation with a lower seq",
+	{{3, true, {{"a", 1, 9, D}}, 1, false},
+	    {4, false, {{"a", 2, 1, R}}, 1, false}},
+	{{"a", 2, 1, R}}},
+    {"older record in a whole set",
+	{{3, true, {{"a", 1, 5, D}, {"b", 1, 1, R}}, 1, false},
+	    {4, true, {{"a", 1, 4, R}}, 1, false}},
+	{{"a", 1, 5, D}}},
+    {"old GONE of an earlier life",
+	{{3, true, {{"a", 2, 1, R}}, 1, false},
+	    {4, false, {{"a", 1, 7, G}}, 1, false}},
+	{{"a", 2, 1, R}}},
+    {"removed record does not come back",
+	{{3, true, {{"a", 1, 1, R}}, 1, false},
+	    {4, false, {{"a", 1, 2, G}}, 1, false},
+	    {9, true, {{"a", 1, 1, R}}, 1, true}},
+	{{0}}},
+    {"removed record returns when it is announced again",
+	{{3, true, {{"a", 1, 2, R}}, 1, false},
+	    {4, false, {{"a", 1, 2, G}}, 1, false},
+	    {5, false, {{"a", 1, 2, R}}, 1, false}},
+	{{"a", 1, 2, R}}},
+    {"suspect mark keeps the seq",
+	{{3, true, {{"a", 1, 2, R}}, 1, false},
+	    {4, false, {{"a", 1, 2, U}}, 1, false}},
+	{{"a", 1, 2, U}}},
+    {"another registry counts from the start",
+	{{30, true, {{"a", 1, 1, R}}, 1, false},
+	    {2, true, {{"a", 1, 1, R}, {"b", 1, 1, R}}, 1, true},
+	    {3, false, {{"b", 1, 2, D}}, 1, false}},
+	{{"a", 1, 1, R}, {"b", 1, 2, D}}},
+    {"changes of another registry",
+	{{30, true, {{"a", 1, 1, R}}, 1, false},
+	    {31, false, {{"b", 1, 1, R}}, ERR_CONFLICT, true}},
+	{{"a", 1, 1, R}}},
+    {"record named twice",
+	{{3, true, {{"a", 1, 4, D}, {"a", 1, 3, R}, {"b", 1, 1, R}}, 1, false}},
+	{{"a", 1, 4, D}, {"b", 1, 1, R}}},
+};
+
+static int
+apply_change(struct set_store *s, const struct change *c, int64_t now)
+{
+	struct wire_endpoint records[RECS_MAX];
+	struct wire_endpoint_set u = {.service = (char *)(uintptr_t) "svc",
+	    .set_version = c->set_version,
+	    .whole = c->whole};
+
+	if (c->new_registry)
+		reset_set_versions(s);
+	for (int i = 0; i < RECS_MAX && c->recs[i].id != NULL; i++) {
+		records[i] = (struct wire_endpoint){
+		    .id = (char *)(uintptr_t)c->recs[i].id,
+		    .incarnation = c->recs[i].incarnation,
+		    .seq = c->recs[i].seq,
+		    .service = u.service,
+		    .address = (char *)(uintptr_t) "127.0.0.1:1",
+		    .zone = (char *)(uintptr_t) "zone",
+		    .slots = 4,
+		    .state = (enum wire_endpoint_state)c->recs[i].state};
+		u.endpoints.endpoints_len++;
+	}
+	u.endpoints.endpoints_val = records;
+	return apply_set(s, &u, now);
+}
+
+/*
+ * Guards against an old record that returns, a lost change, and sets of two
+ * registries that are mixed.
+ */
+START_TEST(newest_records_win)
+{
+	const struct set_case *c = &set_cases[_i];
+	struct set_store *s = open_set_store();
+	const struct endpoint_set *set;
+	size_t n = 0;
+
+	ck_assert_int_eq(add_interest(s, make_str("svc"), true, NOW), 1);
+	for (int i = 0; i < 4 && c->changes[i].set_version != 0; i++)
+		ck_assert_msg(
+		    apply_change(s, &c->changes[i], NOW) == c->changes[i].want,
+		    "%s: change %d", c->name, i);
+	set = acquire_set(s, make_str("svc"), NOW);
+	ck_assert_ptr_nonnull(set);
+	for (; n < RECS_MAX && c->want[n].id != NULL; n++) {
+		const struct wire_endpoint *e = &set->endpoints[n];
+
+		ck_assert_msg(n < set->count, "%s: too few", c->name);
+		ck_assert_str_eq(e->id, c->want[n].id);
+		ck_assert_str_eq(e->address, "127.0.0.1:1");
+		ck_assert_uint_eq(e->incarnation, c->want[n].incarnation);
+		ck_assert_uint_eq(e->seq, c->want[n].seq);
+		ck_assert_int_eq(e->state, c->want[n].state);
+	}
+	ck_assert_msg(set->count == n, "%s: too many", c->name);
+	release_set(s, set);
+	close_set_store(s);
+}
+END_TEST
+
+/* Guards against memory that grows with every endpoint that ever was. */
+START_TEST(removed_records_are_forgotten_after_a_minute)
+{
+	static const struct change first = {
+	    3, true, {{"a", 1, 1, R}}, 1, false};
+	static const struct change gone = {
+	    4, false, {{"a", 1, 2, G}}, 1, false};
+	static const struct change old = {5, false, {{"a", 1, 1, R}}, 1, false};
+	static const struct change late = {
+	    6, false, {{"a", 1, 1, R}}, 1, false};
+	struct set_store *s = open_set_store();
+	const struct endpoint_set *set;
+
+	add_interest(s, make_str("svc"), true, NOW);
+	apply_change(s, &first, NOW);
+	apply_change(s, &gone, NOW);
+	apply_change(s, &old, NOW + SETS_TOMBSTONE_NS - 1);
+	set = acquire_set(s, make_str("svc"), NOW);
+	ck_assert_uint_eq(set->count, 0);
+	release_set(s, set);
+	apply_change(s, &late, NOW + SETS_TOMBSTONE_NS);
+	set = acquire_set(s, make_str("svc"), NOW);
+	ck_assert_uint_eq(set->count, 1);
+	release_set(s, set);
+	close_set_store(s);
+}
+END_TEST
+
+/* Guards against a set that is freed while a call uses it. */
+START_TEST(held_set_survives_replacement_and_expiry)
+{
+	static const struct change one = {3, true, {{"a", 1, 1, R}}, 1, false};
+	static const struct change two = {4, true, {{"b", 1, 1, R}}, 1, false};
+	struct set_store *s = open_set_store();
+	const struct endpoint_set *old, *new;
+
+	add_interest(s, make_str("svc"), false, NOW);
+	apply_change(s, &one, NOW);
+	old = acquire_set(s, make_str("svc"), NOW);
+	apply_change(s, &two, NOW);
+	new = acquire_set(s, make_str("svc"), NOW);
+	ck_assert_ptr_ne(old, new);
+	ck_assert_str_eq(old->endpoints[0].id, "a");
+	ck_assert_str_eq(new->endpoints[0].id, "b");
+	ck_assert_int_eq(expire_interest(s, NOW + SETS_INTEREST_NS), 1);
+	ck_assert_str_eq(new->endpoints[0].id, "b");
+	release_set(s, old);
+	release_set(s, new);
+	close_set_store(s);
+}
+END_TEST
+
+/* Guards against interest that ends too early, too late or not at all. */
+START_TEST(interest_lasts_ten_minutes_after_use)
+{
+	struct set_store *s = open_set_store();
+	struct wire_interest list[WIRE_INTEREST_MAX];
+
+	ck_assert_int_eq(add_interest(s, make_str("pinned"), true, NOW), 1);
+	ck_assert_int_eq(add_interest(s, make_str("used"), false, NOW), 1);
+	ck_assert_int_eq(add_interest(s, make_str("idle"), false, NOW), 1);
+	ck_assert_int_eq(add_interest(s, make_str("used"), false, NOW), 0);
+	ck_assert_int_eq(list_interest(s, list, WIRE_INTEREST_MAX), 3);
+	ck_assert_ptr_null(
+	    acquire_set(s, make_str("used"), NOW + 300 * NSEC_PER_SEC));
+	ck_assert_int_eq(expire_interest(s, NOW + SETS_INTEREST_NS - 1), 0);
+	ck_assert_int_eq(expire_interest(s, NOW + SETS_INTEREST_NS), 1);
+	ck_assert_int_eq(list_interest(s, list, WIRE_INTEREST_MAX), 2);
+	ck_assert_int_eq(
+	    expire_interest(s, NOW + 300 * NSEC_PER_SEC + SETS_INTEREST_NS), 1);
+	ck_assert_int_eq(list_interest(s, list, WIRE_INTEREST_MAX), 1);
+	ck_assert_str_eq(list[0].service, "pinned");
+	close_set_store(s);
+}
+END_TEST
+
+/* Guards against a watch that asks for more than the message holds. */
+START_TEST(interest_is_bounded_and_checked)
+{
+	struct set_store *s = open_set_store();
+	char name[16];
+
+	for (int i = 0; i < WIRE_INTEREST_MAX; i++) {
+		snprintf(name, sizeof(name), "svc-%d", i);
+		ck_assert_int_eq(
+		    add_interest(s, make_str(name), false, NOW), 1);
+	}
+	ck_assert_int_eq(
+	    add_interest(s, make_str("more"), false, NOW), ERR_LIMIT);
+	ck_assert_int_eq(
+	    add_interest(s, make_str("a\"b"), false, NOW), ERR_INVALID);
+	ck_assert_int_eq(
+	    add_interest(s, make_str(""), false, NOW), ERR_INVALID);
+	close_set_store(s);
+}
+END_TEST
+
+/* Guards against asking a control process for changes it cannot know. */
+START_TEST(versions_of_another_registry_are_not_sent)
+{
+	static const struct change one = {7, true, {{"a", 1, 1, R}}, 1, false};
+	struct wire_interest list[WIRE_INTEREST_MAX];
+	struct set_store *s = open_set_store();
+
+	add_interest(s, make_str("svc"), true, NOW);
+	apply_change(s, &one, NOW);
+	list_interest(s, list, WIRE_INTEREST_MAX);
+	ck_assert_uint_eq(list[0].set_version, 7);
+	reset_set_versions(s);
+	list_interest(s, list, WIRE_INTEREST_MAX);
+	ck_assert_uint_eq(list[0].set_version, 0);
+	close_set_store(s);
+}
+END_TEST
+
+#define COUNT(a) (int)(sizeof(a) / sizeof((a)[0]))
+
+int
+main(void)
+{
+	Suite *s = suite_create("agent_sets");
+	TCase *t = tcase_create("sets");
+	SRunner *run;
+	int failed;
+
+	tcase_add_loop_test(t, newest_records_win, 0, COUNT(set_cases));
+	tcase_add_test(t, removed_records_are_forgotten_after_a_minute);
+	tcase_add_test(t, held_set_survives_replacement_and_expiry);
+	tcase_add_test(t, interest_lasts_ten_minutes_after_use);
+	tcase_add_test(t, interest_is_bounded_and_checked);
+	tcase_add_test(t, versions_of_another_registry_are_not_sent);
+	suite_add_tcase(s, t);
+	run = srunner_create(s);
+	srunner_run_all(run, CK_ENV);
+	failed = srunner_ntests_failed(run);
+	srunner_free(run);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
