--- a/packages/control/command.c
+++ b/packages/control/command.c
@@ -62,7 +62,7 @@
 }
 
 void
-unload_result(struct command_result *r)
+unload_command_result(struct command_result *r)
 {
 	unload_wire((xdrproc_t)xdr_command_result, r);
 }
@@ -82,7 +82,7 @@
 }
 
 int
-append_record(
+append_stored_record(
     struct buf *out, enum stored_type type, xdrproc_t proc, const void *value)
 {
 	unsigned char head[RECORD_HEAD_BYTES] = {0};
--- a/packages/control/state.c
+++ b/packages/control/state.c
@@ -116,16 +116,16 @@
 	int rc = save_head(s, out);
 
 	for (size_t i = 0; i < s->history.count && rc == 0; i++)
-		rc = append_record(out, STORED_VERSION,
+		rc = append_stored_record(out, STORED_VERSION,
 		    (xdrproc_t)xdr_stored_version, get_version(&s->history, i));
 	for (const struct answer *a = s->answers.oldest; a != NULL && rc == 0;
 	     a = a->newer)
-		rc = append_record(out, STORED_ANSWER,
+		rc = append_stored_record(out, STORED_ANSWER,
 		    (xdrproc_t)xdr_stored_answer, &a->stored);
 	if (rc == 0)
 		rc = save_claims(&s->claims, out);
 	if (rc == 0)
-		rc = append_record(out, STORED_END, NULL, NULL);
+		rc = append_stored_record(out, STORED_END, NULL, NULL);
 	return rc;
 }
 
@@ -303,7 +303,7 @@
 	h.csv.csv_val = csv.data;
 	h.csv.csv_len = (unsigned int)csv.len;
 	if (rc == 0)
-		rc = append_record(
+		rc = append_stored_record(
 		    out, STORED_HEAD, (xdrproc_t)xdr_stored_head, &h);
 	unload_buf(&csv);
 	return rc;
--- a/packages/control/tests/state_fixture.h
+++ b/packages/control/tests/state_fixture.h
@@ -28,7 +28,7 @@
 	return s;
 }
 
-/* Applies a command and returns its result, to be freed by unload_result(). */
+/* Applies a command and returns its result, to be freed by unload_command_result(). */
 static inline struct command_result
 apply_at(struct state *s, int64_t stamp, const struct command *c)
 {
