--- a/scenarios/race.lua
+++ b/scenarios/race.lua
@@ -21,14 +21,14 @@
 	local x, y = tostring(100 + 2 * round), tostring(101 + 2 * round)
 	local key_x, key_y = fleet.key(), fleet.key()
 	local requests = {
-		edit_request(f.controls[1], "token-anna-0001", "dossier-status",
+		edit_request(f.controls[1], "operator-token-anna-1", "dossier-status",
 			"weight", x, base, key_x),
-		edit_request(f.controls[2], "token-bruno-0002",
+		edit_request(f.controls[2], "operator-token-bruno-2",
 			"dossier-status", "weight", y, base, key_y),
 		-- The first operator's resends, as after lost answers.
-		edit_request(f.controls[3], "token-anna-0001", "dossier-status",
+		edit_request(f.controls[3], "operator-token-anna-1", "dossier-status",
 			"weight", x, base, key_x),
-		edit_request(f.controls[2], "token-anna-0001", "dossier-status",
+		edit_request(f.controls[2], "operator-token-anna-1", "dossier-status",
 			"weight", x, base, key_x),
 	}
 	local answers = http.parallel(requests)
@@ -59,9 +59,9 @@
 
 -- Different cells under one base version are no conflict.
 local r = http.parallel{
-	edit_request(f.controls[1], "token-anna-0001", "laser-scan", "weight",
+	edit_request(f.controls[1], "operator-token-anna-1", "laser-scan", "weight",
 		"11", version, fleet.key()),
-	edit_request(f.controls[2], "token-bruno-0002", "survey-photos",
+	edit_request(f.controls[2], "operator-token-bruno-2", "survey-photos",
 		"weight", "21", version, fleet.key()),
 }
 fleet.check(r[1].status == 200 and r[2].status == 200,
