raft: send entries again that a member's disk lost

Cause: a member whose disk lost an acknowledged record (a torn record is cut at start) never got it again from the same leader: rejections at or below the known match were taken for late ones, and a heartbeat with a commit index beyond its log was refused without an answer. Change: such a rejection lowers the match, and the heartbeat is answered with the end of the log.

--- a/packages/raft/raft.h
+++ b/packages/raft/raft.h
@@ -198,6 +198,7 @@
 const struct raft_members *get_raft_members(const struct raft *r);
 const struct raft_snapshot *get_raft_snapshot(const struct raft *r);
 uint64_t get_raft_term_at(const struct raft *r, uint64_t index); /* 0 none */
+bool is_raft_sending(const struct raft *r); /* a snapshot to a live member */
 uint64_t get_raft_match(const struct raft *r, uint64_t id); /* on a leader */
 
 /* Membership as bytes */
--- a/packages/raft/replication.c
+++ b/packages/raft/replication.c
@@ -79,11 +79,18 @@
 		accept_match(r, p, m->log_index);
 		return advance_commit(r);
 	}
-	if (p->state == PEER_SNAPSHOT || m->log_index <= p->match)
+	if (p->state == PEER_SNAPSHOT)
 		return 0;
-	if (p->state == PEER_PROBE && m->log_index != p->next - 1)
+	if (m->log_index > p->match && p->state == PEER_PROBE &&
+	    m->log_index != p->next - 1)
 		return 0;
 	at = find_log_conflict(&r->log, m->hint, m->log_term);
+	/*
+	 * A disk that lies about a sync loses what it acknowledged. Counting
+	 * that member lower is always safe; commits are never taken back.
+	 */
+	if (m->log_index <= p->match && at < p->match)
+		p->match = at;
 	if (at >= m->log_index)
 		at = m->log_index - 1;
 	p->next = (at > p->match ? at : p->match) + 1;
@@ -100,11 +107,20 @@
 int
 handle_heartbeat(struct raft *r, const struct raft_message *m)
 {
+	uint64_t last = get_log_last(&r->log);
 	struct raft_message reply;
 
-	if (m->commit > get_log_last(&r->log))
-		return ERR_INVALID;
-	set_commit(r, m->commit);
+	if (m->commit > last) {
+		/* The leader counts on entries that are gone here. */
+		reply = make_message(r, RAFT_APPEND_REPLY, m->from);
+		reply.reject = true;
+		reply.log_index = m->commit;
+		reply.hint = last;
+		reply.log_term = get_log_term(&r->log, last);
+		queue_stored_message(r, &reply);
+	} else {
+		set_commit(r, m->commit);
+	}
 	reply = make_message(r, RAFT_HEARTBEAT_REPLY, m->from);
 	reply.context = m->context;
 	queue_stored_message(r, &reply);
--- a/packages/raft/snapshot.c
+++ b/packages/raft/snapshot.c
@@ -26,11 +26,8 @@
 
 	if (index <= r->snapshot.index || index > r->applied)
 		return ERR_INVALID;
-	for (size_t i = 0; i < r->peer_count && r->role == RAFT_LEADER; i++) {
-		if (r->peers[i].state == PEER_SNAPSHOT &&
-		    r->peers[i].age < r->cfg.election_ticks)
-			return ERR_CONFLICT;
-	}
+	if (is_raft_sending(r))
+		return ERR_CONFLICT;
 	s.term = get_log_term(&r->log, index);
 	rc = find_members_at(r, index, &s.members);
 	if (rc == 0)
@@ -54,6 +51,17 @@
 	return 0;
 }
 
+bool
+is_raft_sending(const struct raft *r)
+{
+	for (size_t i = 0; i < r->peer_count && r->role == RAFT_LEADER; i++) {
+		if (r->peers[i].state == PEER_SNAPSHOT &&
+		    r->peers[i].age < r->cfg.election_ticks)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Sends the next chunk and waits for its answer. A newer snapshot starts from
  * its beginning.
--- a/packages/raft/tests/test_raft.c
+++ b/packages/raft/tests/test_raft.c
@@ -275,6 +275,22 @@
 	}
 }
 
+/* A disk loses acknowledged entries; the leader sends them again. */
+static void
+lose_acknowledged_tail(struct sim *s)
+{
+	propose_settled(s, 1, 5);
+	crash_node(s, 2, 3);
+	truncate_disk(&s->node[2].disk, 4);
+	start_node(s, 2);
+	for (int i = 0; i < 2 * SIM_ELECTION; i++) {
+		tick_node(s, 1);
+		settle_sim(s);
+	}
+	ck_assert_int_eq(status_of(s, 1).role, RAFT_LEADER);
+	ck_assert_uint_eq(s->node[2].applied, status_of(s, 1).last);
+}
+
 /* A vote and an acknowledgement wait for the disk. */
 static void
 hold_until_stored(struct sim *s)
@@ -769,6 +785,7 @@
     {"vote while a leader lives", vote_in_lease, false},
     {"crash the leader in each storage stage", crash_leader_in_store, false},
     {"crash a follower in each storage stage", crash_follower_in_store, false},
+    {"lose an acknowledged tail", lose_acknowledged_tail, false},
     {"hold messages until stored", hold_until_stored, false},
     {"vote once a term", vote_once, false},
     {"no commit of an old term by counting", count_old_term, true},
