Add the replica: core, log and state machine on one thread

Cause: the control processes need proposals, confirmed reads and membership changes with completions, over real files and a real clock. Change: packages/replica: one thread with a bounded inbox; proposals that come while a sync runs share the next one; entries leave for the followers before the own sync; completions tell applied, unavailable (takes no effect) and unknown apart; reads that wait share one read index; a failed disk ends the membership. Forwarded reads and leader transfer travel as wire heartbeats that the hint marks, since the wire has no types for them.

--- /dev/null
+++ b/packages/replica/tests/group.h
@@ -0,0 +1,377 @@
+/*
+ * A group of manual replicas with a paused clock, files in memory and a
+ * simulated network that carries encoded messages. Included by the tests.
+ */
+#ifndef GROUP_H
+#define GROUP_H
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "replica.h"
+
+#include "../../wal/tests/mem_io.h"
+
+#define GROUP_MAX 6 /* member 0 is not used */
+#define GROUP_VALUES 4096
+
+struct group;
+
+/* One member: its disk, its state machine and its replica. */
+struct member {
+	struct group *g;
+	uint64_t id;
+	struct replica *r; /* NULL: not running */
+	struct mem_disk disk;
+	struct wal_io io;
+	struct buf state; /* one 8-byte value per applied command */
+	int64_t last_wall;
+	struct raft_members members; /* as last told */
+	bool load_fails;
+};
+
+struct packet {
+	uint64_t from, to;
+	struct buf bytes;
+};
+
+struct group {
+	struct member member[GROUP_MAX];
+	struct paused_clock pc;
+	struct rng rng;
+	struct packet *net;
+	size_t net_count, net_cap;
+	bool blocked[GROUP_MAX][GROUP_MAX]; /* from, to */
+	struct raft_members bootstrap;
+	size_t snapshot_bytes;
+	size_t pad; /* bytes after each snapshot */
+	uint64_t next_value;
+	uint64_t acked; /* highest index told to a proposer */
+	char failure[200];
+};
+
+/* What became of one proposal or read. */
+struct outcome {
+	struct group *g;
+	bool done;
+	int calls;
+	int status;
+	uint64_t index;
+	uint64_t value;
+	uint64_t result;
+	uint64_t floor; /* read: acked at the request */
+};
+
+static void
+fail_group(struct group *g, const char *text)
+{
+	if (g->failure[0] == '\0')
+		snprintf(g->failure, sizeof(g->failure), "%s", text);
+}
+
+static void
+apply_value(void *arg, uint64_t index, int64_t wall_ns, struct str command,
+    struct buf *result)
+{
+	struct member *m = arg;
+
+	(void)index;
+	m->last_wall = wall_ns;
+	if (append_buf(&m->state, command.data, 8) != 0 ||
+	    append_buf(result, command.data, 8) != 0)
+		abort();
+}
+
+static int
+save_values(void *arg, struct buf *out)
+{
+	struct member *m = arg;
+	uint64_t len = m->state.len;
+	int rc = append_buf(out, &len, sizeof(len));
+
+	if (rc == 0)
+		rc = append_buf(out, m->state.data, m->state.len);
+	for (size_t i = 0; i < m->g->pad / 64 && rc == 0; i++)
+		rc = append_buf_fmt(out, "%-64d", (int)i);
+	return rc;
+}
+
+static int
+load_values(void *arg, uint64_t index, struct str data)
+{
+	struct member *m = arg;
+	uint64_t len;
+
+	(void)index;
+	if (data.len < sizeof(len) || m->load_fails)
+		return ERR_CORRUPT;
+	memcpy(&len, data.data, sizeof(len));
+	m->state.len = 0;
+	return append_buf(&m->state, data.data + sizeof(len), (size_t)len);
+}
+
+static void
+send_packet(void *arg, uint64_t to, const struct wire_raft_message *w)
+{
+	struct member *m = arg;
+	struct group *g = m->g;
+	struct packet *p;
+
+	if (to >= GROUP_MAX || g->blocked[m->id][to])
+		return;
+	if (g->net_count == g->net_cap) {
+		g->net_cap = g->net_cap != 0 ? g->net_cap * 2 : 64;
+		g->net = realloc(g->net, g->net_cap * sizeof(*g->net));
+		if (g->net == NULL)
+			abort();
+	}
+	p = &g->net[g->net_count++];
+	memset(p, 0, sizeof(*p));
+	p->from = m->id;
+	p->to = to;
+	if (encode_wire((xdrproc_t)xdr_wire_raft_message, w, &p->bytes) != 0)
+		fail_group(g, "a message does not encode");
+}
+
+static void
+note_members(void *arg, const struct raft_members *members)
+{
+	((struct member *)arg)->members = *members;
+}
+
+static int
+start_member(struct group *g, uint64_t id, struct fault *f)
+{
+	struct member *m = &g->member[id];
+	struct replica_config cfg = {.clock = get_paused_clock(&g->pc),
+	    .id = id,
+	    .data_dir = "/data",
+	    .bootstrap = id <= 3 ? &g->bootstrap : NULL,
+	    .machine = {apply_value, save_values, load_values, m},
+	    .transport = {send_packet, note_members, m},
+	    .seed = draw_u64(&g->rng),
+	    .snapshot_bytes = g->snapshot_bytes,
+	    .segment_bytes = 4096,
+	    .manual = true};
+
+	m->g = g;
+	m->id = id;
+	m->io = get_mem_io(&m->disk);
+	m->state.len = 0;
+	cfg.io = &m->io;
+	return start_replica(&cfg, &m->r, f);
+}
+
+/*
+ * Ends a member; with crash, its disk loses what was not synced.
+ */
+static void
+end_member(struct group *g, uint64_t id, bool crash)
+{
+	struct member *m = &g->member[id];
+
+	if (m->r != NULL)
+		stop_replica(m->r);
+	m->r = NULL;
+	if (crash)
+		cut_power(&m->disk, &g->rng);
+}
+
+static struct group *
+open_group(uint64_t seed, uint64_t voters)
+{
+	struct group *g = calloc(1, sizeof(*g));
+
+	if (g == NULL)
+		abort();
+	seed_rng(&g->rng, seed);
+	g->pc = (struct paused_clock){NSEC_PER_SEC, 1000 * NSEC_PER_SEC};
+	g->snapshot_bytes = 1 << 20;
+	for (uint64_t id = 1; id <= voters; id++) {
+		struct raft_member *x =
+		    &g->bootstrap.member[g->bootstrap.count++];
+
+		x->id = id;
+		x->voter = true;
+		snprintf(
+		    x->address, sizeof(x->address), "127.0.0.%d:1", (int)id);
+	}
+	for (uint64_t id = 1; id <= voters; id++) {
+		if (start_member(g, id, NULL) != 0)
+			fail_group(g, "a member does not start");
+	}
+	return g;
+}
+
+static void
+drop_packet(struct group *g, size_t at)
+{
+	unload_buf(&g->net[at].bytes);
+	memmove(&g->net[at], &g->net[at + 1],
+	    (g->net_count - at - 1) * sizeof(g->net[0]));
+	g->net_count--;
+}
+
+static void
+close_group(struct group *g)
+{
+	for (uint64_t id = 1; id < GROUP_MAX; id++) {
+		end_member(g, id, false);
+		unload_mem_disk(&g->member[id].disk);
+		unload_buf(&g->member[id].state);
+	}
+	while (g->net_count > 0)
+		drop_packet(g, g->net_count - 1);
+	free(g->net);
+	free(g);
+}
+
+static void
+deliver_packet(struct group *g, size_t at, bool keep)
+{
+	struct wire_raft_message w = {0};
+	struct packet *p = &g->net[at];
+	struct replica *r = g->member[p->to].r;
+
+	if (decode_wire((xdrproc_t)xdr_wire_raft_message, view_buf(&p->bytes),
+		&w) != 0) {
+		fail_group(g, "a message does not decode");
+		return;
+	}
+	if (r != NULL && !g->blocked[p->from][p->to])
+		(void)step_replica(r, &w);
+	unload_wire((xdrproc_t)xdr_wire_raft_message, &w);
+	if (!keep)
+		drop_packet(g, at);
+}
+
+/*
+ * Lets all members work until nothing is under way.
+ */
+static void
+settle_group(struct group *g)
+{
+	for (int i = 0; i < 400; i++) {
+		for (uint64_t id = 1; id < GROUP_MAX; id++) {
+			if (g->member[id].r != NULL)
+				pump_replica(g->member[id].r);
+		}
+		if (g->net_count == 0)
+			return;
+		for (size_t n = g->net_count; n > 0; n--)
+			deliver_packet(g, 0, false);
+	}
+}
+
+static void
+run_group(struct group *g, int ms)
+{
+	for (; ms > 0; ms -= REPLICA_TICK_MS) {
+		advance_clock(&g->pc, REPLICA_TICK_MS * NSEC_PER_MSEC);
+		settle_group(g);
+	}
+}
+
+static uint64_t
+find_group_leader(struct group *g)
+{
+	uint64_t best = 0, term = 0;
+
+	for (uint64_t id = 1; id < GROUP_MAX; id++) {
+		struct replica_status s;
+
+		if (g->member[id].r == NULL)
+			continue;
+		s = get_replica_status(g->member[id].r);
+		if (s.role == RAFT_LEADER && s.term >= term) {
+			best = id;
+			term = s.term;
+		}
+	}
+	return best;
+}
+
+static void
+block_member(struct group *g, uint64_t id, bool in, bool out)
+{
+	for (uint64_t k = 1; k < GROUP_MAX; k++) {
+		g->blocked[k][id] = in;
+		g->blocked[id][k] = out;
+	}
+}
+
+static void
+note_proposal(void *arg, int status, uint64_t index, struct str result)
+{
+	struct outcome *o = arg;
+
+	o->done = true;
+	o->calls++;
+	o->status = status;
+	o->index = index;
+	if (status == 0 && result.len == sizeof(o->result))
+		memcpy(&o->result, result.data, result.len);
+	if (status == 0 && index > o->g->acked)
+		o->g->acked = index;
+}
+
+static void
+note_read_done(void *arg, int status, uint64_t index)
+{
+	struct outcome *o = arg;
+
+	o->done = true;
+	o->calls++;
+	o->status = status;
+	o->index = index;
+	if (status == 0 && index < o->floor)
+		fail_group(o->g, "a stale read");
+}
+
+static int
+propose_value(struct group *g, uint64_t id, struct outcome *o)
+{
+	memset(o, 0, sizeof(*o));
+	o->g = g;
+	o->value = ++g->next_value;
+	return propose_replica(g->member[id].r,
+	    make_str_n((const char *)&o->value, sizeof(o->value)), 2000,
+	    note_proposal, o);
+}
+
+static int
+read_value(struct group *g, uint64_t id, struct outcome *o)
+{
+	memset(o, 0, sizeof(*o));
+	o->g = g;
+	o->floor = g->acked;
+	return read_replica(g->member[id].r, 1000, note_read_done, o);
+}
+
+static int
+change_group(struct group *g, uint64_t id, enum raft_change_type type,
+    uint64_t member, struct outcome *o)
+{
+	struct raft_change c = {type, {.id = member, .address = "127.0.0.9:1"}};
+
+	memset(o, 0, sizeof(*o));
+	o->g = g;
+	return change_replica_members(
+	    g->member[id].r, &c, 2000, note_proposal, o);
+}
+
+/*
+ * Tells whether a member's state machine holds a value.
+ */
+static bool
+has_value(const struct member *m, uint64_t value)
+{
+	for (size_t i = 0; i + 8 <= m->state.len; i += 8) {
+		if (memcmp(m->state.data + i, &value, 8) == 0)
+			return true;
+	}
+	return false;
+}
+
+#endif
--- /dev/null
+++ b/packages/replica/tests/test_replica.c
@@ -0,0 +1,759 @@
+/*
+ * Replicas under faults of network, disk and process, and the conversion of
+ * their messages.
+ */
+#include <check.h>
+#include <pthread.h>
+#include <unistd.h>
+
+#include "group.h"
+
+#define CHAOS_SEEDS 60
+#define CHAOS_STEPS 1500
+#define CHAOS_VALUES 512
+#define THREAD_VALUES 200
+
+struct group_case {
+	const char *name;
+	void (*run)(struct group *g, uint64_t lead); /* 3 voters, settled */
+};
+
+static struct replica_status
+status_of(struct group *g, uint64_t id)
+{
+	return get_replica_status(g->member[id].r);
+}
+
+static uint64_t
+other_than(uint64_t a, uint64_t b)
+{
+	uint64_t id = 1;
+
+	while (id == a || id == b)
+		id++;
+	return id;
+}
+
+/*
+ * Proposes at the leader and requires success.
+ */
+static void
+commit_values(struct group *g, int count)
+{
+	struct outcome o;
+
+	for (int i = 0; i < count; i++) {
+		ck_assert_int_eq(propose_value(g, find_group_leader(g), &o), 0);
+		settle_group(g);
+		ck_assert(o.done);
+		ck_assert_int_eq(o.status, 0);
+		ck_assert_uint_eq(o.result, o.value);
+	}
+}
+
+static void
+propose_and_read(struct group *g, uint64_t lead)
+{
+	uint64_t other = other_than(lead, 0);
+	struct outcome o;
+
+	commit_values(g, 3);
+	ck_assert_int_eq(propose_value(g, other, &o), 0);
+	settle_group(g);
+	ck_assert_int_eq(o.status, ERR_UNAVAILABLE);
+	ck_assert_int_eq(o.calls, 1);
+	ck_assert_uint_eq(status_of(g, other).leader, lead);
+	for (uint64_t id = 1; id <= 3; id++) {
+		ck_assert_int_eq(read_value(g, id, &o), 0);
+		settle_group(g);
+		run_group(g, REPLICA_HEARTBEAT_MS);
+		ck_assert(o.done);
+		ck_assert_int_eq(o.status, 0);
+		ck_assert_uint_ge(g->member[id].state.len / 8 + 1, o.index);
+	}
+	/* All members apply with the leader's time. */
+	ck_assert_int_eq(g->member[lead].last_wall, g->member[other].last_wall);
+	ck_assert_int_gt(g->member[lead].last_wall, 0);
+}
+
+/* A proposal of a cut-off leader is unknown, and then replaced for good. */
+static void
+partition_with_proposal(struct group *g, uint64_t lead)
+{
+	struct outcome early, late, rd;
+	uint64_t value;
+
+	block_member(g, lead, true, true);
+	ck_assert_int_eq(propose_value(g, lead, &early), 0);
+	run_group(g, 1000);
+	ck_assert_int_ne(status_of(g, lead).role, RAFT_LEADER);
+	ck_assert(!early.done);
+	ck_assert_int_eq(read_value(g, lead, &rd), 0);
+	run_group(g, 1500);
+	ck_assert(early.done);
+	ck_assert_int_eq(early.status, ERR_UNKNOWN);
+	ck_assert_int_eq(rd.status, ERR_UNAVAILABLE);
+	ck_assert_int_ge(status_of(g, lead).contact_ns, 2 * NSEC_PER_SEC);
+	ck_assert_uint_ne(find_group_leader(g), lead);
+	commit_values(g, 2);
+	memset(g->blocked, 0, sizeof(g->blocked));
+	run_group(g, 1000);
+	ck_assert(!has_value(&g->member[lead], early.value));
+	/* Healed within its time, it is known not to take effect. */
+	lead = find_group_leader(g);
+	block_member(g, lead, true, true);
+	ck_assert_int_eq(propose_value(g, lead, &late), 0);
+	value = late.value;
+	run_group(g, 1500);
+	memset(g->blocked, 0, sizeof(g->blocked));
+	run_group(g, 300);
+	ck_assert(late.done);
+	ck_assert_int_eq(late.status, ERR_UNAVAILABLE);
+	ck_assert(!has_value(&g->member[lead], value));
+}
+
+static void
+set_disk_fault(struct group *g, uint64_t id, enum mem_fault fault)
+{
+	g->member[id].disk.fault = fault;
+	g->member[id].disk.fault_at = g->member[id].disk.ops + 1;
+}
+
+/* The disk of a member fails: it is out, the others go on. */
+static void
+fail_disk(struct group *g, uint64_t id, enum mem_fault fault)
+{
+	uint64_t lead = find_group_leader(g);
+	struct outcome o, later;
+
+	set_disk_fault(g, id, fault);
+	ck_assert_int_eq(propose_value(g, lead, &o), 0);
+	settle_group(g);
+	ck_assert(is_replica_failed(g->member[id].r));
+	ck_assert(!status_of(g, id).voter);
+	ck_assert_int_eq(status_of(g, id).role, RAFT_FOLLOWER);
+	ck_assert_int_eq(o.status, id == lead ? ERR_UNKNOWN : 0);
+	ck_assert_int_eq(propose_value(g, id, &later), ERR_UNAVAILABLE);
+	ck_assert_int_eq(read_value(g, id, &later), ERR_UNAVAILABLE);
+	run_group(g, 2000);
+	ck_assert_uint_ne(find_group_leader(g), id);
+	commit_values(g, 5);
+	ck_assert_uint_eq(g->member[id].disk.syncs_after_failure, 0);
+	/* With the disk repaired, a restart brings it back. */
+	end_member(g, id, true);
+	ck_assert_int_eq(start_member(g, id, NULL), 0);
+	run_group(g, 1000);
+	commit_values(g, 1);
+	run_group(g, 200);
+	ck_assert_uint_eq(status_of(g, id).applied,
+	    status_of(g, find_group_leader(g)).applied);
+}
+
+static void
+fill_leader_disk(struct group *g, uint64_t lead)
+{
+	fail_disk(g, lead, MEM_FAULT_FULL);
+}
+
+static void
+fill_follower_disk(struct group *g, uint64_t lead)
+{
+	fail_disk(g, other_than(lead, 0), MEM_FAULT_FULL);
+}
+
+static void
+fail_leader_sync(struct group *g, uint64_t lead)
+{
+	fail_disk(g, lead, MEM_FAULT_SYNC);
+}
+
+static void
+fail_follower_sync(struct group *g, uint64_t lead)
+{
+	fail_disk(g, other_than(lead, 0), MEM_FAULT_SYNC);
+}
+
+/* All lose their power at once; what was acknowledged is there again. */
+static void
+cut_all_power(struct group *g, uint64_t lead)
+{
+	(void)lead;
+	commit_values(g, 20);
+	for (uint64_t id = 1; id <= 3; id++)
+		end_member(g, id, true);
+	for (uint64_t id = 1; id <= 3; id++)
+		ck_assert_int_eq(start_member(g, id, NULL), 0);
+	run_group(g, 2000);
+	commit_values(g, 1);
+	run_group(g, 200);
+	for (uint64_t id = 1; id <= 3; id++) {
+		for (uint64_t v = 1; v <= 21; v++)
+			ck_assert(has_value(&g->member[id], v));
+	}
+}
+
+/* A member loses its last record, even one that it acknowledged: it starts
+ * and gets it again. */
+static void
+tear_last_record(struct group *g, uint64_t lead)
+{
+	uint64_t id = other_than(lead, 0);
+	struct mem_file *f = NULL;
+
+	commit_values(g, 5);
+	end_member(g, id, false);
+	for (int i = 0; i < MEM_FILES; i++) {
+		if (g->member[id].disk.file[i].used &&
+		    strncmp(g->member[id].disk.file[i].name, "log-", 4) == 0)
+			f = &g->member[id].disk.file[i];
+	}
+	ck_assert_ptr_nonnull(f);
+	f->now.len -= 3;
+	ck_assert_int_eq(start_member(g, id, NULL), 0);
+	ck_assert_uint_eq(status_of(g, id).wal.torn_records, 1);
+	run_group(g, 500);
+	ck_assert(has_value(&g->member[id], g->next_value));
+}
+
+/* A damaged log keeps the member from starting. */
+static void
+damage_log(struct group *g, uint64_t lead)
+{
+	uint64_t id = other_than(lead, 0);
+	struct fault f = {0};
+
+	commit_values(g, 5);
+	end_member(g, id, false);
+	for (int i = 0; i < MEM_FILES; i++) {
+		struct mem_file *x = &g->member[id].disk.file[i];
+
+		if (x->used && strncmp(x->name, "log-", 4) == 0)
+			x->now.data[x->now.len / 2] ^= 1;
+	}
+	ck_assert_int_eq(start_member(g, id, &f), ERR_CORRUPT);
+	ck_assert_ptr_nonnull(strstr(f.text, "rejoin as a new member"));
+	commit_values(g, 2);
+}
+
+/* A member behind the log gets a snapshot of several chunks. */
+static void
+catch_up_by_snapshot(struct group *g, uint64_t lead)
+{
+	uint64_t id = other_than(lead, 0);
+
+	g->pad = 3 * WIRE_SNAPSHOT_CHUNK;
+	end_member(g, id, false);
+	for (int i = 0; i < 3; i++) {
+		static char big[300 * 1024];
+		struct outcome o = {.g = g};
+
+		for (int k = 0; k < 5; k++) {
+			ck_assert_int_eq(propose_replica(g->member[lead].r,
+					     make_str_n(big, sizeof(big)), 2000,
+					     note_proposal, &o),
+			    0);
+			settle_group(g);
+		}
+	}
+	ck_assert_uint_gt(status_of(g, lead).snapshot, 0);
+	ck_assert_int_eq(start_member(g, id, NULL), 0);
+	run_group(g, 3000);
+	ck_assert_uint_eq(status_of(g, id).applied, status_of(g, lead).applied);
+	ck_assert_uint_gt(status_of(g, id).snapshot, 0);
+	ck_assert_uint_eq(g->member[id].state.len, g->member[lead].state.len);
+	/* It starts from that snapshot. */
+	end_member(g, id, true);
+	ck_assert_int_eq(start_member(g, id, NULL), 0);
+	run_group(g, 500);
+	ck_assert_uint_eq(g->member[id].state.len, g->member[lead].state.len);
+}
+
+static void
+refuse_bad_snapshot(struct group *g, uint64_t lead)
+{
+	struct outcome o = {.g = g};
+	static char big[700 * 1024];
+
+	for (int k = 0; k < 3; k++) {
+		ck_assert_int_eq(
+		    propose_replica(g->member[lead].r,
+			make_str_n(big, sizeof(big)), 2000, note_proposal, &o),
+		    0);
+		settle_group(g);
+	}
+	ck_assert_uint_gt(status_of(g, lead).snapshot, 0);
+	end_member(g, lead, false);
+	g->member[lead].load_fails = true;
+	ck_assert_int_eq(start_member(g, lead, NULL), ERR_CORRUPT);
+	run_group(g, 1000);
+	commit_values(g, 1);
+}
+
+static void
+request_change(struct group *g, enum raft_change_type type, uint64_t id)
+{
+	struct outcome o;
+
+	ck_assert_int_eq(
+	    change_group(g, find_group_leader(g), type, id, &o), 0);
+	settle_group(g);
+	ck_assert(o.done);
+	ck_assert_int_eq(o.status, 0);
+}
+
+/* One member is replaced, and right after that a second one is lost. */
+static void
+lose_second_after_replacement(struct group *g, uint64_t lead)
+{
+	uint64_t lost = other_than(lead, 0), second = other_than(lead, lost);
+
+	commit_values(g, 5);
+	end_member(g, lost, false);
+	run_group(g, 500);
+	request_change(g, RAFT_REMOVE, lost);
+	request_change(g, RAFT_ADD_LEARNER, 4);
+	ck_assert_int_eq(start_member(g, 4, NULL), 0);
+	run_group(g, 500);
+	request_change(g, RAFT_PROMOTE, 4);
+	end_member(g, second, true);
+	run_group(g, 1000);
+	commit_values(g, 5);
+	run_group(g, 200);
+	for (uint64_t v = 1; v <= g->next_value; v++)
+		ck_assert(has_value(&g->member[4], v));
+	ck_assert_uint_eq(g->member[4].members.count, 3);
+	ck_assert_ptr_nonnull(find_raft_member(&g->member[4].members, 4));
+	/* The new member's disk alone carries it through a restart. */
+	end_member(g, 4, true);
+	ck_assert_int_eq(start_member(g, 4, NULL), 0);
+	run_group(g, 2000);
+	commit_values(g, 1);
+}
+
+static void
+transfer_before_stop(struct group *g, uint64_t lead)
+{
+	ck_assert_int_eq(transfer_replica(g->member[lead].r), 0);
+	settle_group(g);
+	ck_assert(!is_replica_leader(g->member[lead].r));
+	ck_assert_uint_ne(find_group_leader(g), 0);
+	end_member(g, lead, false);
+	commit_values(g, 1);
+}
+
+/* Proposals of one moment share one sync on each member. */
+static void
+share_one_sync(struct group *g, uint64_t lead)
+{
+	struct outcome o[64];
+	uint64_t syncs = status_of(g, lead).wal.syncs;
+
+	for (int i = 0; i < 64; i++)
+		ck_assert_int_eq(propose_value(g, lead, &o[i]), 0);
+	settle_group(g);
+	for (int i = 0; i < 64; i++) {
+		ck_assert(o[i].done);
+		ck_assert_int_eq(o[i].status, 0);
+	}
+	ck_assert_uint_eq(status_of(g, lead).wal.syncs, syncs + 1);
+}
+
+static void
+bound_the_inbox(struct group *g, uint64_t lead)
+{
+	static struct outcome o[REPLICA_INBOX_MAX + 1];
+	int rc = 0, n = 0;
+
+	while (rc == 0 && n <= REPLICA_INBOX_MAX)
+		rc = propose_value(g, lead, &o[n++]);
+	ck_assert_int_eq(rc, ERR_LIMIT);
+	ck_assert_int_eq(n, REPLICA_INBOX_MAX + 1);
+	settle_group(g);
+	for (int i = 0; i < REPLICA_INBOX_MAX; i++)
+		ck_assert_int_eq(o[i].calls, 1);
+	ck_assert_int_eq(o[REPLICA_INBOX_MAX].calls, 0);
+}
+
+static void
+stop_with_requests(struct group *g, uint64_t lead)
+{
+	struct outcome in_log, in_inbox, rd;
+
+	block_member(g, lead, true, true);
+	ck_assert_int_eq(propose_value(g, lead, &in_log), 0);
+	settle_group(g);
+	ck_assert_int_eq(propose_value(g, lead, &in_inbox), 0);
+	ck_assert_int_eq(read_value(g, lead, &rd), 0);
+	end_member(g, lead, false);
+	ck_assert_int_eq(in_log.status, ERR_UNKNOWN);
+	ck_assert_int_eq(in_inbox.status, ERR_UNAVAILABLE);
+	ck_assert_int_eq(rd.status, ERR_UNAVAILABLE);
+	ck_assert_int_eq(in_log.calls + in_inbox.calls + rd.calls, 3);
+}
+
+static const struct group_case cases[] = {
+    {"propose and read", propose_and_read},
+    {"partition with a proposal", partition_with_proposal},
+    {"full disk of the leader", fill_leader_disk},
+    {"full disk of a follower", fill_follower_disk},
+    {"failed sync of the leader", fail_leader_sync},
+    {"failed sync of a follower", fail_follower_sync},
+    {"power cut of all", cut_all_power},
+    {"torn last record", tear_last_record},
+    {"damaged log", damage_log},
+    {"catch up by snapshot", catch_up_by_snapshot},
+    {"snapshot that does not load", refuse_bad_snapshot},
+    {"second loss after a replacement", lose_second_after_replacement},
+    {"transfer before a stop", transfer_before_stop},
+    {"one sync for many proposals", share_one_sync},
+    {"bounded inbox", bound_the_inbox},
+    {"stop with requests", stop_with_requests},
+};
+
+/* Guards against the failure that each case names. */
+START_TEST(group_survives)
+{
+	struct group *g = open_group(17, 3);
+
+	set_log_level(LOG_LEVEL_ERR - 1);
+	run_group(g, 1500);
+	ck_assert_uint_ne(find_group_leader(g), 0);
+	cases[_i].run(g, find_group_leader(g));
+	ck_assert_msg(
+	    g->failure[0] == '\0', "%s: %s", cases[_i].name, g->failure);
+	close_group(g);
+}
+END_TEST
+
+static void
+step_chaos(struct group *g, struct outcome *o, int *n)
+{
+	uint64_t id = 1 + draw_below(&g->rng, 3);
+	struct member *m = &g->member[id];
+	uint64_t dice = draw_below(&g->rng, 100);
+
+	if (m->r == NULL) {
+		if (dice < 10 && start_member(g, id, NULL) != 0)
+			fail_group(g, "a member does not start again");
+	} else if (dice < 35) {
+		pump_replica(m->r);
+	} else if (dice < 45) {
+		advance_clock(&g->pc, 10 * NSEC_PER_MSEC);
+	} else if (dice < 55 && *n < CHAOS_VALUES) {
+		uint64_t lead = find_group_leader(g);
+
+		if (lead != 0 && propose_value(g, lead, &o[*n]) == 0)
+			(*n)++;
+	} else if (dice < 58 && *n < CHAOS_VALUES) {
+		if (read_value(g, id, &o[*n]) == 0)
+			(*n)++;
+	} else if (dice < 59) {
+		if (draw_below(&g->rng, 3) == 0)
+			end_member(g, id, true);
+		else if (draw_below(&g->rng, 2) == 0)
+			block_member(g, id, true, draw_below(&g->rng, 2) == 0);
+		else
+			memset(g->blocked, 0, sizeof(g->blocked));
+	} else if (g->net_count > 0) {
+		size_t at =
+		    draw_below(&g->rng, g->net_count < 8 ? g->net_count : 8);
+
+		if (draw_below(&g->rng, 20) == 0)
+			drop_packet(g, at);
+		else
+			deliver_packet(g, at, draw_below(&g->rng, 20) == 0);
+	}
+	while (g->net_count > 200)
+		drop_packet(g, draw_below(&g->rng, g->net_count));
+}
+
+/*
+ * Checks the end of a chaos run: what was acknowledged is there once, what was
+ * refused is not, and all members are equal.
+ */
+static void
+check_chaos(struct group *g, const struct outcome *o, int n, uint64_t seed)
+{
+	for (uint64_t id = 1; id <= 3; id++) {
+		ck_assert_msg(
+		    g->member[id].state.len == g->member[1].state.len &&
+			memcmp(g->member[id].state.data,
+			    g->member[1].state.data,
+			    g->member[1].state.len) == 0,
+		    "seed %d: members differ", (int)seed);
+	}
+	for (int i = 0; i < n; i++) {
+		ck_assert_msg(o[i].calls == 1,
+		    "seed %d: request %d ended %d "
+		    "times",
+		    (int)seed, i, o[i].calls);
+		if (o[i].value == 0)
+			continue;
+		if (o[i].status == 0)
+			ck_assert_msg(has_value(&g->member[1], o[i].value),
+			    "seed %d: value %d lost", (int)seed, i);
+		else if (o[i].status != ERR_UNKNOWN)
+			ck_assert_msg(!has_value(&g->member[1], o[i].value),
+			    "seed %d: refused value %d took effect", (int)seed,
+			    i);
+	}
+}
+
+/* Guards against lost acknowledged commands, refused ones that take effect,
+ * and stale reads, under crashes with power cuts and a bad network. */
+START_TEST(chaos_keeps_the_promises)
+{
+	static struct outcome o[CHAOS_VALUES];
+	uint64_t acked = 0, unknown = 0, reads = 0;
+
+	set_log_level(LOG_LEVEL_ERR - 1);
+	for (uint64_t seed = 1; seed <= CHAOS_SEEDS; seed++) {
+		struct group *g = open_group(seed, 3);
+		int n = 0;
+
+		g->snapshot_bytes = 2048;
+		for (int k = 0; k < CHAOS_STEPS && !g->failure[0]; k++)
+			step_chaos(g, o, &n);
+		memset(g->blocked, 0, sizeof(g->blocked));
+		for (uint64_t id = 1; id <= 3; id++) {
+			if (g->member[id].r == NULL &&
+			    start_member(g, id, NULL) != 0)
+				fail_group(g, "a member does not start again");
+		}
+		run_group(g, 4000);
+		ck_assert_msg(g->failure[0] == '\0', "seed %d: %s", (int)seed,
+		    g->failure);
+		commit_values(g, 1);
+		run_group(g, 200);
+		check_chaos(g, o, n, seed);
+		for (int i = 0; i < n; i++) {
+			acked += o[i].value != 0 && o[i].status == 0;
+			unknown += o[i].status == ERR_UNKNOWN;
+			reads += o[i].value == 0 && o[i].status == 0;
+		}
+		close_group(g);
+	}
+	ck_assert_uint_gt(acked, CHAOS_SEEDS * 3);
+	ck_assert_uint_gt(reads, CHAOS_SEEDS);
+	printf("chaos: %llu acknowledged, %llu unknown, %llu reads\n",
+	    (unsigned long long)acked, (unsigned long long)unknown,
+	    (unsigned long long)reads);
+}
+END_TEST
+
+/* Three replicas with threads that hand messages to each other. */
+struct threads {
+	struct replica *r[4];
+	struct buf state[4];
+	pthread_mutex_t lock;
+	pthread_cond_t changed;
+	int done, applied, unknown;
+};
+
+struct thread_member {
+	struct threads *t;
+	uint64_t id;
+};
+
+static void
+send_direct(void *arg, uint64_t to, const struct wire_raft_message *m)
+{
+	struct thread_member *x = arg;
+	struct replica *r;
+
+	pthread_mutex_lock(&x->t->lock);
+	r = to < 4 ? x->t->r[to] : NULL;
+	if (r != NULL)
+		(void)step_replica(r, m);
+	pthread_mutex_unlock(&x->t->lock);
+}
+
+static void
+apply_thread(void *arg, uint64_t index, int64_t wall_ns, struct str command,
+    struct buf *result)
+{
+	struct thread_member *x = arg;
+
+	(void)index;
+	(void)wall_ns;
+	(void)append_buf(&x->t->state[x->id], command.data, command.len);
+	(void)append_buf(result, command.data, command.len);
+}
+
+static int
+save_thread(void *arg, struct buf *out)
+{
+	struct thread_member *x = arg;
+
+	return append_buf(out, x->t->state[x->id].data, x->t->state[x->id].len);
+}
+
+static int
+load_thread(void *arg, uint64_t index, struct str data)
+{
+	struct thread_member *x = arg;
+
+	(void)index;
+	x->t->state[x->id].len = 0;
+	return append_buf(&x->t->state[x->id], data.data, data.len);
+}
+
+static void
+note_thread(void *arg, int status, uint64_t index, struct str result)
+{
+	struct threads *t = arg;
+
+	(void)index;
+	(void)result;
+	pthread_mutex_lock(&t->lock);
+	t->done++;
+	t->applied += status == 0;
+	t->unknown += status == ERR_UNKNOWN;
+	pthread_cond_signal(&t->changed);
+	pthread_mutex_unlock(&t->lock);
+}
+
+static void
+remove_dir(const char *dir)
+{
+	struct wal_io io = get_system_io();
+	char path[128];
+
+	for (int i = 0; i < 200; i++) {
+		snprintf(path, sizeof(path), "%s/log-%016x", dir, i);
+		(void)io.remove_file(NULL, path);
+		snprintf(path, sizeof(path), "%s/snapshot-%016x", dir, i);
+		(void)io.remove_file(NULL, path);
+	}
+	snprintf(path, sizeof(path), "%s/state", dir);
+	(void)io.remove_file(NULL, path);
+	(void)rmdir(dir);
+}
+
+/*
+ * Proposes values until all of them are applied.
+ */
+static void
+drive_threads(struct threads *t)
+{
+	for (int tries = 0; t->applied < THREAD_VALUES && tries < 200000;
+	     tries++) {
+		bool sent = false;
+		int before;
+
+		pthread_mutex_lock(&t->lock);
+		before = t->done;
+		pthread_mutex_unlock(&t->lock);
+		for (int id = 1; id < 4 && !sent; id++) {
+			if (is_replica_leader(t->r[id]))
+				sent = propose_replica(t->r[id], make_str("v"),
+					   5000, note_thread, t) == 0;
+		}
+		if (!sent) {
+			usleep(1000);
+			continue;
+		}
+		pthread_mutex_lock(&t->lock);
+		while (t->done == before)
+			pthread_cond_wait(&t->changed, &t->lock);
+		pthread_mutex_unlock(&t->lock);
+	}
+}
+
+/* Guards against races and lost wake-ups of the threads. */
+START_TEST(threads_commit_and_stop)
+{
+	struct threads t = {.lock = PTHREAD_MUTEX_INITIALIZER,
+	    .changed = PTHREAD_COND_INITIALIZER};
+	struct thread_member x[4];
+	char dir[4][32];
+	struct raft_members boot = {
+	    3, {{1, true, "a"}, {2, true, "b"}, {3, true, "c"}}};
+	struct replica *started[4] = {0};
+
+	set_log_level(LOG_LEVEL_ERR - 1);
+	for (uint64_t id = 1; id < 4; id++) {
+		struct replica_config cfg = {.clock = get_real_clock(),
+		    .id = id,
+		    .data_dir = dir[id],
+		    .bootstrap = &boot,
+		    .machine = {apply_thread, save_thread, load_thread, &x[id]},
+		    .transport = {send_direct, NULL, &x[id]},
+		    .seed = id};
+
+		x[id] = (struct thread_member){&t, id};
+		snprintf(dir[id], sizeof(dir[id]), "/tmp/ggs-replica-XXXXXX");
+		ck_assert_ptr_nonnull(mkdtemp(dir[id]));
+		ck_assert_int_eq(start_replica(&cfg, &started[id], NULL), 0);
+	}
+	pthread_mutex_lock(&t.lock);
+	memcpy(t.r, started, sizeof(t.r));
+	pthread_mutex_unlock(&t.lock);
+	drive_threads(&t);
+	ck_assert_int_eq(t.applied, THREAD_VALUES);
+	/* Nobody reaches a replica that ends. */
+	pthread_mutex_lock(&t.lock);
+	memset(t.r, 0, sizeof(t.r));
+	pthread_mutex_unlock(&t.lock);
+	for (int id = 1; id < 4; id++)
+		stop_replica(started[id]);
+	for (int id = 1; id < 4; id++) {
+		ck_assert_uint_le(
+		    t.state[id].len, THREAD_VALUES + (size_t)t.unknown);
+		unload_buf(&t.state[id]);
+		remove_dir(dir[id]);
+	}
+}
+END_TEST
+
+/* Guards against fields that the wire loses, and messages that no one sends. */
+START_TEST(messages_survive_the_wire)
+{
+	struct wire_raft_message w = {0};
+	struct raft_entry entries[WIRE_ENTRIES_MAX];
+	struct raft_message m;
+	struct wire_raft_entry bad = {.type = 9};
+
+	w.type = WIRE_RAFT_HEARTBEAT;
+	w.hint = 1;
+	ck_assert_int_eq(import_raft_message(&w, &m, entries), 0);
+	ck_assert_int_eq(m.type, RAFT_READ);
+	w.hint = 2;
+	ck_assert_int_eq(import_raft_message(&w, &m, entries), 0);
+	ck_assert_int_eq(m.type, RAFT_CAMPAIGN);
+	w.type = WIRE_RAFT_HEARTBEAT_REPLY;
+	w.hint = 1;
+	ck_assert_int_eq(import_raft_message(&w, &m, entries), 0);
+	ck_assert_int_eq(m.type, RAFT_READ_REPLY);
+	w.type = (wire_raft_type)77;
+	ck_assert_int_eq(import_raft_message(&w, &m, entries), ERR_INVALID);
+	w.type = WIRE_RAFT_SNAPSHOT;
+	ck_assert_int_eq(import_raft_message(&w, &m, entries), ERR_INVALID);
+	w.type = WIRE_RAFT_APPEND;
+	w.entries.entries_len = 1;
+	w.entries.entries_val = &bad;
+	ck_assert_int_eq(import_raft_message(&w, &m, entries), ERR_INVALID);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("replica");
+	TCase *t = tcase_create("group");
+	SRunner *r;
+	int failed;
+
+	tcase_set_timeout(t, 60);
+	tcase_add_loop_test(
+	    t, group_survives, 0, (int)(sizeof(cases) / sizeof(cases[0])));
+	tcase_add_test(t, chaos_keeps_the_promises);
+	tcase_add_test(t, threads_commit_and_stop);
+	tcase_add_test(t, messages_survive_the_wire);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/packages/replica/work.c
@@ -0,0 +1,264 @@
+/*
+ * The replica's work: ticks, the core's output, compaction and status.
+ */
+#include <string.h>
+
+#include "replica_core.h"
+
+static void run_ticks(struct replica *r, int64_t now);
+static void send_messages(struct replica *r);
+static bool run_store(struct replica *r);
+static void run_applies(struct replica *r);
+static void apply_entry(struct replica *r, const struct raft_apply *a);
+static void watch_members(struct replica *r);
+static void log_role(struct replica *r);
+
+/*
+ * Takes what was handed in and carries out all that is due. Everything that
+ * came while the last sync ran shares the next one.
+ */
+void
+pump_replica(struct replica *r)
+{
+	int64_t now = read_mono(&r->cfg.clock);
+	struct item *it, *next;
+
+	pthread_mutex_lock(&r->lock);
+	it = r->inbox;
+	r->inbox = NULL;
+	r->inbox_tail = &r->inbox;
+	r->inbox_count = 0;
+	pthread_mutex_unlock(&r->lock);
+	for (; it != NULL; it = next) {
+		next = it->next;
+		handle_item(r, it);
+	}
+	if (!r->failed) {
+		send_reads(r);
+		/* Messages first: they may show that the leader is alive. */
+		run_ticks(r, now);
+		run_output(r);
+	}
+	if (!r->failed)
+		compact_replica(r);
+	else
+		r->last_tick = now;
+	publish_status(r, now);
+}
+
+/*
+ * Carries out the core's output. Entries leave for the followers before they
+ * are stored here, so that both syncs run at the same time.
+ */
+void
+run_output(struct replica *r)
+{
+	struct raft_read rd;
+
+	do {
+		send_messages(r);
+		run_applies(r);
+		while (!r->failed && take_raft_read(r->raft, &rd))
+			note_read(r, &rd);
+		if (!r->failed)
+			finish_reads(r);
+	} while (!r->failed && run_store(r));
+	if (!r->failed)
+		watch_members(r);
+}
+
+/*
+ * Replaces the log by a snapshot of the state machine when it is long.
+ */
+void
+compact_replica(struct replica *r)
+{
+	struct raft_status s = get_raft_status(r->raft);
+	struct fault f = {0};
+	struct buf b = {0};
+	int rc;
+
+	if (s.log_bytes < r->cfg.snapshot_bytes || s.applied <= s.snapshot ||
+	    is_raft_sending(r->raft))
+		return;
+	rc = r->cfg.machine.save(r->cfg.machine.arg, &b);
+	if (rc == 0)
+		rc = compact_raft(r->raft, s.applied, view_buf(&b));
+	unload_buf(&b);
+	if (rc != 0)
+		return; /* tried again with the next work */
+	rc = save_wal_snapshot(r->wal, get_raft_snapshot(r->raft), &f);
+	if (rc != 0)
+		fail_replica(r, f.text);
+}
+
+void
+publish_status(struct replica *r, int64_t now)
+{
+	struct raft_status s = get_raft_status(r->raft);
+
+	if (!r->failed)
+		log_role(r);
+	pthread_mutex_lock(&r->lock);
+	r->status.role = r->failed ? RAFT_FOLLOWER : s.role;
+	r->status.leader = r->failed ? 0 : s.leader;
+	r->status.term = s.term;
+	r->status.commit = s.commit;
+	r->status.applied = s.applied;
+	r->status.last = s.last;
+	r->status.snapshot = s.snapshot;
+	r->status.voter = s.voter && !r->failed;
+	r->status.failed = r->failed;
+	r->status.transferring = s.transferring;
+	r->status.wal = get_wal_counters(r->wal);
+	r->status.proposals = r->accepted;
+	if (s.contacts != r->contacts) {
+		r->contacts = s.contacts;
+		r->contact_at = now;
+	}
+	r->members = *get_raft_members(r->raft);
+	pthread_mutex_unlock(&r->lock);
+}
+
+/*
+ * Ends the membership of this process for good. Proposals that wait may still
+ * take effect, since others may hold them.
+ */
+void
+fail_replica(struct replica *r, const char *text)
+{
+	if (r->failed)
+		return;
+	r->failed = true;
+	write_log(LOG_LEVEL_ERR, "no longer a member of the group: %s", text);
+	fail_requests(r);
+}
+
+/*
+ * Runs the ticks that are due. After a stall, only a few are made up for:
+ * messages of that time may still be on their way.
+ */
+static void
+run_ticks(struct replica *r, int64_t now)
+{
+	int64_t due = (now - r->last_tick) / TICK_NS;
+
+	if (due <= 0)
+		return;
+	r->last_tick += due * TICK_NS;
+	if (due > TICKS_AT_ONCE)
+		due = TICKS_AT_ONCE;
+	for (; due > 0; due--)
+		tick_raft(r->raft);
+	expire_requests(r, now);
+	send_reads(r);
+}
+
+static void
+send_messages(struct replica *r)
+{
+	struct wire_raft_message w;
+	struct raft_message m;
+
+	while (!r->failed && take_raft_message(r->raft, &m)) {
+		export_raft_message(r, &m, &w);
+		r->cfg.transport.send(r->cfg.transport.arg, m.to, &w);
+	}
+}
+
+/*
+ * Stores one unit and reports it to the core. Returns whether there was one.
+ */
+static bool
+run_store(struct replica *r)
+{
+	struct raft_store s;
+	struct fault f = {0};
+	int rc;
+
+	if (!take_raft_store(r->raft, &s))
+		return false;
+	rc = store_wal(r->wal, &s, &f);
+	if (rc != 0) {
+		fail_replica(r, f.text);
+		return false;
+	}
+	rc = complete_raft_store(r->raft, s.seq);
+	if (rc != 0)
+		fail_replica(r, "out of memory; restart this member");
+	return rc == 0;
+}
+
+static void
+run_applies(struct replica *r)
+{
+	struct raft_apply a;
+
+	while (!r->failed && take_raft_apply(r->raft, &a)) {
+		if (a.snapshot == NULL) {
+			apply_entry(r, &a);
+			continue;
+		}
+		if (r->cfg.machine.load(
+			r->cfg.machine.arg, a.index, a.snapshot->data) != 0) {
+			fail_replica(r,
+			    "the snapshot cannot be loaded; wipe the data "
+			    "directory and rejoin as a new member");
+			return;
+		}
+		skip_proposals(r, a.index);
+	}
+}
+
+/*
+ * Applies one entry and completes its proposal.
+ */
+static void
+apply_entry(struct replica *r, const struct raft_apply *a)
+{
+	struct str d = a->entry.data;
+	uint64_t wall = 0;
+
+	r->result.len = 0;
+	if (a->entry.type == RAFT_ENTRY_COMMAND &&
+	    d.len >= REPLICA_STAMP_BYTES) {
+		for (int i = REPLICA_STAMP_BYTES - 1; i >= 0; i--)
+			wall = wall << 8 | (unsigned char)d.data[i];
+		r->cfg.machine.apply(r->cfg.machine.arg, a->index,
+		    (int64_t)wall,
+		    make_str_n(d.data + REPLICA_STAMP_BYTES,
+			d.len - REPLICA_STAMP_BYTES),
+		    &r->result);
+	}
+	finish_proposals(r, a->index, a->entry.term, view_buf(&r->result));
+}
+
+static void
+watch_members(struct replica *r)
+{
+	uint64_t index = get_raft_status(r->raft).members_index;
+
+	if (r->members_known && index == r->members_index)
+		return;
+	r->members_known = true;
+	r->members_index = index;
+	if (r->cfg.transport.update_members != NULL)
+		r->cfg.transport.update_members(
+		    r->cfg.transport.arg, get_raft_members(r->raft));
+}
+
+static void
+log_role(struct replica *r)
+{
+	struct raft_status s = get_raft_status(r->raft);
+
+	if (s.role == r->role)
+		return;
+	if (s.role == RAFT_LEADER)
+		write_log(LOG_LEVEL_NOTICE, "member %llu leads term %llu",
+		    (unsigned long long)r->cfg.id, (unsigned long long)s.term);
+	else if (r->role == RAFT_LEADER)
+		write_log(LOG_LEVEL_NOTICE, "member %llu leads no more",
+		    (unsigned long long)r->cfg.id);
+	r->role = s.role;
+}
