agent: report a refused version before asking for it again

Cause: a control process withholds a version that the node reports as refused (needs_table() in packages/control). The agent reported a bad delta and asked for the whole table in the same watch, so the whole table never came and the node stayed on the old version until the next change. The stand-in of the tests did not withhold, so they were green.

The stand-in withholds like the control process does.

Conclusion: a refused version is always reported, and a version damaged in one place only still takes effect.

--- a/packages/agent/agent_core.h
+++ b/packages/agent/agent_core.h
@@ -18,8 +18,16 @@
 #include "metric.h"
 #include "rpc.h"
 
+#define AGENT_REFUSALS_MAX 3 /* times that one version is asked for again */
 #define AGENT_CLAIMS_MAX 4096 /* claims unfinished, with those in background */
 
+/* How the agent recovers from a refused version, watch by watch. */
+enum agent_retry {
+	AGENT_RETRY_NONE,
+	AGENT_RETRY_REPORT, /* the next watch reports the refusal */
+	AGENT_RETRY_WHOLE, /* the one after it asks for the whole table */
+};
+
 /* A claim under way. */
 struct agent_claim {
 	struct agent_claim *next;
@@ -98,7 +106,8 @@
 	uint64_t registry_id; /* that the set versions belong to */
 	uint64_t refused_version;
 	char refused_reason[WIRE_TEXT_MAX + 1];
-	bool want_whole; /* the next watch asks for the whole table */
+	unsigned int refusals; /* of refused_version */
+	enum agent_retry retry;
 	uint32_t switch_ms;
 	uint64_t self_confirmed; /* seq that this control process has seen */
 	struct agent_claim *claims;
--- a/packages/agent/agent_watch.c
+++ b/packages/agent/agent_watch.c
@@ -17,6 +17,7 @@
 };
 
 static void send_watch(struct agent *a, int control, int64_t now);
+static void step_retry(struct agent *a, int64_t now);
 static uint64_t fill_self(struct agent *a, struct wire_endpoint *out,
     struct agent_self *copy, int *wait_ms);
 static void end_watch_rpc(void *arg, const struct rpc_result *result);
@@ -116,12 +117,13 @@
 	}
 	args.node = a->node;
 	args.zone = a->zone;
-	if (held != NULL && !a->want_whole) {
+	if (held != NULL && a->retry != AGENT_RETRY_WHOLE) {
 		args.held_version = held->version;
 		args.held_digest = held->digest;
 	}
 	args.switch_ms = a->switch_ms;
-	args.refused_version = a->refused_version;
+	if (a->retry != AGENT_RETRY_WHOLE)
+		args.refused_version = a->refused_version;
 	args.refused_reason = a->refused_reason;
 	args.registry_id = a->registry_id;
 	args.interest.interest_len = (unsigned int)n;
@@ -129,7 +131,7 @@
 	args.wait_ms = AGENT_HEARTBEAT_MS;
 	w->self_seq = fill_self(a, &self, &copy, &args.wait_ms);
 	args.self = w->self_seq != 0 ? &self : NULL;
-	a->want_whole = false;
+	step_retry(a, now);
 	rc = encode_wire((xdrproc_t)xdr_wire_watch_args, &args, &body);
 	if (rc == 0)
 		rc = call_rpc(a->peers[control], GGS_WATCH, view_buf(&body),
@@ -142,6 +144,21 @@
 	}
 }
 
+/*
+ * A control process withholds a version that the node reports as refused. So
+ * the report is followed by one more watch that does not name it.
+ */
+static void
+step_retry(struct agent *a, int64_t now)
+{
+	if (a->retry == AGENT_RETRY_REPORT) {
+		a->retry = AGENT_RETRY_WHOLE;
+		note_follow_changed(&a->follow, now);
+	} else {
+		a->retry = AGENT_RETRY_NONE;
+	}
+}
+
 /*
  * Gives the own record when the control process has not confirmed it; copy
  * holds its strings. Returns its seq or 0. A leaving node does not wait.
@@ -290,6 +307,8 @@
 	    (uint32_t)((read_mono(&a->clock) - received_at) / NSEC_PER_MSEC);
 	if (version >= a->refused_version) {
 		a->refused_version = 0;
+		a->refusals = 0;
+		a->retry = AGENT_RETRY_NONE;
 		a->refused_reason[0] = '\0';
 	}
 	count_metric(a->metrics.switches, 1);
@@ -300,8 +319,10 @@
 }
 
 /*
- * Notes a version that must not be used, for the next watch. A bad delta is
- * followed by one request for the whole table, as the base may be at fault.
+ * Notes a version that must not be used, for the next watch. The whole table is
+ * then asked for up to AGENT_REFUSALS_MAX times, as the fault may be that of
+ * the base or of one control process: after a bad delta the same one is asked,
+ * after a bad whole table another one. Then the node waits for the next version.
  */
 static enum reply_effect
 refuse_table(
@@ -311,6 +332,7 @@
 
 	count_metric(a->metrics.refused, 1);
 	a->refused_version = u->table_version;
+	a->refusals = again ? a->refusals + 1 : 1;
 	(void)copy_str(
 	    a->refused_reason, sizeof(a->refused_reason), make_str(f->text));
 	if (!again) {
@@ -319,10 +341,10 @@
 		record_event(a->events, "refuse", a->node, u->table_version,
 		    "%s", f->text);
 	}
-	if (u->form != WIRE_TABLE_DELTA || again)
-		return REPLY_FAILED;
-	a->want_whole = true;
-	return REPLY_NEWS;
+	if (a->refusals > AGENT_REFUSALS_MAX)
+		return REPLY_EMPTY;
+	a->retry = AGENT_RETRY_REPORT;
+	return u->form == WIRE_TABLE_DELTA ? REPLY_NEWS : REPLY_FAILED;
 }
 
 /*
--- a/packages/agent/tests/agent_rig.h
+++ b/packages/agent/tests/agent_rig.h
@@ -240,6 +240,7 @@
 		return;
 	}
 	if (mode != RIG_HOLD && c->rig->version != 0 &&
+	    args->refused_version != c->rig->version &&
 	    (args->held_version < c->rig->version || mode == RIG_LOWER)) {
 		fill_rig_table(c, args->held_version, &w.table, &body);
 		news = true;
--- a/packages/agent/tests/test_agent_watch.c
+++ b/packages/agent/tests/test_agent_watch.c
@@ -1,6 +1,7 @@
 /*
  * The agent against control processes that lag, lie, fall silent or vanish.
  */
+#include "agent_core.h"
 #include "agent_rig.h"
 
 static const struct wire_endpoint own = {.id = (char *)(uintptr_t) "node-1",
@@ -91,6 +92,40 @@
 }
 END_TEST
 
+/*
+ * Guards against nodes that fetch an invalid version again and again, and
+ * against one that misses the version after it.
+ */
+START_TEST(invalid_version_is_fetched_a_bounded_number_of_times)
+{
+	metric_id refused =
+	    register_metric(METRIC_COUNTER, "ggs_agent_refused_total", "");
+	struct rig r;
+
+	open_rig(&r, 2);
+	start_rig_agent(&r, NULL);
+	RIG_UNTIL(get_rig_version(&r) == 5);
+	atomic_store(&r.controls[0].mode, RIG_BAD_ROW);
+	atomic_store(&r.controls[1].mode, RIG_BAD_ROW);
+	change_rig(&r, 0, 20);
+	RIG_ADVANCE_UNTIL(&r, get_metric(refused) == 1 + AGENT_REFUSALS_MAX);
+	for (int i = 0; i < 1000; i++) {
+		advance_rig(&r, 100);
+		pause_rig();
+	}
+	ck_assert_int_eq(get_metric(refused), 1 + AGENT_REFUSALS_MAX);
+	ck_assert_uint_eq(get_rig_version(&r), 5);
+	atomic_store(&r.controls[0].mode, RIG_SERVE);
+	atomic_store(&r.controls[1].mode, RIG_SERVE);
+	change_rig(&r, 0, 30);
+	change_rig(&r, 1, 30);
+	RIG_ADVANCE_UNTIL(&r, get_rig_version(&r) == r.version);
+	RIG_ADVANCE_UNTIL(&r, get_rig_seen(&r, 0).held == r.version ||
+				  get_rig_seen(&r, 1).held == r.version);
+	close_rig(&r);
+}
+END_TEST
+
 /* Guards against a restarted node that a partitioned control process serves. */
 START_TEST(node_without_a_table_leaves_a_stale_control)
 {
@@ -443,6 +478,7 @@
 	tcase_add_test(t, table_is_followed_upward);
 	tcase_add_loop_test(t, bad_answer_changes_nothing_and_is_survived, 0,
 	    COUNT(fault_cases));
+	tcase_add_test(t, invalid_version_is_fetched_a_bounded_number_of_times);
 	tcase_add_test(t, node_without_a_table_leaves_a_stale_control);
 	tcase_add_test(t, limited_node_asks_again);
 	tcase_add_test(t, silent_control_is_left_after_the_overdue_time);
