rpc: test the file limit and the order of closing; start scans on time

Cause: two rules had no test: a server out of descriptors must neither spin nor stay deaf, and on_close must follow the last handler of its connection. The first test showed a second, needless accept: the first scan of a server ran at once and woke the paused listener.

Change: the first scan is due SCAN_NS after the start. Two tests added.

--- a/packages/rpc/rpc_server.c
+++ b/packages/rpc/rpc_server.c
@@ -362,6 +362,7 @@
 	struct epoll_event events[RPC_LOOP_BATCH];
 	bool stopping = false;
 
+	s->next_scan = read_mono(&s->cfg.clock) + SCAN_NS;
 	while (!stopping) {
 		int64_t now = read_mono(&s->cfg.clock);
 		int n = wait_rpc_loop(&s->loop, events, get_wait(s, now));
--- a/packages/rpc/tests/rpc_rig.h
+++ b/packages/rpc/tests/rpc_rig.h
@@ -23,6 +23,7 @@
 
 /*
  * The handler holds WATCH calls until the test completes them, echoes PROPOSE,
+ * blocks in ENDPOINT_SYNC while the test wants it,
  * refuses CLAIM with the status whose negative its first byte holds, and
  * answers READ_INDEX with more than its max_reply.
  */
@@ -39,7 +40,7 @@
 	int closed_count; /* on_close calls */
 	uint64_t closed_conn;
 	atomic_int running; /* handlers */
-	atomic_int closed_while_running;
+	atomic_bool block; /* handlers of ENDPOINT_SYNC wait while it is set */
 	/* What on_send does, by direction; conn_max bounds it. */
 	_Atomic enum rpc_fault_kind call_fault, reply_fault;
 	atomic_int delay_ms;
@@ -79,13 +80,20 @@
 		wake_rpc_client(r->client);
 }
 
+static inline void
+pause_rig(void)
+{
+	struct timespec step = {0, 1000000};
+
+	nanosleep(&step, NULL);
+}
+
 /* Polls a condition; the test fails when it does not come true. */
 #define RIG_UNTIL(cond)                                  \
 	do {                                             \
 		int rig_left = RIG_WAIT_MS;              \
-		struct timespec rig_step = {0, 1000000}; \
 		while (!(cond) && rig_left-- > 0)        \
-			nanosleep(&rig_step, NULL);      \
+			pause_rig();                     \
 		ck_assert_msg(cond, "never: %s", #cond); \
 	} while (0)
 
@@ -106,6 +114,11 @@
 		r->held[r->held_count++] = reply;
 		pthread_mutex_unlock(&r->lock);
 		break;
+	case GGS_ENDPOINT_SYNC:
+		while (atomic_load(&r->block))
+			pause_rig();
+		complete_rpc(reply, 0, req->args);
+		break;
 	case GGS_CLAIM:
 		complete_rpc(reply, -req->args.data[0], req->args);
 		break;
--- a/packages/rpc/tests/test_rpc_client.c
+++ b/packages/rpc/tests/test_rpc_client.c
@@ -214,6 +214,32 @@
 }
 END_TEST
 
+/* Guards against state of a connection that outlives its on_close. */
+START_TEST(close_is_reported_after_the_last_handler)
+{
+	struct rig_call running, queued;
+	struct rig r;
+
+	open_rig(&r);
+	open_rig_server(&r, (struct rpc_server_config){.workers = 3});
+	open_rig_client(&r, (struct rpc_client_config){0});
+	atomic_store(&r.block, true);
+	start_rig_call(&r, &running, GGS_ENDPOINT_SYNC, "a", 60000);
+	RIG_UNTIL(atomic_load(&r.running) == 1);
+	start_rig_call(&r, &queued, GGS_WATCH, "b", 60000);
+	RIG_UNTIL(count_rig_held(&r) == 1);
+	reset_rpc_peer(r.peer);
+	await_rig_call(&running, ERR_TIMEOUT);
+	await_rig_call(&queued, ERR_TIMEOUT);
+	RIG_UNTIL(get_rpc_server_stats(r.server).open == 0);
+	check_rig_works(&r); /* a free worker took the closing by now */
+	ck_assert_int_eq(count_rig_closed(&r), 0);
+	atomic_store(&r.block, false);
+	RIG_UNTIL(count_rig_closed(&r) == 1);
+	close_rig(&r);
+}
+END_TEST
+
 /* Guards against a server that cannot close one client's connection. */
 START_TEST(server_closes_a_connection_on_request)
 {
@@ -601,6 +627,7 @@
 	tcase_add_test(t, slow_call_keeps_a_working_connection);
 	tcase_add_test(t, server_closing_fails_held_calls);
 	tcase_add_test(t, reply_for_a_closed_connection_is_dropped);
+	tcase_add_test(t, close_is_reported_after_the_last_handler);
 	tcase_add_test(t, server_closes_a_connection_on_request);
 	tcase_add_test(t, unsent_call_is_unavailable);
 	tcase_add_test(t, connecting_is_bounded);
--- a/packages/rpc/tests/test_rpc_server.c
+++ b/packages/rpc/tests/test_rpc_server.c
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <stddef.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -349,6 +350,38 @@
 }
 END_TEST
 
+/* Guards against a server that spins or stays deaf without descriptors. */
+START_TEST(server_survives_the_file_limit)
+{
+	struct rlimit full, none;
+	struct rpc_address addr;
+	struct rig r;
+	char byte;
+	int fd;
+
+	open_rig(&r);
+	open_rig_server(&r, (struct rpc_server_config){0});
+	ck_assert_int_eq(
+	    parse_rpc_address(get_rpc_server_address(r.server), &addr), 0);
+	ck_assert_int_eq(getrlimit(RLIMIT_NOFILE, &full), 0);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	none = full;
+	none.rlim_cur = (rlim_t)fd + 1;
+	ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &none), 0);
+	ck_assert_int_eq(
+	    connect(fd, (struct sockaddr *)&addr.storage, addr.len), 0);
+	RIG_UNTIL(get_rpc_server_stats(r.server).refused_full == 1);
+	for (int i = 0; i < 50; i++)
+		pause_rig();
+	ck_assert_uint_eq(get_rpc_server_stats(r.server).refused_full, 1);
+	ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &full), 0);
+	advance_rig(&r, 300);
+	ck_assert_int_eq(recv(fd, &byte, 1, 0), 1);
+	close(fd);
+	close_rig(&r);
+}
+END_TEST
+
 /* Guards against a reader that lets replies pile up in the server. */
 START_TEST(unread_output_is_bounded)
 {
@@ -454,6 +487,7 @@
 	    t, attack_closes_its_connection_only, 0, COUNT(attack_cases));
 	tcase_add_test(t, call_in_single_bytes_is_answered);
 	tcase_add_test(t, connections_over_the_limit_are_closed);
+	tcase_add_test(t, server_survives_the_file_limit);
 	tcase_add_test(t, unread_output_is_bounded);
 	tcase_add_test(t, stalled_reader_is_closed);
 	tcase_add_test(t, retired_key_closes_its_connections);
