Give shared symbols of the control package names of their own

Cause: append_record(), find_peer() and unload_result() are also symbols of wal, raft and proxy, which one binary links together with this package; the link failed with "multiple definition".

Change: append_stored(), take_stored(), find_control_peer(), encode_command_result(), decode_command_result(), unload_command_result(). `nm` over all libraries shows no symbol defined twice any more.

--- a/packages/control/api_change.c
+++ b/packages/control/api_change.c
@@ -285,10 +285,10 @@
 	if (rc == 0)
 		rc = wait_command(c, view_buf(&bytes), &result);
 	if (rc == 0)
-		rc = decode_result(view_buf(&result), &r);
+		rc = decode_command_result(view_buf(&result), &r);
 	if (rc == 0) {
 		answer_result(a, &r);
-		unload_result(&r);
+		unload_command_result(&r);
 	} else {
 		answer_error(a, 503, "unavailable", UNKNOWN_TEXT, true);
 	}
--- a/packages/control/claims.c
+++ b/packages/control/claims.c
@@ -123,7 +123,7 @@
 		all[n++] = (const struct claim *)l;
 	qsort(all, n, sizeof(struct claim *), compare_claims);
 	for (size_t i = 0; i < n && rc == 0; i++)
-		rc = append_record(out, STORED_CLAIM,
+		rc = append_stored(out, STORED_CLAIM,
 		    (xdrproc_t)xdr_stored_claim, &all[i]->stored);
 	free(all);
 	return rc;
--- a/packages/control/command.c
+++ b/packages/control/command.c
@@ -38,7 +38,7 @@
  * Appends a result. XDR strings must not be NULL, so unset ones are sent empty.
  */
 int
-encode_result(const struct command_result *r, struct buf *out)
+encode_command_result(const struct command_result *r, struct buf *out)
 {
 	static char empty[1];
 	struct command_result c = *r;
@@ -53,7 +53,7 @@
 }
 
 int
-decode_result(struct str bytes, struct command_result *out)
+decode_command_result(struct str bytes, struct command_result *out)
 {
 	memset(out, 0, sizeof(*out));
 	if (bytes.len == 0)
@@ -62,7 +62,7 @@
 }
 
 void
-unload_result(struct command_result *r)
+unload_command_result(struct command_result *r)
 {
 	unload_wire((xdrproc_t)xdr_command_result, r);
 }
@@ -82,7 +82,7 @@
 }
 
 int
-append_record(
+append_stored(
     struct buf *out, enum stored_type type, xdrproc_t proc, const void *value)
 {
 	unsigned char head[RECORD_HEAD_BYTES] = {0};
@@ -102,7 +102,7 @@
 }
 
 int
-take_record(struct str *data, enum stored_type *type, struct str *body)
+take_stored(struct str *data, enum stored_type *type, struct str *body)
 {
 	const unsigned char *p = (const unsigned char *)data->data;
 	uint32_t len;
--- a/packages/control/command.h
+++ b/packages/control/command.h
@@ -13,9 +13,9 @@
 int decode_command(struct str bytes, struct command *out); /* ERR_CORRUPT */
 void unload_command(struct command *c); /* decoded ones only */
 
-int encode_result(const struct command_result *r, struct buf *out);
-int decode_result(struct str bytes, struct command_result *out);
-void unload_result(struct command_result *r); /* decoded ones only */
+int encode_command_result(const struct command_result *r, struct buf *out);
+int decode_command_result(struct str bytes, struct command_result *out);
+void unload_command_result(struct command_result *r); /* decoded ones only */
 
 /*
  * Hash of author, key and what the command changes. The base is left out: a
@@ -24,9 +24,9 @@
 uint64_t fingerprint_command(const struct command *c);
 
 /* Snapshot records: type, length and encoded value */
-int append_record(
+int append_stored(
     struct buf *out, enum stored_type type, xdrproc_t proc, const void *value);
 /* Moves data past the record; ERR_CORRUPT when it is cut or malformed. */
-int take_record(struct str *data, enum stored_type *type, struct str *body);
+int take_stored(struct str *data, enum stored_type *type, struct str *body);
 
 #endif
--- a/packages/control/peers.c
+++ b/packages/control/peers.c
@@ -29,13 +29,13 @@
 			return rc;
 		if (id == c->id)
 			continue;
-		if (find_peer(c, id) != NULL)
+		if (find_control_peer(c, id) != NULL)
 			return set_fault(f, ERR_INVALID,
 			    "control process %llu is listed twice; give every "
 			    "process an id of its own",
 			    (unsigned long long)id);
 		update_peer(c, id, address);
-		if (find_peer(c, id) == NULL)
+		if (find_control_peer(c, id) == NULL)
 			return set_fault(f, ERR_INVALID,
 			    "'%s' is no peer; write id=IP:port",
 			    c->cfg.peers[i]);
@@ -50,7 +50,7 @@
 void
 update_peer(struct control *c, uint64_t id, const char *address)
 {
-	struct peer *p = find_peer(c, id);
+	struct peer *p = find_control_peer(c, id);
 	struct rpc_peer *rpc = NULL;
 	struct fault f;
 
@@ -76,7 +76,7 @@
 }
 
 struct peer *
-find_peer(struct control *c, uint64_t id)
+find_control_peer(struct control *c, uint64_t id)
 {
 	struct peer *p = NULL;
 
--- a/packages/control/replication.c
+++ b/packages/control/replication.c
@@ -283,7 +283,7 @@
 send_raft(void *arg, uint64_t to, const struct wire_raft_message *m)
 {
 	struct control *c = arg;
-	struct peer *p = find_peer(c, to);
+	struct peer *p = find_control_peer(c, to);
 	struct buf b = {0};
 
 	if (p == NULL)
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -179,7 +179,7 @@
 /* peers.c */
 int open_peers(struct control *c, struct fault *f);
 void update_peer(struct control *c, uint64_t id, const char *address);
-struct peer *find_peer(struct control *c, uint64_t id);
+struct peer *find_control_peer(struct control *c, uint64_t id);
 void sync_peers(struct control *c, int64_t now); /* lock held */
 void handle_sync(
     struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
--- a/packages/control/state.c
+++ b/packages/control/state.c
@@ -72,7 +72,7 @@
 	if (c.body.type == COMMAND_CLAIM) {
 		apply_claim(&s->claims, s->log_ns, &c, &r);
 		require(r.status == ERR_MEMORY ? ERR_MEMORY : 0);
-		require(encode_result(&r, result));
+		require(encode_command_result(&r, result));
 	} else {
 		apply_change(s, &c, result);
 	}
@@ -116,16 +116,16 @@
 	int rc = save_head(s, out);
 
 	for (size_t i = 0; i < s->history.count && rc == 0; i++)
-		rc = append_record(out, STORED_VERSION,
+		rc = append_stored(out, STORED_VERSION,
 		    (xdrproc_t)xdr_stored_version, get_version(&s->history, i));
 	for (const struct answer *a = s->answers.oldest; a != NULL && rc == 0;
 	     a = a->newer)
-		rc = append_record(out, STORED_ANSWER,
+		rc = append_stored(out, STORED_ANSWER,
 		    (xdrproc_t)xdr_stored_answer, &a->stored);
 	if (rc == 0)
 		rc = save_claims(&s->claims, out);
 	if (rc == 0)
-		rc = append_record(out, STORED_END, NULL, NULL);
+		rc = append_stored(out, STORED_END, NULL, NULL);
 	return rc;
 }
 
@@ -142,7 +142,7 @@
 
 	clear_state(s);
 	while (rc == 0 && type != STORED_END) {
-		rc = take_record(&data, &type, &body);
+		rc = take_stored(&data, &type, &body);
 		if (rc == 0 && first != (type == STORED_HEAD))
 			rc = ERR_CORRUPT;
 		if (rc == 0)
@@ -240,7 +240,7 @@
 	r.winner.value = (char *)(uintptr_t)o->winner.value;
 	r.winner_author = (char *)(uintptr_t)o->winner_author;
 	r.text = (char *)(uintptr_t)o->text;
-	return encode_result(&r, out);
+	return encode_command_result(&r, out);
 }
 
 static int
@@ -251,7 +251,7 @@
 	    .status = status, .table_version = s->table->version};
 
 	r.text = (char *)(uintptr_t)text;
-	return encode_result(&r, out);
+	return encode_command_result(&r, out);
 }
 
 /*
@@ -303,7 +303,7 @@
 	h.csv.csv_val = csv.data;
 	h.csv.csv_len = (unsigned int)csv.len;
 	if (rc == 0)
-		rc = append_record(
+		rc = append_stored(
 		    out, STORED_HEAD, (xdrproc_t)xdr_stored_head, &h);
 	unload_buf(&csv);
 	return rc;
--- a/packages/control/submit.c
+++ b/packages/control/submit.c
@@ -269,11 +269,11 @@
 
 	if (get_replication(c, &st))
 		return st.leader != 0 && st.leader != c->id ?
-			   find_peer(c, st.leader) :
+			   find_control_peer(c, st.leader) :
 			   NULL;
 	pthread_mutex_lock(&c->lock);
 	if (c->leader_hint != 0)
-		p = find_peer(c, c->leader_hint);
+		p = find_control_peer(c, c->leader_hint);
 	if (p == NULL && c->peer_count > 0)
 		p = &c->peers[draw_below(&c->rng, c->peer_count)];
 	pthread_mutex_unlock(&c->lock);
@@ -400,11 +400,11 @@
 	struct waiting_call *w = arg;
 	struct command_result r = {0};
 
-	if (status == 0 && decode_result(result, &r) != 0)
+	if (status == 0 && decode_command_result(result, &r) != 0)
 		status = ERR_UNKNOWN;
 	send_claim_reply(w->control, w->reply, status, status == 0 ? &r : NULL);
 	if (status == 0)
-		unload_result(&r);
+		unload_command_result(&r);
 	free(w);
 }
 
--- a/packages/control/tests/state_fixture.h
+++ b/packages/control/tests/state_fixture.h
@@ -28,7 +28,7 @@
 	return s;
 }
 
-/* Applies a command and returns its result, to be freed by unload_result(). */
+/* Applies a command and returns its result, to be freed by unload_command_result(). */
 static inline struct command_result
 apply_at(struct state *s, int64_t stamp, const struct command *c)
 {
@@ -37,7 +37,7 @@
 
 	ck_assert_int_eq(encode_command(c, &bytes), 0);
 	apply_state(s, stamp, view_buf(&bytes), &result);
-	ck_assert_int_eq(decode_result(view_buf(&result), &r), 0);
+	ck_assert_int_eq(decode_command_result(view_buf(&result), &r), 0);
 	unload_buf(&bytes);
 	unload_buf(&result);
 	return r;
--- a/packages/control/tests/test_claims.c
+++ b/packages/control/tests/test_claims.c
@@ -94,7 +94,7 @@
 		    r.claim_state);
 		ck_assert_msg(
 		    r.holder[1] == p->holder, "step %d: %s", i, r.holder);
-		unload_result(&r);
+		unload_command_result(&r);
 	}
 	close_state(s);
 }
@@ -106,16 +106,16 @@
 	struct state *s = open_sample();
 	struct command_result r = send_claim(s, T0, "k", 'a', OPEN, 60, "");
 
-	unload_result(&r);
+	unload_command_result(&r);
 	r = send_claim(s, T0, "k", 'a', RAN, 60, "paid 12");
-	unload_result(&r);
+	unload_command_result(&r);
 	r = send_claim(s, T0, "k", 'b', OPEN, 60, "");
 	ck_assert_int_eq(r.status, ERR_CONFLICT);
 	ck_assert_int_eq(r.http_status, 201);
 	ck_assert_uint_eq(r.answer.answer_len, 7);
 	ck_assert_mem_eq(r.answer.answer_val, "paid 12", 7);
 	ck_assert(r.answer_whole);
-	unload_result(&r);
+	unload_command_result(&r);
 	close_state(s);
 }
 END_TEST
@@ -148,15 +148,15 @@
 	struct command_result r =
 	    send_claim(s, T0, "k", 'a', OPEN, c->keep_s, "");
 
-	unload_result(&r);
+	unload_command_result(&r);
 	if (c->state != OPEN) {
 		r = send_claim(s, closed, "k", 'a', c->state, c->keep_s, "");
-		unload_result(&r);
+		unload_command_result(&r);
 	}
 	at = (c->state != OPEN ? closed : T0) + c->after_s * NSEC_PER_SEC;
 	r = send_claim(s, at, "k", 'b', OPEN, c->keep_s, "");
 	ck_assert_int_eq(r.status, c->want);
-	unload_result(&r);
+	unload_command_result(&r);
 	close_state(s);
 }
 END_TEST
@@ -176,19 +176,19 @@
 		snprintf(key, sizeof(key), "k%d", i);
 		r = send_claim(s, T0, key, 'a', OPEN, 60, "");
 		ck_assert_int_eq(r.status, i < MAX ? 0 : ERR_LIMIT);
-		unload_result(&r);
+		unload_command_result(&r);
 	}
 	for (int i = 0; i < MAX; i++) {
 		snprintf(key, sizeof(key), "k%d", i);
 		r = send_claim(s, T0, key, 'b', OPEN, 60, "");
 		ck_assert_int_eq(r.status, ERR_CONFLICT);
-		unload_result(&r);
+		unload_command_result(&r);
 	}
 	/* Ended retentions make room. */
 	r = send_claim(s, T0 + 60 * NSEC_PER_SEC, "new", 'a', OPEN, 60, "");
 	ck_assert_int_eq(r.status, 0);
 	ck_assert_uint_eq(s->claims.index.count, 1);
-	unload_result(&r);
+	unload_command_result(&r);
 	close_state(s);
 }
 END_TEST
@@ -224,7 +224,7 @@
 			ck_assert(granted == 0 || granted == id);
 			granted = id;
 		}
-		unload_result(&x);
+		unload_command_result(&x);
 	}
 	close_state(s);
 }
--- a/packages/control/tests/test_state.c
+++ b/packages/control/tests/test_state.c
@@ -96,7 +96,7 @@
 		ck_assert_str_eq(r.winner_author,
 		    p->winner_author != NULL ? p->winner_author : "");
 		ck_assert(p->status == 0 || r.text[0] != '\0');
-		unload_result(&r);
+		unload_command_result(&r);
 		if (i == 0)
 			first = s->table->digest;
 	}
@@ -131,9 +131,9 @@
 		ck_assert_uint_eq(a.winner_version, b.winner_version);
 		ck_assert_str_eq(a.winner.value, b.winner.value);
 		ck_assert_uint_eq(s->table->version, version);
-		unload_result(&a);
-		unload_result(&b);
-		unload_result(&c);
+		unload_command_result(&a);
+		unload_command_result(&b);
+		unload_command_result(&c);
 	}
 	/* A key belongs to one change of one operator. */
 	uint64_t version = s->table->version;
@@ -141,11 +141,11 @@
 
 	ck_assert_int_eq(r.status, ERR_INVALID);
 	ck_assert_uint_eq(s->table->version, version);
-	unload_result(&r);
+	unload_command_result(&r);
 	r = apply_edit(s, "dora", "k1", version, "b", COL_RANK, "9");
 	ck_assert_int_eq(r.status, 0);
 	ck_assert_uint_eq(s->table->version, version + 1);
-	unload_result(&r);
+	unload_command_result(&r);
 	close_state(s);
 }
 END_TEST
@@ -161,7 +161,7 @@
 
 		snprintf(key, sizeof(key), "k%d", i);
 		r = apply_edit(s, "anna", key, 0, "a", COL_RANK, "1");
-		unload_result(&r);
+		unload_command_result(&r);
 	}
 	ck_assert_uint_eq(s->answers.index.count, ANSWERS_MAX);
 	ck_assert_ptr_null(
@@ -174,10 +174,10 @@
 	c.body.type = COMMAND_REVERT;
 	struct command_result r = apply_at(s, T0 + ANSWERS_KEEP_NS - 1, &c);
 
-	unload_result(&r);
+	unload_command_result(&r);
 	ck_assert_uint_eq(s->answers.index.count, ANSWERS_MAX);
 	r = apply_at(s, T0 + ANSWERS_KEEP_NS, &c);
-	unload_result(&r);
+	unload_command_result(&r);
 	ck_assert_uint_eq(s->answers.index.count, 0);
 	close_state(s);
 }
@@ -195,7 +195,7 @@
 	for (size_t i = 0; i < sizeof(stamps) / sizeof(stamps[0]); i++) {
 		struct command_result r = apply_at(s, stamps[i], &c);
 
-		unload_result(&r);
+		unload_command_result(&r);
 		ck_assert_int_ge(s->log_ns, last);
 		last = s->log_ns;
 	}
@@ -232,7 +232,7 @@
 		    draw_below(r, 2) == 0 ? COL_RANK : COL_WEIGHT, value);
 		break;
 	}
-	unload_result(&x);
+	unload_command_result(&x);
 }
 
 /*
@@ -272,7 +272,7 @@
 	struct command_result x = apply_edit(s, "anna", "",
 	    VERSIONS - HISTORY_MAX - 1, s->table->rows[0].kind, COL_RANK, "8");
 	ck_assert_int_eq(x.status, ERR_STALE);
-	unload_result(&x);
+	unload_command_result(&x);
 	close_state(s);
 }
 END_TEST
@@ -298,11 +298,11 @@
 		q->answer.answer_val = key;
 		q->answer.answer_len = (unsigned)strlen(key);
 		x = apply_at(s, T0 + (int64_t)i * NSEC_PER_SEC, &c);
-		unload_result(&x);
+		unload_command_result(&x);
 		snprintf(key, sizeof(key), "e%d", i);
 		x = apply_edit(s, "anna", key, s->table->version, "b",
 		    COL_WEIGHT, key + 1);
-		unload_result(&x);
+		unload_command_result(&x);
 	}
 }
 
@@ -421,11 +421,11 @@
 		ck_assert_int_eq(
 		    load_state(copy, make_str_n(all.data, n), &f), ERR_CORRUPT);
 	rest = make_str_n(all.data, 20); /* ends within the first record */
-	ck_assert_int_eq(take_record(&rest, &type, &body), ERR_CORRUPT);
+	ck_assert_int_eq(take_stored(&rest, &type, &body), ERR_CORRUPT);
 	rest = view_buf(&all);
-	ck_assert_int_eq(take_record(&rest, &type, &body), 0);
+	ck_assert_int_eq(take_stored(&rest, &type, &body), 0);
 	ck_assert_int_eq(append_buf(&mixed, all.data, all.len - rest.len), 0);
-	ck_assert_int_eq(append_record(&mixed, STORED_END, NULL, NULL), 0);
+	ck_assert_int_eq(append_stored(&mixed, STORED_END, NULL, NULL), 0);
 	ck_assert_int_eq(load_state(copy, view_buf(&mixed), &f), ERR_CORRUPT);
 	ck_assert_int_eq(load_state(copy, view_buf(&all), &f), 0);
 	unload_buf(&all);
@@ -454,7 +454,7 @@
 			     (struct command_result){0};
 
 		if (i == 0)
-			unload_result(&r);
+			unload_command_result(&r);
 		c.base = 1;
 		cell.value = (char *)(uintptr_t)(i == 0 ? "99" : "8");
 		bytes.len = result.len = 0;
@@ -464,7 +464,7 @@
 		if (i == 1) {
 			r = apply_at(s, T0, &c);
 			ck_assert_int_eq(r.status, 0);
-			unload_result(&r);
+			unload_command_result(&r);
 		}
 	}
 	ck_assert_uint_eq(s->table->version, 2);
--- a/packages/control/tests/test_watch.c
+++ b/packages/control/tests/test_watch.c
@@ -87,7 +87,7 @@
 		    i, i);
 	r = apply_import(s, "anna", "", 0, csv.data);
 	ck_assert_int_eq(r.status, 0);
-	unload_result(&r);
+	unload_command_result(&r);
 	unload_buf(&csv);
 	return s;
 }
@@ -102,7 +102,7 @@
 	r = apply_edit(
 	    s, "anna", "", s->table->version, name, COL_WEIGHT, value);
 	ck_assert_int_eq(r.status, 0);
-	unload_result(&r);
+	unload_command_result(&r);
 }
 
 /* Takes a reply over as a node does and checks the digest. */
@@ -227,14 +227,14 @@
 	    apply_import(s, "anna", "", 1, SAMPLE); /* three rows */
 
 	ck_assert_int_eq(r.status, 0);
-	unload_result(&r);
+	unload_command_result(&r);
 	ck_assert_int_eq(find_update(cache, s, 1, &u), 0);
 	ck_assert_int_eq(u->form, WHOLE);
 	ck_assert_uint_eq(get_update_tokens(u), 1);
 	for (int i = 0; i < HISTORY_MAX; i++) {
 		r = apply_edit(s, "anna", "", s->table->version, "a", COL_RANK,
 		    i % 2 == 0 ? "5" : "6");
-		unload_result(&r);
+		unload_command_result(&r);
 	}
 	ck_assert_int_eq(find_update(cache, s, 2, &u), 0);
 	ck_assert_int_eq(u->form, DELTA);
