--- a/packages/control/api_change.c
+++ b/packages/control/api_change.c
@@ -285,7 +285,7 @@
 	if (rc == 0)
 		rc = wait_command(c, view_buf(&bytes), &result);
 	if (rc == 0)
-		rc = decode_result(view_buf(&result), &r);
+		rc = decode_command_result(view_buf(&result), &r);
 	if (rc == 0) {
 		answer_result(a, &r);
 		unload_command_result(&r);
--- a/packages/control/submit.c
+++ b/packages/control/submit.c
@@ -400,7 +400,7 @@
 	struct waiting_call *w = arg;
 	struct command_result r = {0};
 
-	if (status == 0 && decode_result(result, &r) != 0)
+	if (status == 0 && decode_command_result(result, &r) != 0)
 		status = ERR_UNKNOWN;
 	send_claim_reply(w->control, w->reply, status, status == 0 ? &r : NULL);
 	if (status == 0)
--- a/packages/control/tests/test_state.c
+++ b/packages/control/tests/test_state.c
@@ -421,12 +421,11 @@
 		ck_assert_int_eq(
 		    load_state(copy, make_str_n(all.data, n), &f), ERR_CORRUPT);
 	rest = make_str_n(all.data, 20); /* ends within the first record */
-	ck_assert_int_eq(take_record(&rest, &type, &body), ERR_CORRUPT);
+	ck_assert_int_eq(take_stored(&rest, &type, &body), ERR_CORRUPT);
 	rest = view_buf(&all);
-	ck_assert_int_eq(take_record(&rest, &type, &body), 0);
+	ck_assert_int_eq(take_stored(&rest, &type, &body), 0);
 	ck_assert_int_eq(append_buf(&mixed, all.data, all.len - rest.len), 0);
-	ck_assert_int_eq(
-	    append_stored_record(&mixed, STORED_END, NULL, NULL), 0);
+	ck_assert_int_eq(append_stored(&mixed, STORED_END, NULL, NULL), 0);
 	ck_assert_int_eq(load_state(copy, view_buf(&mixed), &f), ERR_CORRUPT);
 	ck_assert_int_eq(load_state(copy, view_buf(&all), &f), 0);
 	unload_buf(&all);
