scenarios: read all runs of the stand-ins

Cause: once.lua read only the duplicates that the stand-in lists by default and took calls that ran for calls that did not. Change: it asks for all runs and sums their counts.

--- a/scenarios/once.lua
+++ b/scenarios/once.lua
@@ -18,10 +18,10 @@
 	for _, s in ipairs(f.servers) do
 		if s.running and s.node.service == "erogazioni" then
 			local r = http.request{url = "http://" .. s.address ..
-				"/runs"}
+				"/runs?all=1"}
 			for _, e in ipairs((json.decode(r.body) or {}).runs or
 				{}) do
-				runs[e.key] = (runs[e.key] or 0) + 1
+				runs[e.key] = (runs[e.key] or 0) + e.count
 			end
 		end
 	end
