--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -326,13 +326,16 @@
 	if (load.in_flight < load.limit || load.limit < load.slots ||
 	    !a->policy->by_deadline)
 		at = now + POLL_NS;
+	if (!a->policy->by_deadline) /* a look at all calls is costly */
+		return at;
 	for (size_t i = 0; i < a->view.lane_count; i++) {
 		const struct lane *l = &a->view.lanes[i];
 		const struct admission_call *c = get_first_call(l);
 		int64_t need = a->policy->sheds ? (int64_t)l->service_ns : 0;
 
-		if (c != NULL && c->deadline - need < at)
-			at = c->deadline - need;
+		/* The first ns at which the call is too late. */
+		if (c != NULL && c->deadline - need + 1 < at)
+			at = c->deadline - need + 1;
 	}
 	return at < now ? now : at;
 }
--- a/packages/policy/tests/test_admission.c
+++ b/packages/policy/tests/test_admission.c
@@ -173,9 +173,10 @@
 	    offer_kind(a, &c[1], "pay", 260, &out).action, ADMIT_QUEUED);
 	ck_assert_int_eq(
 	    offer_kind(a, &c[2], "pay", 290, &out).reason, REFUSE_DEADLINE);
-	ck_assert_int_eq(
-	    get_admission_wakeup(a, read_now()), read_now() + 150 * MS);
-	advance_clock(&clock_state, 151 * MS);
+	/* A wake-up that refuses nothing would make the caller spin. */
+	advance_clock(
+	    &clock_state, get_admission_wakeup(a, read_now()) - read_now());
+	ck_assert_int_eq(read_now(), c[0].deadline - 100 * MS + 1);
 	expire_calls(a, read_now(), &out);
 	ck_assert_ptr_eq(out.refused, &c[0]);
 	ck_assert_ptr_null(out.refused->next);
