bench: measure commits of a three-member group

Cause: CAPACITY.md needs the cost of one quorum commit with real files. Change: bench/replica_bench.c keeps 1, 8 and 64 proposals outstanding on a group of three replicas in one process and prints commits/s, p50, p99 and commits per sync as JSON lines.

--- /dev/null
+++ b/bench/replica_bench.c
@@ -0,0 +1,374 @@
+/*
+ * Commit throughput and latency of a group of three replicas in one process,
+ * with real files, at several numbers of outstanding proposals. Prints one JSON
+ * line per figure. The commit comes from the environment variable GGS_COMMIT.
+ */
+#include <argp.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "replica.h"
+
+#define MEMBERS 3
+#define OUTSTANDING_MAX 64
+#define SAMPLES_MAX 1000000
+#define COMMAND_MAX 65536
+#define START_WAIT_MS 5000 /* an election takes at most a few timeouts */
+#define PROPOSE_MS 10000
+
+struct bench;
+
+/* One member, and the end of the transport of the others. */
+struct bench_member {
+	struct bench *b;
+	uint64_t id;
+	struct replica *replica;
+	char dir[256];
+};
+
+/* One proposal after the other, started by the completion of the last. */
+struct slot {
+	struct bench *b;
+	int64_t sent; /* mono, ns */
+};
+
+struct bench {
+	struct clock_source clock;
+	const char *dir;
+	int run_ms;
+	size_t command_bytes;
+	struct bench_member member[MEMBERS];
+	struct replica *leader;
+	char command[COMMAND_MAX];
+	pthread_mutex_t lock;
+	pthread_cond_t idle;
+	int64_t until; /* mono, ns */
+	size_t active; /* slots that still run */
+	int64_t *samples; /* ns */
+	size_t sample_count;
+	size_t failed;
+};
+
+static const struct argp_option options[] = {
+    {"dir", 'd', "DIR", 0, "parent of the data directories (/tmp)", 0},
+    {"run-ms", 't', "MS", 0, "length of each run (3000)", 0},
+    {"bytes", 'b', "N", 0, "bytes of a command (200)", 0},
+    {0},
+};
+
+static error_t parse_option(int key, char *arg, struct argp_state *state);
+static int start_members(struct bench *b);
+static int wait_for_leader(struct bench *b);
+static void stop_members(struct bench *b);
+static int run_bench(struct bench *b, size_t outstanding);
+static void propose_next(struct slot *s);
+static void note_result(
+    void *arg, int status, uint64_t index, struct str result);
+static void send_to_member(
+    void *arg, uint64_t to, const struct wire_raft_message *m);
+static void apply_command(void *arg, uint64_t index, int64_t wall_ns,
+    struct str command, struct buf *result);
+static int save_nothing(void *arg, struct buf *out);
+static int load_nothing(void *arg, uint64_t index, struct str data);
+static int compare_samples(const void *a, const void *b);
+static void print_figure(const struct bench *b, size_t outstanding,
+    const char *metric, double value, const char *unit);
+static void remove_file_of(void *arg, const char *name);
+static void remove_files(const char *dir);
+
+int
+main(int argc, char **argv)
+{
+	static const size_t outstanding[] = {1, 8, 64};
+	static struct bench b = {.dir = "/tmp",
+	    .run_ms = 3000,
+	    .command_bytes = 200,
+	    .lock = PTHREAD_MUTEX_INITIALIZER,
+	    .idle = PTHREAD_COND_INITIALIZER};
+	struct argp argp = {.options = options,
+	    .parser = parse_option,
+	    .doc = "Measures commits of a group of three replicas."};
+	int rc;
+
+	if (argp_parse(&argp, argc, argv, 0, NULL, &b) != 0)
+		return 1;
+	b.clock = get_real_clock();
+	b.samples = calloc(SAMPLES_MAX, sizeof(*b.samples));
+	if (b.samples == NULL)
+		return 1;
+	rc = start_members(&b);
+	if (rc == 0)
+		rc = wait_for_leader(&b);
+	for (size_t i = 0; i < 3 && rc == 0; i++)
+		rc = run_bench(&b, outstanding[i]);
+	stop_members(&b);
+	free(b.samples);
+	return rc == 0 ? 0 : 1;
+}
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+	struct bench *b = state->input;
+	int64_t v;
+
+	switch (key) {
+	case 'd':
+		b->dir = arg;
+		return 0;
+	case 't':
+		if (parse_i64(make_str(arg), 100, 600000, &v) != 0)
+			argp_error(state, "run-ms must be 100..600000");
+		b->run_ms = (int)v;
+		return 0;
+	case 'b':
+		if (parse_i64(make_str(arg), 1, COMMAND_MAX, &v) != 0)
+			argp_error(state, "bytes must be 1..%d", COMMAND_MAX);
+		b->command_bytes = (size_t)v;
+		return 0;
+	}
+	return ARGP_ERR_UNKNOWN;
+}
+
+static int
+start_members(struct bench *b)
+{
+	struct raft_members boot = {.count = MEMBERS};
+	struct fault f = {0};
+	int rc = 0;
+
+	for (size_t i = 0; i < MEMBERS; i++) {
+		boot.member[i].id = i + 1;
+		boot.member[i].voter = true;
+	}
+	/* A message may go to any member, so none runs before all are made. */
+	pthread_mutex_lock(&b->lock);
+	for (size_t i = 0; i < MEMBERS; i++) {
+		struct bench_member *m = &b->member[i];
+		struct replica_config cfg = {.clock = b->clock,
+		    .id = i + 1,
+		    .data_dir = m->dir,
+		    .bootstrap = &boot,
+		    .machine = {apply_command, save_nothing, load_nothing, m},
+		    .transport = {send_to_member, NULL, m},
+		    .seed = i + 1};
+
+		m->b = b;
+		m->id = i + 1;
+		snprintf(m->dir, sizeof(m->dir), "%s/ggs-bench-XXXXXX", b->dir);
+		if (mkdtemp(m->dir) == NULL) {
+			fprintf(stderr, "no directory in %s\n", b->dir);
+			rc = ERR_IO;
+			break;
+		}
+		rc = start_replica(&cfg, &m->replica, &f);
+		if (rc != 0) {
+			fprintf(stderr, "%s\n", f.text);
+			break;
+		}
+	}
+	pthread_mutex_unlock(&b->lock);
+	return rc;
+}
+
+static int
+wait_for_leader(struct bench *b)
+{
+	for (int i = 0; i < START_WAIT_MS; i++) {
+		for (size_t k = 0; k < MEMBERS; k++) {
+			b->leader = b->member[k].replica;
+			if (is_replica_leader(b->leader))
+				return 0;
+		}
+		usleep(1000);
+	}
+	fprintf(stderr, "no leader\n");
+	return ERR_UNAVAILABLE;
+}
+
+static void
+stop_members(struct bench *b)
+{
+	struct replica *r[MEMBERS];
+
+	/* The others still send while one ends; they must not find it. */
+	pthread_mutex_lock(&b->lock);
+	for (size_t i = 0; i < MEMBERS; i++) {
+		r[i] = b->member[i].replica;
+		b->member[i].replica = NULL;
+	}
+	pthread_mutex_unlock(&b->lock);
+	for (size_t i = 0; i < MEMBERS; i++) {
+		stop_replica(r[i]);
+		if (b->member[i].dir[0] != '\0')
+			remove_files(b->member[i].dir);
+	}
+}
+
+/*
+ * Keeps a number of proposals outstanding for the length of a run.
+ */
+static int
+run_bench(struct bench *b, size_t outstanding)
+{
+	static struct slot slots[OUTSTANDING_MAX];
+	struct wal_counters before = get_replica_status(b->leader).wal, after;
+	int64_t start = read_mono(&b->clock);
+	size_t n, p50, p99;
+	double seconds;
+
+	b->sample_count = 0;
+	b->failed = 0;
+	b->active = outstanding;
+	b->until = start + b->run_ms * NSEC_PER_MSEC;
+	for (size_t i = 0; i < outstanding; i++) {
+		slots[i].b = b;
+		propose_next(&slots[i]);
+	}
+	pthread_mutex_lock(&b->lock);
+	while (b->active > 0)
+		pthread_cond_wait(&b->idle, &b->lock);
+	pthread_mutex_unlock(&b->lock);
+	seconds = (double)(read_mono(&b->clock) - start) / NSEC_PER_SEC;
+	after = get_replica_status(b->leader).wal;
+	n = b->sample_count;
+	if (n == 0 || b->failed > 0) {
+		fprintf(stderr, "%zu proposals failed, %zu committed\n",
+		    b->failed, n);
+		return ERR_UNAVAILABLE;
+	}
+	p50 = n / 2;
+	p99 = n * 99 / 100;
+	qsort(b->samples, n, sizeof(*b->samples), compare_samples);
+	print_figure(b, outstanding, "commits", (double)n / seconds, "1/s");
+	print_figure(
+	    b, outstanding, "latency_p50", (double)b->samples[p50] / 1e3, "us");
+	print_figure(
+	    b, outstanding, "latency_p99", (double)b->samples[p99] / 1e3, "us");
+	print_figure(b, outstanding, "commits_per_sync",
+	    (double)n / (double)(after.syncs - before.syncs), "1");
+	return 0;
+}
+
+static void
+propose_next(struct slot *s)
+{
+	struct bench *b = s->b;
+	bool more;
+
+	s->sent = read_mono(&b->clock);
+	more = s->sent < b->until;
+	if (more &&
+	    propose_replica(b->leader, make_str_n(b->command, b->command_bytes),
+		PROPOSE_MS, note_result, s) == 0)
+		return;
+	pthread_mutex_lock(&b->lock);
+	if (more)
+		b->failed++;
+	if (--b->active == 0)
+		pthread_cond_signal(&b->idle);
+	pthread_mutex_unlock(&b->lock);
+}
+
+static void
+note_result(void *arg, int status, uint64_t index, struct str result)
+{
+	struct slot *s = arg;
+	struct bench *b = s->b;
+	int64_t took = read_mono(&b->clock) - s->sent;
+
+	(void)index;
+	(void)result;
+	pthread_mutex_lock(&b->lock);
+	if (status != 0)
+		b->failed++;
+	else if (b->sample_count < SAMPLES_MAX)
+		b->samples[b->sample_count++] = took;
+	pthread_mutex_unlock(&b->lock);
+	propose_next(s);
+}
+
+/*
+ * Hands the message over in the process. A copy is made there, as a transport
+ * would make by encoding.
+ */
+static void
+send_to_member(void *arg, uint64_t to, const struct wire_raft_message *m)
+{
+	struct bench *b = ((struct bench_member *)arg)->b;
+
+	pthread_mutex_lock(&b->lock);
+	if (to >= 1 && to <= MEMBERS && b->member[to - 1].replica != NULL)
+		(void)step_replica(b->member[to - 1].replica, m);
+	pthread_mutex_unlock(&b->lock);
+}
+
+static void
+apply_command(void *arg, uint64_t index, int64_t wall_ns, struct str command,
+    struct buf *result)
+{
+	(void)arg;
+	(void)index;
+	(void)wall_ns;
+	(void)command;
+	(void)result;
+}
+
+static int
+save_nothing(void *arg, struct buf *out)
+{
+	(void)arg;
+	return append_buf(out, "-", 1);
+}
+
+static int
+load_nothing(void *arg, uint64_t index, struct str data)
+{
+	(void)arg;
+	(void)index;
+	(void)data;
+	return 0;
+}
+
+static int
+compare_samples(const void *a, const void *b)
+{
+	const int64_t *x = a, *y = b;
+
+	return *x < *y ? -1 : *x > *y;
+}
+
+static void
+print_figure(const struct bench *b, size_t outstanding, const char *metric,
+    double value, const char *unit)
+{
+	const char *commit = getenv("GGS_COMMIT");
+
+	printf("{\"experiment\":\"replica\",\"params\":{\"members\":%d,"
+	       "\"outstanding\":%zu,\"bytes\":%zu,\"run_ms\":%d},"
+	       "\"metric\":\"%s\",\"value\":%.1f,\"unit\":\"%s\","
+	       "\"commit\":\"%s\"}\n",
+	    MEMBERS, outstanding, b->command_bytes, b->run_ms, metric, value,
+	    unit, commit != NULL ? commit : "unknown");
+}
+
+static void
+remove_files(const char *dir)
+{
+	struct wal_io io = get_system_io();
+
+	(void)io.list_dir(NULL, dir, remove_file_of, (void *)(uintptr_t)dir);
+	(void)rmdir(dir);
+}
+
+static void
+remove_file_of(void *arg, const char *name)
+{
+	char path[600];
+
+	snprintf(path, sizeof(path), "%s/%s", (const char *)arg, name);
+	(void)unlink(path);
+}
