wal: lock the data directory

Cause: a process started twice on one data directory would write the same log and state file, and both would vote. Change: the log holds a lock on a file of the directory (flock through the table of file operations); a second one is refused with ERR_CONFLICT and a text that names the remedy. Conclusion: a double start ends with a message instead of two voters.

--- a/packages/replica/tests/test_replica.c
+++ b/packages/replica/tests/test_replica.c
@@ -693,6 +693,8 @@
 		snprintf(path, sizeof(path), "%s/snapshot-%016x", dir, i);
 		(void)io.remove_file(NULL, path);
 	}
+	snprintf(path, sizeof(path), "%s/lock", dir);
+	(void)io.remove_file(NULL, path);
 	snprintf(path, sizeof(path), "%s/state", dir);
 	(void)io.remove_file(NULL, path);
 	(void)rmdir(dir);
--- a/packages/wal/files.c
+++ b/packages/wal/files.c
@@ -9,6 +9,7 @@
 
 #include "wal_core.h"
 
+#define LOCK_NAME "lock"
 #define STATE_NAME "state"
 #define STATE_MAGIC 0x54534747u /* "GGST" */
 #define STATE_BYTES 40
@@ -172,6 +173,24 @@
 	return rc != 0 ? fail_wal(w, f, "remove", name, rc) : 0;
 }
 
+/*
+ * Keeps a second process off the directory; both would write the same log.
+ */
+int
+lock_wal(struct wal *w, struct fault *f)
+{
+	char path[WAL_PATH_BYTES];
+	int rc = make_path(w, LOCK_NAME, path);
+
+	if (rc != 0)
+		return rc;
+	w->lock = w->io.lock_file(w->io.arg, path);
+	if (w->lock == -EWOULDBLOCK)
+		return set_fault(f, ERR_CONFLICT,
+		    "another process uses %s; stop it first", w->dir);
+	return w->lock < 0 ? fail_wal(w, f, "lock", LOCK_NAME, w->lock) : 0;
+}
+
 /*
  * Loads term and vote. Returns ERR_NOT_FOUND for a new directory.
  */
--- a/packages/wal/io.c
+++ b/packages/wal/io.c
@@ -1,6 +1,7 @@
 /*
  * The system's files.
  */
+#include <sys/file.h>
 #include <sys/stat.h>
 
 #include <dirent.h>
@@ -17,6 +18,7 @@
 static int make_system_dir(void *arg, const char *path);
 static int list_system_dir(void *arg, const char *path,
     void (*fn)(void *fn_arg, const char *name), void *fn_arg);
+static int lock_system_file(void *arg, const char *path);
 static int open_system_file(void *arg, const char *path, int flags);
 static int close_system_file(void *arg, int fd);
 static ssize_t read_system_file(
@@ -33,9 +35,10 @@
 get_system_io(void)
 {
 	return (struct wal_io){make_system_dir, list_system_dir,
-	    open_system_file, close_system_file, read_system_file,
-	    write_system_file, truncate_system_file, sync_system_file,
-	    rename_system_file, remove_system_file, sync_system_dir, NULL};
+	    lock_system_file, open_system_file, close_system_file,
+	    read_system_file, write_system_file, truncate_system_file,
+	    sync_system_file, rename_system_file, remove_system_file,
+	    sync_system_dir, NULL};
 }
 
 static int
@@ -69,6 +72,22 @@
 	return rc;
 }
 
+static int
+lock_system_file(void *arg, const char *path)
+{
+	int fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, FILE_MODE);
+	int rc;
+
+	(void)arg;
+	if (fd < 0)
+		return -errno;
+	if (flock(fd, LOCK_EX | LOCK_NB) == 0)
+		return fd;
+	rc = -errno;
+	close(fd);
+	return rc;
+}
+
 static int
 open_system_file(void *arg, const char *path, int flags)
 {
--- a/packages/wal/tests/mem_io.h
+++ b/packages/wal/tests/mem_io.h
@@ -121,6 +121,15 @@
 	return rc;
 }
 
+static int
+mem_lock_file(void *arg, const char *path)
+{
+	int rc = mem_step(arg, false, false);
+
+	(void)path;
+	return rc != 0 ? rc : MEM_FILES; /* no file's handle */
+}
+
 static struct mem_file *
 mem_create(struct mem_disk *d, const char *name)
 {
@@ -310,9 +319,10 @@
 static struct wal_io
 get_mem_io(struct mem_disk *d)
 {
-	return (struct wal_io){mem_make_dir, mem_list_dir, mem_open_file,
-	    mem_close_file, mem_read_file, mem_write_file, mem_truncate_file,
-	    mem_sync_file, mem_rename_file, mem_remove_file, mem_sync_dir, d};
+	return (struct wal_io){mem_make_dir, mem_list_dir, mem_lock_file,
+	    mem_open_file, mem_close_file, mem_read_file, mem_write_file,
+	    mem_truncate_file, mem_sync_file, mem_rename_file, mem_remove_file,
+	    mem_sync_dir, d};
 }
 
 /*
--- a/packages/wal/tests/test_wal.c
+++ b/packages/wal/tests/test_wal.c
@@ -580,6 +580,32 @@
 }
 END_TEST
 
+/* Guards against two processes that write one log. */
+START_TEST(second_process_is_refused)
+{
+	char dir[] = "/tmp/ggs-wal-XXXXXX", path[64];
+	struct wal_config cfg = {.id = 7};
+	struct fault f = {0};
+	struct wal *w, *second;
+	static const char *const names[] = {
+	    "lock", "state", "log-0000000000000001"};
+
+	ck_assert_ptr_nonnull(mkdtemp(dir));
+	cfg.dir = dir;
+	ck_assert_int_eq(open_wal(&cfg, &w, NULL), 0);
+	ck_assert_int_eq(open_wal(&cfg, &second, &f), ERR_CONFLICT);
+	ck_assert_ptr_nonnull(strstr(f.text, "stop it first"));
+	close_wal(w);
+	ck_assert_int_eq(open_wal(&cfg, &w, NULL), 0);
+	close_wal(w);
+	for (int i = 0; i < 3; i++) {
+		snprintf(path, sizeof(path), "%s/%s", dir, names[i]);
+		ck_assert_int_eq(remove(path), 0);
+	}
+	ck_assert_int_eq(remove(dir), 0);
+}
+END_TEST
+
 /* Guards against system file operations that differ from the tests'. */
 START_TEST(system_files_hold_a_log)
 {
@@ -606,6 +632,8 @@
 	close_wal(w);
 	snprintf(path, sizeof(path), "%s/snapshot-%016x", dir, 38);
 	ck_assert_int_eq(remove(path), 0);
+	snprintf(path, sizeof(path), "%s/lock", dir);
+	ck_assert_int_eq(remove(path), 0);
 	snprintf(path, sizeof(path), "%s/state", dir);
 	ck_assert_int_eq(remove(path), 0);
 	ck_assert_int_eq(remove(dir), 0);
@@ -633,6 +661,7 @@
 	tcase_add_test(t, last_record_is_written_again_at_start);
 	tcase_add_test(t, mutated_records_never_decode_as_others);
 	tcase_add_test(t, mutated_segment_never_crashes);
+	tcase_add_test(t, second_process_is_refused);
 	tcase_add_test(t, system_files_hold_a_log);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
--- a/packages/wal/wal.c
+++ b/packages/wal/wal.c
@@ -17,7 +17,8 @@
 /*
  * Opens the directory and reads all that it holds. Returns ERR_CORRUPT when
  * something before the last record is damaged, ERR_INVALID when the directory
- * belongs to another member and ERR_IO when a file operation fails.
+ * belongs to another member, ERR_CONFLICT when another process uses it and
+ * ERR_IO when a file operation fails.
  */
 int
 open_wal(const struct wal_config *cfg, struct wal **out, struct fault *f)
@@ -28,6 +29,7 @@
 	if (w == NULL)
 		return set_fault(f, ERR_MEMORY, "out of memory");
 	w->fd = -1;
+	w->lock = -1;
 	w->id = cfg->id;
 	w->segment_bytes =
 	    cfg->segment_bytes != 0 ? cfg->segment_bytes : WAL_SEGMENT_BYTES;
@@ -57,6 +59,8 @@
 		return;
 	if (w->fd >= 0)
 		w->io.close_file(w->io.arg, w->fd);
+	if (w->lock >= 0)
+		w->io.close_file(w->io.arg, w->lock);
 	unload_wal_stored(w);
 	free(w->segments);
 	free(w);
@@ -267,7 +271,9 @@
 	rc = w->io.make_dir(w->io.arg, w->dir);
 	if (rc != 0)
 		return fail_wal(w, f, "create", "", rc);
-	rc = scan_dir(w, &snapshot, &has_snapshot, f);
+	rc = lock_wal(w, f);
+	if (rc == 0)
+		rc = scan_dir(w, &snapshot, &has_snapshot, f);
 	if (rc != 0)
 		return rc;
 	rc = load_hard_state(w, f);
--- a/packages/wal/wal.h
+++ b/packages/wal/wal.h
@@ -22,6 +22,8 @@
 	int (*make_dir)(void *arg, const char *path); /* 0 if it exists */
 	int (*list_dir)(void *arg, const char *path,
 	    void (*fn)(void *fn_arg, const char *name), void *fn_arg);
+	/* Creates and locks a file until its handle is closed. */
+	int (*lock_file)(void *arg, const char *path);
 	int (*open_file)(void *arg, const char *path, int flags); /* handle */
 	int (*close_file)(void *arg, int fd);
 	ssize_t (*read_file)(
--- a/packages/wal/wal_core.h
+++ b/packages/wal/wal_core.h
@@ -60,6 +60,7 @@
 	struct segment *segments;
 	size_t segment_count;
 	size_t segment_cap;
+	int lock; /* handle of the locked file, -1 none */
 	int fd; /* last segment, -1 none */
 	off_t end; /* where its next record goes */
 	off_t last_record; /* where its last record starts */
@@ -93,6 +94,7 @@
 void name_snapshot(uint64_t index, char *name);
 
 /* Hard state and snapshot files */
+int lock_wal(struct wal *w, struct fault *f); /* against other processes */
 int load_hard_state(struct wal *w, struct fault *f); /* ERR_NOT_FOUND */
 int save_hard_state(
     struct wal *w, struct raft_hard_state hard, struct fault *f);
