Earn one percent more than the floor

Cause: the credit of a fraction of a slot keeps the floor as the mean, so every finite window ends up to one call short of it. Change: a row earns its floor and 1% of it. Floors add up to at most 90%, so the margin always fits.

--- a/bench/policy_bench.c
+++ b/bench/policy_bench.c
@@ -520,7 +520,8 @@
 		printf("no flood\n");
 	else
 		printf("%s flooded %dx, others %s\n", flooded->row->kind,
-		    s->factor, s->saturated ? "at twice their floors" : "as usual");
+		    s->factor,
+		    s->saturated ? "at twice their floors" : "as usual");
 	printf("%-18s %4s %5s", "row", "rank", "floor");
 	for (int id = 0; id < ADMISSION_POLICY_COUNT; id++)
 		printf(" | %-18s", get_policy_name(id));
--- a/packages/policy/lane.c
+++ b/packages/policy/lane.c
@@ -13,6 +13,7 @@
 #define SPREAD_FACTOR 2.0 /* mean deviations above the mean: a slow call */
 #define HELD_NS 1e9 /* memory of what a row held */
 #define GUESS_DIVISOR 10 /* targets usually leave ten service times */
+#define FLOOR_MARGIN 0.01 /* without it the share ends a call short */
 #define HEAP_FIRST 16
 
 static bool is_before(const struct lane *l, const struct admission_call *a,
@@ -176,7 +177,7 @@
 	double alpha = dt / (HELD_NS + dt);
 
 	l->held += alpha * (l->in_flight - l->held);
-	l->credit += part * dt;
+	l->credit += (part + FLOOR_MARGIN * floor_slots) * dt;
 	if (l->in_flight > (int)floor_slots)
 		l->credit -= dt;
 	if (l->credit < -debt)
