Credit rows for whole slots of their floor that came late

Cause: only the fraction of a floor had a memory. A row that waited for a slot while it held fewer than its whole slots never got that time back. Change: the credit covers the whole floor; with credit a row is owed one slot more than its whole ones. Credit is bounded by four slow calls a slot.

--- a/packages/policy/lane.c
+++ b/packages/policy/lane.c
@@ -13,7 +13,8 @@
 #define SPREAD_FACTOR 2.0 /* mean deviations above the mean: a slow call */
 #define HELD_NS 1e9 /* memory of what a row held */
 #define GUESS_DIVISOR 10 /* targets usually leave ten service times */
-#define FLOOR_MARGIN 0.01 /* without it the share ends a call short */
+#define FLOOR_MARGIN 1.01 /* without it the share ends a call short */
+#define CREDIT_CALLS 4.0 /* slow calls on each slot that credit can cover */
 #define HEAP_FIRST 16
 
 static bool is_before(const struct lane *l, const struct admission_call *a,
@@ -161,43 +162,52 @@
 /*
  * Moves credit and the mean of held slots over dt ns.
  *
- * Whole slots of a floor need no credit: the row is owed a slot whenever it
- * holds fewer. The fraction is kept in time-average: it earns credit while the
- * row has work and costs credit while the row holds the slot above the whole
- * ones. A slot used beyond the floor costs no more than that, and an idle row
- * saves nothing. Debt is bounded by one slow call, so that borrowing does not
- * cost a row its floor later.
+ * A row with work earns its floor in slot-time and pays for the slots it holds,
+ * so that a floor that is a fraction of a slot, or that waited for a slot to
+ * come free, is kept in time-average. Slots held beyond the floor by more than
+ * one are borrowed and cost nothing, debt is bounded by one slow call, and an
+ * idle row saves nothing. Credit is bounded so that a row kept short for long
+ * (by a cut limit) does not push the others out when it ends.
  */
 void
 accrue_lane(struct lane *l, int limit, double dt)
 {
 	double floor_slots = get_floor_slots(l, limit);
-	double part = floor_slots - (int)floor_slots;
-	double debt = (1 - part) * get_service_high(l);
+	int most = (int)floor_slots + 1;
+	int paid = l->in_flight < most ? l->in_flight : most;
+	double debt = (most - floor_slots) * get_service_high(l);
+	double credit = CREDIT_CALLS * most * get_service_high(l);
 	double alpha = dt / (HELD_NS + dt);
 
 	l->held += alpha * (l->in_flight - l->held);
-	l->credit += (part + FLOOR_MARGIN * floor_slots) * dt;
-	if (l->in_flight > (int)floor_slots)
-		l->credit -= dt;
+	if (l->floor_pct == 0)
+		return;
+	l->credit += (FLOOR_MARGIN * floor_slots - paid) * dt;
 	if (l->credit < -debt)
 		l->credit = -debt;
+	if (l->credit > credit)
+		l->credit = credit;
 	if (l->waiting == 0 && l->credit > 0)
 		l->credit = 0;
-	if (l->credit > debt)
-		l->credit = debt;
 }
 
-/* See accrue_lane(). A row without a floor is owed nothing. */
+/*
+ * See accrue_lane(). A row is owed the whole slots of its floor at once, and
+ * one more while it has credit.
+ */
 bool
 is_owed_floor(const struct lane *l, int limit)
 {
 	double floor_slots = get_floor_slots(l, limit);
 	int whole = (int)floor_slots;
 
+	if (l->floor_pct == 0)
+		return false;
 	if (l->in_flight < whole)
 		return true;
-	return floor_slots > whole && l->in_flight == whole && l->credit >= 0;
+	if (l->in_flight > whole)
+		return false;
+	return floor_slots > whole ? l->credit >= 0 : l->credit > 0;
 }
 
 /* Order of the heap; arrival breaks ties. */
