--- a/bench/bench.sh
+++ b/bench/bench.sh
@@ -41,6 +41,7 @@
 for n in 25 100 200; do
 	lua bench/failover.lua $n 3
 done
+lua bench/churn.lua 50 4
 lua scenarios/catchup.lua 500
 for t in rpc_bench replica_bench; do
 	[ ! -x build/bench/$t ] || tool build/bench/$t
