raft: state in plain words why a match may go down

Cause: the comment described the disk figuratively. Change: wording only. Conclusion: no change of behavior.

--- a/packages/raft/replication.c
+++ b/packages/raft/replication.c
@@ -86,8 +86,9 @@
 		return 0;
 	at = find_log_conflict(&r->log, m->hint, m->log_term);
 	/*
-	 * A disk that lies about a sync loses what it acknowledged. Counting
-	 * that member lower is always safe; commits are never taken back.
+	 * A disk that reports a sync too early can lose what its member
+	 * acknowledged. Lowering the match is always safe, since commits are
+	 * never taken back.
 	 */
 	if (m->log_index <= p->match && at < p->match)
 		p->match = at;
