proxy: do not take another call's answer for excess bytes

Cause: in a flood without faults 5 of 6,000 calls a second ended unknown with 'the answer is cut off'. After an answer the transfer peeked at its socket for excess bytes, but curl gives a freed connection to a waiting transfer at once, so that the peek saw that transfer's answer. Ruled out: early refusals with unread bodies (answers are sent after the body) and idle closes. Change: only the connection that curl itself closed counts as excess; bytes that come later make curl close the connection before its next use. Conclusion: unknown is said only after a fault.

--- a/packages/proxy/transfer.c
+++ b/packages/proxy/transfer.c
@@ -452,17 +452,17 @@
 }
 
 /*
- * Whether the peer sent more than its answer. Curl cuts the excess and closes
- * the connection when it came with the answer; when it came later it waits in
- * the socket. A connection that both sides wanted to keep must still be open
- * and silent.
+ * Whether the peer sent more than its answer: curl cuts the excess that comes
+ * with the answer and closes the connection. Excess that comes later makes
+ * curl close the connection before its next use. The socket must not be read
+ * here: curl may already have given the connection to a waiting transfer,
+ * whose answer would look like excess.
  */
 static bool
 has_excess(struct transfer *t)
 {
 	curl_socket_t s = CURL_SOCKET_BAD;
 	curl_off_t sent = 0;
-	char c;
 
 	if (t->closing)
 		return false;
@@ -470,9 +470,7 @@
 	if (sent < (curl_off_t)t->req.body_len)
 		return false; /* answered before the body was read */
 	curl_easy_getinfo(t->easy, CURLINFO_ACTIVESOCKET, &s);
-	if (s == CURL_SOCKET_BAD)
-		return true;
-	return recv(s, &c, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+	return s == CURL_SOCKET_BAD;
 }
 
 static struct str
