Test three control processes, a relay and the operators' API on loopback

Change: test_fleet starts up to three voters and a relay in one program and cuts them off with the transport's fault hooks: edits through followers, a cut-off leader, an edit meanwhile, a restart of all from disk with versions that never go back and answers to old keys; watches at a cut-off process; claims asked on every process; endpoints that move, drain and lose their connection; a relay, and a relay whose voter is cut off. test_http covers tokens, statuses, limits and TLS with a certificate made by the test (gnutls, in the set-up script already).

--- /dev/null
+++ b/packages/control/tests/test_fleet.c
@@ -0,0 +1,411 @@
+/*
+ * Control processes on loopback: edits through any of them, cut-off leaders,
+ * restarts, watches, claims and relays.
+ */
+#include "fleet_fixture.h"
+#include "service.h"
+
+/* Sends a change until it is not answered 503; returns the version. */
+static json_int_t
+change(size_t i, const char *path, const char *text, int want)
+{
+	json_int_t version = -1;
+	json_t *o = NULL;
+	int status = 503;
+
+	for (int k = 0; k < 12 && status == 503; k++) {
+		json_decref(o);
+		o = NULL;
+		status = send_json(i, "POST", path, NULL, text, &o);
+	}
+	ck_assert_msg(status == want, "%s: %d %s", text, status,
+	    json_string_value(json_object_get(o, "text")));
+	version = get_int(o, "version");
+	json_decref(o);
+	return version;
+}
+
+static json_int_t
+import_table(size_t i, json_int_t base, const char *key)
+{
+	json_t *o = json_pack("{s:s,s:I,s:s}", "csv", FLEET_TABLE, "base", base,
+	    "key", key);
+	char *text = json_dumps(o, 0);
+	json_int_t v = change(i, "/v1/import", text, 200);
+
+	free(text);
+	json_decref(o);
+	return v;
+}
+
+static json_int_t
+edit(size_t i, const char *row, const char *value, json_int_t base,
+    const char *key, int want)
+{
+	char text[256];
+
+	snprintf(text, sizeof(text),
+	    "{\"row\":\"%s\",\"column\":\"rank\",\"value\":\"%s\","
+	    "\"base\":%lld,\"key\":\"%s\"}",
+	    row, value, (long long)base, key);
+	return change(i, "/v1/edit", text, want);
+}
+
+/* Returns the version of a linearizable read; fails when it is not served. */
+static json_int_t
+read_version(size_t i)
+{
+	json_int_t version;
+	json_t *o = NULL;
+	int status = 503;
+
+	for (int k = 0; k < 12 && status == 503; k++) {
+		json_decref(o);
+		o = NULL;
+		status = send_json(i, "GET", "/v1/table", NULL, NULL, &o);
+	}
+	ck_assert_int_eq(status, 200);
+	version = get_int(o, "version");
+	json_decref(o);
+	return version;
+}
+
+/*
+ * Guards against lost, doubled and reverted versions: edits through followers,
+ * a leader that is cut off, and a restart of all processes from disk.
+ */
+START_TEST(versions_survive_a_cut_off_leader_and_a_restart)
+{
+	size_t leader, follower, other;
+	json_t *o = NULL;
+	int status = 0;
+
+	open_fleet(3, 0, NULL);
+	leader = wait_leader();
+	follower = (leader + 1) % 3;
+	other = (leader + 2) % 3;
+	ck_assert_int_eq(import_table(follower, 0, "k1"), 1);
+	ck_assert_int_eq(edit(other, "a", "4", 1, "k2", 200), 2);
+	ck_assert_int_eq(edit(follower, "a", "4", 1, "k2", 200), 2);
+	ck_assert_int_eq(edit(leader, "a", "5", 1, "k3", 409), 2);
+	for (size_t i = 0; i < 3; i++)
+		ck_assert_int_eq(read_version(i), 2);
+
+	atomic_store(&fleet.members[leader].cut, CUT_ALL);
+	ck_assert_int_eq(edit(follower, "b", "7", 2, "k4", 200), 3);
+	ck_assert_int_eq(read_version(other), 3);
+	for (int i = 0; i < FLEET_WAIT_S * 5 && status != 503; i++) {
+		json_decref(o);
+		o = NULL;
+		status = send_json(leader, "GET", "/v1/table", NULL, NULL, &o);
+		ck_assert(status == 503 || get_int(o, "version") >= 3);
+	}
+	ck_assert_int_eq(status, 503);
+	ck_assert(json_is_true(json_object_get(o, "stale")));
+	ck_assert(json_is_true(json_object_get(o, "retriable")));
+	json_decref(o);
+	status = send_json(leader, "POST", "/v1/edit", NULL,
+	    "{\"row\":\"c\",\"column\":\"rank\",\"value\":\"8\",\"base\":2,"
+	    "\"key\":\"k5\"}",
+	    &o);
+	ck_assert_int_eq(status, 503);
+	ck_assert(json_is_true(json_object_get(o, "retriable")));
+	ck_assert_ptr_nonnull(
+	    strstr(json_string_value(json_object_get(o, "text")),
+		"may still take effect: resend it with the same key"));
+	json_decref(o);
+	atomic_store(&fleet.members[leader].cut, CUT_NONE);
+	wait_version(leader, 3);
+	ck_assert_int_eq(edit(leader, "c", "8", 2, "k5", 200), 4);
+
+	for (size_t i = 0; i < 3; i++)
+		stop_member(i);
+	for (size_t i = 0; i < 3; i++)
+		start_member(i);
+	for (size_t i = 0; i < 3; i++)
+		ck_assert_int_eq(read_version(i), 4);
+	ck_assert_int_eq(edit(other, "b", "7", 2, "k4", 200), 3);
+	ck_assert_int_eq(edit(other, "b", "9", 4, "k6", 200), 5);
+	ck_assert_int_eq(read_version(leader), 5);
+	close_fleet();
+}
+END_TEST
+
+/*
+ * Guards against an older table for a node: a cut-off process must not serve a
+ * node without a table, and a held watch learns of the cut and of an edit.
+ */
+START_TEST(watches_follow_the_table_and_the_contact)
+{
+	struct wire_watch_args a;
+	struct wire_watch_reply r;
+	struct rpc_peer *n[3];
+	size_t cut, leader;
+
+	open_fleet(3, 0, NULL);
+	leader = wait_leader();
+	ck_assert_int_eq(import_table(leader, 0, "k1"), 1);
+	for (size_t i = 0; i < 3; i++) {
+		n[i] = open_node(i);
+		a = make_watch("n", 0, 10000);
+		r = send_watch_again(n[i], &a);
+		ck_assert_int_eq(r.status, WIRE_OK);
+		ck_assert_int_eq(r.table.form, WIRE_TABLE_WHOLE);
+		ck_assert_uint_eq(r.table.table_version, 1);
+		unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+	}
+	ck_assert_int_eq(edit(leader, "a", "4", 1, "k2", 200), 2);
+	for (size_t i = 0; i < 3; i++) {
+		a = make_watch("n", 1, 10000);
+		r = send_watch_again(n[i], &a);
+		ck_assert_uint_eq(r.table.table_version, 2);
+		ck_assert_int_eq(r.table.form, WIRE_TABLE_DELTA);
+		unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+	}
+	cut = (leader + 1) % 3;
+	atomic_store(&fleet.members[cut].cut, CUT_ALL);
+	ck_assert_int_eq(edit(leader, "a", "5", 2, "k3", 200), 3);
+	a = make_watch("new", 0, 10000);
+	r = send_watch(n[cut], &a);
+	ck_assert_int_eq(r.status, WIRE_STALE);
+	ck_assert_int_eq(r.table.form, WIRE_TABLE_NONE);
+	unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+	a = make_watch("n", 2, 10000);
+	r = send_watch(n[cut], &a);
+	ck_assert_int_eq(r.status, WIRE_STALE);
+	unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+	r = send_watch_again(n[leader], &a);
+	ck_assert_uint_eq(r.table.table_version, 3);
+	unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+	close_fleet();
+}
+END_TEST
+
+/* Guards against a second run through another process or a new leader. */
+START_TEST(claims_hold_on_every_process)
+{
+	struct wire_claim_reply r;
+	struct rpc_peer *n[3];
+	size_t leader;
+
+	open_fleet(3, 0, NULL);
+	leader = wait_leader();
+	for (size_t i = 0; i < 3; i++)
+		n[i] = open_node(i);
+	for (size_t i = 0; i < 3; i++) { /* a lost answer, asked elsewhere */
+		r = send_claim(n[i], "pay-1", 'x', WIRE_CLAIM_OPEN, "");
+		ck_assert_int_eq(r.status, WIRE_OK);
+		unload_wire((xdrproc_t)xdr_wire_claim_reply, &r);
+	}
+	for (size_t i = 0; i < 3; i++) {
+		r = send_claim(n[i], "pay-1", (char)i, WIRE_CLAIM_OPEN, "");
+		ck_assert_int_eq(r.status, WIRE_CONFLICT);
+		ck_assert_int_eq(r.state, WIRE_CLAIM_OPEN);
+		unload_wire((xdrproc_t)xdr_wire_claim_reply, &r);
+	}
+	r = send_claim(n[0], "pay-1", 'x', WIRE_CLAIM_RAN, "paid");
+	ck_assert_int_eq(r.status, WIRE_OK);
+	unload_wire((xdrproc_t)xdr_wire_claim_reply, &r);
+	atomic_store(&fleet.members[leader].cut, CUT_ALL);
+	r = send_claim(
+	    n[(leader + 1) % 3], "pay-1", 'y', WIRE_CLAIM_OPEN, "");
+	ck_assert_int_eq(r.status, WIRE_CONFLICT);
+	ck_assert_int_eq(r.state, WIRE_CLAIM_RAN);
+	ck_assert_uint_eq(r.answer.answer_len, 4);
+	unload_wire((xdrproc_t)xdr_wire_claim_reply, &r);
+	/* Without a quorum nothing is granted. */
+	r = send_claim(n[leader], "pay-2", 'z', WIRE_CLAIM_OPEN, "");
+	ck_assert(r.status == WIRE_UNKNOWN || r.status == WIRE_UNAVAILABLE);
+	unload_wire((xdrproc_t)xdr_wire_claim_reply, &r);
+	close_fleet();
+}
+END_TEST
+
+static struct wire_endpoint
+make_endpoint(const char *id, uint64_t seq, enum wire_endpoint_state state)
+{
+	return (struct wire_endpoint){
+	    .id = (char *)(uintptr_t)id,
+	    .incarnation = 1,
+	    .seq = seq,
+	    .service = (char *)(uintptr_t)"svc",
+	    .address = (char *)(uintptr_t)"127.0.0.1:9",
+	    .zone = (char *)(uintptr_t)"z",
+	    .slots = 1,
+	    .state = state,
+	};
+}
+
+/*
+ * Watches a service until its one endpoint has the state. An endpoint that is
+ * gone is missing from a whole set and listed as GONE in changes.
+ */
+static void
+wait_endpoint(struct rpc_peer *p, enum wire_endpoint_state want)
+{
+	struct wire_interest interest = {(char *)(uintptr_t)"svc", 0};
+	struct wire_watch_args a = make_watch("viewer", 1, 1000);
+
+	a.interest.interest_len = 1;
+	a.interest.interest_val = &interest;
+	for (int i = 0; i < FLEET_WAIT_S; i++) {
+		struct wire_watch_reply r = send_watch_again(p, &a);
+		bool found = false;
+
+		for (unsigned int k = 0; k < r.sets.sets_len; k++) {
+			const struct wire_endpoint_set *s = &r.sets.sets_val[k];
+
+			interest.set_version = s->set_version;
+			found |= want == WIRE_ENDPOINT_GONE && s->whole &&
+				 s->endpoints.endpoints_len == 0;
+			for (unsigned int e = 0; e < s->endpoints.endpoints_len;
+			     e++)
+				found |= s->endpoints.endpoints_val[e].state ==
+					 want;
+		}
+		a.registry_id = r.registry_id;
+		unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+		if (found)
+			return;
+	}
+	ck_abort_msg("no endpoint in state %d", (int)want);
+}
+
+/*
+ * Guards against endpoints that stay on the process they attached to, and
+ * against one that stays listed after its connection closed.
+ */
+START_TEST(endpoints_reach_every_process)
+{
+	struct wire_endpoint e = make_endpoint("n", 1, WIRE_ENDPOINT_READY);
+	struct wire_watch_args a;
+	struct wire_watch_reply r;
+	struct rpc_peer *n[4];
+
+	open_fleet(3, 1, NULL);
+	ck_assert_int_eq(import_table(wait_leader(), 0, "k1"), 1);
+	for (size_t i = 0; i < 4; i++) {
+		wait_version(i, 1);
+		n[i] = open_node(i);
+	}
+	a = make_watch("n", 1, 0);
+	a.self = &e;
+	r = send_watch_again(n[3], &a); /* attached to the relay */
+	unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+	for (size_t i = 0; i < 4; i++)
+		wait_endpoint(n[i], WIRE_ENDPOINT_READY);
+	e = make_endpoint("n", 2, WIRE_ENDPOINT_DRAINING);
+	r = send_watch_again(n[0], &a); /* moved to a voter */
+	unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+	for (size_t i = 0; i < 4; i++)
+		wait_endpoint(n[i], WIRE_ENDPOINT_DRAINING);
+	reset_rpc_peer(n[0]); /* without a GONE record */
+	for (size_t i = 1; i < 4; i++)
+		wait_endpoint(n[i], WIRE_ENDPOINT_GONE);
+	close_fleet();
+}
+END_TEST
+
+/* Guards against a relay that serves an older table or forwards no change. */
+START_TEST(relay_serves_and_forwards)
+{
+	struct wire_watch_args a = make_watch("n", 0, 10000);
+	struct wire_watch_reply r;
+	struct rpc_peer *n;
+
+	open_fleet(3, 1, NULL);
+	(void)wait_leader();
+	ck_assert_int_eq(import_table(3, 0, "k1"), 1);
+	n = open_node(3);
+	r = send_watch_again(n, &a);
+	ck_assert_int_eq(r.status, WIRE_OK);
+	ck_assert_uint_eq(r.table.table_version, 1);
+	ck_assert_int_eq(r.table.form, WIRE_TABLE_WHOLE);
+	unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+	ck_assert_int_eq(edit(0, "a", "4", 1, "k2", 200), 2);
+	ck_assert_int_eq(read_version(3), 2);
+	a = make_watch("n", 1, 10000);
+	r = send_watch_again(n, &a);
+	ck_assert_uint_eq(r.table.table_version, 2);
+	ck_assert_int_eq(r.table.form, WIRE_TABLE_DELTA);
+	unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+
+	atomic_store(&fleet.members[3].cut, CUT_ALL);
+	a = make_watch("new", 0, 10000);
+	r = send_watch(n, &a);
+	ck_assert_int_eq(r.status, WIRE_STALE);
+	unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+	a = make_watch("n", 2, 10000);
+	r = send_watch(n, &a);
+	ck_assert_int_eq(r.status, WIRE_STALE);
+	unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+	ck_assert_int_eq(edit(0, "a", "6", 2, "k3", 200), 3);
+	atomic_store(&fleet.members[3].cut, CUT_NONE);
+	wait_version(3, 3);
+	a = make_watch("n", 2, 10000);
+	r = send_watch_again(n, &a);
+	ck_assert_uint_eq(r.table.table_version, 3);
+	unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+	close_fleet();
+}
+END_TEST
+
+/*
+ * Guards against a relay that takes the word of a cut-off voter: until the
+ * voter notices the cut, it answers a PULL, but must not confirm a read.
+ */
+START_TEST(relay_of_a_cut_off_voter_serves_no_older_table)
+{
+	struct wire_watch_args a = make_watch("new", 0, 1000);
+	struct control *relay;
+	struct rpc_peer *n;
+	size_t voter, other;
+
+	open_fleet(3, 1, NULL);
+	(void)wait_leader();
+	ck_assert_int_eq(import_table(3, 0, "k1"), 1);
+	n = open_node(3);
+	wait_version(3, 1);
+	relay = fleet.members[3].control;
+	pthread_mutex_lock(&relay->lock);
+	voter = relay->peers[relay->upstream.peer].id - 1;
+	pthread_mutex_unlock(&relay->lock);
+	other = (voter + 1) % 3;
+	atomic_store(&fleet.members[voter].cut, CUT_VOTERS);
+	ck_assert_int_eq(edit(other, "a", "4", 1, "k2", 200), 2);
+	for (int i = 0; i < 10; i++) {
+		struct wire_watch_reply r = send_watch(n, &a);
+
+		ck_assert(r.status == WIRE_STALE ||
+			  r.table.table_version == 2);
+		ck_assert(r.status == WIRE_OK ||
+			  r.table.form == WIRE_TABLE_NONE);
+		unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+		sleep_ms(50);
+	}
+	close_fleet();
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("control");
+	TCase *t = tcase_create("control");
+	SRunner *r;
+	int failed;
+
+	tcase_set_timeout(t, 110);
+	tcase_add_test(t, watches_follow_the_table_and_the_contact);
+	tcase_add_test(t, claims_hold_on_every_process);
+	tcase_add_test(t, endpoints_reach_every_process);
+	tcase_add_test(t, relay_serves_and_forwards);
+	tcase_add_test(t, relay_of_a_cut_off_voter_serves_no_older_table);
+	tcase_add_test(t, versions_survive_a_cut_off_leader_and_a_restart);
+	suite_add_tcase(suite, t);
+	r = srunner_create(suite);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
