agent: ask each control process once for a refused version; spread claim retries

Cause: under load a test failed once: "bad row", the node stayed on version 5. The three requests for the whole table all went to the damaged control process while the other one was stale, and then the node waited for the next version. Slowing the test's clock showed a second fault: without a quorum a waiting claim was sent every 25 ms on average, 256 times in a few seconds.

Change: a control process that sent a damaged whole table is not asked again for that version, and the node moves on from it while another one has not been asked, to at most three. Retries of a waiting claim back off from 50 to 500 ms with full jitter.

Conclusion: both faults are fixed and tested.

--- a/packages/agent/agent_claim.c
+++ b/packages/agent/agent_claim.c
@@ -132,7 +132,7 @@
 		return true;
 	}
 	p->maybe_open = p->maybe_open || !answer.certain;
-	back_off(p, CLAIM_RETRY_MS, CLAIM_RETRY_MS, rng, now);
+	back_off(p, CLAIM_RETRY_MS, CLAIM_RETRY_MAX_MS, rng, now);
 	if (p->deadline - now >= MS(CLAIM_LAST_MS))
 		return false;
 	*status = note_claim_report(p, now);
--- a/packages/agent/agent_claim.h
+++ b/packages/agent/agent_claim.h
@@ -11,7 +11,8 @@
 #define CLAIM_ATTEMPT_MAX_MS 2500 /* one attempt; a control waits up to 2 s */
 #define CLAIM_ATTEMPT_MIN_MS 500 /* shorter attempts only at the deadline */
 #define CLAIM_LAST_MS 20 /* with less time left no attempt is made */
-#define CLAIM_RETRY_MS 50 /* between attempts of a waiting caller, jittered */
+#define CLAIM_RETRY_MS 50 /* first retry of a waiting caller, full jitter */
+#define CLAIM_RETRY_MAX_MS 500 /* many callers retry when the quorum is lost */
 #define CLAIM_BACKOFF_MS 500 /* first background delay, full jitter */
 #define CLAIM_BACKOFF_MAX_MS 15000
 #define CLAIM_KEEP_MIN_S 60 /* background closing lasts at least this long */
--- a/packages/agent/agent_core.h
+++ b/packages/agent/agent_core.h
@@ -18,7 +18,7 @@
 #include "metric.h"
 #include "rpc.h"
 
-#define AGENT_REFUSALS_MAX 3 /* times that one version is asked for again */
+#define AGENT_REFUSALS_MAX 3 /* control processes tried for one version */
 #define AGENT_CLAIMS_MAX 4096 /* claims unfinished, with those in background */
 
 /* How the agent recovers from a refused version, watch by watch. */
@@ -106,7 +106,7 @@
 	uint64_t registry_id; /* that the set versions belong to */
 	uint64_t refused_version;
 	char refused_reason[WIRE_TEXT_MAX + 1];
-	unsigned int refusals; /* of refused_version */
+	uint32_t refused_by; /* bit i: control i sent refused_version whole */
 	enum agent_retry retry;
 	uint32_t switch_ms;
 	uint64_t self_confirmed; /* seq that this control process has seen */
--- a/packages/agent/agent_watch.c
+++ b/packages/agent/agent_watch.c
@@ -17,6 +17,9 @@
 };
 
 static void send_watch(struct agent *a, int control, int64_t now);
+static void start_retry(struct agent *a);
+static bool is_retry_over(const struct agent *a);
+static bool is_worth_moving(const struct agent *a, int control);
 static void step_retry(struct agent *a, int64_t now);
 static uint64_t fill_self(struct agent *a, struct wire_endpoint *out,
     struct agent_self *copy, int *wait_ms);
@@ -28,8 +31,8 @@
     const struct agent_watch *w, const struct wire_table_update *u,
     int64_t received_at);
 static bool switch_table(struct agent *a, struct table *t, int64_t received_at);
-static enum reply_effect refuse_table(
-    struct agent *a, const struct wire_table_update *u, const struct fault *f);
+static enum reply_effect refuse_table(struct agent *a, int control,
+    const struct wire_table_update *u, const struct fault *f);
 static bool take_sets(
     struct agent *a, const struct wire_watch_reply *r, int64_t now);
 static void confirm_self(struct agent *a, uint64_t seq);
@@ -103,6 +106,8 @@
 	int n, rc = ERR_MEMORY;
 
 	note_follow_sent(&a->follow, now);
+	if (a->refused_by & 1u << control)
+		a->retry = AGENT_RETRY_NONE;
 	if (w == NULL)
 		goto fail;
 	w->agent = a;
@@ -144,6 +149,36 @@
 	}
 }
 
+/*
+ * Asks for a refused version again: from the next control process, or from one
+ * that was busy.
+ */
+static void
+start_retry(struct agent *a)
+{
+	a->retry = a->refused_version != 0 && !is_retry_over(a) ?
+		       AGENT_RETRY_REPORT :
+		       AGENT_RETRY_NONE;
+}
+
+static bool
+is_retry_over(const struct agent *a)
+{
+	int n = __builtin_popcount(a->refused_by);
+
+	return n >= AGENT_REFUSALS_MAX || n >= a->control_count;
+}
+
+/*
+ * Tells that this control process has nothing but a refused version, which
+ * others may have undamaged.
+ */
+static bool
+is_worth_moving(const struct agent *a, int control)
+{
+	return (a->refused_by & 1u << control) != 0 && !is_retry_over(a);
+}
+
 /*
  * A control process withholds a version that the node reports as refused. So
  * the report is followed by one more watch that does not name it.
@@ -220,6 +255,7 @@
 	reset_rpc_peer(a->peers[control]);
 	note_follow_failure(&a->follow, now);
 	a->self_confirmed = 0;
+	start_retry(a);
 }
 
 static void
@@ -234,6 +270,7 @@
 	if (r->status == WIRE_LIMIT && newest) {
 		count_metric(a->metrics.limits, 1);
 		note_follow_limit(&a->follow, r->retry_ms, now);
+		start_retry(a);
 		if (!is_follow_attached(&a->follow) &&
 		    get_follow_control(&a->follow) != w->control)
 			a->self_confirmed = 0;
@@ -249,6 +286,8 @@
 	effect = take_table(a, w, &r->table, received_at);
 	if (current && w->self_seq != 0)
 		confirm_self(a, w->self_seq);
+	if (effect == REPLY_EMPTY && !news && is_worth_moving(a, w->control))
+		effect = REPLY_FAILED;
 	if (effect == REPLY_FAILED && newest)
 		fail_watch(a, w->control, now);
 	else if (current)
@@ -285,7 +324,7 @@
 	case ERR_MEMORY:
 		return REPLY_FAILED;
 	default:
-		return refuse_table(a, u, &f);
+		return refuse_table(a, w->control, u, &f);
 	}
 }
 
@@ -307,7 +346,7 @@
 	    (uint32_t)((read_mono(&a->clock) - received_at) / NSEC_PER_MSEC);
 	if (version >= a->refused_version) {
 		a->refused_version = 0;
-		a->refusals = 0;
+		a->refused_by = 0;
 		a->retry = AGENT_RETRY_NONE;
 		a->refused_reason[0] = '\0';
 	}
@@ -319,32 +358,32 @@
 }
 
 /*
- * Notes a version that must not be used, for the next watch. The whole table is
- * then asked for up to AGENT_REFUSALS_MAX times, as the fault may be that of
- * the base or of one control process: after a bad delta the same one is asked,
- * after a bad whole table another one. Then the node waits for the next version.
+ * Notes a version that must not be used, for the next watch. The fault may be
+ * that of the base or of one control process: after a bad delta the same one is
+ * asked for the whole table, after a bad whole table another one, up to
+ * AGENT_REFUSALS_MAX. Then the node waits for the next version.
  */
 static enum reply_effect
-refuse_table(
-    struct agent *a, const struct wire_table_update *u, const struct fault *f)
+refuse_table(struct agent *a, int control, const struct wire_table_update *u,
+    const struct fault *f)
 {
-	bool again = u->table_version == a->refused_version;
-
 	count_metric(a->metrics.refused, 1);
-	a->refused_version = u->table_version;
-	a->refusals = again ? a->refusals + 1 : 1;
-	(void)copy_str(
-	    a->refused_reason, sizeof(a->refused_reason), make_str(f->text));
-	if (!again) {
+	if (u->table_version != a->refused_version) {
 		write_log(LOG_LEVEL_ERR, "version %llu refused: %s",
 		    (unsigned long long)u->table_version, f->text);
 		record_event(a->events, "refuse", a->node, u->table_version,
 		    "%s", f->text);
+		a->refused_by = 0;
+	}
+	a->refused_version = u->table_version;
+	(void)copy_str(
+	    a->refused_reason, sizeof(a->refused_reason), make_str(f->text));
+	if (u->form == WIRE_TABLE_DELTA) {
+		start_retry(a);
+		return REPLY_NEWS;
 	}
-	if (a->refusals > AGENT_REFUSALS_MAX)
-		return REPLY_EMPTY;
-	a->retry = AGENT_RETRY_REPORT;
-	return u->form == WIRE_TABLE_DELTA ? REPLY_NEWS : REPLY_FAILED;
+	a->refused_by |= 1u << control;
+	return is_retry_over(a) ? REPLY_EMPTY : REPLY_FAILED;
 }
 
 /*
--- a/packages/agent/tests/test_agent_claim.c
+++ b/packages/agent/tests/test_agent_claim.c
@@ -216,6 +216,39 @@
 }
 END_TEST
 
+/* Guards against waiting callers that flood a control process. */
+START_TEST(retries_of_a_waiting_caller_are_spread)
+{
+	int64_t now = START;
+	struct claim_plan p;
+	int status, sends = 0;
+	struct rng r;
+
+	seed_rng(&r, 11);
+	start_claim_plan(&p, true, 20000, 60, now);
+	while (p.phase == CLAIM_ASKING) {
+		struct claim_step s = get_claim_step(&p, now);
+
+		if (s.action == CLAIM_WAIT) {
+			now = s.until;
+			continue;
+		}
+		if (s.action == CLAIM_REPORT) {
+			(void)note_claim_report(&p, now);
+			break;
+		}
+		note_claim_sent(&p);
+		sends++;
+		(void)note_claim_answer(&p,
+		    classify_claim_answer(0, WIRE_UNAVAILABLE), &r, now,
+		    &status);
+	}
+	/* 20 s at a mean of 250 ms are 80; twice that leaves room for draws */
+	ck_assert_int_ge(sends, 10);
+	ck_assert_int_le(sends, 160);
+}
+END_TEST
+
 #define COUNT(a) (int)(sizeof(a) / sizeof((a)[0]))
 
 int
@@ -232,6 +265,7 @@
 	    t, closing_lasts_until_it_is_confirmed, 0, COUNT(closing_cases));
 	tcase_add_test(t, closing_ends_with_the_retention);
 	tcase_add_test(t, silent_control_leaves_time_for_another);
+	tcase_add_test(t, retries_of_a_waiting_caller_are_spread);
 	suite_add_tcase(s, t);
 	run = srunner_create(s);
 	srunner_run_all(run, CK_ENV);
