Shorten the queue of a row that has overflowed

Change: once a row's queue has overflowed (a call refused because of the calls ahead of it, or queue_max), new calls are refused as overload while the queue is longer than the target allows at the rate the row was recently served, until it has been empty. Tests: the queue shortens and recovers; floors owed by slots and credit; bounds of credit and debt.

--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -158,8 +158,12 @@
 	accrue(a, now);
 	l = &a->view.lanes[row];
 	c->lane = row;
-	if (is_hopeless(a, l, c, now))
+	if (is_hopeless(a, l, c, now)) {
+		l->overflowed = l->waiting != 0;
 		return refuse_offer(a, c, REFUSE_DEADLINE);
+	}
+	if (a->policy->sheds && is_overloaded(l))
+		return refuse_offer(a, c, REFUSE_OVERLOAD);
 	if (push_call(l, c) != 0)
 		return refuse_offer(a, c, REFUSE_OVERLOAD);
 	c->state = CALL_WAITING;
@@ -170,8 +174,10 @@
 		return v;
 	}
 	if (c->state == CALL_WAITING && a->policy->bounded &&
-	    l->waiting > (size_t)l->queue_max)
+	    l->waiting > (size_t)l->queue_max) {
 		drop_waiting(a, l, c, REFUSE_OVERLOAD, out);
+		l->overflowed = l->waiting != 0;
+	}
 	if (c->state == CALL_ENDED) {
 		(void)remove_listed(&out->refused, c);
 		return (struct admit_verdict){.action = ADMIT_REFUSED,
--- a/packages/policy/lane.c
+++ b/packages/policy/lane.c
@@ -12,6 +12,7 @@
 #define USUAL_GROWTH 1.6 /* ratio above which a sample is slow */
 #define SPREAD_FACTOR 2.0 /* mean deviations above the mean: a slow call */
 #define HELD_NS 1e9 /* memory of what a row held */
+#define HELD_MIN 0.1 /* slots; least rate in an estimate of the wait */
 #define GUESS_DIVISOR 10 /* targets usually leave ten service times */
 #define FLOOR_MARGIN 1.01 /* without it the share ends a call short */
 #define CREDIT_CALLS 4.0 /* slow calls on each slot that credit can cover */
@@ -73,6 +74,8 @@
 	size_t i = c->heap_index;
 	struct admission_call *last = l->heap[--l->waiting];
 
+	if (l->waiting == 0)
+		l->overflowed = false;
 	if (last == c)
 		return;
 	place_call(l, last, i);
@@ -210,6 +213,27 @@
 	return floor_slots > whole ? l->credit >= 0 : l->credit > 0;
 }
 
+/*
+ * Says whether a new call should be refused because the row is in lasting
+ * overload. A surge may use all of the queue. Once it has overflowed, a full
+ * queue would only make every answer late, so until it has been empty it is
+ * kept as short as the target allows at the rate at which the row has recently
+ * been served.
+ */
+bool
+is_overloaded(const struct lane *l)
+{
+	double target = (double)l->target_ns;
+	double bound = target - get_service_high(l);
+	double rate = l->held > HELD_MIN ? l->held : HELD_MIN;
+
+	if (!l->overflowed)
+		return false;
+	if (bound < target / 2)
+		bound = target / 2;
+	return (double)l->waiting * l->service_ns / rate > bound;
+}
+
 /* Order of the heap; arrival breaks ties. */
 static bool
 is_before(const struct lane *l, const struct admission_call *a,
--- a/packages/policy/lane.h
+++ b/packages/policy/lane.h
@@ -32,7 +32,8 @@
 
 	double credit; /* slot-ns of the fraction of a floor, see accrue */
 	double vtime; /* weighted slot-ns received; weighted fair */
-	double held; /* recent mean of in_flight; marginal gain */
+	double held; /* recent mean of in_flight */
+	bool overflowed; /* its queue overflowed and has not emptied since */
 };
 
 void load_lane(struct lane *l, const struct row *r, bool by_deadline);
@@ -47,6 +48,8 @@
 int get_limit_slots(const struct lane *l, int limit); /* at least 1 */
 /* Moves the time-weighted state over dt ns. */
 void accrue_lane(struct lane *l, int limit, double dt);
+/* Whether a row in overload would serve a new call past its target. */
+bool is_overloaded(const struct lane *l);
 /* Whether the row is owed a slot of its floor now. */
 bool is_owed_floor(const struct lane *l, int limit);
 
--- a/packages/policy/tests/test_admission.c
+++ b/packages/policy/tests/test_admission.c
@@ -279,6 +279,55 @@
 }
 END_TEST
 
+/* Finishes a running call after its service time and starts the next one. */
+static struct admission_call *
+finish_first(struct admission *a, struct admission_call *run, int64_t ms)
+{
+	struct admission_changes out = {0};
+
+	advance_clock(&clock_state, ms * MS);
+	finish_call(a, run, OUTCOME_RAN, ms * MS, read_now(), &out);
+	return out.run;
+}
+
+/*
+ * Guards against a flooded row whose every answer is late because its queue
+ * stays full, and against refusals in a surge that the queue can hold.
+ */
+START_TEST(overflow_shortens_the_queue_until_it_empties)
+{
+	struct admission *a = open_admission(ADMISSION_FLOORS, 1, rows_three);
+	struct admission_changes out = {0};
+	struct admission_call c[80], extra, *run = &c[0];
+	int i = 0, row;
+
+	teach_service(a, "pay", 100, 30);
+	row = find_admission_row(a, make_str("pay"));
+	while (offer_kind(a, &c[i], "pay", 5000, &out).action != ADMIT_REFUSED)
+		ck_assert_int_lt(++i, 80);
+	ck_assert_int_eq(c[i].reason, REFUSE_DEADLINE);
+	ck_assert_int_gt(get_row_queued(a, row), 40);
+	while (get_row_queued(a, row) > 3) { /* 300 ms: the whole target */
+		ck_assert_int_eq(
+		    offer_kind(a, &extra, "pay", 5000, &out).action,
+		    ADMIT_REFUSED);
+		run = finish_first(a, run, 100);
+		ck_assert_ptr_nonnull(run);
+	}
+	run = finish_first(a, run, 100);
+	run = finish_first(a, run, 100);
+	ck_assert_int_eq(get_row_queued(a, row), 1);
+	ck_assert_int_eq(
+	    offer_kind(a, &extra, "pay", 5000, &out).action, ADMIT_QUEUED);
+	while (run != NULL)
+		run = finish_first(a, run, 100);
+	for (i = 0; i < 20; i++) /* emptied: a surge may wait again */
+		ck_assert_int_ne(offer_kind(a, &c[i], "pay", 5000, &out).action,
+		    ADMIT_REFUSED);
+	destroy_admission(a);
+}
+END_TEST
+
 /* Guards against an idle floor that keeps short calls out. */
 START_TEST(unused_floor_is_lent_to_short_calls)
 {
@@ -605,6 +654,7 @@
 	tcase_add_test(tc, fewer_slots_and_sheds_hold_back_dispatch);
 	tcase_add_test(tc, growing_latency_lowers_the_limit);
 	tcase_add_test(tc, unused_floor_is_not_lent_to_calls_too_long);
+	tcase_add_test(tc, overflow_shortens_the_queue_until_it_empties);
 	tcase_add_test(tc, unused_floor_is_lent_to_short_calls);
 	tcase_add_test(tc, limit_caps_a_row_while_others_wait);
 	tcase_add_loop_test(
--- a/packages/policy/tests/test_sharing.c
+++ b/packages/policy/tests/test_sharing.c
@@ -131,6 +131,54 @@
 }
 END_TEST
 
+struct owed_case {
+	int floor_pct, limit, in_flight;
+	double credit;
+	bool want;
+};
+
+static const struct owed_case owed_cases[] = {
+    {50, 20, 9, -1e9, true}, /* whole slots at once, whatever the debt */
+    {50, 20, 10, 0, false}, {50, 20, 10, 1, true}, /* slots that came late */
+    {50, 20, 11, 1e9, false}, {10, 6, 0, 0, true}, /* 0.6 of a slot */
+    {10, 6, 0, -1, false}, {10, 6, 1, 1e9, false},
+    {0, 20, 0, 1e9, false}, /* the floor cell was set to zero */
+};
+
+/* Guards against a floor that waits for credit, or that exceeds its slots. */
+START_TEST(floor_is_owed_by_slots_and_credit)
+{
+	const struct owed_case *c = &owed_cases[_i];
+	struct lane l = {.used = true,
+	    .floor_pct = c->floor_pct,
+	    .in_flight = c->in_flight,
+	    .credit = c->credit};
+
+	ck_assert_int_eq(is_owed_floor(&l, c->limit), c->want);
+}
+END_TEST
+
+/* Guards against borrowing that costs a row its floor for long, and saving. */
+START_TEST(credit_and_debt_are_bounded)
+{
+	struct admission_call call = {0};
+	struct lane l = {.used = true, .floor_pct = 10, .in_flight = 6};
+
+	for (int i = 0; i < 50; i++)
+		add_service_sample(&l, 100e6);
+	accrue_lane(&l, 6, 60e9);
+	ck_assert(l.credit >= -0.41 * get_service_high(&l));
+	l.in_flight = 0;
+	accrue_lane(&l, 6, 60e9);
+	ck_assert(l.credit <= 0); /* idle */
+	ck_assert_int_eq(push_call(&l, &call), 0);
+	accrue_lane(&l, 6, 60e9);
+	ck_assert(l.credit > 0);
+	ck_assert(l.credit <= 4.01 * get_service_high(&l));
+	unload_lane(&l);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -143,6 +191,9 @@
 	tcase_add_loop_test(tc, policy_takes_its_own_order, 0,
 	    sizeof(choice_cases) / sizeof(choice_cases[0]));
 	tcase_add_test(tc, fair_shares_follow_weights);
+	tcase_add_loop_test(tc, floor_is_owed_by_slots_and_credit, 0,
+	    sizeof(owed_cases) / sizeof(owed_cases[0]));
+	tcase_add_test(tc, credit_and_debt_are_bounded);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
