--- a/packages/proxy/call.h
+++ b/packages/proxy/call.h
@@ -126,6 +126,7 @@
 	int retry_count;
 	bool maybe_ran; /* an earlier attempt may have run */
 	bool hedged;
+	bool graced; /* past its deadline, waits for the serving node */
 	struct attempt attempts[CALL_ATTEMPTS_MAX];
 
 	/* The answer */
--- a/packages/proxy/entry.c
+++ b/packages/proxy/entry.c
@@ -15,6 +15,11 @@
 /* First use of a service: how long a call waits for its endpoint set. */
 #define SET_WAIT_NS (1 * NSEC_PER_SEC)
 #define SET_LOOK_NS (10 * NSEC_PER_MSEC)
+/*
+ * After the deadline an entry node waits this long for the serving node, which
+ * ends the call by the same deadline and knows whether it ran.
+ */
+#define GRACE_NS (20 * NSEC_PER_MSEC)
 
 static void route_call(struct call *c);
 static void launch_first(struct call *c);
@@ -32,6 +37,7 @@
 static void stop_call(struct call *c, enum attempt_end end,
     enum refuse_reason reason, const char *note);
 static bool has_active(const struct call *c);
+static bool has_remote(const struct call *c);
 static void set_step(struct call *c, int64_t at, void (*fn)(struct call *c));
 static void run_step(struct loop_timer *t);
 static void expire_call(struct loop_timer *t);
@@ -435,6 +441,7 @@
 	    .verdict = *v,
 	    .attempts = c->attempt_count,
 	    .chain_budget = c->chain_budget,
+	    .first_level = c->chain_header == RETRY_BUDGET_ABSENT,
 	    .has_other_endpoint = has_other_endpoint(pk, tried,
 		(size_t)c->attempt_count, get_loop_time(c->proxy->loop)),
 	    .retry_after_ns = retry_after,
@@ -528,6 +535,19 @@
 	return false;
 }
 
+/*
+ * Whether an attempt at another node is in flight.
+ */
+static bool
+has_remote(const struct call *c)
+{
+	for (int i = 0; i < c->attempt_count; i++) {
+		if (c->attempts[i].active && !c->attempts[i].local)
+			return true;
+	}
+	return false;
+}
+
 static void
 set_step(struct call *c, int64_t at, void (*fn)(struct call *c))
 {
@@ -560,6 +580,11 @@
 			return;
 		}
 	}
+	if (!c->graced && has_remote(c)) {
+		c->graced = true;
+		if (set_timer(c->proxy->loop, t, c->deadline + GRACE_NS) == 0)
+			return;
+	}
 	stop_call(c, ATTEMPT_TIMEOUT, REFUSE_DEADLINE, NULL);
 }
 
--- /dev/null
+++ b/packages/proxy/tests/test_faults.c
@@ -0,0 +1,237 @@
+/*
+ * Faulty backend servers over real sockets: what the caller is told, and how
+ * often the work ran. Every case is tried at the serving node itself and over
+ * one hop.
+ */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "world.h"
+
+struct fault_case {
+	const char *name;
+	enum fake_mode mode;
+	int times; /* calls that meet the fault */
+	const char *kind;
+	const char *more; /* request headers */
+	int status;
+	const char *outcome;
+	int runs;
+};
+
+static const struct fault_case cases[] = {
+    {"whole answer", FAKE_OK, 1, "read", NULL, 200, "ran", 1},
+    {"truncated", FAKE_TRUNCATED, 1, "read", NULL, 504, "unknown", 1},
+    {"over-long", FAKE_OVER_LONG, 1, "read", NULL, 504, "unknown", 1},
+    {"wrong call id", FAKE_WRONG_ID, 1, "read", NULL, 504, "unknown", 1},
+    {"closed at once", FAKE_CLOSE_FIRST, 1, "read", NULL, 504, "unknown", 0},
+    {"closed after the request", FAKE_CLOSE_AFTER, 1, "read", NULL, 504,
+	"unknown", 1},
+    {"closed in the headers", FAKE_CLOSE_HALF, 1, "read", NULL, 504, "unknown",
+	1},
+    {"closed between chunks", FAKE_CHUNKS_CUT, 1, "read", NULL, 504, "unknown",
+	1},
+    {"no length", FAKE_NO_LENGTH, 1, "read", NULL, 504, "unknown", 1},
+    {"shed", FAKE_SHED, 1, "read", NULL, 503, "not-run", 0},
+    {"not-run with 200", FAKE_FALSE_NOT_RUN, 1, "read", NULL, 504, "unknown",
+	1},
+    {"failed", FAKE_FAIL, 1, "read", NULL, 500, "failed", 1},
+    {"silent", FAKE_HELD, 1, "read", "X-Ggs-Deadline-Ms: 300\n", 504, "unknown",
+	0},
+    {"retried after a close", FAKE_CLOSE_AFTER, 1, "again", NULL, 200, "ran",
+	2},
+    {"retried after a cut", FAKE_TRUNCATED, 1, "again", NULL, 200, "ran", 2},
+    {"retried after a failure", FAKE_FAIL, 1, "again", NULL, 200, "ran", 2},
+    {"once: whole", FAKE_OK, 1, "pay", "Idempotency-Key: k\n", 200, "ran", 1},
+    {"once: closed after the request", FAKE_CLOSE_AFTER, 1, "pay",
+	"Idempotency-Key: k\n", 504, "unknown", 1},
+    {"once: truncated", FAKE_TRUNCATED, 1, "pay", "Idempotency-Key: k\n", 504,
+	"unknown", 1},
+    {"once: failed", FAKE_FAIL, 1, "pay", "Idempotency-Key: k\n", 500, "failed",
+	1},
+    {"once: shed, then sent again", FAKE_SHED, 1, "pay", "Idempotency-Key: k\n",
+	200, "ran", 1},
+    {"once: no key", FAKE_OK, 1, "pay", NULL, 400, "not-run", 0},
+    {"unknown kind", FAKE_OK, 1, "nothing", NULL, 404, "not-run", 0},
+    {"no endpoint set", FAKE_OK, 1, "lost", NULL, 503, "not-run", 0},
+    {"deadline past", FAKE_OK, 1, "read", "X-Ggs-Deadline-Ms: 0\n", 503,
+	"not-run", 0},
+    {"too deep", FAKE_OK, 1, "read", "X-Ggs-Depth: 900\n", 503, "not-run", 0},
+};
+
+#define CASES (int)(sizeof(cases) / sizeof(cases[0]))
+
+static void run_case(const struct fault_case *c, bool hop);
+
+/* Guards P4, P5 and P6 against a faulty server beside the node. */
+START_TEST(faults_at_the_serving_node)
+{
+	run_case(&cases[_i], false);
+}
+END_TEST
+
+/* Guards the same over the hop from an entry node. */
+START_TEST(faults_over_a_hop)
+{
+	run_case(&cases[_i], true);
+}
+END_TEST
+
+/* Guards P5: an unreachable server is "not run", not "unknown". */
+START_TEST(refused_connection_is_not_run)
+{
+	struct world_config wc = {.nodes = 1, .entry = true};
+	struct fake_reply r;
+	struct world w;
+
+	open_world(&w, &wc);
+	close_fake_backend(w.backends[0]);
+	call_world(&w, "read", NULL, &r);
+	ck_assert_int_eq(r.status, 503);
+	ck_assert_str_eq(r.outcome, "not-run");
+	w.backends[0] = open_fake_backend();
+	close_world(&w);
+}
+END_TEST
+
+/* Guards P5: "not run" of a retry does not hide that the first try may have. */
+START_TEST(not_run_after_an_unknown_attempt_is_unknown)
+{
+	struct world_config wc = {.nodes = 1, .entry = _i == 1};
+	struct fake_reply r;
+	struct world w;
+
+	open_world(&w, &wc);
+	set_fake_mode(w.backends[0], FAKE_CLOSE_AFTER, 1);
+	set_fake_then(w.backends[0], FAKE_SHED);
+	call_world(&w, "again", NULL, &r);
+	ck_assert_int_eq(r.status, 504);
+	ck_assert_str_eq(r.outcome, "unknown");
+	ck_assert_int_eq(count_fake_runs(w.backends[0]), 1);
+	close_world(&w);
+}
+END_TEST
+
+/* Guards P4: an answer that comes late on a kept connection goes to nobody. */
+START_TEST(late_answer_does_not_cross)
+{
+	struct world_config wc = {.nodes = 1};
+	struct fake_reply r;
+	struct world w;
+	char want[128];
+
+	open_world(&w, &wc);
+	set_fake_mode(w.backends[0], FAKE_TWICE, 1);
+	call_world(&w, "read", NULL, &r);
+	ck_assert_str_eq(r.outcome, "unknown");
+	for (int i = 0; i < 20; i++) {
+		call_world(&w, "read", NULL, &r);
+		ck_assert_int_eq(r.status, 200);
+		snprintf(want, sizeof(want), "ran:%s", r.call_id);
+		ck_assert_str_eq(r.body, want);
+	}
+	close_world(&w);
+}
+END_TEST
+
+/* Guards against a second answer, or none, when one endpoint is gone. */
+START_TEST(retry_goes_to_another_endpoint)
+{
+	struct world_config wc = {.nodes = 2, .entry = true};
+	struct fake_reply r;
+	struct world w;
+
+	open_world(&w, &wc);
+	close_fake_backend(w.backends[0]);
+	for (int i = 0; i < 10; i++) {
+		call_world(&w, "again", NULL, &r);
+		ck_assert_int_eq(r.status, 200);
+		ck_assert_str_eq(r.outcome, "ran");
+	}
+	ck_assert_int_eq(count_fake_runs(w.backends[1]), 10);
+	w.backends[0] = open_fake_backend();
+	close_world(&w);
+}
+END_TEST
+
+/* Guards against a hedge that answers twice or keeps the loser running. */
+START_TEST(hedge_wins_and_the_loser_is_cancelled)
+{
+	struct world_config wc = {.nodes = 2, .entry = true};
+	struct fake_reply r;
+	struct world w;
+
+	open_world(&w, &wc);
+	for (int i = 0; i < 20; i++)
+		call_world(&w, "hedged", NULL, &r);
+	set_fake_mode(w.backends[0], FAKE_HELD, 1);
+	set_fake_mode(w.backends[1], FAKE_HELD, 1);
+	call_world(&w, "hedged", "X-Ggs-Deadline-Ms: 1000\n", &r);
+	/* both are held: the deadline ends the call and cancels both */
+	ck_assert_str_eq(r.outcome, "unknown");
+	set_fake_mode(w.backends[0], FAKE_OK, 0);
+	set_fake_mode(w.backends[1], FAKE_HELD, 1000);
+	/* three, because each hedge takes two of the row's ten tokens */
+	for (int i = 0; i < 3; i++) {
+		call_world(&w, "hedged", NULL, &r);
+		ck_assert_int_eq(r.status, 200);
+	}
+	close_world(&w);
+}
+END_TEST
+
+static void
+run_case(const struct fault_case *c, bool hop)
+{
+	struct world_config wc = {.nodes = 1, .entry = hop};
+	struct fake_reply r;
+	struct world w;
+	int before;
+	char want[128];
+
+	open_world(&w, &wc);
+	/* a kept connection is in the pool before the fault */
+	call_world(&w, "read", NULL, &r);
+	ck_assert_msg(r.status == 200, "%s: warm-up got %d", c->name, r.status);
+	before = count_fake_runs(w.backends[0]);
+	set_fake_mode(w.backends[0], c->mode, c->times);
+	call_world(&w, c->kind, c->more, &r);
+	ck_assert_msg(r.status == c->status, "%s: status %d (%s, %s)", c->name,
+	    r.status, r.outcome, r.reason);
+	ck_assert_msg(strcmp(r.outcome, c->outcome) == 0, "%s: outcome %s",
+	    c->name, r.outcome);
+	ck_assert_msg(r.whole, "%s: the answer is cut", c->name);
+	if (r.status == 200) {
+		snprintf(want, sizeof(want), "ran:%s", r.call_id);
+		ck_assert_str_eq(r.body, want);
+	}
+	ck_assert_msg(count_fake_runs(w.backends[0]) - before == c->runs,
+	    "%s: %d runs", c->name, count_fake_runs(w.backends[0]) - before);
+	close_world(&w);
+}
+
+int
+main(void)
+{
+	Suite *s = suite_create("faults");
+	TCase *t = tcase_create("faults");
+	SRunner *r;
+	int failed;
+
+	tcase_set_timeout(t, 60);
+	tcase_add_loop_test(t, faults_at_the_serving_node, 0, CASES);
+	tcase_add_loop_test(t, faults_over_a_hop, 0, CASES);
+	tcase_add_test(t, refused_connection_is_not_run);
+	tcase_add_loop_test(
+	    t, not_run_after_an_unknown_attempt_is_unknown, 0, 2);
+	tcase_add_test(t, late_answer_does_not_cross);
+	tcase_add_test(t, retry_goes_to_another_endpoint);
+	tcase_add_test(t, hedge_wins_and_the_loser_is_cancelled);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/packages/proxy/tests/world.c
+++ b/packages/proxy/tests/world.c
@@ -9,13 +9,13 @@
 #include "world.h"
 
 static const char default_table[] =
-    TABLE_HEAD "read,svc,3,10,0,100,500,20000,100,0,50,0,yes,0,64,5\n"
-	       "again,svc,3,10,0,100,500,20000,100,2,50,0,yes,0,64,5\n"
-	       "hedged,svc,3,10,0,100,50,20000,100,1,50,20,yes,0,64,5\n"
-	       "pay,svc,1,10,0,100,500,20000,100,2,50,0,no,60,64,5\n"
-	       "slow,svc,5,10,0,100,500,20000,1,0,0,0,yes,0,64,1\n"
-	       "big,svc,5,10,0,100,500,20000,100,0,0,0,yes,0,1024,5\n"
-	       "lost,nowhere,5,10,0,100,500,20000,100,0,0,0,yes,0,64,5\n";
+    TABLE_HEAD "read,svc,3,10,0,100,500,60000,100,0,50,0,yes,0,64,5\n"
+	       "again,svc,3,10,0,100,500,60000,100,2,50,0,yes,0,64,5\n"
+	       "hedged,svc,3,10,0,100,50,60000,100,1,50,20,yes,0,64,5\n"
+	       "pay,svc,1,10,0,100,500,60000,100,2,50,0,no,60,64,5\n"
+	       "slow,svc,5,10,0,100,500,60000,1,0,0,0,yes,0,64,1\n"
+	       "big,svc,5,10,0,100,500,60000,100,0,0,0,yes,0,1024,5\n"
+	       "lost,nowhere,5,10,0,100,500,60000,100,0,0,0,yes,0,64,5\n";
 
 static struct proxy *open_node(
     struct world *w, const struct world_config *cfg, int i);
