agent, control: leave an unchanged interest out of a watch

Change: a watch names its interest by a digest and leaves the list out when the control process answered the same list on this connection; a process that does not know it answers not-found and gets it whole. A digest and the connection are compared, since watches of one connection may be handled out of order. The text form of the metrics has one head a name. Conclusion: the bytes of a change no longer grow with the interest.

--- a/packages/agent/agent.c
+++ b/packages/agent/agent.c
@@ -321,6 +321,7 @@
 	for (int i = 0; i < a->control_count; i++)
 		near[i] = cfg->control_zones[i] != NULL &&
 			  strcmp(cfg->control_zones[i], a->zone) == 0;
+	a->interest_control = -1;
 	start_follow(&a->follow, a->control_count, near, cfg->seed,
 	    read_mono(&a->clock));
 	a->shown_control = get_follow_control(&a->follow);
--- a/packages/agent/agent_core.h
+++ b/packages/agent/agent_core.h
@@ -55,6 +55,7 @@
 	int control;
 	uint64_t held_version; /* at the time of sending */
 	uint64_t self_seq; /* of the own record sent; 0: none */
+	uint64_t interest_digest; /* of the interest, sent or left out */
 };
 
 /* The outcome of an RPC, handed to the agent's thread. */
@@ -104,6 +105,8 @@
 	struct rng rng;
 	uint64_t last_watch; /* number of the newest watch */
 	uint64_t registry_id; /* that the set versions belong to */
+	uint64_t interest_digest; /* of the list that interest_control has */
+	int interest_control; /* -1: none */
 	uint64_t refused_version;
 	char refused_reason[WIRE_TEXT_MAX + 1];
 	uint32_t refused_by; /* bit i: control i sent refused_version whole */
--- a/packages/agent/agent_watch.c
+++ b/packages/agent/agent_watch.c
@@ -36,6 +36,8 @@
 static bool take_sets(
     struct agent *a, const struct wire_watch_reply *r, int64_t now);
 static void confirm_self(struct agent *a, uint64_t seq);
+static uint64_t digest_interest(
+    uint64_t registry_id, const struct wire_interest *list, int count);
 static void show_watch(struct agent *a);
 
 /*
@@ -131,7 +133,11 @@
 		args.refused_version = a->refused_version;
 	args.refused_reason = a->refused_reason;
 	args.registry_id = a->registry_id;
-	args.interest.interest_len = (unsigned int)n;
+	w->interest_digest = digest_interest(a->registry_id, interest, n);
+	args.interest_digest = w->interest_digest;
+	args.interest_same = a->interest_control == control &&
+			     a->interest_digest == w->interest_digest;
+	args.interest.interest_len = args.interest_same ? 0 : (unsigned int)n;
 	args.interest.interest_val = interest;
 	args.wait_ms = AGENT_HEARTBEAT_MS;
 	w->self_seq = fill_self(a, &self, &copy, &args.wait_ms);
@@ -276,6 +282,13 @@
 			a->self_confirmed = 0;
 		return;
 	}
+	a->interest_control = r->status == WIRE_OK ? w->control : -1;
+	a->interest_digest = w->interest_digest;
+	if (r->status == WIRE_NOT_FOUND && newest) {
+		/* A new connection has not seen the interest yet. */
+		note_follow_reply(&a->follow, true, true, now);
+		return;
+	}
 	if (r->status != WIRE_OK) {
 		if (newest)
 			fail_watch(a, w->control, now);
@@ -437,3 +450,22 @@
 	a->shown_refused = a->refused_version;
 	pthread_mutex_unlock(&a->lock);
 }
+
+/*
+ * Digest of an interest list. A control process keeps the list last sent whole
+ * on a connection, so that a watch with the same one leaves it out.
+ */
+static uint64_t
+digest_interest(
+    uint64_t registry_id, const struct wire_interest *list, int count)
+{
+	uint64_t h = registry_id;
+
+	for (int i = 0; i < count; i++) {
+		h = hash_str(make_str(list[i].service), h);
+		h = hash_str(make_str_n((const char *)&list[i].set_version,
+				 sizeof(list[i].set_version)),
+		    h);
+	}
+	return h != 0 ? h : 1;
+}
--- a/packages/control/nodes.c
+++ b/packages/control/nodes.c
@@ -3,19 +3,24 @@
  */
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "nodes.h"
 
 static bool match_node(const struct hash_link *l, const void *key);
 static struct node_report *add_node(struct node_list *l, struct str name);
+static struct node_report *find_node(struct node_list *l, struct str name);
+static int copy_interest(
+    const wire_interest *from, unsigned int count, wire_interest **out);
+static void free_interest(wire_interest *list, unsigned int count);
+static void free_node(struct node_report *n);
 
 bool
 note_node(struct node_list *l, const struct wire_watch_args *a, uint64_t conn,
     int64_t mono_ns, int64_t wall_ns)
 {
 	struct str name = make_str(a->node);
-	struct node_report *n = (struct node_report *)find_link(
-	    &l->index, hash_str(name, 0), match_node, &name);
+	struct node_report *n = find_node(l, name);
 	bool changed;
 
 	if (n == NULL)
@@ -42,6 +47,42 @@
 	return changed;
 }
 
+int
+restore_interest(struct node_list *l, struct wire_watch_args *a, uint64_t conn)
+{
+	struct node_report *n = find_node(l, make_str(a->node));
+	wire_interest *copy = NULL;
+	int rc;
+
+	if (a->interest_same) {
+		if (n == NULL || n->interest_conn != conn ||
+		    n->interest_digest != a->interest_digest ||
+		    n->interest_digest == 0 || a->interest.interest_len != 0)
+			return ERR_NOT_FOUND;
+		rc = copy_interest(n->interest, n->interest_count, &copy);
+		if (rc != 0)
+			return rc;
+		free(a->interest.interest_val);
+		a->interest.interest_val = copy;
+		a->interest.interest_len = n->interest_count;
+		return 0;
+	}
+	if (n == NULL || a->interest_digest == 0)
+		return 0;
+	free_interest(n->interest, n->interest_count);
+	n->interest = NULL;
+	n->interest_count = 0;
+	n->interest_digest = 0;
+	/* Without memory the next request is asked for the whole list. */
+	if (copy_interest(a->interest.interest_val, a->interest.interest_len,
+		&n->interest) == 0) {
+		n->interest_count = a->interest.interest_len;
+		n->interest_conn = conn;
+		n->interest_digest = a->interest_digest;
+	}
+	return 0;
+}
+
 struct node_report *
 take_closed_node(struct node_list *l, uint64_t conn)
 {
@@ -70,7 +111,7 @@
 		if (mono_ns - n->heard_ns < NODES_KEEP_NS)
 			continue;
 		remove_link(&l->index, k);
-		free(n);
+		free_node(n);
 	}
 }
 
@@ -82,7 +123,7 @@
 	for (; k != NULL; k = next) {
 		next = get_next_link(&l->index, k);
 		remove_link(&l->index, k);
-		free(k);
+		free_node((struct node_report *)k);
 	}
 	unload_index(&l->index);
 }
@@ -111,3 +152,48 @@
 	}
 	return n;
 }
+
+static struct node_report *
+find_node(struct node_list *l, struct str name)
+{
+	return (struct node_report *)find_link(
+	    &l->index, hash_str(name, 0), match_node, &name);
+}
+
+/*
+ * Copies a list with its strings, in the form that xdr_free() frees.
+ */
+static int
+copy_interest(
+    const wire_interest *from, unsigned int count, wire_interest **out)
+{
+	wire_interest *list = calloc(count + 1, sizeof(*list));
+
+	if (list == NULL)
+		return ERR_MEMORY;
+	for (unsigned int i = 0; i < count; i++) {
+		list[i].service = strdup(from[i].service);
+		list[i].set_version = from[i].set_version;
+		if (list[i].service == NULL) {
+			free_interest(list, i);
+			return ERR_MEMORY;
+		}
+	}
+	*out = list;
+	return 0;
+}
+
+static void
+free_interest(wire_interest *list, unsigned int count)
+{
+	for (unsigned int i = 0; i < count; i++)
+		free(list[i].service);
+	free(list);
+}
+
+static void
+free_node(struct node_report *n)
+{
+	free_interest(n->interest, n->interest_count);
+	free(n);
+}
--- a/packages/control/nodes.h
+++ b/packages/control/nodes.h
@@ -21,6 +21,10 @@
 	char refused_reason[WIRE_TEXT_MAX + 1];
 	int64_t heard_ns;
 	uint64_t conn; /* 0: closed */
+	uint64_t interest_conn; /* that the list below came from */
+	uint64_t interest_digest; /* 0: no list is kept */
+	wire_interest *interest; /* as last sent whole */
+	unsigned int interest_count;
 };
 
 struct node_list {
@@ -30,6 +34,12 @@
 /* Returns whether the node newly reports a refusal or another version. */
 bool note_node(struct node_list *l, const struct wire_watch_args *a,
     uint64_t conn, int64_t mono_ns, int64_t wall_ns);
+/*
+ * Fills in the interest of a request that says it is the same as before, or
+ * keeps a copy of it. ERR_NOT_FOUND: none is known for the connection.
+ */
+int restore_interest(
+    struct node_list *l, struct wire_watch_args *a, uint64_t conn);
 /* The next node of a closed connection; NULL: none is left. */
 struct node_report *take_closed_node(struct node_list *l, uint64_t conn);
 void expire_nodes(struct node_list *l, int64_t mono_ns);
--- a/packages/control/tests/test_watch.c
+++ b/packages/control/tests/test_watch.c
@@ -454,6 +454,53 @@
 }
 END_TEST
 
+struct interest_case {
+	uint64_t digest; /* of the request that leaves the list out */
+	uint64_t conn;
+	int want_rc;
+};
+
+static const struct interest_case interest_cases[] = {
+    {77, 7, 0},
+    {78, 7, ERR_NOT_FOUND}, /* another list */
+    {77, 8, ERR_NOT_FOUND}, /* another connection */
+    {0, 7, ERR_NOT_FOUND},
+};
+
+/* Guards against a node that is served by a list it no longer has. */
+START_TEST(interest_left_out_is_that_of_its_digest)
+{
+	const struct interest_case *c = &interest_cases[_i];
+	struct node_list l = {0};
+	wire_interest list[2] = {{strdup("s1"), 5}, {strdup("s2"), 6}};
+	struct wire_watch_args a = {.node = (char *)(uintptr_t) "n1",
+	    .zone = (char *)(uintptr_t) "z",
+	    .refused_reason = (char *)(uintptr_t) "",
+	    .interest_digest = 77};
+
+	a.interest.interest_val = list;
+	a.interest.interest_len = 2;
+	ck_assert(note_node(&l, &a, 7, 1, 100));
+	ck_assert_int_eq(restore_interest(&l, &a, 7), 0);
+	a.interest.interest_val = NULL;
+	a.interest.interest_len = 0;
+	a.interest_same = true;
+	a.interest_digest = c->digest;
+	ck_assert_int_eq(restore_interest(&l, &a, c->conn), c->want_rc);
+	ck_assert_uint_eq(a.interest.interest_len, c->want_rc == 0 ? 2 : 0);
+	if (c->want_rc == 0) {
+		ck_assert_str_eq(a.interest.interest_val[1].service, "s2");
+		ck_assert_uint_eq(a.interest.interest_val[1].set_version, 6);
+		free(a.interest.interest_val[0].service);
+		free(a.interest.interest_val[1].service);
+		free(a.interest.interest_val);
+	}
+	free(list[0].service);
+	free(list[1].service);
+	clear_nodes(&l);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -468,5 +515,7 @@
 	tcase_add_test(t, sets_that_do_not_fit_follow_in_the_next_reply);
 	tcase_add_test(t, bucket_spreads_a_storm);
 	tcase_add_test(t, node_reports_are_kept);
+	tcase_add_loop_test(t, interest_left_out_is_that_of_its_digest, 0,
+	    sizeof(interest_cases) / sizeof(interest_cases[0]));
 	return run_suite("watch", t);
 }
--- a/packages/control/watches.c
+++ b/packages/control/watches.c
@@ -46,6 +46,12 @@
 	w->sync_read = pull && wait_ms == 0;
 	pthread_mutex_lock(&c->lock);
 	note_watch(c, w, now, pull);
+	if (restore_interest(&c->nodes, &w->args, q->conn) != 0) {
+		reply_refusal(c, w, WIRE_NOT_FOUND, 0);
+		free_watch(w);
+		pthread_mutex_unlock(&c->lock);
+		return;
+	}
 	if (w->args.held_version == 0 || w->sync_read)
 		w->read = join_read(c);
 	if (c->stopping) {
--- a/packages/metric/metric.c
+++ b/packages/metric/metric.c
@@ -40,6 +40,8 @@
 static unsigned int get_bucket(uint64_t value);
 static uint64_t get_bucket_edge(unsigned int bucket);
 static uint64_t find_quantile(const uint64_t *counts, uint64_t total, double q);
+static bool has_earlier_name(unsigned int id);
+static int render_head(struct buf *out, const struct metric *m);
 static int render_histogram(struct buf *out, metric_id id);
 static int render_sample(struct buf *out, const struct metric *m,
     const char *suffix, const char *label, uint64_t value);
@@ -162,13 +164,9 @@
 
 	for (unsigned int i = 0; i < n && rc == 0; i++) {
 		const struct metric *m = &metrics[i];
-		int base = (int)strcspn(m->name, "{");
 
-		rc = append_buf_fmt(out, "# HELP %.*s %s\n# TYPE %.*s %s\n",
-		    base, m->name, m->help, base, m->name,
-		    m->kind == METRIC_COUNTER ? "counter" :
-		    m->kind == METRIC_GAUGE   ? "gauge" :
-						"summary");
+		if (!has_earlier_name(i))
+			rc = render_head(out, m);
 		if (rc != 0)
 			break;
 		if (m->kind == METRIC_HISTOGRAM)
@@ -180,6 +178,35 @@
 	return rc;
 }
 
+/*
+ * Whether an earlier metric has the same name with other labels; the format
+ * allows one head a name.
+ */
+static bool
+has_earlier_name(unsigned int id)
+{
+	size_t base = strcspn(metrics[id].name, "{");
+
+	for (unsigned int i = 0; i < id; i++) {
+		if (strcspn(metrics[i].name, "{") == base &&
+		    memcmp(metrics[i].name, metrics[id].name, base) == 0)
+			return true;
+	}
+	return false;
+}
+
+static int
+render_head(struct buf *out, const struct metric *m)
+{
+	int base = (int)strcspn(m->name, "{");
+
+	return append_buf_fmt(out, "# HELP %.*s %s\n# TYPE %.*s %s\n", base,
+	    m->name, m->help, base, m->name,
+	    m->kind == METRIC_COUNTER ? "counter" :
+	    m->kind == METRIC_GAUGE   ? "gauge" :
+					"summary");
+}
+
 /*
  * Returns the calling thread's slot. Threads above GGS_MAX_THREADS share one
  * slot and add to it atomically.
--- a/packages/wire/gen/wire_xdr.c
+++ b/packages/wire/gen/wire_xdr.c
@@ -279,6 +279,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->registry_id))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->interest_digest))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->interest_same))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->interest.interest_val, (u_int *) &objp->interest.interest_len, WIRE_INTEREST_MAX,
 		sizeof (wire_interest), (xdrproc_t) xdr_wire_interest))
 		 return FALSE;
--- a/packages/wire/gen/wire_xdr.h
+++ b/packages/wire/gen/wire_xdr.h
@@ -201,6 +201,8 @@
 	u_quad_t refused_version;
 	wire_text refused_reason;
 	u_quad_t registry_id;
+	u_quad_t interest_digest;
+	bool_t interest_same;
 	struct {
 		u_int interest_len;
 		wire_interest *interest_val;
--- a/packages/wire/wire.x
+++ b/packages/wire/wire.x
@@ -161,6 +161,8 @@
 	unsigned hyper refused_version;
 	wire_text refused_reason;
 	unsigned hyper registry_id; /* the set versions belong to this one */
+	unsigned hyper interest_digest; /* names the list; 0: not kept */
+	bool interest_same;        /* the list kept under this digest */
 	wire_interest interest<WIRE_INTEREST_MAX>;
 	wire_endpoint *self;       /* sent when changed or newly attached */
 	int wait_ms;               /* heartbeat interval the node expects */
--- a/scenarios/run.lua
+++ b/scenarios/run.lua
@@ -36,6 +36,7 @@
 end
 
 local function edit(f, plan)
+	sys.sleep(2000) -- until the endpoint changes of the start are through
 	local row, column, value = table.unpack(plan.edit)
 	local bytes = control_bytes(f)
 	local start = sys.now_ms()
