Test that endpoint changes pass without the digest

Cause: with the 50 ms synchronization switched off on purpose, test_fleet stayed green, because the digest repaired the records within 5 s.

Change: the endpoint test stops the digests, so that only the changes themselves can bring a record to the other processes.

--- a/packages/control/tests/fleet_fixture.h
+++ b/packages/control/tests/fleet_fixture.h
@@ -25,12 +25,13 @@
 #define FLEET_MAX 4
 #define FLEET_KEY "0123456789abcdef0123456789abcdef"
 #define FLEET_WAIT_S 30 /* bound of every wait for a state */
-#define FLEET_ROW(kind, rank)                                                  \
+#define FLEET_ROW(kind, rank) \
 	kind ",svc," rank ",10,5,100,100,1000,100,1,10,0,yes,0,64,30\n"
-#define FLEET_TABLE                                                            \
-	"kind,service,rank,weight,floor_pct,limit_pct,target_ms,deadline_ms,"  \
-	"queue_max,retries,retry_pct,hedge_ms,repeat,keep_s,body_max_kb,"      \
-	"drain_s\n" FLEET_ROW("a", "1") FLEET_ROW("b", "2") FLEET_ROW("c", "3")
+#define FLEET_TABLE                                                           \
+	"kind,service,rank,weight,floor_pct,limit_pct,target_ms,deadline_ms," \
+	"queue_max,retries,retry_pct,hedge_ms,repeat,keep_s,body_max_kb,"     \
+	"drain_s\n" FLEET_ROW("a", "1") FLEET_ROW("b", "2")                   \
+	    FLEET_ROW("c", "3")
 
 /* Which messages between a control process and the others are lost. */
 enum cut_kind {
@@ -341,12 +342,11 @@
 	struct wire_watch_reply r = {0};
 	struct buf b = {0}, body = {0};
 
-	ck_assert_int_eq(
-	    encode_wire((xdrproc_t)xdr_wire_watch_args, a, &b), 0);
+	ck_assert_int_eq(encode_wire((xdrproc_t)xdr_wire_watch_args, a, &b), 0);
 	ck_assert_int_eq(
 	    call_rpc_wait(p, GGS_WATCH, view_buf(&b), 15000, &body), 0);
-	ck_assert_int_eq(decode_wire((xdrproc_t)xdr_wire_watch_reply,
-			     view_buf(&body), &r),
+	ck_assert_int_eq(
+	    decode_wire((xdrproc_t)xdr_wire_watch_reply, view_buf(&body), &r),
 	    0);
 	unload_buf(&b);
 	unload_buf(&body);
@@ -376,9 +376,9 @@
 send_claim(struct rpc_peer *p, const char *key, char id,
     enum wire_claim_state state, const char *answer)
 {
-	struct wire_claim_args a = {.kind = (char *)(uintptr_t)"a",
+	struct wire_claim_args a = {.kind = (char *)(uintptr_t) "a",
 	    .key = (char *)(uintptr_t)key,
-	    .node = (char *)(uintptr_t)"n",
+	    .node = (char *)(uintptr_t) "n",
 	    .state = state,
 	    .keep_s = 60,
 	    .wait_ms = 9000};
@@ -392,8 +392,8 @@
 	    encode_wire((xdrproc_t)xdr_wire_claim_args, &a, &b), 0);
 	ck_assert_int_eq(
 	    call_rpc_wait(p, GGS_CLAIM, view_buf(&b), 15000, &body), 0);
-	ck_assert_int_eq(decode_wire((xdrproc_t)xdr_wire_claim_reply,
-			     view_buf(&body), &r),
+	ck_assert_int_eq(
+	    decode_wire((xdrproc_t)xdr_wire_claim_reply, view_buf(&body), &r),
 	    0);
 	unload_buf(&b);
 	unload_buf(&body);
--- a/packages/control/tests/test_fleet.c
+++ b/packages/control/tests/test_fleet.c
@@ -28,8 +28,8 @@
 static json_int_t
 import_table(size_t i, json_int_t base, const char *key)
 {
-	json_t *o = json_pack("{s:s,s:I,s:s}", "csv", FLEET_TABLE, "base", base,
-	    "key", key);
+	json_t *o = json_pack(
+	    "{s:s,s:I,s:s}", "csv", FLEET_TABLE, "base", base, "key", key);
 	char *text = json_dumps(o, 0);
 	json_int_t v = change(i, "/v1/import", text, 200);
 
@@ -207,8 +207,7 @@
 	ck_assert_int_eq(r.status, WIRE_OK);
 	unload_wire((xdrproc_t)xdr_wire_claim_reply, &r);
 	atomic_store(&fleet.members[leader].cut, CUT_ALL);
-	r = send_claim(
-	    n[(leader + 1) % 3], "pay-1", 'y', WIRE_CLAIM_OPEN, "");
+	r = send_claim(n[(leader + 1) % 3], "pay-1", 'y', WIRE_CLAIM_OPEN, "");
 	ck_assert_int_eq(r.status, WIRE_CONFLICT);
 	ck_assert_int_eq(r.state, WIRE_CLAIM_RAN);
 	ck_assert_uint_eq(r.answer.answer_len, 4);
@@ -228,9 +227,9 @@
 	    .id = (char *)(uintptr_t)id,
 	    .incarnation = 1,
 	    .seq = seq,
-	    .service = (char *)(uintptr_t)"svc",
-	    .address = (char *)(uintptr_t)"127.0.0.1:9",
-	    .zone = (char *)(uintptr_t)"z",
+	    .service = (char *)(uintptr_t) "svc",
+	    .address = (char *)(uintptr_t) "127.0.0.1:9",
+	    .zone = (char *)(uintptr_t) "z",
 	    .slots = 1,
 	    .state = state,
 	};
@@ -243,7 +242,7 @@
 static void
 wait_endpoint(struct rpc_peer *p, enum wire_endpoint_state want)
 {
-	struct wire_interest interest = {(char *)(uintptr_t)"svc", 0};
+	struct wire_interest interest = {(char *)(uintptr_t) "svc", 0};
 	struct wire_watch_args a = make_watch("viewer", 1, 1000);
 
 	a.interest.interest_len = 1;
@@ -260,8 +259,8 @@
 				 s->endpoints.endpoints_len == 0;
 			for (unsigned int e = 0; e < s->endpoints.endpoints_len;
 			     e++)
-				found |= s->endpoints.endpoints_val[e].state ==
-					 want;
+				found |=
+				    s->endpoints.endpoints_val[e].state == want;
 		}
 		a.registry_id = r.registry_id;
 		unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
@@ -271,6 +270,21 @@
 	ck_abort_msg("no endpoint in state %d", (int)want);
 }
 
+/*
+ * Stops the digests, which would repair changes that are not sent.
+ */
+static void
+hold_digests(void)
+{
+	for (size_t i = 0; i < fleet.count; i++) {
+		struct control *c = fleet.members[i].control;
+
+		pthread_mutex_lock(&c->lock);
+		c->digest_ns = INT64_MAX / 2;
+		pthread_mutex_unlock(&c->lock);
+	}
+}
+
 /*
  * Guards against endpoints that stay on the process they attached to, and
  * against one that stays listed after its connection closed.
@@ -288,6 +302,7 @@
 		wait_version(i, 1);
 		n[i] = open_node(i);
 	}
+	hold_digests();
 	a = make_watch("n", 1, 0);
 	a.self = &e;
 	r = send_watch_again(n[3], &a); /* attached to the relay */
@@ -376,10 +391,9 @@
 	for (int i = 0; i < 10; i++) {
 		struct wire_watch_reply r = send_watch(n, &a);
 
-		ck_assert(r.status == WIRE_STALE ||
-			  r.table.table_version == 2);
-		ck_assert(r.status == WIRE_OK ||
-			  r.table.form == WIRE_TABLE_NONE);
+		ck_assert(r.status == WIRE_STALE || r.table.table_version == 2);
+		ck_assert(
+		    r.status == WIRE_OK || r.table.form == WIRE_TABLE_NONE);
 		unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
 		sleep_ms(50);
 	}
--- a/packages/control/tests/test_http.c
+++ b/packages/control/tests/test_http.c
@@ -82,8 +82,8 @@
 
 		ck_assert_msg(status == c->want, "%s %s %s: %d %s", c->method,
 		    c->path, c->body, status, answer.data);
-		ck_assert_msg(strstr(answer.data, c->text) != NULL,
-		    "%s %s: %s", c->method, c->path, answer.data);
+		ck_assert_msg(strstr(answer.data, c->text) != NULL, "%s %s: %s",
+		    c->method, c->path, answer.data);
 	}
 	memset(large, ' ', sizeof(large));
 	ck_assert_int_eq(send_http(0, "POST", "/v1/edit", TOKEN, large,
@@ -140,9 +140,9 @@
 	time_t now = time(NULL);
 
 	ck_assert_int_eq(gnutls_x509_privkey_init(&k), 0);
-	ck_assert_int_eq(gnutls_x509_privkey_generate(k, GNUTLS_PK_ECDSA,
-			     GNUTLS_CURVE_TO_BITS(GNUTLS_ECC_CURVE_SECP256R1),
-			     0),
+	ck_assert_int_eq(
+	    gnutls_x509_privkey_generate(k, GNUTLS_PK_ECDSA,
+		GNUTLS_CURVE_TO_BITS(GNUTLS_ECC_CURVE_SECP256R1), 0),
 	    0);
 	ck_assert_int_eq(gnutls_x509_crt_init(&c), 0);
 	gnutls_x509_crt_set_version(c, 3);
@@ -195,8 +195,7 @@
 	ck_assert_uint_eq(bad, 0);
 	ck_assert_int_gt(
 	    gnutls_record_send(s, request, sizeof(request) - 1), 0);
-	ck_assert_int_gt(
-	    gnutls_record_recv(s, answer, sizeof(answer) - 1), 12);
+	ck_assert_int_gt(gnutls_record_recv(s, answer, sizeof(answer) - 1), 12);
 	gnutls_deinit(s);
 	gnutls_certificate_free_credentials(trust);
 	close(fd);
