--- a/packages/policy/lane.c
+++ b/packages/policy/lane.c
@@ -12,7 +12,10 @@
 #define USUAL_GROWTH 1.6 /* ratio above which a sample is slow */
 #define SPREAD_FACTOR 2.0 /* mean deviations above the mean: a slow call */
 #define HELD_NS 1e9 /* memory of what a row held */
+#define HELD_MIN 0.1 /* slots; least rate in an estimate of the wait */
 #define GUESS_DIVISOR 10 /* targets usually leave ten service times */
+#define FLOOR_MARGIN 1.01 /* without it the share ends a call short */
+#define CREDIT_CALLS 4.0 /* slow calls on each slot that credit can cover */
 #define HEAP_FIRST 16
 
 static bool is_before(const struct lane *l, const struct admission_call *a,
@@ -71,6 +74,8 @@
 	size_t i = c->heap_index;
 	struct admission_call *last = l->heap[--l->waiting];
 
+	if (l->waiting == 0)
+		l->overflowed = false;
 	if (last == c)
 		return;
 	place_call(l, last, i);
@@ -160,43 +165,73 @@
 /*
  * Moves credit and the mean of held slots over dt ns.
  *
- * Whole slots of a floor need no credit: the row is owed a slot whenever it
- * holds fewer. The fraction is kept in time-average: it earns credit while the
- * row has work and costs credit while the row holds the slot above the whole
- * ones. A slot used beyond the floor costs no more than that, and an idle row
- * saves nothing. Debt is bounded by one slow call, so that borrowing does not
- * cost a row its floor later.
+ * A row with work earns its floor in slot-time and pays for the slots it holds,
+ * so that a floor that is a fraction of a slot, or that waited for a slot to
+ * come free, is kept in time-average. Slots held beyond the floor by more than
+ * one are borrowed and cost nothing, debt is bounded by one slow call, and an
+ * idle row saves nothing. Credit is bounded so that a row kept short for long
+ * (by a cut limit) does not push the others out when it ends.
  */
 void
 accrue_lane(struct lane *l, int limit, double dt)
 {
 	double floor_slots = get_floor_slots(l, limit);
-	double part = floor_slots - (int)floor_slots;
-	double debt = (1 - part) * get_service_high(l);
+	int most = (int)floor_slots + 1;
+	int paid = l->in_flight < most ? l->in_flight : most;
+	double debt = (most - floor_slots) * get_service_high(l);
+	double credit = CREDIT_CALLS * most * get_service_high(l);
 	double alpha = dt / (HELD_NS + dt);
 
 	l->held += alpha * (l->in_flight - l->held);
-	l->credit += part * dt;
-	if (l->in_flight > (int)floor_slots)
-		l->credit -= dt;
+	if (l->floor_pct == 0)
+		return;
+	l->credit += (FLOOR_MARGIN * floor_slots - paid) * dt;
 	if (l->credit < -debt)
 		l->credit = -debt;
+	if (l->credit > credit)
+		l->credit = credit;
 	if (l->waiting == 0 && l->credit > 0)
 		l->credit = 0;
-	if (l->credit > debt)
-		l->credit = debt;
 }
 
-/* See accrue_lane(). A row without a floor is owed nothing. */
+/*
+ * See accrue_lane(). A row is owed the whole slots of its floor at once, and
+ * one more while it has credit.
+ */
 bool
 is_owed_floor(const struct lane *l, int limit)
 {
 	double floor_slots = get_floor_slots(l, limit);
 	int whole = (int)floor_slots;
 
+	if (l->floor_pct == 0)
+		return false;
 	if (l->in_flight < whole)
 		return true;
-	return floor_slots > whole && l->in_flight == whole && l->credit >= 0;
+	if (l->in_flight > whole)
+		return false;
+	return floor_slots > whole ? l->credit >= 0 : l->credit > 0;
+}
+
+/*
+ * Says whether a new call should be refused because the row is in lasting
+ * overload. A surge may use all of the queue. Once it has overflowed, a full
+ * queue would only make every answer late, so until it has been empty it is
+ * kept as short as the target allows at the rate at which the row has recently
+ * been served.
+ */
+bool
+is_overloaded(const struct lane *l)
+{
+	double target = (double)l->target_ns;
+	double bound = target - get_service_high(l);
+	double rate = l->held > HELD_MIN ? l->held : HELD_MIN;
+
+	if (!l->overflowed)
+		return false;
+	if (bound < target / 2)
+		bound = target / 2;
+	return (double)l->waiting * l->service_ns / rate > bound;
 }
 
 /* Order of the heap; arrival breaks ties. */
