control: found a group only after asking the other founders

Cause: a founder whose data folder was wiped and that restarted under the same id bootstrapped again with its votes forgotten, so it could vote twice in one term; two wiped founders of three founded a second group whose versions start again at 1. A voter added later and wiped could likewise take part again.

Change: a voter with an empty data folder starts no replica until the others have answered the new GROUP call.

Conclusion: an empty folder under a voter's id no longer takes part in a group that any reachable process still knows.

--- a/apps/greengagespurd/control_role.c
+++ b/apps/greengagespurd/control_role.c
@@ -10,7 +10,7 @@
 static int start(const struct settings *s, const struct fleet_keys *keys,
     struct event_log *events, struct fault *f);
 static bool is_stop_asked(void);
-static void stop(void);
+static int stop(struct fault *f);
 static const char *get_optional(const struct settings *s, const char *name);
 
 static const struct role role = {
@@ -75,13 +75,18 @@
 static bool
 is_stop_asked(void)
 {
-	return false;
+	struct fault f;
+
+	return has_control_failed(control, &f);
 }
 
-static void
-stop(void)
+static int
+stop(struct fault *f)
 {
+	int rc = has_control_failed(control, f) ? (int)f->kind : 0;
+
 	stop_control(control);
+	return rc;
 }
 
 static const char *
--- a/apps/greengagespurd/daemon.h
+++ b/apps/greengagespurd/daemon.h
@@ -23,7 +23,7 @@
 	int (*start)(const struct settings *s, const struct fleet_keys *keys,
 	    struct event_log *events, struct fault *f);
 	bool (*is_stop_asked)(void); /* by other means than a signal */
-	void (*stop)(void); /* gracefully */
+	int (*stop)(struct fault *f); /* gracefully; an error: why it ended */
 };
 
 const struct settings_program *get_daemon_program(void);
--- a/apps/greengagespurd/main.c
+++ b/apps/greengagespurd/main.c
@@ -121,10 +121,13 @@
 	    events, "start", get_setting(s, "name"), 0, "role %s", role->name);
 	wait_for_stop(role);
 	write_log(LOG_LEVEL_NOTICE, "stopping");
-	role->stop();
-	write_log(LOG_LEVEL_NOTICE, "stopped");
+	rc = role->stop(&f);
+	if (rc != 0)
+		write_log(LOG_LEVEL_ERR, "ended: %s", f.text);
+	else
+		write_log(LOG_LEVEL_NOTICE, "stopped");
 	close_event_log(events);
-	return EXIT_SUCCESS;
+	return rc != 0 ? EXIT_START_FAILED : EXIT_SUCCESS;
 }
 
 /*
--- a/apps/greengagespurd/node_role.c
+++ b/apps/greengagespurd/node_role.c
@@ -12,7 +12,7 @@
 static int start(const struct settings *s, const struct fleet_keys *keys,
     struct event_log *events, struct fault *f);
 static bool is_stop_asked(void);
-static void stop(void);
+static int stop(struct fault *f);
 static int start_node_agent(const struct settings *s,
     const struct fleet_keys *keys, struct event_log *events, struct fault *f);
 static int start_node_proxy(
@@ -64,15 +64,17 @@
 /*
  * Drains first, so that no call is cut off, and leaves the fleet last.
  */
-static void
-stop(void)
+static int
+stop(struct fault *f)
 {
+	(void)f;
 	if (drain_proxy(proxy) != 0)
 		write_log(LOG_LEVEL_WARNING,
 		    "drain: calls outlasted their rows' drain_s; raise drain_s "
 		    "or --drain-timeout");
 	stop_proxy(proxy);
 	stop_agent(agent);
+	return 0;
 }
 
 static int
--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -107,6 +107,23 @@
 	return get_replication(c, &st) && st.role == RAFT_LEADER;
 }
 
+/*
+ * Tells whether the process has to end, as a voter that must not found or join
+ * a group has.
+ */
+bool
+has_control_failed(struct control *c, struct fault *f)
+{
+	bool failed;
+
+	pthread_mutex_lock(&c->lock);
+	failed = c->founding.failed;
+	if (failed)
+		*f = c->founding.fault;
+	pthread_mutex_unlock(&c->lock);
+	return failed;
+}
+
 int
 render_control_status(struct control *c, struct buf *out)
 {
@@ -254,7 +271,7 @@
 	if (rc == 0)
 		rc = open_peers(c, f);
 	if (rc == 0 && !is_relay(c))
-		rc = start_replication(c, f);
+		rc = open_founding(c, f);
 	if (rc == 0)
 		rc = start_server(c, f);
 	if (rc == 0)
@@ -324,6 +341,9 @@
 	case GGS_CLAIM:
 		handle_claim(c, q, reply);
 		break;
+	case GGS_GROUP:
+		handle_group(c, q, reply);
+		break;
 	default:
 		complete_rpc(reply, ERR_NOT_FOUND, make_str(""));
 	}
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -44,6 +44,7 @@
 
 uint64_t get_control_version(struct control *c); /* table held; 0: none */
 bool is_control_leader(struct control *c);
+bool has_control_failed(struct control *c, struct fault *f); /* must end */
 int render_control_status(struct control *c, struct buf *out); /* JSON */
 
 #endif
--- a/packages/control/replication.c
+++ b/packages/control/replication.c
@@ -23,18 +23,19 @@
 static void ignore_reply(void *arg, const struct rpc_result *r);
 static void confirm_round(void *arg, int status, uint64_t index);
 static void answer_read(void *arg, int status, uint64_t index);
-static bool find_founders(struct control *c, struct raft_members *out);
 static void note_version(struct control *c, uint64_t before);
 
 /*
- * Starts the replica of a voter. One that the settings list among the voters
- * founds the group; another one joins when the group adds it.
+ * Starts the replica of a voter. With an empty data folder it returns
+ * ERR_NOT_FOUND when need_data is set. Otherwise one that the settings list
+ * among the voters founds the group; another one joins when the group adds it.
  */
 int
-start_replication(struct control *c, struct fault *f)
+start_replication(struct control *c, bool need_data, struct fault *f)
 {
 	struct raft_members founders = {0};
 	struct replica_config r = {
+	    .need_data = need_data,
 	    .clock = c->cfg.clock,
 	    .id = c->id,
 	    .data_dir = c->cfg.data_dir,
@@ -232,6 +233,29 @@
 	return rc;
 }
 
+/*
+ * Fills in the founding members; false when this process is not among them.
+ */
+bool
+find_founders(struct control *c, struct raft_members *out)
+{
+	bool found = false;
+
+	for (size_t i = 0; i < c->cfg.peer_count; i++) {
+		struct raft_member *m = &out->member[out->count];
+		char *end;
+
+		m->id = strtoull(c->cfg.peers[i], &end, 10);
+		m->voter = true;
+		(void)copy_str(
+		    m->address, sizeof(m->address), make_str(end + 1));
+		out->count++;
+		if (m->id == c->id)
+			found = true;
+	}
+	return found;
+}
+
 static void
 apply_entry(void *arg, uint64_t index, int64_t wall_ns, struct str bytes,
     struct buf *result)
@@ -337,29 +361,6 @@
 	free(call);
 }
 
-/*
- * Fills in the founding members; false when this process is not among them.
- */
-static bool
-find_founders(struct control *c, struct raft_members *out)
-{
-	bool found = false;
-
-	for (size_t i = 0; i < c->cfg.peer_count; i++) {
-		struct raft_member *m = &out->member[out->count];
-		char *end;
-
-		m->id = strtoull(c->cfg.peers[i], &end, 10);
-		m->voter = true;
-		(void)copy_str(
-		    m->address, sizeof(m->address), make_str(end + 1));
-		out->count++;
-		if (m->id == c->id)
-			found = true;
-	}
-	return found;
-}
-
 static void
 note_version(struct control *c, uint64_t before)
 {
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -76,6 +76,19 @@
 	void *arg;
 };
 
+/* A voter with an empty data folder, until it founds, joins or is refused. */
+struct founding {
+	bool pending; /* the replica is not started */
+	bool founder; /* listed among the founders of the settings */
+	bool joins; /* a group confirmed that this process is no voter of it */
+	bool failed; /* the process must end; fault tells why */
+	struct fault fault;
+	int64_t ask_ns; /* next question to the peers */
+	/* Ids of founders seen without a group since this process started. */
+	uint64_t seen[CONTROL_PEER_MAX];
+	size_t seen_count;
+};
+
 /* What a relay knows about the voter that it follows. */
 struct upstream {
 	size_t peer; /* position in peers */
@@ -131,6 +144,7 @@
 	struct read_rounds reads;
 	struct submission *submissions;
 	struct upstream upstream;
+	struct founding founding;
 	uint64_t leader_hint; /* relay: leader that a voter named */
 	int64_t tick_ns; /* last of each kind */
 	int64_t digest_ns;
@@ -162,7 +176,7 @@
 void wake_service(struct control *c);
 
 /* replication.c: the replica, and confirmed reads */
-int start_replication(struct control *c, struct fault *f);
+int start_replication(struct control *c, bool need_data, struct fault *f);
 void stop_replication(struct control *c);
 bool get_replication(struct control *c, struct replica_status *out);
 int get_replication_members(struct control *c, struct raft_members *out);
@@ -171,11 +185,18 @@
 void handle_raft_step(
     struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
 void handle_read_index(struct control *c, struct rpc_reply *reply);
+bool find_founders(struct control *c, struct raft_members *out);
 uint64_t join_read(struct control *c); /* round to wait for; lock held */
 void run_reads(struct control *c); /* starts a round when wanted; lock held */
 void finish_read(struct control *c, bool confirmed); /* lock held */
 int wait_read(struct control *c, int timeout_ms); /* takes the lock */
 
+/* founding.c: a voter whose data folder is empty */
+int open_founding(struct control *c, struct fault *f);
+void run_founding(struct control *c, int64_t now); /* takes the lock */
+void handle_group(
+    struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
+
 /* peers.c */
 int open_peers(struct control *c, struct fault *f);
 void update_peer(struct control *c, uint64_t id, const char *address);
--- a/packages/replica/replica.c
+++ b/packages/replica/replica.c
@@ -135,6 +135,9 @@
 	rc = open_wal(&wcfg, &r->wal, f);
 	if (rc != 0)
 		return rc;
+	if (is_wal_empty(r->wal) && r->cfg.need_data)
+		return set_fault(f, ERR_NOT_FOUND,
+		    "the data directory %s is empty", r->cfg.data_dir);
 	stored = *get_wal_stored(r->wal);
 	if (is_wal_empty(r->wal) && r->cfg.bootstrap != NULL) {
 		first.members = *r->cfg.bootstrap;
--- a/packages/replica/replica.h
+++ b/packages/replica/replica.h
@@ -71,6 +71,7 @@
 	uint64_t seed; /* of election timeouts */
 	size_t snapshot_bytes; /* 0: REPLICA_SNAPSHOT_BYTES */
 	size_t segment_bytes; /* 0: WAL_SEGMENT_BYTES */
+	bool need_data; /* ERR_NOT_FOUND when the data directory is empty */
 	bool manual; /* no thread: the caller runs pump_replica() */
 };
 
--- a/packages/rpc/rpc_procs.c
+++ b/packages/rpc/rpc_procs.c
@@ -17,6 +17,7 @@
     [GGS_WATCH] = {"watch", NODE_REQUEST_MAX, WIRE_MESSAGE_MAX},
     [GGS_PULL] = {"pull", NODE_REQUEST_MAX, WIRE_MESSAGE_MAX},
     [GGS_CLAIM] = {"claim", NODE_REQUEST_MAX, NODE_REQUEST_MAX},
+    [GGS_GROUP] = {"group", STATUS_REPLY_MAX, STATUS_REPLY_MAX},
 };
 
 const struct rpc_proc *
--- a/packages/wire/gen/wire_xdr.c
+++ b/packages/wire/gen/wire_xdr.c
@@ -155,6 +155,36 @@
 	return TRUE;
 }
 
+bool_t
+xdr_wire_group_args (XDR *xdrs, wire_group_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_hlc (xdrs, &objp->stamp))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sender))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->founder))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_group_reply (XDR *xdrs, wire_group_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_status (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_wire_hlc (xdrs, &objp->stamp))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->exists))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->voter))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wire_endpoint_state (XDR *xdrs, wire_endpoint_state *objp)
 {
--- a/packages/wire/gen/wire_xdr.h
+++ b/packages/wire/gen/wire_xdr.h
@@ -129,6 +129,21 @@
 };
 typedef struct wire_propose_reply wire_propose_reply;
 
+struct wire_group_args {
+	wire_hlc stamp;
+	u_quad_t sender;
+	bool_t founder;
+};
+typedef struct wire_group_args wire_group_args;
+
+struct wire_group_reply {
+	wire_status status;
+	wire_hlc stamp;
+	bool_t exists;
+	bool_t voter;
+};
+typedef struct wire_group_reply wire_group_reply;
+
 enum wire_endpoint_state {
 	WIRE_ENDPOINT_STARTING = 0,
 	WIRE_ENDPOINT_READY = 1,
@@ -311,6 +326,9 @@
 #define GGS_CLAIM 7
 extern  wire_claim_reply * ggs_claim_1(wire_claim_args , CLIENT *);
 extern  wire_claim_reply * ggs_claim_1_svc(wire_claim_args , struct svc_req *);
+#define GGS_GROUP 8
+extern  wire_group_reply * ggs_group_1(wire_group_args , CLIENT *);
+extern  wire_group_reply * ggs_group_1_svc(wire_group_args , struct svc_req *);
 extern int ggs_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -338,6 +356,9 @@
 #define GGS_CLAIM 7
 extern  wire_claim_reply * ggs_claim_1();
 extern  wire_claim_reply * ggs_claim_1_svc();
+#define GGS_GROUP 8
+extern  wire_group_reply * ggs_group_1();
+extern  wire_group_reply * ggs_group_1_svc();
 extern int ggs_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -354,6 +375,8 @@
 extern  bool_t xdr_wire_read_reply (XDR *, wire_read_reply*);
 extern  bool_t xdr_wire_propose_args (XDR *, wire_propose_args*);
 extern  bool_t xdr_wire_propose_reply (XDR *, wire_propose_reply*);
+extern  bool_t xdr_wire_group_args (XDR *, wire_group_args*);
+extern  bool_t xdr_wire_group_reply (XDR *, wire_group_reply*);
 extern  bool_t xdr_wire_endpoint_state (XDR *, wire_endpoint_state*);
 extern  bool_t xdr_wire_endpoint (XDR *, wire_endpoint*);
 extern  bool_t xdr_wire_endpoint_set (XDR *, wire_endpoint_set*);
@@ -379,6 +402,8 @@
 extern bool_t xdr_wire_read_reply ();
 extern bool_t xdr_wire_propose_args ();
 extern bool_t xdr_wire_propose_reply ();
+extern bool_t xdr_wire_group_args ();
+extern bool_t xdr_wire_group_reply ();
 extern bool_t xdr_wire_endpoint_state ();
 extern bool_t xdr_wire_endpoint ();
 extern bool_t xdr_wire_endpoint_set ();
--- a/packages/wire/wire.x
+++ b/packages/wire/wire.x
@@ -97,6 +97,20 @@
 	opaque result<WIRE_COMMAND_MAX>;
 };
 
+/* Question of a process with an empty data folder to the other ones. */
+struct wire_group_args {
+	wire_hlc stamp;
+	unsigned hyper sender;     /* control id */
+	bool founder;              /* it is listed among the founders */
+};
+
+struct wire_group_reply {
+	wire_status status;
+	wire_hlc stamp;
+	bool exists;               /* the replying process is in a group */
+	bool voter;                /* the sender is a voter of that group */
+};
+
 /* Endpoints */
 
 enum wire_endpoint_state {
@@ -233,5 +247,6 @@
 		wire_watch_reply GGS_WATCH(wire_watch_args) = 5;
 		wire_watch_reply GGS_PULL(wire_watch_args) = 6;
 		wire_claim_reply GGS_CLAIM(wire_claim_args) = 7;
+		wire_group_reply GGS_GROUP(wire_group_args) = 8;
 	} = 1;
 } = 0x20474753;
--- a/scenarios/fleet.lua
+++ b/scenarios/fleet.lua
@@ -140,6 +140,26 @@
 	end
 end
 
+-- What a process has written to its log.
+function Fleet:log(p)
+	local file = assert(io.open(self.dir .. "/" .. p.name .. ".log", "r"))
+	local text = file:read("a")
+	file:close()
+	return text
+end
+
+-- Replaces the disk of a stopped control process with an empty one, and back.
+function Fleet:wipe(c)
+	sys.remove(c.data .. ".kept")
+	assert(os.rename(c.data, c.data .. ".kept"))
+	sys.folder(c.data)
+end
+
+function Fleet:unwipe(c)
+	sys.remove(c.data)
+	assert(os.rename(c.data .. ".kept", c.data))
+end
+
 function Fleet:freeze(p) process.kill(p.proc, "STOP") end
 function Fleet:thaw(p) process.kill(p.proc, "CONT") end
 
