agent: test that a damaged control process is not asked again

Cause: the guard in send_watch() had no test that could fail.

Change: the stand-in holds the watch that reports a refused version and answers it at a heartbeat, like a control process, instead of at once.

--- a/packages/agent/tests/agent_rig.h
+++ b/packages/agent/tests/agent_rig.h
@@ -265,9 +265,7 @@
 		w.sets.sets_val = &set;
 		news = true;
 	}
-	/* a withheld version: the heartbeat's reply, here at once */
-	if (news || args->wait_ms == 0 ||
-	    (mode == RIG_BAD_ROW && args->refused_version != 0))
+	if (news || args->wait_ms == 0)
 		send_rig_watch(reply, &w);
 	else
 		c->held[c->held_count++] = reply;
@@ -482,6 +480,22 @@
 	pthread_mutex_unlock(&r->lock);
 }
 
+/* The heartbeat of control i: held watches are answered without news. */
+static inline void
+beat_rig(struct rig *r, int i)
+{
+	struct rig_control *c = &r->controls[i];
+
+	pthread_mutex_lock(&r->lock);
+	for (int k = 0; k < c->held_count; k++) {
+		struct wire_watch_reply w = {.registry_id = c->registry};
+
+		send_rig_watch(c->held[k], &w);
+	}
+	c->held_count = 0;
+	pthread_mutex_unlock(&r->lock);
+}
+
 static inline uint64_t
 get_rig_version(struct rig *r)
 {
--- a/packages/agent/tests/test_agent_watch.c
+++ b/packages/agent/tests/test_agent_watch.c
@@ -48,6 +48,14 @@
     {"wrong digest", RIG_BAD_DIGEST, true, false},
 };
 
+/* Answers what control 0 holds every 100 steps of the clock. */
+static void
+beat_at_intervals(struct rig *r)
+{
+	if (atomic_load(&r->now) / (10 * NSEC_PER_MSEC) % 100 == 0)
+		beat_rig(r, 0);
+}
+
 /*
  * Guards against a bad answer that changes the table in force, or that stops
  * the node from getting the good version.
@@ -76,13 +84,16 @@
 		int before = count_rig_seen(&r, 0);
 		int more = c->first == RIG_BAD_ROW ? 4 : 1;
 
-		RIG_ADVANCE_UNTIL(&r, count_rig_seen(&r, 0) > before + more);
+		RIG_ADVANCE_UNTIL(
+		    &r, (beat_at_intervals(&r),
+			    count_rig_seen(&r, 0) > before + more));
 		if (c->first == RIG_BAD_ROW) /* version 5, and once more */
 			ck_assert_int_eq(count_rig_tables(&r), 2);
 		ck_assert_msg(get_rig_version(&r) == 5, "%s", c->name);
 		atomic_store(&r.controls[1].mode, RIG_SERVE);
 	}
-	RIG_ADVANCE_UNTIL(&r, get_rig_version(&r) == 6);
+	RIG_ADVANCE_UNTIL(
+	    &r, (beat_at_intervals(&r), get_rig_version(&r) == 6));
 	for (int i = 0; i < 2; i++) {
 		pthread_mutex_lock(&r.lock);
 		for (int k = 0; k < r.controls[i].seen_count; k++)
