--- a/packages/agent/tests/agent_rig.h
+++ b/packages/agent/tests/agent_rig.h
@@ -15,7 +15,7 @@
 #include "agent.h"
 #include "rpc.h"
 
-#define RIG_CONTROLS 3
+#define RIG_CONTROLS 5
 #define RIG_SEEN_MAX 256 /* watches and claims remembered a control */
 #define RIG_WAIT_MS 20000 /* a state that takes longer never comes */
 
@@ -480,6 +480,22 @@
 	pthread_mutex_unlock(&r->lock);
 }
 
+/* The heartbeat of control i: held watches are answered without news. */
+static inline void
+beat_rig(struct rig *r, int i)
+{
+	struct rig_control *c = &r->controls[i];
+
+	pthread_mutex_lock(&r->lock);
+	for (int k = 0; k < c->held_count; k++) {
+		struct wire_watch_reply w = {.registry_id = c->registry};
+
+		send_rig_watch(c->held[k], &w);
+	}
+	c->held_count = 0;
+	pthread_mutex_unlock(&r->lock);
+}
+
 static inline uint64_t
 get_rig_version(struct rig *r)
 {
