proxy: let the test doubles build under the thread sanitizer

Cause: with -fsanitize=thread gcc sees that a node name of 8 bytes may be cut and stops the build, so make test-tsan could not have run these tests.

Change: names of 16 bytes.

--- a/packages/proxy/tests/world.c
+++ b/packages/proxy/tests/world.c
@@ -24,7 +24,7 @@
 void
 open_world(struct world *w, const struct world_config *cfg)
 {
-	char address[32], id[8];
+	char address[32], id[16];
 
 	*w = (struct world){0};
 	set_log_level(LOG_LEVEL_ERR);
@@ -103,7 +103,7 @@
 static struct proxy *
 open_node(struct world *w, const struct world_config *cfg, int i)
 {
-	char id[8];
+	char id[16];
 	struct proxy_config pc = {.clock = get_real_clock(),
 	    .events = w->events,
 	    .agent = w->agent,
