--- a/packages/control/founding.c
+++ b/packages/control/founding.c
@@ -75,6 +75,22 @@
 		start_empty(c);
 }
 
+/*
+ * A consensus message that arrives before the replica started comes from a
+ * group. A founder that has not seen its sender without one is too late to
+ * found; this also tells one whose --peers are all gone.
+ */
+void
+note_group_message(struct control *c, uint64_t from)
+{
+	struct founding *s = &c->founding;
+
+	pthread_mutex_lock(&c->lock);
+	if (s->pending && !s->failed && s->founder && !is_seen(s, from))
+		refuse_start(c, from);
+	pthread_mutex_unlock(&c->lock);
+}
+
 /*
  * Answers whether this process is in a group. A question of a founder notes
  * that the sender is in none: once it has founded one, this process knows that
--- a/packages/control/replication.c
+++ b/packages/control/replication.c
@@ -119,15 +119,19 @@
 {
 	struct wire_raft_message m = {0};
 	int rc = decode_wire((xdrproc_t)xdr_wire_raft_message, q->args, &m);
+	bool present;
 
 	if (rc != 0) {
 		complete_rpc(reply, ERR_INVALID, make_str(""));
 		return;
 	}
 	pthread_rwlock_rdlock(&c->replica_guard);
-	if (c->replica != NULL)
+	present = c->replica != NULL;
+	if (present)
 		(void)step_replica(c->replica, &m);
 	pthread_rwlock_unlock(&c->replica_guard);
+	if (!present)
+		note_group_message(c, m.from);
 	unload_wire((xdrproc_t)xdr_wire_raft_message, &m);
 	complete_rpc(reply, 0, make_str(""));
 }
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -194,6 +194,7 @@
 /* founding.c: a voter whose data folder is empty */
 int open_founding(struct control *c, struct fault *f);
 void run_founding(struct control *c, int64_t now); /* takes the lock */
+void note_group_message(struct control *c, uint64_t from); /* takes the lock */
 void handle_group(
     struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
 
--- a/scenarios/fleet.lua
+++ b/scenarios/fleet.lua
@@ -84,6 +84,8 @@
 	f.token_file = f.dir .. "/tokens"
 	sys.write(f.token_file, "anna operator-token-anna-1\nbruno operator-token-bruno-2\n",
 		tonumber("600", 8))
+	f.ctl_token = f.dir .. "/token"
+	sys.write(f.ctl_token, "operator-token-anna-1\n", tonumber("600", 8))
 	return f
 end
 
@@ -126,6 +128,78 @@
 	end
 end
 
+-- Plans a further control process: its address is in the settings of the nodes
+-- added from now on. Without a data folder it is a relay.
+function Fleet:plan_control(id, zone, relay)
+	local c = {id = id, host = M.address(), zone = zone, links = {},
+		name = (relay and "relay-" or "control-") .. id, relay = relay}
+	c.rpc = c.host .. ":" .. CONTROL_RPC
+	c.http = c.host .. ":" .. CONTROL_HTTP
+	if not relay then
+		c.data = self.dir .. "/data-" .. id
+		sys.folder(c.data)
+	end
+	self.controls[#self.controls + 1] = c
+	return c
+end
+
+-- Starts a planned control process. Its peers are the voters that run now;
+-- with links, each connection to one of them passes a link.
+function Fleet:join_control(c)
+	local peers = {}
+	for _, other in ipairs(self.controls) do
+		if other ~= c and other.running and not other.relay then
+			local at = other.rpc
+			if self.opts.links then
+				at = M.address() .. ":" .. CONTROL_RPC
+				c.links[other.id] = link.open(at, other.rpc)
+			end
+			peers[#peers + 1] = other.id .. "=" .. at
+		end
+	end
+	c.args = {daemon(), "--role=control", "--name=" .. c.name,
+		"--id=" .. c.id, "--zone=" .. c.zone,
+		"--peers=" .. table.concat(peers, ","),
+		"--rpc-listen=" .. c.rpc, "--http-listen=" .. c.http,
+		"--key-file=" .. self.key_file,
+		"--token-file=" .. self.token_file}
+	if c.data then
+		c.args[#c.args + 1] = "--data-dir=" .. c.data
+	end
+	self:start(c)
+end
+
+-- Runs the operators' command against the running control processes. Returns
+-- its exit status and what it printed.
+function Fleet:ctl(...)
+	local controls = {}
+	for _, c in ipairs(self.controls) do
+		if c.running then
+			controls[#controls + 1] = c.http
+		end
+	end
+	self.ctl_count = (self.ctl_count or 0) + 1
+	local log = self.dir .. "/ctl-" .. self.ctl_count .. ".log"
+	local p = process.start{args = {
+		BUILD .. "/apps/greengagespurctl/greengagespurctl",
+		"--controls=" .. table.concat(controls, ","),
+		"--token-file=" .. self.ctl_token, ...}, log = log}
+	local status = process.wait(p, 30000)
+	local file = io.open(log, "r")
+	local text = file and file:read("a") or ""
+	if file then
+		file:close()
+	end
+	return status, text
+end
+
+function Fleet:member(action, c)
+	if action == "add" then
+		return self:ctl("member", action, tostring(c.id), c.rpc)
+	end
+	return self:ctl("member", action, tostring(c.id))
+end
+
 function Fleet:start(p, file_limit)
 	p.proc = process.start{args = p.args, file_limit = file_limit,
 		log = self.dir .. "/" .. p.name .. ".log"}
@@ -160,6 +234,20 @@
 	assert(os.rename(c.data .. ".kept", c.data))
 end
 
+-- A process that lost the disk of a voter ends with an error that names the
+-- remedy.
+function Fleet:check_refused(c)
+	local status = process.wait(c.proc, 20000)
+	c.running = false
+	M.check(status ~= nil and status ~= 0, "%s ended with %s", c.name,
+		tostring(status))
+	local log = self:log(c)
+	for _, word in ipairs{"new id", "member add", "promote", "remove"} do
+		M.check(log:find(word, 1, true), "the log of %s lacks '%s'",
+			c.name, word)
+	end
+end
+
 function Fleet:freeze(p) process.kill(p.proc, "STOP") end
 function Fleet:thaw(p) process.kill(p.proc, "CONT") end
 
--- a/scenarios/refound.lua
+++ b/scenarios/refound.lua
@@ -13,24 +13,12 @@
 
 -- One founder loses its disk; the others run. It ends with an error that names
 -- the remedy, and the group goes on.
-local function check_refused(c)
-	local status = process.wait(c.proc, 20000)
-	c.running = false
-	fleet.check(status ~= nil and status ~= 0, "%s ended with %s", c.name,
-		tostring(status))
-	local log = f:log(c)
-	for _, word in ipairs{"new id", "member add", "promote", "remove"} do
-		fleet.check(log:find(word, 1, true), "the log of %s lacks '%s'",
-			c.name, word)
-	end
-end
-
 for round = 1, 3 do
 	local lost = f.controls[round]
 	f:kill(lost)
 	f:wipe(lost)
 	f:start(lost)
-	check_refused(lost)
+	f:check_refused(lost)
 	version = f:set("laser-scan", "weight", 20 + round)
 	f:wait_version(version)
 	-- The next round needs the whole group: the old disk comes back.
@@ -73,8 +61,8 @@
 	sys.sleep(100)
 end
 f:start(f.controls[3])
-check_refused(f.controls[1])
-check_refused(f.controls[2])
+f:check_refused(f.controls[1])
+f:check_refused(f.controls[2])
 fleet.check(fleet.node_status(node).version == version, "the node moved")
 
 -- With its own disks the group is back with all that it acknowledged.
