--- a/scenarios/run_all.sh
+++ b/scenarios/run_all.sh
@@ -5,12 +5,21 @@
 cd "$(dirname "$0")/.." || exit 1
 GGS_COMMIT=$(git rev-parse --short HEAD 2>/dev/null || echo unknown)
 export GGS_COMMIT
-<<<<<<< HEAD
-[ $# -gt 0 ] || set -- race catchup refound crowd silence partition herd drain \
-    zone once
-=======
-[ $# -gt 0 ] || set -- race catchup refound second_loss silence partition herd drain zone once
->>>>>>> recovery
+if [ $# -eq 0 ]; then
+	# One a line, so that branches that add one merge cleanly.
+	set -- \
+	    race \
+	    catchup \
+	    refound \
+	    second_loss \
+	    crowd \
+	    silence \
+	    partition \
+	    herd \
+	    drain \
+	    zone \
+	    once
+fi
 passed=0 failed=0
 for name in "$@"; do
 	if build/bench/scenario "scenarios/$name.lua"; then
