--- a/scenarios/fleet.lua
+++ b/scenarios/fleet.lua
@@ -288,6 +288,7 @@
 			n.links[i] = link.open(controls[i], c.rpc)
 		end
 	end
+	n.at = controls
 	n.args = {daemon(), "--role=node", "--name=" .. n.name,
 		"--zone=" .. n.zone, "--controls=" .. table.concat(controls,
 		","), "--listen=" .. n.address, "--admin-listen=" .. n.admin,
