replica: stamp log time from the monotonic clock of the term

Cause: log time was the greatest wall time that a leader had stamped. A leader whose wall clock jumped ahead ended the retention of claims and of idempotency keys early, so a resend could run a second time; one whose clock fell behind stopped log time.

Change: an entry carries log time and wall time. The leader stamps the log time reached when it applied the first entry of its term plus its monotonic time since then; before that it stamps 0, which keeps the log time. Wall time is only shown in the history.

Conclusion: log time never passes faster than real time in any of the cases; time without a leader makes a retention longer.

--- a/bench/replica_bench.c
+++ b/bench/replica_bench.c
@@ -69,10 +69,11 @@
     void *arg, int status, uint64_t index, struct str result);
 static void send_to_member(
     void *arg, uint64_t to, const struct wire_raft_message *m);
-static void apply_command(void *arg, uint64_t index, int64_t wall_ns,
+static void apply_command(void *arg, uint64_t index, struct replica_stamp at,
     struct str command, struct buf *result);
 static int save_nothing(void *arg, struct buf *out);
 static int load_nothing(void *arg, uint64_t index, struct str data);
+static int64_t get_no_time(void *arg);
 static int compare_samples(const void *a, const void *b);
 static void print_figure(const struct bench *b, size_t outstanding,
     const char *metric, double value, const char *unit);
@@ -152,7 +153,8 @@
 		    .id = i + 1,
 		    .data_dir = m->dir,
 		    .bootstrap = &boot,
-		    .machine = {apply_command, save_nothing, load_nothing, m},
+		    .machine = {apply_command, save_nothing, load_nothing,
+			get_no_time, m},
 		    .transport = {send_to_member, NULL, m},
 		    .seed = i + 1};
 
@@ -307,12 +309,12 @@
 }
 
 static void
-apply_command(void *arg, uint64_t index, int64_t wall_ns, struct str command,
-    struct buf *result)
+apply_command(void *arg, uint64_t index, struct replica_stamp at,
+    struct str command, struct buf *result)
 {
 	(void)arg;
 	(void)index;
-	(void)wall_ns;
+	(void)at;
 	(void)command;
 	(void)result;
 }
@@ -333,6 +335,13 @@
 	return 0;
 }
 
+static int64_t
+get_no_time(void *arg)
+{
+	(void)arg;
+	return 0;
+}
+
 static int
 compare_samples(const void *a, const void *b)
 {
--- a/packages/control/replication.c
+++ b/packages/control/replication.c
@@ -13,10 +13,11 @@
 	struct control *control;
 };
 
-static void apply_entry(void *arg, uint64_t index, int64_t wall_ns,
+static void apply_entry(void *arg, uint64_t index, struct replica_stamp at,
     struct str bytes, struct buf *result);
 static int save_machine(void *arg, struct buf *out);
 static int load_machine(void *arg, uint64_t index, struct str data);
+static int64_t get_machine_time(void *arg);
 static void send_raft(
     void *arg, uint64_t to, const struct wire_raft_message *m);
 static void update_members(void *arg, const struct raft_members *m);
@@ -39,7 +40,8 @@
 	    .clock = c->cfg.clock,
 	    .id = c->id,
 	    .data_dir = c->cfg.data_dir,
-	    .machine = {apply_entry, save_machine, load_machine, c},
+	    .machine = {apply_entry, save_machine, load_machine,
+		get_machine_time, c},
 	    .transport = {send_raft, update_members, c},
 	    .seed = c->cfg.seed,
 	};
@@ -261,8 +263,8 @@
 }
 
 static void
-apply_entry(void *arg, uint64_t index, int64_t wall_ns, struct str bytes,
-    struct buf *result)
+apply_entry(void *arg, uint64_t index, struct replica_stamp at,
+    struct str bytes, struct buf *result)
 {
 	struct control *c = arg;
 	uint64_t before;
@@ -270,7 +272,7 @@
 	(void)index;
 	pthread_mutex_lock(&c->lock);
 	before = c->state->table->version;
-	apply_state(c->state, wall_ns, bytes, result);
+	apply_state(c->state, at.log_ns, at.wall_ns, bytes, result);
 	note_version(c, before);
 	pthread_mutex_unlock(&c->lock);
 }
@@ -307,6 +309,18 @@
 	return rc;
 }
 
+static int64_t
+get_machine_time(void *arg)
+{
+	struct control *c = arg;
+	int64_t ns;
+
+	pthread_mutex_lock(&c->lock);
+	ns = c->state->log_ns;
+	pthread_mutex_unlock(&c->lock);
+	return ns;
+}
+
 static void
 send_raft(void *arg, uint64_t to, const struct wire_raft_message *m)
 {
--- a/packages/control/state.c
+++ b/packages/control/state.c
@@ -6,10 +6,10 @@
 
 #include "state.h"
 
-static void apply_change(
-    struct state *s, const struct command *c, struct buf *result);
-static void commit_change(struct state *s, const struct command *c,
-    struct edit_outcome *o, struct buf *result);
+static void apply_change(struct state *s, int64_t wall_ns,
+    const struct command *c, struct buf *result);
+static void commit_change(struct state *s, int64_t wall_ns,
+    const struct command *c, struct edit_outcome *o, struct buf *result);
 static int encode_outcome(const struct edit_outcome *o, struct buf *out);
 static int encode_status(
     const struct state *s, int status, const char *text, struct buf *out);
@@ -53,14 +53,14 @@
 }
 
 void
-apply_state(
-    struct state *s, int64_t wall_ns, struct str bytes, struct buf *result)
+apply_state(struct state *s, int64_t log_ns, int64_t wall_ns, struct str bytes,
+    struct buf *result)
 {
 	struct command_result r = {.table_version = s->table->version};
 	struct command c;
 
-	if (wall_ns > s->log_ns)
-		s->log_ns = wall_ns;
+	if (log_ns > s->log_ns)
+		s->log_ns = log_ns;
 	if (decode_command(bytes, &c) != 0) {
 		require(encode_status(s, ERR_INVALID,
 		    "the command is malformed; upgrade the control processes "
@@ -74,7 +74,7 @@
 		require(r.status == ERR_MEMORY ? ERR_MEMORY : 0);
 		require(encode_command_result(&r, result));
 	} else {
-		apply_change(s, &c, result);
+		apply_change(s, wall_ns, &c, result);
 	}
 	unload_command(&c);
 }
@@ -162,7 +162,8 @@
 }
 
 static void
-apply_change(struct state *s, const struct command *c, struct buf *result)
+apply_change(struct state *s, int64_t wall_ns, const struct command *c,
+    struct buf *result)
 {
 	size_t at = result->len;
 	struct edit_outcome o;
@@ -174,7 +175,7 @@
 	decide_edit(&s->history, s->table, c, &o);
 	require(o.status == ERR_MEMORY ? o.status : 0);
 	if (o.next != NULL)
-		commit_change(s, c, &o, result);
+		commit_change(s, wall_ns, c, &o, result);
 	else
 		require(encode_outcome(&o, result));
 	if (c->key[0] != '\0')
@@ -184,8 +185,8 @@
 }
 
 static void
-commit_change(struct state *s, const struct command *c, struct edit_outcome *o,
-    struct buf *result)
+commit_change(struct state *s, int64_t wall_ns, const struct command *c,
+    struct edit_outcome *o, struct buf *result)
 {
 	struct stored_version *v = NULL;
 
@@ -194,7 +195,7 @@
 	v->author = strdup(c->author);
 	require(v->author == NULL ? ERR_MEMORY : 0);
 	v->base = c->base;
-	v->time_ns = s->log_ns;
+	v->time_ns = wall_ns;
 	v->type = (int)c->body.type;
 	append_version(&s->history, v);
 	unload_table(s->table);
--- a/packages/control/state.h
+++ b/packages/control/state.h
@@ -1,7 +1,8 @@
 /*
  * The replicated state machine: the table, its history, the answers to resent
- * changes and the claims. Its time is the time of the log: the greatest stamp
- * of the commands applied. It takes no locks and does no I/O.
+ * changes and the claims. Retentions are counted in log time, the greatest
+ * log_ns of the commands applied, which never passes faster than real time.
+ * Wall time is only shown. It takes no locks and does no I/O.
  */
 #ifndef STATE_H
 #define STATE_H
@@ -17,7 +18,7 @@
 	struct history history;
 	struct answers answers;
 	struct claims claims;
-	int64_t log_ns;
+	int64_t log_ns; /* log time reached */
 };
 
 int open_state(size_t claims_max, struct state **out);
@@ -28,8 +29,8 @@
  * command_result. Ends the process when out of memory: a replica that skips a
  * committed command would differ from the others.
  */
-void apply_state(
-    struct state *s, int64_t wall_ns, struct str bytes, struct buf *result);
+void apply_state(struct state *s, int64_t log_ns, int64_t wall_ns,
+    struct str bytes, struct buf *result);
 
 /*
  * Decides without applying: true when the command need not be put into the
--- a/packages/control/tests/state_fixture.h
+++ b/packages/control/tests/state_fixture.h
@@ -30,19 +30,26 @@
 
 /* Applies a command and returns its result, to be freed by unload_command_result(). */
 static inline struct command_result
-apply_at(struct state *s, int64_t stamp, const struct command *c)
+apply_with_wall(
+    struct state *s, int64_t log, int64_t wall, const struct command *c)
 {
 	struct buf bytes = {0}, result = {0};
 	struct command_result r;
 
 	ck_assert_int_eq(encode_command(c, &bytes), 0);
-	apply_state(s, stamp, view_buf(&bytes), &result);
+	apply_state(s, log, wall, view_buf(&bytes), &result);
 	ck_assert_int_eq(decode_command_result(view_buf(&result), &r), 0);
 	unload_buf(&bytes);
 	unload_buf(&result);
 	return r;
 }
 
+static inline struct command_result
+apply_at(struct state *s, int64_t stamp, const struct command *c)
+{
+	return apply_with_wall(s, stamp, stamp, c);
+}
+
 static inline struct command
 make_command(const char *author, const char *key, uint64_t base)
 {
--- a/packages/control/tests/test_claims.c
+++ b/packages/control/tests/test_claims.c
@@ -230,6 +230,75 @@
 }
 END_TEST
 
+/* Stamps of a resend after a claim and a change at T0, both times in s. */
+struct clock_case {
+	int64_t log_s; /* after T0 */
+	int64_t wall_s;
+	bool claim_kept; /* wanted */
+	bool answer_kept;
+};
+
+static const struct clock_case clock_cases[] = {
+    {0, 0, true, true}, {59, 59, true, true}, {60, 60, false, true},
+    {59, 1000000, true, true}, /* wall clock ahead */
+    {59, -1000000, true, true}, /* behind */
+    {60, -1000000, false, true}, {86399, 86400, false, true},
+    {86399, 1000000, false, true}, {86400, 86400, false, false},
+    {86400, -1000000, false, false},
+    {-1000000, 1000000, true, true}, /* stamp before its term has begun */
+};
+
+/*
+ * Guards against a resend that runs twice, or a change made twice, because the
+ * leader's wall clock jumped over the retention.
+ */
+START_TEST(retention_counts_log_time_only)
+{
+	const struct clock_case *k = &clock_cases[_i];
+	int64_t log = T0 + k->log_s * NSEC_PER_SEC;
+	int64_t wall = T0 + k->wall_s * NSEC_PER_SEC;
+	struct state *s = open_sample();
+	struct command c = make_command("anna", "key", 0);
+	struct command_result r;
+
+	r = apply_import(s, "anna", "key", 0, SAMPLE);
+	unload_command_result(&r);
+	r = send_claim(s, T0, "k", 'a', RAN, 60, "done");
+	unload_command_result(&r);
+	c.body.type = COMMAND_IMPORT;
+	c.body.command_body_u.import.csv.csv_val = (char *)(uintptr_t)SAMPLE;
+	c.body.command_body_u.import.csv.csv_len = sizeof(SAMPLE) - 1;
+	r = apply_with_wall(s, log, wall, &c);
+	unload_command_result(&r);
+	ck_assert_int_eq(
+	    find_answer(&s->answers, make_str("anna"), make_str("key"))
+		    ->time_ns == T0,
+	    k->answer_kept);
+	r = send_claim(s, log, "k", 'b', OPEN, 60, "");
+	ck_assert_int_eq(r.status, k->claim_kept ? ERR_CONFLICT : 0);
+	unload_command_result(&r);
+	close_state(s);
+}
+END_TEST
+
+/* Guards against operators who see log time instead of wall time. */
+START_TEST(history_shows_wall_time)
+{
+	struct state *s = open_sample();
+	struct command c = make_command("anna", "", 0);
+	struct command_result r;
+
+	c.body.type = COMMAND_IMPORT;
+	c.body.command_body_u.import.csv.csv_val = (char *)(uintptr_t)SAMPLE;
+	c.body.command_body_u.import.csv.csv_len = sizeof(SAMPLE) - 1;
+	r = apply_with_wall(s, 5, T0, &c);
+	unload_command_result(&r);
+	ck_assert_int_eq(get_version(&s->history, 0)->time_ns, T0);
+	ck_assert_int_eq(s->log_ns, 5);
+	close_state(s);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -238,6 +307,9 @@
 	tcase_set_timeout(t, 60);
 	tcase_add_loop_test(t, claims_grant_one_id, 0,
 	    sizeof(claim_cases) / sizeof(claim_cases[0]));
+	tcase_add_loop_test(t, retention_counts_log_time_only, 0,
+	    (int)(sizeof(clock_cases) / sizeof(clock_cases[0])));
+	tcase_add_test(t, history_shows_wall_time);
 	tcase_add_test(t, resend_gets_stored_response);
 	tcase_add_loop_test(t, claims_are_kept_for_their_retention, 0,
 	    sizeof(retention_cases) / sizeof(retention_cases[0]));
--- a/packages/control/tests/test_state.c
+++ b/packages/control/tests/test_state.c
@@ -381,7 +381,7 @@
 		if (from == &bytes) {
 			result.len = 0;
 			apply_state(
-			    copy, T0, make_str_n(damaged, len), &result);
+			    copy, T0, T0, make_str_n(damaged, len), &result);
 			ck_assert_uint_gt(result.len, 0);
 		} else if (load_state(copy, make_str_n(damaged, len), &f) !=
 			   0) {
--- a/packages/replica/replica.h
+++ b/packages/replica/replica.h
@@ -14,24 +14,35 @@
 #define REPLICA_TICK_MS 20 /* granularity of all timeouts */
 #define REPLICA_HEARTBEAT_MS 100
 #define REPLICA_ELECTION_MS 300 /* timeouts are drawn from 300 to 600 */
-#define REPLICA_STAMP_BYTES 8 /* leader's wall time before each command */
+#define REPLICA_STAMP_BYTES 16 /* struct replica_stamp, in the log */
 #define REPLICA_COMMAND_MAX (WIRE_COMMAND_MAX - REPLICA_STAMP_BYTES)
 #define REPLICA_SNAPSHOT_BYTES (8 * 1024 * 1024) /* log bytes: compaction */
 #define REPLICA_INBOX_MAX 4096 /* messages and requests waiting */
 
 struct replica;
 
+/* The leader's times of a proposal, stored before each command. */
+struct replica_stamp {
+	/*
+	 * Log time, for retentions. It never passes faster than real time. The
+	 * state machine ignores one that is less than it has reached.
+	 */
+	int64_t log_ns;
+	int64_t wall_ns; /* wall time, only to be shown */
+};
+
 /*
- * The state machine. All three run on the replica's thread, without locks of
+ * The state machine. All run on the replica's thread, without locks of
  * the replica held, and must be deterministic. A negative result of load ends
  * the replica's membership (see is_replica_failed()).
  */
 struct replica_machine {
 	/* Applies one command; what it appends to result goes to proposer. */
-	void (*apply)(void *arg, uint64_t index, int64_t wall_ns,
+	void (*apply)(void *arg, uint64_t index, struct replica_stamp at,
 	    struct str command, struct buf *result);
 	int (*save)(void *arg, struct buf *out); /* the whole state */
 	int (*load)(void *arg, uint64_t index, struct str data); /* replaces */
+	int64_t (*get_log_time)(void *arg); /* greatest applied or loaded */
 	void *arg;
 };
 
--- a/packages/replica/replica_core.h
+++ b/packages/replica/replica_core.h
@@ -7,6 +7,7 @@
 
 #include <pthread.h>
 
+#include "log_time.h"
 #include "replica.h"
 
 #define TICK_NS (REPLICA_TICK_MS * NSEC_PER_MSEC)
@@ -80,6 +81,7 @@
 	uint64_t members_index;
 	bool members_known;
 	enum raft_role role;
+	struct log_time log_time;
 	uint64_t accepted;
 	uint64_t next_context;
 	struct pending_proposal *proposals;
--- a/packages/replica/requests.c
+++ b/packages/replica/requests.c
@@ -7,6 +7,8 @@
 #include "replica_core.h"
 
 static int reserve_proposal(struct replica *r);
+static int append_stamp(struct replica *r);
+static void put_i64(char *p, int64_t v);
 static void track_proposal(
     struct replica *r, const struct item *it, uint64_t index);
 static void end_proposal(const struct pending_proposal *p, int status,
@@ -14,20 +16,17 @@
 static void remove_read(struct replica *r, size_t at, int status);
 
 /*
- * Puts a command into the log, behind the leader's wall time.
+ * Puts a command into the log, behind the leader's stamp.
  */
 void
 run_proposal(struct replica *r, struct item *it)
 {
-	char stamp[REPLICA_STAMP_BYTES];
-	uint64_t index, wall = (uint64_t)read_wall(&r->cfg.clock);
+	uint64_t index;
 	int rc = reserve_proposal(r);
 
-	for (int i = 0; i < REPLICA_STAMP_BYTES; i++)
-		stamp[i] = (char)(wall >> (8 * i));
 	r->scratch.len = 0;
 	if (rc == 0)
-		rc = append_buf(&r->scratch, stamp, sizeof(stamp));
+		rc = append_stamp(r);
 	if (rc == 0)
 		rc = append_buf(&r->scratch, it->command.data, it->command.len);
 	if (rc == 0)
@@ -270,3 +269,25 @@
 	r->reads[at] = r->reads[--r->read_count];
 	p.fn(p.arg, status, status == 0 ? p.index : 0);
 }
+
+/*
+ * Appends the two times of struct replica_stamp, little endian.
+ */
+static int
+append_stamp(struct replica *r)
+{
+	uint64_t term = get_raft_status(r->raft).term;
+	int64_t mono = read_mono(&r->cfg.clock);
+	char bytes[REPLICA_STAMP_BYTES];
+
+	put_i64(bytes, read_log_time(&r->log_time, term, mono));
+	put_i64(bytes + 8, read_wall(&r->cfg.clock));
+	return append_buf(&r->scratch, bytes, sizeof(bytes));
+}
+
+static void
+put_i64(char *p, int64_t v)
+{
+	for (int i = 0; i < 8; i++)
+		p[i] = (char)((uint64_t)v >> (8 * i));
+}
--- a/packages/replica/tests/group.h
+++ b/packages/replica/tests/group.h
@@ -27,6 +27,9 @@
 	struct wal_io io;
 	struct buf state; /* one 8-byte value per applied command */
 	int64_t last_wall;
+	int64_t log_ns; /* greatest log time applied */
+	int64_t mono_offset, wall_offset; /* against the group's clock */
+	bool stalled; /* its thread does not run */
 	struct raft_members members; /* as last told */
 	bool load_fails;
 };
@@ -74,13 +77,15 @@
 }
 
 static void
-apply_value(void *arg, uint64_t index, int64_t wall_ns, struct str command,
-    struct buf *result)
+apply_value(void *arg, uint64_t index, struct replica_stamp at,
+    struct str command, struct buf *result)
 {
 	struct member *m = arg;
 
 	(void)index;
-	m->last_wall = wall_ns;
+	m->last_wall = at.wall_ns;
+	if (at.log_ns > m->log_ns)
+		m->log_ns = at.log_ns;
 	if (append_buf(&m->state, command.data, 8) != 0 ||
 	    append_buf(result, command.data, 8) != 0)
 		abort();
@@ -93,6 +98,8 @@
 	uint64_t len = m->state.len;
 	int rc = append_buf(out, &len, sizeof(len));
 
+	if (rc == 0)
+		rc = append_buf(out, &m->log_ns, sizeof(m->log_ns));
 	if (rc == 0)
 		rc = append_buf(out, m->state.data, m->state.len);
 	for (size_t i = 0; i < m->g->pad / 64 && rc == 0; i++)
@@ -107,11 +114,19 @@
 	uint64_t len;
 
 	(void)index;
-	if (data.len < sizeof(len) || m->load_fails)
+	if (data.len < sizeof(len) + sizeof(m->log_ns) || m->load_fails)
 		return ERR_CORRUPT;
 	memcpy(&len, data.data, sizeof(len));
+	memcpy(&m->log_ns, data.data + sizeof(len), sizeof(m->log_ns));
 	m->state.len = 0;
-	return append_buf(&m->state, data.data + sizeof(len), (size_t)len);
+	return append_buf(&m->state,
+	    data.data + sizeof(len) + sizeof(m->log_ns), (size_t)len);
+}
+
+static int64_t
+get_value_time(void *arg)
+{
+	return ((struct member *)arg)->log_ns;
 }
 
 static void
@@ -143,15 +158,33 @@
 	((struct member *)arg)->members = *members;
 }
 
+static int64_t
+read_member_mono(void *arg)
+{
+	const struct member *m = arg;
+
+	return m->g->pc.mono_ns + m->mono_offset;
+}
+
+static int64_t
+read_member_wall(void *arg)
+{
+	const struct member *m = arg;
+
+	return m->g->pc.wall_ns + m->wall_offset;
+}
+
 static int
 start_member(struct group *g, uint64_t id, struct fault *f)
 {
 	struct member *m = &g->member[id];
-	struct replica_config cfg = {.clock = get_paused_clock(&g->pc),
+	struct replica_config cfg = {
+	    .clock = {read_member_mono, read_member_wall, m},
 	    .id = id,
 	    .data_dir = "/data",
 	    .bootstrap = id <= 3 ? &g->bootstrap : NULL,
-	    .machine = {apply_value, save_values, load_values, m},
+	    .machine = {apply_value, save_values, load_values, get_value_time,
+		m},
 	    .transport = {send_packet, note_members, m},
 	    .seed = draw_u64(&g->rng),
 	    .snapshot_bytes = g->snapshot_bytes,
@@ -162,6 +195,7 @@
 	m->id = id;
 	m->io = get_mem_io(&m->disk);
 	m->state.len = 0;
+	m->log_ns = 0;
 	cfg.io = &m->io;
 	return start_replica(&cfg, &m->r, f);
 }
@@ -257,7 +291,7 @@
 {
 	for (int i = 0; i < 400; i++) {
 		for (uint64_t id = 1; id < GROUP_MAX; id++) {
-			if (g->member[id].r != NULL)
+			if (g->member[id].r != NULL && !g->member[id].stalled)
 				pump_replica(g->member[id].r);
 		}
 		if (g->net_count == 0)
@@ -346,7 +380,7 @@
 	    note_proposal, o);
 }
 
-static int
+static inline int
 read_value(struct group *g, uint64_t id, struct outcome *o)
 {
 	memset(o, 0, sizeof(*o));
@@ -357,7 +391,7 @@
 	return read_replica(g->member[id].r, 1000, note_read_done, o);
 }
 
-static int
+static inline int
 change_group(struct group *g, uint64_t id, enum raft_change_type type,
     uint64_t member, struct outcome *o)
 {
@@ -372,7 +406,7 @@
 /*
  * Tells whether a member's state machine holds a value.
  */
-static bool
+static inline bool
 has_value(const struct member *m, uint64_t value)
 {
 	for (size_t i = 0; i + 8 <= m->state.len; i += 8) {
--- a/packages/replica/tests/test_replica.c
+++ b/packages/replica/tests/test_replica.c
@@ -637,13 +637,13 @@
 }
 
 static void
-apply_thread(void *arg, uint64_t index, int64_t wall_ns, struct str command,
-    struct buf *result)
+apply_thread(void *arg, uint64_t index, struct replica_stamp at,
+    struct str command, struct buf *result)
 {
 	struct thread_member *x = arg;
 
 	(void)index;
-	(void)wall_ns;
+	(void)at;
 	(void)append_buf(&x->t->state[x->id], command.data, command.len);
 	(void)append_buf(result, command.data, command.len);
 }
@@ -700,6 +700,13 @@
 	(void)rmdir(dir);
 }
 
+static int64_t
+get_no_time(void *arg)
+{
+	(void)arg;
+	return 0;
+}
+
 /*
  * Proposes values until all of them are applied.
  */
@@ -747,7 +754,8 @@
 		    .id = id,
 		    .data_dir = dir[id],
 		    .bootstrap = &boot,
-		    .machine = {apply_thread, save_thread, load_thread, &x[id]},
+		    .machine = {apply_thread, save_thread, load_thread,
+			get_no_time, &x[id]},
 		    .transport = {send_direct, NULL, &x[id]},
 		    .seed = id};
 
--- a/packages/replica/work.c
+++ b/packages/replica/work.c
@@ -10,6 +10,8 @@
 static bool run_store(struct replica *r);
 static void run_applies(struct replica *r);
 static void apply_entry(struct replica *r, const struct raft_apply *a);
+static void begin_term(struct replica *r, uint64_t term);
+static int64_t get_i64(const char *p);
 static void watch_members(struct replica *r);
 static void log_role(struct replica *r);
 
@@ -217,22 +219,51 @@
 apply_entry(struct replica *r, const struct raft_apply *a)
 {
 	struct str d = a->entry.data;
-	uint64_t wall = 0;
+	struct replica_stamp at;
 
 	r->result.len = 0;
 	if (a->entry.type == RAFT_ENTRY_COMMAND &&
 	    d.len >= REPLICA_STAMP_BYTES) {
-		for (int i = REPLICA_STAMP_BYTES - 1; i >= 0; i--)
-			wall = wall << 8 | (unsigned char)d.data[i];
-		r->cfg.machine.apply(r->cfg.machine.arg, a->index,
-		    (int64_t)wall,
+		at.log_ns = get_i64(d.data);
+		at.wall_ns = get_i64(d.data + 8);
+		r->cfg.machine.apply(r->cfg.machine.arg, a->index, at,
 		    make_str_n(d.data + REPLICA_STAMP_BYTES,
 			d.len - REPLICA_STAMP_BYTES),
 		    &r->result);
 	}
+	begin_term(r, a->entry.term);
 	finish_proposals(r, a->index, a->entry.term, view_buf(&r->result));
 }
 
+/*
+ * Starts log time when a leader has applied the first entry of its term, since
+ * then all entries of earlier terms are applied too.
+ */
+static void
+begin_term(struct replica *r, uint64_t term)
+{
+	struct raft_status s;
+
+	if (r->log_time.term == term)
+		return;
+	s = get_raft_status(r->raft);
+	if (s.role != RAFT_LEADER || s.term != term)
+		return;
+	start_log_time(&r->log_time, term,
+	    r->cfg.machine.get_log_time(r->cfg.machine.arg),
+	    read_mono(&r->cfg.clock));
+}
+
+static int64_t
+get_i64(const char *p)
+{
+	uint64_t v = 0;
+
+	for (int i = 7; i >= 0; i--)
+		v = v << 8 | (unsigned char)p[i];
+	return (int64_t)v;
+}
+
 static void
 watch_members(struct replica *r)
 {
