agent: keep endpoints that a young registry does not name yet

Alternatives: hold back sets in the control process until it has heard its peers (delays a first start, and a peer may be gone); keep them in the node (chosen: works whatever the control process does). Change: a whole set of another registry is merged into the held one; endpoints it does not name are dropped after 10 s unless it names them later. A draining server refuses by itself, and a dead one is ejected, so the delay sends no new work to either. Conclusion: sets no longer shrink with a restart.

--- a/packages/agent/agent.c
+++ b/packages/agent/agent.c
@@ -386,6 +386,7 @@
 		int64_t until = now + TICK_NS;
 
 		take_events(a, now);
+		(void)expire_retained(a->sets, now);
 		if (now >= a->next_expiry) {
 			a->next_expiry = now + EXPIRY_NS;
 			if (expire_interest(a->sets, now) > 0)
--- a/packages/agent/agent_sets.c
+++ b/packages/agent/agent_sets.c
@@ -24,6 +24,8 @@
 	bool foreign; /* the set's version is of another registry */
 	struct tombstone *tombstones;
 	size_t tombstone_count;
+	struct tombstone *retained; /* not named by the present registry */
+	size_t retained_count;
 };
 
 struct set_store {
@@ -45,9 +47,13 @@
 static void bury_record(
     struct entry *e, const struct wire_endpoint *r, int64_t now);
 static void drop_tombstones(struct entry *e, int64_t now);
+static void retain_records(struct entry *e, const struct endpoint_set *old,
+    const struct wire_endpoint_set *u, int64_t now);
+static void forget_retained(struct entry *e, const struct wire_endpoint_set *u);
+static struct endpoint_set *drop_retained(struct entry *e);
 static size_t merge_records(struct entry *e, const struct wire_endpoint_set *u,
     const struct wire_endpoint **out, int64_t now);
-static struct endpoint_set *make_set(const struct wire_endpoint_set *u,
+static struct endpoint_set *make_set(const char *service, uint64_t set_version,
     const struct wire_endpoint **records, size_t n);
 
 struct set_store *
@@ -210,10 +216,14 @@
 		return ERR_MEMORY;
 	drop_tombstones(e, now);
 	n = merge_records(e, u, records, now);
-	made = make_set(u, records, n);
+	made = make_set(u->service, u->set_version, records, n);
 	free(records);
 	if (made == NULL)
 		return ERR_MEMORY;
+	if (u->whole && e->foreign && old != NULL)
+		retain_records(e, old, u, now);
+	else
+		forget_retained(e, u);
 	pthread_mutex_lock(&s->lock);
 	e->set = made;
 	e->foreign = false;
@@ -223,6 +233,35 @@
 	return 1;
 }
 
+/*
+ * Removes the endpoints that the present registry has not named within
+ * SETS_RETAIN_NS. Called by the thread that applies changes.
+ */
+int
+expire_retained(struct set_store *s, int64_t now)
+{
+	int changed = 0;
+
+	for (int i = 0; i < s->count; i++) {
+		struct entry *e = s->entries[i];
+		struct endpoint_set *made, *old = e->set;
+
+		if (e->retained_count == 0 ||
+		    now - e->retained[0].at < SETS_RETAIN_NS)
+			continue;
+		made = drop_retained(e);
+		if (made == NULL)
+			continue;
+		e->retained_count = 0;
+		pthread_mutex_lock(&s->lock);
+		e->set = made;
+		unref_set(old);
+		pthread_mutex_unlock(&s->lock);
+		changed++;
+	}
+	return changed;
+}
+
 /*
  * Sets stay in use, but their versions say nothing to the new registry.
  */
@@ -296,6 +335,7 @@
 	if (e->set != NULL)
 		unref_set(e->set);
 	free(e->tombstones);
+	free(e->retained);
 	free(e);
 }
 
@@ -400,6 +440,8 @@
 {
 	const struct wire_endpoint *held, *r;
 	size_t n = 0, kept = 0, fresh = u->endpoints.endpoints_len;
+	/* A whole set of another registry may lack what its peers know. */
+	bool has_base = e->set != NULL && (!u->whole || e->foreign);
 
 	for (size_t i = 0; i < fresh; i++) {
 		r = &u->endpoints.endpoints_val[i];
@@ -422,7 +464,7 @@
 			out[kept - 1] = out[i]; /* named twice */
 	}
 	n = kept;
-	for (size_t i = 0; !u->whole && i < e->set->count; i++) {
+	for (size_t i = 0; has_base && i < e->set->count; i++) {
 		held = &e->set->endpoints[i];
 		if (bsearch(&held, out, n, sizeof(const void *),
 			compare_records) == NULL)
@@ -437,11 +479,91 @@
 	return n;
 }
 
+/*
+ * Notes which records of the old set the new registry does not name.
+ */
+static void
+retain_records(struct entry *e, const struct endpoint_set *old,
+    const struct wire_endpoint_set *u, int64_t now)
+{
+	struct tombstone *t =
+	    realloc(e->retained, (old->count + 1) * sizeof(*t));
+	size_t n = 0, k;
+
+	e->retained_count = 0;
+	if (t == NULL)
+		return;
+	e->retained = t;
+	for (size_t i = 0; i < old->count; i++) {
+		for (k = 0; k < u->endpoints.endpoints_len; k++) {
+			if (strcmp(u->endpoints.endpoints_val[k].id,
+				old->endpoints[i].id) == 0)
+				break;
+		}
+		if (k < u->endpoints.endpoints_len)
+			continue;
+		(void)copy_str(
+		    t[n].id, sizeof(t[n].id), make_str(old->endpoints[i].id));
+		t[n++].at = now;
+	}
+	e->retained_count = n;
+}
+
+/*
+ * The registry has named these records, so they stay.
+ */
+static void
+forget_retained(struct entry *e, const struct wire_endpoint_set *u)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < e->retained_count; i++) {
+		size_t k = 0;
+
+		while (k < u->endpoints.endpoints_len &&
+		       strcmp(u->endpoints.endpoints_val[k].id,
+			   e->retained[i].id) != 0)
+			k++;
+		if (k == u->endpoints.endpoints_len)
+			e->retained[n++] = e->retained[i];
+	}
+	e->retained_count = n;
+}
+
+/*
+ * Returns a copy of the set without the retained records, or NULL when out of
+ * memory.
+ */
+static struct endpoint_set *
+drop_retained(struct entry *e)
+{
+	const struct wire_endpoint **records =
+	    calloc(e->set->count + 1, sizeof(const void *));
+	struct endpoint_set *made;
+	size_t n = 0;
+
+	if (records == NULL)
+		return NULL;
+	for (size_t i = 0; i < e->set->count; i++) {
+		const struct wire_endpoint *r = &e->set->endpoints[i];
+		size_t k = 0;
+
+		while (k < e->retained_count &&
+		       strcmp(e->retained[k].id, r->id) != 0)
+			k++;
+		if (k == e->retained_count)
+			records[n++] = r;
+	}
+	made = make_set(e->set->service, e->set->set_version, records, n);
+	free(records);
+	return made;
+}
+
 /*
  * Copies the records and their strings into one block.
  */
 static struct endpoint_set *
-make_set(const struct wire_endpoint_set *u,
+make_set(const char *service, uint64_t set_version,
     const struct wire_endpoint **records, size_t n)
 {
 	size_t size =
@@ -456,9 +578,8 @@
 	set = calloc(1, size);
 	if (set == NULL)
 		return NULL;
-	(void)copy_str(
-	    set->service, sizeof(set->service), make_str(u->service));
-	set->set_version = u->set_version;
+	(void)copy_str(set->service, sizeof(set->service), make_str(service));
+	set->set_version = set_version;
 	set->count = n;
 	set->refs = 1;
 	set->endpoints = (struct wire_endpoint *)(set + 1);
--- a/packages/agent/agent_sets.h
+++ b/packages/agent/agent_sets.h
@@ -9,6 +9,12 @@
 
 #define SETS_INTEREST_NS (600 * NSEC_PER_SEC) /* kept after the last use */
 #define SETS_TOMBSTONE_NS (60 * NSEC_PER_SEC) /* twice the lease of 30 s */
+/*
+ * How long endpoints that another registry does not name yet are kept. A
+ * control process that restarted has the records of its peers after the digest
+ * interval of 5 s; until then its sets are too small.
+ */
+#define SETS_RETAIN_NS (10 * NSEC_PER_SEC)
 #define SETS_TOMBSTONE_MAX 256 /* removed endpoints remembered a service */
 
 struct set_store;
@@ -29,6 +35,7 @@
 void release_set(struct set_store *s, const struct endpoint_set *set);
 int apply_set(struct set_store *s, const struct wire_endpoint_set *u,
     int64_t now); /* 1: changed; 0: nothing newer */
+int expire_retained(struct set_store *s, int64_t now); /* sets changed */
 void reset_set_versions(struct set_store *s); /* the registry is another one */
 int render_sets(struct set_store *s, struct buf *out); /* JSON array */
 
--- a/packages/agent/tests/test_agent_sets.c
+++ b/packages/agent/tests/test_agent_sets.c
@@ -285,6 +285,50 @@
 }
 END_TEST
 
+struct retain_case {
+	struct change later; /* from the new registry, set_version 0: none */
+	size_t want; /* endpoints after SETS_RETAIN_NS */
+};
+
+static const struct retain_case retain_cases[] = {
+    {{0, false, {{0}}, 0, false}, 1},
+    {{3, false, {{"a", 1, 1, R}}, 1, false}, 2}, /* named after all */
+    {{3, false, {{"a", 1, 2, G}}, 1, false}, 1},
+    {{3, true, {{"b", 1, 1, R}}, 1, false}, 1},
+};
+
+/*
+ * Guards against a restarted control process whose registry is still short and
+ * empties a node's set, and against endpoints that are kept for good.
+ */
+START_TEST(short_set_of_another_registry_keeps_the_rest_for_a_while)
+{
+	static const struct change first = {
+	    7, true, {{"a", 1, 1, R}, {"b", 1, 1, R}}, 1, false};
+	static const struct change small = {2, true, {{"b", 1, 1, R}}, 1, true};
+	const struct retain_case *c = &retain_cases[_i];
+	struct set_store *s = open_set_store();
+	const struct endpoint_set *set;
+
+	add_interest(s, make_str("svc"), true, NOW);
+	apply_change(s, &first, NOW);
+	apply_change(s, &small, NOW);
+	set = acquire_set(s, make_str("svc"), NOW);
+	ck_assert_uint_eq(set->count, 2);
+	release_set(s, set);
+	if (c->later.set_version != 0)
+		ck_assert_int_eq(
+		    apply_change(s, &c->later, NOW + 1), c->later.want);
+	(void)expire_retained(s, NOW + SETS_RETAIN_NS - 1);
+	(void)expire_retained(s, NOW + SETS_RETAIN_NS);
+	set = acquire_set(s, make_str("svc"), NOW);
+	ck_assert_uint_eq(set->count, c->want);
+	ck_assert_str_eq(set->endpoints[set->count - 1].id, "b");
+	release_set(s, set);
+	close_set_store(s);
+}
+END_TEST
+
 #define COUNT(a) (int)(sizeof(a) / sizeof((a)[0]))
 
 int
@@ -301,6 +345,9 @@
 	tcase_add_test(t, interest_lasts_ten_minutes_after_use);
 	tcase_add_test(t, interest_is_bounded_and_checked);
 	tcase_add_test(t, versions_of_another_registry_are_not_sent);
+	tcase_add_loop_test(t,
+	    short_set_of_another_registry_keeps_the_rest_for_a_while, 0,
+	    COUNT(retain_cases));
 	suite_add_tcase(s, t);
 	run = srunner_create(s);
 	srunner_run_all(run, CK_ENV);
