proxy: report the status of an attempt to the picker

Cause: give_back() left pick_result.status at 0, and the picker takes a failure without a status for a fault of the server. Answers 4xx, which are the caller's fault, therefore counted towards ejection.

Change: give_back() passes the status of the attempt's verdict. The fake backend server can answer 404.

After 60 calls answered 404 by two servers the entry node had 1 of 2 ejected before the change (the test failed) and 0 after it.

--- a/packages/proxy/entry.c
+++ b/packages/proxy/entry.c
@@ -458,6 +458,7 @@
 	int64_t now = get_loop_time(a->call->proxy->loop);
 	struct pick_result r = {.outcome = a->result.verdict.outcome,
 	    .reason = a->result.reason,
+	    .status = a->result.verdict.status,
 	    .cancelled = cancelled,
 	    .latency_ns = now - a->started,
 	    .load = a->result.load};
--- a/packages/proxy/tests/fake_backend.c
+++ b/packages/proxy/tests/fake_backend.c
@@ -412,6 +412,12 @@
 		    "Content-Length: 4\r\n\r\nbad.",
 		    id);
 		return true;
+	case FAKE_NOT_FOUND:
+		say(fd,
+		    "HTTP/1.1 404 Missing\r\nX-Ggs-Call-Id: %s\r\n"
+		    "Content-Length: 4\r\n\r\nnone",
+		    id);
+		return true;
 	case FAKE_TWICE:
 		say(fd,
 		    "%s%s\r\nContent-Length: 4\r\n\r\nran:"
--- a/packages/proxy/tests/fake_backend.h
+++ b/packages/proxy/tests/fake_backend.h
@@ -20,6 +20,7 @@
 	FAKE_SHED, /* 503 with X-Ggs-Outcome: not-run */
 	FAKE_FALSE_NOT_RUN, /* runs and answers 200 with not-run */
 	FAKE_FAIL, /* runs and answers 500 */
+	FAKE_NOT_FOUND, /* runs and answers 404 */
 	FAKE_HELD, /* answers when the test releases it */
 	FAKE_TWICE, /* answers twice; the second is a late, crossed one */
 };
--- a/packages/proxy/tests/test_faults.c
+++ b/packages/proxy/tests/test_faults.c
@@ -9,6 +9,8 @@
 
 #include "world.h"
 
+#define EJECT_CALLS 60 /* three times the results that a rate needs */
+
 struct fault_case {
 	const char *name;
 	enum fake_mode mode;
@@ -181,6 +183,34 @@
 }
 END_TEST
 
+/*
+ * Guards against an endpoint that is ejected for the faults of its callers;
+ * status 500 on the same calls shows that ejection works.
+ */
+START_TEST(only_server_faults_count_towards_ejection)
+{
+	struct world_config wc = {.nodes = 2, .entry = true};
+	struct fake_reply r;
+	struct world w;
+	struct buf b = {0};
+
+	open_world(&w, &wc);
+	for (int i = 0; i < 2; i++)
+		set_fake_mode(w.backends[i],
+		    _i == 0 ? FAKE_NOT_FOUND : FAKE_FAIL, EJECT_CALLS);
+	for (int i = 0; i < EJECT_CALLS; i++) {
+		call_world(&w, "read", NULL, &r);
+		ck_assert_int_eq(r.status, _i == 0 ? 404 : 500);
+		ck_assert_str_eq(r.outcome, "failed");
+	}
+	ck_assert_int_eq(render_proxy_status(w.entry, &b), 0);
+	ck_assert_msg((strstr(b.data, "\"ejected\":0,") != NULL) == (_i == 0),
+	    "%s", b.data);
+	unload_buf(&b);
+	close_world(&w);
+}
+END_TEST
+
 static void
 run_case(const struct fault_case *c, bool hop)
 {
@@ -228,6 +258,7 @@
 	tcase_add_test(t, late_answer_does_not_cross);
 	tcase_add_test(t, retry_goes_to_another_endpoint);
 	tcase_add_test(t, hedge_wins_and_the_loser_is_cancelled);
+	tcase_add_loop_test(t, only_server_faults_count_towards_ejection, 0, 2);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
