proxy: refuse before a claim only when the row itself has no room

Cause: is_queue_full() compared the row's queue with queue_max and then asked whether any call waits at the server. With queue_max=0 the first condition always holds, so a call that must not be repeated was refused while calls of another row were held back beside free slots.

Change: the early refusal needs a waiting call of the same row, or no free slot. A call of a full row with queue_max=0 is now refused before its claim also when nobody waits.

--- a/packages/proxy/serve.c
+++ b/packages/proxy/serve.c
@@ -456,14 +456,22 @@
 	apply_changes(p, &ch);
 }
 
+/*
+ * Whether an offer now would find no slot and no room in the row's queue. Calls
+ * of other rows that wait do not count: they may be held back beside free
+ * slots. Calls of the same row that wait do, because they go first.
+ */
 static bool
 is_queue_full(struct proxy *p, const struct call *c)
 {
 	int row = find_admission_row(p->admission, make_str(c->kind));
-
-	return row >= 0 &&
-	       get_row_queued(p->admission, row) >=
-		   c->row->values[COL_QUEUE_MAX] &&
-	       get_admission_load(p->admission, get_loop_time(p->loop)).queued >
-		   0;
+	struct admission_load l =
+	    get_admission_load(p->admission, get_loop_time(p->loop));
+	int queued;
+
+	if (row < 0)
+		return false;
+	queued = get_row_queued(p->admission, row);
+	return queued >= c->row->values[COL_QUEUE_MAX] &&
+	       (queued > 0 || l.in_flight >= l.limit);
 }
--- a/packages/proxy/tests/test_calls.c
+++ b/packages/proxy/tests/test_calls.c
@@ -353,6 +353,71 @@
 }
 END_TEST
 
+/*
+ * Guards against a row without a queue that is refused beside free slots
+ * because calls of another row wait: "bulk" is slower than the target of
+ * "urgent", so only one of the four slots is lent to it.
+ */
+START_TEST(other_rows_queue_does_not_refuse_a_free_slot)
+{
+	struct world_config wc = {.nodes = 1,
+	    .slots = 4,
+	    .table = TABLE_HEAD
+	    "urgent,svc,1,10,50,100,50,60000,0,0,50,0,no,60,64,5\n"
+	    "bulk,svc,5,10,0,100,500,60000,100,0,50,0,yes,0,64,5\n"};
+	struct caller running, queued;
+	struct fake_reply r;
+	struct world w;
+
+	open_world(&w, &wc);
+	set_fake_mode(w.backends[0], FAKE_HELD, 1);
+	start_caller(&running, &w, "bulk", NULL);
+	expect_count(&w, count_fake_arrivals, 1);
+	usleep(200000); /* the service time that admission learns */
+	release_fake_held(w.backends[0]);
+	join_caller(&running);
+	set_fake_mode(w.backends[0], FAKE_HELD, 1);
+	start_caller(&running, &w, "bulk", NULL);
+	expect_count(&w, count_fake_arrivals, 2);
+	start_caller(&queued, &w, "bulk", NULL);
+	expect_queued(&w, 1);
+	call_world(&w, "urgent", "Idempotency-Key: k\n", &r);
+	ck_assert_msg(r.status == 200, "status %d, %s", r.status, r.reason);
+	ck_assert_str_eq(r.outcome, "ran");
+	release_fake_held(w.backends[0]);
+	join_caller(&running);
+	join_caller(&queued);
+	ck_assert_int_eq(queued.reply.status, 200);
+	close_world(&w);
+}
+END_TEST
+
+/* Guards against a claim, which costs a commit, for a call without a slot. */
+START_TEST(full_row_without_a_queue_opens_no_claim)
+{
+	struct world_config wc = {.nodes = 1,
+	    .slots = 1,
+	    .table = TABLE_HEAD
+	    "urgent,svc,1,10,0,100,500,60000,0,0,50,0,no,60,64,5\n"
+	    "bulk,svc,5,10,0,100,500,60000,100,0,50,0,yes,0,64,5\n"};
+	struct caller running;
+	struct fake_reply r;
+	struct world w;
+
+	open_world(&w, &wc);
+	set_fake_mode(w.backends[0], FAKE_HELD, 1);
+	start_caller(&running, &w, "bulk", NULL);
+	expect_count(&w, count_fake_arrivals, 1);
+	call_world(&w, "urgent", "Idempotency-Key: k\n", &r);
+	ck_assert_int_eq(r.status, 503);
+	ck_assert_str_eq(r.reason, "overload");
+	ck_assert_uint_eq(count_fake_opens(w.agent), 0);
+	release_fake_held(w.backends[0]);
+	join_caller(&running);
+	close_world(&w);
+}
+END_TEST
+
 /* Guards against a node without a table that lets calls through. */
 START_TEST(no_table_is_not_run)
 {
@@ -566,6 +631,8 @@
 	tcase_add_test(t, body_budget_holds_back_uploads);
 	tcase_add_test(t, long_body_is_refused);
 	tcase_add_test(t, full_queue_is_refused_as_overload);
+	tcase_add_test(t, other_rows_queue_does_not_refuse_a_free_slot);
+	tcase_add_test(t, full_row_without_a_queue_opens_no_claim);
 	tcase_add_test(t, no_table_is_not_run);
 	tcase_add_test(t, depth_grows_by_one_over_a_hop);
 	tcase_add_test(t, bad_report_does_not_outweigh_answers);
