metric: hold the counters of a table of 2,000 rows

Cause: METRIC_MAX was 256 while a row has up to 21 counters, so 13 busy rows used the registry up, and nothing counted what was left out. Registering compared with every name, and rendering looked for earlier names for each metric, which does not scale.

Change: METRIC_MAX is 42 * 1024 (2,000 rows with 21 counters, 1,008 for the process). Names are found by hash. Metrics of one name form a family and are rendered together, as the text format demands. Histograms are bounded at 4,096 (4 KB each), families at 256. Refused registrations are counted in ggs_metrics_refused_total. By size of the types, a full registry takes 6 MB for names and values, 16 MB for histograms and 344 KB a counting thread.

Resident memory and render time of a full registry were not measured.

--- a/packages/metric/metric.c
+++ b/packages/metric/metric.c
@@ -13,11 +13,20 @@
 
 #define SUB_BITS 3 /* sub-buckets of a power of two, as bits */
 #define SUB_COUNT (1u << SUB_BITS)
+#define INDEX_SIZE 65536u /* power of two, 1.5 times METRIC_MAX */
 
-struct metric {
+/* The metrics of one name with different labels, rendered together. */
+struct family {
 	char name[METRIC_NAME_BYTES];
 	char help[METRIC_NAME_BYTES];
 	enum metric_kind kind;
+	unsigned int first, last; /* ids plus 1; 0: none */
+};
+
+struct metric {
+	char name[METRIC_NAME_BYTES];
+	enum metric_kind kind;
+	unsigned int next; /* of its family, id plus 1; 0: last */
 	int64_t gauge;
 	uint64_t *buckets; /* HISTOGRAM_BUCKETS, shared by all threads */
 	uint64_t sum;
@@ -30,6 +39,11 @@
 static pthread_mutex_t registry_lock = PTHREAD_MUTEX_INITIALIZER;
 static struct metric metrics[METRIC_MAX];
 static unsigned int metric_count;
+static struct family families[METRIC_FAMILIES_MAX];
+static unsigned int family_count;
+static unsigned int histogram_count;
+static unsigned int index_ids[INDEX_SIZE]; /* by name, ids plus 1; 0: free */
+static uint64_t refusals;
 static struct thread_slot *slots[GGS_MAX_THREADS];
 static unsigned int slot_count;
 static struct thread_slot shared_slot; /* for threads above the limit */
@@ -40,44 +54,47 @@
 static unsigned int get_bucket(uint64_t value);
 static uint64_t get_bucket_edge(unsigned int bucket);
 static uint64_t find_quantile(const uint64_t *counts, uint64_t total, double q);
-static bool has_earlier_name(unsigned int id);
-static int render_head(struct buf *out, const struct metric *m);
+static unsigned int *find_index(const char *name);
+static metric_id add_metric(
+    enum metric_kind kind, const char *name, const char *help);
+static struct family *find_family(
+    enum metric_kind kind, const char *name, const char *help);
+static int render_family(struct buf *out, const struct family *f);
+static int render_head(struct buf *out, const struct family *f);
 static int render_histogram(struct buf *out, metric_id id);
 static int render_sample(struct buf *out, const struct metric *m,
     const char *suffix, const char *label, uint64_t value);
 
+/*
+ * Registers under the lock; readers see a metric when it is complete.
+ */
 metric_id
 register_metric(enum metric_kind kind, const char *name, const char *help)
 {
-	metric_id id = ERR_LIMIT;
+	unsigned int *at;
+	metric_id id;
 
 	pthread_mutex_lock(&registry_lock);
-	for (unsigned int i = 0; i < metric_count; i++) {
-		if (strcmp(metrics[i].name, name) == 0) {
-			id = (metric_id)i;
-			goto out;
-		}
-	}
-	if (metric_count == METRIC_MAX)
-		goto out;
-	struct metric *m = &metrics[metric_count];
-	if (copy_str(m->name, sizeof(m->name), make_str(name)) != 0)
-		goto out;
-	(void)copy_str(m->help, sizeof(m->help), make_str(help));
-	m->kind = kind;
-	if (kind == METRIC_HISTOGRAM) {
-		m->buckets = calloc(HISTOGRAM_BUCKETS, sizeof(*m->buckets));
-		if (m->buckets == NULL)
-			goto out;
+	at = find_index(name);
+	if (*at != 0) {
+		id = (metric_id)(*at - 1);
+	} else {
+		id = add_metric(kind, name, help);
+		if (id >= 0)
+			*at = (unsigned int)id + 1;
+		else
+			ck_pr_inc_64(&refusals);
 	}
-	id = (metric_id)metric_count;
-	ck_pr_fence_store();
-	ck_pr_store_uint(&metric_count, metric_count + 1);
-out:
 	pthread_mutex_unlock(&registry_lock);
 	return id;
 }
 
+uint64_t
+get_metric_refusals(void)
+{
+	return ck_pr_load_64(&refusals);
+}
+
 /*
  * Adds n to the counter in the calling thread's slot.
  */
@@ -155,55 +172,123 @@
 
 /*
  * Appends all metrics in the Prometheus text format, histograms as summaries.
+ * The format wants the samples of one name together.
  */
 int
 render_metrics(struct buf *out)
 {
-	unsigned int n = ck_pr_load_uint(&metric_count);
-	int rc = 0;
-
-	for (unsigned int i = 0; i < n && rc == 0; i++) {
-		const struct metric *m = &metrics[i];
-
-		if (!has_earlier_name(i))
-			rc = render_head(out, m);
-		if (rc != 0)
-			break;
-		if (m->kind == METRIC_HISTOGRAM)
-			rc = render_histogram(out, (metric_id)i);
-		else
-			rc = append_buf_fmt(out, "%s %lld\n", m->name,
-			    (long long)get_metric((metric_id)i));
-	}
+	unsigned int n = ck_pr_load_uint(&family_count);
+	int rc = append_buf_fmt(out,
+	    "# HELP ggs_metrics_refused_total Metrics above the limits\n"
+	    "# TYPE ggs_metrics_refused_total counter\n"
+	    "ggs_metrics_refused_total %llu\n",
+	    (unsigned long long)get_metric_refusals());
+
+	for (unsigned int i = 0; i < n && rc == 0; i++)
+		rc = render_family(out, &families[i]);
 	return rc;
 }
 
 /*
- * Whether an earlier metric has the same name with other labels; the format
- * allows one head a name.
+ * Returns the place of a name in the index, or the free place for it.
+ */
+static unsigned int *
+find_index(const char *name)
+{
+	uint64_t at = hash_str(make_str(name), 0);
+
+	for (;; at++) {
+		unsigned int *p = &index_ids[at % INDEX_SIZE];
+
+		if (*p == 0 || strcmp(metrics[*p - 1].name, name) == 0)
+			return p;
+	}
+}
+
+/*
+ * Adds a metric to the end of its family. Returns its id or a negative error.
  */
-static bool
-has_earlier_name(unsigned int id)
+static metric_id
+add_metric(enum metric_kind kind, const char *name, const char *help)
 {
-	size_t base = strcspn(metrics[id].name, "{");
+	unsigned int id = metric_count;
+	struct metric *m = &metrics[id];
+	struct family *f;
+
+	if (id == METRIC_MAX || strlen(name) >= sizeof(m->name) ||
+	    (kind == METRIC_HISTOGRAM &&
+		histogram_count == METRIC_HISTOGRAMS_MAX))
+		return ERR_LIMIT;
+	f = find_family(kind, name, help);
+	if (f == NULL)
+		return ERR_LIMIT;
+	if (kind == METRIC_HISTOGRAM) {
+		m->buckets = calloc(HISTOGRAM_BUCKETS, sizeof(*m->buckets));
+		if (m->buckets == NULL)
+			return ERR_MEMORY;
+		histogram_count++;
+	}
+	(void)copy_str(m->name, sizeof(m->name), make_str(name));
+	m->kind = kind;
+	metric_count++;
+	ck_pr_fence_store();
+	if (f->last != 0)
+		ck_pr_store_uint(&metrics[f->last - 1].next, id + 1);
+	else
+		ck_pr_store_uint(&f->first, id + 1);
+	f->last = id + 1;
+	return (metric_id)id;
+}
 
-	for (unsigned int i = 0; i < id; i++) {
-		if (strcspn(metrics[i].name, "{") == base &&
-		    memcmp(metrics[i].name, metrics[id].name, base) == 0)
-			return true;
+/*
+ * Finds or adds the family of a metric; NULL when there is no room.
+ */
+static struct family *
+find_family(enum metric_kind kind, const char *name, const char *help)
+{
+	struct str base = make_str_n(name, strcspn(name, "{"));
+	struct family *f = families;
+
+	for (unsigned int i = 0; i < family_count; i++, f++) {
+		if (is_str_equal(make_str(f->name), base))
+			return f;
 	}
-	return false;
+	if (family_count == METRIC_FAMILIES_MAX)
+		return NULL;
+	(void)copy_str(f->name, sizeof(f->name), base);
+	(void)copy_str(f->help, sizeof(f->help), make_str(help));
+	f->kind = kind;
+	ck_pr_fence_store();
+	ck_pr_store_uint(&family_count, family_count + 1);
+	return f;
 }
 
 static int
-render_head(struct buf *out, const struct metric *m)
+render_family(struct buf *out, const struct family *f)
 {
-	int base = (int)strcspn(m->name, "{");
+	unsigned int next = ck_pr_load_uint(&f->first);
+	int rc = next != 0 ? render_head(out, f) : 0;
+
+	while (next != 0 && rc == 0) {
+		metric_id id = (metric_id)(next - 1);
+
+		if (metrics[id].kind == METRIC_HISTOGRAM)
+			rc = render_histogram(out, id);
+		else
+			rc = append_buf_fmt(out, "%s %lld\n", metrics[id].name,
+			    (long long)get_metric(id));
+		next = ck_pr_load_uint(&metrics[id].next);
+	}
+	return rc;
+}
 
-	return append_buf_fmt(out, "# HELP %.*s %s\n# TYPE %.*s %s\n", base,
-	    m->name, m->help, base, m->name,
-	    m->kind == METRIC_COUNTER ? "counter" :
-	    m->kind == METRIC_GAUGE   ? "gauge" :
+static int
+render_head(struct buf *out, const struct family *f)
+{
+	return append_buf_fmt(out, "# HELP %s %s\n# TYPE %s %s\n", f->name,
+	    f->help, f->name,
+	    f->kind == METRIC_COUNTER ? "counter" :
+	    f->kind == METRIC_GAUGE   ? "gauge" :
 					"summary");
 }
 
--- a/packages/metric/metric.h
+++ b/packages/metric/metric.h
@@ -8,7 +8,14 @@
 
 #include "base.h"
 
-#define METRIC_MAX 256 /* metrics of one process */
+/*
+ * A table of 2,000 rows with 21 counters each, and 1,008 for the process.
+ * Memory is taken as metrics are used: at most 6 MB for names and values, 16 MB
+ * for histograms and 344 KB for each thread that counts.
+ */
+#define METRIC_MAX (42 * 1024)
+#define METRIC_HISTOGRAMS_MAX 4096 /* of 4 KB each; two a row and 96 more */
+#define METRIC_FAMILIES_MAX 256 /* names without their labels */
 #define METRIC_NAME_BYTES 96 /* name with labels, with NUL */
 #define HISTOGRAM_BUCKETS 512 /* 8 a power of two: error at most 12.5% */
 
@@ -32,8 +39,8 @@
 
 /*
  * name may carry labels: "calls_total{kind=\"read\"}". Registering a name again
- * returns the first id. Returns ERR_LIMIT when METRIC_MAX is reached; the
- * functions below ignore a negative id.
+ * returns the first id. Returns ERR_LIMIT when METRIC_MAX or another limit above
+ * is reached, and counts that; the functions below ignore a negative id.
  */
 metric_id register_metric(
     enum metric_kind kind, const char *name, const char *help);
@@ -43,6 +50,7 @@
 
 int64_t get_metric(metric_id id); /* counter or gauge */
 struct histogram_summary get_histogram(metric_id id);
+uint64_t get_metric_refusals(void); /* registrations refused */
 int render_metrics(struct buf *out); /* Prometheus text format */
 
 #endif
--- /dev/null
+++ b/packages/metric/tests/test_metric.c
@@ -0,0 +1,139 @@
+/*
+ * The registry at the size of a large table, its limits and its text form.
+ */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "metric.h"
+
+#define ROWS 2000 /* of the largest table */
+#define ROW_COUNTS 19
+#define ROW_TIMES 2
+
+static void register_rows(int rows);
+static int count_text(const char *text, const char *what);
+
+/* Guards against rows of a large table whose counters are not kept. */
+START_TEST(large_table_is_registered)
+{
+	metric_id id;
+
+	register_rows(ROWS);
+	ck_assert_uint_eq(get_metric_refusals(), 0);
+	id = register_metric(METRIC_COUNTER, "c3_total{kind=\"row-1999\"}", "");
+	count_metric(id, 7);
+	ck_assert_int_eq(get_metric(id), 7);
+	ck_assert_int_eq(
+	    register_metric(METRIC_COUNTER, "c3_total{kind=\"row-1999\"}", ""),
+	    id);
+}
+END_TEST
+
+/* Guards against registrations above the limits that nobody sees. */
+START_TEST(refused_registrations_are_counted)
+{
+	struct buf b = {0};
+	char name[METRIC_NAME_BYTES * 2];
+
+	for (int i = 0; i < METRIC_MAX; i++) {
+		snprintf(name, sizeof(name), "m_total{kind=\"%d\"}", i);
+		ck_assert_int_ge(register_metric(METRIC_COUNTER, name, ""), 0);
+	}
+	ck_assert_int_eq(
+	    register_metric(METRIC_COUNTER, "one_more", ""), ERR_LIMIT);
+	memset(name, 'x', sizeof(name) - 1);
+	name[sizeof(name) - 1] = '\0';
+	ck_assert_int_lt(register_metric(METRIC_COUNTER, name, ""), 0);
+	ck_assert_uint_eq(get_metric_refusals(), 2);
+	ck_assert_int_eq(render_metrics(&b), 0);
+	ck_assert_ptr_nonnull(
+	    strstr(b.data, "\nggs_metrics_refused_total 2\n"));
+	unload_buf(&b);
+}
+END_TEST
+
+/* Guards against histograms, 4 KB each, that take memory without a bound. */
+START_TEST(histograms_are_bounded)
+{
+	char name[METRIC_NAME_BYTES];
+
+	for (int i = 0; i <= METRIC_HISTOGRAMS_MAX; i++) {
+		snprintf(name, sizeof(name), "h{kind=\"%d\"}", i);
+		ck_assert_int_eq(
+		    register_metric(METRIC_HISTOGRAM, name, "") >= 0,
+		    i < METRIC_HISTOGRAMS_MAX);
+	}
+	ck_assert_uint_eq(get_metric_refusals(), 1);
+}
+END_TEST
+
+/* Guards against samples of one name that are apart, which readers reject. */
+START_TEST(samples_of_a_name_are_together)
+{
+	struct buf b = {0};
+	const char *first, *last, *other;
+
+	count_metric(register_metric(METRIC_COUNTER, "a{k=\"1\"}", "A"), 1);
+	count_metric(register_metric(METRIC_COUNTER, "b{k=\"1\"}", "B"), 2);
+	count_metric(register_metric(METRIC_COUNTER, "a{k=\"2\"}", "A"), 3);
+	ck_assert_int_eq(render_metrics(&b), 0);
+	first = strstr(b.data, "\na{k=\"1\"} 1\n");
+	last = strstr(b.data, "\na{k=\"2\"} 3\n");
+	other = strstr(b.data, "\nb{k=\"1\"} 2\n");
+	ck_assert(first != NULL && last != NULL && other != NULL);
+	ck_assert(first < last && last < other);
+	ck_assert_int_eq(count_text(b.data, "# TYPE a counter\n"), 1);
+	unload_buf(&b);
+}
+END_TEST
+
+static void
+register_rows(int rows)
+{
+	char name[METRIC_NAME_BYTES];
+
+	for (int i = 0; i < rows; i++) {
+		for (int k = 0; k < ROW_COUNTS + ROW_TIMES; k++) {
+			snprintf(name, sizeof(name),
+			    "c%d_total{kind=\"row-%d\"}", k, i);
+			ck_assert_int_ge(
+			    register_metric(k < ROW_COUNTS ? METRIC_COUNTER :
+							     METRIC_HISTOGRAM,
+				name, ""),
+			    0);
+		}
+	}
+}
+
+static int
+count_text(const char *text, const char *what)
+{
+	int n = 0;
+
+	for (; (text = strstr(text, what)) != NULL; text++)
+		n++;
+	return n;
+}
+
+int
+main(void)
+{
+	Suite *s = suite_create("metric");
+	TCase *t = tcase_create("metric");
+	SRunner *r;
+	int failed;
+
+	tcase_set_timeout(t, 30);
+	tcase_add_test(t, large_table_is_registered);
+	tcase_add_test(t, refused_registrations_are_counted);
+	tcase_add_test(t, histograms_are_bounded);
+	tcase_add_test(t, samples_of_a_name_are_together);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/packages/proxy/tests/test_parts.c
+++ b/packages/proxy/tests/test_parts.c
@@ -2,6 +2,7 @@
  * The loop's timers and tasks, the body budget and listen addresses.
  */
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -11,6 +12,7 @@
 #include "loop.h"
 
 #define TIMERS 200
+#define LARGE_ROWS 2000 /* of the largest table */
 
 /* A timer that notes the order in which it fired. */
 struct noted {
@@ -171,6 +173,25 @@
 }
 END_TEST
 
+/* Guards against rows of a large table whose counters are not shown. */
+START_TEST(every_counter_of_a_large_table_is_kept)
+{
+	char kind[TABLE_NAME_BYTES];
+
+	for (int i = 0; i < LARGE_ROWS; i++) {
+		snprintf(
+		    kind, sizeof(kind), "a-kind-with-the-longest-name-%03x", i);
+		for (int k = 0; k < ROW_QUEUE_US; k++)
+			count_row(find_row_state(kind), k, 1);
+		observe_row(find_row_state(kind), ROW_QUEUE_US, 1);
+		observe_row(find_row_state(kind), ROW_ADDED_US, 1);
+	}
+	ck_assert_uint_eq(get_metric_refusals(), 0);
+	ck_assert_int_eq(
+	    get_metric(find_row_state(kind)->ids[ROW_HEDGES] - 2), 1);
+}
+END_TEST
+
 static void
 note_fired(struct loop_timer *t)
 {
@@ -218,6 +239,7 @@
 
 	tcase_add_test(t, timers_fire_in_order);
 	tcase_add_test(t, timer_waits_for_the_clock);
+	tcase_add_test(t, every_counter_of_a_large_table_is_kept);
 	tcase_add_test(t, every_posted_task_runs_once);
 	tcase_add_loop_test(t, budget_keeps_a_reserve_for_small_bodies, 0,
 	    sizeof(budgets) / sizeof(budgets[0]));
