--- a/packages/policy/outcome.h
+++ b/packages/policy/outcome.h
@@ -25,6 +25,7 @@
 	REFUSE_NO_TABLE,
 	REFUSE_NO_QUORUM,
 	REFUSE_UNKNOWN_KIND,
+	REFUSE_BODY_MEMORY, /* body above the node's --body-memory */
 };
 
 /* How far the connection of an attempt got. */
--- a/packages/policy/tests/test_outcome.c
+++ b/packages/policy/tests/test_outcome.c
@@ -127,7 +127,7 @@
 		    parse_outcome(make_str(get_outcome_name(i)), &o), 0);
 		ck_assert_int_eq(o, i);
 	}
-	for (int i = REFUSE_NONE; i <= REFUSE_UNKNOWN_KIND; i++) {
+	for (int i = REFUSE_NONE; i <= REFUSE_BODY_MEMORY; i++) {
 		enum refuse_reason r;
 
 		ck_assert_int_eq(
--- a/packages/proxy/call.h
+++ b/packages/proxy/call.h
@@ -161,6 +161,8 @@
 	int suspended; /* connections that the loop has to resume */
 	int budget_waiting; /* of these, bodies that wait for memory */
 	int claims_open; /* claim requests without an answer */
+	uint64_t body_version; /* table version that check_body_memory() saw */
+	bool body_short; /* some of its rows allow longer bodies than fit */
 	uint64_t id_count;
 	uint64_t id_seed;
 
@@ -197,6 +199,8 @@
 void count_end(struct call *c); /* counters of an answered call */
 
 /* uploads.c */
+/* Reports rows whose body_max_kb the node's body memory cannot hold. */
+void check_body_memory(struct proxy *p, const struct table *t);
 void wait_for_budget(struct call *c); /* listener's thread, suspended */
 void release_body(struct call *c); /* any thread */
 
--- a/packages/proxy/front.c
+++ b/packages/proxy/front.c
@@ -210,7 +210,11 @@
 append_upload(struct call *c, const char *data, size_t *size)
 {
 	if (c->body_len + *size > c->body_cap) {
-		refuse_early(c, 413, REFUSE_NONE, "body-limit");
+		if (c->body_len + *size >
+		    (size_t)c->row->values[COL_BODY_MAX_KB] * 1024)
+			refuse_early(c, 413, REFUSE_NONE, "body-limit");
+		else
+			refuse_early(c, 503, REFUSE_BODY_MEMORY, NULL);
 		return MHD_YES;
 	}
 	memcpy(c->body + c->body_len, data, *size);
--- a/packages/proxy/request.c
+++ b/packages/proxy/request.c
@@ -162,7 +162,9 @@
 
 /*
  * Sets how many body bytes are accepted: the declared length, or the row's
- * limit when the body comes without one.
+ * limit when the body comes without one. A body within the row's limit that
+ * this node's memory budget cannot hold is refused as not run, because another
+ * node may have more memory.
  */
 static void
 check_body(struct call *c)
@@ -172,13 +174,14 @@
 	const char *text = get_header(c, "Content-Length");
 	int64_t n = 0;
 
-	if (limit > size)
-		limit = size;
+	check_body_memory(c->proxy, c->table);
 	if (text == NULL) {
-		c->body_cap = (size_t)limit;
+		c->body_cap = (size_t)(limit < size ? limit : size);
 	} else if (parse_i64(make_str(text), 0, INT64_MAX, &n) != 0 ||
 		   n > limit) {
 		refuse_early(c, 413, REFUSE_NONE, "body-limit");
+	} else if (n > size) {
+		refuse_early(c, 503, REFUSE_BODY_MEMORY, NULL);
 	} else {
 		c->body_cap = (size_t)n;
 	}
--- a/packages/proxy/tests/test_calls.c
+++ b/packages/proxy/tests/test_calls.c
@@ -44,6 +44,7 @@
 static bool has_gone_event(void *arg);
 static bool has_wait_event(void *arg);
 static void get_status(struct world *w, char *out, size_t size);
+static int count_events(struct world *w, const char *kind);
 static bool is_idle(void *arg);
 static bool has_body(void *arg);
 
@@ -324,6 +325,58 @@
 }
 END_TEST
 
+/*
+ * Guards against a body within its row's limit that a node with less memory
+ * refuses as if the row forbade it, and against a log line for each call.
+ */
+START_TEST(body_above_the_memory_is_not_run)
+{
+	struct world_config wc = {.nodes = 1, .body_memory = BIG_BYTES / 2};
+	char *body = calloc(1, BIG_BYTES);
+	struct fake_request req = {.body = body,
+	    .body_len = BIG_BYTES,
+	    .headers = "X-Ggs-Kind: big\n"};
+	const char chunked[] = "POST /x HTTP/1.1\r\nHost: t\r\n"
+			       "X-Ggs-Kind: big\r\n"
+			       "Transfer-Encoding: chunked\r\n\r\n80000\r\n";
+	struct fake_reply r;
+	struct world w;
+	int fd;
+
+	open_world(&w, &wc);
+	req.port = w.port;
+	for (int i = 0; i < 3; i++) {
+		call_fake(&req, &r);
+		ck_assert_int_eq(r.status, 503);
+		ck_assert_str_eq(r.outcome, "not-run");
+		ck_assert_str_eq(r.reason, "body-memory");
+	}
+	fd = connect_fake(w.port);
+	send_fake(fd, chunked, strlen(chunked));
+	send_fake(fd, body, 0x80000);
+	send_fake(fd, "\r\n0\r\n\r\n", 7);
+	read_fake_reply(fd, &r);
+	close(fd);
+	ck_assert_int_eq(r.status, 503);
+	ck_assert_str_eq(r.reason, "body-memory");
+	ck_assert_int_eq(count_fake_arrivals(w.backends[0]), 0);
+	ck_assert_int_eq(
+	    get_count("ggs_refused_total{kind=\"big\",reason=\"body-memory\"}"),
+	    4);
+	ck_assert_int_eq(count_events(&w, "body-memory"), 1);
+	call_world(&w, "big", NULL, &r);
+	ck_assert_int_eq(r.status, 200);
+	set_fake_table(w.agent,
+	    TABLE_HEAD "read,svc,3,10,0,100,500,60000,100,0,50,0,yes,0,64,5\n",
+	    2);
+	call_world(&w, "read", NULL, &r);
+	ck_assert_int_eq(r.status, 200);
+	ck_assert_int_eq(count_events(&w, "body-memory"), 2);
+	free(body);
+	close_world(&w);
+}
+END_TEST
+
 /* Guards against refusals that do not say why. */
 START_TEST(full_queue_is_refused_as_overload)
 {
@@ -590,6 +643,22 @@
 	unload_buf(&b);
 }
 
+static int
+count_events(struct world *w, const char *kind)
+{
+	struct buf b = {0};
+	char want[64];
+	int n = 0;
+
+	snprintf(want, sizeof(want), "\"kind\":\"%s\"", kind);
+	(void)render_events(w->events, &b);
+	for (const char *at = b.data; at != NULL && (at = strstr(at, want));
+	     at++)
+		n++;
+	unload_buf(&b);
+	return n;
+}
+
 static bool
 is_idle(void *arg)
 {
@@ -630,6 +699,7 @@
 	tcase_add_test(t, stop_answers_every_call);
 	tcase_add_test(t, body_budget_holds_back_uploads);
 	tcase_add_test(t, long_body_is_refused);
+	tcase_add_test(t, body_above_the_memory_is_not_run);
 	tcase_add_test(t, full_queue_is_refused_as_overload);
 	tcase_add_test(t, other_rows_queue_does_not_refuse_a_free_slot);
 	tcase_add_test(t, full_row_without_a_queue_opens_no_claim);
--- a/packages/proxy/uploads.c
+++ b/packages/proxy/uploads.c
@@ -17,6 +17,53 @@
 static void note_caller_gone(struct loop_watch *w, uint32_t events);
 static void resume_upload(struct call *c);
 
+/*
+ * Looks once at each table version, with its first call. What is logged is the
+ * change: rows that exceed the memory in this version, or none any more.
+ */
+void
+check_body_memory(struct proxy *p, const struct table *t)
+{
+	int64_t size = get_budget_size(p->budget);
+	uint64_t seen = ck_pr_load_64(&p->body_version);
+	const struct row *worst = NULL;
+	int over = 0;
+
+	if (seen >= t->version ||
+	    !ck_pr_cas_64(&p->body_version, seen, t->version))
+		return;
+	for (size_t i = 0; i < t->row_count; i++) {
+		const struct row *r = &t->rows[i];
+
+		if ((int64_t)r->values[COL_BODY_MAX_KB] * 1024 <= size)
+			continue;
+		over++;
+		if (worst == NULL ||
+		    r->values[COL_BODY_MAX_KB] > worst->values[COL_BODY_MAX_KB])
+			worst = r;
+	}
+	if (worst != NULL) {
+		write_log(LOG_LEVEL_WARNING,
+		    "version %llu: %d rows have body_max_kb above "
+		    "--body-memory (%lld bytes), up to %d kB in row %s; "
+		    "longer bodies are refused as body-memory: raise "
+		    "--body-memory or lower body_max_kb",
+		    (unsigned long long)t->version, over, (long long)size,
+		    worst->values[COL_BODY_MAX_KB], worst->kind);
+		record_event(p->cfg.events, "body-memory", worst->kind,
+		    t->version, "%d rows above %lld bytes", over,
+		    (long long)size);
+	} else if (ck_pr_load_8((uint8_t *)&p->body_short)) {
+		write_log(LOG_LEVEL_INFO,
+		    "version %llu: body_max_kb of every row is within "
+		    "--body-memory",
+		    (unsigned long long)t->version);
+		record_event(p->cfg.events, "body-memory", "", t->version,
+		    "every row fits");
+	}
+	ck_pr_store_8((uint8_t *)&p->body_short, worst != NULL);
+}
+
 /*
  * Hands a suspended call to the loop until the budget has room, the deadline
  * passes or the caller goes away.
