--- a/bench/bench.sh
+++ b/bench/bench.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Runs the experiments and writes one JSON object a line to
 # build/bench/results.jsonl. usage: bench.sh quick|full
+# GGS_FACTORS names the flood factors (2 5 10).
 set -eu
 cd "$(dirname "$0")/.."
 mode=${1:-full}
@@ -43,14 +44,14 @@
 done
 lua bench/churn.lua 50 4
 lua scenarios/catchup.lua 500
-for t in rpc_bench replica_bench; do
+for t in rpc_bench agent_bench replica_bench; do
 	[ ! -x build/bench/$t ] || tool build/bench/$t
 done
 tool build/bench/policy_bench --commit="$GGS_COMMIT" --json="$GGS_RESULTS"
 [ ! -f bench/hop_bench.sh ] || tool sh bench/hop_bench.sh
 for d in grants workshop; do
 	for which in least most; do
-		for factor in 2 5 10; do
+		for factor in ${GGS_FACTORS:-2 5 10}; do
 			lua bench/flood.lua $d $which $factor 8
 		done
 	done
