--- a/apps/greengagespurctl/main.c
+++ b/apps/greengagespurctl/main.c
@@ -10,7 +10,7 @@
 #include "ctl.h"
 
 static const struct setting_spec specs[] = {
-    {"controls", SETTING_LIST, "127.0.0.1:7400", 0, 0, NULL,
+    {"api", SETTING_LIST, "127.0.0.1:7400", 0, 0, NULL,
 	"HTTP listeners of the control processes as IP:port,..."},
     {"nodes", SETTING_LIST, NULL, 0, 0, NULL,
 	"Admin listeners of nodes for timeline, as IP:port,..."},
@@ -88,12 +88,12 @@
 static int
 load_ctl(const struct settings *s, struct ctl *c, struct fault *f)
 {
-	int n = get_setting_list(s, "controls", c->controls, CTL_ADDRESS_MAX);
+	int n = get_setting_list(s, "api", c->controls, CTL_ADDRESS_MAX);
 	int m = get_setting_list(s, "nodes", c->nodes, CTL_ADDRESS_MAX);
 
 	if (n <= 0 || m < 0)
 		return set_fault(f, ERR_INVALID,
-		    "--controls takes 1 to %d addresses, --nodes at most %d",
+		    "--api takes 1 to %d addresses, --nodes at most %d",
 		    CTL_ADDRESS_MAX, CTL_ADDRESS_MAX);
 	c->settings = s;
 	c->control_count = (size_t)n;
--- a/apps/greengagespurd/control_role.c
+++ b/apps/greengagespurd/control_role.c
@@ -30,6 +30,10 @@
 	if (rc == 0)
 		rc = require_setting(s, "control", "peers",
 		    "1=127.0.0.1:7401,2=127.0.0.2:7401,3=127.0.0.3:7401", f);
+	if (rc == 0)
+		rc = check_address_list(s, "peers", true, f);
+	if (rc == 0)
+		rc = check_address_list(s, "relays", true, f);
 	if (rc == 0)
 		rc = require_setting(
 		    s, "control", "rpc-listen", "127.0.0.1:7401", f);
--- a/apps/greengagespurd/daemon.h
+++ b/apps/greengagespurd/daemon.h
@@ -30,6 +30,10 @@
 const struct role *get_node_role(void);
 const struct role *get_control_role(void);
 
+/* Checks the addresses of a list; each may stand behind "id=". */
+int check_address_list(
+    const struct settings *s, const char *name, bool with_id, struct fault *f);
+
 /* ERR_INVALID with a remedy when a setting that the role needs is missing. */
 int require_setting(const struct settings *s, const char *role,
     const char *name, const char *example, struct fault *f);
--- a/apps/greengagespurd/main.c
+++ b/apps/greengagespurd/main.c
@@ -69,8 +69,11 @@
     const struct settings *s, const struct role **role, struct fault *f)
 {
 	const struct role *r = get_role(s);
-	int rc = require_setting(s, "...", "role", "node", f);
+	int rc = 0;
 
+	if (!has_setting(s, "role"))
+		rc = set_fault(
+		    f, ERR_INVALID, "set --role=node or --role=control");
 	if (rc == 0)
 		rc = require_setting(s, r->name, "name", "node-1", f);
 	if (rc == 0)
--- a/apps/greengagespurd/node_role.c
+++ b/apps/greengagespurd/node_role.c
@@ -33,6 +33,8 @@
 	int rc = require_setting(s, "node", "controls",
 	    "127.0.0.1:7401,127.0.0.2:7401,127.0.0.3:7401", f);
 
+	if (rc == 0)
+		rc = check_address_list(s, "controls", false, f);
 	if (rc == 0)
 		rc = require_setting(s, "node", "listen", "127.0.0.1:7500", f);
 	if (rc == 0 && has_setting(s, "service") != has_setting(s, "backend"))
--- a/apps/greengagespurd/options.c
+++ b/apps/greengagespurd/options.c
@@ -98,6 +98,34 @@
 	    name, example);
 }
 
+/*
+ * Returns ERR_INVALID with the first item that is no address.
+ */
+int
+check_address_list(
+    const struct settings *s, const char *name, bool with_id, struct fault *f)
+{
+	const char *items[SETTINGS_MAX];
+	int n = get_setting_list(s, name, items, SETTINGS_MAX);
+
+	for (int i = 0; i < n; i++) {
+		const char *eq = strchr(items[i], '=');
+		const char *at = with_id ? "" : items[i];
+		int64_t id = 1;
+
+		if (with_id && eq != NULL &&
+		    parse_i64(make_str_n(items[i], (size_t)(eq - items[i])), 1,
+			INT64_MAX, &id) == 0)
+			at = eq + 1;
+		if (check_address(make_str(at)) != 0)
+			return set_fault(f, ERR_INVALID,
+			    "--%s: '%s' is not accepted; use %sIP:port, "
+			    "separated by commas",
+			    name, items[i], with_id ? "id=" : "");
+	}
+	return 0;
+}
+
 /*
  * Reads the fleet keys from their files.
  */
--- a/bench/bench.sh
+++ b/bench/bench.sh
@@ -47,7 +47,8 @@
 for t in rpc_bench agent_bench replica_bench; do
 	[ ! -x build/bench/$t ] || tool build/bench/$t
 done
-tool build/bench/policy_bench --commit="$GGS_COMMIT" --json="$GGS_RESULTS"
+tool build/bench/policy_bench --commit="$GGS_COMMIT" --json=build/bench/policy.jsonl
+cat build/bench/policy.jsonl >>"$GGS_RESULTS"
 [ ! -f bench/hop_bench.sh ] || tool sh bench/hop_bench.sh
 for d in grants workshop; do
 	for which in least most; do
--- a/packages/proxy/admin.c
+++ b/packages/proxy/admin.c
@@ -32,6 +32,7 @@
     {"GET", "/metrics", "text/plain; version=0.0.4", render_metric_page},
     {"GET", "/events", "application/x-ndjson", render_event_page},
     {"GET", "/status", "application/json", render_proxy_status},
+    {"GET", "/table", "text/csv", render_proxy_table},
     {"POST", "/drain", "application/json", ask_drain},
 };
 
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -181,6 +181,19 @@
 	return rc != 0 ? rc : append_buf_str(out, make_str("}\n"));
 }
 
+int
+render_proxy_table(struct proxy *p, struct buf *out)
+{
+	const struct table *t = acquire_table(p->cfg.agent);
+	int rc = 0;
+
+	if (t != NULL) {
+		rc = render_table_csv(t, out);
+		release_table(p->cfg.agent, t);
+	}
+	return rc;
+}
+
 static int
 copy_config(struct proxy *p, const struct proxy_config *cfg, struct fault *f)
 {
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -61,4 +61,7 @@
 /* State as a JSON object, with the agent's status inside. */
 int render_proxy_status(struct proxy *p, struct buf *out);
 
+/* The table in force as CSV; empty without one. */
+int render_proxy_table(struct proxy *p, struct buf *out);
+
 #endif
--- a/scenarios/fleet.lua
+++ b/scenarios/fleet.lua
@@ -182,7 +182,7 @@
 	local log = self.dir .. "/ctl-" .. self.ctl_count .. ".log"
 	local p = process.start{args = {
 		BUILD .. "/apps/greengagespurctl/greengagespurctl",
-		"--controls=" .. table.concat(controls, ","),
+		"--api=" .. table.concat(controls, ","),
 		"--token-file=" .. self.ctl_token, ...}, log = log}
 	local status = process.wait(p, 30000)
 	local file = io.open(log, "r")
@@ -316,7 +316,8 @@
 	s.args = {BUILD .. "/bench/standin", "--listen=" .. s.address,
 		"--slots=" .. n.slots}
 	for _, a in ipairs(o.server_args or {}) do
-		s.args[#s.args + 1] = a
+		-- NODE stands for the address of the node beside the server.
+		s.args[#s.args + 1] = (a:gsub("NODE$", n.address))
 	end
 	self:start(s)
 	self.servers[#self.servers + 1] = s
