proxy: ask admission before a claim is opened

Cause: in a flood of award-payment at 10 times the capacity nearly every offered call opened a claim and closed it again as not run: the early check looked only at queue_max, while admission refused because the queue had outgrown the target. The three nodes sent 186,000 claim requests in 20 s, the control processes used up to 16 s of a core, and the load generator, at 100% of a core, got its answers too late. Ruled out: lost answers (all were sent) and memory. Change: check_offer() refuses what offer_call() would refuse now, by deadline, queue or overflow, and notes the overflow; it replaces is_queue_full(). Policy and proxy tests pass unchanged.

--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -188,6 +188,35 @@
 	return v;
 }
 
+/*
+ * Calls of other rows that wait do not fill a row: they may be held back beside
+ * free slots. A refusal counts as an overflow, as one in offer_call() does.
+ */
+struct admit_verdict
+check_offer(struct admission *a, int row, int64_t deadline, int64_t now)
+{
+	struct admit_verdict v = {.action = ADMIT_QUEUED};
+	struct admission_call c = {.deadline = deadline};
+	struct lane *l;
+	bool full;
+
+	if (row < 0 || (size_t)row >= a->view.lane_count)
+		return v;
+	l = &a->view.lanes[row];
+	full =
+	    a->policy->bounded && l->waiting >= (size_t)l->queue_max &&
+	    (l->waiting > 0 || a->view.in_flight >= get_limit(&a->limiter, now));
+	if (is_hopeless(a, l, &c, now))
+		v.reason = REFUSE_DEADLINE;
+	else if (full || (a->policy->sheds && is_overloaded(l)))
+		v.reason = REFUSE_OVERLOAD;
+	else
+		return v;
+	v.action = ADMIT_REFUSED;
+	l->overflowed = l->overflowed || l->waiting != 0;
+	return v;
+}
+
 /*
  * Ends a running call and starts others in its place. service_ns is the time
  * from dispatch to the answer. NOT_RUN says that the backend server shed the
--- a/packages/policy/admission.h
+++ b/packages/policy/admission.h
@@ -94,6 +94,12 @@
 /* Operations; out receives other calls that start or are refused. */
 struct admit_verdict offer_call(struct admission *a, struct admission_call *c,
     int row, int64_t now, struct admission_changes *out);
+/*
+ * Refuses a call that offer_call() would refuse now; ADMIT_QUEUED says that it
+ * may be offered. For calls that cost something before they are offered.
+ */
+struct admit_verdict check_offer(
+    struct admission *a, int row, int64_t deadline, int64_t now);
 void finish_call(struct admission *a, struct admission_call *c,
     enum call_outcome outcome, int64_t service_ns, int64_t now,
     struct admission_changes *out); /* NOT_RUN: the server itself shed it */
--- a/packages/proxy/serve.c
+++ b/packages/proxy/serve.c
@@ -26,7 +26,6 @@
 static void apply_changes(struct proxy *p, struct admission_changes *ch);
 static void set_wakeup(struct proxy *p);
 static void wake_admission(struct loop_timer *t);
-static bool is_queue_full(struct proxy *p, const struct call *c);
 
 /*
  * Creates the admission state of the backend server; cold makes it start with
@@ -61,6 +60,7 @@
 {
 	struct call *c = a->call;
 	struct proxy *p = c->proxy;
+	struct admit_verdict v;
 
 	if (p->admission == NULL || strcmp(c->row->service, p->service) != 0) {
 		refuse_attempt(a, REFUSE_NO_ENDPOINT, NULL, 0);
@@ -69,11 +69,15 @@
 	update_admission(p);
 	if (c->row->repeatable) {
 		offer_attempt(a);
-	} else if (is_queue_full(p, c)) {
-		/* refused before a claim, to spare the quorum a commit */
-		refuse_attempt(a, REFUSE_OVERLOAD, NULL, 0);
 	} else {
-		ask_claim(a);
+		/* refused before a claim, to spare the quorum two commits */
+		v = check_offer(p->admission,
+		    find_admission_row(p->admission, make_str(c->kind)),
+		    c->deadline, get_loop_time(p->loop));
+		if (v.action == ADMIT_REFUSED)
+			refuse_attempt(a, v.reason, NULL, 0);
+		else
+			ask_claim(a);
 	}
 }
 
@@ -455,23 +459,3 @@
 	expire_calls(p->admission, get_loop_time(p->loop), &ch);
 	apply_changes(p, &ch);
 }
-
-/*
- * Whether an offer now would find no slot and no room in the row's queue. Calls
- * of other rows that wait do not count: they may be held back beside free
- * slots. Calls of the same row that wait do, because they go first.
- */
-static bool
-is_queue_full(struct proxy *p, const struct call *c)
-{
-	int row = find_admission_row(p->admission, make_str(c->kind));
-	struct admission_load l =
-	    get_admission_load(p->admission, get_loop_time(p->loop));
-	int queued;
-
-	if (row < 0)
-		return false;
-	queued = get_row_queued(p->admission, row);
-	return queued >= c->row->values[COL_QUEUE_MAX] &&
-	       (queued > 0 || l.in_flight >= l.limit);
-}
