policy: leave a tenth of the target when a row has overflowed

Cause: the shortened queue of a flooded row filled its whole target, so calls ended 1% above it: 0.25% of the offered award-payment calls were within 300 ms. Change: the queue may use 90% of the target less the service time; the rest is for the hop, the claim and the error of the estimate.

--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -203,9 +203,9 @@
 	if (row < 0 || (size_t)row >= a->view.lane_count)
 		return v;
 	l = &a->view.lanes[row];
-	full =
-	    a->policy->bounded && l->waiting >= (size_t)l->queue_max &&
-	    (l->waiting > 0 || a->view.in_flight >= get_limit(&a->limiter, now));
+	full = a->policy->bounded && l->waiting >= (size_t)l->queue_max &&
+	       (l->waiting > 0 ||
+		   a->view.in_flight >= get_limit(&a->limiter, now));
 	if (is_hopeless(a, l, &c, now))
 		v.reason = REFUSE_DEADLINE;
 	else if (full || (a->policy->sheds && is_overloaded(l)))
--- a/packages/policy/lane.c
+++ b/packages/policy/lane.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Of the target; the rest is for the hop, the claim and the estimate's error. */
+#define QUEUE_SHARE 0.9
 #define SERVICE_GAIN (1.0 / 16) /* of the recent mean */
 #define USUAL_GAIN (1.0 / 64) /* of the long mean, under good conditions */
 #define USUAL_DRIFT (1.0 / 1024) /* while slow: a lasting change is accepted */
@@ -224,7 +226,7 @@
 is_overloaded(const struct lane *l)
 {
 	double target = (double)l->target_ns;
-	double bound = target - get_service_high(l);
+	double bound = target * QUEUE_SHARE - get_service_high(l);
 	double rate = l->held > HELD_MIN ? l->held : HELD_MIN;
 
 	if (!l->overflowed)
