ctl: let one function ask for a path and print the answer

Cause: run_get() and run_path() were the same function in two files. Change: print_path() in render.c serves both. Conclusion: no change for operators.

--- a/apps/greengagespurctl/ctl.h
+++ b/apps/greengagespurctl/ctl.h
@@ -60,6 +60,7 @@
 /* Output */
 void print_json_text(const json_t *value); /* for people */
 int print_answer(const struct ctl *c, const struct answer *a);
+int print_path(struct ctl *c, const char *path); /* GET and print */
 
 /* Commands, ended by a NULL name */
 const struct command *get_table_commands(void);
--- a/apps/greengagespurctl/fleet_commands.c
+++ b/apps/greengagespurctl/fleet_commands.c
@@ -10,7 +10,6 @@
 static int run_drain(struct ctl *c, char **words, int count);
 static int run_metrics(struct ctl *c, char **words, int count);
 static int run_member(struct ctl *c, char **words, int count);
-static int run_path(struct ctl *c, const char *path);
 
 static const struct command commands[] = {
     {"status", "", "Show control processes and nodes, and who lags", 0, 0,
@@ -39,7 +38,7 @@
 {
 	(void)words;
 	(void)count;
-	return run_path(c, "/v1/endpoints");
+	return print_path(c, "/v1/endpoints");
 }
 
 static int
@@ -62,7 +61,7 @@
 	int status;
 
 	if (count == 0)
-		return run_path(c, "/metrics");
+		return print_path(c, "/metrics");
 	(void)request_address(c, words[0], "GET", "/metrics", NULL, &a);
 	status = print_answer(c, &a);
 	unload_answer(&a);
@@ -97,15 +96,3 @@
 	unload_answer(&a);
 	return status;
 }
-
-static int
-run_path(struct ctl *c, const char *path)
-{
-	struct answer a = {0};
-	int status;
-
-	(void)request_control(c, "GET", path, NULL, &a);
-	status = print_answer(c, &a);
-	unload_answer(&a);
-	return status;
-}
--- a/apps/greengagespurctl/render.c
+++ b/apps/greengagespurctl/render.c
@@ -55,6 +55,22 @@
 	return status;
 }
 
+/*
+ * Asks the control processes for a path, prints the answer and returns its exit
+ * status.
+ */
+int
+print_path(struct ctl *c, const char *path)
+{
+	struct answer a = {0};
+	int status;
+
+	(void)request_control(c, "GET", path, NULL, &a);
+	status = print_answer(c, &a);
+	unload_answer(&a);
+	return status;
+}
+
 static void
 print_object(const json_t *o, int indent)
 {
--- a/apps/greengagespurctl/table_commands.c
+++ b/apps/greengagespurctl/table_commands.c
@@ -22,7 +22,6 @@
 static int run_history(struct ctl *c, char **words, int count);
 static int run_diff(struct ctl *c, char **words, int count);
 static int run_revert(struct ctl *c, char **words, int count);
-static int run_get(struct ctl *c, const char *path);
 static int send_change(struct ctl *c, const char *path, json_t *body);
 static int add_base(struct ctl *c, json_t *body);
 static void add_key(struct ctl *c, json_t *body);
@@ -55,7 +54,7 @@
 {
 	(void)words;
 	(void)count;
-	return run_get(c, "/v1/table?format=json");
+	return print_path(c, "/v1/table?format=json");
 }
 
 static int
@@ -136,7 +135,7 @@
 {
 	(void)words;
 	(void)count;
-	return run_get(c, "/v1/history");
+	return print_path(c, "/v1/history");
 }
 
 static int
@@ -147,7 +146,7 @@
 	(void)count;
 	snprintf(path, sizeof(path), "/v1/diff?from=%.20s&to=%.20s", words[0],
 	    words[1]);
-	return run_get(c, path);
+	return print_path(c, path);
 }
 
 static int
@@ -167,18 +166,6 @@
 	    json_pack("{s:I}", "version", (json_int_t)version));
 }
 
-static int
-run_get(struct ctl *c, const char *path)
-{
-	struct answer a = {0};
-	int status;
-
-	(void)request_control(c, "GET", path, NULL, &a);
-	status = print_answer(c, &a);
-	unload_answer(&a);
-	return status;
-}
-
 /*
  * Adds base and key to the body, sends it and resends it under the same key
  * while the outcome is unknown. Takes over body.
