--- a/packages/agent/agent.c
+++ b/packages/agent/agent.c
@@ -22,6 +22,7 @@
 static void free_agent(struct agent *a);
 static void *run_agent(void *arg);
 static void take_events(struct agent *a, int64_t now);
+static void tell_change(struct agent *a);
 static void wait_agent(struct agent *a, int64_t wait_ns);
 static struct timespec get_real_deadline(int64_t wait_ns);
 static void leave_fleet(struct agent *a);
@@ -142,6 +143,12 @@
 		    s.address, sizeof(s.address), make_str(self->address));
 	if (rc == 0)
 		rc = copy_str(s.zone, sizeof(s.zone), make_str(self->zone));
+	if (rc == 0)
+		rc = copy_str(
+		    s.instance, sizeof(s.instance), make_str(self->instance));
+	if (rc == 0)
+		rc = copy_str(
+		    s.backend, sizeof(s.backend), make_str(self->backend));
 	if (rc != 0)
 		return rc;
 	pthread_mutex_lock(&a->lock);
@@ -187,6 +194,35 @@
 	return rc;
 }
 
+int
+add_agent_controls(struct agent *a, const char *const *addresses, size_t count)
+{
+	int rc = 0;
+
+	if (count > AGENT_CONTROL_MAX)
+		return ERR_LIMIT;
+	pthread_mutex_lock(&a->lock);
+	for (size_t i = 0; i < count && rc == 0; i++)
+		rc = copy_str(a->asked_controls[i],
+		    sizeof(a->asked_controls[i]), make_str(addresses[i]));
+	a->asked_control_count = rc == 0 ? count : 0;
+	a->woken = true;
+	pthread_cond_signal(&a->ready);
+	pthread_mutex_unlock(&a->lock);
+	return rc;
+}
+
+bool
+is_agent_attached(struct agent *a)
+{
+	bool attached;
+
+	pthread_mutex_lock(&a->lock);
+	attached = a->shown_attached;
+	pthread_mutex_unlock(&a->lock);
+	return attached;
+}
+
 int
 set_agent_keys(struct agent *a, struct str key, struct str next_key)
 {
@@ -265,7 +301,12 @@
 	if (cfg->control_count == 0 || cfg->control_count > AGENT_CONTROL_MAX)
 		return set_fault(f, ERR_INVALID,
 		    "control processes: name 1 to %d", AGENT_CONTROL_MAX);
-	a->control_count = (int)cfg->control_count;
+	a->learns = cfg->learn_controls;
+	a->controls_digest = 1;
+	a->heartbeat_ms =
+	    cfg->heartbeat_ms != 0 ? cfg->heartbeat_ms : AGENT_HEARTBEAT_MS;
+	a->on_change = cfg->on_change;
+	a->on_change_arg = cfg->on_change_arg;
 	a->incarnation = (uint64_t)read_wall(&a->clock);
 	a->next_expiry = read_mono(&a->clock) + EXPIRY_NS;
 	seed_rng(&a->rng, cfg->seed + 1);
@@ -302,13 +343,13 @@
 		return set_fault(f, ERR_INVALID,
 		    "next fleet key: give %d to %d bytes", RPC_KEY_MIN_BYTES,
 		    RPC_KEY_MAX_BYTES);
-	for (int i = 0; i < a->control_count; i++) {
-		rc =
-		    open_rpc_peer(a->client, cfg->controls[i], &a->peers[i], f);
-		if (rc != 0)
-			return rc;
-		(void)copy_str(a->controls[i], sizeof(a->controls[i]),
-		    make_str(cfg->controls[i]));
+	for (size_t i = 0; i < cfg->control_count; i++) {
+		rc = add_control(a, cfg->controls[i]);
+		if (rc < 0)
+			return set_fault(f, (enum err)rc,
+			    "address \"%s\": write IP:port or [IPv6]:port",
+			    cfg->controls[i]);
+		a->seeds |= 1ULL << rc;
 	}
 	return 0;
 }
@@ -316,14 +357,21 @@
 static void
 start_order(struct agent *a, const struct agent_config *cfg)
 {
-	bool near[AGENT_CONTROL_MAX] = {false};
+	bool near[AGENT_SLOTS] = {false};
+	struct follow_timing *t = &a->follow.timing;
 
-	for (int i = 0; i < a->control_count; i++)
+	for (size_t i = 0; i < cfg->control_count; i++)
 		near[i] = cfg->control_zones[i] != NULL &&
 			  strcmp(cfg->control_zones[i], a->zone) == 0;
 	a->interest_control = -1;
 	start_follow(&a->follow, a->control_count, near, cfg->seed,
 	    read_mono(&a->clock));
+	if (cfg->overdue_ms != 0)
+		t->overdue_ms = cfg->overdue_ms;
+	if (cfg->reconnect_ms != 0)
+		t->jitter_ms = cfg->reconnect_ms;
+	if (cfg->reconnect_max_ms != 0)
+		t->jitter_max_ms = cfg->reconnect_max_ms;
 	a->shown_control = get_follow_control(&a->follow);
 }
 
@@ -386,7 +434,9 @@
 		int64_t until = now + TICK_NS;
 
 		take_events(a, now);
-		(void)expire_retained(a->sets, now);
+		take_asked_controls(a);
+		if (expire_retained(a->sets, now) > 0)
+			tell_change(a);
 		if (now >= a->next_expiry) {
 			a->next_expiry = now + EXPIRY_NS;
 			if (expire_interest(a->sets, now) > 0)
@@ -464,6 +514,13 @@
 	}
 }
 
+static void
+tell_change(struct agent *a)
+{
+	if (a->on_change != NULL)
+		a->on_change(a->on_change_arg);
+}
+
 static void
 wait_agent(struct agent *a, int64_t wait_ns)
 {
--- a/packages/agent/agent.h
+++ b/packages/agent/agent.h
@@ -10,7 +10,8 @@
 #include "table.h"
 #include "wire.h"
 
-#define AGENT_CONTROL_MAX 17 /* control processes a node knows */
+#define AGENT_CONTROL_MAX 17 /* control processes a node is told */
+#define AGENT_SLOTS 32 /* those it knows, with members it learns */
 #define AGENT_HEARTBEAT_MS 10000 /* longest wait of a watch */
 #define AGENT_OVERDUE_MS 12000 /* a watch unanswered for longer is dead */
 #define AGENT_STALE_MS 2000 /* no leader contact: control is stale */
@@ -32,6 +33,14 @@
 	size_t interest_count;
 	uint64_t seed; /* of reconnect jitter */
 	int connect_ms; /* longest connecting; 0: default of rpc.h */
+	bool learn_controls; /* follow the members of the group */
+	int heartbeat_ms; /* longest wait of a watch; 0: AGENT_HEARTBEAT_MS */
+	int overdue_ms; /* an unanswered watch is dead; 0: AGENT_OVERDUE_MS */
+	int reconnect_ms; /* first delay, full jitter; 0: default */
+	int reconnect_max_ms; /* the delay doubles up to this; 0: default */
+	/* Runs on the agent's thread after table or endpoints changed. */
+	void (*on_change)(void *arg);
+	void *on_change_arg;
 	const struct rpc_fault_hooks *hooks; /* tests; may be NULL */
 };
 
@@ -72,6 +81,10 @@
 	int timeout_ms;
 };
 
+/* Adds control processes to ask when all others are silent. */
+int add_agent_controls(
+    struct agent *a, const char *const *addresses, size_t count);
+
 int start_agent(
     const struct agent_config *cfg, struct agent **out, struct fault *f);
 void stop_agent(struct agent *a); /* sends GONE when it can, then ends */
@@ -108,6 +121,9 @@
 /* Makes the agent read a paused clock that a test moved. */
 void wake_agent(struct agent *a);
 
+/* Whether a control process answered the watch before the present one. */
+bool is_agent_attached(struct agent *a);
+
 /* State as a JSON object, for the node's admin listener. */
 int render_agent_status(struct agent *a, struct buf *out);
 
--- a/packages/agent/agent_claims.c
+++ b/packages/agent/agent_claims.c
@@ -122,7 +122,7 @@
 {
 	struct agent *a = c->agent;
 	unsigned int i = (unsigned int)a->follow.at + c->attempts;
-	int control = a->follow.order[i % (unsigned int)a->control_count];
+	int control = a->follow.order[i % (unsigned int)a->follow.count];
 	struct buf body = {0};
 	int rc;
 
--- a/packages/agent/agent_core.h
+++ b/packages/agent/agent_core.h
@@ -75,6 +75,8 @@
 	char service[WIRE_NAME_MAX + 1];
 	char address[WIRE_NAME_MAX + 1];
 	char zone[WIRE_NAME_MAX + 1];
+	char instance[WIRE_NAME_MAX + 1];
+	char backend[WIRE_NAME_MAX + 1];
 	uint64_t seq;
 	int slots;
 	enum wire_endpoint_state state;
@@ -90,11 +92,18 @@
 	struct event_log *events;
 	char node[WIRE_NAME_MAX + 1];
 	char zone[WIRE_NAME_MAX + 1];
-	char controls[AGENT_CONTROL_MAX][RPC_ADDRESS_BYTES];
-	int control_count;
+	char controls[AGENT_SLOTS][RPC_ADDRESS_BYTES];
+	int control_count; /* slots in use */
+	uint64_t seeds; /* bit i: control i was told by the settings */
+	uint64_t learnt; /* bit i: control i is a member of the group */
 	uint64_t incarnation;
 	struct rpc_client *client;
-	struct rpc_peer *peers[AGENT_CONTROL_MAX];
+	struct rpc_peer *peers[AGENT_SLOTS];
+	bool learns; /* the members of the group */
+	uint64_t controls_digest; /* of the members learnt; 1: none */
+	int heartbeat_ms;
+	void (*on_change)(void *arg);
+	void *on_change_arg;
 	struct hold *hold;
 	struct set_store *sets;
 	struct agent_metrics metrics;
@@ -126,6 +135,8 @@
 	int claim_count; /* asked and under way */
 	struct agent_self self;
 	bool changed; /* interest or own endpoint */
+	char asked_controls[AGENT_CONTROL_MAX][RPC_ADDRESS_BYTES];
+	size_t asked_control_count; /* to be added */
 	bool woken;
 	bool stopping;
 	bool leaving; /* stop_agent() announced GONE */
@@ -145,6 +156,11 @@
 void step_agent_watch(struct agent *a, int64_t now, int64_t *until);
 void take_agent_watch(struct agent *a, struct agent_event *e, int64_t now);
 
+/* agent_controls.c: on the agent's thread, or before it starts */
+int add_control(struct agent *a, const char *address); /* slot, or an error */
+void take_controls(struct agent *a, const struct wire_watch_reply *r);
+void take_asked_controls(struct agent *a);
+
 /* agent_claims.c: on the agent's thread */
 void start_agent_claim(struct agent *a, struct agent_claim *c, int64_t now);
 void step_agent_claims(struct agent *a, int64_t now, int64_t *until);
--- a/packages/agent/agent_follow.c
+++ b/packages/agent/agent_follow.c
@@ -17,7 +17,12 @@
 {
 	int n = 0, own;
 
-	*f = (struct follow){.count = count, .next_at = now};
+	*f = (struct follow){
+	    .timing = {AGENT_OVERDUE_MS, FOLLOW_JITTER_MS,
+		FOLLOW_JITTER_MAX_MS},
+	    .count = count,
+	    .next_at = now,
+	};
 	seed_rng(&f->rng, seed);
 	for (int i = 0; i < count; i++) {
 		if (near[i])
@@ -32,6 +37,30 @@
 	shuffle_order(f, own, count);
 }
 
+/*
+ * The others are tried in random order, so that nodes spread evenly over them.
+ * The current one leads the list, and keeps its place when it is not listed any
+ * more but answers.
+ */
+void
+update_follow(struct follow *f, const int *list, int count)
+{
+	int current = get_follow_control(f), n = 0;
+	bool listed = false;
+
+	for (int i = 0; i < count; i++)
+		listed = listed || list[i] == current;
+	f->at = 0;
+	if (listed || f->attached)
+		f->order[n++] = current;
+	for (int i = 0; i < count && n < AGENT_SLOTS; i++) {
+		if (list[i] != current)
+			f->order[n++] = list[i];
+	}
+	f->count = n;
+	shuffle_order(f, listed || f->attached ? 1 : 0, n);
+}
+
 /*
  * Tells what to do now. A change is told by a further watch on the same
  * connection, which replaces the unanswered one.
@@ -39,7 +68,7 @@
 struct follow_step
 get_follow_step(const struct follow *f, int64_t now)
 {
-	int64_t overdue = f->waiting_since + MS(AGENT_OVERDUE_MS);
+	int64_t overdue = f->waiting_since + MS(f->timing.overdue_ms);
 	int64_t due = f->changed_at + MS(FOLLOW_BATCH_MS);
 	struct follow_step s = {FOLLOW_SEND, get_follow_control(f), now};
 
@@ -149,13 +178,12 @@
 void
 note_follow_failure(struct follow *f, int64_t now)
 {
-	int64_t bound = FOLLOW_JITTER_MS;
+	int64_t bound = f->timing.jitter_ms, most = f->timing.jitter_max_ms;
 
-	for (unsigned int i = 0;
-	     i < f->failures && bound < FOLLOW_JITTER_MAX_MS; i++)
+	for (unsigned int i = 0; i < f->failures && bound < most; i++)
 		bound *= 2;
-	if (bound > FOLLOW_JITTER_MAX_MS)
-		bound = FOLLOW_JITTER_MAX_MS;
+	if (bound > most)
+		bound = most;
 	f->failures++;
 	f->limits = 0;
 	f->watching = false;
--- a/packages/agent/agent_follow.h
+++ b/packages/agent/agent_follow.h
@@ -26,8 +26,16 @@
 	int64_t until; /* of FOLLOW_WAIT */
 };
 
+/* Times of the watch loop, in ms. */
+struct follow_timing {
+	int overdue_ms;
+	int jitter_ms; /* first reconnect delay, full jitter */
+	int jitter_max_ms; /* the delay doubles up to this */
+};
+
 struct follow {
-	int order[AGENT_CONTROL_MAX];
+	struct follow_timing timing;
+	int order[AGENT_SLOTS];
 	int count;
 	int at; /* index in order of the current control process */
 	bool watching; /* a watch is unanswered */
@@ -46,6 +54,8 @@
 /* near[i] tells that control i is in the node's own availability zone. */
 void start_follow(
     struct follow *f, int count, const bool *near, uint64_t seed, int64_t now);
+/* Replaces the list of control processes; the current one stays if listed. */
+void update_follow(struct follow *f, const int *list, int count);
 struct follow_step get_follow_step(const struct follow *f, int64_t now);
 int get_follow_control(const struct follow *f); /* current one */
 bool is_follow_attached(const struct follow *f);
--- a/packages/agent/agent_sets.c
+++ b/packages/agent/agent_sets.c
@@ -9,6 +9,8 @@
 
 #include "agent_sets.h"
 
+#define SET_TEXTS 6 /* texts of an endpoint */
+
 struct tombstone {
 	char id[WIRE_NAME_MAX + 1];
 	uint64_t incarnation;
@@ -574,7 +576,8 @@
 	for (size_t i = 0; i < n; i++)
 		size += strlen(records[i]->id) + strlen(records[i]->service) +
 			strlen(records[i]->address) + strlen(records[i]->zone) +
-			4;
+			strlen(records[i]->instance) +
+			strlen(records[i]->backend) + SET_TEXTS;
 	set = calloc(1, size);
 	if (set == NULL)
 		return NULL;
@@ -586,11 +589,11 @@
 	at = (char *)(set->endpoints + n);
 	for (size_t i = 0; i < n; i++) {
 		struct wire_endpoint *to = &set->endpoints[i];
-		char **const fields[] = {
-		    &to->id, &to->service, &to->address, &to->zone};
+		char **const fields[SET_TEXTS] = {&to->id, &to->service,
+		    &to->address, &to->zone, &to->instance, &to->backend};
 
 		*to = *records[i];
-		for (size_t k = 0; k < 4; k++) {
+		for (size_t k = 0; k < SET_TEXTS; k++) {
 			size_t len = strlen(*fields[k]) + 1;
 
 			memcpy(at, *fields[k], len);
--- a/packages/agent/agent_watch.c
+++ b/packages/agent/agent_watch.c
@@ -56,7 +56,7 @@
 			count_metric(a->metrics.overdue, 1);
 			record_event(a->events, "watch-overdue",
 			    a->controls[s.control], 0, "%d ms without a reply",
-			    AGENT_OVERDUE_MS);
+			    a->follow.timing.overdue_ms);
 			fail_watch(a, s.control, now);
 		} else {
 			send_watch(a, s.control, now);
@@ -139,14 +139,15 @@
 			     a->interest_digest == w->interest_digest;
 	args.interest.interest_len = args.interest_same ? 0 : (unsigned int)n;
 	args.interest.interest_val = interest;
-	args.wait_ms = AGENT_HEARTBEAT_MS;
+	args.wait_ms = a->heartbeat_ms;
+	args.controls_digest = a->learns ? a->controls_digest : 0;
 	w->self_seq = fill_self(a, &self, &copy, &args.wait_ms);
 	args.self = w->self_seq != 0 ? &self : NULL;
 	step_retry(a, now);
 	rc = encode_wire((xdrproc_t)xdr_wire_watch_args, &args, &body);
 	if (rc == 0)
 		rc = call_rpc(a->peers[control], GGS_WATCH, view_buf(&body),
-		    AGENT_OVERDUE_MS + SLACK_MS, end_watch_rpc, w);
+		    a->follow.timing.overdue_ms + SLACK_MS, end_watch_rpc, w);
 fail:
 	unload_buf(&body);
 	if (rc != 0) {
@@ -172,7 +173,7 @@
 {
 	int n = __builtin_popcount(a->refused_by);
 
-	return n >= AGENT_REFUSALS_MAX || n >= a->control_count;
+	return n >= AGENT_REFUSALS_MAX || n >= a->follow.count;
 }
 
 /*
@@ -222,6 +223,8 @@
 	    .service = copy->service,
 	    .address = copy->address,
 	    .zone = copy->zone,
+	    .instance = copy->instance,
+	    .backend = copy->backend,
 	    .slots = copy->slots,
 	    .state = copy->state,
 	};
@@ -297,6 +300,10 @@
 	/* Endpoints first: a route is used only when its set is there. */
 	news = current && take_sets(a, r, now);
 	effect = take_table(a, w, &r->table, received_at);
+	if ((news || effect == REPLY_NEWS) && a->on_change != NULL)
+		a->on_change(a->on_change_arg);
+	if (a->learns)
+		take_controls(a, r);
 	if (current && w->self_seq != 0)
 		confirm_self(a, w->self_seq);
 	if (effect == REPLY_EMPTY && !news && is_worth_moving(a, w->control))
--- a/packages/agent/tests/agent_rig.h
+++ b/packages/agent/tests/agent_rig.h
@@ -228,6 +228,8 @@
 	    .seq = 1,
 	    .address = (char *)(uintptr_t)address,
 	    .zone = (char *)(uintptr_t) "z",
+	    .instance = (char *)(uintptr_t) "",
+	    .backend = (char *)(uintptr_t) "",
 	    .slots = 1,
 	    .state = WIRE_ENDPOINT_READY};
 	const struct wire_interest *i = args->interest.interest_val;
--- a/packages/agent/tests/test_agent_sets.c
+++ b/packages/agent/tests/test_agent_sets.c
@@ -128,6 +128,8 @@
 		    .service = u.service,
 		    .address = (char *)(uintptr_t) "127.0.0.1:1",
 		    .zone = (char *)(uintptr_t) "zone",
+		    .instance = (char *)(uintptr_t) "",
+		    .backend = (char *)(uintptr_t) "",
 		    .slots = 4,
 		    .state = (enum wire_endpoint_state)c->recs[i].state};
 		u.endpoints.endpoints_len++;
--- a/packages/agent/tests/test_agent_watch.c
+++ b/packages/agent/tests/test_agent_watch.c
@@ -7,6 +7,8 @@
     .service = (char *)(uintptr_t) "svc",
     .address = (char *)(uintptr_t) "127.0.0.1:7",
     .zone = (char *)(uintptr_t) "near",
+    .instance = (char *)(uintptr_t) "",
+    .backend = (char *)(uintptr_t) "",
     .slots = 4,
     .state = WIRE_ENDPOINT_READY};
 
--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -17,6 +17,8 @@
 static int copy_texts(
     struct control *c, const struct control_config *cfg, struct fault *f);
 static const char *keep_text(struct control *c, const char *text);
+static int check_auto_members(
+    const struct control_config *cfg, struct fault *f);
 static int check_config(const struct control_config *cfg, struct fault *f);
 static void register_metrics(struct control_metrics *m);
 static int init_locks(struct control *c);
@@ -48,6 +50,8 @@
 		return set_fault(f, ERR_MEMORY, "out of memory");
 	}
 	rc = copy_texts(c, cfg, f);
+	if (rc == 0)
+		rc = open_membership(c, f);
 	if (rc == 0)
 		rc = start_parts(c, f);
 	if (rc != 0) {
@@ -177,6 +181,8 @@
 static int
 check_config(const struct control_config *cfg, struct fault *f)
 {
+	if (cfg->auto_members)
+		return check_auto_members(cfg, f);
 	if (cfg->id == 0)
 		return set_fault(f, ERR_INVALID,
 		    "a control process needs an id of 1 or more");
@@ -194,6 +200,27 @@
 	return 0;
 }
 
+static int
+check_auto_members(const struct control_config *cfg, struct fault *f)
+{
+	if (cfg->id != 0 || cfg->peer_count != 0 || cfg->relay_count != 0)
+		return set_fault(f, ERR_INVALID,
+		    "a group that manages its members takes seeds instead of "
+		    "an id, peers and relays");
+	if (cfg->data_dir == NULL || cfg->seed_count == 0 ||
+	    cfg->voters_wanted % 2 == 0 ||
+	    cfg->voters_wanted > CONTROL_PEER_MAX)
+		return set_fault(f, ERR_INVALID,
+		    "a group that manages its members needs a data folder, a "
+		    "seed and an odd number of voters up to %d",
+		    CONTROL_PEER_MAX);
+	if (cfg->rpc_listen == NULL || cfg->http_listen == NULL)
+		return set_fault(f, ERR_INVALID,
+		    "a control process needs an address for rpc and one for "
+		    "HTTP");
+	return 0;
+}
+
 static int
 copy_texts(struct control *c, const struct control_config *cfg, struct fault *f)
 {
@@ -210,6 +237,8 @@
 		c->cfg.peers[i] = strdup(cfg->peers[i]);
 	for (size_t i = 0; i < cfg->relay_count; i++)
 		c->cfg.relays[i] = strdup(cfg->relays[i]);
+	for (size_t i = 0; i < cfg->seed_count; i++)
+		c->cfg.seeds[i] = strdup(cfg->seeds[i]);
 	for (size_t i = 0; i < c->text_count; i++) {
 		if (c->texts[i] == NULL)
 			return set_fault(f, ERR_MEMORY, "out of memory");
@@ -218,6 +247,10 @@
 		if (c->cfg.peers[i] == NULL)
 			return set_fault(f, ERR_MEMORY, "out of memory");
 	}
+	for (size_t i = 0; i < cfg->seed_count; i++) {
+		if (c->cfg.seeds[i] == NULL)
+			return set_fault(f, ERR_MEMORY, "out of memory");
+	}
 	seed_rng(&c->rng, cfg->seed + cfg->id);
 	c->upstream.contact_ns = -1;
 	return 0;
@@ -269,7 +302,7 @@
 	if (rc == 0)
 		rc = start_client(c, f);
 	if (rc == 0)
-		rc = open_peers(c, f);
+		rc = c->cfg.auto_members ? open_seeds(c, f) : open_peers(c, f);
 	if (rc == 0 && !is_relay(c))
 		rc = open_founding(c, f);
 	if (rc == 0)
@@ -290,6 +323,7 @@
 	    .clock = c->cfg.clock,
 	    .key = c->cfg.key,
 	    .procs = get_ggs_procs(),
+	    .silent_ms = SERVICE_SILENT_MS,
 	    .hooks = c->cfg.hooks,
 	};
 
@@ -344,6 +378,9 @@
 	case GGS_GROUP:
 		handle_group(c, q, reply);
 		break;
+	case GGS_JOIN:
+		handle_join(c, q, reply);
+		break;
 	default:
 		complete_rpc(reply, ERR_NOT_FOUND, make_str(""));
 	}
@@ -404,6 +441,8 @@
 		free((char *)(uintptr_t)c->cfg.peers[i]);
 	for (size_t i = 0; i < c->cfg.relay_count; i++)
 		free((char *)(uintptr_t)c->cfg.relays[i]);
+	for (size_t i = 0; i < c->cfg.seed_count; i++)
+		free((char *)(uintptr_t)c->cfg.seeds[i]);
 	pthread_mutex_destroy(&c->lock);
 	pthread_mutex_destroy(&c->peers_lock);
 	pthread_rwlock_destroy(&c->replica_guard);
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -15,7 +15,21 @@
 
 /* Strings are copied; a NULL or empty one means not set. */
 struct control_config {
-	uint64_t id; /* this process; 1 or higher, never used again */
+	/*
+	 * This process; 1 or higher, never used again. With auto_members it is
+	 * 0: the process keeps an id of its own in its data folder.
+	 */
+	uint64_t id;
+	/*
+	 * The group manages its members by itself: a process finds it through
+	 * the seeds, joins, and takes the place of a voter that is gone. peers
+	 * stays empty.
+	 */
+	bool auto_members;
+	bool first_start; /* of the whole fleet: seeds with no data found */
+	size_t voters_wanted; /* odd; with auto_members */
+	const char *seeds[CONTROL_PEER_MAX]; /* "IP:port", self may be one */
+	size_t seed_count;
 	/* "id=IP:port" of the founding voters, this one included; a voter
 	 * that is not among them joins when it is added as a member. */
 	const char *peers[CONTROL_PEER_MAX];
--- a/packages/control/founding.c
+++ b/packages/control/founding.c
@@ -16,6 +16,7 @@
 	uint64_t sender;
 };
 
+static int start_joining(struct control *c, struct fault *f);
 static void ask_peers(struct control *c, int64_t now);
 static void finish_ask(void *arg, const struct rpc_result *r);
 static void judge_reply(
@@ -45,6 +46,8 @@
 	rc = start_replication(c, !s->founder || founders.count > 1, f);
 	if (rc != ERR_NOT_FOUND)
 		return rc;
+	if (c->cfg.auto_members && !s->founder)
+		return start_joining(c, f);
 	s->pending = true;
 	record_event(c->cfg.events, "founding", c->cfg.zone, 0,
 	    "the data folder is empty; asking %zu processes for a group",
@@ -55,6 +58,18 @@
 	return 0;
 }
 
+/*
+ * Starts a replica without members, which the leader of a group adds. An id
+ * whose log is gone may have voted, so it is given up.
+ */
+static int
+start_joining(struct control *c, struct fault *f)
+{
+	int rc = c->membership.restarted ? choose_identity(c, f) : 0;
+
+	return rc == 0 ? start_replication(c, false, f) : rc;
+}
+
 /*
  * Asks until the replica may start or the start is refused.
  */
--- /dev/null
+++ b/packages/control/identity.c
@@ -0,0 +1,123 @@
+/*
+ * The file that holds the id.
+ */
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "identity.h"
+
+#define FILE_NAME "identity"
+#define PATH_BYTES 512
+#define RANDOM_BIT (1ULL << 62) /* set in drawn ids, clear in derived ones */
+
+static int sync_dir(const char *dir);
+static int write_file(const char *path, const char *text);
+
+int
+load_identity(const char *dir, uint64_t *out, struct fault *f)
+{
+	char path[PATH_BYTES], text[32] = "";
+	int64_t v = 0;
+	ssize_t n;
+	int fd;
+
+	snprintf(path, sizeof(path), "%s/" FILE_NAME, dir);
+	fd = open(path, O_RDONLY | O_CLOEXEC);
+	if (fd < 0 && errno == ENOENT)
+		return ERR_NOT_FOUND;
+	if (fd < 0)
+		return set_fault(f, ERR_IO, "cannot read %s: %s; check the disk",
+		    path, strerror(errno));
+	n = read(fd, text, sizeof(text) - 1);
+	close(fd);
+	if (n <= 0 || text[n - 1] != '\n' ||
+	    parse_i64(make_str_n(text, (size_t)n - 1), 1, INT64_MAX, &v) != 0)
+		return set_fault(f, ERR_CORRUPT,
+		    "%s holds no id; wipe the data folder, and the process "
+		    "joins as a new member",
+		    path);
+	*out = (uint64_t)v;
+	return 0;
+}
+
+int
+save_identity(const char *dir, uint64_t id, struct fault *f)
+{
+	char path[PATH_BYTES], temp[PATH_BYTES], text[32];
+	int rc;
+
+	if (mkdir(dir, 0700) != 0 && errno != EEXIST)
+		return set_fault(f, ERR_IO, "cannot make the data folder %s: %s",
+		    dir, strerror(errno));
+	snprintf(path, sizeof(path), "%s/" FILE_NAME, dir);
+	snprintf(temp, sizeof(temp), "%s/" FILE_NAME ".new", dir);
+	snprintf(text, sizeof(text), "%llu\n", (unsigned long long)id);
+	rc = write_file(temp, text);
+	if (rc == 0 && rename(temp, path) != 0)
+		rc = -errno;
+	if (rc == 0)
+		rc = sync_dir(dir);
+	if (rc != 0)
+		return set_fault(f, ERR_IO, "cannot write %s: %s; free the disk",
+		    path, strerror(-rc));
+	return 0;
+}
+
+/*
+ * Packs an IPv4 address and its port; other addresses are hashed.
+ */
+uint64_t
+derive_identity(const char *address)
+{
+	unsigned int a, b, c, d, port;
+
+	if (sscanf(address, "%3u.%3u.%3u.%3u:%5u", &a, &b, &c, &d, &port) == 5)
+		return (uint64_t)(a & 255) << 40 | (uint64_t)(b & 255) << 32 |
+		       (uint64_t)(c & 255) << 24 | (uint64_t)(d & 255) << 16 |
+		       (port & 65535);
+	return (hash_str(make_str(address), 0) >> 3) | 1;
+}
+
+uint64_t
+draw_identity(void)
+{
+	struct rng r;
+
+	seed_rng_random(&r);
+	return (draw_u64(&r) >> 2) | RANDOM_BIT;
+}
+
+static int
+sync_dir(const char *dir)
+{
+	int fd = open(dir, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	int rc = 0;
+
+	if (fd < 0)
+		return -errno;
+	if (fsync(fd) != 0)
+		rc = -errno;
+	close(fd);
+	return rc;
+}
+
+static int
+write_file(const char *path, const char *text)
+{
+	size_t len = strlen(text);
+	int fd = open(path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+	int rc = 0;
+
+	if (fd < 0)
+		return -errno;
+	if (write(fd, text, len) != (ssize_t)len)
+		rc = errno != 0 ? -errno : -ENOSPC;
+	if (rc == 0 && fsync(fd) != 0)
+		rc = -errno;
+	close(fd);
+	return rc;
+}
--- a/packages/control/peers.c
+++ b/packages/control/peers.c
@@ -7,6 +7,7 @@
 
 #include "service.h"
 
+static struct peer *take_peer_place(struct control *c);
 static int parse_peer(
     const char *text, uint64_t *id, const char **address, struct fault *f);
 static void send_sync(
@@ -44,8 +45,8 @@
 }
 
 /*
- * Adds a peer or changes its address. Peers stay until the process ends: a
- * member that was removed only costs failed connections.
+ * Adds a peer or changes its address. A member that was removed keeps its place
+ * until another one needs it.
  */
 void
 update_peer(struct control *c, uint64_t id, const char *address)
@@ -56,17 +57,16 @@
 
 	if (p != NULL && strcmp(p->address, address) == 0)
 		return;
-	if (open_rpc_peer(c->client, address, &rpc, &f) != 0) {
+	if (open_link(c, address, &rpc, &f) != 0) {
 		write_log(LOG_LEVEL_WARNING, "control process %llu: %s",
 		    (unsigned long long)id, f.text);
 		return;
 	}
 	pthread_mutex_lock(&c->peers_lock);
-	if (p == NULL && c->peer_count < CONTROL_PEER_MAX) {
-		p = &c->peers[c->peer_count];
-		*p = (struct peer){.id = id, .voter = true, .control = c};
-		c->peer_count++;
-	}
+	if (p == NULL)
+		p = take_peer_place(c);
+	if (p != NULL && p->id != id)
+		*p = (struct peer){.id = id, .member = true, .control = c};
 	if (p != NULL) {
 		p->rpc = rpc;
 		(void)copy_str(
@@ -89,6 +89,40 @@
 	return p;
 }
 
+int
+open_link(struct control *c, const char *address, struct rpc_peer **out,
+    struct fault *f)
+{
+	struct rpc_peer *found = NULL;
+	int rc;
+
+	pthread_mutex_lock(&c->peers_lock);
+	for (size_t i = 0; i < c->link_count && found == NULL; i++) {
+		if (strcmp(c->links[i].address, address) == 0)
+			found = c->links[i].rpc;
+	}
+	pthread_mutex_unlock(&c->peers_lock);
+	if (found != NULL) {
+		*out = found;
+		return 0;
+	}
+	if (c->link_count == SERVICE_LINKS_MAX)
+		return set_fault(f, ERR_LIMIT,
+		    "connections to %d addresses of control processes were "
+		    "opened; restart this process",
+		    SERVICE_LINKS_MAX);
+	rc = open_rpc_peer(c->client, address, &found, f);
+	if (rc != 0)
+		return rc;
+	pthread_mutex_lock(&c->peers_lock);
+	(void)copy_str(c->links[c->link_count].address, RPC_ADDRESS_BYTES,
+	    make_str(address));
+	c->links[c->link_count++].rpc = found;
+	pthread_mutex_unlock(&c->peers_lock);
+	*out = found;
+	return 0;
+}
+
 /*
  * Sends the changes since the last tick, digests when they are due, and all
  * owned records to the peers whose digest differed.
@@ -143,6 +177,22 @@
 	unload_buf(&b);
 }
 
+/*
+ * Returns a free place, or that of a process that is no member any more; NULL
+ * when all are members. peers_lock is held.
+ */
+static struct peer *
+take_peer_place(struct control *c)
+{
+	if (c->peer_count < CONTROL_PEER_MAX)
+		return &c->peers[c->peer_count++];
+	for (size_t i = 0; i < c->peer_count; i++) {
+		if (!c->peers[i].member)
+			return &c->peers[i];
+	}
+	return NULL;
+}
+
 /*
  * Reads "id=IP:port"; address points into text.
  */
@@ -176,7 +226,7 @@
 		for (size_t i = 0; i < c->peer_count; i++) {
 			struct peer *p = &c->peers[i];
 
-			if (only == NULL || only == p)
+			if (only == p || (only == NULL && p->member))
 				(void)call_rpc(p->rpc, GGS_ENDPOINT_SYNC,
 				    view_buf(&b), SERVICE_SYNC_MS, finish_sync,
 				    p);
--- a/packages/control/registry.c
+++ b/packages/control/registry.c
@@ -269,7 +269,8 @@
 	return e->id != NULL && e->id[0] != '\0' && e->service != NULL &&
 	       e->service[0] != '\0' && strlen(e->service) < TABLE_NAME_BYTES &&
 	       e->address != NULL && e->address[0] != '\0' && e->zone != NULL &&
-	       e->slots >= 0 && e->state <= WIRE_ENDPOINT_SUSPECT;
+	       e->instance != NULL && e->backend != NULL && e->slots >= 0 &&
+	       e->state <= WIRE_ENDPOINT_SUSPECT;
 }
 
 /*
@@ -462,8 +463,10 @@
 	dst->service = strdup(src->service);
 	dst->address = strdup(src->address);
 	dst->zone = strdup(src->zone);
+	dst->instance = strdup(src->instance);
+	dst->backend = strdup(src->backend);
 	if (dst->id != NULL && dst->service != NULL && dst->address != NULL &&
-	    dst->zone != NULL)
+	    dst->zone != NULL && dst->instance != NULL && dst->backend != NULL)
 		return 0;
 	unload_wire((xdrproc_t)xdr_wire_endpoint, dst);
 	return ERR_MEMORY;
--- a/packages/control/replication.c
+++ b/packages/control/replication.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "identity.h"
 #include "service.h"
 
 /* A READ_INDEX call that waits. */
@@ -13,6 +14,7 @@
 	struct control *control;
 };
 
+static bool list_founders(struct control *c, struct raft_members *out);
 static void apply_entry(void *arg, uint64_t index, struct replica_stamp at,
     struct str bytes, struct buf *result);
 static int save_machine(void *arg, struct buf *out);
@@ -249,6 +251,9 @@
 {
 	bool found = false;
 
+	if (c->cfg.auto_members)
+		return list_founders(c, out);
+
 	for (size_t i = 0; i < c->cfg.peer_count; i++) {
 		struct raft_member *m = &out->member[out->count];
 		char *end;
@@ -264,6 +269,25 @@
 	return found;
 }
 
+/*
+ * The seeds of the first start of a fleet found its group.
+ */
+static bool
+list_founders(struct control *c, struct raft_members *out)
+{
+	if (!c->membership.founds)
+		return false;
+	for (size_t i = 0; i < c->cfg.seed_count; i++) {
+		struct raft_member *m = &out->member[out->count++];
+
+		m->id = derive_identity(c->cfg.seeds[i]);
+		m->voter = true;
+		(void)copy_str(
+		    m->address, sizeof(m->address), make_str(c->cfg.seeds[i]));
+	}
+	return true;
+}
+
 static void
 apply_entry(void *arg, uint64_t index, struct replica_stamp at,
     struct str bytes, struct buf *result)
@@ -334,7 +358,7 @@
 		return;
 	if (encode_wire((xdrproc_t)xdr_wire_raft_message, m, &b) == 0)
 		(void)call_rpc(p->rpc, GGS_RAFT_STEP, view_buf(&b),
-		    SERVICE_SYNC_MS, ignore_reply, NULL);
+		    SERVICE_STEP_MS, ignore_reply, NULL);
 	unload_buf(&b);
 }
 
@@ -347,6 +371,8 @@
 		if (m->member[i].id != c->id)
 			update_peer(c, m->member[i].id, m->member[i].address);
 	}
+	if (c->cfg.auto_members)
+		note_membership(c, m);
 }
 
 static void
--- a/packages/control/service.c
+++ b/packages/control/service.c
@@ -26,6 +26,7 @@
 		pthread_mutex_unlock(&c->lock);
 		run_submissions(c, read_mono(&c->cfg.clock));
 		run_founding(c, read_mono(&c->cfg.clock));
+		run_membership(c, read_mono(&c->cfg.clock));
 	}
 	pthread_mutex_lock(&c->lock);
 	drop_watches(c);
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -11,6 +11,7 @@
 #include <pthread.h>
 
 #include "control.h"
+#include "membership_plan.h"
 #include "metric.h"
 #include "nodes.h"
 #include "replica.h"
@@ -22,10 +23,17 @@
 #define SERVICE_LEASE_TICK_NS (500 * NSEC_PER_MSEC)
 #define SERVICE_READ_MS 2000 /* longest wait for a confirmed read */
 #define SERVICE_SYNC_MS 2000 /* longest wait for a peer */
+/*
+ * Receipt of a consensus message. A connection that is silent for longer is
+ * closed, before followers miss the leader for a second.
+ */
+#define SERVICE_STEP_MS 700
+#define SERVICE_SILENT_MS 500 /* silence that closes a connection */
 #define SERVICE_RETRY_NS \
 	(50 * NSEC_PER_MSEC) /* between attempts of a command */
 #define SERVICE_WAIT_MAX_MS 30000 /* longest hold of a watch */
 #define SERVICE_COMMAND_MAX_MS 10000 /* longest wait of a command */
+#define SERVICE_LINKS_MAX 128 /* addresses of control processes met */
 #define SERVICE_PULL_MS 500 /* heartbeat of a relay's PULL */
 
 /* Another control process. */
@@ -33,12 +41,33 @@
 	uint64_t id;
 	char address[RPC_ADDRESS_BYTES];
 	struct rpc_peer *rpc;
-	bool voter; /* from the settings; takes records and commands */
+	bool member; /* of the group, as far as it is known */
 	bool resend; /* its digest differs: send all owned records */
 	size_t resend_at; /* position of the next part */
 	struct control *control;
 };
 
+/* A connection to an address, kept until the process ends. */
+struct link {
+	char address[RPC_ADDRESS_BYTES];
+	struct rpc_peer *rpc;
+};
+
+/* Membership that the group manages by itself. */
+struct membership {
+	size_t voters_wanted;
+	bool restarted; /* the data folder holds an id */
+	bool founds;
+	struct rpc_peer *seeds[CONTROL_PEER_MAX];
+	size_t seed_count;
+	struct candidate candidates[MEMBERSHIP_CANDIDATES_MAX];
+	bool changing; /* a change is under way */
+	uint64_t leader; /* as an answer named it; 0: not known */
+	size_t next_target; /* of the next request to join */
+	int64_t plan_ns;
+	int64_t join_ns;
+};
+
 /* A watch or pull that waits for its reply. */
 struct held_watch {
 	struct held_watch *next;
@@ -145,6 +174,7 @@
 	struct submission *submissions;
 	struct upstream upstream;
 	struct founding founding;
+	struct membership membership;
 	uint64_t leader_hint; /* relay: leader that a voter named */
 	int64_t tick_ns; /* last of each kind */
 	int64_t digest_ns;
@@ -156,6 +186,8 @@
 	pthread_mutex_t peers_lock; /* leaf */
 	struct peer peers[CONTROL_PEER_MAX];
 	size_t peer_count;
+	struct link links[SERVICE_LINKS_MAX];
+	size_t link_count;
 
 	struct rpc_server *server;
 	struct rpc_client *client;
@@ -198,7 +230,21 @@
 void handle_group(
     struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
 
+/* membership.c */
+int open_membership(struct control *c, struct fault *f); /* finds the id */
+int choose_identity(struct control *c, struct fault *f); /* a new id */
+int open_seeds(struct control *c, struct fault *f);
+void run_membership(struct control *c, int64_t now); /* takes the lock */
+void handle_join(
+    struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
+unsigned int list_members(const struct raft_members *m,
+    struct wire_member *out); /* WIRE_MEMBERS_MAX; returns the number */
+void note_membership(struct control *c, const struct raft_members *m);
+
 /* peers.c */
+/* The connection to an address; one for all ids that have had it. */
+int open_link(struct control *c, const char *address, struct rpc_peer **out,
+    struct fault *f);
 int open_peers(struct control *c, struct fault *f);
 void update_peer(struct control *c, uint64_t id, const char *address);
 struct peer *find_control_peer(struct control *c, uint64_t id);
--- a/packages/control/tests/test_fleet.c
+++ b/packages/control/tests/test_fleet.c
@@ -230,6 +230,8 @@
 	    .service = (char *)(uintptr_t) "svc",
 	    .address = (char *)(uintptr_t) "127.0.0.1:9",
 	    .zone = (char *)(uintptr_t) "z",
+	    .instance = (char *)(uintptr_t) "",
+	    .backend = (char *)(uintptr_t) "",
 	    .slots = 1,
 	    .state = state,
 	};
--- /dev/null
+++ b/packages/control/tests/test_membership.c
@@ -0,0 +1,325 @@
+/*
+ * Membership that the group manages by itself: the plan case by case, and real
+ * processes that join, lose their disk and are replaced.
+ */
+#include <ftw.h>
+#include <unistd.h>
+
+#include "api.h"
+#include "identity.h"
+#include "membership_plan.h"
+#include "state_fixture.h"
+
+#define SECOND NSEC_PER_SEC
+#define NOW (100 * SECOND)
+#define WAIT_S 30 /* bound of every wait for a state */
+#define PROCESSES 6
+
+/* One member of a case, in short: v votes, l learns. */
+struct plan_member {
+	uint64_t id; /* 0: none */
+	char kind;
+	const char *address;
+	bool caught_up;
+	int64_t silent_ms;
+};
+
+struct plan_case {
+	const char *what;
+	struct plan_member members[7];
+	uint64_t candidate; /* 0: none */
+	const char *candidate_address;
+	int64_t asked_ms; /* before now */
+	int want; /* enum raft_change_type; -1: nothing */
+	uint64_t want_id;
+};
+
+static const struct plan_case plan_cases[] = {
+    {"a whole group stays",
+	{{1, 'v', "a", true, 0}, {2, 'v', "b", true, 0}, {3, 'v', "c", true, 0},
+	    {4, 'v', "d", true, 0}, {5, 'v', "e", true, 0}},
+	0, "", 0, -1, 0},
+    {"a process that asks learns",
+	{{1, 'v', "a", true, 0}, {2, 'v', "b", true, 0},
+	    {3, 'v', "c", true, 0}},
+	9, "x", 100, RAFT_ADD_LEARNER, 9},
+    {"an old request does not count",
+	{{1, 'v', "a", true, 0}, {2, 'v', "b", true, 0},
+	    {3, 'v', "c", true, 0}},
+	9, "x", 3000, -1, 0},
+    {"a learner that is behind waits",
+	{{1, 'v', "a", true, 0}, {2, 'v', "b", true, 0}, {3, 'v', "c", true, 0},
+	    {9, 'l', "x", false, 0}},
+	9, "x", 100, -1, 0},
+    {"a learner that caught up votes",
+	{{1, 'v', "a", true, 0}, {2, 'v', "b", true, 0}, {3, 'v', "c", true, 0},
+	    {9, 'l', "x", true, 0}},
+	9, "x", 100, RAFT_PROMOTE, 9},
+    {"a silent learner does not vote",
+	{{1, 'v', "a", true, 0}, {2, 'v', "b", true, 0}, {3, 'v', "c", true, 0},
+	    {9, 'l', "x", true, 2000}},
+	0, "", 0, -1, 0},
+    {"a learner beside a whole group waits",
+	{{1, 'v', "a", true, 0}, {2, 'v', "b", true, 0}, {3, 'v', "c", true, 0},
+	    {4, 'v', "d", true, 0}, {5, 'v', "e", true, 0},
+	    {9, 'l', "x", true, 0}},
+	9, "x", 100, -1, 0},
+    {"it takes the place of the voter silent for longest",
+	{{1, 'v', "a", true, 0}, {2, 'v', "b", true, 1600},
+	    {3, 'v', "c", false, 4000}, {4, 'v', "d", true, 0},
+	    {5, 'v', "e", true, 0}, {9, 'l', "x", true, 0}},
+	9, "x", 100, RAFT_REMOVE, 3},
+    {"a voter that was just heard keeps its place",
+	{{1, 'v', "a", true, 0}, {2, 'v', "b", true, 1400},
+	    {3, 'v', "c", true, 0}, {4, 'v', "d", true, 0},
+	    {5, 'v', "e", true, 0}, {9, 'l', "x", true, 0}},
+	9, "x", 100, -1, 0},
+    {"a lost disk takes the place of its former id at once",
+	{{1, 'v', "a", true, 0}, {2, 'v', "b", true, 100},
+	    {3, 'v', "c", true, 4000}, {4, 'v', "d", true, 0},
+	    {5, 'v', "e", true, 0}, {9, 'l', "b", true, 0}},
+	9, "b", 100, RAFT_REMOVE, 2},
+    {"votes that are missing are filled before voters are replaced",
+	{{1, 'v', "a", true, 0}, {2, 'v', "b", true, 0},
+	    {3, 'v', "c", true, 4000}, {4, 'v', "d", true, 0},
+	    {9, 'l', "x", true, 0}},
+	9, "x", 100, RAFT_PROMOTE, 9},
+    {"the leader is never replaced",
+	{{1, 'v', "a", true, 0}, {2, 'v', "b", true, 0}, {3, 'v', "c", true, 0},
+	    {4, 'v', "d", true, 0}, {5, 'v', "e", true, 0},
+	    {9, 'l', "a", true, 0}},
+	9, "a", 100, -1, 0},
+    {"a member with another address is updated",
+	{{1, 'v', "a", true, 0}, {2, 'v', "b", true, 0},
+	    {3, 'v', "c", true, 0}},
+	2, "x", 100, RAFT_ADD_LEARNER, 2},
+    {"a learner that is gone is forgotten",
+	{{1, 'v', "a", true, 0}, {2, 'v', "b", true, 0}, {3, 'v', "c", true, 0},
+	    {9, 'l', "x", false, 20000}},
+	0, "", 0, RAFT_REMOVE, 9},
+};
+
+/* Guards against votes that are lost, or given to the wrong process. */
+START_TEST(plan_follows_its_rules)
+{
+	const struct plan_case *c = &plan_cases[_i];
+	struct replica_progress members[7];
+	struct candidate candidates[MEMBERSHIP_CANDIDATES_MAX] = {0};
+	struct membership_view v = {.now_ns = NOW,
+	    .self = 1,
+	    .voters_wanted = 5,
+	    .members = members,
+	    .candidates = candidates};
+	struct raft_change change = {0};
+	bool planned;
+
+	for (; c->members[v.member_count].id != 0; v.member_count++) {
+		const struct plan_member *m = &c->members[v.member_count];
+
+		members[v.member_count] = (struct replica_progress){
+		    .member = {.id = m->id, .voter = m->kind == 'v'},
+		    .caught_up = m->caught_up,
+		    .silent_ns = m->silent_ms * NSEC_PER_MSEC};
+		strcpy(members[v.member_count].member.address, m->address);
+	}
+	if (c->candidate != 0)
+		note_candidate(candidates, c->candidate, c->candidate_address,
+		    NOW - c->asked_ms * NSEC_PER_MSEC);
+	planned = plan_membership(&v, &change);
+	ck_assert_msg(planned == (c->want >= 0), "%s", c->what);
+	if (planned) {
+		ck_assert_msg((int)change.type == c->want, "%s", c->what);
+		ck_assert_msg(change.member.id == c->want_id, "%s", c->what);
+	}
+}
+END_TEST
+
+/* Guards against an id that two processes, or two lives of a disk, share. */
+START_TEST(ids_are_kept_on_disk_and_drawn_anew_without_it)
+{
+	char dir[] = "/tmp/ggs-id-XXXXXX", file[64];
+	uint64_t id = 0;
+	struct fault f = {0};
+
+	ck_assert_ptr_nonnull(mkdtemp(dir));
+	ck_assert_int_eq(load_identity(dir, &id, &f), ERR_NOT_FOUND);
+	ck_assert_int_eq(save_identity(dir, 77, &f), 0);
+	ck_assert_int_eq(load_identity(dir, &id, &f), 0);
+	ck_assert_uint_eq(id, 77);
+	snprintf(file, sizeof(file), "%s/identity", dir);
+	ck_assert_int_eq(truncate(file, 1), 0);
+	ck_assert_int_eq(load_identity(dir, &id, &f), ERR_CORRUPT);
+	ck_assert_int_eq(remove(file), 0);
+	ck_assert_int_eq(rmdir(dir), 0);
+	ck_assert_uint_eq(derive_identity("10.1.0.45:7600"),
+	    derive_identity("10.1.0.45:7600"));
+	ck_assert_uint_ne(derive_identity("10.1.0.45:7600"),
+	    derive_identity("10.1.0.45:7601"));
+	ck_assert_uint_ne(draw_identity(), draw_identity());
+	ck_assert_uint_ge(draw_identity(), 1ULL << 62);
+}
+END_TEST
+
+/* Real processes on loopback addresses of this test program. */
+struct process {
+	struct control *control;
+	char rpc[48], http[48], dir[64];
+};
+
+static struct process processes[PROCESSES];
+static char root[] = "/tmp/ggs-join-XXXXXX";
+
+static void
+start_process(int i, bool first)
+{
+	struct process *p = &processes[i];
+	struct control_config c = {.auto_members = true,
+	    .first_start = first,
+	    .voters_wanted = 5,
+	    .seed_count = 3,
+	    .zone = "z",
+	    .rpc_listen = p->rpc,
+	    .http_listen = p->http,
+	    .data_dir = p->dir,
+	    .key = make_str("0123456789abcdef"),
+	    .clock = get_real_clock(),
+	    .seed = (uint64_t)i + 1};
+	struct fault f = {0};
+
+	for (int k = 0; k < 3; k++)
+		c.seeds[k] = processes[k].rpc;
+	ck_assert_msg(start_control(&c, &p->control, &f) == 0, "%s", f.text);
+}
+
+static void
+stop_process(int i)
+{
+	stop_control(processes[i].control);
+	processes[i].control = NULL;
+}
+
+static int
+remove_entry(const char *path, const struct stat *st, int type, struct FTW *at)
+{
+	(void)st;
+	(void)type;
+	(void)at;
+	return remove(path);
+}
+
+static void
+wipe_process(int i)
+{
+	ck_assert_int_eq(
+	    nftw(processes[i].dir, remove_entry, 8, FTW_DEPTH | FTW_PHYS), 0);
+}
+
+/* Counts the voters that process i knows, if it has contact to a leader. */
+static size_t
+count_voters(int i, uint64_t *ids)
+{
+	struct raft_members m = {0};
+	struct replica_status st;
+	size_t n = 0;
+
+	if (!get_replication(processes[i].control, &st) || !st.voter ||
+	    st.contact_ns < 0 || st.contact_ns > SECOND)
+		return 0;
+	(void)get_replication_members(processes[i].control, &m);
+	for (size_t k = 0; k < m.count; k++) {
+		if (m.member[k].voter)
+			ids[n++] = m.member[k].id;
+	}
+	return n;
+}
+
+/* Waits until each started process votes in a group of five without old. */
+static void
+wait_whole(uint64_t old)
+{
+	uint64_t ids[RAFT_MEMBERS_MAX];
+	bool whole = false;
+
+	for (int round = 0; round < WAIT_S * 20 && !whole; round++) {
+		usleep(50000);
+		whole = true;
+		for (int i = 0; i < PROCESSES; i++) {
+			size_t n;
+
+			if (processes[i].control == NULL)
+				continue;
+			n = count_voters(i, ids);
+			whole = whole && n == 5;
+			for (size_t k = 0; k < n; k++)
+				whole = whole && ids[k] != old;
+		}
+	}
+	ck_assert(whole);
+}
+
+static void
+open_processes(void)
+{
+	unsigned int net = (unsigned int)getpid();
+
+	ck_assert_ptr_nonnull(mkdtemp(root));
+	for (int i = 0; i < PROCESSES; i++) {
+		struct process *p = &processes[i];
+
+		snprintf(p->rpc, sizeof(p->rpc), "127.%u.%u.%d:7401",
+		    10 + net / 250 % 80, 1 + net % 250, i + 1);
+		snprintf(p->http, sizeof(p->http), "127.%u.%u.%d:7400",
+		    10 + net / 250 % 80, 1 + net % 250, i + 1);
+		snprintf(p->dir, sizeof(p->dir), "%s/%d", root, i);
+	}
+}
+
+/*
+ * Guards against a group that does not find itself, or that does not come back
+ * to five voters after a lost disk and a lost machine.
+ */
+START_TEST(group_founds_joins_and_replaces_by_itself)
+{
+	uint64_t old;
+
+	open_processes();
+	for (int i = 4; i >= 0; i--)
+		start_process(i, true);
+	wait_whole(0);
+	old = processes[1].control->id;
+	stop_process(1);
+	wipe_process(1);
+	start_process(1, false);
+	wait_whole(old);
+	ck_assert_uint_ne(processes[1].control->id, old);
+	old = processes[0].control->id;
+	stop_process(0);
+	start_process(5, false);
+	wait_whole(old);
+	/* A restart keeps its id and its vote. */
+	old = processes[3].control->id;
+	stop_process(3);
+	start_process(3, false);
+	wait_whole(0);
+	ck_assert_uint_eq(processes[3].control->id, old);
+	for (int i = 0; i < PROCESSES; i++) {
+		if (processes[i].control != NULL)
+			stop_process(i);
+	}
+	ck_assert_int_eq(
+	    nftw(root, remove_entry, 8, FTW_DEPTH | FTW_PHYS), 0);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *t = tcase_create("membership");
+
+	tcase_set_timeout(t, 120);
+	tcase_add_loop_test(t, plan_follows_its_rules, 0,
+	    sizeof(plan_cases) / sizeof(plan_cases[0]));
+	tcase_add_test(t, ids_are_kept_on_disk_and_drawn_anew_without_it);
+	tcase_add_test(t, group_founds_joins_and_replaces_by_itself);
+	return run_suite("membership", t);
+}
--- a/packages/control/tests/test_registry.c
+++ b/packages/control/tests/test_registry.c
@@ -27,6 +27,8 @@
 	    .service = (char *)(uintptr_t) "svc",
 	    .address = (char *)(uintptr_t) "127.0.0.1:9000",
 	    .zone = (char *)(uintptr_t) "z",
+	    .instance = (char *)(uintptr_t) "",
+	    .backend = (char *)(uintptr_t) "",
 	    .slots = 4,
 	    .state = state,
 	};
--- a/packages/control/tests/test_replace.c
+++ b/packages/control/tests/test_replace.c
@@ -25,8 +25,8 @@
 	ck_assert_int_eq(load_table_csv(make_str(csv), number, &t, NULL), 0);
 	ck_assert_int_eq(diff_tables(s->table, t, &l), 0);
 	ck_assert_int_eq(encode_cells(&l, &cells), 0);
-	ck_assert_int_eq(make_source_delta(view_buf(&s->source),
-			     make_str(text), &source),
+	ck_assert_int_eq(
+	    make_source_delta(view_buf(&s->source), make_str(text), &source),
 	    0);
 	c.body.type = COMMAND_REPLACE;
 	r->number = number;
@@ -77,11 +77,10 @@
 	ck_assert_int_eq(r.status, c->want);
 	ck_assert_uint_eq(s->table->version, c->want_version);
 	if (c->want == 0 && c->number != 5)
-		ck_assert(is_str_equal(
-		    view_buf(&s->source), make_str(c->text)));
-	else
 		ck_assert(
-		    is_str_equal(view_buf(&s->source), make_str(TEXT_A)));
+		    is_str_equal(view_buf(&s->source), make_str(c->text)));
+	else
+		ck_assert(is_str_equal(view_buf(&s->source), make_str(TEXT_A)));
 	unload_command_result(&r);
 	close_state(s);
 }
@@ -158,16 +157,16 @@
 
 		append_buf(&text, old.data, cut);
 		for (uint64_t n = draw_below(&r, 30); n > 0; n--)
-			append_buf_fmt(&text, "[\"row\",%d]",
-			    (int)draw_below(&r, 50));
+			append_buf_fmt(
+			    &text, "[\"row\",%d]", (int)draw_below(&r, 50));
 		if (cut + skip < old.len)
-			append_buf(&text, old.data + cut + skip,
-			    old.len - cut - skip);
-		ck_assert_int_eq(make_source_delta(
-				     view_buf(&old), view_buf(&text), &delta),
+			append_buf(
+			    &text, old.data + cut + skip, old.len - cut - skip);
+		ck_assert_int_eq(
+		    make_source_delta(view_buf(&old), view_buf(&text), &delta),
 		    0);
-		ck_assert_int_eq(apply_source_delta(
-				     view_buf(&old), view_buf(&delta), &back),
+		ck_assert_int_eq(
+		    apply_source_delta(view_buf(&old), view_buf(&delta), &back),
 		    0);
 		ck_assert(is_str_equal(view_buf(&back), view_buf(&text)));
 		unload_buf(&old);
--- a/packages/control/tests/test_watch.c
+++ b/packages/control/tests/test_watch.c
@@ -22,6 +22,8 @@
 	enum watch_verdict want;
 };
 
+static const struct watch_controls no_controls;
+
 static const struct verdict_case verdict_cases[] = {
     {5, false, false, false, 5, 0, false, WATCH_HOLD},
     {5, false, false, true, 5, 0, false, WATCH_REPLY}, /* heartbeat */
@@ -172,11 +174,13 @@
 			ck_assert_int_eq(rebuild_table(&s->history, s->table,
 					     c->held, &held, &f),
 			    0);
-		ck_assert_int_eq(
-		    encode_watch_reply(cache, s, g, &a, &stamp, &first), 0);
+		ck_assert_int_eq(encode_watch_reply(cache, s, g, &no_controls,
+				     &a, &stamp, &first),
+		    0);
 		encoded = cache->encoded;
-		ck_assert_int_eq(
-		    encode_watch_reply(cache, s, g, &a, &stamp, &again), 0);
+		ck_assert_int_eq(encode_watch_reply(cache, s, g, &no_controls,
+				     &a, &stamp, &again),
+		    0);
 		ck_assert(is_str_equal(view_buf(&first), view_buf(&again)));
 		if (c->want != NONE)
 			ck_assert_uint_eq(cache->encoded, encoded);
@@ -200,7 +204,8 @@
 	ck_assert_int_eq(
 	    rebuild_table(&s->history, s->table, 41, &held, &f), 0);
 	ck_assert_int_eq(
-	    encode_watch_reply(cache, s, g, &a, &stamp, &reply), 0);
+	    encode_watch_reply(cache, s, g, &no_controls, &a, &stamp, &reply),
+	    0);
 	ck_assert_uint_lt(reply.len, 400);
 	next = follow(held, view_buf(&reply), DELTA);
 	ck_assert_uint_eq(next->digest, s->table->digest);
@@ -279,8 +284,9 @@
 		}
 		if (i == 3)
 			a.registry_id = 1; /* held from another process */
-		ck_assert_int_eq(
-		    encode_watch_reply(cache, s, g, &a, &stamp, &b), 0);
+		ck_assert_int_eq(encode_watch_reply(
+				     cache, s, g, &no_controls, &a, &stamp, &b),
+		    0);
 		ck_assert_int_eq(decode_wire((xdrproc_t)xdr_wire_watch_reply,
 				     view_buf(&b), &r),
 		    0);
@@ -345,8 +351,9 @@
 		struct wire_watch_reply r = {0};
 		struct buf b = {0};
 
-		ck_assert_int_eq(
-		    encode_watch_reply(cache, s, g, &a, &stamp, &b), 0);
+		ck_assert_int_eq(encode_watch_reply(
+				     cache, s, g, &no_controls, &a, &stamp, &b),
+		    0);
 		ck_assert_int_eq(decode_wire((xdrproc_t)xdr_wire_watch_reply,
 				     view_buf(&b), &r),
 		    0);
--- a/packages/control/watch.c
+++ b/packages/control/watch.c
@@ -131,12 +131,15 @@
 
 int
 encode_watch_reply(struct watch_cache *c, const struct state *s,
-    const struct registry *g, const struct wire_watch_args *a,
-    const struct wire_hlc *stamp, struct buf *out)
+    const struct registry *g, const struct watch_controls *controls,
+    const struct wire_watch_args *a, const struct wire_hlc *stamp,
+    struct buf *out)
 {
 	struct wire_watch_reply r = {.status = WIRE_OK, .stamp = *stamp};
 	struct watch_update *u = NULL;
-	bool shared = !has_newer_set(g, a);
+	bool tells = controls->digest != 0 && a->controls_digest != 0 &&
+		     controls->digest != a->controls_digest;
+	bool shared = !tells && !has_newer_set(g, a);
 	int rc = 0;
 
 	r.registry_id = get_registry_id(g);
@@ -150,6 +153,11 @@
 		return append_buf_str(out, view_buf(&u->reply));
 	if (u != NULL)
 		fill_table(s, u, &r.table);
+	if (tells) {
+		r.controls_digest = controls->digest;
+		r.controls.controls_val = controls->members;
+		r.controls.controls_len = controls->count;
+	}
 	if (!shared)
 		rc = fill_sets(g, a, r.table.body.body_len, &r);
 	if (rc == 0 && shared && u != NULL) {
--- a/packages/control/watch.h
+++ b/packages/control/watch.h
@@ -69,13 +69,22 @@
     struct watch_update **out);
 void clear_cache(struct watch_cache *c);
 
+/* The control processes of the group, as nodes learn them. */
+struct watch_controls {
+	uint64_t digest; /* 0: none to send */
+	struct wire_member *members;
+	unsigned int count;
+};
+
 /*
  * Appends the encoded reply: the table update when the node lacks it, and the
- * sets that are newer than those it holds, as far as they fit.
+ * sets that are newer than those it holds, as far as they fit, and the control
+ * processes when it asks for them and holds another list.
  */
 int encode_watch_reply(struct watch_cache *c, const struct state *s,
-    const struct registry *g, const struct wire_watch_args *a,
-    const struct wire_hlc *stamp, struct buf *out);
+    const struct registry *g, const struct watch_controls *controls,
+    const struct wire_watch_args *a, const struct wire_hlc *stamp,
+    struct buf *out);
 /* One without content, for LIMIT and STALE. */
 int encode_watch_refusal(wire_status status, int retry_ms,
     const struct wire_hlc *stamp, struct buf *out);
--- a/packages/control/watches.c
+++ b/packages/control/watches.c
@@ -12,6 +12,8 @@
 static bool serve_watch(
     struct control *c, struct held_watch *w, bool stale, int64_t now);
 static void reply_update(struct control *c, struct held_watch *w, int64_t now);
+static void fill_controls(
+    struct control *c, struct raft_members *group, struct watch_controls *out);
 static void reply_refusal(
     struct control *c, struct held_watch *w, wire_status status, int retry_ms);
 static void free_watch(struct held_watch *w);
@@ -217,6 +219,9 @@
 static void
 reply_update(struct control *c, struct held_watch *w, int64_t now)
 {
+	struct wire_member members[WIRE_MEMBERS_MAX];
+	struct watch_controls controls = {.members = members};
+	struct raft_members group = {0};
 	struct wire_hlc stamp = stamp_message(c);
 	struct watch_update *u = NULL;
 	struct buf b = {0};
@@ -231,9 +236,11 @@
 		reply_refusal(c, w, WIRE_LIMIT, retry_ms);
 		return;
 	}
+	if (w->args.controls_digest != 0)
+		fill_controls(c, &group, &controls);
 	if (rc == 0)
-		rc = encode_watch_reply(
-		    &c->cache, c->state, c->registry, &w->args, &stamp, &b);
+		rc = encode_watch_reply(&c->cache, c->state, c->registry,
+		    &controls, &w->args, &stamp, &b);
 	if (rc == 0 && u != NULL)
 		count_metric(u->form == WIRE_TABLE_WHOLE ? c->metrics.whole :
 							   c->metrics.delta,
@@ -242,6 +249,23 @@
 	unload_buf(&b);
 }
 
+/*
+ * Lists the members of the group, whose addresses stay in group.
+ */
+static void
+fill_controls(
+    struct control *c, struct raft_members *group, struct watch_controls *out)
+{
+	struct buf b = {0};
+
+	if (get_replication_members(c, group) != 0 || group->count == 0 ||
+	    encode_raft_members(group, &b) != 0)
+		return;
+	out->digest = hash_str(view_buf(&b), 0) | 2;
+	out->count = list_members(group, out->members);
+	unload_buf(&b);
+}
+
 static void
 reply_refusal(
     struct control *c, struct held_watch *w, wire_status status, int retry_ms)
--- a/packages/proxy/health.c
+++ b/packages/proxy/health.c
@@ -222,12 +222,14 @@
 announce(struct health *h, enum wire_endpoint_state state)
 {
 	struct proxy *p = h->proxy;
-	char address[PROXY_ADDRESS_BYTES];
+	char address[PROXY_ADDRESS_BYTES], empty[1] = "";
 	const char *colon = strrchr(p->listen, ':');
 	struct wire_endpoint self = {.id = p->node,
 	    .service = p->service,
 	    .address = address,
 	    .zone = p->zone,
+	    .instance = empty,
+	    .backend = empty,
 	    .slots = p->cfg.backend.slots,
 	    .state = state};
 
--- a/packages/raft/raft.c
+++ b/packages/raft/raft.c
@@ -195,6 +195,16 @@
 	return 0;
 }
 
+unsigned int
+get_raft_age(const struct raft *r, uint64_t id)
+{
+	for (size_t i = 0; i < r->peer_count; i++) {
+		if (r->peers[i].id == id)
+			return r->peers[i].age;
+	}
+	return UINT_MAX;
+}
+
 static int
 handle_message(struct raft *r, const struct raft_message *m)
 {
--- a/packages/raft/raft.h
+++ b/packages/raft/raft.h
@@ -6,6 +6,8 @@
 #ifndef RAFT_H
 #define RAFT_H
 
+#include <limits.h>
+
 #include "base.h"
 
 #define RAFT_MEMBERS_MAX 17 /* voters and learners of a group */
@@ -200,6 +202,8 @@
 uint64_t get_raft_term_at(const struct raft *r, uint64_t index); /* 0 none */
 bool is_raft_sending(const struct raft *r); /* a snapshot to a live member */
 uint64_t get_raft_match(const struct raft *r, uint64_t id); /* on a leader */
+/* Ticks since the leader heard the member; UINT_MAX for no member. */
+unsigned int get_raft_age(const struct raft *r, uint64_t id);
 
 /* Membership as bytes */
 int encode_raft_members(const struct raft_members *m, struct buf *out);
--- a/packages/replica/replica.c
+++ b/packages/replica/replica.c
@@ -108,6 +108,19 @@
 	pthread_mutex_unlock(&r->lock);
 }
 
+size_t
+get_replica_progress(
+    struct replica *r, struct replica_progress out[RAFT_MEMBERS_MAX])
+{
+	size_t n;
+
+	pthread_mutex_lock(&r->lock);
+	n = r->progress_count;
+	memcpy(out, r->progress, n * sizeof(*out));
+	pthread_mutex_unlock(&r->lock);
+	return n;
+}
+
 bool
 is_replica_leader(struct replica *r)
 {
--- a/packages/replica/replica.h
+++ b/packages/replica/replica.h
@@ -103,6 +103,13 @@
 	uint64_t proposals; /* accepted into the log by this leader */
 };
 
+/* What the leader knows of a member. */
+struct replica_progress {
+	struct raft_member member;
+	bool caught_up; /* holds everything committed */
+	int64_t silent_ns; /* since it was heard; 0 for the leader itself */
+};
+
 int start_replica(
     const struct replica_config *cfg, struct replica **out, struct fault *f);
 void stop_replica(struct replica *r); /* ends; fails what is pending */
@@ -128,6 +135,9 @@
 /* Queries, from any thread */
 struct replica_status get_replica_status(struct replica *r);
 void get_replica_members(struct replica *r, struct raft_members *out);
+/* Progress of the members; returns their number, 0 unless it leads. */
+size_t get_replica_progress(
+    struct replica *r, struct replica_progress out[RAFT_MEMBERS_MAX]);
 bool is_replica_leader(struct replica *r);
 bool is_replica_failed(struct replica *r);
 
--- a/packages/replica/replica_core.h
+++ b/packages/replica/replica_core.h
@@ -66,6 +66,8 @@
 	size_t inbox_count;
 	struct replica_status status;
 	struct raft_members members;
+	struct replica_progress progress[RAFT_MEMBERS_MAX];
+	size_t progress_count; /* 0 unless this member leads */
 	int64_t contact_at; /* mono, ns; -1 never */
 	bool stopping;
 
--- a/packages/replica/work.c
+++ b/packages/replica/work.c
@@ -14,6 +14,7 @@
 static int64_t get_i64(const char *p);
 static void watch_members(struct replica *r);
 static void log_role(struct replica *r);
+static void publish_progress(struct replica *r, const struct raft_status *s);
 
 /*
  * Takes what was handed in and carries out all that is due. Everything that
@@ -119,6 +120,7 @@
 		r->contact_at = now;
 	}
 	r->members = *get_raft_members(r->raft);
+	publish_progress(r, &s);
 	pthread_mutex_unlock(&r->lock);
 }
 
@@ -278,6 +280,29 @@
 		    r->cfg.transport.arg, get_raft_members(r->raft));
 }
 
+/*
+ * Copies what the leader knows of the members; lock held.
+ */
+static void
+publish_progress(struct replica *r, const struct raft_status *s)
+{
+	r->progress_count = 0;
+	if (r->failed || s->role != RAFT_LEADER)
+		return;
+	for (size_t i = 0; i < r->members.count; i++) {
+		const struct raft_member *m = &r->members.member[i];
+		bool self = m->id == r->cfg.id;
+
+		r->progress[r->progress_count++] = (struct replica_progress){
+		    .member = *m,
+		    .caught_up =
+			self || get_raft_match(r->raft, m->id) >= s->commit,
+		    .silent_ns =
+			self ? 0 : get_raft_age(r->raft, m->id) * TICK_NS,
+		};
+	}
+}
+
 static void
 log_role(struct replica *r)
 {
--- a/packages/rpc/rpc_procs.c
+++ b/packages/rpc/rpc_procs.c
@@ -6,6 +6,7 @@
 #include "wire.h"
 
 #define NODE_REQUEST_MAX (64 * 1024)
+#define JOIN_REPLY_MAX 4096 /* the members of a group */
 #define STATUS_REPLY_MAX 1024 /* fixed-size replies of a few numbers */
 
 static const struct rpc_proc ggs_procs[RPC_PROC_MAX] = {
@@ -17,6 +18,7 @@
     [GGS_WATCH] = {"watch", NODE_REQUEST_MAX, WIRE_MESSAGE_MAX},
     [GGS_PULL] = {"pull", NODE_REQUEST_MAX, WIRE_MESSAGE_MAX},
     [GGS_CLAIM] = {"claim", NODE_REQUEST_MAX, NODE_REQUEST_MAX},
+    [GGS_JOIN] = {"join", STATUS_REPLY_MAX, JOIN_REPLY_MAX},
     [GGS_GROUP] = {"group", STATUS_REPLY_MAX, STATUS_REPLY_MAX},
 };
 
--- a/packages/table/builder.c
+++ b/packages/table/builder.c
@@ -53,8 +53,8 @@
 }
 
 int
-set_row_cell(struct table_builder *b, enum column c, struct str value,
-    struct fault *f)
+set_row_cell(
+    struct table_builder *b, enum column c, struct str value, struct fault *f)
 {
 	return set_cell(&b->draft, c, value, f);
 }
--- a/packages/wire/gen/wire_xdr.c
+++ b/packages/wire/gen/wire_xdr.c
@@ -185,6 +185,51 @@
 	return TRUE;
 }
 
+bool_t
+xdr_wire_member (XDR *xdrs, wire_member *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->address))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->voter))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_join_args (XDR *xdrs, wire_join_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_hlc (xdrs, &objp->stamp))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sender))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->address))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_join_reply (XDR *xdrs, wire_join_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_status (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_wire_hlc (xdrs, &objp->stamp))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->leader))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, WIRE_MEMBERS_MAX,
+		sizeof (wire_member), (xdrproc_t) xdr_wire_member))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wire_endpoint_state (XDR *xdrs, wire_endpoint_state *objp)
 {
@@ -216,6 +261,10 @@
 		 return FALSE;
 	 if (!xdr_wire_endpoint_state (xdrs, &objp->state))
 		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->instance))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->backend))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -320,6 +369,8 @@
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->wait_ms))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->controls_digest))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -369,6 +420,11 @@
 	 if (!xdr_array (xdrs, (char **)&objp->sets.sets_val, (u_int *) &objp->sets.sets_len, WIRE_INTEREST_MAX,
 		sizeof (wire_endpoint_set), (xdrproc_t) xdr_wire_endpoint_set))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->controls_digest))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->controls.controls_val, (u_int *) &objp->controls.controls_len, WIRE_MEMBERS_MAX,
+		sizeof (wire_member), (xdrproc_t) xdr_wire_member))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/packages/wire/gen/wire_xdr.h
+++ b/packages/wire/gen/wire_xdr.h
@@ -24,6 +24,7 @@
 #define WIRE_INTEREST_MAX 256
 #define WIRE_SET_MAX 2048
 #define WIRE_ENTRIES_MAX 1024
+#define WIRE_MEMBERS_MAX 17
 
 typedef char *wire_name;
 
@@ -144,6 +145,31 @@
 };
 typedef struct wire_group_reply wire_group_reply;
 
+struct wire_member {
+	u_quad_t id;
+	wire_name address;
+	bool_t voter;
+};
+typedef struct wire_member wire_member;
+
+struct wire_join_args {
+	wire_hlc stamp;
+	u_quad_t sender;
+	wire_name address;
+};
+typedef struct wire_join_args wire_join_args;
+
+struct wire_join_reply {
+	wire_status status;
+	wire_hlc stamp;
+	u_quad_t leader;
+	struct {
+		u_int members_len;
+		wire_member *members_val;
+	} members;
+};
+typedef struct wire_join_reply wire_join_reply;
+
 enum wire_endpoint_state {
 	WIRE_ENDPOINT_STARTING = 0,
 	WIRE_ENDPOINT_READY = 1,
@@ -162,6 +188,8 @@
 	wire_name zone;
 	int slots;
 	wire_endpoint_state state;
+	wire_name instance;
+	wire_name backend;
 };
 typedef struct wire_endpoint wire_endpoint;
 
@@ -224,6 +252,7 @@
 	} interest;
 	wire_endpoint *self;
 	int wait_ms;
+	u_quad_t controls_digest;
 };
 typedef struct wire_watch_args wire_watch_args;
 
@@ -256,6 +285,11 @@
 		u_int sets_len;
 		wire_endpoint_set *sets_val;
 	} sets;
+	u_quad_t controls_digest;
+	struct {
+		u_int controls_len;
+		wire_member *controls_val;
+	} controls;
 };
 typedef struct wire_watch_reply wire_watch_reply;
 
@@ -331,6 +365,9 @@
 #define GGS_GROUP 8
 extern  wire_group_reply * ggs_group_1(wire_group_args , CLIENT *);
 extern  wire_group_reply * ggs_group_1_svc(wire_group_args , struct svc_req *);
+#define GGS_JOIN 9
+extern  wire_join_reply * ggs_join_1(wire_join_args , CLIENT *);
+extern  wire_join_reply * ggs_join_1_svc(wire_join_args , struct svc_req *);
 extern int ggs_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -361,6 +398,9 @@
 #define GGS_GROUP 8
 extern  wire_group_reply * ggs_group_1();
 extern  wire_group_reply * ggs_group_1_svc();
+#define GGS_JOIN 9
+extern  wire_join_reply * ggs_join_1();
+extern  wire_join_reply * ggs_join_1_svc();
 extern int ggs_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -379,6 +419,9 @@
 extern  bool_t xdr_wire_propose_reply (XDR *, wire_propose_reply*);
 extern  bool_t xdr_wire_group_args (XDR *, wire_group_args*);
 extern  bool_t xdr_wire_group_reply (XDR *, wire_group_reply*);
+extern  bool_t xdr_wire_member (XDR *, wire_member*);
+extern  bool_t xdr_wire_join_args (XDR *, wire_join_args*);
+extern  bool_t xdr_wire_join_reply (XDR *, wire_join_reply*);
 extern  bool_t xdr_wire_endpoint_state (XDR *, wire_endpoint_state*);
 extern  bool_t xdr_wire_endpoint (XDR *, wire_endpoint*);
 extern  bool_t xdr_wire_endpoint_set (XDR *, wire_endpoint_set*);
@@ -406,6 +449,9 @@
 extern bool_t xdr_wire_propose_reply ();
 extern bool_t xdr_wire_group_args ();
 extern bool_t xdr_wire_group_reply ();
+extern bool_t xdr_wire_member ();
+extern bool_t xdr_wire_join_args ();
+extern bool_t xdr_wire_join_reply ();
 extern bool_t xdr_wire_endpoint_state ();
 extern bool_t xdr_wire_endpoint ();
 extern bool_t xdr_wire_endpoint_set ();
--- a/packages/wire/wire.x
+++ b/packages/wire/wire.x
@@ -14,6 +14,7 @@
 const WIRE_INTEREST_MAX = 256;     /* services a node follows */
 const WIRE_SET_MAX = 2048;         /* endpoints in one message */
 const WIRE_ENTRIES_MAX = 1024;     /* log entries in one message */
+const WIRE_MEMBERS_MAX = 17;       /* control processes in one message */
 
 typedef string wire_name<WIRE_NAME_MAX>;
 typedef string wire_text<WIRE_TEXT_MAX>;
@@ -111,6 +112,29 @@
 	bool voter;                /* the sender is a voter of that group */
 };
 
+struct wire_member {
+	unsigned hyper id;
+	wire_name address;         /* IP:port for control processes and nodes */
+	bool voter;
+};
+
+/*
+ * A process that is no voter, or has lost contact, asks to be taken into the
+ * group. Membership is managed by the leader.
+ */
+struct wire_join_args {
+	wire_hlc stamp;
+	unsigned hyper sender;     /* control id */
+	wire_name address;         /* of the sender */
+};
+
+struct wire_join_reply {
+	wire_status status;        /* UNAVAILABLE: not the leader */
+	wire_hlc stamp;
+	unsigned hyper leader;     /* control id, 0 unknown */
+	wire_member members<WIRE_MEMBERS_MAX>;
+};
+
 /* Endpoints */
 
 enum wire_endpoint_state {
@@ -131,6 +155,8 @@
 	wire_name zone;
 	int slots;
 	wire_endpoint_state state;
+	wire_name instance;        /* id of the backend server's run; may be "" */
+	wire_name backend;         /* IP:port of the backend server; may be "" */
 };
 
 /* All endpoints of one service, or the changes since a set version. */
@@ -180,6 +206,7 @@
 	wire_interest interest<WIRE_INTEREST_MAX>;
 	wire_endpoint *self;       /* sent when changed or newly attached */
 	int wait_ms;               /* heartbeat interval the node expects */
+	unsigned hyper controls_digest; /* of the list held; 0: none wanted */
 };
 
 enum wire_table_form {
@@ -203,6 +230,8 @@
 	wire_table_update table;
 	unsigned hyper registry_id;
 	wire_endpoint_set sets<WIRE_INTEREST_MAX>;
+	unsigned hyper controls_digest; /* 0: the list is left out */
+	wire_member controls<WIRE_MEMBERS_MAX>; /* the group's members */
 };
 
 /* Claims for calls that run at most once */
@@ -250,5 +279,6 @@
 		wire_watch_reply GGS_PULL(wire_watch_args) = 6;
 		wire_claim_reply GGS_CLAIM(wire_claim_args) = 7;
 		wire_group_reply GGS_GROUP(wire_group_args) = 8;
+		wire_join_reply GGS_JOIN(wire_join_args) = 9;
 	} = 1;
 } = 0x20474753;
