--- a/packages/control/tests/test_watch.c
+++ b/packages/control/tests/test_watch.c
@@ -264,6 +264,8 @@
 	    .service = (char *)(uintptr_t) "one",
 	    .address = (char *)(uintptr_t) "127.0.0.1:1",
 	    .zone = (char *)(uintptr_t) "z",
+	    .instance = (char *)(uintptr_t) "",
+	    .backend = (char *)(uintptr_t) "",
 	    .state = WIRE_ENDPOINT_READY};
 	struct wire_interest interest[2] = {
 	    {(char *)(uintptr_t) "one", 0}, {(char *)(uintptr_t) "none", 0}};
@@ -338,6 +340,8 @@
 			    .service = names[i],
 			    .address = (char *)(uintptr_t) "127.100.100.1:9000",
 			    .zone = (char *)(uintptr_t) "milano-a-north",
+			    .instance = (char *)(uintptr_t) "",
+			    .backend = (char *)(uintptr_t) "",
 			    .state = WIRE_ENDPOINT_READY};
 
 			snprintf(id, sizeof(id), "region-one-node-%d-%d", i, k);
