--- a/apps/greengagespurd/daemon.h
+++ b/apps/greengagespurd/daemon.h
@@ -1,5 +1,5 @@
 /*
- * The parts of the daemon: its options and its two roles.
+ * The parts of the daemon: its options and its roles.
  */
 #ifndef DAEMON_H
 #define DAEMON_H
@@ -29,6 +29,7 @@
 const struct settings_program *get_daemon_program(void);
 const struct role *get_node_role(void);
 const struct role *get_control_role(void);
+const struct role *get_platform_role(void); /* by the platform's settings */
 
 /* Checks the addresses of a list; each may stand behind "id=". */
 int check_address_list(
--- a/apps/greengagespurd/main.c
+++ b/apps/greengagespurd/main.c
@@ -56,6 +56,8 @@
 static const struct role *
 get_role(const struct settings *s)
 {
+	if (get_setting_flag(s, "platform"))
+		return get_platform_role();
 	return strcmp(get_setting(s, "role"), "control") == 0 ?
 		   get_control_role() :
 		   get_node_role();
@@ -71,6 +73,10 @@
 	const struct role *r = get_role(s);
 	int rc = 0;
 
+	if (get_setting_flag(s, "platform")) {
+		*role = r;
+		return r->check(s, f);
+	}
 	if (!has_setting(s, "role"))
 		rc = set_fault(
 		    f, ERR_INVALID, "set --role=node or --role=control");
@@ -100,16 +106,19 @@
 	sigset_t set;
 	int rc;
 
-	set_log_name(get_setting(s, "name"));
+	if (has_setting(s, "name"))
+		set_log_name(get_setting(s, "name"));
 	set_log_level(get_level(get_setting(s, "log-level")));
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
 	sigaddset(&set, SIGPIPE);
+	sigaddset(&set, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
-	events = open_event_log(get_real_clock(), get_setting(s, "name"),
+	events = open_event_log(get_real_clock(),
+	    has_setting(s, "name") ? get_setting(s, "name") : role->name,
 	    (size_t)get_setting_number(s, "event-ring"));
-	rc = load_fleet_keys(s, &keys, &f);
+	rc = has_setting(s, "key-file") ? load_fleet_keys(s, &keys, &f) : 0;
 	if (rc == 0)
 		rc = role->start(s, &keys, events, &f);
 	unload_fleet_keys(&keys);
@@ -120,8 +129,9 @@
 	}
 	write_log(LOG_LEVEL_NOTICE, "started: role %s, version %s", role->name,
 	    GGS_VERSION);
-	record_event(
-	    events, "start", get_setting(s, "name"), 0, "role %s", role->name);
+	record_event(events, "start",
+	    has_setting(s, "name") ? get_setting(s, "name") : role->name, 0,
+	    "role %s", role->name);
 	wait_for_stop(role);
 	write_log(LOG_LEVEL_NOTICE, "stopping");
 	rc = role->stop(&f);
--- a/apps/greengagespurd/options.c
+++ b/apps/greengagespurd/options.c
@@ -21,6 +21,8 @@
 	"Least severe log lines written"},
     {"event-ring", SETTING_NUMBER, "8192", 16, 1048576, NULL,
 	"Events kept for the time line"},
+    {"platform", SETTING_FLAG, NULL, 0, 0, NULL,
+	"Take role and settings from the platform's file (GREENGAGESPUR_CONFIG)"},
     {"check-settings", SETTING_FLAG, NULL, 0, 0, NULL,
 	"Print the settings in force and exit"},
 
--- a/bench/load.c
+++ b/bench/load.c
@@ -84,7 +84,7 @@
 		return EXIT_FAILURE;
 	curl_multi_setopt(get_loop_curl(loop), CURLMOPT_MAXCONNECTS, 4096L);
 	begin_task.run = begin;
-	post_task(loop, &begin_task);
+	post_loop_task(loop, &begin_task);
 	if (run_loop(loop) != 0)
 		return EXIT_FAILURE;
 	while (sem_wait(&done) != 0)
@@ -105,8 +105,8 @@
 		opts.rows[i].next_at = now + draw_gap(&opts.rows[i]);
 	arrival_timer.fire = arrive;
 	end_timer.fire = end;
-	(void)set_timer(loop, &arrival_timer, now);
-	(void)set_timer(loop, &end_timer, end_at + LOAD_SPARE_NS);
+	(void)set_loop_timer(loop, &arrival_timer, now);
+	(void)set_loop_timer(loop, &end_timer, end_at + LOAD_SPARE_NS);
 }
 
 /*
@@ -128,7 +128,7 @@
 			next = r->next_at;
 	}
 	if (next < end_at)
-		(void)set_timer(loop, t, next);
+		(void)set_loop_timer(loop, t, next);
 	else if (in_flight == 0)
 		end(&end_timer);
 }
@@ -278,7 +278,7 @@
 		c->entry = (c->entry + 1) % opts.entry_count;
 		if (c->counted)
 			c->row->resent++;
-		(void)set_timer(loop, &c->timer,
+		(void)set_loop_timer(loop, &c->timer,
 		    now + (int64_t)draw_below(&rng, (uint64_t)LOAD_RESEND_NS));
 		return;
 	}
--- a/bench/standin.c
+++ b/bench/standin.c
@@ -173,7 +173,7 @@
 		return answer_control(conn, url, method);
 	w->task.run = begin_work;
 	MHD_suspend_connection(conn);
-	post_task(loop, &w->task);
+	post_loop_task(loop, &w->task);
 	return MHD_YES;
 }
 
@@ -459,7 +459,7 @@
 	/* A late answer ignores the deadline on purpose. */
 	if (w->fault != STANDIN_FAULT_LATE && end > w->deadline)
 		end = w->deadline;
-	(void)set_timer(loop, &w->timer, end);
+	(void)set_loop_timer(loop, &w->timer, end);
 }
 
 /*
@@ -552,7 +552,7 @@
 	curl_easy_setopt(w->easy, CURLOPT_HEADERDATA, w);
 	curl_easy_setopt(w->easy, CURLOPT_WRITEFUNCTION, drop_body);
 	curl_multi_add_handle(get_loop_curl(loop), w->easy);
-	(void)set_timer(loop, &w->timer, w->deadline);
+	(void)set_loop_timer(loop, &w->timer, w->deadline);
 	return true;
 }
 
--- a/packages/control/api.h
+++ b/packages/control/api.h
@@ -48,6 +48,10 @@
 json_t *make_status_json(struct control *c);
 json_t *make_endpoints_json(struct control *c);
 
+/* Brings a command to the leader and waits for its result. */
+int wait_command(
+    struct control *c, struct str bytes, int timeout_ms, struct buf *out);
+
 /* Answers */
 void answer_json(struct api_answer *a, int status, json_t *o); /* takes o */
 void answer_error(struct api_answer *a, int status, const char *error,
--- a/packages/control/api_change.c
+++ b/packages/control/api_change.c
@@ -25,7 +25,6 @@
 static int load_cell(const json_t *o, struct command_cell *out);
 static void send_command(
     struct control *c, const struct command *m, struct api_answer *a);
-static int wait_command(struct control *c, struct str bytes, struct buf *out);
 static void open_waiter(struct waiter *w);
 static void close_waiter(struct waiter *w);
 static void wait_done(struct waiter *w);
@@ -283,7 +282,7 @@
 	int rc = encode_command(m, &bytes);
 
 	if (rc == 0)
-		rc = wait_command(c, view_buf(&bytes), &result);
+		rc = wait_command(c, view_buf(&bytes), API_COMMAND_MS, &result);
 	if (rc == 0)
 		rc = decode_command_result(view_buf(&result), &r);
 	if (rc == 0) {
@@ -296,14 +295,15 @@
 	unload_buf(&result);
 }
 
-static int
-wait_command(struct control *c, struct str bytes, struct buf *out)
+int
+wait_command(
+    struct control *c, struct str bytes, int timeout_ms, struct buf *out)
 {
 	struct waiter w;
 	int rc;
 
 	open_waiter(&w);
-	rc = submit_command(c, bytes, API_COMMAND_MS, finish_waiter, &w);
+	rc = submit_command(c, bytes, timeout_ms, finish_waiter, &w);
 	if (rc == 0) {
 		wait_done(&w);
 		rc = w.status;
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -12,6 +12,26 @@
 
 struct control;
 struct rpc_fault_hooks;
+struct table;
+
+/* A request on the operators' listener. */
+struct control_request {
+	const char *method;
+	const char *path;
+	struct str body;
+	const char *(*get_header)(void *arg, const char *name); /* or NULL */
+	void *arg;
+};
+
+struct control_answer {
+	int status; /* of HTTP */
+	const char *type; /* of the body */
+	struct buf body;
+};
+
+/* Another form of the operators' API; false: not one of its requests. */
+typedef bool (*control_api_fn)(struct control *c,
+    const struct control_request *q, struct control_answer *a);
 
 /* Strings are copied; a NULL or empty one means not set. */
 struct control_config {
@@ -43,6 +63,8 @@
 	struct str key; /* fleet key in use */
 	struct str next_key; /* also accepted; empty: none */
 	const char *token_file; /* operators; NULL: loopback listener only */
+	bool open_api; /* everybody who reaches the listener is an operator */
+	control_api_fn api; /* asked before the own API; may be NULL */
 	const char *tls_cert_file; /* PEM; NULL: plain HTTP */
 	const char *tls_key_file; /* PEM, mode 0600 or stricter */
 	struct clock_source clock;
@@ -56,6 +78,25 @@
     struct fault *f); /* listens before it returns */
 void stop_control(struct control *c); /* closes connections, joins threads */
 
+/* Takes other seeds, from settings that changed. */
+int set_control_seeds(
+    struct control *c, const char *const *seeds, size_t count);
+
+/*
+ * Replaces the whole table on top of a version. The table has the number that
+ * the operator chose; source is the text that it was read from, given back by
+ * read_control_source(). Waits for the quorum. Returns 0 also for a replacement
+ * that was accepted before; ERR_CONFLICT when another version is in force,
+ * ERR_INVALID, ERR_UNAVAILABLE (it takes no effect) or ERR_UNKNOWN.
+ */
+int replace_control_table(struct control *c, uint64_t base,
+    const struct table *t, struct str source, struct fault *f);
+/*
+ * Appends the text of the table in force after a confirmed read. Returns
+ * ERR_UNAVAILABLE without contact to a quorum, ERR_NOT_FOUND without a text.
+ */
+int read_control_source(struct control *c, struct buf *out, uint64_t *version);
+
 uint64_t get_control_version(struct control *c); /* table held; 0: none */
 bool is_control_leader(struct control *c);
 bool has_control_failed(struct control *c, struct fault *f); /* must end */
--- a/packages/control/http.c
+++ b/packages/control/http.c
@@ -51,6 +51,9 @@
     struct http_request *r);
 static const char *find_author(struct control *c, struct MHD_Connection *conn);
 static const char *get_argument(void *arg, const char *name);
+static bool run_other_api(
+    struct control *c, const struct api_request *q, struct api_answer *a);
+static const char *get_header(void *arg, const char *name);
 static enum MHD_Result send_answer(
     struct MHD_Connection *conn, struct api_answer *a);
 static void finish_request(void *arg, struct MHD_Connection *conn, void **state,
@@ -67,7 +70,7 @@
 	struct tls_files t = {0};
 	int rc = resolve_listen(c->cfg.http_listen, &sa, f);
 
-	if (rc == 0 && c->tokens == NULL &&
+	if (rc == 0 && c->tokens == NULL && !c->cfg.open_api &&
 	    !is_loopback((const struct sockaddr *)&sa))
 		rc = set_fault(f, ERR_DENIED,
 		    "%s is not a loopback address; give a token file, or "
@@ -264,7 +267,7 @@
 		    false);
 	else if (r->too_large)
 		answer_error(&a, 413, "limit", "the body exceeds 4 MiB", false);
-	else
+	else if (!run_other_api(c, &q, &a))
 		run_api(c, &q, &a);
 	return send_answer(conn, &a);
 }
@@ -288,6 +291,33 @@
 	return find_operator(c->tokens, make_str(value + sizeof(scheme) - 1));
 }
 
+static bool
+run_other_api(
+    struct control *c, const struct api_request *q, struct api_answer *a)
+{
+	struct control_request r = {
+	    .method = q->method,
+	    .path = q->path,
+	    .body = q->body,
+	    .get_header = get_header,
+	    .arg = q->arg,
+	};
+	struct control_answer o = {.type = "application/json"};
+
+	if (c->cfg.api == NULL || !c->cfg.api(c, &r, &o))
+		return false;
+	a->status = o.status;
+	a->type = o.type;
+	a->body = o.body;
+	return true;
+}
+
+static const char *
+get_header(void *arg, const char *name)
+{
+	return MHD_lookup_connection_value(arg, MHD_HEADER_KIND, name);
+}
+
 static const char *
 get_argument(void *arg, const char *name)
 {
--- a/packages/control/membership.c
+++ b/packages/control/membership.c
@@ -97,6 +97,31 @@
 	return 0;
 }
 
+int
+set_control_seeds(struct control *c, const char *const *seeds, size_t count)
+{
+	struct rpc_peer *links[CONTROL_PEER_MAX];
+	struct fault f = {0};
+	size_t n = 0;
+
+	for (size_t i = 0; i < count && n < CONTROL_PEER_MAX; i++) {
+		if (strcmp(seeds[i], c->cfg.rpc_listen) == 0)
+			continue;
+		if (open_link(c, seeds[i], &links[n], &f) == 0)
+			n++;
+		else
+			write_log(
+			    LOG_LEVEL_WARNING, "seed %s: %s", seeds[i], f.text);
+	}
+	if (n == 0)
+		return ERR_INVALID;
+	pthread_mutex_lock(&c->lock);
+	memcpy(c->membership.seeds, links, n * sizeof(links[0]));
+	c->membership.seed_count = n;
+	pthread_mutex_unlock(&c->lock);
+	return 0;
+}
+
 /*
  * Asks to join while this process is no voter or cut off, and changes the group
  * while it leads. Runs on the service thread.
@@ -166,15 +191,19 @@
 	struct peer *leader =
 	    m->leader != 0 ? find_control_peer(c, m->leader) : NULL;
 	size_t n = m->seed_count + c->peer_count, at;
+	struct rpc_peer *target;
 
 	m->leader = 0;
 	if (leader != NULL && leader->id != c->id)
 		return leader->rpc;
 	if (n == 0)
 		return NULL;
+	pthread_mutex_lock(&c->lock);
 	at = m->next_target++ % n;
-	return at < m->seed_count ? m->seeds[at] :
-				    c->peers[at - m->seed_count].rpc;
+	target = at < m->seed_count ? m->seeds[at] : NULL;
+	at -= m->seed_count;
+	pthread_mutex_unlock(&c->lock);
+	return target != NULL ? target : c->peers[at % CONTROL_PEER_MAX].rpc;
 }
 
 static void
--- /dev/null
+++ b/packages/control/replace.c
@@ -0,0 +1,150 @@
+/*
+ * Replacements of the whole table, and reads of the text they came from.
+ */
+#include <string.h>
+
+#include "api.h"
+#include "source.h"
+
+#define REPLACE_MS 3000 /* longest wait for a quorum */
+
+static int catch_up(struct control *c, uint64_t base);
+static int encode_replacement(struct control *c, uint64_t base,
+    const struct table *t, struct str source, struct buf *out);
+static int encode_difference(const struct table *from, const struct table *to,
+    struct command_replace *r, struct buf *cells);
+static int take_result(struct str bytes, struct fault *f);
+
+int
+replace_control_table(struct control *c, uint64_t base, const struct table *t,
+    struct str source, struct fault *f)
+{
+	struct buf bytes = {0}, result = {0};
+	int rc = catch_up(c, base);
+
+	if (rc == 0)
+		rc = encode_replacement(c, base, t, source, &bytes);
+	if (rc == 0)
+		rc = wait_command(c, view_buf(&bytes), REPLACE_MS, &result);
+	if (rc == 0)
+		rc = take_result(view_buf(&result), f);
+	else
+		(void)set_fault(f, (enum err)rc,
+		    rc == ERR_UNKNOWN ?
+			"no quorum answered in time; the change may still "
+			"take effect: send it again" :
+			"there is no contact to a quorum; send the change "
+			"again, to another control process");
+	unload_buf(&bytes);
+	unload_buf(&result);
+	return rc;
+}
+
+int
+read_control_source(struct control *c, struct buf *out, uint64_t *version)
+{
+	int rc = wait_read(c, SERVICE_READ_MS);
+
+	if (rc != 0)
+		return ERR_UNAVAILABLE;
+	pthread_mutex_lock(&c->lock);
+	*version = c->state->table->version;
+	if (c->state->source.len > 0)
+		rc = append_buf_str(out, view_buf(&c->state->source));
+	else
+		rc = ERR_NOT_FOUND;
+	pthread_mutex_unlock(&c->lock);
+	return rc;
+}
+
+/*
+ * The difference is made from the version held here, which may be behind the
+ * base. A confirmed read catches up.
+ */
+static int
+catch_up(struct control *c, uint64_t base)
+{
+	if (get_control_version(c) >= base)
+		return 0;
+	return wait_read(c, SERVICE_READ_MS) == 0 ? 0 : ERR_UNAVAILABLE;
+}
+
+/*
+ * Against another base than the one in force the difference is of no use, and
+ * the state machine refuses the command or finds that it was accepted before.
+ */
+static int
+encode_replacement(struct control *c, uint64_t base, const struct table *t,
+    struct str source, struct buf *out)
+{
+	char author[] = "operator", key[1] = "";
+	struct command m = {.author = author, .key = key, .base = base};
+	struct command_replace *r = &m.body.command_body_u.replace;
+	struct buf cells = {0}, delta = {0};
+	int rc = 0;
+
+	m.body.type = COMMAND_REPLACE;
+	r->number = t->version;
+	r->table_digest = t->digest;
+	r->source_digest = compute_source_digest(source);
+	pthread_mutex_lock(&c->lock);
+	if (c->state->table->version == base) {
+		rc = encode_difference(c->state->table, t, r, &cells);
+		if (rc == 0)
+			rc = make_source_delta(
+			    view_buf(&c->state->source), source, &delta);
+	}
+	pthread_mutex_unlock(&c->lock);
+	r->cells.cells_val = cells.data;
+	r->cells.cells_len = (unsigned int)cells.len;
+	r->source.source_val = delta.data;
+	r->source.source_len = (unsigned int)delta.len;
+	if (rc == 0)
+		rc = encode_command(&m, out);
+	unload_buf(&cells);
+	unload_buf(&delta);
+	return rc;
+}
+
+/*
+ * Takes the shorter form: the cells that differ, or the whole table.
+ */
+static int
+encode_difference(const struct table *from, const struct table *to,
+    struct command_replace *r, struct buf *cells)
+{
+	struct cell_list l = {0};
+	struct buf whole = {0};
+	int rc = diff_tables(from, to, &l);
+
+	if (rc == 0)
+		rc = encode_cells(&l, cells);
+	unload_cells(&l);
+	if (rc != 0 || from->row_count > 0)
+		return rc;
+	rc = render_table_csv(to, &whole);
+	if (rc == 0 && whole.len < cells->len) {
+		unload_buf(cells);
+		*cells = whole;
+		r->whole = TRUE;
+		return 0;
+	}
+	unload_buf(&whole);
+	return rc;
+}
+
+static int
+take_result(struct str bytes, struct fault *f)
+{
+	struct command_result r;
+	int rc = decode_command_result(bytes, &r);
+
+	if (rc != 0)
+		return set_fault(f, ERR_UNKNOWN,
+		    "the result is damaged; send the change again");
+	rc = r.status == ERR_STALE ? ERR_CONFLICT : r.status;
+	if (rc != 0)
+		(void)set_fault(f, (enum err)rc, "%s", r.text);
+	unload_command_result(&r);
+	return rc;
+}
--- /dev/null
+++ b/packages/hop/hop.c
@@ -0,0 +1,520 @@
+/*
+ * Links: reading and writing of frames, and the watch for silence.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "hop.h"
+
+#define FRAME_HEAD_BYTES 12
+#define READ_BYTES (64 * 1024) /* taken from a socket at a time */
+#define READS_AT_ONCE 4 /* before other sockets get their turn */
+#define LOW_WATER_BYTES (32 * 1024) /* of unsent output: on_drained */
+#define CHECK_NS (100 * NSEC_PER_MSEC) /* between looks at a busy link */
+/*
+ * Unacknowledged output ends a connection after this time, so that a peer
+ * behind a partition does not hold it for the system's minutes.
+ */
+#define USER_TIMEOUT_MS 4000
+
+struct hop_link {
+	struct reactor *reactor;
+	const struct hop_events *events;
+	void *arg;
+	struct watch watch;
+	struct timer check;
+	struct task flush;
+	struct buf in; /* a frame that is not complete */
+	struct buf out;
+	size_t out_at; /* sent bytes of out */
+	int64_t heard; /* mono ns; last bytes read */
+	int64_t pinged; /* mono ns; 0: no ping is unanswered */
+	bool connecting;
+	bool busy;
+	bool silent;
+	bool full; /* unsent output went above the low-water mark */
+	bool closed; /* on_close was called */
+	bool in_callback;
+	bool freed; /* close_hop() in a callback */
+};
+
+static int make_link(struct reactor *r, int fd, bool connecting,
+    const struct hop_events *events, void *arg, struct hop_link **out);
+static void serve_link(struct watch *w, uint32_t events);
+static bool finish_connect(struct hop_link *l);
+static void read_link(struct hop_link *l);
+static bool take_bytes(struct hop_link *l, struct str in);
+static size_t take_frames(struct hop_link *l, struct str in);
+static void handle_frame(struct hop_link *l, const struct hop_frame *f);
+static void flush_link(struct task *t);
+static void write_link(struct hop_link *l);
+static void compact_out(struct hop_link *l);
+static void check_link(struct timer *t);
+static void fail_link(struct hop_link *l, const char *why);
+static void free_link(struct hop_link *l);
+static void put_u32(char *p, uint32_t v);
+static uint32_t get_u32(const char *p);
+
+int
+connect_hop(struct reactor *r, const char *address,
+    const struct hop_events *events, void *arg, struct hop_link **out)
+{
+	int fd, rc = start_connect(address, &fd);
+
+	*out = NULL;
+	return rc == 0 ? make_link(r, fd, true, events, arg, out) : rc;
+}
+
+int
+accept_hop(struct reactor *r, int fd, const struct hop_events *events,
+    void *arg, struct hop_link **out)
+{
+	*out = NULL;
+	return make_link(r, fd, false, events, arg, out);
+}
+
+void
+close_hop(struct hop_link *l)
+{
+	if (l == NULL || l->freed)
+		return;
+	l->freed = true;
+	l->closed = true;
+	stop_watch(l->reactor, &l->watch);
+	cancel_timer(l->reactor, &l->check);
+	if (!l->in_callback && !l->flush.queued)
+		free_link(l);
+}
+
+/*
+ * The frame leaves at the end of the round, with all others of that round. Out
+ * of memory, the link closes.
+ */
+void
+send_hop(struct hop_link *l, enum hop_type type, uint32_t stream,
+    xdrproc_t proc, const void *value, struct str tail)
+{
+	char head[FRAME_HEAD_BYTES];
+	size_t at = l->out.len, size = 0;
+	XDR x;
+	int rc;
+
+	if (l->closed)
+		return;
+	if (proc != NULL)
+		size = xdr_sizeof(proc, (void *)(uintptr_t)value);
+	put_u32(head, (uint32_t)(size + tail.len));
+	put_u32(head + 4, (uint32_t)type);
+	put_u32(head + 8, stream);
+	rc = reserve_buf(&l->out, sizeof(head) + size + tail.len);
+	if (rc == 0)
+		rc = append_buf(&l->out, head, sizeof(head));
+	if (rc == 0 && size > 0) {
+		xdrmem_create(&x, l->out.data + l->out.len, (unsigned int)size,
+		    XDR_ENCODE);
+		if (!proc(&x, (void *)(uintptr_t)value))
+			rc = ERR_INVALID;
+		l->out.len += size;
+		xdr_destroy(&x);
+	}
+	if (rc == 0)
+		rc = append_buf_str(&l->out, tail);
+	if (rc != 0) {
+		l->out.len = at;
+		write_log(LOG_LEVEL_ERR, "link: a frame of type %d is lost: %s",
+		    (int)type, get_err_name(rc));
+	}
+	if (l->out.len - l->out_at > LOW_WATER_BYTES)
+		l->full = true;
+	if (!l->connecting)
+		defer_task(l->reactor, &l->flush, flush_link);
+}
+
+void
+set_hop_busy(struct hop_link *l, bool busy)
+{
+	if (l->closed || l->busy == busy)
+		return;
+	l->busy = busy;
+	if (!busy) {
+		cancel_timer(l->reactor, &l->check);
+		return;
+	}
+	/* What was heard before says nothing about these calls. */
+	l->heard = get_reactor_now(l->reactor);
+	l->pinged = 0;
+	set_timer(l->reactor, &l->check, l->heard + CHECK_NS, check_link);
+}
+
+size_t
+get_hop_unsent(const struct hop_link *l)
+{
+	return l->out.len - l->out_at;
+}
+
+bool
+is_hop_connected(const struct hop_link *l)
+{
+	return !l->connecting && !l->closed;
+}
+
+bool
+is_hop_silent(const struct hop_link *l)
+{
+	return l->silent;
+}
+
+int
+decode_hop(struct str payload, xdrproc_t proc, void *value, struct str *rest)
+{
+	XDR x;
+	bool ok;
+
+	xdrmem_create(&x, (char *)(uintptr_t)payload.data,
+	    (unsigned int)payload.len, XDR_DECODE);
+	ok = proc(&x, value);
+	if (ok) {
+		size_t used = xdr_getpos(&x);
+
+		*rest = make_str_n(payload.data + used, payload.len - used);
+	}
+	xdr_destroy(&x);
+	if (ok)
+		return 0;
+	xdr_free(proc, (char *)value);
+	return ERR_CORRUPT;
+}
+
+void
+unload_hop(xdrproc_t proc, void *value)
+{
+	xdr_free(proc, (char *)value);
+}
+
+int
+parse_hop_address(
+    const char *address, struct sockaddr_storage *out, socklen_t *len)
+{
+	struct sockaddr_in *v4 = (struct sockaddr_in *)out;
+	const char *colon = strrchr(address, ':');
+	char host[INET_ADDRSTRLEN];
+	int64_t port;
+
+	memset(out, 0, sizeof(*out));
+	if (colon == NULL ||
+	    copy_str(host, sizeof(host),
+		make_str_n(address, (size_t)(colon - address))) != 0 ||
+	    parse_i64(make_str(colon + 1), 0, 65535, &port) != 0 ||
+	    inet_pton(AF_INET, host, &v4->sin_addr) != 1)
+		return ERR_INVALID;
+	v4->sin_family = AF_INET;
+	v4->sin_port = htons((uint16_t)port);
+	*len = sizeof(*v4);
+	return 0;
+}
+
+/*
+ * Returns ERR_INVALID for a bad address, ERR_UNAVAILABLE when the connection
+ * fails at once, ERR_LIMIT without descriptors.
+ */
+int
+start_connect(const char *address, int *fd)
+{
+	struct sockaddr_storage sa;
+	socklen_t len;
+	int rc = parse_hop_address(address, &sa, &len), one = 1;
+
+	if (rc != 0)
+		return rc;
+	*fd = socket(
+	    sa.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (*fd < 0)
+		return ERR_LIMIT;
+	(void)setsockopt(*fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	if (connect(*fd, (struct sockaddr *)&sa, len) != 0 &&
+	    errno != EINPROGRESS) {
+		close(*fd);
+		return ERR_UNAVAILABLE;
+	}
+	return 0;
+}
+
+static int
+make_link(struct reactor *r, int fd, bool connecting,
+    const struct hop_events *events, void *arg, struct hop_link **out)
+{
+	struct hop_link *l = calloc(1, sizeof(*l));
+	unsigned int timeout = USER_TIMEOUT_MS;
+
+	if (l == NULL) {
+		close(fd);
+		return ERR_MEMORY;
+	}
+	(void)setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+	l->reactor = r;
+	l->events = events;
+	l->arg = arg;
+	l->connecting = connecting;
+	l->heard = get_reactor_now(r);
+	if (start_watch(r, &l->watch, fd, connecting ? EPOLLOUT : EPOLLIN,
+		serve_link) != 0) {
+		close(fd);
+		free(l);
+		return ERR_LIMIT;
+	}
+	*out = l;
+	return 0;
+}
+
+static void
+serve_link(struct watch *w, uint32_t events)
+{
+	struct hop_link *l =
+	    (struct hop_link *)((char *)w - offsetof(struct hop_link, watch));
+
+	l->in_callback = true;
+	if (l->connecting && !finish_connect(l))
+		goto out;
+	if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0 && !l->closed)
+		read_link(l);
+	if ((events & EPOLLOUT) != 0 && !l->closed)
+		write_link(l);
+out:
+	l->in_callback = false;
+	if (l->freed && !l->flush.queued)
+		free_link(l);
+}
+
+static bool
+finish_connect(struct hop_link *l)
+{
+	socklen_t len = sizeof(int);
+	int error = 0;
+
+	if (getsockopt(l->watch.fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0 ||
+	    error != 0) {
+		fail_link(l, "not connected");
+		return false;
+	}
+	l->connecting = false;
+	l->heard = get_reactor_now(l->reactor);
+	change_watch(l->reactor, &l->watch, EPOLLIN);
+	write_link(l);
+	return !l->closed;
+}
+
+static void
+read_link(struct hop_link *l)
+{
+	static char bytes[READ_BYTES]; /* of the reactor's only thread */
+
+	for (int i = 0; i < READS_AT_ONCE && !l->closed; i++) {
+		ssize_t n = recv(l->watch.fd, bytes, sizeof(bytes), 0);
+
+		if (n < 0 && (errno == EAGAIN || errno == EINTR))
+			return;
+		if (n <= 0) {
+			fail_link(l, n == 0 ? "closed" : "reset");
+			return;
+		}
+		l->heard = get_reactor_now(l->reactor);
+		l->pinged = 0;
+		l->silent = false;
+		if (!take_bytes(l, make_str_n(bytes, (size_t)n))) {
+			fail_link(l, "damaged frame");
+			return;
+		}
+		if ((size_t)n < sizeof(bytes))
+			return;
+	}
+}
+
+/*
+ * Handles the whole frames and keeps the rest. Returns false on a damaged one.
+ */
+static bool
+take_bytes(struct hop_link *l, struct str in)
+{
+	size_t used;
+
+	if (l->in.len == 0) {
+		used = take_frames(l, in);
+		if (used == SIZE_MAX || l->closed)
+			return used != SIZE_MAX;
+		return append_buf(
+			   &l->in, in.data + used, in.len - used) == 0;
+	}
+	if (append_buf_str(&l->in, in) != 0)
+		return false;
+	used = take_frames(l, view_buf(&l->in));
+	if (used == SIZE_MAX || l->closed)
+		return used != SIZE_MAX;
+	memmove(l->in.data, l->in.data + used, l->in.len - used);
+	l->in.len -= used;
+	return true;
+}
+
+/*
+ * Returns the bytes of the frames handled; SIZE_MAX on a damaged one.
+ */
+static size_t
+take_frames(struct hop_link *l, struct str in)
+{
+	size_t at = 0;
+
+	while (!l->closed && in.len - at >= FRAME_HEAD_BYTES) {
+		const char *p = in.data + at;
+		uint32_t len = get_u32(p);
+		struct hop_frame f = {.type = (enum hop_type)get_u32(p + 4),
+		    .stream = get_u32(p + 8),
+		    .payload = make_str_n(p + FRAME_HEAD_BYTES, len)};
+
+		if (len > HOP_PAYLOAD_MAX || f.type < HOP_HELLO ||
+		    f.type > HOP_PONG)
+			return SIZE_MAX;
+		if (in.len - at - FRAME_HEAD_BYTES < len)
+			break;
+		handle_frame(l, &f);
+		at += FRAME_HEAD_BYTES + len;
+	}
+	return at;
+}
+
+static void
+handle_frame(struct hop_link *l, const struct hop_frame *f)
+{
+	if (f->type == HOP_PING)
+		send_hop(l, HOP_PONG, 0, NULL, NULL, make_str_n(NULL, 0));
+	else if (f->type != HOP_PONG)
+		l->events->on_frame(l->arg, f);
+}
+
+static void
+flush_link(struct task *t)
+{
+	struct hop_link *l =
+	    (struct hop_link *)((char *)t - offsetof(struct hop_link, flush));
+
+	if (l->freed) {
+		if (!l->in_callback)
+			free_link(l);
+		return;
+	}
+	l->in_callback = true;
+	if (!l->closed && !l->connecting)
+		write_link(l);
+	l->in_callback = false;
+	if (l->freed && !l->flush.queued)
+		free_link(l);
+}
+
+static void
+write_link(struct hop_link *l)
+{
+	while (l->out_at < l->out.len) {
+		ssize_t n = send(l->watch.fd, l->out.data + l->out_at,
+		    l->out.len - l->out_at, MSG_NOSIGNAL);
+
+		if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+			compact_out(l);
+			change_watch(
+			    l->reactor, &l->watch, EPOLLIN | EPOLLOUT);
+			return;
+		}
+		if (n < 0) {
+			fail_link(l, "reset");
+			return;
+		}
+		l->out_at += (size_t)n;
+	}
+	l->out.len = l->out_at = 0;
+	change_watch(l->reactor, &l->watch, EPOLLIN);
+	if (l->full) {
+		l->full = false;
+		l->events->on_drained(l->arg);
+	}
+}
+
+/*
+ * Drops sent bytes once they are as many as the unsent ones.
+ */
+static void
+compact_out(struct hop_link *l)
+{
+	size_t left = l->out.len - l->out_at;
+
+	if (l->out_at < left)
+		return;
+	memmove(l->out.data, l->out.data + l->out_at, left);
+	l->out.len = left;
+	l->out_at = 0;
+}
+
+/*
+ * Pings a busy link that hears nothing and reports it when the ping stays
+ * unanswered.
+ */
+static void
+check_link(struct timer *t)
+{
+	struct hop_link *l =
+	    (struct hop_link *)((char *)t - offsetof(struct hop_link, check));
+	int64_t now = get_reactor_now(l->reactor);
+	int64_t silence = now - l->heard;
+
+	set_timer(l->reactor, &l->check, now + CHECK_NS, check_link);
+	if (silence >= HOP_PING_NS && l->pinged == 0 && !l->connecting) {
+		l->pinged = now;
+		send_hop(l, HOP_PING, 0, NULL, NULL, make_str_n(NULL, 0));
+	}
+	if (silence < HOP_SILENT_NS || l->silent)
+		return;
+	l->silent = true;
+	l->in_callback = true;
+	l->events->on_silent(l->arg);
+	l->in_callback = false;
+	if (l->freed && !l->flush.queued)
+		free_link(l);
+}
+
+static void
+fail_link(struct hop_link *l, const char *why)
+{
+	if (l->closed)
+		return;
+	l->closed = true;
+	stop_watch(l->reactor, &l->watch);
+	cancel_timer(l->reactor, &l->check);
+	l->events->on_close(l->arg, why);
+}
+
+static void
+free_link(struct hop_link *l)
+{
+	close(l->watch.fd);
+	unload_buf(&l->in);
+	unload_buf(&l->out);
+	free(l);
+}
+
+static void
+put_u32(char *p, uint32_t v)
+{
+	for (int i = 0; i < 4; i++)
+		p[i] = (char)(v >> (24 - 8 * i));
+}
+
+static uint32_t
+get_u32(const char *p)
+{
+	const unsigned char *b = (const unsigned char *)p;
+
+	return (uint32_t)b[0] << 24 | (uint32_t)b[1] << 16 |
+	       (uint32_t)b[2] << 8 | b[3];
+}
--- a/packages/http/http.c
+++ b/packages/http/http.c
@@ -126,8 +126,7 @@
 	size_t len = strlen(token), at = 0;
 
 	while (at < list.len) {
-		const char *comma =
-		    memchr(list.data + at, ',', list.len - at);
+		const char *comma = memchr(list.data + at, ',', list.len - at);
 		size_t end =
 		    comma != NULL ? (size_t)(comma - list.data) : list.len;
 		size_t a = at, b = end;
@@ -137,8 +136,7 @@
 		while (b > a &&
 		       (list.data[b - 1] == ' ' || list.data[b - 1] == '\t'))
 			b--;
-		if (b - a == len &&
-		    strncasecmp(list.data + a, token, len) == 0)
+		if (b - a == len && strncasecmp(list.data + a, token, len) == 0)
 			return true;
 		at = end + 1;
 	}
@@ -267,8 +265,8 @@
 static enum http_event
 parse_head(struct http_reader *r)
 {
-	size_t n = http_parser_execute(
-	    &r->parser, &settings, r->raw.data, r->raw.len);
+	size_t n =
+	    http_parser_execute(&r->parser, &settings, r->raw.data, r->raw.len);
 
 	if (r->fault != 0 || !r->head_done ||
 	    (HTTP_PARSER_ERRNO(&r->parser) != HPE_OK &&
@@ -276,8 +274,7 @@
 	    n != r->raw.len || !has_plain_headers(&r->head))
 		return READ_BAD;
 	if (r->requests)
-		r->head.method =
-		    make_str(http_method_str(r->parser.method));
+		r->head.method = make_str(http_method_str(r->parser.method));
 	if (r->head.content_length > (int64_t)r->body_max)
 		return READ_BODY_TOO_LARGE;
 	return READ_HEAD;
@@ -308,8 +305,9 @@
 static bool
 has_line_end(struct str value)
 {
-	return value.len > 0 && (memchr(value.data, '\n', value.len) != NULL ||
-				    memchr(value.data, '\r', value.len) != NULL);
+	return value.len > 0 &&
+	       (memchr(value.data, '\n', value.len) != NULL ||
+		   memchr(value.data, '\r', value.len) != NULL);
 }
 
 static enum http_event
@@ -387,10 +385,10 @@
 	r->head.status = (int)p->status_code;
 	r->head.keep_alive = http_should_keep_alive(p) != 0;
 	r->head.chunked = (p->flags & F_CHUNKED) != 0;
-	r->head.content_length =
-	    (p->flags & F_CONTENTLENGTH) != 0 && p->content_length <= INT64_MAX ?
-		(int64_t)p->content_length :
-		-1;
+	r->head.content_length = (p->flags & F_CONTENTLENGTH) != 0 &&
+					 p->content_length <= INT64_MAX ?
+				     (int64_t)p->content_length :
+				     -1;
 	/* An upgrade is not taken up: the message has the body it states. */
 	p->upgrade = 0;
 	no_body = !r->requests && r->headless_body;
--- a/packages/http/tests/test_http_reader.c
+++ b/packages/http/tests/test_http_reader.c
@@ -54,11 +54,10 @@
     {"blank before a colon", true,
 	"POST / HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc", READ_BAD, 0, NULL,
 	NULL, NULL},
-    {"folded header", true, "GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", READ_BAD,
-	0, NULL, NULL, NULL},
-    {"body too large", true,
-	"POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n", READ_BODY_TOO_LARGE, 0,
+    {"folded header", true, "GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", READ_BAD, 0,
 	NULL, NULL, NULL},
+    {"body too large", true, "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n",
+	READ_BODY_TOO_LARGE, 0, NULL, NULL, NULL},
     {"response", false, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP",
 	READ_END, 0, "200", "ok", "HTTP"},
     {"until close", false, "HTTP/1.1 200 OK\r\n\r\nabc", READ_MORE, READ_END,
@@ -82,8 +81,8 @@
 	size_t len = strlen(bytes);
 
 	for (size_t at = 0; at < len; at += step) {
-		struct str in = make_str_n(
-		    bytes + at, at + step < len ? step : len - at);
+		struct str in =
+		    make_str_n(bytes + at, at + step < len ? step : len - at);
 
 		do {
 			e = read_http(r, &in);
@@ -109,14 +108,13 @@
 	if (e != READ_END)
 		return;
 	if (c->request)
-		ck_assert_msg(
-		    is_str_equal(r->head.target, make_str(c->target)), "%s",
-		    c->what);
+		ck_assert_msg(is_str_equal(r->head.target, make_str(c->target)),
+		    "%s", c->what);
 	snprintf(status, sizeof(status), "%d", r->head.status);
 	if (!c->request)
 		ck_assert_str_eq(status, c->target);
-	ck_assert_msg(is_str_equal(view_buf(&r->body), make_str(c->body)),
-	    "%s", c->what);
+	ck_assert_msg(
+	    is_str_equal(view_buf(&r->body), make_str(c->body)), "%s", c->what);
 	if (c->rest != NULL)
 		ck_assert_msg(
 		    is_str_equal(rest, make_str(c->rest)), "%s", c->what);
@@ -178,8 +176,7 @@
 	ck_assert_int_eq(read_http(&r, &in), READ_HEAD);
 	ck_assert_int_eq(read_http(&r, &in), READ_END);
 	ck_assert(r.head.keep_alive);
-	ck_assert(is_str_equal(
-	    find_http_header(&r.head, "a"), make_str("x")));
+	ck_assert(is_str_equal(find_http_header(&r.head, "a"), make_str("x")));
 	reset_http_reader(&r);
 	ck_assert(!is_http_reading(&r));
 	ck_assert_int_eq(read_http(&r, &in), READ_HEAD);
@@ -210,8 +207,8 @@
 
 	open_http_reader(&r, true, HEAD_MAX, BODY_MAX);
 	ck_assert_int_eq(read_http(&r, &in), READ_HEAD);
-	ck_assert(is_http_hop_header(&r.head,
-		      make_str(hop_cases[_i].name)) == hop_cases[_i].hop);
+	ck_assert(is_http_hop_header(&r.head, make_str(hop_cases[_i].name)) ==
+		  hop_cases[_i].hop);
 	close_http_reader(&r);
 }
 END_TEST
@@ -230,8 +227,8 @@
 		size_t n = draw_below(&rng, sizeof(text) - 1);
 
 		for (size_t k = 0; k < n; k++)
-			text[k] = alphabet[draw_below(
-			    &rng, sizeof(alphabet) - 1)];
+			text[k] =
+			    alphabet[draw_below(&rng, sizeof(alphabet) - 1)];
 		text[n] = '\0';
 		open_http_reader(&r, i % 2 == 0, HEAD_MAX, BODY_MAX);
 		in = make_str(text);
--- /dev/null
+++ b/packages/node/attempt.c
@@ -0,0 +1,424 @@
+/*
+ * Attempts of a call: which serving node, and what its outcome means.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "node_state.h"
+
+#define OFFERS_MAX 4 /* serving nodes that a call is offered to */
+#define OPTIONS_MAX 256 /* serving nodes of a service that are looked at */
+/* A try that has less time than this left is not worth making. */
+#define TRY_MIN_NS (5 * NSEC_PER_MSEC)
+
+static struct peer *choose_peer(struct request *q);
+static void fill_option(const struct request *q, const struct peer *p,
+    int64_t now, struct placement_option *out);
+static bool was_tried(const struct request *q, const struct peer *p);
+static int offer_local(struct request *q);
+static void begin_attempt(struct request *q, struct peer *p);
+static void end_attempt_here(struct request *q);
+static void give_up(struct request *q);
+static bool may_run_again(struct request *q);
+static bool is_failure_final(struct request *q, const struct job_answer *a);
+static int keep_fallback(struct request *q, const struct job_answer *a);
+static void deliver(struct request *q, const struct job_answer *a);
+static void job_granted(void *owner);
+static void job_answered(void *owner, const struct job_answer *a);
+static void job_refused(void *owner, enum refuse_reason reason,
+    int64_t retry_after, bool arrived);
+static void job_failed(void *owner, enum attempt_end cause, bool not_sent);
+
+static const struct job_events local_events = {
+    job_granted, job_answered, job_refused, job_failed};
+
+/*
+ * Offers the call to the best serving node that was not tried. When there is
+ * none, the call ends.
+ */
+void
+try_request(struct request *q)
+{
+	while (q->offers < OFFERS_MAX) {
+		struct peer *p = choose_peer(q);
+		int rc;
+
+		if (p == NULL)
+			break;
+		begin_attempt(q, p);
+		rc = p->local ? offer_local(q) : offer_remote(q, p);
+		if (rc == 0)
+			return;
+		q->attempt.active = false;
+		add_note(q, NOTE_FAILED, p->id, ATTEMPT_NOT_CONNECTED, 1, 0);
+	}
+	give_up(q);
+}
+
+bool
+may_be_running(const struct request *q)
+{
+	const struct attempt *a = &q->attempt;
+
+	if (!a->active)
+		return false;
+	return a->job != NULL ? is_job_sent(a->job) : a->body_sent;
+}
+
+void
+stop_attempt(struct request *q)
+{
+	struct attempt *a = &q->attempt;
+
+	if (!a->active)
+		return;
+	a->active = false;
+	if (a->link != NULL) {
+		cancel_remote(q);
+	} else if (a->job != NULL) {
+		a->peer->in_flight--;
+		cancel_job(a->job);
+		a->job = NULL;
+	}
+}
+
+/*
+ * The serving node, or its backend server (arrived), did not run the call.
+ */
+void
+note_refused(struct request *q, enum refuse_reason reason, int64_t retry_after,
+    bool arrived)
+{
+	add_note(q, NOTE_REFUSED, q->attempt.peer->id, (int)reason,
+	    (int)(retry_after / NSEC_PER_MSEC), arrived);
+	end_attempt_here(q);
+	q->reason = reason;
+	if (retry_after > q->retry_after)
+		q->retry_after = retry_after;
+	if (q->caller == NULL) {
+		log_request(q, 0, "caller left");
+		free_request(q);
+		return;
+	}
+	if (arrived) {
+		q->arrivals++;
+		if (q->arrivals >= q->terms.attempts ||
+		    !take_retry(q->node, q->service)) {
+			add_note(q, NOTE_NO_RETRY, "", q->arrivals, 0, 0);
+			give_up(q);
+			return;
+		}
+	}
+	try_request(q);
+}
+
+/*
+ * A whole answer came. Failures of calls that may repeat are tried elsewhere
+ * while the row and the budget allow it.
+ */
+void
+note_answered(struct request *q, const struct job_answer *a)
+{
+	add_note(q, NOTE_ANSWERED, q->attempt.peer->id, a->status,
+	    (int)(a->service_ns / NSEC_PER_USEC), 0);
+	end_attempt_here(q);
+	q->arrivals++;
+	if (q->caller == NULL) {
+		log_request(q, 0, "caller left");
+		free_request(q);
+		return;
+	}
+	if (is_failure_final(q, a) || keep_fallback(q, a) != 0) {
+		deliver(q, a);
+		return;
+	}
+	count_metric(q->node->metrics.retries, 1);
+	try_request(q);
+}
+
+/*
+ * No answer will come from this attempt.
+ */
+void
+note_failed(struct request *q, enum attempt_end cause, bool not_sent)
+{
+	add_note(q, NOTE_FAILED, q->attempt.peer->id, (int)cause, not_sent, 0);
+	end_attempt_here(q);
+	if (q->caller == NULL) {
+		log_request(q, 0, "caller left");
+		free_request(q);
+		return;
+	}
+	if (not_sent) {
+		q->reason = REFUSE_NO_ENDPOINT;
+		try_request(q);
+		return;
+	}
+	q->unknown = true;
+	q->arrivals++;
+	if (!may_run_again(q)) {
+		give_up(q);
+		return;
+	}
+	count_metric(q->node->metrics.retries, 1);
+	try_request(q);
+}
+
+/*
+ * The call's time is over.
+ */
+void
+expire_request(struct timer *t)
+{
+	struct request *q =
+	    (struct request *)((char *)t - offsetof(struct request, timer));
+
+	add_note(q, NOTE_EXPIRED, "",
+	    (int)((get_reactor_now(q->node->reactor) - q->arrived) /
+		NSEC_PER_MSEC),
+	    0, 0);
+	if (may_be_running(q))
+		q->unknown = true;
+	if (q->caller == NULL) {
+		/* Left to end by itself; its time is over. */
+		stop_attempt(q);
+		log_request(q, 0, "caller left");
+		free_request(q);
+		return;
+	}
+	stop_attempt(q);
+	q->reason = REFUSE_DEADLINE;
+	give_up(q);
+}
+
+static struct peer *
+choose_peer(struct request *q)
+{
+	struct placement_option options[OPTIONS_MAX];
+	const struct service *s = q->service;
+	int64_t now = get_reactor_now(q->node->reactor);
+	struct placement_call call = {.target_left = q->target_at - now,
+	    .body_len = q->reader.body.len};
+	size_t count =
+	    s->peer_count < OPTIONS_MAX ? s->peer_count : OPTIONS_MAX;
+	int best;
+
+	if (q->deadline - now < TRY_MIN_NS)
+		return NULL;
+	for (size_t i = 0; i < count; i++)
+		fill_option(q, s->peers[i], now, &options[i]);
+	best = choose_placement(options, count, &call, &q->node->rng);
+	return best >= 0 ? s->peers[best] : NULL;
+}
+
+static void
+fill_option(const struct request *q, const struct peer *p, int64_t now,
+    struct placement_option *out)
+{
+	struct node *n = q->node;
+	struct hop_load load = p->load;
+	bool known = p->has_load;
+	int64_t at = p->load_at;
+	int own = p->own_at_load;
+
+	if (p->local) {
+		load = get_own_load(n);
+		known = true;
+		at = now;
+		own = p->in_flight;
+	}
+	*out = (struct placement_option){
+	    .usable = p->usable && (!known || load.state == HOP_STATE_READY),
+	    .tried = was_tried(q, p),
+	    .avoided = now < p->avoid_until,
+	    .same_zone = p->same_zone,
+	    .slots = known && load.limit > 0 ? load.limit : p->slots,
+	    .own = p->in_flight,
+	    .reported = known,
+	    .report_age = now - at,
+	    .in_flight = load.in_flight,
+	    .queued = load.queued,
+	    .own_at_report = own,
+	    .service_ns = known ? load.service_us * NSEC_PER_USEC : 0,
+	    .failed = known ? load.failed_ppm / 1e6 : 0,
+	};
+}
+
+static bool
+was_tried(const struct request *q, const struct peer *p)
+{
+	for (size_t i = 0; i < q->tried_count; i++) {
+		if (q->tried[i] == p)
+			return true;
+	}
+	return false;
+}
+
+static int
+offer_local(struct request *q)
+{
+	struct job_spec spec = {
+	    .kind = make_str(q->terms.kind),
+	    .id = make_str(q->id),
+	    .method = q->reader.head.method,
+	    .target = q->reader.head.target,
+	    .head = view_buf(&q->head),
+	    .caller_service = make_str(q->node->cfg.service),
+	    .rank = q->terms.rank,
+	    .repeatable = q->terms.repeatable,
+	    .target_at = q->target_at,
+	    .deadline = q->deadline,
+	    .body_len = q->reader.body.len,
+	    .body = view_buf(&q->reader.body),
+	};
+	struct attempt *a = &q->attempt;
+
+	if (spec.body.data == NULL)
+		spec.body = make_str("");
+	a->link = NULL;
+	if (start_job(q->node, &spec, &local_events, q, &a->job) != 0)
+		return ERR_UNAVAILABLE;
+	a->peer->in_flight++;
+	return 0;
+}
+
+static void
+begin_attempt(struct request *q, struct peer *p)
+{
+	struct attempt *a = &q->attempt;
+	int64_t now = get_reactor_now(q->node->reactor);
+
+	q->offers++;
+	if (q->tried_count < REQUEST_TRIED_MAX)
+		q->tried[q->tried_count++] = p;
+	*a = (struct attempt){.active = true, .peer = p, .started = now};
+	add_note(q, NOTE_OFFERED, p->id, p->load.in_flight, p->load.queued,
+	    p->has_load ? (int)((now - p->load_at) / NSEC_PER_MSEC) : -1);
+}
+
+/*
+ * The attempt has ended at the serving node; a local one still counts there.
+ */
+static void
+end_attempt_here(struct request *q)
+{
+	struct attempt *a = &q->attempt;
+
+	if (a->job != NULL) {
+		a->peer->in_flight--;
+		a->job = NULL;
+	}
+	a->active = false;
+}
+
+/*
+ * Answers a call that no further attempt can help: with the failure that a
+ * backend server gave, as unknown when it may have run, else as not run.
+ */
+static void
+give_up(struct request *q)
+{
+	struct job_answer *a = q->fallback;
+	int64_t now = get_reactor_now(q->node->reactor);
+
+	if (a != NULL)
+		deliver(q, a);
+	else if (q->unknown)
+		refuse_request(q, now >= q->deadline ? 504 : 502,
+		    REFUSE_NONE, 0);
+	else
+		refuse_request(q, 503,
+		    q->reason != REFUSE_NONE ? q->reason : REFUSE_NO_ENDPOINT,
+		    q->retry_after);
+}
+
+static bool
+may_run_again(struct request *q)
+{
+	if (!q->terms.repeatable || q->arrivals >= q->terms.attempts)
+		return false;
+	if (take_retry(q->node, q->service))
+		return true;
+	add_note(q, NOTE_NO_RETRY, "", q->arrivals, 0, 0);
+	return false;
+}
+
+/*
+ * Says whether the answer goes to the caller as it is.
+ */
+static bool
+is_failure_final(struct request *q, const struct job_answer *a)
+{
+	int64_t now = get_reactor_now(q->node->reactor);
+
+	if (a->status < 500 || q->fallback != NULL)
+		return true;
+	if (q->deadline - now < TRY_MIN_NS + a->service_ns / 2)
+		return true;
+	return !may_run_again(q);
+}
+
+/*
+ * Keeps a failure, in case the next attempt gives nothing better.
+ */
+static int
+keep_fallback(struct request *q, const struct job_answer *a)
+{
+	struct job_answer *copy = malloc(sizeof(*copy));
+	char *bytes = malloc(a->head.len + a->body.len + 1);
+
+	if (copy == NULL || bytes == NULL) {
+		free(copy);
+		free(bytes);
+		return ERR_MEMORY;
+	}
+	*copy = *a;
+	if (a->head.len > 0)
+		memcpy(bytes, a->head.data, a->head.len);
+	if (a->body.len > 0)
+		memcpy(bytes + a->head.len, a->body.data, a->body.len);
+	copy->head = make_str_n(bytes, a->head.len);
+	copy->body = make_str_n(bytes + a->head.len, a->body.len);
+	q->fallback = copy;
+	return 0;
+}
+
+static void
+deliver(struct request *q, const struct job_answer *a)
+{
+	struct node *n = q->node;
+	int64_t now = get_reactor_now(n->reactor);
+
+	q->state = REQUEST_DONE;
+	cancel_timer(n->reactor, &q->timer);
+	count_metric(n->metrics.answers, 1);
+	observe_metric(n->metrics.latency_us,
+	    (uint64_t)((now - q->arrived) / NSEC_PER_USEC));
+	log_request(q, a->status, "answered");
+	send_answer(q, a->status, a->head, a->body);
+}
+
+static void
+job_granted(void *owner)
+{
+	(void)owner; /* the body was given with the call */
+}
+
+static void
+job_answered(void *owner, const struct job_answer *a)
+{
+	note_answered(owner, a);
+}
+
+static void
+job_refused(void *owner, enum refuse_reason reason, int64_t retry_after,
+    bool arrived)
+{
+	note_refused(owner, reason, retry_after, arrived);
+}
+
+static void
+job_failed(void *owner, enum attempt_end cause, bool not_sent)
+{
+	note_failed(owner, cause, not_sent);
+}
--- /dev/null
+++ b/packages/node/links.c
@@ -0,0 +1,556 @@
+/*
+ * Connections to serving nodes: calls out, outcomes back.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "node_state.h"
+
+#define CONNECT_NS (400 * NSEC_PER_MSEC) /* longest opening of a link */
+#define AVOID_FIRST_NS (200 * NSEC_PER_MSEC) /* after a failure; doubles */
+#define AVOID_MAX_NS (2 * NSEC_PER_SEC)
+#define UPLOAD_UNSENT_BYTES (32 * 1024) /* more wait for their turn */
+
+static struct peer_link *get_link(struct peer *p);
+static struct peer_link *open_peer_link(struct peer *p);
+static void time_out_connect(struct timer *t);
+static void take_frame(void *arg, const struct hop_frame *f);
+static void take_welcome(struct peer_link *l, struct str payload);
+static void take_load_frame(struct peer_link *l, struct str payload);
+static void take_answer_frame(struct request *q, struct str payload);
+static void take_refuse_frame(struct request *q, struct str payload);
+static void take_fail_frame(struct request *q, struct str payload);
+static void take_grant_frame(struct request *q, struct str payload);
+static void lose_link(void *arg, const char *why);
+static void note_silence(void *arg);
+static void send_uploads(void *arg);
+static void retire_link(struct peer_link *l);
+static void free_link_if_idle(struct peer_link *l);
+static void add_stream(struct peer_link *l, struct request *q);
+static void remove_stream(struct request *q);
+static struct request *find_stream(struct peer_link *l, uint32_t stream);
+static void remove_upload(struct request *q);
+static void note_peer_failure(struct peer *p);
+static void end_remote(struct request *q);
+
+static const struct hop_events events = {
+    take_frame, lose_link, note_silence, send_uploads};
+
+/*
+ * Offers a call to a serving node. A call that may repeat, with a short body,
+ * travels whole; otherwise the body follows when the call has a slot, and until
+ * then it has certainly not run.
+ */
+int
+offer_remote(struct request *q, struct peer *p)
+{
+	struct attempt *a = &q->attempt;
+	int64_t now = get_reactor_now(q->node->reactor);
+	struct peer_link *l = get_link(p);
+	struct str body = view_buf(&q->reader.body);
+	struct hop_offer o = {
+	    .service = q->service->name,
+	    .kind = q->terms.kind,
+	    .id = q->id,
+	    .rank = q->terms.rank,
+	    .repeatable = q->terms.repeatable,
+	    .target_us = (q->target_at - now) / NSEC_PER_USEC,
+	    .deadline_us = (q->deadline - now) / NSEC_PER_USEC,
+	    .body_len = body.len,
+	};
+	char method[16], caller[TABLE_NAME_BYTES] = "";
+
+	if (l == NULL)
+		return ERR_UNAVAILABLE;
+	(void)copy_str(method, sizeof(method), q->reader.head.method);
+	if (q->node->cfg.service != NULL)
+		(void)copy_str(caller, sizeof(caller),
+		    make_str(q->node->cfg.service));
+	o.method = method;
+	o.caller_service = caller;
+	o.target.target_val = (char *)(uintptr_t)q->reader.head.target.data;
+	o.target.target_len = (unsigned int)q->reader.head.target.len;
+	o.head.head_val = q->head.data;
+	o.head.head_len = (unsigned int)q->head.len;
+	o.body_here =
+	    q->terms.repeatable && body.len <= HOP_PIECE_BYTES;
+	a->link = l;
+	a->peer = p;
+	a->stream = ++l->last_stream;
+	a->body_sent = o.body_here;
+	a->body_at = 0;
+	a->granted = false;
+	p->in_flight++;
+	add_stream(l, q);
+	send_hop(l->hop, HOP_OFFER, a->stream, (xdrproc_t)xdr_hop_offer, &o,
+	    o.body_here ? body : make_str_n(NULL, 0));
+	return 0;
+}
+
+/*
+ * Tells the serving node that the answer is not wanted.
+ */
+void
+cancel_remote(struct request *q)
+{
+	struct attempt *a = &q->attempt;
+
+	send_hop(a->link->hop, HOP_CANCEL, a->stream, NULL, NULL,
+	    make_str_n(NULL, 0));
+	end_remote(q);
+}
+
+void
+take_load(struct peer *p, const struct hop_load *load)
+{
+	if (p == NULL)
+		return;
+	p->has_load = true;
+	p->load = *load;
+	p->load_at = get_reactor_now(p->node->reactor);
+	p->own_at_load = p->in_flight;
+	p->failures = 0;
+	p->avoid_until = 0;
+}
+
+void
+drop_peer_links(struct peer *p)
+{
+	struct peer_link *l, *next;
+
+	p->link = NULL;
+	for (l = p->node->links; l != NULL; l = next) {
+		next = l->next;
+		if (l->peer != p)
+			continue;
+		if (!l->retired)
+			retire_link(l);
+	}
+}
+
+void
+close_links(struct node *n)
+{
+	struct peer_link *l;
+
+	while ((l = n->links) != NULL) {
+		n->links = l->next;
+		cancel_timer(n->reactor, &l->timer);
+		close_hop(l->hop);
+		free(l);
+	}
+}
+
+static struct peer_link *
+get_link(struct peer *p)
+{
+	if (p->link == NULL)
+		p->link = open_peer_link(p);
+	return p->link;
+}
+
+static struct peer_link *
+open_peer_link(struct peer *p)
+{
+	struct node *n = p->node;
+	struct peer_link *l = calloc(1, sizeof(*l));
+	struct hop_hello hello = {(char *)(uintptr_t)n->cfg.name,
+	    (char *)(uintptr_t)n->cfg.zone};
+
+	if (l == NULL)
+		return NULL;
+	l->peer = p;
+	l->node = n;
+	l->uploads_tail = &l->uploads;
+	if (connect_hop(n->reactor, p->address, &events, l, &l->hop) != 0) {
+		note_peer_failure(p);
+		free(l);
+		return NULL;
+	}
+	count_metric(n->metrics.links, 1);
+	l->next = n->links;
+	n->links = l;
+	set_timer(n->reactor, &l->timer,
+	    get_reactor_now(n->reactor) + CONNECT_NS, time_out_connect);
+	send_hop(l->hop, HOP_HELLO, 0, (xdrproc_t)xdr_hop_hello, &hello,
+	    make_str_n(NULL, 0));
+	return l;
+}
+
+/*
+ * No welcome came. A node that is overloaded may still take the connection
+ * later, so this ends the link, not the peer.
+ */
+static void
+time_out_connect(struct timer *t)
+{
+	lose_link((struct peer_link *)((char *)t -
+				       offsetof(struct peer_link, timer)),
+	    "no welcome in time");
+}
+
+static void
+take_frame(void *arg, const struct hop_frame *f)
+{
+	struct peer_link *l = arg;
+	struct request *q;
+
+	if (f->type == HOP_WELCOME || f->type == HOP_LOAD) {
+		if (f->type == HOP_WELCOME)
+			take_welcome(l, f->payload);
+		else
+			take_load_frame(l, f->payload);
+		return;
+	}
+	q = find_stream(l, f->stream);
+	if (q == NULL)
+		return; /* cancelled here while the outcome was on its way */
+	switch (f->type) {
+	case HOP_ANSWER:
+		take_answer_frame(q, f->payload);
+		break;
+	case HOP_REFUSE:
+		take_refuse_frame(q, f->payload);
+		break;
+	case HOP_FAIL:
+		take_fail_frame(q, f->payload);
+		break;
+	case HOP_GRANT:
+		take_grant_frame(q, f->payload);
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+take_welcome(struct peer_link *l, struct str payload)
+{
+	struct hop_welcome w = {0};
+	struct str rest;
+
+	cancel_timer(l->node->reactor, &l->timer);
+	if (decode_hop(payload, (xdrproc_t)xdr_hop_welcome, &w, &rest) != 0)
+		return;
+	take_load(l->peer, &w.load);
+	unload_hop((xdrproc_t)xdr_hop_welcome, &w);
+}
+
+static void
+take_load_frame(struct peer_link *l, struct str payload)
+{
+	struct hop_load load;
+	struct str rest;
+
+	if (decode_hop(payload, (xdrproc_t)xdr_hop_load, &load, &rest) == 0)
+		take_load(l->peer, &load);
+}
+
+static void
+take_answer_frame(struct request *q, struct str payload)
+{
+	struct peer *p = q->attempt.peer;
+	struct hop_answer m = {0};
+	struct job_answer a;
+	struct str rest;
+
+	if (decode_hop(payload, (xdrproc_t)xdr_hop_answer, &m, &rest) != 0) {
+		end_remote(q);
+		note_failed(q, ATTEMPT_BROKEN, false);
+		return;
+	}
+	a = (struct job_answer){.status = m.status,
+	    .head = make_str_n(m.head.head_val, m.head.head_len),
+	    .body = rest,
+	    .sealed = m.sealed,
+	    .service_ns = m.service_us * NSEC_PER_USEC};
+	end_remote(q);
+	take_load(p, &m.load);
+	note_answered(q, &a);
+	unload_hop((xdrproc_t)xdr_hop_answer, &m);
+}
+
+static void
+take_refuse_frame(struct request *q, struct str payload)
+{
+	struct peer *p = q->attempt.peer;
+	struct hop_refuse m = {0};
+	struct str rest;
+
+	if (decode_hop(payload, (xdrproc_t)xdr_hop_refuse, &m, &rest) != 0) {
+		end_remote(q);
+		note_failed(q, ATTEMPT_BROKEN, !q->attempt.body_sent);
+		return;
+	}
+	end_remote(q);
+	take_load(p, &m.load);
+	note_refused(q, (enum refuse_reason)m.reason,
+	    m.retry_ms * NSEC_PER_MSEC, m.arrived);
+}
+
+static void
+take_fail_frame(struct request *q, struct str payload)
+{
+	struct peer *p = q->attempt.peer;
+	struct hop_fail m = {0};
+	struct str rest;
+	int rc = decode_hop(payload, (xdrproc_t)xdr_hop_fail, &m, &rest);
+
+	end_remote(q);
+	if (rc == 0)
+		take_load(p, &m.load);
+	note_failed(q, rc == 0 ? (enum attempt_end)m.cause : ATTEMPT_BROKEN,
+	    rc == 0 && m.not_sent);
+}
+
+/*
+ * The call has a slot: its body goes out, in turn with others on the link.
+ */
+static void
+take_grant_frame(struct request *q, struct str payload)
+{
+	struct attempt *a = &q->attempt;
+	struct hop_grant m = {0};
+	struct str rest;
+
+	if (decode_hop(payload, (xdrproc_t)xdr_hop_grant, &m, &rest) != 0 ||
+	    a->granted || a->body_sent)
+		return;
+	take_load(a->peer, &m.load);
+	a->granted = true;
+	a->body_sent = true;
+	add_note(q, NOTE_GRANTED, a->peer->id,
+	    (int)((get_reactor_now(q->node->reactor) - a->started) /
+		NSEC_PER_MSEC),
+	    0, 0);
+	a->uploading = true;
+	a->next_upload = NULL;
+	*a->link->uploads_tail = q;
+	a->link->uploads_tail = &a->next_upload;
+	send_uploads(a->link);
+}
+
+/*
+ * The link broke. Calls whose body was not sent have not run.
+ */
+static void
+lose_link(void *arg, const char *why)
+{
+	struct peer_link *l = arg, **at = &l->node->links;
+	bool connected = is_hop_connected(l->hop);
+
+	(void)why;
+	while (*at != l)
+		at = &(*at)->next;
+	*at = l->next;
+	if (l->peer != NULL) {
+		if (l->peer->link == l)
+			l->peer->link = NULL;
+		note_peer_failure(l->peer);
+	}
+	cancel_timer(l->node->reactor, &l->timer);
+	for (size_t i = 0; i < NODE_STREAM_SLOTS; i++) {
+		struct request *q;
+
+		while ((q = l->streams[i]) != NULL) {
+			bool not_sent = !q->attempt.body_sent || !connected;
+
+			l->streams[i] = q->attempt.next_stream;
+			l->stream_count--;
+			if (q->attempt.uploading)
+				remove_upload(q);
+			q->attempt.peer->in_flight--;
+			q->attempt.link = NULL;
+			note_failed(q,
+			    connected ? ATTEMPT_BROKEN :
+					ATTEMPT_NOT_CONNECTED,
+			    not_sent);
+		}
+	}
+	close_hop(l->hop);
+	free(l);
+}
+
+/*
+ * Nothing was heard for a while although calls are under way. New calls go
+ * elsewhere. Calls that may repeat, or whose body was not sent, are tried again
+ * at other nodes; the others wait on, since they may be running.
+ */
+static void
+note_silence(void *arg)
+{
+	struct peer_link *l = arg;
+	struct request *list[256];
+	size_t count = 0;
+
+	if (l->peer != NULL)
+		note_peer_failure(l->peer);
+	for (size_t i = 0; i < NODE_STREAM_SLOTS; i++) {
+		struct request *q = l->streams[i];
+
+		for (; q != NULL; q = q->attempt.next_stream) {
+			if ((q->terms.repeatable || !q->attempt.body_sent) &&
+			    count < sizeof(list) / sizeof(list[0]))
+				list[count++] = q;
+		}
+	}
+	if (!l->retired) {
+		if (l->peer != NULL && l->peer->link == l)
+			l->peer->link = NULL;
+		l->retired = true;
+	}
+	for (size_t i = 0; i < count; i++) {
+		bool not_sent = !list[i]->attempt.body_sent;
+
+		add_note(list[i], NOTE_SILENT, list[i]->attempt.peer->id, 0, 0,
+		    0);
+		send_hop(l->hop, HOP_CANCEL, list[i]->attempt.stream, NULL,
+		    NULL, make_str_n(NULL, 0));
+		remove_stream(list[i]);
+		list[i]->attempt.peer->in_flight--;
+		note_failed(list[i], ATTEMPT_TIMEOUT, not_sent);
+	}
+	free_link_if_idle(l);
+}
+
+/*
+ * Sends pieces of the bodies in turn, while little is unsent, so that frames of
+ * other calls do not wait behind a whole body.
+ */
+static void
+send_uploads(void *arg)
+{
+	struct peer_link *l = arg;
+
+	while (l->uploads != NULL &&
+	       get_hop_unsent(l->hop) < UPLOAD_UNSENT_BYTES) {
+		struct request *q = l->uploads;
+		struct attempt *a = &q->attempt;
+		struct buf *body = &q->reader.body;
+		size_t left = body->len - a->body_at;
+		size_t len = left < HOP_PIECE_BYTES ? left : HOP_PIECE_BYTES;
+
+		send_hop(l->hop, HOP_BODY, a->stream, NULL, NULL,
+		    make_str_n(body->data + a->body_at, len));
+		a->body_at += len;
+		remove_upload(q);
+		if (a->body_at == body->len)
+			continue;
+		a->uploading = true;
+		a->next_upload = NULL;
+		*l->uploads_tail = q;
+		l->uploads_tail = &a->next_upload;
+	}
+}
+
+/*
+ * Takes no new calls any more; closes with the last one.
+ */
+static void
+retire_link(struct peer_link *l)
+{
+	l->retired = true;
+	if (l->peer != NULL && l->peer->link == l)
+		l->peer->link = NULL;
+	if (l->peer != NULL && l->stream_count == 0)
+		l->peer = NULL;
+	free_link_if_idle(l);
+}
+
+static void
+free_link_if_idle(struct peer_link *l)
+{
+	struct peer_link **at = &l->node->links;
+
+	if (!l->retired || l->stream_count > 0)
+		return;
+	while (*at != l)
+		at = &(*at)->next;
+	*at = l->next;
+	cancel_timer(l->node->reactor, &l->timer);
+	close_hop(l->hop);
+	free(l);
+}
+
+static void
+add_stream(struct peer_link *l, struct request *q)
+{
+	struct request **slot =
+	    &l->streams[q->attempt.stream % NODE_STREAM_SLOTS];
+
+	q->attempt.next_stream = *slot;
+	*slot = q;
+	if (l->stream_count++ == 0)
+		set_hop_busy(l->hop, true);
+}
+
+static void
+remove_stream(struct request *q)
+{
+	struct peer_link *l = q->attempt.link;
+	struct request **at =
+	    &l->streams[q->attempt.stream % NODE_STREAM_SLOTS];
+
+	while (*at != q)
+		at = &(*at)->attempt.next_stream;
+	*at = q->attempt.next_stream;
+	if (q->attempt.uploading)
+		remove_upload(q);
+	q->attempt.link = NULL;
+	if (--l->stream_count == 0)
+		set_hop_busy(l->hop, false);
+}
+
+static struct request *
+find_stream(struct peer_link *l, uint32_t stream)
+{
+	struct request *q = l->streams[stream % NODE_STREAM_SLOTS];
+
+	while (q != NULL && q->attempt.stream != stream)
+		q = q->attempt.next_stream;
+	return q;
+}
+
+static void
+remove_upload(struct request *q)
+{
+	struct peer_link *l = q->attempt.link;
+	struct request **at = &l->uploads;
+
+	while (*at != q)
+		at = &(*at)->attempt.next_upload;
+	*at = q->attempt.next_upload;
+	if (*at == NULL) {
+		l->uploads_tail = &l->uploads;
+		for (struct request *r = l->uploads; r != NULL;
+		     r = r->attempt.next_upload)
+			l->uploads_tail = &r->attempt.next_upload;
+	}
+	q->attempt.uploading = false;
+}
+
+/*
+ * Avoids the peer for a while that doubles with each failure in a row.
+ */
+static void
+note_peer_failure(struct peer *p)
+{
+	int64_t wait = AVOID_FIRST_NS;
+
+	for (int i = 0; i < p->failures && wait < AVOID_MAX_NS; i++)
+		wait *= 2;
+	if (wait > AVOID_MAX_NS)
+		wait = AVOID_MAX_NS;
+	p->failures++;
+	p->avoid_until = get_reactor_now(p->node->reactor) + wait;
+}
+
+static void
+end_remote(struct request *q)
+{
+	struct peer_link *l = q->attempt.link;
+
+	remove_stream(q);
+	q->attempt.peer->in_flight--;
+	free_link_if_idle(l);
+}
--- /dev/null
+++ b/packages/node/listen.c
@@ -0,0 +1,77 @@
+/*
+ * Listening sockets.
+ */
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "node_state.h"
+
+#define LISTEN_BACKLOG 1024
+
+/*
+ * Serves requests on an address with handle. Returns ERR_INVALID for a bad
+ * address and ERR_IO when the system refuses it.
+ */
+int
+add_listener(
+    struct node *n, const char *address, request_fn handle, struct fault *f)
+{
+	struct listener *l = &n->listeners[n->listener_count];
+	int fd, rc;
+
+	if (address == NULL)
+		return 0;
+	rc = bind_listener(address, &fd, f);
+	if (rc != 0)
+		return rc;
+	l->node = n;
+	l->handle = handle;
+	if (start_watch(n->reactor, &l->watch, fd, EPOLLIN,
+		handle != NULL ? accept_callers : accept_links) != 0) {
+		close(fd);
+		return set_fault(f, ERR_IO,
+		    "listen address %s: cannot be watched; raise the limit of "
+		    "descriptors",
+		    address);
+	}
+	n->listener_count++;
+	return 0;
+}
+
+int
+bind_listener(const char *address, int *fd, struct fault *f)
+{
+	struct sockaddr_storage sa;
+	socklen_t len;
+	int one = 1, s;
+
+	if (parse_hop_address(address, &sa, &len) != 0)
+		return set_fault(f, ERR_INVALID,
+		    "listen address %s: write it as IP:port", address);
+	s = socket(sa.ss_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	if (s >= 0 &&
+	    setsockopt(s, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) == 0 &&
+	    bind(s, (struct sockaddr *)&sa, len) == 0 &&
+	    listen(s, LISTEN_BACKLOG) == 0) {
+		*fd = s;
+		return 0;
+	}
+	set_fault(f, ERR_IO,
+	    "listen address %s: %s; free the port or choose another one",
+	    address, strerror(errno));
+	if (s >= 0)
+		close(s);
+	return ERR_IO;
+}
+
+void
+close_listeners(struct node *n)
+{
+	for (size_t i = 0; i < n->listener_count; i++) {
+		stop_watch(n->reactor, &n->listeners[i].watch);
+		close(n->listeners[i].watch.fd);
+	}
+	n->listener_count = 0;
+}
--- /dev/null
+++ b/packages/node/node.c
@@ -0,0 +1,357 @@
+/*
+ * A node's life: its thread, the table in force and the stop.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "node_state.h"
+
+#define BODY_MEMORY_DEFAULT (64LL * 1024 * 1024)
+#define RETRY_RATIO_DEFAULT 0.2
+#define RETRY_WINDOW_DEFAULT (10 * NSEC_PER_SEC)
+#define LEAVE_DEFAULT (2 * NSEC_PER_SEC)
+#define STOP_DEFAULT (30 * NSEC_PER_SEC)
+#define LEAVE_TICK_NS (50 * NSEC_PER_MSEC) /* between looks at a stop */
+/* A node that ends waits this long after the last call it took. */
+#define QUIET_NS (400 * NSEC_PER_MSEC)
+
+static int copy_texts(
+    struct node *n, const struct node_config *cfg, struct fault *f);
+static const char *keep_text(struct node *n, const char *text, int *rc);
+static void set_defaults(struct node_config *c);
+static void open_metrics(struct node_metrics *m);
+static int start_listening(struct node *n, struct fault *f);
+static void *run_node(void *arg);
+static void run_refresh(struct task *t);
+static void take_table(struct node *n, const struct table *t);
+static void begin_leave(struct task *t);
+static void check_leave(struct timer *t);
+static void free_node(struct node *n);
+
+int
+start_node(const struct node_config *cfg, struct node **out, struct fault *f)
+{
+	struct node *n = calloc(1, sizeof(*n));
+	int rc;
+
+	*out = NULL;
+	if (n == NULL)
+		return set_fault(f, ERR_MEMORY, "out of memory");
+	pthread_mutex_init(&n->lock, NULL);
+	pthread_cond_init(&n->drained_cond, NULL);
+	rc = copy_texts(n, cfg, f);
+	if (rc == 0 && open_reactor(&n->cfg.clock, &n->reactor) != 0)
+		rc = set_fault(f, ERR_IO,
+		    "cannot open an event loop; raise the limit of descriptors");
+	if (rc == 0) {
+		open_metrics(&n->metrics);
+		rc = open_backend(n);
+	}
+	if (rc == 0)
+		rc = start_listening(n, f);
+	if (rc == 0) {
+		post_task(n->reactor, &n->refresh, run_refresh);
+		if (pthread_create(&n->thread, NULL, run_node, n) != 0)
+			rc = set_fault(f, ERR_LIMIT,
+			    "cannot start a thread; raise the limit of "
+			    "processes");
+	}
+	if (rc != 0) {
+		free_node(n);
+		return rc;
+	}
+	*out = n;
+	return 0;
+}
+
+void
+refresh_node(void *node)
+{
+	struct node *n = node;
+
+	post_task(n->reactor, &n->refresh, run_refresh);
+}
+
+void
+drain_node(struct node *n)
+{
+	post_task(n->reactor, &n->drain, begin_leave);
+	pthread_mutex_lock(&n->lock);
+	while (!n->drained)
+		pthread_cond_wait(&n->drained_cond, &n->lock);
+	pthread_mutex_unlock(&n->lock);
+}
+
+/*
+ * Calls that are still under way are cut off; see drain_node().
+ */
+void
+stop_node(struct node *n)
+{
+	if (n == NULL)
+		return;
+	stop_reactor(n->reactor);
+	pthread_join(n->thread, NULL);
+	free_node(n);
+}
+
+int
+render_node_status(struct node *n, struct buf *out)
+{
+	return append_buf_fmt(out, "{\"node\":\"%s\",\"zone\":\"%s\"}",
+	    n->cfg.name, n->cfg.zone);
+}
+
+void
+note_idle(struct node *n)
+{
+	if (n->leaving_at != 0 && n->requests == 0 && n->job_count == 0)
+		set_timer(n->reactor, &n->leave_timer,
+		    get_reactor_now(n->reactor) + LEAVE_TICK_NS, check_leave);
+}
+
+static int
+copy_texts(struct node *n, const struct node_config *cfg, struct fault *f)
+{
+	struct node_config *c = &n->cfg;
+	int rc = 0;
+
+	*c = *cfg;
+	if (cfg->name == NULL || strlen(cfg->name) >= NODE_ID_BYTES ||
+	    cfg->zone == NULL || cfg->calls_listen == NULL ||
+	    cfg->links_listen == NULL || cfg->agent == NULL)
+		return set_fault(f, ERR_INVALID,
+		    "a node needs a name of 1 to %d bytes, a zone, an agent "
+		    "and addresses for callers and nodes",
+		    NODE_ID_BYTES - 1);
+	c->name = keep_text(n, cfg->name, &rc);
+	c->zone = keep_text(n, cfg->zone, &rc);
+	c->calls_listen = keep_text(n, cfg->calls_listen, &rc);
+	c->links_listen = keep_text(n, cfg->links_listen, &rc);
+	c->ready_listen = keep_text(n, cfg->ready_listen, &rc);
+	c->reports_listen = keep_text(n, cfg->reports_listen, &rc);
+	c->metrics_listen = keep_text(n, cfg->metrics_listen, &rc);
+	c->service = keep_text(n, cfg->service, &rc);
+	c->backend = keep_text(n, cfg->backend, &rc);
+	if (rc != 0)
+		return set_fault(f, ERR_MEMORY, "out of memory");
+	set_defaults(c);
+	seed_rng(&n->rng, cfg->seed);
+	return 0;
+}
+
+/*
+ * Copies a text that lives as long as the node; NULL and "" stay unset.
+ */
+static const char *
+keep_text(struct node *n, const char *text, int *rc)
+{
+	if (text == NULL || text[0] == '\0')
+		return NULL;
+	n->texts[n->text_count] = strdup(text);
+	if (n->texts[n->text_count] == NULL)
+		*rc = ERR_MEMORY;
+	return n->texts[n->text_count++];
+}
+
+static void
+set_defaults(struct node_config *c)
+{
+	if (c->body_memory == 0)
+		c->body_memory = BODY_MEMORY_DEFAULT;
+	if (c->retry_ratio <= 0)
+		c->retry_ratio = RETRY_RATIO_DEFAULT;
+	if (c->retry_window_ns == 0)
+		c->retry_window_ns = RETRY_WINDOW_DEFAULT;
+	if (c->leave_ns == 0)
+		c->leave_ns = LEAVE_DEFAULT;
+	if (c->stop_ns == 0)
+		c->stop_ns = STOP_DEFAULT;
+	if (c->connections == 0)
+		c->connections = 100;
+}
+
+static void
+open_metrics(struct node_metrics *m)
+{
+	m->calls = register_metric(
+	    METRIC_COUNTER, "ggs_node_calls_total", "Calls of callers.");
+	m->answers = register_metric(METRIC_COUNTER, "ggs_node_answers_total",
+	    "Answers of backend servers passed on.");
+	m->refused = register_metric(METRIC_COUNTER, "ggs_node_refused_total",
+	    "Calls refused as not run.");
+	m->failed = register_metric(METRIC_COUNTER, "ggs_node_failed_total",
+	    "Calls that failed without an answer.");
+	m->retries = register_metric(METRIC_COUNTER, "ggs_node_retries_total",
+	    "Calls sent to another backend server.");
+	m->cancelled = register_metric(METRIC_COUNTER,
+	    "ggs_node_cancelled_total", "Calls whose caller hung up.");
+	m->served = register_metric(METRIC_COUNTER, "ggs_node_served_total",
+	    "Calls that the backend server ran.");
+	m->shed = register_metric(METRIC_COUNTER, "ggs_node_shed_total",
+	    "Calls that admission refused.");
+	m->connects = register_metric(METRIC_COUNTER,
+	    "ggs_node_backend_connects_total",
+	    "Connections opened to the backend server.");
+	m->links = register_metric(METRIC_COUNTER, "ggs_node_links_total",
+	    "Connections opened to other nodes.");
+	m->latency_us = register_metric(METRIC_HISTOGRAM, "ggs_node_latency_us",
+	    "Time from request to answer, us.");
+	m->queue_us = register_metric(METRIC_HISTOGRAM, "ggs_node_queue_us",
+	    "Time that calls waited for a slot, us.");
+	m->table_version = register_metric(METRIC_GAUGE,
+	    "ggs_node_table_version", "Table version in force.");
+}
+
+static int
+start_listening(struct node *n, struct fault *f)
+{
+	const struct node_config *c = &n->cfg;
+	int rc = add_listener(n, c->calls_listen, take_call, f);
+
+	if (rc == 0)
+		rc = add_listener(n, c->links_listen, NULL, f);
+	if (rc == 0)
+		rc = add_listener(n, c->ready_listen, answer_ready, f);
+	if (rc == 0)
+		rc = add_listener(n, c->reports_listen, answer_report, f);
+	if (rc == 0)
+		rc = add_listener(n, c->metrics_listen, answer_metrics, f);
+	return rc;
+}
+
+static void *
+run_node(void *arg)
+{
+	struct node *n = arg;
+
+	run_reactor(n->reactor);
+	return NULL;
+}
+
+static void
+run_refresh(struct task *t)
+{
+	struct node *n =
+	    (struct node *)((char *)t - offsetof(struct node, refresh));
+	const struct table *fresh = acquire_table(n->cfg.agent);
+
+	if (fresh != NULL && (n->table == NULL ||
+				 fresh->version != n->table->version)) {
+		take_table(n, fresh);
+	} else if (fresh != NULL) {
+		release_table(n->cfg.agent, fresh);
+	}
+	refresh_services(n);
+}
+
+/*
+ * Puts a table in force. Calls under way keep the terms they began with.
+ */
+static void
+take_table(struct node *n, const struct table *t)
+{
+	int32_t head_kb = 1, head_ms = 1, idle_ms = 1, body_kb = 1;
+
+	for (size_t i = 0; i < t->row_count; i++) {
+		const int32_t *v = t->rows[i]->values;
+
+		head_kb = v[COL_HEAD_MAX_KB] > head_kb ? v[COL_HEAD_MAX_KB] :
+							 head_kb;
+		head_ms = v[COL_HEAD_MS] > head_ms ? v[COL_HEAD_MS] : head_ms;
+		idle_ms = v[COL_IDLE_MS] > idle_ms ? v[COL_IDLE_MS] : idle_ms;
+		body_kb = v[COL_BODY_MAX_KB] > body_kb ? v[COL_BODY_MAX_KB] :
+							 body_kb;
+	}
+	if (t->row_count > 0) {
+		n->head_max = (size_t)head_kb * 1024;
+		n->body_max = (size_t)body_kb * 1024;
+		n->head_ns = head_ms * NSEC_PER_MSEC;
+		n->idle_ns = idle_ms * NSEC_PER_MSEC;
+	}
+	if (n->table != NULL)
+		release_table(n->cfg.agent, n->table);
+	else
+		write_log(LOG_LEVEL_NOTICE, "first table: version %llu",
+		    (unsigned long long)t->version);
+	n->table = t;
+	set_metric(n->metrics.table_version, (int64_t)t->version);
+	refresh_admission(n);
+}
+
+/*
+ * A stop begins: the ready question is answered with 503, so that callers move
+ * away, while calls are still taken.
+ */
+static void
+begin_leave(struct task *t)
+{
+	struct node *n =
+	    (struct node *)((char *)t - offsetof(struct node, drain));
+
+	if (n->leaving_at != 0)
+		return;
+	n->leaving_at = get_reactor_now(n->reactor);
+	n->last_call = n->leaving_at;
+	tell_load(n);
+	set_timer(n->reactor, &n->leave_timer, n->leaving_at + LEAVE_TICK_NS,
+	    check_leave);
+}
+
+/*
+ * The node ends when callers had the time to notice and nothing is under way,
+ * or when its time is over.
+ */
+static void
+check_leave(struct timer *t)
+{
+	struct node *n =
+	    (struct node *)((char *)t - offsetof(struct node, leave_timer));
+	int64_t now = get_reactor_now(n->reactor);
+	bool over = now - n->leaving_at >= n->cfg.stop_ns;
+	bool quiet = n->requests == 0 && n->job_count == 0 &&
+		     now - n->leaving_at >= n->cfg.leave_ns &&
+		     now - n->last_call >= QUIET_NS;
+
+	if (!over && !quiet) {
+		set_timer(n->reactor, &n->leave_timer, now + LEAVE_TICK_NS,
+		    check_leave);
+		return;
+	}
+	if (over && (n->requests > 0 || n->job_count > 0))
+		write_log(LOG_LEVEL_WARNING,
+		    "stop: %d calls and %d jobs did not end in time",
+		    n->requests, n->job_count);
+	pthread_mutex_lock(&n->lock);
+	n->drained = true;
+	pthread_cond_signal(&n->drained_cond);
+	pthread_mutex_unlock(&n->lock);
+}
+
+/*
+ * The thread has ended, or never ran.
+ */
+static void
+free_node(struct node *n)
+{
+	if (n->reactor != NULL) {
+		close_listeners(n);
+		close_callers(n);
+		close_inbound(n);
+		close_links(n);
+		drop_jobs(n);
+		close_backend(n);
+		clear_services(n);
+		cancel_timer(n->reactor, &n->leave_timer);
+	}
+	if (n->table != NULL)
+		release_table(n->cfg.agent, n->table);
+	close_reactor(n->reactor);
+	for (size_t i = 0; i < n->text_count; i++)
+		free(n->texts[i]);
+	pthread_mutex_destroy(&n->lock);
+	pthread_cond_destroy(&n->drained_cond);
+	free(n);
+}
--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -123,6 +123,43 @@
 	return 0;
 }
 
+int
+open_admission_row(struct admission *a, const struct row *r)
+{
+	int i = find_lane(a, make_str(r->kind));
+
+	if (i >= 0 && !a->view.lanes[i].retired)
+		return i;
+	if (i < 0 && add_lane(a, &i) != 0)
+		return ERR_MEMORY;
+	load_lane(&a->view.lanes[i], r, a->policy->by_deadline);
+	return i;
+}
+
+/*
+ * Rows without calls are given up; they come back with their next call.
+ */
+void
+refresh_admission_rows(struct admission *a, const struct table *t, int64_t now,
+    struct admission_changes *out)
+{
+	accrue(a, now);
+	for (size_t i = 0; i < a->view.lane_count; i++) {
+		struct lane *l = &a->view.lanes[i];
+		const struct row *r =
+		    l->used ? find_row(t, make_str(l->kind)) : NULL;
+
+		if (!l->used)
+			continue;
+		if (r != NULL)
+			load_lane(l, r, a->policy->by_deadline);
+		else
+			l->retired = true;
+		reap_lane(l);
+	}
+	pump(a, now, out);
+}
+
 /* Returns the index of a row in the present table, or ERR_NOT_FOUND. */
 int
 find_admission_row(const struct admission *a, struct str kind)
--- a/packages/policy/admission.h
+++ b/packages/policy/admission.h
@@ -88,6 +88,14 @@
 /* Switches to the rows of a service; calls keep the row they began with. */
 int set_admission_table(struct admission *a, const struct table *t,
     struct str service, int64_t now, struct admission_changes *out);
+/*
+ * For a service with very many rows: rows are taken up when calls of them
+ * come. open_admission_row() returns the index for offer_call(), or ERR_MEMORY;
+ * refresh_admission_rows() takes over the cells of a new table.
+ */
+int open_admission_row(struct admission *a, const struct row *r);
+void refresh_admission_rows(struct admission *a, const struct table *t,
+    int64_t now, struct admission_changes *out);
 /* Index of a kind for offer_call(), valid until the next table. */
 int find_admission_row(const struct admission *a, struct str kind);
 
--- /dev/null
+++ b/packages/policy/placement.h
@@ -0,0 +1,42 @@
+/*
+ * Choice of a serving node for a call: the one that is expected to answer
+ * first, with a price on leaving the availability zone. Pure.
+ */
+#ifndef PLACEMENT_H
+#define PLACEMENT_H
+
+#include "base.h"
+
+/* One serving node of the service. */
+struct placement_option {
+	bool usable;
+	bool tried; /* the call was there before */
+	bool avoided; /* failed a moment ago */
+	bool same_zone;
+	int slots; /* calls that it may run at a time */
+	int own; /* calls of this node there now */
+	bool reported; /* the next fields are known */
+	int64_t report_age; /* ns */
+	int in_flight; /* calls of all nodes there when it reported */
+	int queued;
+	int own_at_report; /* of these, calls of this node */
+	int64_t service_ns; /* mean time of a run; 0: not known */
+	double failed; /* recent share of failed runs, 0..1 */
+};
+
+struct placement_call {
+	int64_t target_left; /* ns until an answer is late */
+	size_t body_len;
+};
+
+/*
+ * Returns the place of the best option, ERR_NOT_FOUND when none is usable or
+ * all were tried.
+ */
+int choose_placement(const struct placement_option *options, size_t count,
+    const struct placement_call *call, struct rng *r);
+
+/* Expected time until a run could begin, ns. */
+int64_t estimate_placement_wait(const struct placement_option *o);
+
+#endif
--- a/packages/proxy/claim.c
+++ b/packages/proxy/claim.c
@@ -167,7 +167,7 @@
 		cl->result.answer_whole = false;
 	cl->result.answer = (struct str){0};
 	cl->task.run = handle_result;
-	post_task(p->loop, &cl->task);
+	post_loop_task(p->loop, &cl->task);
 }
 
 static void
@@ -189,7 +189,7 @@
 			free_claim(cl);
 			return;
 		}
-		if (set_timer(p->loop, &cl->timer,
+		if (set_loop_timer(p->loop, &cl->timer,
 			get_loop_time(p->loop) + cl->pause_ns) != 0)
 			send_close(cl);
 		return;
@@ -231,7 +231,7 @@
 	if (send_claim(cl, CLAIM_CLOSE_MS) == 0)
 		return;
 	if (ck_pr_load_8((uint8_t *)&p->stopping) ||
-	    set_timer(p->loop, &cl->timer,
+	    set_loop_timer(p->loop, &cl->timer,
 		get_loop_time(p->loop) + cl->pause_ns) != 0)
 		free_claim(cl);
 }
--- a/packages/proxy/entry.c
+++ b/packages/proxy/entry.c
@@ -76,7 +76,7 @@
 		refuse_call(c, REFUSE_DRAINING, NULL);
 	else if (c->completed >= c->deadline)
 		refuse_call(c, REFUSE_DEADLINE, NULL);
-	else if (set_timer(p->loop, &c->timer, c->deadline) != 0)
+	else if (set_loop_timer(p->loop, &c->timer, c->deadline) != 0)
 		refuse_call(c, REFUSE_OVERLOAD, NULL);
 	else
 		route_call(c);
@@ -140,7 +140,7 @@
 
 		if (at < c->deadline) {
 			c->deadline = at;
-			(void)set_timer(p->loop, &c->timer, at);
+			(void)set_loop_timer(p->loop, &c->timer, at);
 		}
 	}
 }
@@ -553,7 +553,7 @@
 set_step(struct call *c, int64_t at, void (*fn)(struct call *c))
 {
 	c->step_fn = fn;
-	(void)set_timer(c->proxy->loop, &c->step, at);
+	(void)set_loop_timer(c->proxy->loop, &c->step, at);
 }
 
 static void
@@ -576,14 +576,15 @@
 
 	for (int i = 0; i < c->attempt_count; i++) {
 		if (c->attempts[i].queued_done) {
-			(void)set_timer(c->proxy->loop, t,
+			(void)set_loop_timer(c->proxy->loop, t,
 			    get_loop_time(c->proxy->loop) + NSEC_PER_MSEC);
 			return;
 		}
 	}
 	if (!c->graced && has_remote(c)) {
 		c->graced = true;
-		if (set_timer(c->proxy->loop, t, c->deadline + GRACE_NS) == 0)
+		if (set_loop_timer(c->proxy->loop, t, c->deadline + GRACE_NS) ==
+		    0)
 			return;
 	}
 	stop_call(c, ATTEMPT_TIMEOUT, REFUSE_DEADLINE, NULL);
--- a/packages/proxy/front.c
+++ b/packages/proxy/front.c
@@ -162,7 +162,7 @@
 		return send_answer(c);
 	}
 	c->task.run = start_call;
-	post_task(c->proxy->loop, &c->task);
+	post_loop_task(c->proxy->loop, &c->task);
 	return MHD_YES;
 }
 
--- a/packages/proxy/health.c
+++ b/packages/proxy/health.c
@@ -57,7 +57,7 @@
 	h->timer.fire = start_check;
 	p->health = h;
 	announce(h, WIRE_ENDPOINT_STARTING);
-	return set_timer(p->loop, &h->timer, get_loop_time(p->loop));
+	return set_loop_timer(p->loop, &h->timer, get_loop_time(p->loop));
 }
 
 /*
@@ -131,7 +131,7 @@
 	    0)
 		h->transfer = NULL;
 	t->fire = expire_check;
-	(void)set_timer(p->loop, t, now + HEALTH_TIMEOUT_NS);
+	(void)set_loop_timer(p->loop, t, now + HEALTH_TIMEOUT_NS);
 }
 
 static void
@@ -197,7 +197,7 @@
 		announce(h, WIRE_ENDPOINT_STARTING);
 	}
 	h->timer.fire = start_check;
-	(void)set_timer(p->loop, &h->timer,
+	(void)set_loop_timer(p->loop, &h->timer,
 	    now + (h->state == WIRE_ENDPOINT_READY ? HEALTH_INTERVAL_NS :
 						     HEALTH_FIRST_NS));
 }
--- a/packages/proxy/loop.c
+++ b/packages/proxy/loop.c
@@ -18,7 +18,7 @@
 	struct clock_source clock;
 	struct loop_hooks hooks;
 	int epoll_fd;
-	struct loop_watch wake; /* eventfd written by post_task() */
+	struct loop_watch wake; /* eventfd written by post_loop_task() */
 	CURLM *curl;
 	int64_t curl_at; /* when curl wants to be called; -1: never */
 	struct loop_timer **heap;
@@ -110,7 +110,7 @@
 	if (!l->running)
 		return;
 	l->stop_task.run = request_stop;
-	post_task(l, &l->stop_task);
+	post_loop_task(l, &l->stop_task);
 	pthread_join(l->thread, NULL);
 	l->running = false;
 }
@@ -137,7 +137,7 @@
  * batch.
  */
 void
-post_task(struct loop *l, struct loop_task *t)
+post_loop_task(struct loop *l, struct loop_task *t)
 {
 	uint64_t one = 1;
 	bool first;
@@ -157,7 +157,7 @@
  * Sets or moves a timer. Returns ERR_MEMORY when the heap cannot grow.
  */
 int
-set_timer(struct loop *l, struct loop_timer *t, int64_t at)
+set_loop_timer(struct loop *l, struct loop_timer *t, int64_t at)
 {
 	if (t->slot != 0) {
 		t->at = at;
--- a/packages/proxy/loop.h
+++ b/packages/proxy/loop.h
@@ -44,10 +44,10 @@
 void stop_loop(struct loop *l); /* ends the thread when it runs */
 
 /* Any thread */
-void post_task(struct loop *l, struct loop_task *t);
+void post_loop_task(struct loop *l, struct loop_task *t);
 
 /* Loop thread only */
-int set_timer(struct loop *l, struct loop_timer *t, int64_t at);
+int set_loop_timer(struct loop *l, struct loop_timer *t, int64_t at);
 void clear_timer(struct loop *l, struct loop_timer *t);
 int watch_fd(struct loop *l, struct loop_watch *w, uint32_t events);
 void unwatch_fd(struct loop *l, struct loop_watch *w);
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -305,7 +305,7 @@
 	e->proxy = p;
 	e->fn = fn;
 	e->task.run = finish_errand;
-	post_task(p->loop, &e->task);
+	post_loop_task(p->loop, &e->task);
 	pthread_mutex_lock(&p->lock);
 	while (!e->done)
 		pthread_cond_wait(&p->idle, &p->lock);
--- a/packages/proxy/serve.c
+++ b/packages/proxy/serve.c
@@ -216,7 +216,7 @@
 		s->held_until = now + HELD_WAIT_NS;
 	s->timer.fire = ask_again;
 	if (now + HELD_LOOK_NS <= s->held_until &&
-	    set_timer(l, &s->timer, now + HELD_LOOK_NS) == 0) {
+	    set_loop_timer(l, &s->timer, now + HELD_LOOK_NS) == 0) {
 		s->state = SERVE_HELD;
 		return;
 	}
@@ -446,7 +446,7 @@
 	if (at == INT64_MAX)
 		clear_timer(p->loop, &p->admission_timer);
 	else
-		(void)set_timer(p->loop, &p->admission_timer, at);
+		(void)set_loop_timer(p->loop, &p->admission_timer, at);
 }
 
 static void
--- a/packages/proxy/tests/test_parts.c
+++ b/packages/proxy/tests/test_parts.c
@@ -74,11 +74,11 @@
 	for (int i = 0; i < TIMERS; i++) {
 		n[i].timer.fire = note_fired;
 		at[i] = 2 + (int64_t)draw_below(&r, 1000);
-		ck_assert_int_eq(set_timer(l, &n[i].timer, at[i]), 0);
+		ck_assert_int_eq(set_loop_timer(l, &n[i].timer, at[i]), 0);
 	}
 	for (int i = 0; i < TIMERS; i += 3) {
 		at[i] = 2 + (int64_t)draw_below(&r, 1000);
-		ck_assert_int_eq(set_timer(l, &n[i].timer, at[i]), 0);
+		ck_assert_int_eq(set_loop_timer(l, &n[i].timer, at[i]), 0);
 	}
 	for (int i = 0; i < TIMERS; i += 7) {
 		clear_timer(l, &n[i].timer);
@@ -109,7 +109,7 @@
 	struct noted n = {.timer.fire = note_fired};
 
 	fired = 0;
-	ck_assert_int_eq(set_timer(l, &n.timer, 100), 0);
+	ck_assert_int_eq(set_loop_timer(l, &n.timer, 100), 0);
 	ck_assert_int_eq(run_loop(l), 0);
 	stop_loop(l);
 	ck_assert_int_eq(fired, 0);
@@ -128,7 +128,7 @@
 	ck_assert_int_eq(run_loop(l), 0);
 	for (int i = 0; i < 1000; i++) {
 		tasks[i].run = count_task;
-		post_task(l, &tasks[i]);
+		post_loop_task(l, &tasks[i]);
 	}
 	stop_loop(l);
 	ck_assert_int_eq(task_runs, 1000);
--- a/packages/proxy/uploads.c
+++ b/packages/proxy/uploads.c
@@ -76,7 +76,7 @@
 	record_event(c->proxy->cfg.events, "body-wait", c->id, 0,
 	    "kind %s waits for %zu bytes of body memory", c->kind, c->body_cap);
 	c->task.run = queue_upload;
-	post_task(c->proxy->loop, &c->task);
+	post_loop_task(c->proxy->loop, &c->task);
 }
 
 /*
@@ -124,7 +124,7 @@
 	} else if (ck_pr_load_8((uint8_t *)&p->stopping)) {
 		refuse_early(c, 503, REFUSE_DRAINING, NULL);
 		resume_upload(c);
-	} else if (set_timer(p->loop, t, now + BUDGET_LOOK_NS) != 0) {
+	} else if (set_loop_timer(p->loop, t, now + BUDGET_LOOK_NS) != 0) {
 		refuse_early(c, 503, REFUSE_OVERLOAD, NULL);
 		resume_upload(c);
 	}
--- a/packages/reactor/reactor.c
+++ b/packages/reactor/reactor.c
@@ -159,8 +159,9 @@
 		return;
 	w->events = events;
 	if (epoll_ctl(r->epoll, EPOLL_CTL_MOD, w->fd, &e) != 0)
-		write_log(LOG_LEVEL_ERR, "epoll: cannot change descriptor %d: %s",
-		    w->fd, strerror(errno));
+		write_log(LOG_LEVEL_ERR,
+		    "epoll: cannot change descriptor %d: %s", w->fd,
+		    strerror(errno));
 }
 
 /*
@@ -176,8 +177,9 @@
 		return;
 	w->added = false;
 	if (epoll_ctl(r->epoll, EPOLL_CTL_DEL, w->fd, &e) != 0)
-		write_log(LOG_LEVEL_ERR, "epoll: cannot remove descriptor %d: %s",
-		    w->fd, strerror(errno));
+		write_log(LOG_LEVEL_ERR,
+		    "epoll: cannot remove descriptor %d: %s", w->fd,
+		    strerror(errno));
 	for (int i = r->batch_at + 1; i < r->batch_count; i++) {
 		if (r->batch[i].data.ptr == w)
 			r->batch[i].data.ptr = NULL;
@@ -244,6 +246,23 @@
 	r->deferred_tail = &t->next;
 }
 
+void
+cancel_task(struct reactor *r, struct task *t)
+{
+	struct task **at = &r->deferred;
+
+	if (!t->queued)
+		return;
+	while (*at != NULL && *at != t)
+		at = &(*at)->next;
+	if (*at == NULL)
+		return;
+	*at = t->next;
+	if (*at == NULL)
+		r->deferred_tail = at;
+	t->queued = false;
+}
+
 void
 post_task(struct reactor *r, struct task *t, task_fn fn)
 {
--- a/packages/reactor/reactor.h
+++ b/packages/reactor/reactor.h
@@ -62,6 +62,7 @@
 
 /* Runs fn at the end of the round, once however often it is deferred. */
 void defer_task(struct reactor *r, struct task *t, task_fn fn);
+void cancel_task(struct reactor *r, struct task *t); /* a deferred one */
 /* Runs fn on the loop's thread; any thread, one post at a time. */
 void post_task(struct reactor *r, struct task *t, task_fn fn);
 
--- a/packages/reactor/tests/test_reactor.c
+++ b/packages/reactor/tests/test_reactor.c
@@ -92,7 +92,8 @@
 	ck_assert_int_eq(pipe(a), 0);
 	ck_assert_int_eq(pipe(b), 0);
 	first = second = (struct watch){0};
-	ck_assert_int_eq(start_watch(loop, &first, a[0], EPOLLIN, stop_both), 0);
+	ck_assert_int_eq(
+	    start_watch(loop, &first, a[0], EPOLLIN, stop_both), 0);
 	ck_assert_int_eq(
 	    start_watch(loop, &second, b[0], EPOLLIN, stop_both), 0);
 	ck_assert_int_eq(write(a[1], "x", 1), 1);
--- a/packages/wire/wire.c
+++ b/packages/wire/wire.c
@@ -21,12 +21,11 @@
 		return 0;
 	if (size > WIRE_MESSAGE_MAX)
 		return ERR_LIMIT;
-	rc = append_buf_fmt(out, "%*s", (int)size, "");
+	rc = reserve_buf(out, size);
 	if (rc != 0)
 		return rc;
 	xdrmem_create(&x, out->data + at, (unsigned int)size, XDR_ENCODE);
 	if (!proc(&x, (void *)(uintptr_t)value)) {
-		out->len = at;
 		rc = ERR_INVALID;
 	} else {
 		out->len = at + xdr_getpos(&x);
