--- a/apps/greengagespurd/main.c
+++ b/apps/greengagespurd/main.c
@@ -158,10 +158,12 @@
 	sigaddset(&set, SIGINT);
 	for (;;) {
 		sig = sigtimedwait(&set, NULL, &poll);
-		if (sig == SIGTERM || sig == SIGINT || role->is_stop_asked())
+		if (sig == SIGTERM || sig == SIGINT)
 			return;
 		if (sig < 0 && errno != EAGAIN && errno != EINTR)
 			return;
+		if (role->is_stop_asked())
+			return;
 	}
 }
 
