policy: let late calls wait behind those that can be in time

Change: a call with a target waits in the order of targets; one that would miss it waits behind all others, by its deadline, while slots were free for late calls in the last 250 ms; in a longer overload it is refused at once and told to come back while it can still be in time. Retries take 0.35 of the budget: calls of repeated runs count at the services below.

--- a/apps/greengagespurd/platform_role.c
+++ b/apps/greengagespurd/platform_role.c
@@ -42,10 +42,10 @@
     struct event_log *events, struct fault *f);
 static bool is_stop_asked(void);
 static int stop(struct fault *f);
-static int start_platform_control(struct event_log *events, uint64_t seed,
-    struct fault *f);
-static int start_platform_node(struct event_log *events, uint64_t seed,
-    struct fault *f);
+static int start_platform_control(
+    struct event_log *events, uint64_t seed, struct fault *f);
+static int start_platform_node(
+    struct event_log *events, uint64_t seed, struct fault *f);
 static void refresh_agent_node(void *arg);
 static void list_seeds(const char **out);
 static void reload_settings(void);
@@ -118,8 +118,7 @@
 }
 
 static int
-start_platform_control(struct event_log *events, uint64_t seed,
-    struct fault *f)
+start_platform_control(struct event_log *events, uint64_t seed, struct fault *f)
 {
 	struct control_config c = {
 	    .auto_members = true,
@@ -230,8 +229,8 @@
 	int rc = load_platform_settings(getenv(CONFIG_VARIABLE), &fresh, &f);
 
 	if (rc != 0) {
-		write_log(LOG_LEVEL_ERR, "settings are not reloaded: %s",
-		    f.text);
+		write_log(
+		    LOG_LEVEL_ERR, "settings are not reloaded: %s", f.text);
 		return;
 	}
 	memcpy(settings.seeds, fresh.seeds, sizeof(settings.seeds));
--- a/packages/hop/hop.c
+++ b/packages/hop/hop.c
@@ -231,8 +231,8 @@
 
 	if (rc != 0)
 		return rc;
-	*fd = socket(
-	    sa.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	*fd =
+	    socket(sa.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (*fd < 0)
 		return ERR_LIMIT;
 	(void)setsockopt(*fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
@@ -347,8 +347,7 @@
 		used = take_frames(l, in);
 		if (used == SIZE_MAX || l->closed)
 			return used != SIZE_MAX;
-		return append_buf(
-			   &l->in, in.data + used, in.len - used) == 0;
+		return append_buf(&l->in, in.data + used, in.len - used) == 0;
 	}
 	if (append_buf_str(&l->in, in) != 0)
 		return false;
@@ -423,8 +422,7 @@
 
 		if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
 			compact_out(l);
-			change_watch(
-			    l->reactor, &l->watch, EPOLLIN | EPOLLOUT);
+			change_watch(l->reactor, &l->watch, EPOLLIN | EPOLLOUT);
 			return;
 		}
 		if (n < 0) {
--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -25,8 +25,8 @@
 static void deliver(struct request *q, const struct job_answer *a);
 static void job_granted(void *owner);
 static void job_answered(void *owner, const struct job_answer *a);
-static void job_refused(void *owner, enum refuse_reason reason,
-    int64_t retry_after, bool arrived);
+static void job_refused(
+    void *owner, enum refuse_reason reason, int64_t retry_after, bool arrived);
 static void job_failed(void *owner, enum attempt_end cause, bool not_sent);
 
 static const struct job_events local_events = {
@@ -175,7 +175,7 @@
 
 	add_note(q, NOTE_EXPIRED, "",
 	    (int)((get_reactor_now(q->node->reactor) - q->arrived) /
-		NSEC_PER_MSEC),
+		  NSEC_PER_MSEC),
 	    0, 0);
 	if (may_be_running(q))
 		q->unknown = true;
@@ -197,8 +197,8 @@
 	struct placement_option options[OPTIONS_MAX];
 	const struct service *s = q->service;
 	int64_t now = get_reactor_now(q->node->reactor);
-	struct placement_call call = {.target_left = q->target_at - now,
-	    .body_len = q->reader.body.len};
+	struct placement_call call = {
+	    .target_left = q->target_at - now, .body_len = q->reader.body.len};
 	size_t count =
 	    s->peer_count < OPTIONS_MAX ? s->peer_count : OPTIONS_MAX;
 	int best;
@@ -324,8 +324,8 @@
 	if (a != NULL)
 		deliver(q, a);
 	else if (q->unknown)
-		refuse_request(q, now >= q->deadline ? 504 : 502,
-		    REFUSE_NONE, 0);
+		refuse_request(
+		    q, now >= q->deadline ? 504 : 502, REFUSE_NONE, 0);
 	else
 		refuse_request(q, 503,
 		    q->reason != REFUSE_NONE ? q->reason : REFUSE_NO_ENDPOINT,
@@ -411,8 +411,8 @@
 }
 
 static void
-job_refused(void *owner, enum refuse_reason reason, int64_t retry_after,
-    bool arrived)
+job_refused(
+    void *owner, enum refuse_reason reason, int64_t retry_after, bool arrived)
 {
 	note_refused(owner, reason, retry_after, arrived);
 }
--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -116,8 +116,7 @@
 	n->backend = calloc(1, sizeof(*n->backend));
 	if (n->backend == NULL)
 		return ERR_MEMORY;
-	rc = create_admission(
-	    &a, get_reactor_now(n->reactor), &n->admission);
+	rc = create_admission(&a, get_reactor_now(n->reactor), &n->admission);
 	n->backend->node = n;
 	(void)copy_str(n->backend->address, sizeof(n->backend->address),
 	    make_str(n->cfg.backend));
@@ -362,8 +361,8 @@
 		return NULL;
 	}
 	c = calloc(1, sizeof(*c));
-	if (c == NULL || start_watch(n->reactor, &c->watch, fd, EPOLLOUT,
-			     serve_conn) != 0) {
+	if (c == NULL ||
+	    start_watch(n->reactor, &c->watch, fd, EPOLLOUT, serve_conn) != 0) {
 		free(c);
 		close(fd);
 		return NULL;
@@ -429,10 +428,10 @@
 	    j->spec.caller_service.len > 0)
 		rc = append_http_header(
 		    b, names->caller_service, j->spec.caller_service);
-	if (rc == 0 && (j->spec.body_len > 0 ||
-			   is_http_name(j->spec.method, "POST") ||
-			   is_http_name(j->spec.method, "PUT") ||
-			   is_http_name(j->spec.method, "PATCH")))
+	if (rc == 0 &&
+	    (j->spec.body_len > 0 || is_http_name(j->spec.method, "POST") ||
+		is_http_name(j->spec.method, "PUT") ||
+		is_http_name(j->spec.method, "PATCH")))
 		rc = append_buf_fmt(
 		    b, "Content-Length: %zu\r\n", j->spec.body_len);
 	return rc == 0 ? append_buf(b, "\r\n", 2) : rc;
@@ -541,8 +540,7 @@
 				fail_conn(c, ATTEMPT_BROKEN);
 				return;
 			}
-			c->spoilt =
-			    c->spoilt || c->reader.head.status >= 200;
+			c->spoilt = c->spoilt || c->reader.head.status >= 200;
 			reset_http_reader(&c->reader);
 			continue;
 		}
@@ -673,8 +671,8 @@
 	struct node *n = c->node;
 	struct job *j = c->job;
 	bool not_sent = c->state == CONN_OPENING;
-	bool forgotten = c->reused && c->strays == 0 &&
-			 !is_http_reading(&c->reader);
+	bool forgotten =
+	    c->reused && c->strays == 0 && !is_http_reading(&c->reader);
 
 	c->job = NULL;
 	close_conn(c);
@@ -785,7 +783,8 @@
 end_down(struct timer *t)
 {
 	struct backend *b =
-	    (struct backend *)((char *)t - offsetof(struct backend, down_timer));
+	    (struct backend *)((char *)t -
+			       offsetof(struct backend, down_timer));
 	struct node *n = b->node;
 
 	b->down = false;
--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -92,16 +92,15 @@
 	}
 	c->closing = c->closing || !q->reader.head.keep_alive ||
 		     c->node->leaving_at != 0;
-	rc = append_buf_fmt(&c->out, "HTTP/1.1 %d %s\r\n", status,
-	    get_http_reason(status));
+	rc = append_buf_fmt(
+	    &c->out, "HTTP/1.1 %d %s\r\n", status, get_http_reason(status));
 	if (rc == 0)
 		rc = append_buf_str(&c->out, head);
 	if (rc == 0 && (status >= 200 && status != 204 && status != 304))
 		rc = append_buf_fmt(
 		    &c->out, "Content-Length: %zu\r\n", body.len);
 	if (rc == 0 && c->closing)
-		rc = append_buf_str(
-		    &c->out, make_str("Connection: close\r\n"));
+		rc = append_buf_str(&c->out, make_str("Connection: close\r\n"));
 	if (rc == 0)
 		rc = append_buf(&c->out, "\r\n", 2);
 	if (rc == 0 && !bare)
@@ -145,9 +144,8 @@
 	struct caller *c = calloc(1, sizeof(*c));
 	int one = 1;
 
-	if (c == NULL ||
-	    start_watch(n->reactor, &c->watch, fd, EPOLLIN | EPOLLRDHUP,
-		serve_caller) != 0) {
+	if (c == NULL || start_watch(n->reactor, &c->watch, fd,
+			     EPOLLIN | EPOLLRDHUP, serve_caller) != 0) {
 		write_log(LOG_LEVEL_ERR,
 		    "a caller's connection is closed: out of memory");
 		free(c);
--- a/packages/node/inbound.c
+++ b/packages/node/inbound.c
@@ -44,13 +44,12 @@
 static void ignore_drained(void *arg);
 static void send_refusal(struct inbound_link *l, uint32_t stream,
     enum refuse_reason reason, int64_t retry_after, bool arrived);
-static struct remote_call *find_remote(
-    struct inbound_link *l, uint32_t stream);
+static struct remote_call *find_remote(struct inbound_link *l, uint32_t stream);
 static void free_remote(struct remote_call *c);
 static void remote_granted(void *owner);
 static void remote_answered(void *owner, const struct job_answer *a);
-static void remote_refused(void *owner, enum refuse_reason reason,
-    int64_t retry_after, bool arrived);
+static void remote_refused(
+    void *owner, enum refuse_reason reason, int64_t retry_after, bool arrived);
 static void remote_failed(void *owner, enum attempt_end cause, bool not_sent);
 
 static const struct hop_events link_events = {
@@ -66,8 +65,8 @@
 	int fd;
 
 	(void)events;
-	while ((fd = accept4(w->fd, NULL, NULL,
-		    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+	while ((fd = accept4(
+		    w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
 		open_inbound(l->node, fd);
 }
 
@@ -141,9 +140,8 @@
 	const struct node_config *cfg = &l->node->cfg;
 	struct hop_welcome w = {
 	    .node = (char *)(uintptr_t)cfg->name,
-	    .service = (char *)(uintptr_t)(cfg->service != NULL ?
-					       cfg->service :
-					       ""),
+	    .service =
+		(char *)(uintptr_t)(cfg->service != NULL ? cfg->service : ""),
 	    .load = get_own_load(l->node),
 	};
 	struct hop_hello h = {0};
@@ -353,14 +351,14 @@
 	m.head.head_len = (unsigned int)a->head.len;
 	if (m.load.in_flight > 0)
 		m.load.in_flight--; /* this call, which still holds its slot */
-	send_hop(c->link->hop, HOP_ANSWER, c->stream,
-	    (xdrproc_t)xdr_hop_answer, &m, a->body);
+	send_hop(c->link->hop, HOP_ANSWER, c->stream, (xdrproc_t)xdr_hop_answer,
+	    &m, a->body);
 	free_remote(c);
 }
 
 static void
-remote_refused(void *owner, enum refuse_reason reason, int64_t retry_after,
-    bool arrived)
+remote_refused(
+    void *owner, enum refuse_reason reason, int64_t retry_after, bool arrived)
 {
 	struct remote_call *c = owner;
 
@@ -376,7 +374,7 @@
 	    .not_sent = not_sent,
 	    .load = get_own_load(c->link->node)};
 
-	send_hop(c->link->hop, HOP_FAIL, c->stream, (xdrproc_t)xdr_hop_fail,
-	    &m, make_str_n(NULL, 0));
+	send_hop(c->link->hop, HOP_FAIL, c->stream, (xdrproc_t)xdr_hop_fail, &m,
+	    make_str_n(NULL, 0));
 	free_remote(c);
 }
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -64,16 +64,15 @@
 		return ERR_UNAVAILABLE;
 	(void)copy_str(method, sizeof(method), q->reader.head.method);
 	if (q->node->cfg.service != NULL)
-		(void)copy_str(caller, sizeof(caller),
-		    make_str(q->node->cfg.service));
+		(void)copy_str(
+		    caller, sizeof(caller), make_str(q->node->cfg.service));
 	o.method = method;
 	o.caller_service = caller;
 	o.target.target_val = (char *)(uintptr_t)q->reader.head.target.data;
 	o.target.target_len = (unsigned int)q->reader.head.target.len;
 	o.head.head_val = q->head.data;
 	o.head.head_len = (unsigned int)q->head.len;
-	o.body_here =
-	    q->terms.repeatable && body.len <= HOP_PIECE_BYTES;
+	o.body_here = q->terms.repeatable && body.len <= HOP_PIECE_BYTES;
 	a->link = l;
 	a->peer = p;
 	a->stream = ++l->last_stream;
@@ -154,8 +153,8 @@
 {
 	struct node *n = p->node;
 	struct peer_link *l = calloc(1, sizeof(*l));
-	struct hop_hello hello = {(char *)(uintptr_t)n->cfg.name,
-	    (char *)(uintptr_t)n->cfg.zone};
+	struct hop_hello hello = {
+	    (char *)(uintptr_t)n->cfg.name, (char *)(uintptr_t)n->cfg.zone};
 
 	if (l == NULL)
 		return NULL;
@@ -184,8 +183,8 @@
 static void
 time_out_connect(struct timer *t)
 {
-	lose_link((struct peer_link *)((char *)t -
-				       offsetof(struct peer_link, timer)),
+	lose_link(
+	    (struct peer_link *)((char *)t - offsetof(struct peer_link, timer)),
 	    "no welcome in time");
 }
 
@@ -321,7 +320,7 @@
 	a->body_sent = true;
 	add_note(q, NOTE_GRANTED, a->peer->id,
 	    (int)((get_reactor_now(q->node->reactor) - a->started) /
-		NSEC_PER_MSEC),
+		  NSEC_PER_MSEC),
 	    0, 0);
 	a->uploading = true;
 	a->next_upload = NULL;
@@ -362,8 +361,7 @@
 			q->attempt.peer->in_flight--;
 			q->attempt.link = NULL;
 			note_failed(q,
-			    connected ? ATTEMPT_BROKEN :
-					ATTEMPT_NOT_CONNECTED,
+			    connected ? ATTEMPT_BROKEN : ATTEMPT_NOT_CONNECTED,
 			    not_sent);
 		}
 	}
@@ -402,8 +400,8 @@
 	for (size_t i = 0; i < count; i++) {
 		bool not_sent = !list[i]->attempt.body_sent;
 
-		add_note(list[i], NOTE_SILENT, list[i]->attempt.peer->id, 0, 0,
-		    0);
+		add_note(
+		    list[i], NOTE_SILENT, list[i]->attempt.peer->id, 0, 0, 0);
 		send_hop(l->hop, HOP_CANCEL, list[i]->attempt.stream, NULL,
 		    NULL, make_str_n(NULL, 0));
 		remove_stream(list[i]);
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -100,8 +100,8 @@
 int
 render_node_status(struct node *n, struct buf *out)
 {
-	return append_buf_fmt(out, "{\"node\":\"%s\",\"zone\":\"%s\"}",
-	    n->cfg.name, n->cfg.zone);
+	return append_buf_fmt(
+	    out, "{\"node\":\"%s\",\"zone\":\"%s\"}", n->cfg.name, n->cfg.zone);
 }
 
 void
@@ -192,17 +192,17 @@
 	    "Calls that the backend server ran.");
 	m->shed = register_metric(METRIC_COUNTER, "ggs_node_shed_total",
 	    "Calls that admission refused.");
-	m->connects = register_metric(METRIC_COUNTER,
-	    "ggs_node_backend_connects_total",
-	    "Connections opened to the backend server.");
+	m->connects =
+	    register_metric(METRIC_COUNTER, "ggs_node_backend_connects_total",
+		"Connections opened to the backend server.");
 	m->links = register_metric(METRIC_COUNTER, "ggs_node_links_total",
 	    "Connections opened to other nodes.");
 	m->latency_us = register_metric(METRIC_HISTOGRAM, "ggs_node_latency_us",
 	    "Time from request to answer, us.");
 	m->queue_us = register_metric(METRIC_HISTOGRAM, "ggs_node_queue_us",
 	    "Time that calls waited for a slot, us.");
-	m->table_version = register_metric(METRIC_GAUGE,
-	    "ggs_node_table_version", "Table version in force.");
+	m->table_version = register_metric(
+	    METRIC_GAUGE, "ggs_node_table_version", "Table version in force.");
 }
 
 static int
@@ -238,8 +238,8 @@
 	    (struct node *)((char *)t - offsetof(struct node, refresh));
 	const struct table *fresh = acquire_table(n->cfg.agent);
 
-	if (fresh != NULL && (n->table == NULL ||
-				 fresh->version != n->table->version)) {
+	if (fresh != NULL &&
+	    (n->table == NULL || fresh->version != n->table->version)) {
 		take_table(n, fresh);
 	} else if (fresh != NULL) {
 		release_table(n->cfg.agent, fresh);
@@ -258,12 +258,12 @@
 	for (size_t i = 0; i < t->row_count; i++) {
 		const int32_t *v = t->rows[i]->values;
 
-		head_kb = v[COL_HEAD_MAX_KB] > head_kb ? v[COL_HEAD_MAX_KB] :
-							 head_kb;
+		head_kb =
+		    v[COL_HEAD_MAX_KB] > head_kb ? v[COL_HEAD_MAX_KB] : head_kb;
 		head_ms = v[COL_HEAD_MS] > head_ms ? v[COL_HEAD_MS] : head_ms;
 		idle_ms = v[COL_IDLE_MS] > idle_ms ? v[COL_IDLE_MS] : idle_ms;
-		body_kb = v[COL_BODY_MAX_KB] > body_kb ? v[COL_BODY_MAX_KB] :
-							 body_kb;
+		body_kb =
+		    v[COL_BODY_MAX_KB] > body_kb ? v[COL_BODY_MAX_KB] : body_kb;
 	}
 	if (t->row_count > 0) {
 		n->head_max = (size_t)head_kb * 1024;
--- a/packages/node/notes.c
+++ b/packages/node/notes.c
@@ -38,8 +38,7 @@
 
 		write_log(LOG_LEVEL_INFO, "call %s %s: %s %s %d %d %d at %lld",
 		    q->id, q->terms.kind, names[m->kind], m->text, m->a, m->b,
-		    m->c,
-		    (long long)((m->at - q->arrived) / NSEC_PER_USEC));
+		    m->c, (long long)((m->at - q->arrived) / NSEC_PER_USEC));
 	}
 	write_log(LOG_LEVEL_INFO, "call %s %s: %d %s", q->id, q->terms.kind,
 	    status, outcome);
--- a/packages/node/own.c
+++ b/packages/node/own.c
@@ -61,8 +61,8 @@
 void
 answer_metrics(struct node *n, struct request *q)
 {
-	struct own_answer a = {.status = 200,
-	    .type = "text/plain; version=0.0.4"};
+	struct own_answer a = {
+	    .status = 200, .type = "text/plain; version=0.0.4"};
 
 	(void)n;
 	if (render_metrics(&a.body) != 0) {
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -94,8 +94,8 @@
 	q->state = REQUEST_DONE;
 	q->reason = reason;
 	cancel_timer(q->node->reactor, &q->timer);
-	count_metric(status == 503 ? q->node->metrics.refused :
-				     q->node->metrics.failed,
+	count_metric(
+	    status == 503 ? q->node->metrics.refused : q->node->metrics.failed,
 	    1);
 	if (q->id[0] != '\0' && q->node->cfg.names.call_id != NULL)
 		rc = append_http_header(
@@ -131,8 +131,7 @@
 get_host(struct request *q, char *text, size_t size)
 {
 	struct str h = find_http_header(&q->reader.head, "host");
-	const char *colon =
-	    h.len > 0 ? memchr(h.data, ':', h.len) : NULL;
+	const char *colon = h.len > 0 ? memchr(h.data, ':', h.len) : NULL;
 
 	if (colon != NULL)
 		h.len = (size_t)(colon - h.data);
@@ -164,8 +163,7 @@
 	q->stats = find_kind(n, r->kind);
 	if (q->stats == NULL)
 		return ERR_MEMORY;
-	q->service =
-	    find_node_service(n, choose_part(n, q->stats, r));
+	q->service = find_node_service(n, choose_part(n, q->stats, r));
 	return q->service != NULL ? 0 : ERR_MEMORY;
 }
 
@@ -248,8 +246,8 @@
 static bool
 is_own_header(const struct call_names *names, struct str name)
 {
-	const char *const own[] = {names->deadline_ms, names->expect_instance,
-	    names->caller_service};
+	const char *const own[] = {
+	    names->deadline_ms, names->expect_instance, names->caller_service};
 
 	for (size_t i = 0; i < sizeof(own) / sizeof(own[0]); i++) {
 		if (own[i] != NULL && is_http_name(name, own[i]))
--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -51,8 +51,8 @@
 	j->owner = owner;
 	j->offered = now;
 	j->admission.token = j;
-	j->admission.deadline =
-	    spec->target_at > now ? spec->target_at : spec->deadline;
+	j->admission.deadline = spec->deadline;
+	j->admission.target = spec->target_at > 0 ? spec->target_at : 1;
 	j->next = n->jobs;
 	j->prev = &n->jobs;
 	if (j->next != NULL)
@@ -227,8 +227,9 @@
 	made.values[COL_WEIGHT] = 1;
 	made.values[COL_LIMIT_PCT] = 100;
 	made.values[COL_QUEUE_MAX] = 1000;
-	made.values[COL_TARGET_MS] = (int32_t)(
-	    (spec->target_at - get_reactor_now(n->reactor)) / NSEC_PER_MSEC);
+	made.values[COL_TARGET_MS] =
+	    (int32_t)((spec->target_at - get_reactor_now(n->reactor)) /
+		      NSEC_PER_MSEC);
 	return open_admission_row(n->admission, &made);
 }
 
@@ -351,8 +352,7 @@
 
 	if (n->admission == NULL)
 		return;
-	at = get_admission_wakeup(
-	    n->admission, get_reactor_now(n->reactor));
+	at = get_admission_wakeup(n->admission, get_reactor_now(n->reactor));
 	if (at == INT64_MAX)
 		cancel_timer(n->reactor, &n->admission_timer);
 	else
--- a/packages/node/services.c
+++ b/packages/node/services.c
@@ -9,11 +9,12 @@
 
 #define TOKENS_START 2.0 /* retries before the first calls were counted */
 /*
- * Shares of the budget that are used, since the windows of the limit slide and
- * other nodes count on their own.
+ * Shares of the budget that are used. The windows of the limit slide, other
+ * nodes count on their own, and the calls that a repeated run makes count as
+ * repeats at the services below it, which have budgets of their own.
  */
-#define RATIO_SHARE 0.6
-#define SLACK_SHARE 0.6
+#define RATIO_SHARE 0.35
+#define SLACK_SHARE 0.3
 #define TURNS_MAX 200 /* turns skipped at most when a split is new */
 
 static void want_service(struct node *n, const char *name);
@@ -294,8 +295,8 @@
 	int count = list_split(r, parts);
 
 	for (int i = 0; i < count; i++) {
-		(void)copy_str(k->turns[i].service,
-		    sizeof(k->turns[i].service), make_str(parts[i].service));
+		(void)copy_str(k->turns[i].service, sizeof(k->turns[i].service),
+		    make_str(parts[i].service));
 		k->turns[i].credit = 0;
 		total += (uint64_t)parts[i].share;
 	}
--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -15,6 +15,18 @@
 #define RETRY_AFTER_MIN_NS (50 * NSEC_PER_MSEC)
 #define RETRY_AFTER_MAX_NS (30 * NSEC_PER_SEC)
 #define RETRY_AFTER_DRAIN_NS NSEC_PER_SEC /* others serve the service */
+#define LATE_RANK 100 /* late calls come behind all rows */
+/*
+ * Late calls may wait while slots were free for them within this time; in a
+ * longer overload they would only be held for nothing.
+ */
+#define SLACK_NS (250 * NSEC_PER_MSEC)
+/*
+ * Share of the mean service time that a call must have left to count as in
+ * time: half of the runs are shorter than this for the usual skewed times.
+ */
+#define TARGET_NEED 0.7
+#define TARGET_RETRY_MIN_NS (20 * NSEC_PER_MSEC)
 
 struct admission {
 	const struct sharing_policy *policy;
@@ -23,6 +35,7 @@
 	bool fixed_limit;
 	bool draining;
 	int64_t accrued_at;
+	int64_t slack_at; /* last time at which a late call could start */
 	uint64_t next_seq;
 };
 
@@ -39,6 +52,7 @@
     struct admission_changes *out);
 static bool is_late(const struct admission *a, const struct lane *l,
     const struct admission_call *c, int64_t now);
+static int64_t get_least_run(const struct admission *a, const struct lane *l);
 static void expire_lane(struct admission *a, struct lane *l, int64_t now,
     struct admission_changes *out);
 static struct admit_verdict refuse_offer(
@@ -46,11 +60,25 @@
 static bool is_hopeless(const struct admission *a, const struct lane *l,
     const struct admission_call *c, int64_t now);
 static double estimate_wait(const struct admission *a, const struct lane *l);
+static int open_late_lane(struct admission *a, int row);
+static bool misses_target(const struct admission *a, const struct lane *l,
+    const struct admission_call *c, int64_t now);
+static double estimate_ahead(const struct admission *a, const struct lane *l,
+    const struct admission_call *c);
+static bool may_wait_late(const struct admission *a, int64_t now);
+static const struct lane *get_main(
+    const struct admission *a, const struct lane *l);
+static void demote_call(struct admission *a, struct lane *l,
+    struct admission_call *c, int64_t now, struct admission_changes *out);
+static struct admit_verdict refuse_late(
+    struct admission *a, struct admission_call *c, int64_t now);
+static int64_t get_late_retry(const struct admission *a, const struct lane *l,
+    const struct admission_call *c, int64_t now);
 static int64_t get_retry_after(
     const struct admission *a, const struct lane *l, enum refuse_reason reason);
 static int find_lane(const struct admission *a, struct str kind);
 static int add_lane(struct admission *a, int *out);
-static void reap_lane(struct lane *l);
+static void reap_lane(struct admission *a, struct lane *l);
 static void append_call(struct admission_call **list, struct admission_call *c);
 static bool remove_listed(
     struct admission_call **list, struct admission_call *c);
@@ -118,7 +146,7 @@
 		load_lane(&lanes[i], t->rows[n], a->policy->by_deadline);
 	}
 	for (size_t n = 0; n < a->view.lane_count; n++)
-		reap_lane(&lanes[n]);
+		reap_lane(a, &lanes[n]);
 	pump(a, now, out);
 	return 0;
 }
@@ -133,6 +161,8 @@
 	if (i < 0 && add_lane(a, &i) != 0)
 		return ERR_MEMORY;
 	load_lane(&a->view.lanes[i], r, a->policy->by_deadline);
+	if (a->view.lanes[i].late < 0 && open_late_lane(a, i) != 0)
+		return ERR_MEMORY;
 	return i;
 }
 
@@ -149,13 +179,15 @@
 		const struct row *r =
 		    l->used ? find_row(t, make_str(l->kind)) : NULL;
 
-		if (!l->used)
+		if (!l->used || l->main >= 0)
 			continue;
 		if (r != NULL)
 			load_lane(l, r, a->policy->by_deadline);
 		else
 			l->retired = true;
-		reap_lane(l);
+		if (l->late >= 0)
+			a->view.lanes[l->late].retired = l->retired;
+		reap_lane(a, l);
 	}
 	pump(a, now, out);
 }
@@ -195,12 +227,22 @@
 	accrue(a, now);
 	l = &a->view.lanes[row];
 	c->lane = row;
-	if (is_hopeless(a, l, c, now)) {
+	if (c->target == 0 && is_hopeless(a, l, c, now)) {
 		l->overflowed = l->waiting != 0;
 		return refuse_offer(a, c, REFUSE_DEADLINE);
 	}
-	if (a->policy->sheds && is_overloaded(l))
+	if (c->target == 0 && a->policy->sheds && is_overloaded(l))
 		return refuse_offer(a, c, REFUSE_OVERLOAD);
+	if (c->target != 0 && now >= c->deadline)
+		return refuse_offer(a, c, REFUSE_DEADLINE);
+	c->order = c->target != 0 ? c->target : c->deadline;
+	if (c->target != 0 && misses_target(a, l, c, now)) {
+		if (!may_wait_late(a, now))
+			return refuse_late(a, c, now);
+		c->order = c->deadline;
+		c->lane = l->late;
+		l = &a->view.lanes[l->late];
+	}
 	if (push_call(l, c) != 0)
 		return refuse_offer(a, c, REFUSE_OVERLOAD);
 	c->state = CALL_WAITING;
@@ -272,14 +314,16 @@
 	if (outcome == OUTCOME_NOT_RUN) {
 		add_limiter_shed(&a->limiter, a->view.in_flight, now);
 	} else if (service_ns > 0) {
-		add_service_sample(l, (double)service_ns);
+		struct lane *m = (struct lane *)(uintptr_t)get_main(a, l);
+
+		add_service_sample(m, (double)service_ns);
 		add_limiter_sample(
-		    &a->limiter, (double)service_ns / l->usual_ns, now);
+		    &a->limiter, (double)service_ns / m->usual_ns, now);
 	}
 	c->state = CALL_ENDED;
 	l->in_flight--;
 	a->view.in_flight--;
-	reap_lane(l);
+	reap_lane(a, l);
 	pump(a, now, out);
 }
 
@@ -300,7 +344,7 @@
 	remove_call(l, c);
 	a->view.waiting--;
 	c->state = CALL_ENDED;
-	reap_lane(l);
+	reap_lane(a, l);
 	pump(a, now, out);
 	return 0;
 }
@@ -317,7 +361,7 @@
 		struct lane *l = &a->view.lanes[i];
 
 		expire_lane(a, l, now, out);
-		reap_lane(l);
+		reap_lane(a, l);
 	}
 	pump(a, now, out);
 }
@@ -347,7 +391,7 @@
 		while (l->waiting != 0)
 			drop_waiting(
 			    a, l, get_first_call(l), REFUSE_DRAINING, out);
-		reap_lane(l);
+		reap_lane(a, l);
 	}
 }
 
@@ -395,6 +439,10 @@
 
 	if (a->view.waiting == 0)
 		return at;
+	for (size_t i = 0; i < a->view.lane_count; i++) {
+		if (a->view.lanes[i].main >= 0 && a->view.lanes[i].waiting > 0)
+			at = a->slack_at + SLACK_NS + 1;
+	}
 	if (load.in_flight < load.limit || load.limit < load.slots ||
 	    !a->policy->by_deadline)
 		at = now + POLL_NS;
@@ -403,11 +451,15 @@
 	for (size_t i = 0; i < a->view.lane_count; i++) {
 		const struct lane *l = &a->view.lanes[i];
 		const struct admission_call *c = get_first_call(l);
-		int64_t need = a->policy->sheds ? (int64_t)l->service_ns : 0;
+		int64_t need = get_least_run(a, l);
 
 		/* The first ns at which the call is too late. */
 		if (c != NULL && c->deadline - need + 1 < at)
 			at = c->deadline - need + 1;
+		need = (int64_t)(TARGET_NEED * l->service_ns);
+		if (c != NULL && c->target != 0 && l->late >= 0 &&
+		    c->target - need + 1 < at)
+			at = c->target - need + 1;
 	}
 	return at < now ? now : at;
 }
@@ -447,8 +499,12 @@
 		if (i < 0)
 			return;
 		l = &a->view.lanes[i];
+		if (l->main >= 0)
+			a->slack_at = now;
 		start_call(a, l, get_first_call(l), now, out);
 	}
+	if (a->view.in_flight < a->view.limit)
+		a->slack_at = now;
 }
 
 /* Starts one waiting call, or refuses it when it is too late for it. */
@@ -460,6 +516,11 @@
 		drop_waiting(a, l, c, REFUSE_DEADLINE, out);
 		return;
 	}
+	if (l->late >= 0 && c->target != 0 &&
+	    now + (int64_t)(TARGET_NEED * l->service_ns) > c->target) {
+		demote_call(a, l, c, now, out);
+		return;
+	}
 	remove_call(l, c);
 	a->view.waiting--;
 	l->in_flight++;
@@ -503,9 +564,19 @@
 {
 	size_t kept = 0, count = l->waiting;
 
+	if (l->main >= 0 && !may_wait_late(a, now)) {
+		while (l->waiting != 0)
+			drop_waiting(a, l, l->heap[0], REFUSE_OVERLOAD, out);
+		return;
+	}
 	if (l->by_deadline) {
 		while (l->waiting != 0 && is_late(a, l, l->heap[0], now))
 			drop_waiting(a, l, l->heap[0], REFUSE_DEADLINE, out);
+		while (l->waiting != 0 && l->late >= 0 &&
+		       l->heap[0]->target != 0 &&
+		       now + (int64_t)(TARGET_NEED * l->service_ns) >
+			   l->heap[0]->target)
+			demote_call(a, l, l->heap[0], now, out);
 		return;
 	}
 	for (size_t i = 0; i < count; i++) {
@@ -527,9 +598,20 @@
 is_late(const struct admission *a, const struct lane *l,
     const struct admission_call *c, int64_t now)
 {
-	int64_t need = a->policy->sheds ? (int64_t)l->service_ns : 0;
+	return !can_meet_deadline(now, c->deadline, get_least_run(a, l));
+}
+
+/*
+ * Returns the time that a call must have left to be started, in ns. A late call
+ * may still be answered by a run that is short.
+ */
+static int64_t
+get_least_run(const struct admission *a, const struct lane *l)
+{
+	int64_t need =
+	    a->policy->sheds ? (int64_t)get_main(a, l)->service_ns : 0;
 
-	return !can_meet_deadline(now, c->deadline, need);
+	return l->main >= 0 ? need / 2 : need;
 }
 
 /* Ends an offered call as refused. */
@@ -573,14 +655,15 @@
 estimate_wait(const struct admission *a, const struct lane *l)
 {
 	double floor_slots = get_floor_slots(l, a->view.limit);
-	double own = (double)l->waiting * l->service_ns;
+	double own = (double)l->waiting * get_main(a, l)->service_ns;
 	double ahead = 0;
 
 	for (size_t i = 0; i < a->view.lane_count; i++) {
 		const struct lane *o = &a->view.lanes[i];
 
 		if (o->used && o->rank <= l->rank)
-			ahead += (double)o->waiting * o->service_ns;
+			ahead +=
+			    (double)o->waiting * get_main(a, o)->service_ns;
 	}
 	ahead /= a->view.limit;
 	if (floor_slots > 0 && own / floor_slots < ahead)
@@ -588,6 +671,132 @@
 	return ahead;
 }
 
+/*
+ * Makes the lane of a row's late calls.
+ */
+static int
+open_late_lane(struct admission *a, int row)
+{
+	struct lane *l;
+	int i;
+
+	if (add_lane(a, &i) != 0)
+		return ERR_MEMORY;
+	l = &a->view.lanes[i];
+	l->used = true;
+	l->rank = a->view.lanes[row].rank + LATE_RANK;
+	l->weight = a->view.lanes[row].weight;
+	l->limit_pct = 100;
+	l->queue_max = a->view.lanes[row].queue_max;
+	l->target_ns = a->view.lanes[row].target_ns;
+	l->by_deadline = a->policy->by_deadline;
+	l->late = -1;
+	l->main = row;
+	a->view.lanes[row].late = i;
+	return 0;
+}
+
+/* Returns the lane whose estimates count for the calls of l. */
+static const struct lane *
+get_main(const struct admission *a, const struct lane *l)
+{
+	return l->main >= 0 ? &a->view.lanes[l->main] : l;
+}
+
+/*
+ * Says whether a new call would probably be answered late. Only the calls that
+ * go before it count.
+ */
+static bool
+misses_target(const struct admission *a, const struct lane *l,
+    const struct admission_call *c, int64_t now)
+{
+	double need = TARGET_NEED * l->service_ns;
+
+	if (a->view.in_flight < a->view.limit)
+		return (double)(c->target - now) < need;
+	return (double)(c->target - now) < estimate_ahead(a, l, c) + need;
+}
+
+/*
+ * Estimates the wait behind the calls of more urgent rows and the calls of its
+ * row with an earlier target, in ns.
+ */
+static double
+estimate_ahead(const struct admission *a, const struct lane *l,
+    const struct admission_call *c)
+{
+	double ahead = l->service_ns / 2; /* until the first slot comes free */
+
+	for (size_t i = 0; i < a->view.lane_count; i++) {
+		const struct lane *o = &a->view.lanes[i];
+
+		if (!o->used || o->main >= 0 || o->rank > l->rank)
+			continue;
+		for (size_t k = 0; k < o->waiting; k++) {
+			if (o->rank < l->rank || o->heap[k]->order <= c->order)
+				ahead += o->service_ns;
+		}
+	}
+	return ahead / a->view.limit;
+}
+
+static bool
+may_wait_late(const struct admission *a, int64_t now)
+{
+	return now - a->slack_at <= SLACK_NS;
+}
+
+/*
+ * Moves a waiting call behind all that can still be in time, or refuses it in
+ * an overload.
+ */
+static void
+demote_call(struct admission *a, struct lane *l, struct admission_call *c,
+    int64_t now, struct admission_changes *out)
+{
+	struct lane *late = &a->view.lanes[l->late];
+
+	if (!may_wait_late(a, now)) {
+		drop_waiting(a, l, c, REFUSE_OVERLOAD, out);
+		return;
+	}
+	remove_call(l, c);
+	c->order = c->deadline;
+	c->lane = l->late;
+	if (push_call(late, c) == 0)
+		return;
+	a->view.waiting--;
+	end_refused(a, late, c, REFUSE_OVERLOAD, out);
+}
+
+static struct admit_verdict
+refuse_late(struct admission *a, struct admission_call *c, int64_t now)
+{
+	struct admit_verdict v = refuse_offer(a, c, REFUSE_OVERLOAD);
+
+	v.retry_after_ns = get_late_retry(a, &a->view.lanes[c->lane], c, now);
+	c->retry_after_ns = v.retry_after_ns;
+	return v;
+}
+
+/*
+ * Returns when a refused call should come back: soon enough that it can still
+ * be in time, since then it goes before those that came after it.
+ */
+static int64_t
+get_late_retry(const struct admission *a, const struct lane *l,
+    const struct admission_call *c, int64_t now)
+{
+	double wait = estimate_ahead(a, l, c) / 2;
+	double spare = (double)(c->target - now) - 2 * l->service_ns;
+
+	if (wait > spare)
+		wait = spare;
+	return wait > (double)TARGET_RETRY_MIN_NS ? (int64_t)wait :
+						    TARGET_RETRY_MIN_NS;
+}
+
 /* Returns when another attempt here may succeed, in ns. */
 static int64_t
 get_retry_after(
@@ -643,10 +852,18 @@
 
 /* Frees a lane that left the table, once its last call has ended. */
 static void
-reap_lane(struct lane *l)
+reap_lane(struct admission *a, struct lane *l)
 {
-	if (l->used && l->retired && l->waiting == 0 && l->in_flight == 0)
-		unload_lane(l);
+	struct lane *late = l->late >= 0 ? &a->view.lanes[l->late] : NULL;
+
+	if (!l->used || !l->retired || l->waiting != 0 || l->in_flight != 0 ||
+	    l->main >= 0)
+		return;
+	if (late != NULL && (late->waiting != 0 || late->in_flight != 0))
+		return;
+	if (late != NULL)
+		unload_lane(late);
+	unload_lane(l);
 }
 
 /* Appends to a list of changes. */
--- a/packages/policy/admission.h
+++ b/packages/policy/admission.h
@@ -30,18 +30,24 @@
 };
 
 /*
- * A call, embedded in the caller's own object. The caller sets token and
- * deadline, leaves the rest zero, and keeps it until its end.
+ * A call, embedded in the caller's own object. The caller sets token, deadline
+ * and perhaps target, leaves the rest zero, and keeps it until its end.
  */
 struct admission_call {
 	void *token; /* the caller's object */
 	int64_t deadline; /* mono ns */
+	/*
+	 * An answer after this is late, mono ns; 0: none. Calls that are late
+	 * wait behind all others, and only while slots come free for them.
+	 */
+	int64_t target;
 	enum call_state state; /* from here on owned by the module */
 	enum refuse_reason reason; /* when refused */
 	int64_t retry_after_ns; /* when refused */
 	int64_t arrived; /* mono ns */
 	int64_t started; /* mono ns */
 	uint64_t seq; /* order of arrival */
+	int64_t order; /* in its lane: target or deadline */
 	int lane;
 	size_t heap_index;
 	struct admission_call *next; /* in a list of changes */
@@ -91,7 +97,8 @@
 /*
  * For a service with very many rows: rows are taken up when calls of them
  * come. open_admission_row() returns the index for offer_call(), or ERR_MEMORY;
- * refresh_admission_rows() takes over the cells of a new table.
+ * refresh_admission_rows() takes over the cells of a new table. Only calls of
+ * such rows may have a target.
  */
 int open_admission_row(struct admission *a, const struct row *r);
 void refresh_admission_rows(struct admission *a, const struct table *t,
--- a/packages/policy/lane.c
+++ b/packages/policy/lane.c
@@ -30,6 +30,8 @@
 void
 load_lane(struct lane *l, const struct row *r, bool by_deadline)
 {
+	if (!l->used)
+		l->late = l->main = -1;
 	l->used = true;
 	l->retired = false;
 	(void)copy_str(l->kind, sizeof(l->kind), make_str(r->kind));
@@ -64,6 +66,8 @@
 		l->heap = heap;
 		l->heap_cap = cap;
 	}
+	if (c->order == 0)
+		c->order = c->deadline;
 	place_call(l, c, l->waiting++);
 	sift_up(l, c->heap_index);
 	return 0;
@@ -241,8 +245,8 @@
 is_before(const struct lane *l, const struct admission_call *a,
     const struct admission_call *b)
 {
-	if (l->by_deadline && a->deadline != b->deadline)
-		return a->deadline < b->deadline;
+	if (l->by_deadline && a->order != b->order)
+		return a->order < b->order;
 	return a->seq < b->seq;
 }
 
--- a/packages/policy/lane.h
+++ b/packages/policy/lane.h
@@ -11,6 +11,8 @@
 struct lane {
 	bool used; /* holds a row, current or retired */
 	bool retired; /* the row left the table; ends when empty */
+	int late; /* lane of the row's late calls; -1: none */
+	int main; /* of a lane of late calls: the row's own; else -1 */
 	char kind[TABLE_NAME_BYTES];
 	int rank;
 	int weight;
