node: tell broken links from unopened ones, and end stops in time

Change: was_hop_connected(); a stopping node refuses other nodes' calls 0.8 s before it can end, closes its listeners in time for the longest call, and stops before its agent.

Ruled out: the resend on forgotten connections (only calls that may repeat).

--- a/apps/greengagespurd/platform_role.c
+++ b/apps/greengagespurd/platform_role.c
@@ -2,6 +2,7 @@
  * The role of a process on the users' platform, by the settings file that the
  * platform writes: a node beside a backend server, or a control process.
  */
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
@@ -29,10 +30,11 @@
 #define CONNECT_MS 500
 /* The ready question comes every second; two misses move callers away. */
 #define LEAVE_NS (2300 * NSEC_PER_MSEC)
-#define STOP_SHARE 0.9 /* of the time until the kill */
+#define STOP_MARGIN_S 1.0 /* kept free before the kill, to leave the fleet */
 
 static struct platform_settings settings;
 static struct agent *agent;
+static pthread_mutex_t node_lock = PTHREAD_MUTEX_INITIALIZER; /* of node */
 static struct node *node;
 static struct control *control;
 static struct timespec settings_time; /* of the file's last change */
@@ -103,12 +105,16 @@
 static int
 stop(struct fault *f)
 {
+	struct node *n = node;
 	int rc = 0;
 
-	if (node != NULL) {
-		drain_node(node);
+	if (n != NULL) {
+		drain_node(n);
+		pthread_mutex_lock(&node_lock);
+		node = NULL;
+		pthread_mutex_unlock(&node_lock);
+		stop_node(n);
 		stop_agent(agent);
-		stop_node(node);
 	}
 	if (control != NULL) {
 		rc = has_control_failed(control, f) ? (int)f->kind : 0;
@@ -177,7 +183,8 @@
 	    .retry_window_ns =
 		(int64_t)(settings.retry_window_s * NSEC_PER_SEC),
 	    .leave_ns = LEAVE_NS,
-	    .stop_ns = (int64_t)(settings.stop_s * STOP_SHARE * NSEC_PER_SEC),
+	    .stop_ns =
+		(int64_t)((settings.stop_s - STOP_MARGIN_S) * NSEC_PER_SEC),
 	    .names = get_platform_call_names(),
 	    .reports = get_platform_reports(),
 	    .seed = seed,
@@ -189,7 +196,9 @@
 	if (rc != 0)
 		return rc;
 	n.agent = agent;
+	pthread_mutex_lock(&node_lock);
 	rc = start_node(&n, &node, f);
+	pthread_mutex_unlock(&node_lock);
 	if (rc != 0)
 		stop_agent(agent);
 	return rc;
@@ -202,11 +211,11 @@
 static void
 refresh_agent_node(void *arg)
 {
-	struct node *n = __atomic_load_n(&node, __ATOMIC_ACQUIRE);
-
 	(void)arg;
-	if (n != NULL)
-		refresh_node(n);
+	pthread_mutex_lock(&node_lock);
+	if (node != NULL)
+		refresh_node(node);
+	pthread_mutex_unlock(&node_lock);
 }
 
 static void
--- a/packages/hop/hop.c
+++ b/packages/hop/hop.c
@@ -158,9 +158,9 @@
 }
 
 bool
-is_hop_connected(const struct hop_link *l)
+was_hop_connected(const struct hop_link *l)
 {
-	return !l->connecting && !l->closed;
+	return !l->connecting;
 }
 
 bool
--- a/packages/hop/hop.h
+++ b/packages/hop/hop.h
@@ -76,7 +76,7 @@
 
 /* Queries */
 size_t get_hop_unsent(const struct hop_link *l); /* bytes */
-bool is_hop_connected(const struct hop_link *l);
+bool was_hop_connected(const struct hop_link *l); /* frames may have left */
 bool is_hop_silent(const struct hop_link *l);
 
 /* Decodes the message at the start of a payload; rest is what follows it. */
--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -75,6 +75,18 @@
 		close_caller(n->callers);
 }
 
+void
+close_idle_callers(struct node *n)
+{
+	struct caller *c, *next;
+
+	for (c = n->callers; c != NULL; c = next) {
+		next = c->next;
+		if (c->request == NULL && c->out.len == 0)
+			close_caller(c);
+	}
+}
+
 /*
  * Writes the answer at once as far as the socket takes it. The connection stays
  * open unless the caller or the node wants it closed.
--- a/packages/node/inbound.c
+++ b/packages/node/inbound.c
@@ -183,8 +183,8 @@
 		unload_buf(&c->body);
 		free(c);
 		send_refusal(l, stream,
-		    n->leaving_at != 0 ? REFUSE_DRAINING : REFUSE_NO_ENDPOINT,
-		    0, false);
+		    n->serve_ended ? REFUSE_DRAINING : REFUSE_NO_ENDPOINT, 0,
+		    false);
 		return;
 	}
 	c->next = l->calls[stream % REMOTE_SLOTS];
@@ -211,7 +211,7 @@
 	    .body_len = o->body_len,
 	};
 
-	if (n->leaving_at != 0 || o->body_len > HOP_PAYLOAD_MAX ||
+	if (n->serve_ended || o->body_len > HOP_PAYLOAD_MAX ||
 	    (o->body_here && body.len != o->body_len))
 		return ERR_UNAVAILABLE;
 	if (o->body_here) {
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -336,7 +336,7 @@
 lose_link(void *arg, const char *why)
 {
 	struct peer_link *l = arg, **at = &l->node->links;
-	bool connected = is_hop_connected(l->hop);
+	bool connected = was_hop_connected(l->hop);
 
 	(void)why;
 	while (*at != l)
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -14,6 +14,13 @@
 #define LEAVE_DEFAULT (2 * NSEC_PER_SEC)
 #define STOP_DEFAULT (30 * NSEC_PER_SEC)
 #define LEAVE_TICK_NS (50 * NSEC_PER_MSEC) /* between looks at a stop */
+/*
+ * Other nodes send no more calls this long before a stopping node can end, so
+ * that most runs are over by then; until then its server is of use to them.
+ */
+#define SERVE_END_NS (800 * NSEC_PER_MSEC)
+/* Kept free between the last call's deadline and the end of a stop. */
+#define STOP_MARGIN_NS (300 * NSEC_PER_MSEC)
 /* A node that ends waits this long after the last call it took. */
 #define QUIET_NS (400 * NSEC_PER_MSEC)
 
@@ -28,6 +35,8 @@
 static void take_table(struct node *n, const struct table *t);
 static void begin_leave(struct task *t);
 static void check_leave(struct timer *t);
+static void stop_accepting(struct node *n, int64_t now);
+static int64_t get_longest_call(const struct node *n);
 static void free_node(struct node *n);
 
 int
@@ -295,7 +304,8 @@
 		return;
 	n->leaving_at = get_reactor_now(n->reactor);
 	n->last_call = n->leaving_at;
-	tell_load(n);
+	write_log(LOG_LEVEL_NOTICE, "stop: %d calls and %d jobs under way",
+	    n->requests, n->job_count);
 	set_timer(n->reactor, &n->leave_timer, n->leaving_at + LEAVE_TICK_NS,
 	    check_leave);
 }
@@ -315,6 +325,7 @@
 		     now - n->leaving_at >= n->cfg.leave_ns &&
 		     now - n->last_call >= QUIET_NS;
 
+	stop_accepting(n, now);
 	if (!over && !quiet) {
 		set_timer(n->reactor, &n->leave_timer, now + LEAVE_TICK_NS,
 		    check_leave);
@@ -324,12 +335,51 @@
 		write_log(LOG_LEVEL_WARNING,
 		    "stop: %d calls and %d jobs did not end in time",
 		    n->requests, n->job_count);
+	write_log(LOG_LEVEL_NOTICE, "stop: drained after %lld ms",
+	    (long long)((now - n->leaving_at) / NSEC_PER_MSEC));
 	pthread_mutex_lock(&n->lock);
 	n->drained = true;
 	pthread_cond_signal(&n->drained_cond);
 	pthread_mutex_unlock(&n->lock);
 }
 
+/*
+ * Ends what a stopping node still takes, step by step: calls of other nodes,
+ * then, in time for the last one to be answered, callers that did not move away.
+ */
+static void
+stop_accepting(struct node *n, int64_t now)
+{
+	int64_t since = now - n->leaving_at;
+	int64_t last = n->cfg.stop_ns - get_longest_call(n) - STOP_MARGIN_NS;
+
+	if (!n->serve_ended && since >= n->cfg.leave_ns - SERVE_END_NS) {
+		n->serve_ended = true;
+		tell_load(n);
+	}
+	if (last < n->cfg.leave_ns)
+		last = n->cfg.leave_ns;
+	if (n->listener_count > 0 && since >= last) {
+		close_listeners(n);
+		close_idle_callers(n);
+	}
+}
+
+/*
+ * Returns the longest time that a call of the kinds seen so far may take, ns.
+ */
+static int64_t
+get_longest_call(const struct node *n)
+{
+	int64_t longest = 0;
+
+	for (const struct kind_stats *k = n->kinds; k != NULL; k = k->next) {
+		if (k->longest_ns > longest)
+			longest = k->longest_ns;
+	}
+	return longest;
+}
+
 /*
  * The thread has ended, or never ran.
  */
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -240,6 +240,7 @@
 	struct kind_stats *next;
 	char kind[TABLE_NAME_BYTES];
 	int64_t patience_ns; /* longest time that its callers wait */
+	int64_t longest_ns; /* from a call's arrival to its deadline */
 	struct split_turn {
 		char service[TABLE_NAME_BYTES];
 		double credit;
@@ -297,6 +298,7 @@
 	struct task drain; /* posted by drain_node() */
 	struct timer leave_timer;
 	int64_t leaving_at; /* mono ns; 0: not leaving */
+	bool serve_ended; /* other nodes' calls are refused */
 	pthread_mutex_t lock; /* of drained */
 	pthread_cond_t drained_cond;
 	bool drained;
@@ -314,6 +316,7 @@
 /* caller.c */
 void accept_callers(struct watch *w, uint32_t events);
 void close_callers(struct node *n);
+void close_idle_callers(struct node *n); /* no request is under way */
 /* Sends an answer; frees the request. head holds header lines. */
 void send_answer(
     struct request *q, int status, struct str head, struct str body);
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -185,6 +185,8 @@
 		if (patience < deadline)
 			deadline = patience;
 	}
+	if (deadline > q->stats->longest_ns)
+		q->stats->longest_ns = deadline;
 	q->deadline = q->arrived + deadline;
 	q->target_at = q->arrived + q->terms.target_ns - passed;
 	if (q->target_at > q->deadline)
--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -150,7 +150,7 @@
 	struct hop_load l = {.state = (int)n->state};
 	struct admission_load a;
 
-	if (n->leaving_at != 0 && n->state == HOP_STATE_READY)
+	if (n->serve_ended && n->state == HOP_STATE_READY)
 		l.state = HOP_STATE_LEAVING;
 	if (n->admission == NULL)
 		return l;
