node, policy: calls that backend servers make go first

Change: a kind whose calls come from beside one service only, while others come from beside many, counts as made by backend servers and goes before all ranks, until its deadline. Late calls wait a quarter of the target at most.

Ruled out: the row's rank; the platform gives these rows the rank of the work that they compete with.

--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -8,10 +8,14 @@
 #include "node_state.h"
 
 #define BODY_WAIT_NS (1 * NSEC_PER_SEC) /* longest wait for a granted body */
+#define INNER_CALLS_MIN 20 /* calls of a kind before its origin is judged */
 #define FAILED_GAIN 0.05 /* of the recent share of failed runs */
 #define SERVICE_GAIN 0.1 /* of the recent mean of a run */
 
-static int find_lane_index(struct node *n, const struct job_spec *spec);
+static int find_lane_index(
+    struct node *n, const struct job_spec *spec, bool inner);
+static bool is_inner_call(struct node *n, const struct job_spec *spec);
+static void note_caller(char *first, bool *many, struct str service);
 static void run_outcome(struct task *t);
 static void apply_changes(
     struct node *n, const struct admission_changes *changes);
@@ -37,11 +41,13 @@
 	int64_t now = get_reactor_now(n->reactor);
 	struct admit_verdict v;
 	struct job *j;
+	bool inner;
 	int lane;
 
 	if (n->admission == NULL || n->state != HOP_STATE_READY)
 		return ERR_UNAVAILABLE;
-	lane = find_lane_index(n, spec);
+	inner = is_inner_call(n, spec);
+	lane = find_lane_index(n, spec, inner);
 	j = lane >= 0 ? calloc(1, sizeof(*j)) : NULL;
 	if (j == NULL)
 		return ERR_MEMORY;
@@ -52,7 +58,9 @@
 	j->offered = now;
 	j->admission.token = j;
 	j->admission.deadline = spec->deadline;
-	j->admission.target = spec->target_at > 0 ? spec->target_at : 1;
+	j->admission.target = inner		  ? spec->deadline :
+			      spec->target_at > 0 ? spec->target_at :
+						    1;
 	j->next = n->jobs;
 	j->prev = &n->jobs;
 	if (j->next != NULL)
@@ -213,14 +221,14 @@
  * have yet is served by what the entry node says of it.
  */
 static int
-find_lane_index(struct node *n, const struct job_spec *spec)
+find_lane_index(struct node *n, const struct job_spec *spec, bool inner)
 {
 	const struct row *r =
 	    n->table != NULL ? find_row(n->table, spec->kind) : NULL;
 	struct row made = {0};
 
 	if (r != NULL)
-		return open_admission_row(n->admission, r);
+		return open_admission_row(n->admission, r, inner);
 	(void)copy_str(made.kind, sizeof(made.kind), spec->kind);
 	made.repeatable = spec->repeatable;
 	made.values[COL_RANK] = spec->rank;
@@ -230,7 +238,42 @@
 	made.values[COL_TARGET_MS] =
 	    (int32_t)((spec->target_at - get_reactor_now(n->reactor)) /
 		      NSEC_PER_MSEC);
-	return open_admission_row(n->admission, &made);
+	return open_admission_row(n->admission, &made, inner);
+}
+
+/*
+ * Says whether calls of this kind are made by the backend servers of another
+ * service: they come from beside that one service only, while other calls come
+ * from beside many. Such a call holds up a run that has a slot elsewhere, so it
+ * goes first, and it is of use until its deadline.
+ */
+static bool
+is_inner_call(struct node *n, const struct job_spec *spec)
+{
+	char kind[TABLE_NAME_BYTES];
+	struct kind_stats *k;
+
+	if (spec->caller_service.len == 0 ||
+	    copy_str(kind, sizeof(kind), spec->kind) != 0)
+		return false;
+	k = find_kind(n, kind);
+	if (k == NULL)
+		return false;
+	note_caller(n->first_caller, &n->many_callers, spec->caller_service);
+	note_caller(k->caller_service, &k->many_callers, spec->caller_service);
+	if (k->served < INNER_CALLS_MIN)
+		k->served++;
+	return k->served >= INNER_CALLS_MIN && !k->many_callers &&
+	       n->many_callers;
+}
+
+static void
+note_caller(char *first, bool *many, struct str service)
+{
+	if (first[0] == '\0')
+		(void)copy_str(first, TABLE_NAME_BYTES, service);
+	else if (!is_str_equal(make_str(first), service))
+		*many = true;
 }
 
 /*
--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -21,6 +21,8 @@
  * longer overload they would only be held for nothing.
  */
 #define SLACK_NS (250 * NSEC_PER_MSEC)
+#define LATE_POLL_NS (25 * NSEC_PER_MSEC) /* looks at waiting late calls */
+#define LATE_WAIT_SHARE 0.25 /* of the target: longest wait of a late call */
 /*
  * Share of the mean service time that a call must have left to count as in
  * time: half of the runs are shorter than this for the usual skewed times.
@@ -53,6 +55,8 @@
 static bool is_late(const struct admission *a, const struct lane *l,
     const struct admission_call *c, int64_t now);
 static int64_t get_least_run(const struct admission *a, const struct lane *l);
+static void drop_long_late(struct admission *a, struct lane *l, int64_t now,
+    struct admission_changes *out);
 static void expire_lane(struct admission *a, struct lane *l, int64_t now,
     struct admission_changes *out);
 static struct admit_verdict refuse_offer(
@@ -152,14 +156,16 @@
 }
 
 int
-open_admission_row(struct admission *a, const struct row *r)
+open_admission_row(struct admission *a, const struct row *r, bool urgent)
 {
 	int i = find_lane(a, make_str(r->kind));
 
-	if (i >= 0 && !a->view.lanes[i].retired)
+	if (i >= 0 && !a->view.lanes[i].retired &&
+	    a->view.lanes[i].urgent == urgent)
 		return i;
 	if (i < 0 && add_lane(a, &i) != 0)
 		return ERR_MEMORY;
+	a->view.lanes[i].urgent = urgent;
 	load_lane(&a->view.lanes[i], r, a->policy->by_deadline);
 	if (a->view.lanes[i].late < 0 && open_late_lane(a, i) != 0)
 		return ERR_MEMORY;
@@ -237,10 +243,13 @@
 		return refuse_offer(a, c, REFUSE_DEADLINE);
 	c->order = c->target != 0 ? c->target : c->deadline;
 	if (c->target != 0 && misses_target(a, l, c, now)) {
-		if (!may_wait_late(a, now))
+		if (!may_wait_late(a, now) ||
+		    estimate_wait(a, &a->view.lanes[l->late]) >
+			LATE_WAIT_SHARE * (double)l->target_ns)
 			return refuse_late(a, c, now);
 		c->order = c->deadline;
 		c->lane = l->late;
+		c->late_since = now;
 		l = &a->view.lanes[l->late];
 	}
 	if (push_call(l, c) != 0)
@@ -441,7 +450,7 @@
 		return at;
 	for (size_t i = 0; i < a->view.lane_count; i++) {
 		if (a->view.lanes[i].main >= 0 && a->view.lanes[i].waiting > 0)
-			at = a->slack_at + SLACK_NS + 1;
+			at = now + LATE_POLL_NS;
 	}
 	if (load.in_flight < load.limit || load.limit < load.slots ||
 	    !a->policy->by_deadline)
@@ -555,7 +564,28 @@
 }
 
 /*
- * Refuses the late calls of a row. In a heap by deadline they are on top; in a
+ * Refuses the late calls that waited long enough, or all of them in a lasting
+ * overload: holding a call that is not served in the end helps nobody.
+ */
+static void
+drop_long_late(struct admission *a, struct lane *l, int64_t now,
+    struct admission_changes *out)
+{
+	int64_t longest = (int64_t)(LATE_WAIT_SHARE * (double)l->target_ns);
+	bool none = !may_wait_late(a, now);
+
+	for (size_t i = l->waiting; i > 0; i--) {
+		struct admission_call *c = l->heap[i - 1];
+
+		if (none || now - c->late_since >= longest)
+			drop_waiting(a, l, c, REFUSE_OVERLOAD, out);
+		if (i > l->waiting + 1)
+			i = l->waiting + 1;
+	}
+}
+
+/*
+ * Refuses the calls of a row that cannot end in time. In a heap by deadline they are on top; in a
  * heap by arrival they may be anywhere, so all calls are looked at.
  */
 static void
@@ -564,11 +594,8 @@
 {
 	size_t kept = 0, count = l->waiting;
 
-	if (l->main >= 0 && !may_wait_late(a, now)) {
-		while (l->waiting != 0)
-			drop_waiting(a, l, l->heap[0], REFUSE_OVERLOAD, out);
-		return;
-	}
+	if (l->main >= 0)
+		drop_long_late(a, l, now, out);
 	if (l->by_deadline) {
 		while (l->waiting != 0 && is_late(a, l, l->heap[0], now))
 			drop_waiting(a, l, l->heap[0], REFUSE_DEADLINE, out);
@@ -764,6 +791,7 @@
 	remove_call(l, c);
 	c->order = c->deadline;
 	c->lane = l->late;
+	c->late_since = now;
 	if (push_call(late, c) == 0)
 		return;
 	a->view.waiting--;
--- a/packages/policy/admission.h
+++ b/packages/policy/admission.h
@@ -48,6 +48,7 @@
 	int64_t started; /* mono ns */
 	uint64_t seq; /* order of arrival */
 	int64_t order; /* in its lane: target or deadline */
+	int64_t late_since; /* mono ns; in a lane of late calls */
 	int lane;
 	size_t heap_index;
 	struct admission_call *next; /* in a list of changes */
@@ -98,9 +99,9 @@
  * For a service with very many rows: rows are taken up when calls of them
  * come. open_admission_row() returns the index for offer_call(), or ERR_MEMORY;
  * refresh_admission_rows() takes over the cells of a new table. Only calls of
- * such rows may have a target.
+ * such rows may have a target. Calls of an urgent row go before all others.
  */
-int open_admission_row(struct admission *a, const struct row *r);
+int open_admission_row(struct admission *a, const struct row *r, bool urgent);
 void refresh_admission_rows(struct admission *a, const struct table *t,
     int64_t now, struct admission_changes *out);
 /* Index of a kind for offer_call(), valid until the next table. */
--- a/packages/policy/lane.c
+++ b/packages/policy/lane.c
@@ -35,7 +35,7 @@
 	l->used = true;
 	l->retired = false;
 	(void)copy_str(l->kind, sizeof(l->kind), make_str(r->kind));
-	l->rank = r->values[COL_RANK];
+	l->rank = l->urgent ? 0 : r->values[COL_RANK];
 	l->weight = r->values[COL_WEIGHT];
 	l->floor_pct = r->values[COL_FLOOR_PCT];
 	l->limit_pct = r->values[COL_LIMIT_PCT];
--- a/packages/policy/lane.h
+++ b/packages/policy/lane.h
@@ -15,6 +15,7 @@
 	int main; /* of a lane of late calls: the row's own; else -1 */
 	char kind[TABLE_NAME_BYTES];
 	int rank;
+	bool urgent; /* goes before all ranks */
 	int weight;
 	int floor_pct;
 	int limit_pct;
