policy: use a free slot whatever the estimate says

Change: a call that no other one waits beside takes a free slot. Lanes of late calls expire after the lanes that feed them.

--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -46,6 +46,8 @@
     struct admission *a, int64_t now, struct admission_changes *out);
 static void start_call(struct admission *a, struct lane *l,
     struct admission_call *c, int64_t now, struct admission_changes *out);
+static bool may_try(
+    const struct admission *a, const struct admission_call *c, int64_t now);
 static void drop_waiting(struct admission *a, struct lane *l,
     struct admission_call *c, enum refuse_reason reason,
     struct admission_changes *out);
@@ -366,12 +368,17 @@
 expire_calls(struct admission *a, int64_t now, struct admission_changes *out)
 {
 	accrue(a, now);
-	for (size_t i = 0; i < a->view.lane_count; i++) {
-		struct lane *l = &a->view.lanes[i];
+	/* Late lanes last: the others move calls there. */
+	for (int late = 0; late < 2; late++) {
+		for (size_t i = 0; i < a->view.lane_count; i++) {
+			struct lane *l = &a->view.lanes[i];
 
-		expire_lane(a, l, now, out);
-		reap_lane(a, l);
+			if (l->used && (l->main >= 0) == (late == 1))
+				expire_lane(a, l, now, out);
+		}
 	}
+	for (size_t i = 0; i < a->view.lane_count; i++)
+		reap_lane(a, &a->view.lanes[i]);
 	pump(a, now, out);
 }
 
@@ -521,7 +528,7 @@
 start_call(struct admission *a, struct lane *l, struct admission_call *c,
     int64_t now, struct admission_changes *out)
 {
-	if (is_late(a, l, c, now)) {
+	if (is_late(a, l, c, now) && !may_try(a, c, now)) {
 		drop_waiting(a, l, c, REFUSE_DEADLINE, out);
 		return;
 	}
@@ -540,6 +547,17 @@
 	append_call(&out->run, c);
 }
 
+/*
+ * A free slot that no other call waits for is used although the call will
+ * probably end late. An estimate that grew too long while the server was in
+ * trouble would otherwise never be corrected by another run.
+ */
+static bool
+may_try(const struct admission *a, const struct admission_call *c, int64_t now)
+{
+	return c->target != 0 && a->view.waiting == 1 && now < c->deadline;
+}
+
 /* Refuses a waiting call. */
 static void
 drop_waiting(struct admission *a, struct lane *l, struct admission_call *c,
--- /dev/null
+++ b/packages/policy/tests/test_targets.c
@@ -0,0 +1,226 @@
+/*
+ * Admission of calls that have a target besides their deadline.
+ */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "admission.h"
+
+#define MS NSEC_PER_MSEC
+#define START (1000 * MS)
+#define CALLS 64
+
+static struct admission *a;
+static struct row rows[2]; /* "read" of rank 1, "write" of rank 2 */
+static struct admission_call calls[CALLS];
+
+static void
+setup(void)
+{
+	struct admission_config cfg = {
+	    .policy = ADMISSION_FLOORS, .slots = 2, .fixed_limit = true};
+
+	memset(calls, 0, sizeof(calls));
+	for (int i = 0; i < 2; i++) {
+		rows[i] = (struct row){.repeatable = true};
+		strcpy(rows[i].kind, i == 0 ? "read" : "write");
+		rows[i].values[COL_RANK] = i + 1;
+		rows[i].values[COL_WEIGHT] = 1;
+		rows[i].values[COL_LIMIT_PCT] = 100;
+		rows[i].values[COL_QUEUE_MAX] = 100;
+		rows[i].values[COL_TARGET_MS] = 400;
+	}
+	ck_assert_int_eq(create_admission(&cfg, START, &a), 0);
+}
+
+static void
+teardown(void)
+{
+	destroy_admission(a);
+}
+
+/* Offers call i of a row; target and deadline are ms from now. */
+static enum admit_action
+offer(int i, int row, int target, int deadline, int64_t now)
+{
+	struct admission_changes out = {0};
+	struct admit_verdict v;
+
+	calls[i] = (struct admission_call){.token = &calls[i],
+	    .target = now + target * MS,
+	    .deadline = now + deadline * MS};
+	v = offer_call(a, &calls[i], open_admission_row(a, &rows[row], false),
+	    now, &out);
+	return v.action;
+}
+
+/* Ends a running call; returns the number of the one that starts, or -1. */
+static int
+finish(int i, int64_t service_ns, int64_t now)
+{
+	struct admission_changes out = {0};
+
+	finish_call(a, &calls[i], OUTCOME_RAN, service_ns, now, &out);
+	return out.run != NULL ? (int)(out.run - calls) : -1;
+}
+
+/* Runs calls one by one, so that the row's mean time is known. */
+static void
+train(int row, int64_t service_ns, int count)
+{
+	for (int i = 0; i < count; i++) {
+		ck_assert_int_eq(
+		    offer(CALLS - 1, row, 100000, 200000, START), ADMIT_RUN);
+		ck_assert_int_eq(finish(CALLS - 1, service_ns, START), -1);
+	}
+}
+
+/*
+ * Guards against a row that is locked out for good once its runs were slow: no
+ * run means no shorter sample.
+ */
+START_TEST(free_slot_is_used_whatever_the_estimate_says)
+{
+	train(0, 1000 * MS, 50);
+	ck_assert_int_eq(offer(0, 0, 120, 400, START), ADMIT_RUN);
+}
+END_TEST
+
+/* Guards against a call in time that waits behind one that is late already. */
+START_TEST(late_calls_wait_behind_calls_in_time)
+{
+	train(0, 100 * MS, 20);
+	ck_assert_int_eq(offer(0, 0, 400, 1000, START), ADMIT_RUN);
+	ck_assert_int_eq(offer(1, 0, 400, 1000, START), ADMIT_RUN);
+	ck_assert_int_eq(offer(2, 0, 10, 600, START), ADMIT_QUEUED);
+	ck_assert_int_eq(offer(3, 0, 400, 1000, START), ADMIT_QUEUED);
+	ck_assert_int_eq(offer(4, 0, 300, 900, START), ADMIT_QUEUED);
+	ck_assert_int_eq(finish(0, 100 * MS, START + 20 * MS), 4);
+	ck_assert_int_eq(finish(1, 100 * MS, START + 30 * MS), 3);
+	ck_assert_int_eq(finish(4, 100 * MS, START + 40 * MS), 2);
+}
+END_TEST
+
+/* Guards against calls that are held for long and refused in the end. */
+START_TEST(late_calls_are_refused_after_a_part_of_the_target)
+{
+	struct admission_changes out = {0};
+
+	train(0, 100 * MS, 20);
+	(void)offer(0, 0, 400, 1000, START);
+	(void)offer(1, 0, 400, 1000, START);
+	ck_assert_int_eq(offer(2, 0, 10, 900, START), ADMIT_QUEUED);
+	expire_calls(a, START + 99 * MS, &out);
+	ck_assert_ptr_null(out.refused);
+	expire_calls(a, START + 101 * MS, &out);
+	ck_assert_ptr_eq(out.refused, &calls[2]);
+}
+END_TEST
+
+/* Guards against a refusal without a time at which coming back is of use. */
+START_TEST(calls_that_miss_their_target_in_an_overload_come_back)
+{
+	struct admission_changes out = {0};
+	struct admit_verdict v;
+	int64_t now = START + 600 * MS; /* no slot was free since START */
+
+	train(0, 100 * MS, 20);
+	(void)offer(0, 0, 4000, 10000, START);
+	(void)offer(1, 0, 4000, 10000, START);
+	for (int i = 2; i < 12; i++)
+		(void)offer(i, 0, 4000, 10000, now);
+	calls[20].target = now + 300 * MS;
+	calls[20].deadline = now + 900 * MS;
+	/* Ten calls are ahead for two slots, but with later targets. */
+	v = offer_call(a, &calls[20],
+	    open_admission_row(a, &rows[0], false), now, &out);
+	ck_assert_int_eq(v.action, ADMIT_QUEUED);
+	calls[21].target = now + 5000 * MS;
+	calls[21].deadline = now + 9000 * MS;
+	v = offer_call(a, &calls[21],
+	    open_admission_row(a, &rows[0], false), now, &out);
+	ck_assert_int_eq(v.action, ADMIT_QUEUED);
+	calls[22].target = now + 60 * MS;
+	calls[22].deadline = now + 900 * MS;
+	v = offer_call(a, &calls[22],
+	    open_admission_row(a, &rows[0], false), now, &out);
+	ck_assert_int_eq(v.action, ADMIT_REFUSED);
+	ck_assert_int_eq(v.reason, REFUSE_OVERLOAD);
+	ck_assert_int_gt(v.retry_after_ns, 0);
+	ck_assert_int_le(v.retry_after_ns, 60 * MS);
+}
+END_TEST
+
+/* Guards against a call of a backend server that waits behind its callers. */
+START_TEST(urgent_rows_go_before_all_ranks)
+{
+	struct admission_changes out = {0};
+	struct admit_verdict v;
+
+	train(0, 100 * MS, 20);
+	train(1, 100 * MS, 20);
+	(void)offer(0, 0, 400, 1000, START);
+	(void)offer(1, 0, 400, 1000, START);
+	(void)offer(2, 0, 400, 1000, START);
+	calls[3].target = calls[3].deadline = START + 900 * MS;
+	v = offer_call(a, &calls[3], open_admission_row(a, &rows[1], true),
+	    START, &out);
+	ck_assert_int_eq(v.action, ADMIT_QUEUED);
+	ck_assert_int_eq(finish(0, 100 * MS, START + 10 * MS), 3);
+}
+END_TEST
+
+/* Guards against a timer that is due again and again without effect. */
+START_TEST(wake_up_always_lies_ahead)
+{
+	int64_t now = START;
+	struct rng r;
+
+	seed_rng(&r, 4);
+	for (int step = 0; step < 20000; step++) {
+		struct admission_changes out = {0};
+		int i = (int)draw_below(&r, CALLS);
+
+		now += (int64_t)draw_below(&r, 20) * MS;
+		if (calls[i].state == CALL_RUNNING)
+			(void)finish(i,
+			    (1 + (int64_t)draw_below(&r, 300)) * MS, now);
+		else if (calls[i].state == CALL_WAITING)
+			(void)cancel_call(a, &calls[i], now, &out);
+		else
+			(void)offer(i, (int)draw_below(&r, 2),
+			    (int)draw_below(&r, 500),
+			    1 + (int)draw_below(&r, 900), now);
+		/* Each look may bring another late call to the front. */
+		for (int k = 0;
+		     k <= CALLS && get_admission_wakeup(a, now) <= now; k++)
+			expire_calls(a, now, &out);
+		ck_assert_int_gt(get_admission_wakeup(a, now), now);
+	}
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("targets");
+	TCase *t = tcase_create("targets");
+	SRunner *r;
+	int failed;
+
+	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, free_slot_is_used_whatever_the_estimate_says);
+	tcase_add_test(t, late_calls_wait_behind_calls_in_time);
+	tcase_add_test(t, late_calls_are_refused_after_a_part_of_the_target);
+	tcase_add_test(
+	    t, calls_that_miss_their_target_in_an_overload_come_back);
+	tcase_add_test(t, urgent_rows_go_before_all_ranks);
+	tcase_add_test(t, wake_up_always_lies_ahead);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
