policy: place calls by expected loss, with queues at their marginal cost

Change: placement weighs the share of late answers, from run times of the kind, the wait four times; a call needs 1.2 mean runs before its target to wait as one in time; kinds that lack callers of a service are the inner ones.

Ruled out: slow servers alone (mean run 101 ms, mean wait 155 ms).

--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -10,6 +10,7 @@
 #include "hop.h"
 #include "metric.h"
 #include "node.h"
+#include "origins.h"
 #include "placement.h"
 #include "policy.h"
 #include "reactor.h"
@@ -247,11 +248,8 @@
 		double credit;
 	} turns[TABLE_SPLIT_MAX];
 	size_t turn_count;
-	/* As the serving node sees it: from beside which services calls come */
-	char caller_service[TABLE_NAME_BYTES]; /* of the first call */
-	bool many_callers; /* others came too */
-	int served; /* calls seen */
 	uint64_t turn_split; /* hash of the cell; 0: none */
+	struct origin_counts origin; /* of calls that this node served */
 };
 
 struct backend; /* backend.c */
@@ -298,9 +296,7 @@
 	enum hop_state state; /* of serving */
 	int64_t service_ns; /* recent mean of a run; 0: not known */
 	double failed_share; /* recent share of failed runs */
-	char first_caller
-	    [TABLE_NAME_BYTES]; /* service beside the first caller */
-	bool many_callers; /* calls came from beside several services */
+	struct origins origins; /* of the calls that it serves */
 
 	/* Stop */
 	struct task drain; /* posted by drain_node() */
--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -8,14 +8,12 @@
 #include "node_state.h"
 
 #define BODY_WAIT_NS (1 * NSEC_PER_SEC) /* longest wait for a granted body */
-#define INNER_CALLS_MIN 20 /* calls of a kind before its origin is judged */
 #define FAILED_GAIN 0.05 /* of the recent share of failed runs */
 #define SERVICE_GAIN 0.1 /* of the recent mean of a run */
 
 static int find_lane_index(
     struct node *n, const struct job_spec *spec, bool inner);
 static bool is_inner_call(struct node *n, const struct job_spec *spec);
-static void note_caller(char *first, bool *many, struct str service);
 static void run_outcome(struct task *t);
 static void apply_changes(
     struct node *n, const struct admission_changes *changes);
@@ -242,10 +240,9 @@
 }
 
 /*
- * Says whether calls of this kind are made by the backend servers of another
- * service: they come from beside that one service only, while other calls come
- * from beside many. Such a call holds up a run that has a slot elsewhere, so it
- * goes first, and it is of use until its deadline.
+ * Says whether calls of this kind are made by backend servers. Such a call
+ * holds up a run that has a slot elsewhere, so it goes first, and it is of use
+ * until its deadline.
  */
 static bool
 is_inner_call(struct node *n, const struct job_spec *spec)
@@ -259,21 +256,8 @@
 	k = find_kind(n, kind);
 	if (k == NULL)
 		return false;
-	note_caller(n->first_caller, &n->many_callers, spec->caller_service);
-	note_caller(k->caller_service, &k->many_callers, spec->caller_service);
-	if (k->served < INNER_CALLS_MIN)
-		k->served++;
-	return k->served >= INNER_CALLS_MIN && !k->many_callers &&
-	       n->many_callers;
-}
-
-static void
-note_caller(char *first, bool *many, struct str service)
-{
-	if (first[0] == '\0')
-		(void)copy_str(first, TABLE_NAME_BYTES, service);
-	else if (!is_str_equal(make_str(first), service))
-		*many = true;
+	count_origin(&n->origins, &k->origin, spec->caller_service);
+	return is_inner_kind(&k->origin);
 }
 
 /*
--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -24,10 +24,11 @@
 #define LATE_POLL_NS (25 * NSEC_PER_MSEC) /* looks at waiting late calls */
 #define LATE_WAIT_SHARE 0.25 /* of the target: longest wait of a late call */
 /*
- * Share of the mean service time that a call must have left to count as in
- * time: half of the runs are shorter than this for the usual skewed times.
+ * Mean service times that a call must have left to wait as one that can be in
+ * time. Nearly three of four runs are shorter for the usual skewed times; with
+ * less, an overload would fill the slots with runs that mostly end late.
  */
-#define TARGET_NEED 0.7
+#define TARGET_NEED 1.2
 #define TARGET_RETRY_MIN_NS (20 * NSEC_PER_MSEC)
 
 struct admission {
--- a/packages/policy/placement.c
+++ b/packages/policy/placement.c
@@ -18,6 +18,11 @@
 #define FAR_BODY_SHARE 1.0
 #define FAR_BODY_BYTES 60000.0
 #define AVOID_SHARE 4.0 /* loss that an option to be avoided counts as */
+/*
+ * A call that waits makes the next ones wait as long, so its wait counts twice:
+ * the marginal cost of a queue whose length grows with the calls sent there.
+ */
+#define WAIT_COST 4.0
 #define DELAY_SHARE 0.05 /* loss of an answer that takes the whole target */
 #define NOISE_SHARE 0.01 /* spreads calls over equal options */
 /* Run times are skewed: the logarithm's deviation, and its shift for a mean. */
@@ -62,7 +67,8 @@
 get_loss(const struct placement_option *o, const struct placement_call *call,
     double run, struct rng *r)
 {
-	double wait = get_wait(o, run) + (o->same_zone ? NEAR_NS : FAR_NS);
+	double wait =
+	    WAIT_COST * get_wait(o, run) + (o->same_zone ? NEAR_NS : FAR_NS);
 	double target = call->target_left > 0 ? (double)call->target_left : 0;
 	double left = call->deadline_left > 0 ? (double)call->deadline_left : 1;
 	double late, loss;
--- /dev/null
+++ b/packages/policy/tests/test_origins.c
@@ -0,0 +1,154 @@
+/*
+ * Which kinds count as made by backend servers, for streams of calls drawn from
+ * given origins.
+ */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "origins.h"
+
+#define KINDS 3
+#define SERVICES 3
+#define CALLS 6000
+
+/* Share of a kind among all calls, and of the services beside its callers. */
+struct origins_case {
+	const char *what;
+	struct {
+		double share;
+		double services[SERVICES];
+		bool inner; /* wanted at the end */
+	} kinds[KINDS];
+	struct {
+		double services[SERVICES];
+		bool inner;
+	} later; /* of the first kind, for as many calls again; 0: unchanged */
+};
+
+#define CLIENTS \
+	{ \
+		0.45, 0.27, 0.28 \
+	}
+
+static const struct origins_case cases[] = {
+    {"kinds of clients only",
+	{{0.7, CLIENTS, false}, {0.2, CLIENTS, false}, {0.1, CLIENTS, false}},
+	{{0}, false}},
+    {"calls of one service beside those of clients",
+	{{0.6, {0, 1, 0}, true}, {0.4, CLIENTS, false}}, {{0}, false}},
+    {"calls of two of three services",
+	{{0.6, {0.5, 0.5, 0}, true}, {0.4, CLIENTS, false}}, {{0}, false}},
+    {"most calls are inner ones",
+	{{0.9, {0, 1, 0}, true}, {0.1, CLIENTS, false}}, {{0}, false}},
+    {"nothing to compare with", {{1, {0, 1, 0}, false}}, {{0}, false}},
+    {"a rare kind of clients",
+	{{0.01, CLIENTS, false}, {0.99, CLIENTS, false}}, {{0}, false}},
+    {"a small service beside clients",
+	{{0.5, {0.96, 0.02, 0.02}, false}, {0.5, {0.96, 0.02, 0.02}, false}},
+	{{0}, false}},
+    {"a route moves, and another service makes the calls too",
+	{{0.6, {0, 1, 0}, true}, {0.4, CLIENTS, false}},
+	{{0.5, 0.5, 0}, true}},
+    {"a kind that clients send from now on",
+	{{0.6, {0, 1, 0}, true}, {0.4, CLIENTS, false}}, {CLIENTS, false}},
+};
+
+static int
+draw_index(const double *shares, size_t count, struct rng *r)
+{
+	double at = draw_unit(r), sum = 0;
+
+	for (size_t i = 0; i + 1 < count; i++) {
+		sum += shares[i];
+		if (at < sum)
+			return (int)i;
+	}
+	return (int)count - 1;
+}
+
+static void
+play_calls(const struct origins_case *c, bool later, struct origins *o,
+    struct origin_counts *kinds, struct rng *r)
+{
+	static const char *const names[SERVICES] = {"x1", "x2", "x3"};
+	double shares[KINDS];
+
+	for (int k = 0; k < KINDS; k++)
+		shares[k] = c->kinds[k].share;
+	for (int i = 0; i < CALLS; i++) {
+		int k = draw_index(shares, KINDS, r);
+		const double *from = c->kinds[k].services;
+
+		if (c->kinds[k].share <= 0)
+			continue;
+		if (later && k == 0)
+			from = c->later.services;
+		count_origin(o, &kinds[k],
+		    make_str(names[draw_index(from, SERVICES, r)]));
+	}
+}
+
+/*
+ * Guards against calls of backend servers that wait behind those of clients,
+ * also when a second service makes them, and against the reverse.
+ */
+START_TEST(kinds_are_told_apart)
+{
+	const struct origins_case *c = &cases[_i];
+	bool changes = c->later.services[0] > 0;
+
+	for (uint64_t seed = 0; seed < 50; seed++) {
+		struct origins o = {0};
+		struct origin_counts kinds[KINDS] = {0};
+		struct rng r;
+
+		seed_rng(&r, seed);
+		play_calls(c, false, &o, kinds, &r);
+		for (int k = 0; k < KINDS; k++)
+			ck_assert_msg(
+			    is_inner_kind(&kinds[k]) == c->kinds[k].inner,
+			    "%s: kind %d, seed %d", c->what, k, (int)seed);
+		if (!changes)
+			continue;
+		play_calls(c, true, &o, kinds, &r);
+		ck_assert_msg(is_inner_kind(&kinds[0]) == c->later.inner,
+		    "%s: later, seed %d", c->what, (int)seed);
+	}
+}
+END_TEST
+
+/* Guards against memory errors with more services than are told apart. */
+START_TEST(further_services_are_left_out)
+{
+	struct origins o = {0};
+	struct origin_counts k = {0};
+	char name[16];
+
+	for (int i = 0; i < 4 * ORIGINS_MAX; i++) {
+		snprintf(name, sizeof(name), "s%d", i);
+		count_origin(&o, &k, make_str(name));
+	}
+	ck_assert_uint_eq(o.service_count, ORIGINS_MAX);
+	ck_assert(!is_inner_kind(&k));
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("origins");
+	TCase *t = tcase_create("origins");
+	SRunner *r;
+	int failed;
+
+	tcase_add_loop_test(
+	    t, kinds_are_told_apart, 0, sizeof(cases) / sizeof(cases[0]));
+	tcase_add_test(t, further_services_are_left_out);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/packages/policy/tests/test_picker.c
+++ b/packages/policy/tests/test_picker.c
@@ -21,7 +21,7 @@
 static const struct pick_result cancelled = {
     .outcome = OUTCOME_UNKNOWN, .cancelled = true};
 
-static char ids[SET_MAX][8];
+static char ids[SET_MAX][16];
 
 /* An endpoint "e<i>" with ten slots in zone "a" or "b". */
 static struct picker_endpoint
--- a/packages/policy/tests/test_placement.c
+++ b/packages/policy/tests/test_placement.c
@@ -16,16 +16,21 @@
 	int want; /* ERR_NOT_FOUND: none */
 };
 
-#define CALL \
-	{ \
+#define CALL                                     \
+	{                                        \
 		400 * MS, 1000 * MS, 100 * MS, 0 \
 	}
 /* usable, tried, avoided, same_zone, slots, own, reported, age, in_flight,
  * queued, own_at_report, service_ns, failed */
-#define NEAR_IDLE \
-	{true, false, false, true, 10, 0, true, 0, 0, 0, 0, 100 * MS, 0}
-#define FAR_IDLE \
-	{true, false, false, false, 10, 0, true, 0, 0, 0, 0, 100 * MS, 0}
+#define NEAR_IDLE                                                              \
+	{                                                                      \
+		true, false, false, true, 10, 0, true, 0, 0, 0, 0, 100 * MS, 0 \
+	}
+#define FAR_IDLE                                                              \
+	{                                                                     \
+		true, false, false, false, 10, 0, true, 0, 0, 0, 0, 100 * MS, \
+		    0                                                         \
+	}
 
 static const struct placement_case cases[] = {
     {"the own zone comes first", {FAR_IDLE, NEAR_IDLE, FAR_IDLE}, CALL, 1},
@@ -63,14 +68,12 @@
 	{{false, false, false, true, 10, 0, true, 0, 0, 0, 0, 100 * MS, 0}},
 	CALL, ERR_NOT_FOUND},
     {"an old report does not keep calls away",
-	{FAR_IDLE,
-	    {true, false, false, true, 10, 0, true, 2000 * MS, 10, 30, 0,
-		100 * MS, 0}},
+	{FAR_IDLE, {true, false, false, true, 10, 0, true, 2000 * MS, 10, 30, 0,
+		       100 * MS, 0}},
 	CALL, 1},
     {"calls of this node count whatever the report says",
-	{FAR_IDLE,
-	    {true, false, false, true, 10, 40, true, 2000 * MS, 0, 0, 0,
-		100 * MS, 0}},
+	{FAR_IDLE, {true, false, false, true, 10, 40, true, 2000 * MS, 0, 0, 0,
+		       100 * MS, 0}},
 	CALL, 0},
     {"once late, the shorter wait decides",
 	{{true, false, false, true, 10, 0, true, 0, 10, 40, 0, 100 * MS, 0},
@@ -120,8 +123,8 @@
 	SRunner *r;
 	int failed;
 
-	tcase_add_loop_test(t, best_option_is_chosen, 0,
-	    sizeof(cases) / sizeof(cases[0]));
+	tcase_add_loop_test(
+	    t, best_option_is_chosen, 0, sizeof(cases) / sizeof(cases[0]));
 	tcase_add_test(t, equal_options_share_the_calls);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
--- a/packages/policy/tests/test_targets.c
+++ b/packages/policy/tests/test_targets.c
@@ -50,8 +50,8 @@
 	calls[i] = (struct admission_call){.token = &calls[i],
 	    .target = now + target * MS,
 	    .deadline = now + deadline * MS};
-	v = offer_call(a, &calls[i], open_admission_row(a, &rows[row], false),
-	    now, &out);
+	v = offer_call(
+	    a, &calls[i], open_admission_row(a, &rows[row], false), now, &out);
 	return v.action;
 }
 
@@ -133,18 +133,18 @@
 	calls[20].target = now + 300 * MS;
 	calls[20].deadline = now + 900 * MS;
 	/* Ten calls are ahead for two slots, but with later targets. */
-	v = offer_call(a, &calls[20],
-	    open_admission_row(a, &rows[0], false), now, &out);
+	v = offer_call(
+	    a, &calls[20], open_admission_row(a, &rows[0], false), now, &out);
 	ck_assert_int_eq(v.action, ADMIT_QUEUED);
 	calls[21].target = now + 5000 * MS;
 	calls[21].deadline = now + 9000 * MS;
-	v = offer_call(a, &calls[21],
-	    open_admission_row(a, &rows[0], false), now, &out);
+	v = offer_call(
+	    a, &calls[21], open_admission_row(a, &rows[0], false), now, &out);
 	ck_assert_int_eq(v.action, ADMIT_QUEUED);
 	calls[22].target = now + 60 * MS;
 	calls[22].deadline = now + 900 * MS;
-	v = offer_call(a, &calls[22],
-	    open_admission_row(a, &rows[0], false), now, &out);
+	v = offer_call(
+	    a, &calls[22], open_admission_row(a, &rows[0], false), now, &out);
 	ck_assert_int_eq(v.action, ADMIT_REFUSED);
 	ck_assert_int_eq(v.reason, REFUSE_OVERLOAD);
 	ck_assert_int_gt(v.retry_after_ns, 0);
@@ -164,8 +164,8 @@
 	(void)offer(1, 0, 400, 1000, START);
 	(void)offer(2, 0, 400, 1000, START);
 	calls[3].target = calls[3].deadline = START + 900 * MS;
-	v = offer_call(a, &calls[3], open_admission_row(a, &rows[1], true),
-	    START, &out);
+	v = offer_call(
+	    a, &calls[3], open_admission_row(a, &rows[1], true), START, &out);
 	ck_assert_int_eq(v.action, ADMIT_QUEUED);
 	ck_assert_int_eq(finish(0, 100 * MS, START + 10 * MS), 3);
 }
@@ -184,8 +184,8 @@
 
 		now += (int64_t)draw_below(&r, 20) * MS;
 		if (calls[i].state == CALL_RUNNING)
-			(void)finish(i,
-			    (1 + (int64_t)draw_below(&r, 300)) * MS, now);
+			(void)finish(
+			    i, (1 + (int64_t)draw_below(&r, 300)) * MS, now);
 		else if (calls[i].state == CALL_WAITING)
 			(void)cancel_call(a, &calls[i], now, &out);
 		else
