node: read buffers per thread; ends of unknown runs are ignored

Cause: the receive buffers of the reactor's modules were static, so that two nodes in one process overwrote each other's bytes: a call could reach its backend server under another call's id (found by the test of a serving node that dies, one run in ten). The daemon runs one reactor, so no deployment was hit. A deregistration of a run that the node never saw was taken as a new run, which put the present one out of service.

Ruled out: the entry node's retries (its log shows one attempt for each call); freed memory (address sanitizer).

--- a/packages/hop/hop.c
+++ b/packages/hop/hop.c
@@ -312,7 +312,7 @@
 static void
 read_link(struct hop_link *l)
 {
-	static char bytes[READ_BYTES]; /* of the reactor's only thread */
+	static _Thread_local char bytes[READ_BYTES];
 
 	for (int i = 0; i < READS_AT_ONCE && !l->closed; i++) {
 		ssize_t n = recv(l->watch.fd, bytes, sizeof(bytes), 0);
--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -209,8 +209,7 @@
 	struct placement_option options[OPTIONS_MAX];
 	const struct service *s = q->service;
 	int64_t now = get_reactor_now(q->node->reactor);
-	struct placement_call call = {
-	    .target_left = q->target_at - now,
+	struct placement_call call = {.target_left = q->target_at - now,
 	    .deadline_left = q->deadline - now,
 	    .run_ns = q->stats->run_ns,
 	    .body_len = q->reader.body.len};
--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -236,8 +236,9 @@
 		return false;
 	if (r->born_ms != 0 && b->born_ms != 0 && r->born_ms != b->born_ms)
 		return r->born_ms < b->born_ms;
+	/* A server starts with a report that it is ready or leaves. */
 	if (strcmp(b->instance, r->id) != 0)
-		return false;
+		return r->state == REPORT_GONE;
 	return r->seq != 0 && r->seq <= b->seq && r->state <= b->state;
 }
 
@@ -507,7 +508,7 @@
 static void
 read_conn(struct backend_conn *c)
 {
-	static char bytes[READ_BYTES]; /* of the reactor's only thread */
+	static _Thread_local char bytes[READ_BYTES];
 	ssize_t n = recv(c->watch.fd, bytes, sizeof(bytes), 0);
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -203,7 +203,7 @@
 static void
 read_caller(struct caller *c)
 {
-	static char bytes[READ_BYTES]; /* of the reactor's only thread */
+	static _Thread_local char bytes[READ_BYTES];
 	ssize_t n = recv(c->watch.fd, bytes, sizeof(bytes), 0);
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
--- a/packages/node/tests/fake_server.c
+++ b/packages/node/tests/fake_server.c
@@ -118,8 +118,8 @@
 	    listen(s->listener, CONNECTIONS) != 0 ||
 	    getsockname(s->listener, (struct sockaddr *)&sa, &len) != 0)
 		abort();
-	snprintf(s->address, sizeof(s->address), "127.0.0.1:%d",
-	    ntohs(sa.sin_port));
+	snprintf(
+	    s->address, sizeof(s->address), "127.0.0.1:%d", ntohs(sa.sin_port));
 	pthread_mutex_init(&s->lock, NULL);
 	pthread_create(&s->thread, NULL, serve, s);
 	return s;
@@ -197,8 +197,7 @@
 }
 
 void
-get_fake_header(
-    struct fake_server *s, const char *name, char *out, size_t size)
+get_fake_header(struct fake_server *s, const char *name, char *out, size_t size)
 {
 	pthread_mutex_lock(&s->lock);
 	copy_header(s->head, name, out, size);
@@ -326,15 +325,14 @@
 	snprintf(s->line, sizeof(s->line), "%.*s",
 	    (int)strcspn(s->head, "\r\n"), s->head);
 	copy_header(s->head, "Call-Id", c->id, sizeof(c->id));
-	memmove(c->in.data, c->in.data + head + body,
-	    c->in.len - head - body);
+	memmove(c->in.data, c->in.data + head + body, c->in.len - head - body);
 	c->in.len -= head + body;
 	c->in.data[c->in.len] = '\0';
 	space = strrchr(s->line, ' ');
 	i = (size_t)(space - s->line);
 	slash = memrchr(s->line, '/', i);
-	snprintf(name, sizeof(name), "%.*s", (int)(space - slash - 1),
-	    slash + 1);
+	snprintf(
+	    name, sizeof(name), "%.*s", (int)(space - slash - 1), slash + 1);
 	name[strcspn(name, "?")] = '\0';
 	answer(s, c, name);
 	return true;
@@ -455,8 +453,8 @@
 be_other(struct fake_server *s, struct fake_conn *c)
 {
 	(void)s;
-	send_text(c,
-	    "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+	send_text(
+	    c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
 }
 
 static void
--- a/packages/node/tests/rig.c
+++ b/packages/node/tests/rig.c
@@ -12,17 +12,17 @@
 
 #define REPORT_PREFIX "/report/"
 #define WAIT_S 10 /* longest wait of a caller */
-#define HEADER                                                              \
-	"kind,service,rank,weight,floor_pct,limit_pct,target_ms,"           \
-	"deadline_ms,queue_max,retries,retry_pct,hedge_ms,repeat,keep_s,"   \
+#define HEADER                                                            \
+	"kind,service,rank,weight,floor_pct,limit_pct,target_ms,"         \
+	"deadline_ms,queue_max,retries,retry_pct,hedge_ms,repeat,keep_s," \
 	"body_max_kb,drain_s,host,path,split,head_max_kb,head_ms,idle_ms\n"
-#define ROW(kind, retries, repeat, split)                                  \
-	kind ",svc,1,10,0,100,500,2000,100," retries ",10,0," repeat       \
+#define ROW(kind, retries, repeat, split)                            \
+	kind ",svc,1,10,0,100,500,2000,100," retries ",10,0," repeat \
 	     ",0,64,30,test.example,/" kind "/," split ",4,1000,2000\n"
 
-static const char rows[] = HEADER ROW("read", "1", "yes", "")
-    ROW("once", "0", "yes", "") ROW("pay", "1", "no", "")
-	ROW("split", "1", "yes", "svc:3 other:1");
+static const char rows[] =
+    HEADER ROW("read", "1", "yes", "") ROW("once", "0", "yes", "")
+	ROW("pay", "1", "no", "") ROW("split", "1", "yes", "svc:3 other:1");
 
 static int read_report(const struct http_head *head, struct str body,
     struct backend_report *out, struct fault *f);
@@ -51,10 +51,8 @@
 		snprintf(r->calls[i], sizeof(r->calls[i]), "%s:7500", host);
 		snprintf(r->links[i], sizeof(r->links[i]), "%s:7501", host);
 		snprintf(r->ready[i], sizeof(r->ready[i]), "%s:7502", host);
-		snprintf(
-		    r->reports[i], sizeof(r->reports[i]), "%s:7503", host);
-		snprintf(
-		    r->metrics[i], sizeof(r->metrics[i]), "%s:7504", host);
+		snprintf(r->reports[i], sizeof(r->reports[i]), "%s:7503", host);
+		snprintf(r->metrics[i], sizeof(r->metrics[i]), "%s:7504", host);
 		snprintf(instance, sizeof(instance), "i-%d", i);
 		snprintf(name, sizeof(name), "node-%d", i);
 		r->servers[i] = open_fake_server(instance);
@@ -131,8 +129,7 @@
 {
 	struct buf csv = {0};
 
-	ck_assert_int_eq(
-	    append_buf_fmt(&csv, "%s%s", rows, more_rows), 0);
+	ck_assert_int_eq(append_buf_fmt(&csv, "%s%s", rows, more_rows), 0);
 	set_fake_table(r->agent, csv.data, version);
 	unload_buf(&csv);
 	for (int i = 0; i < r->count; i++) {
@@ -151,8 +148,8 @@
 
 	snprintf(path, sizeof(path), REPORT_PREFIX "%s/%s/%d/%d", instance,
 	    state, seq, born);
-	call_rig(r->reports[i], "POST", path, "report", "", make_str(""),
-	    &reply);
+	call_rig(
+	    r->reports[i], "POST", path, "report", "", make_str(""), &reply);
 	status = reply.status;
 	unload_reply(&reply);
 	return status;
@@ -198,8 +195,7 @@
 	char host[32];
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-	snprintf(
-	    host, sizeof(host), "%.*s", (int)(colon - address), address);
+	snprintf(host, sizeof(host), "%.*s", (int)(colon - address), address);
 	sa.sin_port = htons((uint16_t)atoi(colon + 1));
 	inet_pton(AF_INET, host, &sa.sin_addr);
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
@@ -232,8 +228,8 @@
 		if (end == NULL)
 			continue;
 		head = (size_t)(end - in.data) + 4;
-		snprintf(out->head, sizeof(out->head), "%.*s", (int)head,
-		    in.data);
+		snprintf(
+		    out->head, sizeof(out->head), "%.*s", (int)head, in.data);
 		out->body.len = 0;
 		ck_assert_int_eq(
 		    append_buf(&out->body, in.data + head, in.len - head), 0);
@@ -266,8 +262,8 @@
 	size_t at = 0;
 
 	while (at < len) {
-		ssize_t n = send(
-		    fd, (const char *)data + at, len - at, MSG_NOSIGNAL);
+		ssize_t n =
+		    send(fd, (const char *)data + at, len - at, MSG_NOSIGNAL);
 
 		if (n <= 0)
 			return; /* the answer says why */
--- a/packages/node/tests/test_calls_by_node.c
+++ b/packages/node/tests/test_calls_by_node.c
@@ -114,8 +114,8 @@
 		ck_assert(has_header(&reply, "Seal: ") == c->want_seal);
 		ck_assert(is_str_equal(
 		    view_buf(&reply.body), make_str(c->want_body)));
-		ck_assert(has_header(&reply, "Retry-After: ") ==
-			  (c->want == 503));
+		ck_assert(
+		    has_header(&reply, "Retry-After: ") == (c->want == 503));
 		ck_assert(strstr(reply.head, "Call-Id: ") != NULL);
 		unload_reply(&reply);
 	}
@@ -133,9 +133,9 @@
 
 	for (int i = 0; i < 20; i++) {
 		snprintf(id, sizeof(id), "call-%d", i);
-		call_rig(rig.calls[2], "GET", i % 2 == 0 ? "/read/late" :
-							   "/read/ok",
-		    id, "", make_str(""), &reply);
+		call_rig(rig.calls[2], "GET",
+		    i % 2 == 0 ? "/read/late" : "/read/ok", id, "",
+		    make_str(""), &reply);
 		ck_assert_int_eq(reply.status, 200);
 		ck_assert_msg(has_header(&reply, id), "%s", reply.head);
 		ck_assert_int_eq(count_runs(id), 1);
@@ -163,8 +163,7 @@
 		if (count_fake_runs(rig.servers[i], "call") == 0)
 			continue;
 		get_fake_line(rig.servers[i], text, sizeof(text));
-		ck_assert_str_eq(
-		    text, "POST /pay/ok?a=%2F&b=c%20d;e HTTP/1.1");
+		ck_assert_str_eq(text, "POST /pay/ok?a=%2F&b=c%20d;e HTTP/1.1");
 		get_fake_header(rig.servers[i], "X-One", text, sizeof(text));
 		ck_assert_str_eq(text, "1");
 		get_fake_header(rig.servers[i], "X-Hop", text, sizeof(text));
@@ -177,8 +176,7 @@
 		    rig.servers[i], "Deadline-Ms", text, sizeof(text));
 		ck_assert_int_le(atoi(text), 900);
 		ck_assert_int_ge(atoi(text), 500);
-		ck_assert_uint_eq(
-		    get_fake_body_len(rig.servers[i]), body.len);
+		ck_assert_uint_eq(get_fake_body_len(rig.servers[i]), body.len);
 	}
 	unload_reply(&reply);
 	unload_buf(&body);
@@ -210,8 +208,8 @@
 	for (int entry = 0; entry < 3; entry += 2) {
 		int fd = connect_rig(rig.calls[entry]), open = 1;
 
-		ck_assert_int_eq(send(fd, read, strlen(read), 0),
-		    (ssize_t)strlen(read));
+		ck_assert_int_eq(
+		    send(fd, read, strlen(read), 0), (ssize_t)strlen(read));
 		usleep(200000);
 		close(fd);
 		for (int k = 0; k < 50 && open > 0; k++) {
@@ -238,8 +236,7 @@
 
 		snprintf(id, sizeof(id), "call-%d", i);
 		call_rig(rig.calls[0], pay ? "POST" : "GET",
-		    pay ? "/pay/ok" : "/read/ok", id, "", make_str(""),
-		    &reply);
+		    pay ? "/pay/ok" : "/read/ok", id, "", make_str(""), &reply);
 		ck_assert_int_eq(reply.status, 200);
 		ck_assert_int_eq(count_runs(id), 1);
 		unload_reply(&reply);
@@ -267,8 +264,8 @@
 	/* It does not come back, not even by a late report. */
 	ck_assert_int_eq(report_rig(&rig, 0, "i-0", "ready", 1, 1000), 200);
 	ck_assert_int_eq(report_rig(&rig, 0, "i-0", "ready", 3, 1000), 200);
-	call_rig(rig.calls[0], "GET", "/read/ok", "call", "", make_str(""),
-	    &reply);
+	call_rig(
+	    rig.calls[0], "GET", "/read/ok", "call", "", make_str(""), &reply);
 	unload_reply(&reply);
 	ck_assert_int_eq(count_fake_requests(rig.servers[0]), before);
 }
@@ -304,11 +301,10 @@
 	report_rig(&rig, 0, c->instance, c->state, c->seq, c->born);
 	ck_assert_int_eq(report_rig(&rig, 1, "i-1", "gone", 0, 1000), 200);
 	before = count_requests();
-	call_rig(rig.calls[2], "GET", "/read/ok", "call", "", make_str(""),
-	    &reply);
+	call_rig(
+	    rig.calls[2], "GET", "/read/ok", "call", "", make_str(""), &reply);
 	served = count_requests() - before;
-	ck_assert_msg(
-	    (reply.status == 200) == c->want_served, "%s", c->what);
+	ck_assert_msg((reply.status == 200) == c->want_served, "%s", c->what);
 	ck_assert_msg(served == (c->want_served ? 1 : 0), "%s", c->what);
 	unload_reply(&reply);
 }
@@ -332,8 +328,8 @@
 		    "Call-Id: pay-%d\r\nContent-Length: 0\r\n\r\n",
 		    i);
 		fd[i] = connect_rig(rig.calls[2]);
-		ck_assert_int_eq(send(fd[i], text, strlen(text), 0),
-		    (ssize_t)strlen(text));
+		ck_assert_int_eq(
+		    send(fd[i], text, strlen(text), 0), (ssize_t)strlen(text));
 	}
 	usleep(60000);
 	report_rig(&rig, 1, "i-2", "ready", 1, 3000);
@@ -386,8 +382,7 @@
     {"POST /pay/ok HTTP/1.1\r\nHost: test.example\r\nCall-Id: a\r\n"
      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
 	200},
-    {"GET /read/ok HTTP/1.1\r\nHost: other.example\r\nCall-Id: a\r\n\r\n",
-	404},
+    {"GET /read/ok HTTP/1.1\r\nHost: other.example\r\nCall-Id: a\r\n\r\n", 404},
     {"nonsense\r\n\r\n", 400},
     {"POST /pay/ok HTTP/1.1\r\nHost: test.example\r\nContent-Length: 3\r\n"
      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
@@ -404,8 +399,8 @@
 	struct rig_reply reply;
 	int fd = connect_rig(rig.calls[0]);
 
-	ck_assert_int_eq(send(fd, c->bytes, strlen(c->bytes), 0),
-	    (ssize_t)strlen(c->bytes));
+	ck_assert_int_eq(
+	    send(fd, c->bytes, strlen(c->bytes), 0), (ssize_t)strlen(c->bytes));
 	read_rig_reply(fd, &reply);
 	ck_assert_int_eq(reply.status, c->want);
 	unload_reply(&reply);
@@ -427,8 +422,8 @@
 		    "POST /pay/ok HTTP/1.1\r\nHost: test.example\r\n"
 		    "Call-Id: %s\r\nContent-Length: 4\r\n\r\nbody",
 		    id);
-		ck_assert_int_eq(send(fd, text, strlen(text), 0),
-		    (ssize_t)strlen(text));
+		ck_assert_int_eq(
+		    send(fd, text, strlen(text), 0), (ssize_t)strlen(text));
 		read_rig_reply(fd, &reply);
 		ck_assert_int_eq(reply.status, 200);
 		ck_assert(has_header(&reply, id));
@@ -449,8 +444,8 @@
 	call_rig(rig.ready[0], "GET", "/ready", "q", "", make_str(""), &reply);
 	ck_assert_int_eq(reply.status, 503);
 	unload_reply(&reply);
-	call_rig(rig.calls[0], "GET", "/read/ok", "call", "", make_str(""),
-	    &reply);
+	call_rig(
+	    rig.calls[0], "GET", "/read/ok", "call", "", make_str(""), &reply);
 	ck_assert_int_eq(reply.status, 503);
 	ck_assert(has_header(&reply, "Retry-After: "));
 	unload_reply(&reply);
@@ -479,8 +474,8 @@
 	    sizeof(report_cases) / sizeof(report_cases[0]));
 	tcase_add_test(t, serving_node_that_dies_costs_no_second_run);
 	tcase_add_test(t, stop_answers_every_call);
-	tcase_add_loop_test(t, requests_by_hand, 0,
-	    sizeof(raw_cases) / sizeof(raw_cases[0]));
+	tcase_add_loop_test(
+	    t, requests_by_hand, 0, sizeof(raw_cases) / sizeof(raw_cases[0]));
 	tcase_add_test(t, calls_follow_on_one_connection);
 	tcase_add_test(t, node_without_a_table_refuses);
 	suite_add_tcase(s, t);
