rpc, node: open connections anew when a machine does not answer

Cause: a SYN to a machine that is still starting is lost, and the system sends it again only after a second.

Change: a connection that the peer's system has not taken in 0.2 s is given up; one that was taken still has a second for the greeting. Links of nodes: 0.2 s.

Ruled out: the election itself (restarted_group_elects_soon); the read round.

--- a/apps/greengagespurd/platform_role.c
+++ b/apps/greengagespurd/platform_role.c
@@ -27,7 +27,12 @@
 #define OVERDUE_MS 1700
 #define RECONNECT_MS 100
 #define RECONNECT_MAX_MS 400
-#define CONNECT_MS 500
+#define CONNECT_MS 1000
+/*
+ * A lost SYN is sent again after 1 s by the system. Zones are a few ms apart,
+ * so a machine that does not answer in this time is down or the packet lost.
+ */
+#define OPEN_MS 200
 /* The ready question comes every second; two misses move callers away. */
 #define LEAVE_NS (2300 * NSEC_PER_MSEC)
 #define STOP_MARGIN_S 1.0 /* kept free before the kill, to leave the fleet */
@@ -137,6 +142,7 @@
 	    .data_dir = settings.data_dir,
 	    .key = make_str(OPEN_NETWORK_KEY),
 	    .open_api = true,
+	    .open_ms = OPEN_MS,
 	    .api = run_platform_api,
 	    .clock = get_real_clock(),
 	    .events = events,
@@ -159,6 +165,7 @@
 	    .key = make_str(OPEN_NETWORK_KEY),
 	    .seed = seed,
 	    .connect_ms = CONNECT_MS,
+	    .open_ms = OPEN_MS,
 	    .learn_controls = true,
 	    .heartbeat_ms = HEARTBEAT_MS,
 	    .overdue_ms = OVERDUE_MS,
--- a/packages/agent/agent.c
+++ b/packages/agent/agent.c
@@ -333,7 +333,8 @@
 	struct rpc_client_config rc_cfg = {.clock = a->clock,
 	    .key = cfg->key,
 	    .hooks = cfg->hooks,
-	    .connect_ms = cfg->connect_ms};
+	    .connect_ms = cfg->connect_ms,
+	    .open_ms = cfg->open_ms};
 	int rc = open_rpc_client(&rc_cfg, &a->client, f);
 
 	if (rc != 0)
--- a/packages/agent/agent.h
+++ b/packages/agent/agent.h
@@ -33,6 +33,7 @@
 	size_t interest_count;
 	uint64_t seed; /* of reconnect jitter */
 	int connect_ms; /* longest connecting; 0: default of rpc.h */
+	int open_ms; /* of it, until the system answers; 0: the same */
 	bool learn_controls; /* follow the members of the group */
 	int heartbeat_ms; /* longest wait of a watch; 0: AGENT_HEARTBEAT_MS */
 	int overdue_ms; /* an unanswered watch is dead; 0: AGENT_OVERDUE_MS */
--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -336,6 +336,7 @@
 	    .key = c->cfg.key,
 	    .procs = get_ggs_procs(),
 	    .silent_ms = SERVICE_SILENT_MS,
+	    .open_ms = c->cfg.open_ms,
 	    .hooks = c->cfg.hooks,
 	};
 
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -6,7 +6,7 @@
 
 #include "node_state.h"
 
-#define CONNECT_NS (400 * NSEC_PER_MSEC) /* longest opening of a link */
+#define CONNECT_NS (200 * NSEC_PER_MSEC) /* longest opening of a link */
 #define AVOID_FIRST_NS (200 * NSEC_PER_MSEC) /* after a failure; doubles */
 #define AVOID_MAX_NS (2 * NSEC_PER_SEC)
 #define UPLOAD_UNSENT_BYTES (32 * 1024) /* more wait for their turn */
--- a/packages/rpc/rpc.h
+++ b/packages/rpc/rpc.h
@@ -164,6 +164,7 @@
 	struct str key; /* fleet key that new connections use */
 	const struct rpc_proc *procs; /* get_ggs_procs() */
 	int connect_ms; /* until the server's hello has arrived; 1000 */
+	int open_ms; /* until its system takes the connection; connect_ms */
 	int silent_ms; /* see call_rpc(); 1000 */
 	int idle_ms; /* closes a connection without calls; 30000 */
 	int max_in_flight; /* calls a peer; 1024; more: ERR_LIMIT */
--- a/packages/rpc/rpc_client.c
+++ b/packages/rpc/rpc_client.c
@@ -51,6 +51,7 @@
 	enum peer_state state;
 	struct rpc_link link;
 	int64_t connect_deadline;
+	int64_t hello_deadline; /* the same once the peer's system answers */
 	int64_t active_at; /* last time with a call in flight */
 	struct call *waiting; /* for the connection, in order */
 	struct call **waiting_tail;
@@ -110,6 +111,7 @@
 static void retire_keys(struct rpc_client *c);
 static void scan_peers(struct rpc_client *c, int64_t now);
 static void scan_peer(struct rpc_peer *p, int64_t now);
+static bool extend_connecting(struct rpc_peer *p, int64_t now);
 static bool time_out_sent(struct rpc_peer *p, int64_t now);
 static void time_out_waiting(struct rpc_peer *p, int64_t now);
 static void lower_deadline(struct rpc_client *c, int64_t deadline);
@@ -336,6 +338,8 @@
 		c->procs = get_ggs_procs();
 	if (c->connect_ms <= 0)
 		c->connect_ms = CONNECT_MS;
+	if (c->open_ms <= 0 || c->open_ms > c->connect_ms)
+		c->open_ms = c->connect_ms;
 	if (c->silent_ms <= 0)
 		c->silent_ms = SILENT_MS;
 	if (c->idle_ms <= 0)
@@ -494,7 +498,8 @@
 	count_rpc(&c->meter, RPC_COUNT_OPEN);
 	p->state = PEER_CONNECTING;
 	p->want_write = false;
-	p->connect_deadline = now + c->cfg.connect_ms * NSEC_PER_MSEC;
+	p->hello_deadline = now + c->cfg.connect_ms * NSEC_PER_MSEC;
+	p->connect_deadline = now + c->cfg.open_ms * NSEC_PER_MSEC;
 	lower_deadline(c, p->connect_deadline);
 	if ((c->hooks.on_connect != NULL &&
 		!c->hooks.on_connect(c->hooks.arg, p->address)) ||
@@ -806,7 +811,8 @@
 	struct rpc_client *c = p->client;
 	int64_t idle = c->cfg.idle_ms * NSEC_PER_MSEC, partial;
 
-	if (p->state == PEER_CONNECTING && now >= p->connect_deadline) {
+	if (p->state == PEER_CONNECTING && now >= p->connect_deadline &&
+	    !extend_connecting(p, now)) {
 		drop_peer(p, ERR_UNAVAILABLE);
 		return;
 	}
@@ -839,6 +845,22 @@
 	flush_peer(p, now);
 }
 
+/*
+ * Waits on for the hello of a peer whose system has taken the connection.
+ */
+static bool
+extend_connecting(struct rpc_peer *p, int64_t now)
+{
+	struct sockaddr_storage a;
+	socklen_t len = sizeof(a);
+
+	if (now >= p->hello_deadline ||
+	    getpeername(p->link.st.fd, (struct sockaddr *)&a, &len) != 0)
+		return false;
+	p->connect_deadline = p->hello_deadline;
+	return true;
+}
+
 /*
  * Ends overdue sent calls. Returns true when the connection is silent: nothing
  * arrived since an overdue call was sent and for silent_ms.
--- a/packages/rpc/tests/test_rpc_client.c
+++ b/packages/rpc/tests/test_rpc_client.c
@@ -307,6 +307,66 @@
 }
 END_TEST
 
+struct opening_case {
+	const char *what;
+	bool taken; /* the peer's system takes the connection */
+	int advance_ms;
+	bool want_waiting;
+};
+
+static const struct opening_case opening_cases[] = {
+    {"no answer, yet", false, 150, true},
+    {"no answer", false, 250, false},
+    {"a process that is slow to greet", true, 250, true},
+    {"a process that does not greet", true, 1100, false},
+};
+
+/*
+ * Guards against a call that waits a second for a lost SYN, which the system
+ * repeats only then, and against giving up a process that is merely slow. A
+ * full queue of connections makes the system drop a SYN.
+ */
+START_TEST(opening_is_bounded)
+{
+	const struct opening_case *c = &opening_cases[_i];
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	socklen_t len = sizeof(sin);
+	char address[RPC_ADDRESS_BYTES];
+	int fd = socket(AF_INET, SOCK_STREAM, 0), fill[2];
+	struct rig_call call;
+	struct rig r;
+	struct fault f;
+
+	open_rig(&r);
+	open_rig_server(&r, (struct rpc_server_config){0});
+	open_rig_client(&r, (struct rpc_client_config){.open_ms = 200});
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	ck_assert_int_eq(listen(fd, c->taken ? 8 : 0), 0);
+	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&sin, &len), 0);
+	for (int i = 0; i < 2; i++) {
+		fill[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)connect(fill[i], (struct sockaddr *)&sin, sizeof(sin));
+	}
+	snprintf(address, sizeof(address), "127.0.0.1:%d", ntohs(sin.sin_port));
+	ck_assert_int_eq(open_rpc_peer(r.client, address, &r.peer, &f), 0);
+	start_rig_call(&r, &call, GGS_PROPOSE, "x", 5000);
+	RIG_UNTIL(get_rpc_client_stats(r.client).open == 1);
+	advance_rig(&r, c->advance_ms);
+	for (int i = 0; i < 50; i++)
+		pause_rig();
+	ck_assert_msg(
+	    (get_rpc_client_stats(r.client).open == 1) == c->want_waiting, "%s",
+	    c->what);
+	for (int i = 0; i < 2; i++)
+		close(fill[i]);
+	close(fd);
+	advance_rig(&r, 1100);
+	await_rig_call(&call, ERR_UNAVAILABLE);
+	close_rig(&r);
+}
+END_TEST
+
 struct refusal_case {
 	const char *name;
 	uint32_t proc;
@@ -631,6 +691,8 @@
 	tcase_add_test(t, server_closes_a_connection_on_request);
 	tcase_add_test(t, unsent_call_is_unavailable);
 	tcase_add_test(t, connecting_is_bounded);
+	tcase_add_loop_test(t, opening_is_bounded, 0,
+	    sizeof(opening_cases) / sizeof(opening_cases[0]));
 	tcase_add_loop_test(
 	    t, refusals_reach_the_caller, 0, COUNT(refusal_cases));
 	tcase_add_test(t, unanswered_calls_are_bounded);
