control, node: members that lost their disk send nodes elsewhere

Callers that found a node without a table were told to come back after 20 ms, and used up their only retry.

Change: only voters hold watches while their group starts; a process that joins asks every 100 ms, and at once when it is told who leads; Retry-After is 0.5 s while a node has no table or no endpoint.

Ruled out: lost read requests between members.

--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -159,7 +159,8 @@
 }
 
 /*
- * Tells whether a voter has not heard of a leader since its start.
+ * Tells whether a voter has not heard of a leader since its start. A process
+ * that has yet to join is none: its group may have a leader for long.
  */
 bool
 is_control_starting(struct control *c)
@@ -167,7 +168,7 @@
 	struct replica_status st;
 
 	return !is_relay(c) && get_replication(c, &st) && !st.failed &&
-	       st.contact_ns < 0;
+	       st.voter && st.contact_ns < 0;
 }
 
 bool
--- a/packages/control/membership.c
+++ b/packages/control/membership.c
@@ -8,8 +8,8 @@
 #include "identity.h"
 #include "service.h"
 
-#define PLAN_NS (100 * NSEC_PER_MSEC) /* between looks at the plan */
-#define JOIN_NS (250 * NSEC_PER_MSEC) /* between requests to join */
+#define PLAN_NS (50 * NSEC_PER_MSEC) /* between looks at the plan */
+#define JOIN_NS (100 * NSEC_PER_MSEC) /* between requests to join */
 #define JOIN_MS 600 /* longest wait for the answer to one */
 #define CHANGE_MS 2000 /* longest wait for a change of the group */
 /* Without contact to a leader for longer, a member may have been replaced. */
@@ -255,6 +255,8 @@
 	pthread_mutex_lock(&c->lock);
 	if (reply->leader != c->id)
 		c->membership.leader = reply->leader;
+	if (c->membership.leader != 0 && reply->status != WIRE_OK)
+		c->membership.join_ns = 0; /* asks the leader next */
 	pthread_mutex_unlock(&c->lock);
 }
 
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -10,6 +10,8 @@
 
 #define PATIENCE_MAX_NS (600 * NSEC_PER_SEC) /* longer waits are not believed */
 #define RETRY_AFTER_MIN_NS (20 * NSEC_PER_MSEC)
+/* A group that starts has a leader and endpoints within this time. */
+#define RETRY_UNREADY_NS (500 * NSEC_PER_MSEC)
 
 static const struct row *find_call_row(struct node *n, struct request *q);
 static struct str get_host(struct request *q, char *text, size_t size);
@@ -101,7 +103,10 @@
 		rc = append_http_header(
 		    &head, q->node->cfg.names.call_id, make_str(q->id));
 	if (rc == 0 && status == 503)
-		rc = append_retry_after(&head, retry_after);
+		rc = append_retry_after(&head,
+		    reason == REFUSE_NO_TABLE || reason == REFUSE_NO_ENDPOINT ?
+			RETRY_UNREADY_NS :
+			retry_after);
 	if (rc != 0)
 		head.len = 0;
 	log_request(q, status, get_refuse_name(reason));
