base, node, event: structured log lines on standard output

Cause: lines went to standard error in syslog form, with free texts; a call was written only when it failed, as positional numbers, and a reader that stopped held up every thread that wrote.

Change: one JSON object a line; a ring of 128 KB that a thread empties; lines that find no room are counted and the count is written. A call's decisions are named fields; calls that go well are sampled by kind, and what is left out is counted each 5 s. Serving nodes write how runs end; peers, links, backend servers, roles of replicas, tables and settings write changes; events of the time line are lines as well. Bytes of reads live in the reactor: three static buffers of each thread cost 1 MB a process.

Ruled out: a write by the caller's own thread without blocking, since the descriptor is shared with whoever opened it.

--- a/apps/greengagespurd/main.c
+++ b/apps/greengagespurd/main.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "daemon.h"
+#include "log.h"
 
 #define STOP_POLL_NS (200 * NSEC_PER_MSEC) /* look for a stop by other means */
 
@@ -109,6 +110,11 @@
 	if (has_setting(s, "name"))
 		set_log_name(get_setting(s, "name"));
 	set_log_level(get_level(get_setting(s, "log-level")));
+	rc = start_log_writer(STDOUT_FILENO);
+	if (rc != 0)
+		write_log(LOG_LEVEL_WARNING,
+		    "no log writer (%s): lines go to standard error",
+		    get_err_name(rc));
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
@@ -123,23 +129,29 @@
 		rc = role->start(s, &keys, events, &f);
 	unload_fleet_keys(&keys);
 	if (rc != 0) {
-		write_log(LOG_LEVEL_ERR, "cannot start: %s", f.text);
+		WRITE_EVENT(LOG_LEVEL_ERR, "process.not-started",
+		    LOG_TEXT("reason", f.text));
+		(void)fprintf(
+		    stderr, "greengagespurd: cannot start: %s\n", f.text);
 		close_event_log(events);
+		stop_log_writer();
 		return EXIT_START_FAILED;
 	}
-	write_log(LOG_LEVEL_NOTICE, "started: role %s, version %s", role->name,
-	    GGS_VERSION);
+	WRITE_EVENT(LOG_LEVEL_NOTICE, "process.started",
+	    LOG_TEXT("role", role->name), LOG_TEXT("version", GGS_VERSION));
 	record_event(events, "start",
 	    has_setting(s, "name") ? get_setting(s, "name") : role->name, 0,
 	    "role %s", role->name);
 	wait_for_stop(role);
-	write_log(LOG_LEVEL_NOTICE, "stopping");
+	WRITE_EVENT(
+	    LOG_LEVEL_NOTICE, "process.stopping", LOG_TEXT("role", role->name));
 	rc = role->stop(&f);
-	if (rc != 0)
-		write_log(LOG_LEVEL_ERR, "ended: %s", f.text);
-	else
-		write_log(LOG_LEVEL_NOTICE, "stopped");
+	WRITE_EVENT(rc != 0 ? LOG_LEVEL_ERR : LOG_LEVEL_NOTICE,
+	    "process.stopped",
+	    LOG_TEXT("outcome", rc != 0 ? get_err_name(rc) : "clean"),
+	    LOG_TEXT("reason", rc != 0 ? f.text : ""));
 	close_event_log(events);
+	stop_log_writer();
 	return rc != 0 ? EXIT_START_FAILED : EXIT_SUCCESS;
 }
 
--- a/apps/greengagespurd/node_role.c
+++ b/apps/greengagespurd/node_role.c
@@ -3,6 +3,7 @@
  */
 #include "agent.h"
 #include "daemon.h"
+#include "log.h"
 #include "proxy.h"
 
 static struct agent *agent;
--- a/apps/greengagespurd/platform_role.c
+++ b/apps/greengagespurd/platform_role.c
@@ -10,6 +10,7 @@
 #include "agent.h"
 #include "control.h"
 #include "daemon.h"
+#include "log.h"
 #include "node.h"
 #include "platform.h"
 
@@ -245,8 +246,8 @@
 	int rc = load_platform_settings(getenv(CONFIG_VARIABLE), &fresh, &f);
 
 	if (rc != 0) {
-		write_log(
-		    LOG_LEVEL_ERR, "settings are not reloaded: %s", f.text);
+		WRITE_EVENT(LOG_LEVEL_ERR, "settings.refused",
+		    LOG_TEXT("reason", f.text));
 		return;
 	}
 	memcpy(settings.seeds, fresh.seeds, sizeof(settings.seeds));
@@ -255,7 +256,7 @@
 	rc = node != NULL ?
 		 add_agent_controls(agent, seeds, settings.seed_count) :
 		 set_control_seeds(control, seeds, settings.seed_count);
-	write_log(rc == 0 ? LOG_LEVEL_NOTICE : LOG_LEVEL_WARNING,
-	    "settings reloaded: %zu seeds (%s)", settings.seed_count,
-	    get_err_name(rc));
+	WRITE_EVENT(rc == 0 ? LOG_LEVEL_NOTICE : LOG_LEVEL_WARNING,
+	    "settings.reloaded", LOG_INT("seeds", settings.seed_count),
+	    LOG_TEXT("outcome", rc == 0 ? "taken" : get_err_name(rc)));
 }
--- a/bench/standin.c
+++ b/bench/standin.c
@@ -15,6 +15,7 @@
 
 #include <jansson.h>
 
+#include "log.h"
 #include "standin.h"
 
 #define STANDIN_THREADS 1
--- a/packages/agent/agent_controls.c
+++ b/packages/agent/agent_controls.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "agent_core.h"
+#include "log.h"
 
 static int find_control(const struct agent *a, const char *address);
 static int take_slot(struct agent *a);
--- a/packages/agent/agent_watch.c
+++ b/packages/agent/agent_watch.c
@@ -6,6 +6,7 @@
 
 #include "agent_core.h"
 #include "agent_table.h"
+#include "log.h"
 
 #define SLACK_MS 1000 /* the agent gives up first, then the RPC */
 
--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -1,6 +1,6 @@
 /*
- * Base types of all packages: length-counted strings, typed errors, the clock,
- * log lines and seeded random numbers.
+ * Base types of all packages: length-counted strings, typed errors, the clock
+ * and seeded random numbers.
  */
 #ifndef BASE_H
 #define BASE_H
@@ -75,13 +75,6 @@
 	uint64_t state[2];
 };
 
-enum log_level {
-	LOG_LEVEL_ERR = 3, /* syslog severities */
-	LOG_LEVEL_WARNING = 4,
-	LOG_LEVEL_NOTICE = 5,
-	LOG_LEVEL_INFO = 6,
-};
-
 /* Strings */
 struct str make_str(const char *s); /* of a C string */
 struct str make_str_n(const char *s, size_t len); /* of len bytes */
@@ -119,10 +112,4 @@
 uint64_t draw_below(struct rng *r, uint64_t bound); /* 0..bound-1; 0 if 0 */
 double draw_unit(struct rng *r); /* [0, 1) */
 
-/* Log lines on standard error */
-void set_log_name(const char *name); /* program and node name */
-void set_log_level(enum log_level level);
-void write_log(enum log_level level, const char *fmt, ...)
-    __attribute__((format(printf, 2, 3)));
-
 #endif
--- a/packages/control/founding.c
+++ b/packages/control/founding.c
@@ -5,6 +5,7 @@
  */
 #include <stdlib.h>
 
+#include "log.h"
 #include "service.h"
 
 #define ASK_NS (200 * NSEC_PER_MSEC) /* between questions to the peers */
--- a/packages/control/membership.c
+++ b/packages/control/membership.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "identity.h"
+#include "log.h"
 #include "service.h"
 
 #define PLAN_NS (50 * NSEC_PER_MSEC) /* between looks at the plan */
--- a/packages/control/peers.c
+++ b/packages/control/peers.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "log.h"
 #include "service.h"
 
 static struct peer *take_peer_place(struct control *c);
--- a/packages/control/relay.c
+++ b/packages/control/relay.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "log.h"
 #include "service.h"
 
 #define PULL_TIMEOUT_MS (SERVICE_PULL_MS + SERVICE_READ_MS)
--- a/packages/control/replication.c
+++ b/packages/control/replication.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "identity.h"
+#include "log.h"
 #include "service.h"
 
 /* A READ_INDEX call that waits. */
--- a/packages/control/state.c
+++ b/packages/control/state.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "log.h"
 #include "state.h"
 
 static void apply_change(struct state *s, int64_t wall_ns,
--- a/packages/event/event.c
+++ b/packages/event/event.c
@@ -8,6 +8,7 @@
 #include <jansson.h>
 
 #include "event.h"
+#include "log.h"
 
 #define EVENT_NODE_BYTES 64
 
@@ -59,29 +60,34 @@
 }
 
 /*
- * Records an event; the oldest one is overwritten when the ring is full. Texts
- * that are too long are cut.
+ * Records an event and writes its log line; the oldest one is overwritten when
+ * the ring is full. Texts that are too long are cut.
  */
 void
 record_event(struct event_log *l, const char *kind, const char *subject,
     uint64_t version, const char *fmt, ...)
 {
-	struct event *e;
+	struct event e = {.version = version};
+	char name[sizeof(e.kind) + 8];
 	va_list ap;
 
 	if (l == NULL)
 		return;
-	pthread_mutex_lock(&l->lock);
-	e = &l->ring[l->written % l->capacity];
-	l->written++;
-	e->stamp = advance_hlc(l, (struct hlc){0});
-	e->version = version;
-	snprintf(e->kind, sizeof(e->kind), "%s", kind);
-	snprintf(e->subject, sizeof(e->subject), "%s", subject);
+	snprintf(e.kind, sizeof(e.kind), "%s", kind);
+	snprintf(e.subject, sizeof(e.subject), "%s", subject);
 	va_start(ap, fmt);
-	vsnprintf(e->detail, sizeof(e->detail), fmt, ap);
+	vsnprintf(e.detail, sizeof(e.detail), fmt, ap);
 	va_end(ap);
+	pthread_mutex_lock(&l->lock);
+	e.stamp = advance_hlc(l, (struct hlc){0});
+	l->ring[l->written % l->capacity] = e;
+	l->written++;
 	pthread_mutex_unlock(&l->lock);
+	snprintf(name, sizeof(name), "fleet.%s", e.kind);
+	WRITE_EVENT(LOG_LEVEL_INFO, name, LOG_TEXT("subject", e.subject),
+	    LOG_INT("version", e.version), LOG_TEXT("detail", e.detail),
+	    LOG_INT("hlc_ns", e.stamp.wall_ns),
+	    LOG_INT("hlc_count", e.stamp.count));
 }
 
 struct hlc
--- a/packages/hop/hop.c
+++ b/packages/hop/hop.c
@@ -10,9 +10,9 @@
 #include <unistd.h>
 
 #include "hop.h"
+#include "log.h"
 
 #define FRAME_HEAD_BYTES 12
-#define READ_BYTES (64 * 1024) /* taken from a socket at a time */
 #define READS_AT_ONCE 4 /* before other sockets get their turn */
 #define LOW_WATER_BYTES (32 * 1024) /* of unsent output: on_drained */
 #define CHECK_NS (100 * NSEC_PER_MSEC) /* between looks at a busy link */
@@ -48,6 +48,7 @@
 static void serve_link(struct watch *w, uint32_t events);
 static bool finish_connect(struct hop_link *l);
 static void read_link(struct hop_link *l);
+static bool read_once(struct hop_link *l, char *bytes);
 static bool take_bytes(struct hop_link *l, struct str in);
 static size_t take_frames(struct hop_link *l, struct str in);
 static void handle_frame(struct hop_link *l, const struct hop_frame *f);
@@ -312,27 +313,43 @@
 static void
 read_link(struct hop_link *l)
 {
-	static _Thread_local char bytes[READ_BYTES];
+	struct reactor *r = l->reactor;
+	char *bytes = take_scratch(r);
 
+	if (bytes == NULL) {
+		write_log(LOG_LEVEL_ERR, "out of memory for a link's frames");
+		fail_link(l, "out of memory");
+		return;
+	}
 	for (int i = 0; i < READS_AT_ONCE && !l->closed; i++) {
-		ssize_t n = recv(l->watch.fd, bytes, sizeof(bytes), 0);
+		if (!read_once(l, bytes))
+			break;
+	}
+	give_scratch(r);
+}
 
-		if (n < 0 && (errno == EAGAIN || errno == EINTR))
-			return;
-		if (n <= 0) {
-			fail_link(l, n == 0 ? "closed" : "reset");
-			return;
-		}
-		l->heard = get_reactor_now(l->reactor);
-		l->pinged = 0;
-		l->silent = false;
-		if (!take_bytes(l, make_str_n(bytes, (size_t)n))) {
-			fail_link(l, "damaged frame");
-			return;
-		}
-		if ((size_t)n < sizeof(bytes))
-			return;
+/*
+ * Returns whether more may be there to be read.
+ */
+static bool
+read_once(struct hop_link *l, char *bytes)
+{
+	ssize_t n = recv(l->watch.fd, bytes, REACTOR_SCRATCH_BYTES, 0);
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return false;
+	if (n <= 0) {
+		fail_link(l, n == 0 ? "closed" : "reset");
+		return false;
+	}
+	l->heard = get_reactor_now(l->reactor);
+	l->pinged = 0;
+	l->silent = false;
+	if (!take_bytes(l, make_str_n(bytes, (size_t)n))) {
+		fail_link(l, "damaged frame");
+		return false;
 	}
+	return n == REACTOR_SCRATCH_BYTES;
 }
 
 /*
--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -98,7 +98,7 @@
 	if (retry_after > q->retry_after)
 		q->retry_after = retry_after;
 	if (q->caller == NULL) {
-		log_request(q, 0, "caller left");
+		log_request(q, 0, "left");
 		free_request(q);
 		return;
 	}
@@ -106,7 +106,10 @@
 		q->arrivals++;
 		if (q->arrivals >= q->terms.attempts ||
 		    !take_retry(q->node, q->service)) {
-			add_note(q, NOTE_NO_RETRY, "", q->arrivals, 0, 0);
+			add_note(q, NOTE_NO_RETRY,
+			    q->arrivals >= q->terms.attempts ? "attempts" :
+							       "budget",
+			    q->arrivals, 0, 0);
 			give_up(q);
 			return;
 		}
@@ -128,7 +131,7 @@
 	if (a->status < 500)
 		note_run_time(q->stats, a->service_ns);
 	if (q->caller == NULL) {
-		log_request(q, 0, "caller left");
+		log_request(q, 0, "left");
 		free_request(q);
 		return;
 	}
@@ -149,7 +152,7 @@
 	add_note(q, NOTE_FAILED, q->attempt.peer->id, (int)cause, not_sent, 0);
 	end_attempt_here(q);
 	if (q->caller == NULL) {
-		log_request(q, 0, "caller left");
+		log_request(q, 0, "left");
 		free_request(q);
 		return;
 	}
@@ -186,7 +189,7 @@
 	if (q->caller == NULL) {
 		/* Left to end by itself; its time is over. */
 		stop_attempt(q);
-		log_request(q, 0, "caller left");
+		log_request(q, 0, "left");
 		free_request(q);
 		return;
 	}
@@ -349,11 +352,15 @@
 static bool
 may_run_again(struct request *q)
 {
-	if (!q->terms.repeatable || q->arrivals >= q->terms.attempts)
-		return false;
-	if (take_retry(q->node, q->service))
+	const char *why = "budget";
+
+	if (!q->terms.repeatable)
+		why = "may-not-repeat";
+	else if (q->arrivals >= q->terms.attempts)
+		why = "attempts";
+	else if (take_retry(q->node, q->service))
 		return true;
-	add_note(q, NOTE_NO_RETRY, "", q->arrivals, 0, 0);
+	add_note(q, NOTE_NO_RETRY, why, q->arrivals, 0, 0);
 	return false;
 }
 
--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -10,9 +10,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "log.h"
 #include "node_state.h"
 
-#define READ_BYTES (64 * 1024) /* taken from a socket at a time */
 #define ANSWER_HEAD_MAX (64 * 1024) /* bytes of an answer's head */
 #define ANSWER_BODY_MAX (64 * 1024 * 1024) /* bytes of an answer's body */
 #define CONNECT_NS (500 * NSEC_PER_MSEC) /* longest opening of a connection */
@@ -194,10 +194,12 @@
 	if (b == NULL)
 		return;
 	if (is_stale_report(b, r)) {
-		write_log(LOG_LEVEL_NOTICE,
-		    "report %llu of instance %s is older than what is known "
-		    "of %s; ignored",
-		    (unsigned long long)r->seq, r->id, b->instance);
+		WRITE_EVENT(LOG_LEVEL_NOTICE, "report.stale",
+		    LOG_TEXT("instance", r->id), LOG_INT("seq", r->seq),
+		    LOG_INT("born_ms", r->born_ms),
+		    LOG_TEXT("known_instance", b->instance),
+		    LOG_INT("known_seq", b->seq),
+		    LOG_INT("known_born_ms", b->born_ms));
 		return;
 	}
 	if (!b->reported || strcmp(b->instance, r->id) != 0 ||
@@ -250,8 +252,9 @@
 {
 	struct backend *b = n->backend;
 
-	write_log(LOG_LEVEL_NOTICE, "backend server: instance %s, %d slots",
-	    r->id, r->slots);
+	WRITE_EVENT(LOG_LEVEL_NOTICE, "backend.started",
+	    LOG_TEXT("instance", r->id), LOG_TEXT("before", b->instance),
+	    LOG_INT("born_ms", r->born_ms), LOG_INT("slots", r->slots));
 	while (b->idle != NULL)
 		close_conn(b->idle);
 	for (struct backend_conn *c = b->busy; c != NULL; c = c->next)
@@ -283,11 +286,13 @@
 	else if (!b->reported || b->down)
 		state = HOP_STATE_DOWN;
 	if (state != n->state) {
-		write_log(LOG_LEVEL_NOTICE, "backend server %s: %s",
-		    b->instance,
-		    state == HOP_STATE_READY   ? "ready" :
-		    state == HOP_STATE_LEAVING ? "leaving" :
-						 "down");
+		WRITE_EVENT(LOG_LEVEL_NOTICE, "backend.state",
+		    LOG_TEXT("instance", b->instance),
+		    LOG_TEXT("state", state == HOP_STATE_READY	 ? "ready" :
+				      state == HOP_STATE_LEAVING ? "leaving" :
+								   "down"),
+		    LOG_INT("seq", b->seq),
+		    LOG_INT("connect_failures", b->connect_failures));
 		n->state = state;
 		tell_load(n);
 	}
@@ -508,17 +513,23 @@
 static void
 read_conn(struct backend_conn *c)
 {
-	static _Thread_local char bytes[READ_BYTES];
-	ssize_t n = recv(c->watch.fd, bytes, sizeof(bytes), 0);
+	struct reactor *r = c->node->reactor;
+	char *bytes = take_scratch(r);
+	ssize_t n;
 
-	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+	if (bytes == NULL) {
+		write_log(LOG_LEVEL_ERR, "out of memory for an answer");
+		fail_conn(c, ATTEMPT_BROKEN);
 		return;
-	if (n <= 0)
+	}
+	n = recv(c->watch.fd, bytes, REACTOR_SCRATCH_BYTES, 0);
+	if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR))
 		take_eof(c, n < 0);
-	else if (c->state == CONN_IDLE)
+	else if (n > 0 && c->state == CONN_IDLE)
 		close_conn(c); /* bytes that belong to no call */
-	else
+	else if (n > 0)
 		take_bytes(c, make_str_n(bytes, (size_t)n));
+	give_scratch(r);
 }
 
 static void
--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -9,10 +9,10 @@
 #include <netinet/in.h>
 #include <unistd.h>
 
+#include "log.h"
 #include "node_state.h"
 
 #define ACCEPTS_AT_ONCE 64 /* before other sockets get their turn */
-#define READ_BYTES (64 * 1024) /* taken from a socket at a time */
 #define LINGER_NS NSEC_PER_SEC /* a refused sender may read its answer */
 #define DEFAULT_IDLE_NS (15 * NSEC_PER_SEC) /* before a table is known */
 #define DEFAULT_HEAD_NS (5 * NSEC_PER_SEC)
@@ -203,16 +203,21 @@
 static void
 read_caller(struct caller *c)
 {
-	static _Thread_local char bytes[READ_BYTES];
-	ssize_t n = recv(c->watch.fd, bytes, sizeof(bytes), 0);
+	struct reactor *r = c->node->reactor;
+	char *bytes = take_scratch(r);
+	ssize_t n;
 
-	if (n < 0 && (errno == EAGAIN || errno == EINTR))
-		return;
-	if (n <= 0) {
+	if (bytes == NULL) {
+		write_log(LOG_LEVEL_ERR, "out of memory for a request");
 		close_caller(c);
 		return;
 	}
-	take_input(c, make_str_n(bytes, (size_t)n));
+	n = recv(c->watch.fd, bytes, REACTOR_SCRATCH_BYTES, 0);
+	if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR))
+		close_caller(c);
+	else if (n > 0)
+		take_input(c, make_str_n(bytes, (size_t)n));
+	give_scratch(r);
 }
 
 /*
--- a/packages/node/inbound.c
+++ b/packages/node/inbound.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "log.h"
 #include "node_state.h"
 
 #define REMOTE_SLOTS 64 /* of a link's table of calls */
@@ -253,8 +254,8 @@
 	if (c == NULL)
 		return;
 	j = c->job;
+	cancel_job(j); /* its strings belong to c */
 	free_remote(c);
-	cancel_job(j);
 }
 
 /*
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "log.h"
 #include "node_state.h"
 
 #define CONNECT_NS (200 * NSEC_PER_MSEC) /* longest opening of a link */
@@ -231,6 +232,9 @@
 	cancel_timer(l->node->reactor, &l->timer);
 	if (decode_hop(payload, (xdrproc_t)xdr_hop_welcome, &w, &rest) != 0)
 		return;
+	WRITE_EVENT(LOG_LEVEL_INFO, "link.opened", LOG_TEXT("node", w.node),
+	    LOG_INT("in_flight", w.load.in_flight),
+	    LOG_INT("queued", w.load.queued));
 	take_load(l->peer, &w.load);
 	unload_hop((xdrproc_t)xdr_hop_welcome, &w);
 }
@@ -338,10 +342,13 @@
 	struct peer_link *l = arg, **at = &l->node->links;
 	bool connected = was_hop_connected(l->hop);
 
-	(void)why;
 	while (*at != l)
 		at = &(*at)->next;
 	*at = l->next;
+	WRITE_EVENT(LOG_LEVEL_NOTICE, "link.lost",
+	    LOG_TEXT("node", l->peer != NULL ? l->peer->id : ""),
+	    LOG_TEXT("why", why), LOG_BOOL("was_open", connected),
+	    LOG_INT("calls", l->stream_count));
 	if (l->peer != NULL) {
 		if (l->peer->link == l)
 			l->peer->link = NULL;
@@ -381,6 +388,9 @@
 	struct request *list[256];
 	size_t count = 0;
 
+	WRITE_EVENT(LOG_LEVEL_NOTICE, "link.silent",
+	    LOG_TEXT("node", l->peer != NULL ? l->peer->id : ""),
+	    LOG_INT("calls", l->stream_count));
 	if (l->peer != NULL)
 		note_peer_failure(l->peer);
 	for (size_t i = 0; i < NODE_STREAM_SLOTS; i++) {
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "log.h"
 #include "node_state.h"
 
 #define BODY_MEMORY_DEFAULT (64LL * 1024 * 1024)
@@ -50,6 +51,10 @@
 		return set_fault(f, ERR_MEMORY, "out of memory");
 	pthread_mutex_init(&n->lock, NULL);
 	pthread_cond_init(&n->drained_cond, NULL);
+	n->failed_lines.of = "calls that failed";
+	n->late_lines.of = "calls that were late or offered again";
+	n->failed_jobs.of = "runs that failed";
+	n->served_lines.of = "runs that went well";
 	rc = copy_texts(n, cfg, f);
 	if (rc == 0 && open_reactor(&n->cfg.clock, &n->reactor) != 0)
 		rc = set_fault(f, ERR_IO,
@@ -262,6 +267,7 @@
 static void
 take_table(struct node *n, const struct table *t)
 {
+	uint64_t before = n->table != NULL ? n->table->version : 0;
 	int32_t head_kb = 1, head_ms = 1, idle_ms = 1, body_kb = 1;
 
 	for (size_t i = 0; i < t->row_count; i++) {
@@ -282,9 +288,9 @@
 	}
 	if (n->table != NULL)
 		release_table(n->cfg.agent, n->table);
-	else
-		write_log(LOG_LEVEL_NOTICE, "first table: version %llu",
-		    (unsigned long long)t->version);
+	WRITE_EVENT(LOG_LEVEL_INFO, "table.applied",
+	    LOG_INT("version", t->version), LOG_INT("before", before),
+	    LOG_INT("rows", t->row_count));
 	n->table = t;
 	set_metric(n->metrics.table_version, (int64_t)t->version);
 	refresh_admission(n);
@@ -304,8 +310,8 @@
 		return;
 	n->leaving_at = get_reactor_now(n->reactor);
 	n->last_call = n->leaving_at;
-	write_log(LOG_LEVEL_NOTICE, "stop: %d calls and %d jobs under way",
-	    n->requests, n->job_count);
+	WRITE_EVENT(LOG_LEVEL_NOTICE, "node.leaving",
+	    LOG_INT("calls", n->requests), LOG_INT("runs", n->job_count));
 	set_timer(n->reactor, &n->leave_timer, n->leaving_at + LEAVE_TICK_NS,
 	    check_leave);
 }
@@ -331,12 +337,10 @@
 		    check_leave);
 		return;
 	}
-	if (over && (n->requests > 0 || n->job_count > 0))
-		write_log(LOG_LEVEL_WARNING,
-		    "stop: %d calls and %d jobs did not end in time",
-		    n->requests, n->job_count);
-	write_log(LOG_LEVEL_NOTICE, "stop: drained after %lld ms",
-	    (long long)((now - n->leaving_at) / NSEC_PER_MSEC));
+	WRITE_EVENT(over ? LOG_LEVEL_WARNING : LOG_LEVEL_NOTICE, "node.drained",
+	    LOG_INT("after_ms", (now - n->leaving_at) / NSEC_PER_MSEC),
+	    LOG_INT("calls_left", n->requests),
+	    LOG_INT("runs_left", n->job_count));
 	pthread_mutex_lock(&n->lock);
 	n->drained = true;
 	pthread_cond_signal(&n->drained_cond);
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -47,7 +47,7 @@
 	NOTE_FAILED, /* text: peer, a: cause, b: not sent */
 	NOTE_ANSWERED, /* text: peer, a: status, b: backend us */
 	NOTE_SILENT, /* text: peer */
-	NOTE_NO_RETRY, /* a: why */
+	NOTE_NO_RETRY, /* text: why, a: arrivals */
 	NOTE_CALLER_LEFT, /* a: ms since arrival */
 	NOTE_EXPIRED, /* a: ms since arrival */
 };
@@ -236,6 +236,13 @@
 	bool wanted; /* named by the present table */
 };
 
+/* Calls of a window whose lines are written and left out. */
+struct log_budget {
+	const char *of; /* which calls */
+	int64_t window; /* its number since the clock's start */
+	int written, omitted;
+};
+
 /* What a node learnt of a kind of work. */
 struct kind_stats {
 	struct kind_stats *next;
@@ -250,6 +257,7 @@
 	size_t turn_count;
 	uint64_t turn_split; /* hash of the cell; 0: none */
 	struct origin_counts origin; /* of calls that this node served */
+	struct log_budget routine_lines;
 };
 
 struct backend; /* backend.c */
@@ -297,6 +305,8 @@
 	int64_t service_ns; /* recent mean of a run; 0: not known */
 	double failed_share; /* recent share of failed runs */
 	struct origins origins; /* of the calls that it serves */
+	struct log_budget failed_lines, late_lines; /* of callers' calls */
+	struct log_budget failed_jobs, served_lines; /* of calls served */
 
 	/* Stop */
 	struct task drain; /* posted by drain_node() */
@@ -394,9 +404,12 @@
 void answer_report(struct node *n, struct request *q);
 void answer_metrics(struct node *n, struct request *q);
 
-/* notes.c */
+/* call_log.c */
 void add_note(struct request *q, enum note_kind kind, const char *text, int a,
     int b, int c);
 void log_request(struct request *q, int status, const char *outcome);
+const char *get_end_name(enum attempt_end cause);
+void log_job(const struct job *j, const char *outcome, const char *reason,
+    int status, int64_t run_ns);
 
 #endif
--- a/packages/node/own.c
+++ b/packages/node/own.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "log.h"
 #include "node_state.h"
 
 static void answer_own(struct request *q, const struct own_answer *a);
@@ -51,7 +52,8 @@
 	} else if (rc == ERR_NOT_FOUND) {
 		a.status = 404;
 	} else {
-		write_log(LOG_LEVEL_NOTICE, "a report is ignored: %s", f.text);
+		WRITE_EVENT(LOG_LEVEL_NOTICE, "report.refused",
+		    LOG_TEXT("instance", r.id), LOG_TEXT("reason", f.text));
 		a.status = 400;
 	}
 	answer_own(q, &a);
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "log.h"
 #include "node_state.h"
 
 #define PATIENCE_MAX_NS (600 * NSEC_PER_SEC) /* longer waits are not believed */
@@ -78,7 +79,7 @@
 		return;
 	if (q->attempt.active)
 		stop_attempt(q);
-	log_request(q, 0, "caller left");
+	log_request(q, 0, "left");
 	free_request(q);
 }
 
--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -25,6 +25,7 @@
 static void end_job(
     struct job *j, enum call_outcome outcome, int64_t service_ns);
 static void free_job(struct job *j);
+static void forget_spec(struct job *j);
 static void note_run(struct node *n, bool failed, int64_t service_ns);
 
 /*
@@ -96,8 +97,12 @@
 
 	j->events = NULL;
 	j->owner = NULL;
-	if (j->state == JOB_RUNNING && j->sent && !j->spec.repeatable)
-		return; /* the connection has its own copy of the call */
+	if (j->state == JOB_RUNNING && j->sent && !j->spec.repeatable) {
+		log_job(j, "left-running", "", 0, 0);
+		forget_spec(j); /* the connection has its own copy */
+		return;
+	}
+	log_job(j, "cancelled", "", 0, 0);
 	if (j->state == JOB_RUNNING) {
 		abort_at_backend(n, j);
 		end_job(j, OUTCOME_FAILED, 0);
@@ -113,6 +118,17 @@
 	end_job(j, OUTCOME_FAILED, 0);
 }
 
+/*
+ * The strings are the owner's, which is gone.
+ */
+static void
+forget_spec(struct job *j)
+{
+	j->spec.kind = j->spec.id = make_str("");
+	j->spec.method = j->spec.target = j->spec.head = make_str("");
+	j->spec.caller_service = j->spec.body = make_str("");
+}
+
 bool
 is_job_sent(const struct job *j)
 {
@@ -183,6 +199,7 @@
 
 	count_metric(n->metrics.served, 1);
 	note_run(n, failed, service);
+	log_job(j, "answered", "", a->status, service);
 	if (events != NULL)
 		events->answered(owner, a);
 	end_job(j, failed ? OUTCOME_FAILED : OUTCOME_RAN, service);
@@ -196,6 +213,7 @@
 
 	if (!not_sent)
 		note_run(j->node, true, 0);
+	log_job(j, "failed", get_end_name(cause), 0, 0);
 	end_job(j, OUTCOME_UNKNOWN, 0);
 	if (events != NULL)
 		events->failed(owner, cause, not_sent);
@@ -209,6 +227,7 @@
 	struct node *n = j->node;
 
 	note_run(n, true, 0);
+	log_job(j, "rejected", "", 0, 0);
 	end_job(j, OUTCOME_NOT_RUN, 0);
 	if (events != NULL)
 		events->refused(owner, REFUSE_OVERLOAD, 0, true);
@@ -276,6 +295,7 @@
 		return;
 	}
 	count_metric(j->node->metrics.shed, 1);
+	log_job(j, "refused", get_refuse_name(j->reason), 0, 0);
 	free_job(j);
 	if (events != NULL)
 		events->refused(owner, j->reason, j->retry_after, false);
--- a/packages/node/services.c
+++ b/packages/node/services.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "log.h"
 #include "node_state.h"
 
 #define TOKENS_START 2.0 /* retries before the first calls were counted */
@@ -100,6 +101,7 @@
 	if (k == NULL)
 		return NULL;
 	(void)copy_str(k->kind, sizeof(k->kind), make_str(kind));
+	k->routine_lines.of = k->kind;
 	k->next = n->kinds;
 	n->kinds = k;
 	return k;
@@ -212,6 +214,10 @@
 {
 	struct peer *p = find_peer_record(n, e->id);
 
+	bool ready = e->state == WIRE_ENDPOINT_READY ||
+		     e->state == WIRE_ENDPOINT_SUSPECT;
+	bool fresh = p == NULL;
+
 	if (p == NULL) {
 		p = calloc(1, sizeof(*p));
 		if (p == NULL)
@@ -229,13 +235,20 @@
 		p->failures = 0;
 		p->avoid_until = 0;
 	}
+	if (fresh || p->incarnation != e->incarnation || p->usable != ready)
+		WRITE_EVENT(LOG_LEVEL_INFO, "peer.changed",
+		    LOG_TEXT("node", p->id), LOG_TEXT("service", s->name),
+		    LOG_TEXT("address", e->address), LOG_TEXT("zone", e->zone),
+		    LOG_TEXT("instance", e->instance),
+		    LOG_INT("incarnation", e->incarnation),
+		    LOG_INT("seq", e->seq), LOG_INT("slots", e->slots),
+		    LOG_BOOL("usable", ready));
 	p->incarnation = e->incarnation;
 	(void)copy_str(p->address, sizeof(p->address), make_str(e->address));
 	(void)copy_str(p->service, sizeof(p->service), make_str(s->name));
 	p->local = strcmp(p->id, n->cfg.name) == 0;
 	p->same_zone = strcmp(e->zone, n->cfg.zone) == 0;
-	p->usable = e->state == WIRE_ENDPOINT_READY ||
-		    e->state == WIRE_ENDPOINT_SUSPECT;
+	p->usable = ready;
 	p->slots = e->slots;
 	p->listed = true;
 	return p;
@@ -278,6 +291,9 @@
 			continue;
 		}
 		*at = p->next;
+		WRITE_EVENT(LOG_LEVEL_INFO, "peer.gone",
+		    LOG_TEXT("node", p->id), LOG_TEXT("service", p->service),
+		    LOG_INT("incarnation", p->incarnation));
 		drop_peer_links(p);
 		free(p);
 	}
--- a/packages/proxy/health.c
+++ b/packages/proxy/health.c
@@ -10,6 +10,7 @@
 #include <ck_pr.h>
 
 #include "call.h"
+#include "log.h"
 
 #define HEALTH_INTERVAL_NS (500 * NSEC_PER_MSEC)
 #define HEALTH_FIRST_NS (50 * NSEC_PER_MSEC) /* while not ready */
--- a/packages/proxy/tests/world.c
+++ b/packages/proxy/tests/world.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "log.h"
 #include "metric.h"
 #include "world.h"
 
--- a/packages/proxy/uploads.c
+++ b/packages/proxy/uploads.c
@@ -8,6 +8,7 @@
 #include <ck_pr.h>
 
 #include "call.h"
+#include "log.h"
 
 /* How often waiting bodies are looked at again. */
 #define BUDGET_LOOK_NS (5 * NSEC_PER_MSEC)
--- a/packages/reactor/reactor.c
+++ b/packages/reactor/reactor.c
@@ -8,12 +8,15 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include "log.h"
 #include "reactor.h"
 
 #define BATCH 64 /* events taken from epoll at a time */
 #define WAIT_MAX_MS 1000 /* longest wait, so that a moved clock is noticed */
 #define HEAP_FIRST 64
 
+#define SCRATCH_MAX 8 /* handlers that read inside one another */
+
 struct reactor {
 	struct clock_source clock;
 	int epoll;
@@ -26,6 +29,9 @@
 	size_t heap_count;
 	size_t heap_cap;
 
+	char *scratch[SCRATCH_MAX];
+	int scratch_taken;
+
 	struct task *deferred;
 	struct task **deferred_tail;
 
@@ -84,10 +90,32 @@
 	if (r->epoll >= 0)
 		close(r->epoll);
 	pthread_mutex_destroy(&r->lock);
+	for (int i = 0; i < SCRATCH_MAX; i++)
+		free(r->scratch[i]);
 	free(r->heap);
 	free(r);
 }
 
+char *
+take_scratch(struct reactor *r)
+{
+	int i = r->scratch_taken;
+
+	if (i == SCRATCH_MAX)
+		return NULL;
+	if (r->scratch[i] == NULL)
+		r->scratch[i] = malloc(REACTOR_SCRATCH_BYTES);
+	if (r->scratch[i] != NULL)
+		r->scratch_taken++;
+	return r->scratch[i];
+}
+
+void
+give_scratch(struct reactor *r)
+{
+	r->scratch_taken--;
+}
+
 void
 run_reactor(struct reactor *r)
 {
--- a/packages/reactor/reactor.h
+++ b/packages/reactor/reactor.h
@@ -10,6 +10,8 @@
 
 #include "base.h"
 
+#define REACTOR_SCRATCH_BYTES (64 * 1024)
+
 struct reactor;
 struct watch;
 struct timer;
@@ -50,6 +52,13 @@
 /* The time at which the present round began, mono ns */
 int64_t get_reactor_now(const struct reactor *r);
 
+/*
+ * Memory for the bytes of one read. Handlers may run inside one another, so
+ * each takes its own and gives it back, last taken first. NULL: no memory.
+ */
+char *take_scratch(struct reactor *r); /* REACTOR_SCRATCH_BYTES */
+void give_scratch(struct reactor *r);
+
 /* Descriptors: level-triggered; errors and hang-ups are always reported */
 int start_watch(struct reactor *r, struct watch *w, int fd, uint32_t events,
     watch_fn fn); /* ERR_IO */
--- a/packages/replica/replica_core.h
+++ b/packages/replica/replica_core.h
@@ -83,6 +83,7 @@
 	uint64_t members_index;
 	bool members_known;
 	enum raft_role role;
+	uint64_t logged_leader; /* as last written to the log */
 	struct log_time log_time;
 	uint64_t accepted;
 	uint64_t next_context;
--- a/packages/replica/requests.c
+++ b/packages/replica/requests.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "log.h"
 #include "replica_core.h"
 
 static int reserve_proposal(struct replica *r);
--- a/packages/replica/tests/test_log_time.c
+++ b/packages/replica/tests/test_log_time.c
@@ -5,6 +5,7 @@
 #include <check.h>
 
 #include "group.h"
+#include "log.h"
 
 #define SECOND 1000LL /* ms, as all times of the cases */
 #define HOUR (3600 * SECOND)
--- a/packages/replica/tests/test_replica.c
+++ b/packages/replica/tests/test_replica.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "group.h"
+#include "log.h"
 
 #define CHAOS_SEEDS 60
 #define CHAOS_STEPS 1500
--- a/packages/replica/work.c
+++ b/packages/replica/work.c
@@ -3,6 +3,7 @@
  */
 #include <string.h>
 
+#include "log.h"
 #include "replica_core.h"
 
 static void run_ticks(struct replica *r, int64_t now);
@@ -308,13 +309,17 @@
 {
 	struct raft_status s = get_raft_status(r->raft);
 
-	if (s.role == r->role)
+	static const char *const names[] = {[RAFT_FOLLOWER] = "follower",
+	    [RAFT_PRE_CANDIDATE] = "pre-candidate",
+	    [RAFT_CANDIDATE] = "candidate",
+	    [RAFT_LEADER] = "leader"};
+
+	if (s.role == r->role && s.leader == r->logged_leader)
 		return;
-	if (s.role == RAFT_LEADER)
-		write_log(LOG_LEVEL_NOTICE, "member %llu leads term %llu",
-		    (unsigned long long)r->cfg.id, (unsigned long long)s.term);
-	else if (r->role == RAFT_LEADER)
-		write_log(LOG_LEVEL_NOTICE, "member %llu leads no more",
-		    (unsigned long long)r->cfg.id);
+	WRITE_EVENT(LOG_LEVEL_NOTICE, "replica.role",
+	    LOG_TEXT("role", names[s.role]), LOG_INT("member", r->cfg.id),
+	    LOG_INT("leader", s.leader), LOG_INT("term", s.term),
+	    LOG_INT("commit", s.commit), LOG_INT("last", s.last));
 	r->role = s.role;
+	r->logged_leader = s.leader;
 }
