node, ctl: accounts of calls, metrics by kind, true times of resent calls

Cause: the account of a refused call (greengagespurctl explain) showed a server with a mean run of 136 s: a call that went out again on a new connection, since the server had reset the old one, counted from the clock's start. Placement and admission judged such servers as useless for tens of seconds.

Change: run times count from the sending on the connection that answers; greengagespurctl explain reads the lines of many processes and names the cause; metrics by kind, rank, outcome and reason, gauges, and a metrics listener of control processes.

Ruled out: slow servers (runs of 110 ms beside that mean).

--- a/apps/greengagespurctl/ctl.h
+++ b/apps/greengagespurctl/ctl.h
@@ -67,5 +67,6 @@
 const struct command *get_fleet_commands(void);
 int run_status(struct ctl *c, char **words, int count);
 int run_timeline(struct ctl *c, char **words, int count);
+int run_explain(struct ctl *c, char **words, int count);
 
 #endif
--- a/apps/greengagespurctl/fleet_commands.c
+++ b/apps/greengagespurctl/fleet_commands.c
@@ -19,6 +19,8 @@
 	run_drain},
     {"timeline", "", "Merge the events of all processes in causal order", 0, 0,
 	run_timeline},
+    {"explain", "CALL [FILE...]",
+	"Tell from log lines why a call ended as it did", 1, 1024, run_explain},
     {"metrics", "[ADDRESS]", "Print metrics of a control process or node", 0, 1,
 	run_metrics},
     {"member", "add|promote|remove ID [ADDRESS]",
--- a/apps/greengagespurctl/main.c
+++ b/apps/greengagespurctl/main.c
@@ -48,6 +48,7 @@
     "endpoints\n"
     "drain ADDRESS\n"
     "timeline\n"
+    "explain CALL [FILE...]\n"
     "metrics [ADDRESS]",
     "Shows and edits the table, and shows the state of the fleet.\v"
     "Each flag --some-name can also be given as the variable "
--- a/apps/greengagespurd/platform_role.c
+++ b/apps/greengagespurd/platform_role.c
@@ -140,6 +140,7 @@
 	    .zone = settings.zone,
 	    .rpc_listen = settings.rpc_listen,
 	    .http_listen = settings.control_listen,
+	    .metrics_listen = settings.metrics_listen,
 	    .data_dir = settings.data_dir,
 	    .key = make_str(OPEN_NETWORK_KEY),
 	    .open_api = true,
--- a/packages/base/log.h
+++ b/packages/base/log.h
@@ -31,24 +31,24 @@
 	double real;
 };
 
-#define LOG_TEXT(n, v) \
+#define LOG_TEXT(n, v)       \
 	((struct log_field){ \
 	    .name = (n), .type = LOG_TYPE_TEXT, .text = make_str(v)})
 #define LOG_STR(n, v) \
 	((struct log_field){.name = (n), .type = LOG_TYPE_TEXT, .text = (v)})
-#define LOG_INT(n, v) \
+#define LOG_INT(n, v)        \
 	((struct log_field){ \
 	    .name = (n), .type = LOG_TYPE_INT, .number = (int64_t)(v)})
 #define LOG_REAL(n, v) \
 	((struct log_field){.name = (n), .type = LOG_TYPE_REAL, .real = (v)})
-#define LOG_BOOL(n, v) \
+#define LOG_BOOL(n, v)       \
 	((struct log_field){ \
 	    .name = (n), .type = LOG_TYPE_BOOL, .number = (v) ? 1 : 0})
 
 /* Writes a line; event names what happened: subject.what, as in "call.ended" */
-#define WRITE_EVENT(level, event, ...) \
+#define WRITE_EVENT(level, event, ...)                                         \
 	write_event((level), (event), (const struct log_field[]){__VA_ARGS__}, \
-	    sizeof((const struct log_field[]){__VA_ARGS__}) / \
+	    sizeof((const struct log_field[]){__VA_ARGS__}) /                  \
 		sizeof(struct log_field))
 
 void write_event(enum log_level level, const char *event,
--- a/packages/base/tests/test_log.c
+++ b/packages/base/tests/test_log.c
@@ -123,8 +123,7 @@
 	    json_string_value(json_object_get(o, "level")), "notice");
 	ck_assert_str_eq(
 	    json_string_value(json_object_get(o, "process")), "node-1");
-	ck_assert_int_eq(
-	    json_integer_value(json_object_get(o, "number")), -5);
+	ck_assert_int_eq(json_integer_value(json_object_get(o, "number")), -5);
 	ck_assert(json_is_true(json_object_get(o, "truth")));
 	ck_assert(json_is_number(json_object_get(o, "nan")));
 	json_decref(o);
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -63,6 +63,7 @@
 	struct str key; /* fleet key in use */
 	struct str next_key; /* also accepted; empty: none */
 	const char *token_file; /* operators; NULL: loopback listener only */
+	const char *metrics_listen; /* IP:port for metrics alone, or NULL */
 	int open_ms; /* until a peer takes a connection; 0: default of rpc.h */
 	bool open_api; /* everybody who reaches the listener is an operator */
 	control_api_fn api; /* asked before the own API; may be NULL */
--- a/packages/control/http.c
+++ b/packages/control/http.c
@@ -39,8 +39,13 @@
     const struct control *c, struct tls_files *t, struct fault *f);
 static int load_pem(
     const char *path, bool secret, struct buf *out, struct fault *f);
-static struct MHD_Daemon *start_daemon(
-    struct control *c, const struct sockaddr *sa, struct tls_files *t);
+static int start_metrics(struct control *c, struct fault *f);
+static struct MHD_Daemon *start_daemon(struct control *c,
+    const struct sockaddr *sa, struct tls_files *t,
+    MHD_AccessHandlerCallback handler);
+static enum MHD_Result handle_metrics(void *arg, struct MHD_Connection *conn,
+    const char *url, const char *method, const char *version, const char *data,
+    size_t *size, void **state);
 static enum MHD_Result handle_http(void *arg, struct MHD_Connection *conn,
     const char *url, const char *method, const char *version, const char *data,
     size_t *size, void **state);
@@ -79,7 +84,8 @@
 	if (rc == 0)
 		rc = load_tls(c, &t, f);
 	if (rc == 0) {
-		c->http = start_daemon(c, (const struct sockaddr *)&sa, &t);
+		c->http = start_daemon(
+		    c, (const struct sockaddr *)&sa, &t, handle_http);
 		if (c->http == NULL)
 			rc = set_fault(f, ERR_IO,
 			    "cannot listen on %s; check that the address is "
@@ -90,7 +96,8 @@
 		memset(t.key.data, 0, t.key.len);
 	unload_buf(&t.cert);
 	unload_buf(&t.key);
-	return rc;
+	return rc == 0 && c->cfg.metrics_listen != NULL ? start_metrics(c, f) :
+							  rc;
 }
 
 void
@@ -98,7 +105,30 @@
 {
 	if (c->http != NULL)
 		MHD_stop_daemon(c->http);
-	c->http = NULL;
+	if (c->metrics_http != NULL)
+		MHD_stop_daemon(c->metrics_http);
+	c->http = c->metrics_http = NULL;
+}
+
+/*
+ * Starts the listener that serves metrics and nothing else.
+ */
+static int
+start_metrics(struct control *c, struct fault *f)
+{
+	struct sockaddr_storage sa = {0};
+	struct tls_files none = {0};
+	int rc = resolve_listen(c->cfg.metrics_listen, &sa, f);
+
+	if (rc != 0)
+		return rc;
+	c->metrics_http = start_daemon(
+	    c, (const struct sockaddr *)&sa, &none, handle_metrics);
+	if (c->metrics_http != NULL)
+		return 0;
+	return set_fault(f, ERR_IO,
+	    "cannot listen on %s for metrics; check that the address is free",
+	    c->cfg.metrics_listen);
 }
 
 static int
@@ -183,7 +213,8 @@
 }
 
 static struct MHD_Daemon *
-start_daemon(struct control *c, const struct sockaddr *sa, struct tls_files *t)
+start_daemon(struct control *c, const struct sockaddr *sa, struct tls_files *t,
+    MHD_AccessHandlerCallback handler)
 {
 	unsigned int flags = MHD_USE_INTERNAL_POLLING_THREAD |
 			     MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL;
@@ -197,7 +228,7 @@
 		flags |= MHD_USE_IPv6;
 	if (t->cert.len > 0)
 		flags |= MHD_USE_TLS;
-	return MHD_start_daemon(flags, 0, NULL, NULL, handle_http, c,
+	return MHD_start_daemon(flags, 0, NULL, NULL, handler, c,
 	    MHD_OPTION_SOCK_ADDR, sa, MHD_OPTION_CONNECTION_LIMIT,
 	    (unsigned int)HTTP_CONNECTIONS, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
 	    (size_t)HTTP_HEADER_BYTES, MHD_OPTION_CONNECTION_TIMEOUT,
@@ -228,6 +259,33 @@
 	return serve_request(c, conn, url, method, r);
 }
 
+static enum MHD_Result
+handle_metrics(void *arg, struct MHD_Connection *conn, const char *url,
+    const char *method, const char *version, const char *data, size_t *size,
+    void **state)
+{
+	struct api_request q = {.method = method,
+	    .path = url,
+	    .author = "metrics",
+	    .get_argument = get_argument,
+	    .arg = conn};
+	struct api_answer a = {0};
+
+	(void)version;
+	(void)data;
+	(void)state;
+	if (*size > 0) {
+		*size = 0; /* bodies are read and dropped */
+		return MHD_YES;
+	}
+	if (strcmp(url, "/metrics") != 0 || strcmp(method, "GET") != 0)
+		answer_error(
+		    &a, 404, "not-found", "only /metrics is here", false);
+	else
+		run_api(arg, &q, &a);
+	return send_answer(conn, &a);
+}
+
 /*
  * Collects the body. A body that is too large is read to its end, so that the
  * client gets the answer, but not kept; one that takes too long ends the
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -193,6 +193,7 @@
 	struct rpc_client *client;
 	struct operator_tokens *tokens; /* NULL: no authentication */
 	struct MHD_Daemon *http;
+	struct MHD_Daemon *metrics_http; /* NULL: none */
 	pthread_t thread;
 	bool thread_started;
 };
--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -139,7 +139,7 @@
 		deliver(q, a);
 		return;
 	}
-	count_metric(q->node->metrics.retries, 1);
+	count_metric(q->node->metrics.retries_total, 1);
 	try_request(q);
 }
 
@@ -167,7 +167,7 @@
 		give_up(q);
 		return;
 	}
-	count_metric(q->node->metrics.retries, 1);
+	count_metric(q->node->metrics.retries_total, 1);
 	try_request(q);
 }
 
@@ -411,8 +411,9 @@
 	int64_t now = get_reactor_now(n->reactor);
 
 	q->state = REQUEST_DONE;
+	q->reason = REFUSE_NONE;
 	cancel_timer(n->reactor, &q->timer);
-	count_metric(n->metrics.answers, 1);
+	count_metric(n->metrics.answers_total, 1);
 	observe_metric(n->metrics.latency_us,
 	    (uint64_t)((now - q->arrived) / NSEC_PER_USEC));
 	log_request(q, a->status, "answered");
--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -51,7 +51,7 @@
 	bool spoilt; /* closes after the present call */
 	int strays;
 	int64_t idle_since;
-	int64_t started; /* mono ns; the call was sent */
+	int64_t started; /* mono ns; the call was sent; 0: not yet */
 	struct buf head; /* header lines of the answer */
 };
 
@@ -225,6 +225,12 @@
 	return n->backend != NULL ? n->backend->slots : 0;
 }
 
+int
+count_backend_connections(const struct node *n)
+{
+	return n->backend != NULL ? n->backend->conn_count : 0;
+}
+
 const char *
 get_backend_instance(const struct node *n)
 {
@@ -375,7 +381,7 @@
 	}
 	(void)setsockopt(
 	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent, sizeof(silent));
-	count_metric(n->metrics.connects, 1);
+	count_metric(n->metrics.backend_connects_total, 1);
 	c->node = n;
 	c->state = CONN_OPENING;
 	open_http_reader(&c->reader, false, ANSWER_HEAD_MAX, ANSWER_BODY_MAX);
@@ -396,6 +402,7 @@
 	int rc;
 
 	c->out.len = c->out_at = 0;
+	c->started = 0;
 	c->strays = 0;
 	c->spoilt = false;
 	reset_http_reader(&c->reader);
@@ -487,10 +494,10 @@
 {
 	struct reactor *r = c->node->reactor;
 
-	if (c->job != NULL && !c->job->sent) {
+	if (c->job != NULL)
 		c->job->sent = true;
+	if (c->started == 0)
 		c->started = get_reactor_now(r);
-	}
 	while (c->out_at < c->out.len) {
 		ssize_t n = send(c->watch.fd, c->out.data + c->out_at,
 		    c->out.len - c->out_at, MSG_NOSIGNAL);
--- a/packages/node/call_log.c
+++ b/packages/node/call_log.c
@@ -51,6 +51,7 @@
 	bool well = !failed && q->offers <= 1 && now <= q->target_at;
 	bool taken;
 
+	count_call_end(q, status);
 	if (failed)
 		taken = take_budget(n, &n->failed_lines, FAILED_CALLS);
 	else if (well)
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -167,7 +167,7 @@
 		free(l);
 		return NULL;
 	}
-	count_metric(n->metrics.links, 1);
+	count_metric(n->metrics.links_total, 1);
 	l->next = n->links;
 	n->links = l;
 	set_timer(n->reactor, &l->timer,
@@ -550,6 +550,7 @@
 	if (wait > AVOID_MAX_NS)
 		wait = AVOID_MAX_NS;
 	p->failures++;
+	count_metric(p->node->metrics.avoided_total, 1);
 	p->avoid_until = get_reactor_now(p->node->reactor) + wait;
 }
 
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -29,7 +29,6 @@
     struct node *n, const struct node_config *cfg, struct fault *f);
 static const char *keep_text(struct node *n, const char *text, int *rc);
 static void set_defaults(struct node_config *c);
-static void open_metrics(struct node_metrics *m);
 static int start_listening(struct node *n, struct fault *f);
 static void *run_node(void *arg);
 static void run_refresh(struct task *t);
@@ -60,7 +59,7 @@
 		rc = set_fault(f, ERR_IO,
 		    "cannot open an event loop; raise the limit of descriptors");
 	if (rc == 0) {
-		open_metrics(&n->metrics);
+		open_node_metrics(&n->metrics);
 		rc = open_backend(n);
 	}
 	if (rc == 0)
@@ -187,38 +186,6 @@
 		c->connections = 100;
 }
 
-static void
-open_metrics(struct node_metrics *m)
-{
-	m->calls = register_metric(
-	    METRIC_COUNTER, "ggs_node_calls_total", "Calls of callers.");
-	m->answers = register_metric(METRIC_COUNTER, "ggs_node_answers_total",
-	    "Answers of backend servers passed on.");
-	m->refused = register_metric(METRIC_COUNTER, "ggs_node_refused_total",
-	    "Calls refused as not run.");
-	m->failed = register_metric(METRIC_COUNTER, "ggs_node_failed_total",
-	    "Calls that failed without an answer.");
-	m->retries = register_metric(METRIC_COUNTER, "ggs_node_retries_total",
-	    "Calls sent to another backend server.");
-	m->cancelled = register_metric(METRIC_COUNTER,
-	    "ggs_node_cancelled_total", "Calls whose caller hung up.");
-	m->served = register_metric(METRIC_COUNTER, "ggs_node_served_total",
-	    "Calls that the backend server ran.");
-	m->shed = register_metric(METRIC_COUNTER, "ggs_node_shed_total",
-	    "Calls that admission refused.");
-	m->connects =
-	    register_metric(METRIC_COUNTER, "ggs_node_backend_connects_total",
-		"Connections opened to the backend server.");
-	m->links = register_metric(METRIC_COUNTER, "ggs_node_links_total",
-	    "Connections opened to other nodes.");
-	m->latency_us = register_metric(METRIC_HISTOGRAM, "ggs_node_latency_us",
-	    "Time from request to answer, us.");
-	m->queue_us = register_metric(METRIC_HISTOGRAM, "ggs_node_queue_us",
-	    "Time that calls waited for a slot, us.");
-	m->table_version = register_metric(
-	    METRIC_GAUGE, "ggs_node_table_version", "Table version in force.");
-}
-
 static int
 start_listening(struct node *n, struct fault *f)
 {
--- /dev/null
+++ b/packages/node/node_metrics.c
@@ -0,0 +1,177 @@
+/*
+ * Metrics of a node: counters as things happen, gauges when they are asked for.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "log.h"
+#include "node_state.h"
+
+/* A kind with fewer calls has no histogram, which takes 4 KB. */
+#define HISTOGRAM_CALLS 100
+
+struct metric_spec {
+	size_t offset; /* in struct node_metrics */
+	enum metric_kind kind;
+	const char *name;
+	const char *help;
+};
+
+#define SPEC(field, kind, help) \
+	{ \
+		offsetof(struct node_metrics, field), kind, \
+		    "ggs_node_" #field, help \
+	}
+
+static const struct metric_spec specs[] = {
+    SPEC(calls_total, METRIC_COUNTER, "Calls of callers."),
+    SPEC(answers_total, METRIC_COUNTER,
+	"Answers of backend servers passed on."),
+    SPEC(refused_total, METRIC_COUNTER, "Calls refused as not run."),
+    SPEC(failed_total, METRIC_COUNTER,
+	"Calls that ended without an answer and may have run."),
+    SPEC(retries_total, METRIC_COUNTER,
+	"Calls sent to another backend server after one had them."),
+    SPEC(cancelled_total, METRIC_COUNTER, "Calls whose caller hung up."),
+    SPEC(served_total, METRIC_COUNTER, "Calls that the backend server ran."),
+    SPEC(shed_total, METRIC_COUNTER, "Calls that admission refused."),
+    SPEC(backend_connects_total, METRIC_COUNTER,
+	"Connections opened to the backend server."),
+    SPEC(links_total, METRIC_COUNTER, "Connections opened to other nodes."),
+    SPEC(avoided_total, METRIC_COUNTER,
+	"Failures after which a serving node was avoided for a while."),
+    SPEC(latency_us, METRIC_HISTOGRAM, "Time from request to answer, us."),
+    SPEC(queue_us, METRIC_HISTOGRAM, "Time that calls waited for a slot, us."),
+    SPEC(run_us, METRIC_HISTOGRAM, "Time that runs took, us."),
+    SPEC(table_version, METRIC_GAUGE, "Table version in force; 0: none."),
+    SPEC(requests, METRIC_GAUGE, "Calls of callers under way."),
+    SPEC(runs, METRIC_GAUGE, "Calls at this node's backend server."),
+    SPEC(queued, METRIC_GAUGE, "Calls that wait for a slot."),
+    SPEC(in_flight, METRIC_GAUGE, "Calls that hold a slot."),
+    SPEC(slots, METRIC_GAUGE, "Slots in use at most."),
+    SPEC(backend_connections, METRIC_GAUGE,
+	"Connections to the backend server."),
+    SPEC(backend_state, METRIC_GAUGE, "0 down, 1 ready, 2 leaving."),
+    SPEC(mean_run_us, METRIC_GAUGE, "Recent mean of a run, us."),
+    SPEC(failed_ppm, METRIC_GAUGE, "Recent share of failed runs, ppm."),
+    SPEC(peers, METRIC_GAUGE, "Serving nodes known."),
+    SPEC(peers_usable, METRIC_GAUGE, "Serving nodes that take calls."),
+    SPEC(peers_avoided, METRIC_GAUGE, "Serving nodes avoided now."),
+    SPEC(body_bytes, METRIC_GAUGE, "Bytes of request bodies in memory."),
+    SPEC(log_dropped_lines, METRIC_GAUGE,
+	"Log lines that found no room since the start."),
+};
+
+static const char *get_end_label(
+    const struct request *q, int status, bool late);
+static void count_labelled(
+    const char *name, const char *label, const char *value);
+
+void
+open_node_metrics(struct node_metrics *m)
+{
+	for (size_t i = 0; i < sizeof(specs) / sizeof(specs[0]); i++)
+		*(metric_id *)((char *)m + specs[i].offset) = register_metric(
+		    specs[i].kind, specs[i].name, specs[i].help);
+}
+
+/*
+ * Counts the end of a call by its kind, rank and outcome, and a refusal by its
+ * reason. status 0: the caller had left.
+ */
+void
+count_call_end(struct request *q, int status)
+{
+	int64_t now = get_reactor_now(q->node->reactor);
+	char name[METRIC_NAME_BYTES];
+
+	if (status == 503)
+		count_labelled("ggs_node_refusals_total", "reason",
+		    get_refuse_name(q->reason));
+	if (q->stats == NULL)
+		return;
+	if (snprintf(name, sizeof(name),
+		"ggs_node_kind_calls_total{kind=\"%s\",rank=\"%d\","
+		"outcome=\"%s\"}",
+		q->terms.kind, q->terms.rank,
+		get_end_label(q, status, now > q->target_at)) <
+	    (int)sizeof(name))
+		count_metric(register_metric(METRIC_COUNTER, name,
+				 "Calls by kind, rank and outcome."),
+		    1);
+	if (++q->stats->calls < HISTOGRAM_CALLS)
+		return;
+	if (q->stats->calls == HISTOGRAM_CALLS &&
+	    snprintf(name, sizeof(name),
+		"ggs_node_kind_latency_us{kind=\"%s\"}",
+		q->terms.kind) < (int)sizeof(name))
+		q->stats->latency_us = register_metric(METRIC_HISTOGRAM, name,
+		    "Time from request to end, us, of kinds with many calls.");
+	if (q->stats->latency_us > 0)
+		observe_metric(q->stats->latency_us,
+		    (uint64_t)((now - q->arrived) / NSEC_PER_USEC));
+}
+
+void
+refresh_node_metrics(struct node *n)
+{
+	struct node_metrics *m = &n->metrics;
+	int64_t now = get_reactor_now(n->reactor);
+	struct hop_load l = get_own_load(n);
+	int peers = 0, usable = 0, avoided = 0;
+	char name[METRIC_NAME_BYTES];
+
+	for (const struct peer *p = n->peers; p != NULL; p = p->next) {
+		peers++;
+		usable += p->usable ? 1 : 0;
+		avoided += now < p->avoid_until ? 1 : 0;
+	}
+	set_metric(m->requests, n->requests);
+	set_metric(m->runs, n->job_count);
+	set_metric(m->queued, l.queued);
+	set_metric(m->in_flight, l.in_flight);
+	set_metric(m->slots, l.limit);
+	set_metric(m->backend_connections, count_backend_connections(n));
+	set_metric(m->backend_state, (int64_t)l.state);
+	set_metric(m->mean_run_us, l.service_us);
+	set_metric(m->failed_ppm, l.failed_ppm);
+	set_metric(m->peers, peers);
+	set_metric(m->peers_usable, usable);
+	set_metric(m->peers_avoided, avoided);
+	set_metric(m->body_bytes, (int64_t)n->body_bytes);
+	set_metric(m->log_dropped_lines, (int64_t)count_dropped_lines());
+	for (const struct service *s = n->services; s != NULL; s = s->next) {
+		if (snprintf(name, sizeof(name),
+			"ggs_node_retry_tokens{service=\"%s\"}",
+			s->name) < (int)sizeof(name))
+			set_metric(register_metric(METRIC_GAUGE, name,
+				       "Retries that this node may make now."),
+			    (int64_t)s->tokens);
+	}
+}
+
+static const char *
+get_end_label(const struct request *q, int status, bool late)
+{
+	if (status == 0)
+		return "left";
+	if (status == 503)
+		return "refused";
+	if (q->unknown && status >= 500)
+		return "unknown";
+	if (status >= 500)
+		return "backend-failed";
+	return late ? "late" : "answered";
+}
+
+static void
+count_labelled(const char *name, const char *label, const char *value)
+{
+	char full[METRIC_NAME_BYTES];
+
+	if (snprintf(full, sizeof(full), "%s{%s=\"%s\"}", name, label, value) <
+	    (int)sizeof(full))
+		count_metric(register_metric(METRIC_COUNTER, full,
+				 "Calls refused as not run, by reason."),
+		    1);
+}
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -258,15 +258,22 @@
 	uint64_t turn_split; /* hash of the cell; 0: none */
 	struct origin_counts origin; /* of calls that this node served */
 	struct log_budget routine_lines;
+	uint64_t calls; /* of callers that ended */
+	metric_id latency_us; /* 0: none */
 };
 
 struct backend; /* backend.c */
 struct inbound_link; /* inbound.c */
 
 struct node_metrics {
-	metric_id calls, answers, refused, failed, retries, cancelled;
-	metric_id served, shed, connects, links, latency_us, queue_us;
-	metric_id table_version;
+	metric_id calls_total, answers_total, refused_total, failed_total;
+	metric_id retries_total, cancelled_total, served_total, shed_total;
+	metric_id backend_connects_total, links_total, avoided_total;
+	metric_id latency_us, queue_us, run_us;
+	metric_id table_version, requests, runs, queued, in_flight, slots;
+	metric_id backend_connections, backend_state, mean_run_us, failed_ppm;
+	metric_id peers, peers_usable, peers_avoided, body_bytes;
+	metric_id log_dropped_lines;
 };
 
 struct node {
@@ -392,6 +399,7 @@
 void abort_at_backend(struct node *n, struct job *j); /* closes */
 void take_report(struct node *n, const struct backend_report *r);
 int get_backend_slots(const struct node *n);
+int count_backend_connections(const struct node *n);
 const char *get_backend_instance(const struct node *n);
 
 /* inbound.c */
@@ -404,6 +412,11 @@
 void answer_report(struct node *n, struct request *q);
 void answer_metrics(struct node *n, struct request *q);
 
+/* node_metrics.c */
+void open_node_metrics(struct node_metrics *m);
+void count_call_end(struct request *q, int status);
+void refresh_node_metrics(struct node *n); /* gauges */
+
 /* call_log.c */
 void add_note(struct request *q, enum note_kind kind, const char *text, int a,
     int b, int c);
--- a/packages/node/own.c
+++ b/packages/node/own.c
@@ -66,7 +66,7 @@
 	struct own_answer a = {
 	    .status = 200, .type = "text/plain; version=0.0.4"};
 
-	(void)n;
+	refresh_node_metrics(n);
 	if (render_metrics(&a.body) != 0) {
 		write_log(LOG_LEVEL_ERR, "out of memory for metrics");
 		a.status = 503;
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -34,7 +34,7 @@
 	q->placed = true;
 	n->requests++;
 	n->last_call = get_reactor_now(n->reactor);
-	count_metric(n->metrics.calls, 1);
+	count_metric(n->metrics.calls_total, 1);
 	(void)copy_str(q->id, sizeof(q->id),
 	    n->cfg.names.call_id != NULL ?
 		find_http_header(&q->reader.head, n->cfg.names.call_id) :
@@ -74,7 +74,7 @@
 	add_note(q, NOTE_CALLER_LEFT, "",
 	    (int)((get_reactor_now(n->reactor) - q->arrived) / NSEC_PER_MSEC),
 	    0, 0);
-	count_metric(n->metrics.cancelled, 1);
+	count_metric(n->metrics.cancelled_total, 1);
 	if (!q->terms.repeatable && may_be_running(q))
 		return;
 	if (q->attempt.active)
@@ -97,8 +97,8 @@
 	q->state = REQUEST_DONE;
 	q->reason = reason;
 	cancel_timer(q->node->reactor, &q->timer);
-	count_metric(
-	    status == 503 ? q->node->metrics.refused : q->node->metrics.failed,
+	count_metric(status == 503 ? q->node->metrics.refused_total :
+				     q->node->metrics.failed_total,
 	    1);
 	if (q->id[0] != '\0' && q->node->cfg.names.call_id != NULL)
 		rc = append_http_header(
--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -197,8 +197,9 @@
 	bool failed = a->status >= 500;
 	int64_t service = a->service_ns;
 
-	count_metric(n->metrics.served, 1);
+	count_metric(n->metrics.served_total, 1);
 	note_run(n, failed, service);
+	observe_metric(n->metrics.run_us, (uint64_t)(service / NSEC_PER_USEC));
 	log_job(j, "answered", "", a->status, service);
 	if (events != NULL)
 		events->answered(owner, a);
@@ -294,7 +295,7 @@
 			grant_job(j);
 		return;
 	}
-	count_metric(j->node->metrics.shed, 1);
+	count_metric(j->node->metrics.shed_total, 1);
 	log_job(j, "refused", get_refuse_name(j->reason), 0, 0);
 	free_job(j);
 	if (events != NULL)
--- a/packages/node/tests/fake_server.c
+++ b/packages/node/tests/fake_server.c
@@ -22,6 +22,7 @@
 	int fd; /* -1: free */
 	struct buf in;
 	int64_t answer_at; /* mono ns; 0: nothing is due */
+	bool resets; /* on the next bytes */
 	bool hangs; /* reads no more */
 	char id[64];
 	char late_id[64]; /* an extra answer comes before the next one */
@@ -232,6 +233,15 @@
 	usleep(50000);
 }
 
+void
+reset_fake_connections_on_use(struct fake_server *s)
+{
+	pthread_mutex_lock(&s->lock);
+	for (int i = 0; i < CONNECTIONS; i++)
+		s->conns[i].resets = s->conns[i].fd >= 0;
+	pthread_mutex_unlock(&s->lock);
+}
+
 static void *
 serve(void *arg)
 {
@@ -282,6 +292,7 @@
 		s->conns[i].in.len = 0;
 		s->conns[i].answer_at = 0;
 		s->conns[i].hangs = false;
+		s->conns[i].resets = false;
 		s->conns[i].late_id[0] = '\0';
 		return;
 	}
@@ -292,7 +303,13 @@
 read_one(struct fake_server *s, struct fake_conn *c)
 {
 	char bytes[65536];
-	ssize_t n = recv(c->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+	ssize_t n;
+
+	if (c->resets) {
+		drop(c, true);
+		return;
+	}
+	n = recv(c->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
 
 	if (n <= 0) {
 		drop(c, false);
--- a/packages/node/tests/fake_server.h
+++ b/packages/node/tests/fake_server.h
@@ -23,5 +23,6 @@
 size_t get_fake_body_len(struct fake_server *s);
 /* Closes all connections, as a server does that forgets idle ones. */
 void forget_fake_connections(struct fake_server *s);
+void reset_fake_connections_on_use(struct fake_server *s);
 
 #endif
--- a/packages/node/tests/test_calls_by_node.c
+++ b/packages/node/tests/test_calls_by_node.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "metric.h"
 #include "rig.h"
 
 static struct rig rig;
@@ -246,6 +247,33 @@
 }
 END_TEST
 
+/*
+ * Guards against a call that is lost with a connection that its server resets
+ * on use, and against a run time that counts from the clock's start.
+ */
+START_TEST(calls_on_reset_connections_are_sent_again)
+{
+	struct histogram_summary runs;
+	struct rig_reply reply;
+	char id[24];
+
+	for (int i = 0; i < 6; i++) {
+		snprintf(id, sizeof(id), "call-%d", i);
+		call_rig(rig.calls[0], "GET", "/read/ok", id, "", make_str(""),
+		    &reply);
+		ck_assert_int_eq(reply.status, 200);
+		ck_assert_int_eq(count_runs(id), 1);
+		unload_reply(&reply);
+		reset_fake_connections_on_use(rig.servers[0]);
+		reset_fake_connections_on_use(rig.servers[1]);
+	}
+	runs = get_histogram(
+	    register_metric(METRIC_HISTOGRAM, "ggs_node_run_us", ""));
+	ck_assert_uint_eq(runs.count, 6);
+	ck_assert_uint_lt(runs.max, 5000000);
+}
+END_TEST
+
 /* Guards against new calls at a server that said that it leaves. */
 START_TEST(leaving_servers_get_no_new_calls)
 {
@@ -469,6 +497,7 @@
 	tcase_add_test(t, split_rows_keep_their_shares);
 	tcase_add_test(t, calls_of_callers_that_left_are_stopped);
 	tcase_add_test(t, forgotten_connections_cost_no_call);
+	tcase_add_test(t, calls_on_reset_connections_are_sent_again);
 	tcase_add_test(t, leaving_servers_get_no_new_calls);
 	tcase_add_loop_test(t, reports_count_for_their_own_run, 0,
 	    sizeof(report_cases) / sizeof(report_cases[0]));
