explain: show changes up to two seconds after a call

Cause: the first table of a restarted node came 1.03 s after the call that it refused, outside the span that an account shows. Ruled out: a missing line of the node.

--- a/packages/explain/explain.c
+++ b/packages/explain/explain.c
@@ -9,7 +9,7 @@
 #define LINES_MAX 4096 /* of the call; more are of no use to a reader */
 #define CONTEXT_MAX 65536 /* changes that are remembered */
 #define CONTEXT_BEFORE_S 10.0 /* changes this long before the call are shown */
-#define CONTEXT_AFTER_S 1.0
+#define CONTEXT_AFTER_S 2.0
 #define CONTEXT_SHOWN 40 /* changes in the text; the last ones */
 
 static int keep_line(struct line_list *l, json_t *o, size_t most);
