--- a/packages/control/api.c
+++ b/packages/control/api.c
@@ -251,9 +251,7 @@
     struct control *c, const struct api_request *q, struct api_answer *a)
 {
 	(void)q;
-	pthread_mutex_lock(&c->lock);
-	set_metric(c->metrics.encoded, (int64_t)c->cache.encoded);
-	pthread_mutex_unlock(&c->lock);
+	refresh_control_metrics(c);
 	a->status = 200;
 	a->type = "text/plain; version=0.0.4";
 	if (render_metrics(&a->body) != 0)
--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -20,7 +20,6 @@
 static int check_auto_members(
     const struct control_config *cfg, struct fault *f);
 static int check_config(const struct control_config *cfg, struct fault *f);
-static void register_metrics(struct control_metrics *m);
 static int init_locks(struct control *c);
 static int start_parts(struct control *c, struct fault *f);
 static int start_client(struct control *c, struct fault *f);
@@ -309,7 +308,7 @@
 	if (rc != 0)
 		return set_fault(f, rc, "out of memory");
 	open_bucket(&c->bucket, c->cfg.snapshot_rate, read_mono(&c->cfg.clock));
-	register_metrics(&c->metrics);
+	open_control_metrics(&c->metrics);
 	if (c->cfg.token_file != NULL)
 		rc = load_tokens(c->cfg.token_file, &c->tokens, f);
 	if (rc == 0)
@@ -406,41 +405,6 @@
 	drop_connection(arg, conn);
 }
 
-static void
-register_metrics(struct control_metrics *m)
-{
-	static const struct {
-		size_t at;
-		enum metric_kind kind;
-		const char *name;
-		const char *help;
-	} all[] = {
-#define ENTRY(field, kind, help) \
-	{offsetof(struct control_metrics, field), kind, "control_" #field, help}
-	    ENTRY(version, METRIC_GAUGE, "Table version held"),
-	    ENTRY(watches, METRIC_COUNTER, "WATCH and PULL calls"),
-	    ENTRY(held, METRIC_GAUGE, "Watches that wait for news"),
-	    ENTRY(stale, METRIC_COUNTER, "Watches answered as stale"),
-	    ENTRY(limited, METRIC_COUNTER, "Whole tables put off"),
-	    ENTRY(whole, METRIC_COUNTER, "Whole tables sent"),
-	    ENTRY(delta, METRIC_COUNTER, "Deltas sent"),
-	    ENTRY(encoded, METRIC_GAUGE, "Replies encoded"),
-	    ENTRY(refused, METRIC_COUNTER, "Versions refused by nodes"),
-	    ENTRY(digest_mismatch, METRIC_COUNTER, "Nodes with another table"),
-	    ENTRY(commands, METRIC_COUNTER, "Commands submitted"),
-	    ENTRY(retries, METRIC_COUNTER, "Commands sent again"),
-	    ENTRY(claims, METRIC_COUNTER, "CLAIM calls"),
-	    ENTRY(resends, METRIC_COUNTER, "Digests that differed"),
-#undef ENTRY
-	};
-
-	for (size_t i = 0; i < sizeof(all) / sizeof(all[0]); i++) {
-		metric_id *id = (metric_id *)((char *)m + all[i].at);
-
-		*id = register_metric(all[i].kind, all[i].name, all[i].help);
-	}
-}
-
 static void
 free_control(struct control *c)
 {
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -148,6 +148,10 @@
 	metric_id retries;
 	metric_id claims;
 	metric_id resends;
+	/* Of the replica and its log, as of the last question */
+	metric_id role, has_leader, term, commit, applied, last, snapshot;
+	metric_id voter, failed, contact_ms, dropped;
+	metric_id syncs, append_bytes, segments, snapshots, torn;
 };
 
 struct operator_tokens;
@@ -232,6 +236,10 @@
 void handle_group(
     struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
 
+/* control_metrics.c */
+void open_control_metrics(struct control_metrics *m);
+void refresh_control_metrics(struct control *c); /* gauges */
+
 /* membership.c */
 int open_membership(struct control *c, struct fault *f); /* finds the id */
 int choose_identity(struct control *c, struct fault *f); /* a new id */
--- a/packages/control/tests/test_http.c
+++ b/packages/control/tests/test_http.c
@@ -7,6 +7,7 @@
 
 #include "api.h"
 #include "fleet_fixture.h"
+#include "tests/metric_page.h"
 
 struct http_case {
 	const char *method;
@@ -34,7 +35,7 @@
     {"GET", "/v1/status", TOKEN, NULL, 200, "\"role\":\"voter\""},
     {"GET", "/v1/endpoints", TOKEN, NULL, 200, "\"endpoints\":["},
     {"GET", "/v1/timeline", TOKEN, NULL, 200, "\"kind\":\"version\""},
-    {"GET", "/metrics", TOKEN, NULL, 200, "control_version 1"},
+    {"GET", "/metrics", TOKEN, NULL, 200, "ggs_control_version 1"},
     {"GET", "/v1/nothing", TOKEN, NULL, 404, "not-found"},
     {"POST", "/v1/table", TOKEN, "", 405, "method"},
     {"POST", "/v1/edit", TOKEN, "no json", 400, "invalid"},
@@ -58,7 +59,13 @@
     {"POST", "/v1/members", TOKEN, "{\"action\":\"x\"}", 400, "invalid"},
 };
 
-/* Guards against requests without a token, and against wrong statuses. */
+static const char *const page_prefixes[] = {
+    "ggs_control_", "ggs_replica_", "ggs_wal_", "ggs_rpc_", NULL};
+
+/*
+ * Guards against requests without a token, wrong statuses, and metrics that the
+ * operations page does not tell.
+ */
 START_TEST(operators_api_checks_every_request)
 {
 	char path[] = "/tmp/ggs-tokens-XXXXXX";
@@ -86,6 +93,9 @@
 		ck_assert_msg(strstr(answer.data, c->text) != NULL, "%s %s: %s",
 		    c->method, c->path, answer.data);
 	}
+	ck_assert_int_eq(
+	    send_http(0, "GET", "/metrics", TOKEN, NULL, 0, &answer), 200);
+	check_metric_page(answer.data, page_prefixes);
 	memset(large, ' ', sizeof(large));
 	ck_assert_int_eq(send_http(0, "POST", "/v1/edit", TOKEN, large,
 			     sizeof(large), &answer),
--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -309,6 +309,12 @@
 	if (q->tried_count < REQUEST_TRIED_MAX)
 		q->tried[q->tried_count++] = p;
 	*a = (struct attempt){.active = true, .peer = p, .started = now};
+	if (p->local) {
+		struct hop_load own = get_own_load(q->node);
+
+		add_note(q, NOTE_OFFERED, p->id, own.in_flight, own.queued, 0);
+		return;
+	}
 	add_note(q, NOTE_OFFERED, p->id, p->load.in_flight, p->load.queued,
 	    p->has_load ? (int)((now - p->load_at) / NSEC_PER_MSEC) : -1);
 }
--- a/scenarios/relay.lua
+++ b/scenarios/relay.lua
@@ -105,22 +105,22 @@
 	link.set(l, "hold", "hold")
 end
 fleet.wait_until("stale answers", 20000, function()
-	return fleet.metric(cut, "control_stale") > 0
+	return fleet.metric(cut, "ggs_control_stale_total") > 0
 end)
 local r = fleet.ask(cut, "GET", "/v1/table?format=json")
 fleet.check(r.status == 503, "the cut-off relay confirms a read: %d", r.status)
 edit(71)
-local whole = fleet.metric(cut, "control_whole")
+local whole = fleet.metric(cut, "ggs_control_whole_total")
 f:kill(lost)
 f:start(lost)
-local before = fleet.metric(cut, "control_stale")
+local before = fleet.metric(cut, "ggs_control_stale_total")
 fleet.wait_until("stale answers to the node without a table", 20000, function()
 	local s = fleet.node_status(lost)
 	fleet.check(not s or s.version == 0, "the node got version %s",
 		tostring(s and s.version))
-	return fleet.metric(cut, "control_stale") >= before + 1
+	return fleet.metric(cut, "ggs_control_stale_total") >= before + 1
 end)
-fleet.check(fleet.metric(cut, "control_whole") == whole,
+fleet.check(fleet.metric(cut, "ggs_control_whole_total") == whole,
 	"the cut-off relay handed out a table")
 fleet.check(fleet.node_status(kept).version == held, "the node has version %d",
 	fleet.node_status(kept).version)
