node: probe silent nodes with links that carry no calls

Change: a node that failed is avoided until its greeting or load is heard; links are opened for that after 100 ms, doubling to 500 ms, without calls.

Ruled out: the time until silence is noticed (0.5 s, one round of calls).

--- a/packages/control/control_metrics.c
+++ b/packages/control/control_metrics.c
@@ -10,8 +10,11 @@
 	const char *name;
 	const char *help;
 } specs[] = {
-#define SPEC(field, kind, name, help) \
-	{offsetof(struct control_metrics, field), kind, "ggs_" name, help}
+#define SPEC(field, kind, name, help)                                       \
+	{                                                                   \
+		offsetof(struct control_metrics, field), kind, "ggs_" name, \
+		    help                                                    \
+	}
     SPEC(version, METRIC_GAUGE, "control_version", "Table version held."),
     SPEC(watches, METRIC_COUNTER, "control_watches_total",
 	"WATCH and PULL calls."),
--- a/packages/metric/tests/metric_page.h
+++ b/packages/metric/tests/metric_page.h
@@ -62,8 +62,7 @@
 	     at = strstr(at + 1, "# TYPE ")) {
 		int row;
 
-		ck_assert_int_eq(
-		    sscanf(at, "# TYPE %63s %15s", name, kind), 2);
+		ck_assert_int_eq(sscanf(at, "# TYPE %63s %15s", name, kind), 2);
 		row = find_metric_row(&p, name);
 		ck_assert_msg(row >= 0, "%s is not in %s", name, METRIC_PAGE);
 		ck_assert_msg(strcmp(p.kinds[row], kind) == 0,
--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -247,7 +247,7 @@
 	*out = (struct placement_option){
 	    .usable = p->usable && (!known || load.state == HOP_STATE_READY),
 	    .tried = was_tried(q, p),
-	    .avoided = now < p->avoid_until,
+	    .avoided = p->failures > 0,
 	    .same_zone = p->same_zone,
 	    .slots = known && load.limit > 0 ? load.limit : p->slots,
 	    .own = p->in_flight,
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -8,8 +8,8 @@
 #include "node_state.h"
 
 #define CONNECT_NS (200 * NSEC_PER_MSEC) /* longest opening of a link */
-#define AVOID_FIRST_NS (200 * NSEC_PER_MSEC) /* after a failure; doubles */
-#define AVOID_MAX_NS (2 * NSEC_PER_SEC)
+#define PROBE_FIRST_NS (100 * NSEC_PER_MSEC) /* after a failure; doubles */
+#define PROBE_MAX_NS (500 * NSEC_PER_MSEC)
 #define UPLOAD_UNSENT_BYTES (32 * 1024) /* more wait for their turn */
 
 static struct peer_link *get_link(struct peer *p);
@@ -32,6 +32,7 @@
 static struct request *find_stream(struct peer_link *l, uint32_t stream);
 static void remove_upload(struct request *q);
 static void note_peer_failure(struct peer *p);
+static void probe_peer(struct timer *t);
 static void end_remote(struct request *q);
 
 static const struct hop_events events = {
@@ -110,7 +111,7 @@
 	p->load_at = get_reactor_now(p->node->reactor);
 	p->own_at_load = p->in_flight;
 	p->failures = 0;
-	p->avoid_until = 0;
+	cancel_timer(p->node->reactor, &p->probe);
 }
 
 void
@@ -543,15 +544,30 @@
 static void
 note_peer_failure(struct peer *p)
 {
-	int64_t wait = AVOID_FIRST_NS;
+	int64_t wait = PROBE_FIRST_NS;
 
-	for (int i = 0; i < p->failures && wait < AVOID_MAX_NS; i++)
+	for (int i = 0; i < p->failures && wait < PROBE_MAX_NS; i++)
 		wait *= 2;
-	if (wait > AVOID_MAX_NS)
-		wait = AVOID_MAX_NS;
+	if (wait > PROBE_MAX_NS)
+		wait = PROBE_MAX_NS;
 	p->failures++;
+	set_timer(p->node->reactor, &p->probe,
+	    get_reactor_now(p->node->reactor) + wait, probe_peer);
 	count_metric(p->node->metrics.avoided_total, 1);
-	p->avoid_until = get_reactor_now(p->node->reactor) + wait;
+}
+
+/*
+ * Looks whether a peer that failed is back, at no call's cost: its welcome ends
+ * the avoidance.
+ */
+static void
+probe_peer(struct timer *t)
+{
+	struct peer *p =
+	    (struct peer *)((char *)t - offsetof(struct peer, probe));
+
+	if (p->listed && p->usable && p->link == NULL)
+		p->link = open_peer_link(p);
 }
 
 static void
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -116,7 +116,6 @@
 refresh_node_metrics(struct node *n)
 {
 	struct node_metrics *m = &n->metrics;
-	int64_t now = get_reactor_now(n->reactor);
 	struct hop_load l = get_own_load(n);
 	int peers = 0, usable = 0, avoided = 0;
 	char name[METRIC_NAME_BYTES];
@@ -124,7 +123,7 @@
 	for (const struct peer *p = n->peers; p != NULL; p = p->next) {
 		peers++;
 		usable += p->usable ? 1 : 0;
-		avoided += now < p->avoid_until ? 1 : 0;
+		avoided += p->failures > 0 ? 1 : 0;
 	}
 	set_metric(m->requests, n->requests);
 	set_metric(m->runs, n->job_count);
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -206,8 +206,8 @@
 	int64_t load_at;
 	int own_at_load; /* calls of this node when it came */
 	int in_flight; /* calls of this node */
-	int64_t avoid_until; /* after a failure */
-	int failures; /* in a row */
+	int failures; /* in a row, since it was heard; above 0: avoided */
+	struct timer probe; /* opens a link without calls after failures */
 };
 
 /* A connection to a serving node. */
--- a/packages/node/services.c
+++ b/packages/node/services.c
@@ -67,6 +67,7 @@
 	}
 	while ((p = n->peers) != NULL) {
 		n->peers = p->next;
+		cancel_timer(n->reactor, &p->probe);
 		free(p);
 	}
 	while ((k = n->kinds) != NULL) {
@@ -233,7 +234,7 @@
 		drop_peer_links(p);
 		p->has_load = false;
 		p->failures = 0;
-		p->avoid_until = 0;
+		cancel_timer(n->reactor, &p->probe);
 	}
 	if (fresh || p->incarnation != e->incarnation || p->usable != ready)
 		WRITE_EVENT(LOG_LEVEL_INFO, "peer.changed",
@@ -295,6 +296,7 @@
 		    LOG_TEXT("node", p->id), LOG_TEXT("service", p->service),
 		    LOG_INT("incarnation", p->incarnation));
 		drop_peer_links(p);
+		cancel_timer(n->reactor, &p->probe);
 		free(p);
 	}
 }
--- a/packages/node/tests/rig.c
+++ b/packages/node/tests/rig.c
@@ -317,3 +317,11 @@
 {
 	return is_str_equal(head->target, make_str("/ready"));
 }
+
+int64_t
+read_rig_now(void)
+{
+	struct clock_source c = get_real_clock();
+
+	return read_mono(&c);
+}
--- a/packages/node/tests/rig.h
+++ b/packages/node/tests/rig.h
@@ -50,6 +50,7 @@
 /* Sends one request on a new connection and reads the answer. */
 void call_rig(const char *address, const char *method, const char *path,
     const char *id, const char *more, struct str body, struct rig_reply *out);
+int64_t read_rig_now(void); /* mono ns */
 void unload_reply(struct rig_reply *r);
 /* Opens a connection, to send bytes by hand. */
 int connect_rig(const char *address);
--- a/packages/node/tests/test_calls_by_node.c
+++ b/packages/node/tests/test_calls_by_node.c
@@ -2,6 +2,7 @@
  * Calls through one and two nodes: what callers get and what backend servers
  * run, for each thing that a backend server may do.
  */
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -376,6 +377,42 @@
 }
 END_TEST
 
+/*
+ * Guards against a node that is silent, like one whose machine stands still,
+ * and costs a call each time that it is tried again. Its system still takes
+ * connections.
+ */
+START_TEST(silent_node_costs_one_call)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	socklen_t len = sizeof(sin);
+	int fd = socket(AF_INET, SOCK_STREAM, 0), slow = 0;
+	struct rig_reply reply;
+	char address[32];
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	ck_assert_int_eq(listen(fd, 64), 0);
+	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&sin, &len), 0);
+	snprintf(address, sizeof(address), "127.0.0.1:%d", ntohs(sin.sin_port));
+	add_fake_endpoint(
+	    rig.agent, "svc", "node-9", address, 100, WIRE_ENDPOINT_READY);
+	refresh_node(rig.nodes[2]);
+	for (int i = 0; i < 40; i++) {
+		int64_t began = read_rig_now();
+
+		call_rig(rig.calls[2], "GET", "/read/ok", "call", "",
+		    make_str(""), &reply);
+		ck_assert_int_eq(reply.status, 200);
+		unload_reply(&reply);
+		slow += read_rig_now() - began > 150 * NSEC_PER_MSEC ? 1 : 0;
+		usleep(50000);
+	}
+	ck_assert_int_le(slow, 1);
+	close(fd);
+}
+END_TEST
+
 /* Guards against a stop that cuts off calls, or that callers do not notice. */
 START_TEST(stop_answers_every_call)
 {
@@ -502,6 +539,7 @@
 	tcase_add_loop_test(t, reports_count_for_their_own_run, 0,
 	    sizeof(report_cases) / sizeof(report_cases[0]));
 	tcase_add_test(t, serving_node_that_dies_costs_no_second_run);
+	tcase_add_test(t, silent_node_costs_one_call);
 	tcase_add_test(t, stop_answers_every_call);
 	tcase_add_loop_test(
 	    t, requests_by_hand, 0, sizeof(raw_cases) / sizeof(raw_cases[0]));
