node: ask for bodies only as fast as the machine's link carries them

Cause: on the grown grants deployment a machine has 5.53 Mbit/s, and nine of them take all uploads of 60 KB. A call with a body was granted as soon as a slot was free, so up to 18 bodies (1.6 s of the link) were under way to one machine.

Ruled out: processor time (0.0032 cores used of 0.1) and slots (a third used).

Change: admission counts the bytes that were asked for and have not come, holds back rows whose next call has a body while they fill 40 ms of the link, counts the wait for bodies in its estimates, and tells it to entry nodes, which place calls with bodies by it. The speed of the link comes with the settings.

Tests: policy.test_admission bodies_share_the_link, two cases of placement.

--- a/apps/greengagespurd/platform_role.c
+++ b/apps/greengagespurd/platform_role.c
@@ -187,6 +187,7 @@
 	    .metrics_listen = settings.metrics_listen,
 	    .service = settings.service,
 	    .backend = settings.backend,
+	    .link_rate = settings.link_rate,
 	    .retry_ratio = settings.retry_ratio,
 	    .retry_slack = (int)settings.retry_slack,
 	    .retry_window_ns =
--- a/packages/hop/gen/hop_xdr.c
+++ b/packages/hop/gen/hop_xdr.c
@@ -13,7 +13,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_int (xdrs, &objp->state))
 				 return FALSE;
@@ -27,6 +27,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->failed_ppm))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->body_wait_us))
+				 return FALSE;
 		} else {
 			IXDR_PUT_LONG(buf, objp->state);
 			IXDR_PUT_LONG(buf, objp->in_flight);
@@ -34,10 +36,11 @@
 			IXDR_PUT_LONG(buf, objp->limit);
 			IXDR_PUT_U_LONG(buf, objp->service_us);
 			IXDR_PUT_U_LONG(buf, objp->failed_ppm);
+			IXDR_PUT_U_LONG(buf, objp->body_wait_us);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_int (xdrs, &objp->state))
 				 return FALSE;
@@ -51,6 +54,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->failed_ppm))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->body_wait_us))
+				 return FALSE;
 		} else {
 			objp->state = IXDR_GET_LONG(buf);
 			objp->in_flight = IXDR_GET_LONG(buf);
@@ -58,6 +63,7 @@
 			objp->limit = IXDR_GET_LONG(buf);
 			objp->service_us = IXDR_GET_U_LONG(buf);
 			objp->failed_ppm = IXDR_GET_U_LONG(buf);
+			objp->body_wait_us = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
 	}
@@ -74,6 +80,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->failed_ppm))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->body_wait_us))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/packages/hop/gen/hop_xdr.h
+++ b/packages/hop/gen/hop_xdr.h
@@ -25,6 +25,7 @@
 	int limit;
 	u_int service_us;
 	u_int failed_ppm;
+	u_int body_wait_us;
 };
 typedef struct hop_load hop_load;
 
--- a/packages/hop/hop.x
+++ b/packages/hop/hop.x
@@ -16,6 +16,7 @@
 	int limit;                 /* calls that it may run at a time */
 	unsigned int service_us;   /* recent mean of a run; 0: not known */
 	unsigned int failed_ppm;   /* recent share of runs that failed */
+	unsigned int body_wait_us; /* until a new body could begin to come */
 };
 
 /* The entry node introduces itself. */
--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -258,6 +258,8 @@
 	    .own_at_report = own,
 	    .service_ns = known ? load.service_us * NSEC_PER_USEC : 0,
 	    .failed = known ? load.failed_ppm / 1e6 : 0,
+	    .body_wait_ns =
+		known && !p->local ? load.body_wait_us * NSEC_PER_USEC : 0,
 	};
 }
 
--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -107,8 +107,10 @@
 int
 open_backend(struct node *n)
 {
-	struct admission_config a = {
-	    .policy = ADMISSION_FLOORS, .slots = 1, .fixed_limit = true};
+	struct admission_config a = {.policy = ADMISSION_FLOORS,
+	    .slots = 1,
+	    .fixed_limit = true,
+	    .link_rate = n->cfg.link_rate};
 	int rc;
 
 	n->state = HOP_STATE_DOWN;
--- a/packages/node/inbound.c
+++ b/packages/node/inbound.c
@@ -241,6 +241,7 @@
 		send_refusal(l, stream, REFUSE_BODY_MEMORY, 0, false);
 		return;
 	}
+	note_body(j, bytes.len);
 	if (c->body.len == c->offer.body_len)
 		give_body(j, view_buf(&c->body));
 }
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -80,6 +80,7 @@
 	const char *backend; /* its address */
 	int connections; /* most connections to it; 0: 100 */
 	int64_t body_memory; /* bytes of bodies in memory; 0: 64 MiB */
+	int64_t link_rate; /* of the machine, bytes a second; 0: not bounded */
 	double retry_ratio; /* retries, by calls of a service; 0: 0.2 */
 	int retry_slack; /* retries more than that, of all nodes together */
 	int64_t retry_window_ns; /* over which both count; 0: 10 s */
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -381,6 +381,7 @@
 int start_job(struct node *n, const struct job_spec *spec,
     const struct job_events *events, void *owner, struct job **out);
 bool is_job_sent(const struct job *j); /* the backend server may run it */
+void note_body(struct job *j, size_t bytes);
 void give_body(struct job *j, struct str body); /* after granted() */
 /* The owner is gone. A job that may not repeat runs on once it was sent. */
 void cancel_job(struct job *j);
--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -57,6 +57,8 @@
 	j->offered = now;
 	j->admission.token = j;
 	j->admission.deadline = spec->deadline;
+	j->admission.body_bytes =
+	    spec->body.data == NULL ? (int64_t)spec->body_len : 0;
 	j->admission.target = inner		  ? spec->deadline :
 			      spec->target_at > 0 ? spec->target_at :
 						    1;
@@ -79,6 +81,21 @@
 	return 0;
 }
 
+/*
+ * A part of the body of a granted call came.
+ */
+void
+note_body(struct job *j, size_t bytes)
+{
+	struct admission_changes changes = {0};
+	struct node *n = j->node;
+
+	note_body_bytes(n->admission, &j->admission, (int64_t)bytes,
+	    get_reactor_now(n->reactor), &changes);
+	apply_changes(n, &changes);
+	arm_admission(n);
+}
+
 void
 give_body(struct job *j, struct str body)
 {
@@ -183,6 +200,7 @@
 	l.limit = a.limit;
 	l.service_us = (unsigned int)(n->service_ns / NSEC_PER_USEC);
 	l.failed_ppm = (unsigned int)(n->failed_share * 1e6);
+	l.body_wait_us = (unsigned int)(a.body_wait_ns / NSEC_PER_USEC);
 	return l;
 }
 
--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "deadline.h"
+#include "inflow.h"
 #include "limiter.h"
 #include "sharing.h"
 
@@ -35,6 +36,7 @@
 	const struct sharing_policy *policy;
 	struct sharing_view view;
 	struct limiter limiter;
+	struct inflow inflow;
 	bool fixed_limit;
 	bool draining;
 	int64_t accrued_at;
@@ -42,9 +44,11 @@
 	uint64_t next_seq;
 };
 
+static int64_t get_body_wait(const struct admission *a);
 static void accrue(struct admission *a, int64_t now);
 static void pump(
     struct admission *a, int64_t now, struct admission_changes *out);
+static void hold_bodies(struct admission *a, int64_t now);
 static void start_call(struct admission *a, struct lane *l,
     struct admission_call *c, int64_t now, struct admission_changes *out);
 static bool may_try(
@@ -72,6 +76,8 @@
     const struct admission_call *c, int64_t now);
 static double estimate_ahead(const struct admission *a, const struct lane *l,
     const struct admission_call *c);
+static double estimate_body_wait(const struct admission *a,
+    const struct lane *l, const struct admission_call *c);
 static bool may_wait_late(const struct admission *a, int64_t now);
 static const struct lane *get_main(
     const struct admission *a, const struct lane *l);
@@ -102,6 +108,7 @@
 	a->policy = get_sharing_policy(cfg->policy);
 	a->fixed_limit = cfg->fixed_limit || !a->policy->bounded;
 	a->accrued_at = now;
+	a->inflow.rate = cfg->link_rate;
 	start_limiter(&a->limiter, cfg->slots, cfg->cold, now);
 	*out = a;
 	return 0;
@@ -247,7 +254,8 @@
 	c->order = c->target != 0 ? c->target : c->deadline;
 	if (c->target != 0 && misses_target(a, l, c, now)) {
 		if (!may_wait_late(a, now) ||
-		    estimate_wait(a, &a->view.lanes[l->late]) >
+		    estimate_wait(a, &a->view.lanes[l->late]) +
+			    estimate_body_wait(a, l, c) >
 			LATE_WAIT_SHARE * (double)l->target_ns)
 			return refuse_late(a, c, now);
 		c->order = c->deadline;
@@ -333,12 +341,28 @@
 		    &a->limiter, (double)service_ns / m->usual_ns, now);
 	}
 	c->state = CALL_ENDED;
+	take_inflow(&a->inflow, c->body_bytes, now);
+	c->body_bytes = 0;
 	l->in_flight--;
 	a->view.in_flight--;
 	reap_lane(a, l);
 	pump(a, now, out);
 }
 
+void
+note_body_bytes(struct admission *a, struct admission_call *c, int64_t bytes,
+    int64_t now, struct admission_changes *out)
+{
+	if (c->state != CALL_RUNNING || a->inflow.rate == 0)
+		return;
+	if (bytes > c->body_bytes)
+		bytes = c->body_bytes;
+	c->body_bytes -= bytes;
+	take_inflow(&a->inflow, bytes, now);
+	accrue(a, now);
+	pump(a, now, out);
+}
+
 /*
  * Takes back a waiting call, which then counts as not run. Returns ERR_INVALID
  * when the call does not wait; a running call ends by finish_call() only.
@@ -419,8 +443,26 @@
 	return (struct admission_load){.in_flight = a->view.in_flight,
 	    .queued = (int)a->view.waiting,
 	    .slots = a->limiter.slots,
-	    .limit = a->fixed_limit ? a->limiter.slots :
-				      get_limit(&a->limiter, now)};
+	    .limit =
+		a->fixed_limit ? a->limiter.slots : get_limit(&a->limiter, now),
+	    .body_wait_ns = get_body_wait(a)};
+}
+
+/* Returns the time for all bodies that are due or wait, in ns. */
+static int64_t
+get_body_wait(const struct admission *a)
+{
+	int64_t bytes = 0;
+
+	if (a->inflow.rate == 0)
+		return 0;
+	for (size_t i = 0; i < a->view.lane_count; i++) {
+		const struct lane *l = &a->view.lanes[i];
+
+		for (size_t k = 0; k < l->waiting; k++)
+			bytes += l->heap[k]->body_bytes;
+	}
+	return (int64_t)get_inflow_ns(&a->inflow, bytes);
 }
 
 /* Returns the running calls of a row. */
@@ -510,9 +552,11 @@
 {
 	a->view.limit = get_admission_load(a, now).limit;
 	while (a->view.waiting != 0 && a->view.in_flight < a->view.limit) {
-		int i = a->policy->choose_lane(&a->view);
 		struct lane *l;
+		int i;
 
+		hold_bodies(a, now);
+		i = a->policy->choose_lane(&a->view);
 		if (i < 0)
 			return;
 		l = &a->view.lanes[i];
@@ -524,6 +568,20 @@
 		a->slack_at = now;
 }
 
+/* Holds back the rows whose next call has a body that the link has no room for. */
+static void
+hold_bodies(struct admission *a, int64_t now)
+{
+	bool room = has_inflow_room(&a->inflow, now);
+
+	for (size_t i = 0; i < a->view.lane_count; i++) {
+		struct lane *l = &a->view.lanes[i];
+
+		l->held_by_link = !room && l->waiting != 0 &&
+				  get_first_call(l)->body_bytes > 0;
+	}
+}
+
 /* Starts one waiting call, or refuses it when it is too late for it. */
 static void
 start_call(struct admission *a, struct lane *l, struct admission_call *c,
@@ -542,6 +600,7 @@
 	a->view.waiting--;
 	l->in_flight++;
 	a->view.in_flight++;
+	add_inflow(&a->inflow, c->body_bytes, now);
 	c->state = CALL_RUNNING;
 	c->started = now;
 	a->policy->charge_lane(&a->view, l);
@@ -757,7 +816,7 @@
 misses_target(const struct admission *a, const struct lane *l,
     const struct admission_call *c, int64_t now)
 {
-	double need = TARGET_NEED * l->service_ns;
+	double need = TARGET_NEED * l->service_ns + estimate_body_wait(a, l, c);
 
 	if (a->view.in_flight < a->view.limit)
 		return (double)(c->target - now) < need;
@@ -787,6 +846,31 @@
 	return ahead / a->view.limit;
 }
 
+/*
+ * Estimates the time until the body of a new call has come, behind those that
+ * are due and those of calls that go before it, in ns.
+ */
+static double
+estimate_body_wait(const struct admission *a, const struct lane *l,
+    const struct admission_call *c)
+{
+	int64_t bytes = c->body_bytes;
+
+	if (c->body_bytes == 0 || a->inflow.rate == 0)
+		return 0;
+	for (size_t i = 0; i < a->view.lane_count; i++) {
+		const struct lane *o = &a->view.lanes[i];
+
+		if (!o->used || o->main >= 0 || o->rank > l->rank)
+			continue;
+		for (size_t k = 0; k < o->waiting; k++) {
+			if (o->rank < l->rank || o->heap[k]->order <= c->order)
+				bytes += o->heap[k]->body_bytes;
+		}
+	}
+	return get_inflow_ns(&a->inflow, bytes);
+}
+
 static bool
 may_wait_late(const struct admission *a, int64_t now)
 {
--- a/packages/policy/admission.h
+++ b/packages/policy/admission.h
@@ -41,6 +41,7 @@
 	 * wait behind all others, and only while slots come free for them.
 	 */
 	int64_t target;
+	int64_t body_bytes; /* asked for when the call runs; 0: none */
 	enum call_state state; /* from here on owned by the module */
 	enum refuse_reason reason; /* when refused */
 	int64_t retry_after_ns; /* when refused */
@@ -78,6 +79,7 @@
 	int slots; /* announced by the backend server */
 	bool cold; /* slow start from creation */
 	bool fixed_limit; /* no adaptive limit */
+	int64_t link_rate; /* bytes a second that bodies share; 0: no bound */
 };
 
 /* Counts for metrics and X-Ggs-Load. */
@@ -86,6 +88,7 @@
 	int queued;
 	int slots; /* announced */
 	int limit; /* slots in use at most now */
+	int64_t body_wait_ns; /* until a new body could begin to come */
 };
 
 int create_admission(
@@ -119,6 +122,9 @@
 void finish_call(struct admission *a, struct admission_call *c,
     enum call_outcome outcome, int64_t service_ns, int64_t now,
     struct admission_changes *out); /* NOT_RUN: the server itself shed it */
+/* Bytes of a running call's body came. */
+void note_body_bytes(struct admission *a, struct admission_call *c,
+    int64_t bytes, int64_t now, struct admission_changes *out);
 int cancel_call(struct admission *a, struct admission_call *c, int64_t now,
     struct admission_changes *out); /* ERR_INVALID: not waiting */
 void expire_calls(
--- a/packages/policy/lane.c
+++ b/packages/policy/lane.c
@@ -292,3 +292,9 @@
 	}
 	place_call(l, c, i);
 }
+
+bool
+is_lane_ready(const struct lane *l)
+{
+	return l->waiting != 0 && !l->held_by_link;
+}
--- a/packages/policy/lane.h
+++ b/packages/policy/lane.h
@@ -37,6 +37,7 @@
 	double vtime; /* weighted slot-ns received; weighted fair */
 	double held; /* recent mean of in_flight */
 	bool overflowed; /* its queue overflowed and has not emptied since */
+	bool held_by_link; /* its next call has a body that must wait */
 };
 
 void load_lane(struct lane *l, const struct row *r, bool by_deadline);
@@ -53,6 +54,8 @@
 void accrue_lane(struct lane *l, int limit, double dt);
 /* Whether a row in overload would serve a new call past its target. */
 bool is_overloaded(const struct lane *l);
+/* Whether a call of the row could start now, if it gets a slot. */
+bool is_lane_ready(const struct lane *l);
 /* Whether the row is owed a slot of its floor now. */
 bool is_owed_floor(const struct lane *l, int limit);
 
--- a/packages/policy/placement.c
+++ b/packages/policy/placement.c
@@ -73,6 +73,8 @@
 	double left = call->deadline_left > 0 ? (double)call->deadline_left : 1;
 	double late, loss;
 
+	if (call->body_len > 0 && o->report_age < REPORT_NS)
+		wait += (double)o->body_wait_ns;
 	/* Once late, only an answer before the deadline is worth something. */
 	late = target > wait ? get_late_share(target - wait, run) :
 			       1 + get_late_share(left - wait, run);
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -22,6 +22,7 @@
 	int own_at_report; /* of these, calls of this node */
 	int64_t service_ns; /* mean time of a run; 0: not known */
 	double failed; /* recent share of failed runs, 0..1 */
+	int64_t body_wait_ns; /* until a body could begin to come */
 };
 
 struct placement_call {
--- a/packages/policy/sharing.c
+++ b/packages/policy/sharing.c
@@ -55,7 +55,7 @@
 	for (size_t i = 0; i < v->lane_count; i++) {
 		const struct admission_call *c = get_first_call(&v->lanes[i]);
 
-		if (c != NULL && c->seq < seq) {
+		if (is_lane_ready(&v->lanes[i]) && c->seq < seq) {
 			best = (int)i;
 			seq = c->seq;
 		}
@@ -72,7 +72,7 @@
 	for (size_t i = 0; i < v->lane_count; i++) {
 		const struct lane *l = &v->lanes[i];
 
-		if (l->waiting == 0 || is_lane_capped(v, l))
+		if (!is_lane_ready(l) || is_lane_capped(v, l))
 			continue;
 		if (best < 0 || is_more_urgent(l, &v->lanes[best]))
 			best = (int)i;
@@ -89,7 +89,7 @@
 	for (size_t i = 0; i < v->lane_count; i++) {
 		const struct lane *l = &v->lanes[i];
 
-		if (l->waiting == 0 || is_lane_capped(v, l))
+		if (!is_lane_ready(l) || is_lane_capped(v, l))
 			continue;
 		if (best < 0 || l->vtime < v->lanes[best].vtime)
 			best = (int)i;
@@ -111,7 +111,7 @@
 		const struct lane *l = &v->lanes[i];
 		bool owed;
 
-		if (l->waiting == 0)
+		if (!is_lane_ready(l))
 			continue;
 		owed = is_owed_floor(l, v->limit);
 		if (best_owed && !owed)
@@ -141,7 +141,7 @@
 		const struct lane *l = &v->lanes[i];
 		double held, gain;
 
-		if (l->waiting == 0 || is_lane_capped(v, l))
+		if (!is_lane_ready(l) || is_lane_capped(v, l))
 			continue;
 		held = l->held > l->in_flight ? l->held : l->in_flight;
 		gain = l->weight / (l->service_ns + 1e6) / (1 + held);
--- a/packages/policy/tests/test_admission.c
+++ b/packages/policy/tests/test_admission.c
@@ -636,6 +636,78 @@
 }
 END_TEST
 
+/* A call of a row taken up on demand, with a target and a body. */
+static struct admit_verdict
+offer_body(struct admission *a, struct admission_call *c, int lane,
+    int64_t target_ms, int64_t body_bytes, struct admission_changes *out)
+{
+	*c = (struct admission_call){.token = c,
+	    .deadline = read_now() + 4000 * MS,
+	    .target = read_now() + target_ms * MS,
+	    .body_bytes = body_bytes};
+	return offer_call(a, c, lane, read_now(), out);
+}
+
+/*
+ * Guards against bodies that fill the machine's link, so that small calls wait
+ * behind them, and against a call that waits for a body it cannot get in time.
+ */
+START_TEST(bodies_share_the_link)
+{
+	struct admission_config cfg = {.policy = ADMISSION_FLOORS,
+	    .slots = 10,
+	    .fixed_limit = true,
+	    .link_rate = 600000};
+	struct admission_changes out = {0};
+	struct admission_call big[3], small, hopeless;
+	struct admission *a = NULL;
+	struct table *t = NULL;
+	struct fault f;
+	int bulk, read;
+
+	clock_state.mono_ns = 1000 * NSEC_PER_SEC;
+	ck_assert_int_eq(load_table_csv(make_str(rows_three), 1, &t, &f), 0);
+	ck_assert_int_eq(create_admission(&cfg, read_now(), &a), 0);
+	bulk = open_admission_row(a, find_row(t, make_str("bulk")), false);
+	read = open_admission_row(a, find_row(t, make_str("read")), false);
+	/* 60 KB take 100 ms of the link. */
+	ck_assert_int_eq(
+	    offer_body(a, &big[0], bulk, 3000, 60000, &out).action, ADMIT_RUN);
+	ck_assert_int_eq(offer_body(a, &big[1], bulk, 3000, 60000, &out).action,
+	    ADMIT_QUEUED);
+	ck_assert_int_eq(offer_body(a, &big[2], bulk, 3000, 60000, &out).action,
+	    ADMIT_QUEUED);
+	ck_assert_int_eq(
+	    get_admission_load(a, read_now()).body_wait_ns, 300 * MS);
+	ck_assert_int_eq(
+	    offer_body(a, &small, read, 200, 0, &out).action, ADMIT_RUN);
+	ck_assert_int_eq(
+	    offer_body(a, &hopeless, bulk, 300, 60000, &out).action,
+	    ADMIT_QUEUED);
+	ck_assert_int_eq(cancel_call(a, &hopeless, read_now(), &out), 0);
+	ck_assert_ptr_null(out.run);
+	/* Most of the first has come: the second is asked for. */
+	note_body_bytes(a, &big[0], 40000, read_now(), &out);
+	ck_assert_ptr_eq(out.run, &big[1]);
+	ck_assert_ptr_null(out.run->next);
+	out = (struct admission_changes){0};
+	/* The first fails before the rest of its body came. */
+	finish_call(a, &big[0], OUTCOME_FAILED, 0, read_now(), &out);
+	ck_assert_ptr_null(out.run);
+	/* A sender that stalls does not stop the others. */
+	clock_state.mono_ns += 101 * MS;
+	expire_calls(a, read_now(), &out);
+	ck_assert_ptr_eq(out.run, &big[2]);
+	out = (struct admission_changes){0};
+	finish_call(a, &big[1], OUTCOME_RAN, 0, read_now(), &out);
+	finish_call(a, &big[2], OUTCOME_RAN, 0, read_now(), &out);
+	finish_call(a, &small, OUTCOME_RAN, 0, read_now(), &out);
+	ck_assert_int_eq(get_admission_load(a, read_now()).body_wait_ns, 0);
+	destroy_admission(a);
+	unload_table(t);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -647,6 +719,7 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(
 	    tc, call_waits_for_a_slot_and_runs, 0, ADMISSION_POLICY_COUNT);
+	tcase_add_test(tc, bodies_share_the_link);
 	tcase_add_test(tc, refusals_name_their_reason);
 	tcase_add_test(tc, hopeless_calls_are_refused_at_once);
 	tcase_add_loop_test(
--- a/packages/policy/tests/test_placement.c
+++ b/packages/policy/tests/test_placement.c
@@ -21,63 +21,73 @@
 		400 * MS, 1000 * MS, 100 * MS, 0 \
 	}
 /* usable, tried, avoided, same_zone, slots, own, reported, age, in_flight,
- * queued, own_at_report, service_ns, failed */
-#define NEAR_IDLE                                                              \
-	{                                                                      \
-		true, false, false, true, 10, 0, true, 0, 0, 0, 0, 100 * MS, 0 \
+ * queued, own_at_report, service_ns, failed, body_wait_ns */
+#define NEAR_IDLE                                                            \
+	{                                                                    \
+		true, false, false, true, 10, 0, true, 0, 0, 0, 0, 100 * MS, \
+		    0, 0                                                     \
 	}
 #define FAR_IDLE                                                              \
 	{                                                                     \
 		true, false, false, false, 10, 0, true, 0, 0, 0, 0, 100 * MS, \
-		    0                                                         \
+		    0, 0                                                      \
 	}
 
 static const struct placement_case cases[] = {
     {"the own zone comes first", {FAR_IDLE, NEAR_IDLE, FAR_IDLE}, CALL, 1},
     {"a full one in the zone is left for an idle one elsewhere",
-	{FAR_IDLE,
-	    {true, false, false, true, 10, 0, true, 0, 10, 30, 0, 100 * MS, 0}},
+	{FAR_IDLE, {true, false, false, true, 10, 0, true, 0, 10, 30, 0,
+		       100 * MS, 0, 0}},
 	CALL, 0},
     {"a long body stays in the zone behind a queue",
-	{FAR_IDLE,
-	    {true, false, false, true, 10, 0, true, 0, 10, 10, 0, 100 * MS, 0}},
+	{FAR_IDLE, {true, false, false, true, 10, 0, true, 0, 10, 10, 0,
+		       100 * MS, 0, 0}},
 	{400 * MS, 1000 * MS, 100 * MS, 60000}, 1},
     {"a long body leaves the zone when nobody else serves it", {FAR_IDLE},
 	{400 * MS, 1000 * MS, 100 * MS, 60000}, 0},
     {"a slow server is left for one elsewhere",
-	{FAR_IDLE,
-	    {true, false, false, true, 10, 0, true, 0, 0, 0, 0, 900 * MS, 0}},
+	{FAR_IDLE, {true, false, false, true, 10, 0, true, 0, 0, 0, 0, 900 * MS,
+		       0, 0}},
 	CALL, 0},
     {"one that fails is left",
-	{FAR_IDLE,
-	    {true, false, false, true, 10, 0, true, 0, 0, 0, 0, 100 * MS, 0.4}},
+	{FAR_IDLE, {true, false, false, true, 10, 0, true, 0, 0, 0, 0, 100 * MS,
+		       0.4, 0}},
 	CALL, 0},
     {"one that was tried is not tried again",
 	{FAR_IDLE,
-	    {true, true, false, true, 10, 0, true, 0, 0, 0, 0, 100 * MS, 0}},
+	    {true, true, false, true, 10, 0, true, 0, 0, 0, 0, 100 * MS, 0, 0}},
 	CALL, 0},
     {"one that is to be avoided is the last resort",
 	{FAR_IDLE,
-	    {true, false, true, true, 10, 0, true, 0, 0, 0, 0, 100 * MS, 0}},
+	    {true, false, true, true, 10, 0, true, 0, 0, 0, 0, 100 * MS, 0, 0}},
 	CALL, 0},
     {"it is taken when nobody else is left",
-	{{true, true, false, false, 10, 0, true, 0, 0, 0, 0, 100 * MS, 0},
-	    {true, false, true, true, 10, 0, true, 0, 0, 0, 0, 100 * MS, 0}},
+	{{true, true, false, false, 10, 0, true, 0, 0, 0, 0, 100 * MS, 0, 0},
+	    {true, false, true, true, 10, 0, true, 0, 0, 0, 0, 100 * MS, 0, 0}},
 	CALL, 1},
     {"nobody is usable",
-	{{false, false, false, true, 10, 0, true, 0, 0, 0, 0, 100 * MS, 0}},
+	{{false, false, false, true, 10, 0, true, 0, 0, 0, 0, 100 * MS, 0, 0}},
 	CALL, ERR_NOT_FOUND},
     {"an old report does not keep calls away",
 	{FAR_IDLE, {true, false, false, true, 10, 0, true, 2000 * MS, 10, 30, 0,
-		       100 * MS, 0}},
+		       100 * MS, 0, 0}},
 	CALL, 1},
     {"calls of this node count whatever the report says",
 	{FAR_IDLE, {true, false, false, true, 10, 40, true, 2000 * MS, 0, 0, 0,
-		       100 * MS, 0}},
+		       100 * MS, 0, 0}},
 	CALL, 0},
+    {"a body leaves the zone when the link there is busy for long",
+	{FAR_IDLE, {true, false, false, true, 10, 0, true, 0, 0, 0, 0, 100 * MS,
+		       0, 900 * MS}},
+	{400 * MS, 1000 * MS, 100 * MS, 1000}, 0},
+    {"a call without a body stays there",
+	{FAR_IDLE, {true, false, false, true, 10, 0, true, 0, 0, 0, 0, 100 * MS,
+		       0, 900 * MS}},
+	CALL, 1},
     {"once late, the shorter wait decides",
-	{{true, false, false, true, 10, 0, true, 0, 10, 40, 0, 100 * MS, 0},
-	    {true, false, false, true, 10, 0, true, 0, 10, 5, 0, 100 * MS, 0}},
+	{{true, false, false, true, 10, 0, true, 0, 10, 40, 0, 100 * MS, 0, 0},
+	    {true, false, false, true, 10, 0, true, 0, 10, 5, 0, 100 * MS, 0,
+		0}},
 	{-10 * MS, 500 * MS, 100 * MS, 0}, 1},
 };
 
