node: a call without a retry outlives a silence of its node

Cause: a link that was silent for 600 ms gave up the calls that may repeat and cancelled their runs, also when the retry that should have followed was not allowed.

Change: a call leaves a silent node only when a retry was granted and another node can take it; else it waits for the answer or its deadline.

--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -171,6 +171,32 @@
 	try_request(q);
 }
 
+/*
+ * Takes a retry for a call that may be running at a node of which nothing is
+ * heard; false when the call has to wait on, because nothing could follow.
+ */
+bool
+may_move_request(struct request *q)
+{
+	return q->terms.repeatable && q->offers < OFFERS_MAX &&
+	       q->arrivals + 1 < q->terms.attempts && choose_peer(q) != NULL &&
+	       take_retry(q->node, q->service);
+}
+
+/*
+ * The call leaves a silent node, where it may have run, for another one.
+ */
+void
+move_request(struct request *q)
+{
+	add_note(q, NOTE_FAILED, q->attempt.peer->id, ATTEMPT_TIMEOUT, 0, 0);
+	end_attempt_here(q);
+	q->unknown = true;
+	q->arrivals++;
+	count_metric(q->node->metrics.retries_total, 1);
+	try_request(q);
+}
+
 /*
  * The call's time is over.
  */
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -379,8 +379,9 @@
 
 /*
  * Nothing was heard for a while although calls are under way. New calls go
- * elsewhere. Calls that may repeat, or whose body was not sent, are tried again
- * at other nodes; the others wait on, since they may be running.
+ * elsewhere. Calls whose body was not sent, and those for which there is a
+ * retry, are tried again at other nodes; the others wait on, since they may be
+ * running.
  */
 static void
 note_silence(void *arg)
@@ -398,8 +399,10 @@
 		struct request *q = l->streams[i];
 
 		for (; q != NULL; q = q->attempt.next_stream) {
-			if ((q->terms.repeatable || !q->attempt.body_sent) &&
-			    count < sizeof(list) / sizeof(list[0]))
+			if (count == sizeof(list) / sizeof(list[0]))
+				break;
+			if (!q->attempt.body_sent ||
+			    (q->caller != NULL && may_move_request(q)))
 				list[count++] = q;
 		}
 	}
@@ -409,7 +412,7 @@
 		l->retired = true;
 	}
 	for (size_t i = 0; i < count; i++) {
-		bool not_sent = !list[i]->attempt.body_sent;
+		bool sent = list[i]->attempt.body_sent;
 
 		add_note(
 		    list[i], NOTE_SILENT, list[i]->attempt.peer->id, 0, 0, 0);
@@ -417,7 +420,10 @@
 		    NULL, make_str_n(NULL, 0));
 		remove_stream(list[i]);
 		list[i]->attempt.peer->in_flight--;
-		note_failed(list[i], ATTEMPT_TIMEOUT, not_sent);
+		if (sent)
+			move_request(list[i]);
+		else
+			note_failed(list[i], ATTEMPT_TIMEOUT, true);
 	}
 	free_link_if_idle(l);
 }
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -356,6 +356,9 @@
 void note_refused(struct request *q, enum refuse_reason reason,
     int64_t retry_after, bool arrived);
 void note_answered(struct request *q, const struct job_answer *a);
+/* For calls on a link that went silent */
+bool may_move_request(struct request *q);
+void move_request(struct request *q);
 void note_failed(struct request *q, enum attempt_end cause, bool not_sent);
 void expire_request(struct timer *t);
 
--- a/packages/node/tests/fakes.cmake
+++ b/packages/node/tests/fakes.cmake
@@ -2,6 +2,7 @@
 # one on the linker's line.
 set(dir ${CMAKE_SOURCE_DIR}/packages/node)
 add_library(ggs_node_fakes STATIC ${dir}/tests/rig.c ${dir}/tests/fake_server.c
+    ${dir}/tests/relay.c
     ${CMAKE_SOURCE_DIR}/packages/proxy/tests/fake_agent.c)
 target_include_directories(ggs_node_fakes PUBLIC ${dir}/tests
     ${CMAKE_SOURCE_DIR}/packages/proxy/tests)
--- a/packages/node/tests/test_calls_by_node.c
+++ b/packages/node/tests/test_calls_by_node.c
@@ -10,6 +10,8 @@
 #include <unistd.h>
 
 #include "metric.h"
+#include "relay.h"
+#include "relay.h"
 #include "rig.h"
 
 static struct rig rig;
@@ -413,6 +415,56 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that is cut off and a call that is given up because its
+ * node is silent for a moment, when no other node could take the call.
+ */
+START_TEST(call_without_a_retry_outlives_a_silence)
+{
+	static const char *const calls[] = {
+	    "GET /once/slow HTTP/1.1\r\nHost: test.example\r\n"
+	    "Call-Id: hushed-0\r\n\r\n",
+	    "GET /read/slow HTTP/1.1\r\nHost: test.example\r\n"
+	    "Call-Id: hushed-1\r\n\r\n",
+	};
+	struct relay *relay = open_relay(rig.links[1]);
+	struct rig_reply reply;
+
+	clear_fake_endpoints(rig.agent, "svc");
+	add_fake_endpoint(rig.agent, "svc", "node-1", get_relay_address(relay),
+	    4, WIRE_ENDPOINT_READY);
+	refresh_node(rig.nodes[2]);
+	for (int i = 0; i < 2; i++) {
+		char id[16];
+		int fd = connect_rig(rig.calls[2]);
+
+		snprintf(id, sizeof(id), "hushed-%d", i);
+		ck_assert_int_eq(send(fd, calls[i], strlen(calls[i]), 0),
+		    (ssize_t)strlen(calls[i]));
+		usleep(30000);
+		set_relay_silent(relay, true);
+		usleep(1000000);
+		set_relay_silent(relay, false);
+		read_rig_reply(fd, &reply);
+		ck_assert_msg(reply.status == 200, "%s: %d", id, reply.status);
+		ck_assert_int_eq(count_runs(id), 1);
+		unload_reply(&reply);
+		close(fd);
+	}
+	clear_fake_endpoints(rig.agent, "svc");
+	for (int i = 0; i < 2; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "node-%d", i);
+		add_fake_endpoint(rig.agent, "svc", name, rig.links[i], 4,
+		    WIRE_ENDPOINT_READY);
+	}
+	for (int i = 0; i < 3; i++)
+		refresh_node(rig.nodes[i]);
+	close_relay(relay);
+}
+END_TEST
+
 /* Guards against a stop that cuts off calls, or that callers do not notice. */
 START_TEST(stop_answers_every_call)
 {
@@ -540,6 +592,7 @@
 	    sizeof(report_cases) / sizeof(report_cases[0]));
 	tcase_add_test(t, serving_node_that_dies_costs_no_second_run);
 	tcase_add_test(t, silent_node_costs_one_call);
+	tcase_add_test(t, call_without_a_retry_outlives_a_silence);
 	tcase_add_test(t, stop_answers_every_call);
 	tcase_add_loop_test(
 	    t, requests_by_hand, 0, sizeof(raw_cases) / sizeof(raw_cases[0]));
