node: a leaving backend server gets no call that waited for long

Cause: calls that waited at a node when its backend server said that it leaves were still sent to it when their turn came.

Change: after a quarter of that time the calls that wait are refused as not run and go to other nodes; the rest is left for bodies of calls that have a slot. The time comes with the settings.

--- a/apps/greengagespurd/platform_role.c
+++ b/apps/greengagespurd/platform_role.c
@@ -192,6 +192,7 @@
 	    .retry_slack = (int)settings.retry_slack,
 	    .retry_window_ns =
 		(int64_t)(settings.retry_window_s * NSEC_PER_SEC),
+	    .drain_ns = (int64_t)(settings.drain_s * NSEC_PER_SEC),
 	    .leave_ns = LEAVE_NS,
 	    .stop_ns =
 		(int64_t)((settings.stop_s - STOP_MARGIN_S) * NSEC_PER_SEC),
--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -300,6 +300,8 @@
 		    LOG_INT("seq", b->seq),
 		    LOG_INT("connect_failures", b->connect_failures));
 		n->state = state;
+		if (state == HOP_STATE_LEAVING)
+			limit_leaving(n);
 		tell_load(n);
 	}
 	announce(n);
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -12,6 +12,7 @@
 #define BODY_MEMORY_DEFAULT (64LL * 1024 * 1024)
 #define RETRY_RATIO_DEFAULT 0.2
 #define RETRY_WINDOW_DEFAULT (10 * NSEC_PER_SEC)
+#define DRAIN_DEFAULT (2 * NSEC_PER_SEC)
 #define LEAVE_DEFAULT (2 * NSEC_PER_SEC)
 #define STOP_DEFAULT (30 * NSEC_PER_SEC)
 #define LEAVE_TICK_NS (50 * NSEC_PER_MSEC) /* between looks at a stop */
@@ -178,6 +179,8 @@
 		c->retry_ratio = RETRY_RATIO_DEFAULT;
 	if (c->retry_window_ns == 0)
 		c->retry_window_ns = RETRY_WINDOW_DEFAULT;
+	if (c->drain_ns == 0)
+		c->drain_ns = DRAIN_DEFAULT;
 	if (c->leave_ns == 0)
 		c->leave_ns = LEAVE_DEFAULT;
 	if (c->stop_ns == 0)
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -84,6 +84,11 @@
 	double retry_ratio; /* retries, by calls of a service; 0: 0.2 */
 	int retry_slack; /* retries more than that, of all nodes together */
 	int64_t retry_window_ns; /* over which both count; 0: 10 s */
+	/*
+	 * A backend server that said it leaves gets no call after this time;
+	 * 0: 2 s.
+	 */
+	int64_t drain_ns;
 	int64_t leave_ns; /* callers notice a stop within this time */
 	int64_t stop_ns; /* longest time from a stop request to the end */
 	struct call_names names;
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -304,6 +304,7 @@
 
 	struct admission *admission; /* NULL: no backend server */
 	struct timer admission_timer;
+	struct timer leaving_timer; /* waiting calls are refused */
 	struct job *jobs;
 	int job_count;
 	struct backend *backend;
@@ -388,6 +389,7 @@
 void give_body(struct job *j, struct str body); /* after granted() */
 /* The owner is gone. A job that may not repeat runs on once it was sent. */
 void cancel_job(struct job *j);
+void limit_leaving(struct node *n); /* the backend server leaves */
 void refresh_admission(struct node *n);
 void drop_jobs(struct node *n);
 struct hop_load get_own_load(struct node *n);
--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -7,6 +7,11 @@
 
 #include "node_state.h"
 
+/*
+ * Share of the time in which a leaving backend server still takes calls, after
+ * which those that wait are refused: the bodies of granted ones may still come.
+ */
+#define LEAVING_WAIT_SHARE 0.25
 #define BODY_WAIT_NS (1 * NSEC_PER_SEC) /* longest wait for a granted body */
 #define FAILED_GAIN 0.05 /* of the recent share of failed runs */
 #define SERVICE_GAIN 0.1 /* of the recent mean of a run */
@@ -21,6 +26,7 @@
 static void send_job(struct job *j);
 static void time_out_job(struct timer *t);
 static void wake_admission(struct timer *t);
+static void end_leaving_wait(struct timer *t);
 static void arm_admission(struct node *n);
 static void end_job(
     struct job *j, enum call_outcome outcome, int64_t service_ns);
@@ -152,6 +158,19 @@
 	return j->sent;
 }
 
+/*
+ * The backend server takes calls for some time yet. Calls that could wait for
+ * longer are refused in time, so that another node runs them.
+ */
+void
+limit_leaving(struct node *n)
+{
+	set_timer(n->reactor, &n->leaving_timer,
+	    get_reactor_now(n->reactor) +
+		(int64_t)(LEAVING_WAIT_SHARE * (double)n->cfg.drain_ns),
+	    end_leaving_wait);
+}
+
 /*
  * Takes over the cells of the table in force.
  */
@@ -180,6 +199,7 @@
 		free_job(j);
 	}
 	cancel_timer(n->reactor, &n->admission_timer);
+	cancel_timer(n->reactor, &n->leaving_timer);
 	destroy_admission(n->admission);
 	n->admission = NULL;
 }
@@ -414,6 +434,17 @@
 	arm_admission(n);
 }
 
+static void
+end_leaving_wait(struct timer *t)
+{
+	struct node *n =
+	    (struct node *)((char *)t - offsetof(struct node, leaving_timer));
+	struct admission_changes changes = {0};
+
+	refuse_waiting(n->admission, get_reactor_now(n->reactor), &changes);
+	apply_changes(n, &changes);
+}
+
 static void
 arm_admission(struct node *n)
 {
--- a/packages/node/tests/rig.c
+++ b/packages/node/tests/rig.c
@@ -99,6 +99,7 @@
 	    .backend = get_fake_address(r->servers[i]),
 	    .retry_ratio = 10,
 	    .retry_slack = 1000,
+	    .drain_ns = 200 * NSEC_PER_MSEC,
 	    .leave_ns = 300 * NSEC_PER_MSEC,
 	    .stop_ns = r->stop_ns,
 	    .names = {.call_id = "Call-Id",
--- a/packages/node/tests/test_calls_by_node.c
+++ b/packages/node/tests/test_calls_by_node.c
@@ -465,6 +465,40 @@
 }
 END_TEST
 
+/*
+ * Guards against calls that wait at a node and are sent to its backend server
+ * long after that said that it leaves.
+ */
+START_TEST(leaving_server_gets_no_call_that_waited)
+{
+	static const char slow[] = "GET /read/slow HTTP/1.1\r\nHost: "
+				   "test.example\r\nCall-Id: wait\r\n\r\n";
+	struct rig_reply reply;
+	int fd[32], sent, served = 0;
+
+	/* Four slots and 150 ms: the last of them would start after a second. */
+	report_rig(&rig, 1, "i-1", "leaving", 2, 1000);
+	for (size_t i = 0; i < sizeof(fd) / sizeof(fd[0]); i++) {
+		fd[i] = connect_rig(rig.calls[0]);
+		ck_assert_int_eq(
+		    send(fd[i], slow, strlen(slow), 0), (ssize_t)strlen(slow));
+	}
+	usleep(50000);
+	report_rig(&rig, 0, "i-0", "leaving", 2, 1000);
+	usleep(200000);
+	sent = count_fake_requests(rig.servers[0]);
+	for (size_t i = 0; i < sizeof(fd) / sizeof(fd[0]); i++) {
+		read_rig_reply(fd[i], &reply);
+		ck_assert(reply.status == 200 || reply.status == 503);
+		served += reply.status == 200 ? 1 : 0;
+		unload_reply(&reply);
+		close(fd[i]);
+	}
+	ck_assert_int_eq(count_fake_requests(rig.servers[0]), sent);
+	ck_assert_int_ge(served, 4);
+}
+END_TEST
+
 /* Guards against a stop that cuts off calls, or that callers do not notice. */
 START_TEST(stop_answers_every_call)
 {
@@ -592,6 +626,7 @@
 	    sizeof(report_cases) / sizeof(report_cases[0]));
 	tcase_add_test(t, serving_node_that_dies_costs_no_second_run);
 	tcase_add_test(t, silent_node_costs_one_call);
+	tcase_add_test(t, leaving_server_gets_no_call_that_waited);
 	tcase_add_test(t, call_without_a_retry_outlives_a_silence);
 	tcase_add_test(t, stop_answers_every_call);
 	tcase_add_loop_test(
--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -424,8 +424,14 @@
 void
 drain_admission(struct admission *a, int64_t now, struct admission_changes *out)
 {
-	accrue(a, now);
 	a->draining = true;
+	refuse_waiting(a, now, out);
+}
+
+void
+refuse_waiting(struct admission *a, int64_t now, struct admission_changes *out)
+{
+	accrue(a, now);
 	for (size_t i = 0; i < a->view.lane_count; i++) {
 		struct lane *l = &a->view.lanes[i];
 
--- a/packages/policy/admission.h
+++ b/packages/policy/admission.h
@@ -131,6 +131,9 @@
     struct admission *a, int64_t now, struct admission_changes *out);
 void set_admission_slots(
     struct admission *a, int slots, int64_t now, struct admission_changes *out);
+/* Refuses every waiting call as draining; later offers are admitted. */
+void refuse_waiting(
+    struct admission *a, int64_t now, struct admission_changes *out);
 void drain_admission(
     struct admission *a, int64_t now, struct admission_changes *out);
 
