control: peers are read safely beside joins; locks in the stated order

Cause: make test-tsan reported control.test_membership: run_plan took the service lock under replica_guard, against the order that service.h states, and the table of peers was read without its lock while a join reply added to it.

Change: the plan is made between two holds of replica_guard; the fields of a peer that other threads read are atomic, and a new place is counted when it is filled.

--- a/packages/control/membership.c
+++ b/packages/control/membership.c
@@ -283,17 +283,19 @@
 	pthread_rwlock_rdlock(&c->replica_guard);
 	if (c->replica != NULL)
 		v.member_count = get_replica_progress(c->replica, progress);
+	pthread_rwlock_unlock(&c->replica_guard);
 	pthread_mutex_lock(&c->lock);
 	if (v.member_count > 0 && !m->changing)
 		planned = plan_membership(&v, &change);
 	m->changing = m->changing || planned;
 	pthread_mutex_unlock(&c->lock);
-	if (planned)
+	if (!planned)
+		return;
+	pthread_rwlock_rdlock(&c->replica_guard);
+	if (c->replica != NULL)
 		rc = change_replica_members(
 		    c->replica, &change, CHANGE_MS, finish_change, c);
 	pthread_rwlock_unlock(&c->replica_guard);
-	if (!planned)
-		return;
 	if (rc != 0)
 		finish_change(c, rc, 0, make_str(""));
 	record_event(c->cfg.events, "member", c->cfg.zone, 0, "%s process %llu",
--- a/packages/control/peers.c
+++ b/packages/control/peers.c
@@ -8,6 +8,8 @@
 #include "log.h"
 #include "service.h"
 
+static bool has_address(
+    struct control *c, const struct peer *p, const char *address);
 static struct peer *take_peer_place(struct control *c);
 static int parse_peer(
     const char *text, uint64_t *id, const char **address, struct fault *f);
@@ -56,7 +58,7 @@
 	struct rpc_peer *rpc = NULL;
 	struct fault f;
 
-	if (p != NULL && strcmp(p->address, address) == 0)
+	if (p != NULL && has_address(c, p, address))
 		return;
 	if (open_link(c, address, &rpc, &f) != 0) {
 		write_log(LOG_LEVEL_WARNING, "control process %llu: %s",
@@ -66,16 +68,35 @@
 	pthread_mutex_lock(&c->peers_lock);
 	if (p == NULL)
 		p = take_peer_place(c);
-	if (p != NULL && p->id != id)
-		*p = (struct peer){.id = id, .member = true, .control = c};
 	if (p != NULL) {
+		p->control = c;
 		p->rpc = rpc;
 		(void)copy_str(
 		    p->address, sizeof(p->address), make_str(address));
+		if (p->id != id) {
+			p->id = id;
+			p->resend = false;
+			p->resend_at = 0;
+			p->member = true;
+		}
+		/* Other threads read the place from here on. */
+		if (p == &c->peers[c->peer_count])
+			c->peer_count++;
 	}
 	pthread_mutex_unlock(&c->peers_lock);
 }
 
+static bool
+has_address(struct control *c, const struct peer *p, const char *address)
+{
+	bool same;
+
+	pthread_mutex_lock(&c->peers_lock);
+	same = strcmp(p->address, address) == 0;
+	pthread_mutex_unlock(&c->peers_lock);
+	return same;
+}
+
 struct peer *
 find_control_peer(struct control *c, uint64_t id)
 {
@@ -179,14 +200,14 @@
 }
 
 /*
- * Returns a free place, or that of a process that is no member any more; NULL
+ * Returns the next free place, or that of a process that is no member any more; NULL
  * when all are members. peers_lock is held.
  */
 static struct peer *
 take_peer_place(struct control *c)
 {
 	if (c->peer_count < CONTROL_PEER_MAX)
-		return &c->peers[c->peer_count++];
+		return &c->peers[c->peer_count];
 	for (size_t i = 0; i < c->peer_count; i++) {
 		if (!c->peers[i].member)
 			return &c->peers[i];
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -9,6 +9,7 @@
 #define SERVICE_H
 
 #include <pthread.h>
+#include <stdatomic.h>
 
 #include "control.h"
 #include "membership_plan.h"
@@ -38,12 +39,12 @@
 
 /* Another control process. */
 struct peer {
-	uint64_t id;
-	char address[RPC_ADDRESS_BYTES];
-	struct rpc_peer *rpc;
-	bool member; /* of the group, as far as it is known */
-	bool resend; /* its digest differs: send all owned records */
-	size_t resend_at; /* position of the next part */
+	_Atomic(uint64_t) id;
+	char address[RPC_ADDRESS_BYTES]; /* under peers_lock */
+	_Atomic(struct rpc_peer *) rpc;
+	atomic_bool member; /* of the group, as far as it is known */
+	atomic_bool resend; /* its digest differs: send all owned records */
+	atomic_size_t resend_at; /* position of the next part */
 	struct control *control;
 };
 
@@ -189,7 +190,7 @@
 
 	pthread_mutex_t peers_lock; /* leaf */
 	struct peer peers[CONTROL_PEER_MAX];
-	size_t peer_count;
+	atomic_size_t peer_count; /* changed under peers_lock */
 	struct link links[SERVICE_LINKS_MAX];
 	size_t link_count;
 
