--- /dev/null
+++ b/packages/hop/tests/test_hop.c
@@ -0,0 +1,331 @@
+/*
+ * Links between nodes: frames in any cut, damaged ones, silence and its end,
+ * and peers that do not read.
+ */
+#include <arpa/inet.h>
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "hop.h"
+
+#define MS NSEC_PER_MSEC
+#define FRAMES_MAX 64
+
+/* What the owner of the link saw. */
+struct seen {
+	size_t frames;
+	enum hop_type type[FRAMES_MAX];
+	uint32_t stream[FRAMES_MAX];
+	char payload[FRAMES_MAX][64];
+	int closed;
+	char why[64];
+	int silences;
+	int drains;
+};
+
+static struct reactor *reactor;
+static struct hop_link *link_here;
+static struct seen seen;
+static int peer; /* the other end, a plain socket */
+
+static void
+note_frame(void *arg, const struct hop_frame *f)
+{
+	struct seen *s = arg;
+
+	ck_assert_uint_lt(s->frames, FRAMES_MAX);
+	s->type[s->frames] = f->type;
+	s->stream[s->frames] = f->stream;
+	(void)copy_str(
+	    s->payload[s->frames], sizeof(s->payload[0]), f->payload);
+	s->frames++;
+}
+
+static void
+note_close(void *arg, const char *why)
+{
+	struct seen *s = arg;
+
+	s->closed++;
+	(void)copy_str(s->why, sizeof(s->why), make_str(why));
+}
+
+static void
+note_silent(void *arg)
+{
+	((struct seen *)arg)->silences++;
+}
+
+static void
+note_drained(void *arg)
+{
+	((struct seen *)arg)->drains++;
+}
+
+static const struct hop_events events = {
+    note_frame, note_close, note_silent, note_drained};
+
+static void
+open_pair(void)
+{
+	struct clock_source clock = get_real_clock();
+	int fd[2];
+
+	memset(&seen, 0, sizeof(seen));
+	ck_assert_int_eq(open_reactor(&clock, &reactor), 0);
+	ck_assert_int_eq(
+	    socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fd), 0);
+	ck_assert_int_eq(
+	    accept_hop(reactor, fd[0], &events, &seen, &link_here), 0);
+	peer = fd[1];
+}
+
+static void
+close_pair(void)
+{
+	close_hop(link_here);
+	pump_reactor(reactor, 0);
+	close_reactor(reactor);
+	close(peer);
+}
+
+static void
+pump_for(int64_t ns)
+{
+	int64_t end = get_reactor_now(reactor) + ns;
+
+	do
+		pump_reactor(reactor, 5);
+	while (get_reactor_now(reactor) < end);
+}
+
+/* Writes the frame's bytes; returns how many they are. */
+static size_t
+make_frame(char *out, uint32_t type, uint32_t stream, const char *payload)
+{
+	uint32_t head[3] = {
+	    htonl((uint32_t)strlen(payload)), htonl(type), htonl(stream)};
+
+	memcpy(out, head, sizeof(head));
+	memcpy(out + sizeof(head), payload, strlen(payload));
+	return sizeof(head) + strlen(payload);
+}
+
+/* Guards against frames that are lost or merged where a read ends inside one. */
+START_TEST(frames_arrive_whole_in_any_cut)
+{
+	char bytes[256];
+	size_t len = 0, step = (size_t)_i + 1;
+
+	len += make_frame(bytes + len, HOP_OFFER, 7, "first");
+	len += make_frame(bytes + len, HOP_CANCEL, 8, "");
+	len += make_frame(bytes + len, HOP_BODY, 9, "third, a longer one");
+	for (size_t at = 0; at < len; at += step) {
+		size_t n = len - at < step ? len - at : step;
+
+		ck_assert_int_eq(send(peer, bytes + at, n, 0), (ssize_t)n);
+		pump_reactor(reactor, 0);
+	}
+	pump_reactor(reactor, 0);
+	ck_assert_uint_eq(seen.frames, 3);
+	ck_assert_int_eq(seen.type[0], HOP_OFFER);
+	ck_assert_uint_eq(seen.stream[0], 7);
+	ck_assert_str_eq(seen.payload[0], "first");
+	ck_assert_int_eq(seen.type[1], HOP_CANCEL);
+	ck_assert_str_eq(seen.payload[1], "");
+	ck_assert_str_eq(seen.payload[2], "third, a longer one");
+	ck_assert_int_eq(seen.closed, 0);
+}
+END_TEST
+
+struct damage_case {
+	uint32_t head[3]; /* length, type, stream */
+	const char *want_why;
+};
+
+static const struct damage_case damage_cases[] = {
+    {{0, 0, 1}, "damaged frame"},
+    {{0, HOP_PONG + 1, 1}, "damaged frame"},
+    {{0, 0x48545450, 1}, "damaged frame"},
+    {{HOP_PAYLOAD_MAX + 1, HOP_BODY, 1}, "damaged frame"},
+    {{UINT32_MAX, HOP_BODY, 1}, "damaged frame"},
+};
+
+/* Guards against a damaged frame that is taken for a valid one. */
+START_TEST(damaged_frame_closes_the_link)
+{
+	const struct damage_case *c = &damage_cases[_i];
+	uint32_t head[3];
+
+	for (int i = 0; i < 3; i++)
+		head[i] = htonl(c->head[i]);
+	ck_assert_int_eq(send(peer, head, sizeof(head), 0), sizeof(head));
+	pump_reactor(reactor, 0);
+	ck_assert_int_eq(seen.closed, 1);
+	ck_assert_str_eq(seen.why, c->want_why);
+	ck_assert_uint_eq(seen.frames, 0);
+}
+END_TEST
+
+/* Guards against a message that is read beyond its end. */
+START_TEST(cut_messages_are_refused)
+{
+	struct hop_load load = {.state = HOP_STATE_READY, .limit = 3}, got;
+	char bytes[256];
+	struct str rest;
+	XDR x;
+	size_t len;
+
+	xdrmem_create(&x, bytes, sizeof(bytes), XDR_ENCODE);
+	ck_assert(xdr_hop_load(&x, &load));
+	len = xdr_getpos(&x);
+	xdr_destroy(&x);
+	for (size_t n = 0; n < len; n++) {
+		memset(&got, 0, sizeof(got));
+		ck_assert_int_eq(decode_hop(make_str_n(bytes, n),
+				     (xdrproc_t)xdr_hop_load, &got, &rest),
+		    ERR_CORRUPT);
+	}
+	memset(&got, 0, sizeof(got));
+	ck_assert_int_eq(decode_hop(make_str_n(bytes, len + 2),
+			     (xdrproc_t)xdr_hop_load, &got, &rest),
+	    0);
+	ck_assert_int_eq(got.limit, 3);
+	ck_assert_uint_eq(rest.len, 2);
+}
+END_TEST
+
+/*
+ * Guards against a silent link that is taken for a slow one, an idle link that
+ * is taken for a silent one, and a silence that is reported again and again.
+ */
+START_TEST(silence_is_noticed_while_calls_are_under_way)
+{
+	char bytes[64];
+	uint32_t head[3];
+	size_t len;
+
+	pump_for(HOP_SILENT_NS + 200 * MS);
+	ck_assert_int_eq(seen.silences, 0);
+	set_hop_busy(link_here, true);
+	pump_for(HOP_PING_NS + 150 * MS);
+	ck_assert_int_eq(recv(peer, head, sizeof(head), 0), sizeof(head));
+	ck_assert_uint_eq(ntohl(head[1]), HOP_PING);
+	ck_assert_int_eq(seen.silences, 0);
+	pump_for(HOP_SILENT_NS);
+	ck_assert_int_eq(seen.silences, 1);
+	ck_assert(is_hop_silent(link_here));
+	pump_for(HOP_SILENT_NS);
+	ck_assert_int_eq(seen.silences, 1);
+	len = make_frame(bytes, HOP_PONG, 0, "");
+	ck_assert_int_eq(send(peer, bytes, len, 0), (ssize_t)len);
+	pump_reactor(reactor, 5);
+	ck_assert(!is_hop_silent(link_here));
+	ck_assert_uint_eq(seen.frames, 0);
+}
+END_TEST
+
+/* Guards against a ping that is not answered, which makes a node look silent. */
+START_TEST(pings_are_answered)
+{
+	char bytes[64];
+	uint32_t head[3];
+	size_t len = make_frame(bytes, HOP_PING, 0, "");
+
+	ck_assert_int_eq(send(peer, bytes, len, 0), (ssize_t)len);
+	pump_for(20 * MS);
+	ck_assert_int_eq(recv(peer, head, sizeof(head), 0), sizeof(head));
+	ck_assert_uint_eq(ntohl(head[1]), HOP_PONG);
+}
+END_TEST
+
+/* Guards against output to a slow reader that is lost, or never resumed. */
+START_TEST(output_resumes_when_the_peer_reads)
+{
+	static char piece[HOP_PIECE_BYTES], sink[HOP_PIECE_BYTES];
+	size_t want = 64 * (sizeof(piece) + 12), got = 0;
+
+	for (int i = 0; i < 64; i++)
+		send_hop(link_here, HOP_BODY, 1, NULL, NULL,
+		    make_str_n(piece, sizeof(piece)));
+	pump_for(20 * MS);
+	ck_assert_uint_gt(get_hop_unsent(link_here), 0);
+	ck_assert_int_eq(seen.drains, 0);
+	for (int i = 0; i < 2000 && got < want; i++) {
+		ssize_t n = recv(peer, sink, sizeof(sink), 0);
+
+		got += n > 0 ? (size_t)n : 0;
+		pump_reactor(reactor, 1);
+	}
+	ck_assert_uint_eq(got, want);
+	ck_assert_uint_eq(get_hop_unsent(link_here), 0);
+	ck_assert_int_eq(seen.drains, 1);
+}
+END_TEST
+
+/* Guards against an end of the other side that goes unnoticed. */
+START_TEST(closed_peer_is_noticed)
+{
+	shutdown(peer, SHUT_RDWR);
+	pump_for(20 * MS);
+	ck_assert_int_eq(seen.closed, 1);
+}
+END_TEST
+
+struct address_case {
+	const char *text;
+	int want_rc;
+};
+
+static const struct address_case address_cases[] = {
+    {"127.0.0.1:80", 0},
+    {"127.0.0.1", ERR_INVALID},
+    {"127.0.0.1:", ERR_INVALID},
+    {"127.0.0.1:70000", ERR_INVALID},
+    {"127.0.0.1:x", ERR_INVALID},
+    {"host.example:80", ERR_INVALID},
+    {"1234567890.1234567890:80", ERR_INVALID},
+    {"", ERR_INVALID},
+};
+
+/* Guards against a bad address that is connected to as another one. */
+START_TEST(addresses_are_checked)
+{
+	struct sockaddr_storage sa;
+	socklen_t len;
+
+	ck_assert_int_eq(parse_hop_address(address_cases[_i].text, &sa, &len),
+	    address_cases[_i].want_rc);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("hop");
+	TCase *t = tcase_create("hop");
+	SRunner *r;
+	int failed;
+
+	tcase_add_checked_fixture(t, open_pair, close_pair);
+	tcase_set_timeout(t, 20);
+	tcase_add_loop_test(t, frames_arrive_whole_in_any_cut, 0, 40);
+	tcase_add_loop_test(t, damaged_frame_closes_the_link, 0,
+	    (int)(sizeof(damage_cases) / sizeof(damage_cases[0])));
+	tcase_add_test(t, cut_messages_are_refused);
+	tcase_add_test(t, silence_is_noticed_while_calls_are_under_way);
+	tcase_add_test(t, pings_are_answered);
+	tcase_add_test(t, output_resumes_when_the_peer_reads);
+	tcase_add_test(t, closed_peer_is_noticed);
+	tcase_add_loop_test(t, addresses_are_checked, 0,
+	    (int)(sizeof(address_cases) / sizeof(address_cases[0])));
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_ENV);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
