node: offers look for a free slot at three nodes before they wait

Cause: with a hundred entry nodes each pair of nodes shares a call in some seconds, so the reports of load by which a node is chosen were 0.4 to 3.7 s old or did not exist.

Ruled out: reports that are sent to all entry nodes five times a second, which would add some 40,000 messages a second and half of the bytes between zones.

Change: an offer says whether it may wait. The first three may not and are refused as busy with the present load; the call then waits at the one of these nodes where its expected loss is least.

--- a/packages/hop/gen/hop_xdr.c
+++ b/packages/hop/gen/hop_xdr.c
@@ -140,6 +140,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->body_len))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->may_wait))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->body_here))
 		 return FALSE;
 	return TRUE;
--- a/packages/hop/gen/hop_xdr.h
+++ b/packages/hop/gen/hop_xdr.h
@@ -61,6 +61,7 @@
 	quad_t target_us;
 	quad_t deadline_us;
 	u_quad_t body_len;
+	bool_t may_wait;
 	bool_t body_here;
 };
 typedef struct hop_offer hop_offer;
--- a/packages/hop/hop.x
+++ b/packages/hop/hop.x
@@ -46,6 +46,7 @@
 	hyper target_us;           /* time left to answer in time; may be < 0 */
 	hyper deadline_us;         /* time left at all */
 	unsigned hyper body_len;
+	bool may_wait;             /* else it is refused where it would wait */
 	bool body_here;            /* in this frame; else sent after GRANT */
 };
 
--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -6,19 +6,35 @@
 
 #include "node_state.h"
 
-#define OFFERS_MAX 4 /* serving nodes that a call is offered to */
+#define OFFERS_MAX REQUEST_TRIED_MAX /* serving nodes that a call waits at */
+/*
+ * Serving nodes that a call is first offered to for a slot that is free. With
+ * many entry nodes, reports of load are old when a call comes; of three nodes
+ * one is nearly always less busy than the average.
+ */
+#define LOOKS_MAX REQUEST_LOOKS_MAX
 #define OPTIONS_MAX 256 /* serving nodes of a service that are looked at */
 /* A try that has less time than this left is not worth making. */
 #define TRY_MIN_NS (5 * NSEC_PER_MSEC)
 #define RUN_GAIN 0.05 /* of the recent mean of a kind's runs */
 
+/* Which serving nodes may be chosen. */
+enum peer_choice {
+	CHOICE_NEW, /* neither tried nor looked at */
+	CHOICE_LOOKED, /* looked at and not tried */
+	CHOICE_ANY, /* not tried */
+};
+
 static void note_run_time(struct kind_stats *k, int64_t service_ns);
-static struct peer *choose_peer(struct request *q);
+static struct peer *choose_next(struct request *q, bool *look);
+static struct peer *choose_peer(struct request *q, enum peer_choice choice);
+static bool may_choose(
+    const struct request *q, const struct peer *p, enum peer_choice choice);
 static void fill_option(const struct request *q, const struct peer *p,
     int64_t now, struct placement_option *out);
 static bool was_tried(const struct request *q, const struct peer *p);
 static int offer_local(struct request *q);
-static void begin_attempt(struct request *q, struct peer *p);
+static void begin_attempt(struct request *q, struct peer *p, bool look);
 static void end_attempt_here(struct request *q);
 static void give_up(struct request *q);
 static bool may_run_again(struct request *q);
@@ -35,19 +51,21 @@
     job_granted, job_answered, job_refused, job_failed};
 
 /*
- * Offers the call to the best serving node that was not tried. When there is
+ * Offers the call to the best serving node: first to some for a slot that is
+ * free, then to those, whose load is known now, to wait there. When there is
  * none, the call ends.
  */
 void
 try_request(struct request *q)
 {
 	while (q->offers < OFFERS_MAX) {
-		struct peer *p = choose_peer(q);
+		bool look = false;
+		struct peer *p = choose_next(q, &look);
 		int rc;
 
 		if (p == NULL)
 			break;
-		begin_attempt(q, p);
+		begin_attempt(q, p, look);
 		rc = p->local ? offer_local(q) : offer_remote(q, p);
 		if (rc == 0)
 			return;
@@ -94,7 +112,14 @@
 	add_note(q, NOTE_REFUSED, q->attempt.peer->id, (int)reason,
 	    (int)(retry_after / NSEC_PER_MSEC), arrived);
 	end_attempt_here(q);
-	q->reason = reason;
+	if (reason == REFUSE_BUSY) {
+		/* It was not tried yet, only looked at. */
+		q->offers--;
+		q->tried_count--;
+		q->looked[q->looks++] = q->attempt.peer;
+	} else {
+		q->reason = reason;
+	}
 	if (retry_after > q->retry_after)
 		q->retry_after = retry_after;
 	if (q->caller == NULL) {
@@ -179,7 +204,8 @@
 may_move_request(struct request *q)
 {
 	return q->terms.repeatable && q->offers < OFFERS_MAX &&
-	       q->arrivals + 1 < q->terms.attempts && choose_peer(q) != NULL &&
+	       q->arrivals + 1 < q->terms.attempts &&
+	       choose_peer(q, CHOICE_ANY) != NULL &&
 	       take_retry(q->node, q->service);
 }
 
@@ -233,7 +259,20 @@
 }
 
 static struct peer *
-choose_peer(struct request *q)
+choose_next(struct request *q, bool *look)
+{
+	struct peer *p = NULL;
+
+	if (q->looks < LOOKS_MAX)
+		p = choose_peer(q, CHOICE_NEW);
+	*look = p != NULL;
+	if (p == NULL)
+		p = choose_peer(q, CHOICE_LOOKED);
+	return p != NULL ? p : choose_peer(q, CHOICE_ANY);
+}
+
+static struct peer *
+choose_peer(struct request *q, enum peer_choice choice)
 {
 	struct placement_option options[OPTIONS_MAX];
 	const struct service *s = q->service;
@@ -248,8 +287,10 @@
 
 	if (q->deadline - now < TRY_MIN_NS)
 		return NULL;
-	for (size_t i = 0; i < count; i++)
+	for (size_t i = 0; i < count; i++) {
 		fill_option(q, s->peers[i], now, &options[i]);
+		options[i].tried = !may_choose(q, s->peers[i], choice);
+	}
 	best = choose_placement(options, count, &call, &q->node->rng);
 	return best >= 0 ? s->peers[best] : NULL;
 }
@@ -272,7 +313,6 @@
 	}
 	*out = (struct placement_option){
 	    .usable = p->usable && (!known || load.state == HOP_STATE_READY),
-	    .tried = was_tried(q, p),
 	    .avoided = p->failures > 0,
 	    .same_zone = p->same_zone,
 	    .slots = known && load.limit > 0 ? load.limit : p->slots,
@@ -289,6 +329,19 @@
 	};
 }
 
+static bool
+may_choose(
+    const struct request *q, const struct peer *p, enum peer_choice choice)
+{
+	bool looked = false;
+
+	if (was_tried(q, p))
+		return false;
+	for (int i = 0; i < q->looks; i++)
+		looked = looked || q->looked[i] == p;
+	return choice == CHOICE_ANY || looked == (choice == CHOICE_LOOKED);
+}
+
 static bool
 was_tried(const struct request *q, const struct peer *p)
 {
@@ -313,6 +366,7 @@
 	    .repeatable = q->terms.repeatable,
 	    .target_at = q->target_at,
 	    .deadline = q->deadline,
+	    .may_wait = !q->attempt.look,
 	    .body_len = q->reader.body.len,
 	    .body = view_buf(&q->reader.body),
 	};
@@ -328,15 +382,15 @@
 }
 
 static void
-begin_attempt(struct request *q, struct peer *p)
+begin_attempt(struct request *q, struct peer *p, bool look)
 {
 	struct attempt *a = &q->attempt;
 	int64_t now = get_reactor_now(q->node->reactor);
 
 	q->offers++;
-	if (q->tried_count < REQUEST_TRIED_MAX)
-		q->tried[q->tried_count++] = p;
-	*a = (struct attempt){.active = true, .peer = p, .started = now};
+	q->tried[q->tried_count++] = p;
+	*a = (struct attempt){
+	    .active = true, .look = look, .peer = p, .started = now};
 	if (p->local) {
 		struct hop_load own = get_own_load(q->node);
 
--- a/packages/node/inbound.c
+++ b/packages/node/inbound.c
@@ -207,6 +207,7 @@
 	    .caller_service = make_str(o->caller_service),
 	    .rank = o->rank,
 	    .repeatable = o->repeatable,
+	    .may_wait = o->may_wait,
 	    .target_at = now + o->target_us * NSEC_PER_USEC,
 	    .deadline = now + o->deadline_us * NSEC_PER_USEC,
 	    .body_len = o->body_len,
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -74,6 +74,7 @@
 	o.target.target_len = (unsigned int)q->reader.head.target.len;
 	o.head.head_val = q->head.data;
 	o.head.head_len = (unsigned int)q->head.len;
+	o.may_wait = !q->attempt.look;
 	o.body_here = q->terms.repeatable && body.len <= HOP_PIECE_BYTES;
 	a->link = l;
 	a->peer = p;
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -17,7 +17,8 @@
 
 #define NODE_LISTENERS_MAX 5
 #define NODE_STREAM_SLOTS 64 /* of a link's table of calls */
-#define REQUEST_TRIED_MAX 8 /* serving nodes that a call avoids */
+#define REQUEST_TRIED_MAX 4 /* serving nodes that a call waits at */
+#define REQUEST_LOOKS_MAX 3 /* serving nodes that it looks at before */
 #define REQUEST_NOTES_MAX 24 /* decisions remembered of a call */
 #define CALL_ID_BYTES 129
 
@@ -73,6 +74,7 @@
 /* One try of a call at a serving node. */
 struct attempt {
 	bool active;
+	bool look; /* only for a slot that is free */
 	struct peer *peer;
 	struct peer_link *link; /* NULL: local */
 	uint32_t stream;
@@ -112,6 +114,8 @@
 	struct attempt attempt;
 	const struct peer *tried[REQUEST_TRIED_MAX];
 	size_t tried_count;
+	const struct peer *looked[REQUEST_LOOKS_MAX]; /* nothing was free */
+	int looks;
 	int offers; /* to serving nodes */
 	int arrivals; /* at backend servers, as far as known */
 	bool unknown; /* an attempt may have run */
@@ -151,6 +155,7 @@
 	struct str caller_service;
 	int rank;
 	bool repeatable;
+	bool may_wait; /* else it is refused as busy where it would wait */
 	int64_t target_at; /* mono ns */
 	int64_t deadline; /* mono ns */
 	size_t body_len;
--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -63,6 +63,7 @@
 	j->offered = now;
 	j->admission.token = j;
 	j->admission.deadline = spec->deadline;
+	j->admission.no_wait = !spec->may_wait;
 	j->admission.body_bytes =
 	    spec->body.data == NULL ? (int64_t)spec->body_len : 0;
 	j->admission.target = inner		  ? spec->deadline :
@@ -336,8 +337,10 @@
 			grant_job(j);
 		return;
 	}
-	count_metric(j->node->metrics.shed_total, 1);
-	log_job(j, "refused", get_refuse_name(reason), 0, 0);
+	if (reason != REFUSE_BUSY) {
+		count_metric(j->node->metrics.shed_total, 1);
+		log_job(j, "refused", get_refuse_name(reason), 0, 0);
+	}
 	free_job(j);
 	if (events != NULL)
 		events->refused(owner, reason, retry_after, false);
--- a/packages/node/tests/test_calls_by_node.c
+++ b/packages/node/tests/test_calls_by_node.c
@@ -465,6 +465,42 @@
 }
 END_TEST
 
+/*
+ * Guards against calls that wait at a full server while another one is free,
+ * because the entry nodes do not know of each other's calls.
+ */
+START_TEST(free_slot_is_found_without_a_report)
+{
+	struct rig_reply reply;
+	int fd[8];
+
+	for (int round = 0; round < 5; round++) {
+		int64_t began = read_rig_now();
+
+		/* As many as there are slots, by way of two nodes at once. */
+		for (int i = 0; i < 8; i++) {
+			char text[128];
+
+			snprintf(text, sizeof(text),
+			    "GET /read/slow HTTP/1.1\r\nHost: test.example\r\n"
+			    "Call-Id: spread-%d-%d\r\n\r\n",
+			    round, i);
+			fd[i] = connect_rig(rig.calls[i % 2 * 2]);
+			ck_assert_int_eq(send(fd[i], text, strlen(text), 0),
+			    (ssize_t)strlen(text));
+		}
+		for (int i = 0; i < 8; i++) {
+			read_rig_reply(fd[i], &reply);
+			ck_assert_int_eq(reply.status, 200);
+			unload_reply(&reply);
+			close(fd[i]);
+		}
+		/* A call takes 150 ms, one that waits takes 300. */
+		ck_assert_int_lt(read_rig_now() - began, 290 * NSEC_PER_MSEC);
+	}
+}
+END_TEST
+
 /*
  * Guards against calls that wait at a node and are sent to its backend server
  * long after that said that it leaves.
@@ -626,6 +662,7 @@
 	    sizeof(report_cases) / sizeof(report_cases[0]));
 	tcase_add_test(t, serving_node_that_dies_costs_no_second_run);
 	tcase_add_test(t, silent_node_costs_one_call);
+	tcase_add_test(t, free_slot_is_found_without_a_report);
 	tcase_add_test(t, leaving_server_gets_no_call_that_waited);
 	tcase_add_test(t, call_without_a_retry_outlives_a_silence);
 	tcase_add_test(t, stop_answers_every_call);
--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -272,6 +272,8 @@
 		(void)remove_listed(&out->run, c);
 		return v;
 	}
+	if (c->state == CALL_WAITING && c->no_wait)
+		drop_waiting(a, l, c, REFUSE_BUSY, out);
 	if (c->state == CALL_WAITING && a->policy->bounded &&
 	    l->waiting > (size_t)l->queue_max) {
 		drop_waiting(a, l, c, REFUSE_OVERLOAD, out);
--- a/packages/policy/admission.h
+++ b/packages/policy/admission.h
@@ -41,6 +41,7 @@
 	 * wait behind all others, and only while slots come free for them.
 	 */
 	int64_t target;
+	bool no_wait; /* refused as busy where it would wait */
 	int64_t body_bytes; /* asked for when the call runs; 0: none */
 	enum call_state state; /* from here on owned by the module */
 	enum refuse_reason reason; /* when refused */
--- a/packages/policy/outcome.c
+++ b/packages/policy/outcome.c
@@ -27,6 +27,7 @@
     [REFUSE_NO_TABLE] = "no-table",
     [REFUSE_NO_QUORUM] = "no-quorum",
     [REFUSE_UNKNOWN_KIND] = "unknown-kind",
+    [REFUSE_BUSY] = "busy",
     [REFUSE_BODY_MEMORY] = "body-memory",
 };
 
--- a/packages/policy/outcome.h
+++ b/packages/policy/outcome.h
@@ -25,6 +25,7 @@
 	REFUSE_NO_TABLE,
 	REFUSE_NO_QUORUM,
 	REFUSE_UNKNOWN_KIND,
+	REFUSE_BUSY, /* nothing is free at once, and the offer may not wait */
 	REFUSE_BODY_MEMORY, /* body above the node's --body-memory */
 };
 
--- a/packages/policy/tests/test_admission.c
+++ b/packages/policy/tests/test_admission.c
@@ -636,6 +636,36 @@
 }
 END_TEST
 
+/* Guards against an offer for a free slot that waits or takes a place. */
+START_TEST(offer_without_wait_is_refused_as_busy)
+{
+	struct admission *a = open_admission(ADMISSION_FCFS, 1, rows_two);
+	struct admission_changes out = {0};
+	struct admission_call first, look = {.token = &look,
+					 .deadline = read_now() + 1000 * MS,
+					 .no_wait = true};
+	struct admit_verdict v;
+
+	ck_assert_int_eq(
+	    offer_kind(a, &first, "read", 1000, &out).action, ADMIT_RUN);
+	v = offer_call(a, &look, find_admission_row(a, make_str("read")),
+	    read_now(), &out);
+	ck_assert_int_eq(v.action, ADMIT_REFUSED);
+	ck_assert_int_eq(v.reason, REFUSE_BUSY);
+	ck_assert_ptr_null(out.refused);
+	ck_assert_int_eq(get_admission_load(a, read_now()).queued, 0);
+	finish_call(a, &first, OUTCOME_RAN, 10 * MS, read_now(), &out);
+	look = (struct admission_call){.token = &look,
+	    .deadline = read_now() + 1000 * MS,
+	    .no_wait = true};
+	v = offer_call(a, &look, find_admission_row(a, make_str("read")),
+	    read_now(), &out);
+	ck_assert_int_eq(v.action, ADMIT_RUN);
+	finish_call(a, &look, OUTCOME_RAN, 10 * MS, read_now(), &out);
+	destroy_admission(a);
+}
+END_TEST
+
 /* A call of a row taken up on demand, with a target and a body. */
 static struct admit_verdict
 offer_body(struct admission *a, struct admission_call *c, int lane,
@@ -720,6 +750,7 @@
 	tcase_add_loop_test(
 	    tc, call_waits_for_a_slot_and_runs, 0, ADMISSION_POLICY_COUNT);
 	tcase_add_test(tc, bodies_share_the_link);
+	tcase_add_test(tc, offer_without_wait_is_refused_as_busy);
 	tcase_add_test(tc, refusals_name_their_reason);
 	tcase_add_test(tc, hopeless_calls_are_refused_at_once);
 	tcase_add_loop_test(
