admission: a crowded link refuses long bodies first; five looks

Bodies differ up to twentyfold and every one counted the same.

Change: the expected wait for the link counts three times more for a body of mean size, in proportion to its size, so that long bodies are refused while short ones are still taken. Calls look at five nodes for a free slot, not three.

Test: policy.test_admission long_bodies_are_refused_first.

--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -9,8 +9,8 @@
 #define OFFERS_MAX REQUEST_TRIED_MAX /* serving nodes that a call waits at */
 /*
  * Serving nodes that a call is first offered to for a slot that is free. With
- * many entry nodes, reports of load are old when a call comes; of three nodes
- * one is nearly always less busy than the average.
+ * many entry nodes, reports of load are old when a call comes; where two of five
+ * servers are full, one of five nodes has a free slot in 99 cases of 100.
  */
 #define LOOKS_MAX REQUEST_LOOKS_MAX
 #define OPTIONS_MAX 256 /* serving nodes of a service that are looked at */
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -18,7 +18,7 @@
 #define NODE_LISTENERS_MAX 5
 #define NODE_STREAM_SLOTS 64 /* of a link's table of calls */
 #define REQUEST_TRIED_MAX 4 /* serving nodes that a call waits at */
-#define REQUEST_LOOKS_MAX 3 /* serving nodes that it looks at before */
+#define REQUEST_LOOKS_MAX 5 /* serving nodes that it looks at before */
 #define REQUEST_NOTES_MAX 24 /* decisions remembered of a call */
 #define CALL_ID_BYTES 129
 
--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -30,6 +30,13 @@
  * less, an overload would fill the slots with runs that mostly end late.
  */
 #define TARGET_NEED 1.2
+/*
+ * A link that cannot carry all bodies serves most calls when the long ones are
+ * refused first: the wait for the link counts this many times more for a body
+ * of the mean size of its row, and in proportion to its size.
+ */
+#define LONG_BODY_COST 3.0
+#define BODY_GAIN 0.02 /* of the recent mean of a row's bodies */
 #define TARGET_RETRY_MIN_NS (20 * NSEC_PER_MSEC)
 
 struct admission {
@@ -78,6 +85,9 @@
     const struct admission_call *c);
 static double estimate_body_wait(const struct admission *a,
     const struct lane *l, const struct admission_call *c);
+static void note_body_size(struct lane *l, const struct admission_call *c);
+static double get_body_ratio(
+    const struct lane *l, const struct admission_call *c);
 static bool may_wait_late(const struct admission *a, int64_t now);
 static const struct lane *get_main(
     const struct admission *a, const struct lane *l);
@@ -242,6 +252,7 @@
 		return refuse_offer(a, c, REFUSE_UNKNOWN_KIND);
 	accrue(a, now);
 	l = &a->view.lanes[row];
+	note_body_size(l, c);
 	c->lane = row;
 	if (c->target == 0 && is_hopeless(a, l, c, now)) {
 		l->overflowed = l->waiting != 0;
@@ -824,8 +835,10 @@
 misses_target(const struct admission *a, const struct lane *l,
     const struct admission_call *c, int64_t now)
 {
-	double need = TARGET_NEED * l->service_ns + estimate_body_wait(a, l, c);
+	double need = TARGET_NEED * l->service_ns;
 
+	need += estimate_body_wait(a, l, c) *
+		(1 + LONG_BODY_COST * get_body_ratio(l, c));
 	if (a->view.in_flight < a->view.limit)
 		return (double)(c->target - now) < need;
 	return (double)(c->target - now) < estimate_ahead(a, l, c) + need;
@@ -879,6 +892,23 @@
 	return get_inflow_ns(&a->inflow, bytes);
 }
 
+static void
+note_body_size(struct lane *l, const struct admission_call *c)
+{
+	if (c->body_bytes == 0)
+		return;
+	if (l->body_bytes <= 0)
+		l->body_bytes = (double)c->body_bytes;
+	l->body_bytes += BODY_GAIN * ((double)c->body_bytes - l->body_bytes);
+}
+
+/* Returns the size of a call's body over the mean of its row. */
+static double
+get_body_ratio(const struct lane *l, const struct admission_call *c)
+{
+	return l->body_bytes > 0 ? (double)c->body_bytes / l->body_bytes : 0;
+}
+
 static bool
 may_wait_late(const struct admission *a, int64_t now)
 {
--- a/packages/policy/lane.h
+++ b/packages/policy/lane.h
@@ -35,6 +35,7 @@
 
 	double credit; /* slot-ns of the fraction of a floor, see accrue */
 	double vtime; /* weighted slot-ns received; weighted fair */
+	double body_bytes; /* recent mean of the bodies that were offered */
 	double held; /* recent mean of in_flight */
 	bool overflowed; /* its queue overflowed and has not emptied since */
 	bool held_by_link; /* its next call has a body that must wait */
--- a/packages/policy/tests/test_admission.c
+++ b/packages/policy/tests/test_admission.c
@@ -636,6 +636,55 @@
 }
 END_TEST
 
+/* A call of a row taken up on demand, with a target and a body. */
+static struct admit_verdict
+offer_body(struct admission *a, struct admission_call *c, int lane,
+    int64_t target_ms, int64_t body_bytes, struct admission_changes *out)
+{
+	*c = (struct admission_call){.token = c,
+	    .deadline = read_now() + 4000 * MS,
+	    .target = read_now() + target_ms * MS,
+	    .body_bytes = body_bytes};
+	return offer_call(a, c, lane, read_now(), out);
+}
+
+/*
+ * Guards against a link that is filled by the longest bodies while many short
+ * ones are refused.
+ */
+START_TEST(long_bodies_are_refused_first)
+{
+	struct admission_config cfg = {.policy = ADMISSION_FLOORS,
+	    .slots = 10,
+	    .fixed_limit = true,
+	    .link_rate = 600000};
+	struct admission_changes out = {0};
+	struct admission_call calls[8];
+	struct admission *a = NULL;
+	struct table *t = NULL;
+	struct fault f;
+	int bulk, kept[2] = {0, 0};
+
+	clock_state.mono_ns = 1000 * NSEC_PER_SEC;
+	ck_assert_int_eq(load_table_csv(make_str(rows_three), 1, &t, &f), 0);
+	ck_assert_int_eq(create_admission(&cfg, read_now(), &a), 0);
+	bulk = open_admission_row(a, find_row(t, make_str("bulk")), false);
+	/* 30 and 180 KB by turns: 1.4 s of the link, targets of 1 s. */
+	for (int i = 0; i < 8; i++) {
+		struct admit_verdict v = offer_body(a, &calls[i], bulk, 1000,
+		    i % 2 == 0 ? 30000 : 180000, &out);
+
+		/* Late calls are kept in a lane of their own. */
+		if (v.action != ADMIT_REFUSED && calls[i].late_since == 0)
+			kept[i % 2]++;
+	}
+	ck_assert_int_eq(kept[0], 4);
+	ck_assert_int_eq(kept[1], 0);
+	destroy_admission(a);
+	unload_table(t);
+}
+END_TEST
+
 /* Guards against an offer for a free slot that waits or takes a place. */
 START_TEST(offer_without_wait_is_refused_as_busy)
 {
@@ -666,18 +715,6 @@
 }
 END_TEST
 
-/* A call of a row taken up on demand, with a target and a body. */
-static struct admit_verdict
-offer_body(struct admission *a, struct admission_call *c, int lane,
-    int64_t target_ms, int64_t body_bytes, struct admission_changes *out)
-{
-	*c = (struct admission_call){.token = c,
-	    .deadline = read_now() + 4000 * MS,
-	    .target = read_now() + target_ms * MS,
-	    .body_bytes = body_bytes};
-	return offer_call(a, c, lane, read_now(), out);
-}
-
 /*
  * Guards against bodies that fill the machine's link, so that small calls wait
  * behind them, and against a call that waits for a body it cannot get in time.
@@ -750,6 +787,7 @@
 	tcase_add_loop_test(
 	    tc, call_waits_for_a_slot_and_runs, 0, ADMISSION_POLICY_COUNT);
 	tcase_add_test(tc, bodies_share_the_link);
+	tcase_add_test(tc, long_bodies_are_refused_first);
 	tcase_add_test(tc, offer_without_wait_is_refused_as_busy);
 	tcase_add_test(tc, refusals_name_their_reason);
 	tcase_add_test(tc, hopeless_calls_are_refused_at_once);
