--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,11 @@
 JOBS ?= 6
 SOURCES = $(shell git ls-files 'packages/*.[ch]' 'platform/*.[ch]' 'apps/*.[ch]' 'bench/*.[ch]' 'examples/*.[ch]' | grep -v /gen/)
 
-.PHONY: scenarios all setup build test test-asan test-tsan fmt fmt-check lint run bench \
+FIRST ?= 1
+LAST ?= 50
+SECONDS ?= 10
+
+.PHONY: soak soak-quick scenarios all setup build test test-asan test-tsan fmt fmt-check lint run bench \
     bench-quick plots capacity clean
 
 all: build
@@ -42,6 +46,13 @@
 scenarios: build
 	sh scenarios/run_all.sh
 
+# The randomized soak: some seconds with fixed seeds, or many seeds by hand.
+soak-quick: build
+	sh scenarios/soak.sh quick
+
+soak: build
+	sh scenarios/soak.sh full $(FIRST) $(LAST) $(SECONDS)
+
 run: build
 	sh tools/run.sh
 
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -35,6 +35,8 @@
     SPEC(cancelled_total, METRIC_COUNTER, "Calls whose caller hung up."),
     SPEC(served_total, METRIC_COUNTER, "Calls that the backend server ran."),
     SPEC(shed_total, METRIC_COUNTER, "Calls that admission refused."),
+    SPEC(busy_total, METRIC_COUNTER,
+	"Offers for a free slot that found none here."),
     SPEC(backend_connects_total, METRIC_COUNTER,
 	"Connections opened to the backend server."),
     SPEC(links_total, METRIC_COUNTER, "Connections opened to other nodes."),
@@ -53,6 +55,8 @@
 	"Connections to the backend server."),
     SPEC(backend_state, METRIC_GAUGE, "0 down, 1 ready, 2 leaving."),
     SPEC(mean_run_us, METRIC_GAUGE, "Recent mean of a run, us."),
+    SPEC(body_wait_us, METRIC_GAUGE,
+	"Time that the link needs for bodies due or waiting, us."),
     SPEC(failed_ppm, METRIC_GAUGE, "Recent share of failed runs, ppm."),
     SPEC(peers, METRIC_GAUGE, "Serving nodes known."),
     SPEC(peers_usable, METRIC_GAUGE, "Serving nodes that take calls."),
@@ -134,6 +138,7 @@
 	set_metric(m->backend_state, (int64_t)l.state);
 	set_metric(m->mean_run_us, l.service_us);
 	set_metric(m->failed_ppm, l.failed_ppm);
+	set_metric(m->body_wait_us, l.body_wait_us);
 	set_metric(m->peers, peers);
 	set_metric(m->peers_usable, usable);
 	set_metric(m->peers_avoided, avoided);
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -273,6 +273,7 @@
 struct node_metrics {
 	metric_id calls_total, answers_total, refused_total, failed_total;
 	metric_id retries_total, cancelled_total, served_total, shed_total;
+	metric_id busy_total, body_wait_us;
 	metric_id backend_connects_total, links_total, avoided_total;
 	metric_id latency_us, queue_us, run_us;
 	metric_id table_version, requests, runs, queued, in_flight, slots;
--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -337,7 +337,9 @@
 			grant_job(j);
 		return;
 	}
-	if (reason != REFUSE_BUSY) {
+	if (reason == REFUSE_BUSY) {
+		count_metric(j->node->metrics.busy_total, 1);
+	} else {
 		count_metric(j->node->metrics.shed_total, 1);
 		log_job(j, "refused", get_refuse_name(reason), 0, 0);
 	}
--- /dev/null
+++ b/scenarios/soak.lua
@@ -0,0 +1,327 @@
+-- Randomized soak: real processes under seeded series of overlapping faults
+-- from outside of them, while operators edit and callers call. Checks, from
+-- what both and the backend servers see, that
+--   an accepted edit is never lost, and no confirmed read is older than one
+--   accepted before it;
+--   no call that must not repeat runs twice, "ran" is one run, "not-run" none;
+--   a call is answered within its limit unless its own node was disturbed;
+--   after the last fault all follow the newest table and calls run again.
+-- usage: scenario scenarios/soak.lua SEED [SECONDS [CONTROLS NODES]]
+local fleet = require "fleet"
+
+local seed = math.tointeger(tonumber(arg[1] or "1"))
+local seconds = tonumber(arg[2] or "20")
+local control_count = math.tointeger(tonumber(arg[3] or "3"))
+local node_count = math.tointeger(tonumber(arg[4] or "5"))
+math.randomseed(seed)
+
+local KIND_ONCE, KIND_READ = "award-payment", "dossier-status"
+local RECOVERY_MS = 30000 -- after the last fault, as for a restart of all
+local CALL_MS = 6000 -- longest wait of a caller: the row's deadline and 1 s
+
+local f = fleet.new("soak-" .. seed, {links = true})
+f:add_controls(control_count, fleet.grants.zones)
+f:wait_leader()
+local newest = f:import(ROOT .. "/examples/grants.csv")
+for i = 1, node_count do
+	local service = i % 2 == 0 and "erogazioni" or "fascicoli"
+	f:add_node{name = "node-" .. i, service = service, slots = 8,
+		zone = fleet.grants.zones[i % 3 + 1],
+		server_args = {"--service-ms=20"}}
+end
+f:wait_version(newest)
+
+local start = sys.now_ms()
+local faults = {} -- {at, undo, what}
+local disturbed = {} -- process: time until which calls through it may fail
+local counts = {faults = 0, edits = 0, calls = 0, answered = 0}
+local outcomes = {} -- key: {ran = n, ["not-run"] = n, other = n}
+local trace = {}
+
+local function note(fmt, ...)
+	trace[#trace + 1] = string.format("%6.2f s  " .. fmt,
+		(sys.now_ms() - start) / 1000, ...)
+end
+
+local function check(ok, fmt, ...)
+	if not ok then
+		print(table.concat(trace, "\n"))
+		fleet.check(false, "seed " .. seed .. ": " .. fmt, ...)
+	end
+end
+
+local function pick(list)
+	return list[math.random(#list)]
+end
+
+local function later(ms, what, undo)
+	faults[#faults + 1] = {at = sys.now_ms() + ms, what = what, undo = undo}
+end
+
+local function disturb(p, ms)
+	disturbed[p] = math.max(disturbed[p] or 0, sys.now_ms() + ms + 3000)
+end
+
+-- Any process may be frozen, killed or stopped, also when it already is; its
+-- disk stays.
+local function any_process()
+	local list = {}
+	for _, group in ipairs{f.controls, f.nodes} do
+		for _, p in ipairs(group) do
+			if p.running and not p.frozen then
+				list[#list + 1] = p
+			end
+		end
+	end
+	return #list > 0 and pick(list) or nil
+end
+
+local function restart(p)
+	if not p.running then
+		f:start(p)
+		disturb(p, 2000)
+	end
+end
+
+local actions = {
+	freeze = function(ms)
+		local p = any_process()
+		if not p then return end
+		f:freeze(p)
+		p.frozen = true
+		disturb(p, ms)
+		later(ms, "wakes " .. p.name, function()
+			p.frozen = nil
+			f:thaw(p)
+			disturb(p, 0)
+		end)
+		return p.name
+	end,
+	kill = function(ms)
+		local p = any_process()
+		if not p then return end
+		f:kill(p)
+		disturb(p, ms)
+		later(ms, "starts " .. p.name, function() restart(p) end)
+		return p.name
+	end,
+	stop = function(ms)
+		local p = any_process()
+		if not p then return end
+		process.kill(p.proc, "TERM")
+		p.running = false
+		disturb(p, ms)
+		later(ms, "starts " .. p.name, function()
+			process.wait(p.proc, 30000)
+			restart(p)
+		end)
+		return p.name
+	end,
+	cut = function(ms)
+		local c = pick(f.controls)
+		f:cut(c, pick{"both", "in", "out"})
+		later(ms, "heals " .. c.name, function() f:heal(c) end)
+		return c.name
+	end,
+	slow = function(ms)
+		local c = pick(f.controls)
+		for _, l in pairs(c.links) do
+			link.set(l, "pass", "pass", math.random(5, 150))
+		end
+		later(ms, "ends the delay of " .. c.name, function()
+			f:heal(c)
+		end)
+		return c.name
+	end,
+	silence = function()
+		local n = pick(f.nodes)
+		for _, l in pairs(n.links) do
+			link.silence(l)
+		end
+		return n.name
+	end,
+	reset = function()
+		local n = pick(f.nodes)
+		for _, l in pairs(n.links) do
+			link.break_now(l)
+		end
+		return n.name
+	end,
+	refuse = function(ms)
+		local n = pick(f.nodes)
+		for _, l in pairs(n.links) do
+			link.refuse(l, true)
+			link.break_now(l)
+		end
+		later(ms, "admits " .. n.name, function()
+			for _, l in pairs(n.links) do
+				link.refuse(l, false)
+			end
+		end)
+		return n.name
+	end,
+}
+local names = {}
+for name in pairs(actions) do
+	names[#names + 1] = name
+end
+table.sort(names) -- the order of pairs() differs between runs
+
+local function undo_due(all)
+	local kept = {}
+	for _, x in ipairs(faults) do
+		if all or x.at <= sys.now_ms() then
+			note("%s", x.what)
+			x.undo()
+		else
+			kept[#kept + 1] = x
+		end
+	end
+	faults = kept
+end
+
+local function running_controls()
+	local list = {}
+	for _, c in ipairs(f.controls) do
+		if c.running then
+			list[#list + 1] = c
+		end
+	end
+	return list
+end
+
+-- One edit at one process, on the newest version known; resent elsewhere with
+-- its key when the answer is lost.
+local function edit()
+	local list = running_controls()
+	if #list == 0 then return end
+	local body = {row = KIND_READ, column = "weight", base = newest,
+		value = tostring(math.random(1, 900)), key = fleet.key()}
+	for _ = 1, 2 do
+		local r = fleet.ask(pick(list), "POST", "/v1/edit", body,
+			{timeout_ms = 1500})
+		if r.status == 200 then
+			check(r.json.version > newest, "edit on version %d " ..
+				"accepted as %d", newest, r.json.version)
+			newest = r.json.version
+			counts.edits = counts.edits + 1
+			note("edit accepted as version %d", newest)
+			return
+		end
+		if r.status == 409 then
+			-- An edit whose answer was lost is in force.
+			local now = fleet.ask(pick(list), "GET",
+				"/v1/table?format=json", nil,
+				{timeout_ms = 1500})
+			if now.status == 200 then
+				newest = math.max(newest, now.json.version)
+			end
+			return
+		end
+	end
+end
+
+local function read()
+	local list = running_controls()
+	if #list == 0 then return end
+	local before = newest
+	local c = pick(list)
+	local r = fleet.ask(c, "GET", "/v1/table?format=json", nil,
+		{timeout_ms = 1500})
+	if r.status == 200 then
+		check(r.json.version >= before, "%s confirms version %d after " ..
+			"%d was accepted", c.name, r.json.version, before)
+		newest = math.max(newest, r.json.version)
+	end
+end
+
+local function calls()
+	local requests, owners = {}, {}
+	local began = sys.now_ms()
+	for _, n in ipairs(f.nodes) do
+		if n.running and not n.frozen then
+			for _, kind in ipairs{KIND_ONCE, KIND_READ} do
+				local key = fleet.key()
+				requests[#requests + 1] = {method = "POST",
+					url = "http://" .. n.address ..
+					"/call/" .. kind .. "/", body = "x",
+					timeout_ms = CALL_MS, headers =
+					{"Idempotency-Key: " .. key}}
+				owners[#owners + 1] = {node = n,
+					key = kind == KIND_ONCE and key}
+			end
+		end
+	end
+	for i, r in ipairs(http.parallel(requests)) do
+		local o = owners[i]
+		local word = r.headers["x-ggs-outcome"] or "none"
+		counts.calls = counts.calls + 1
+		if r.status == 200 then
+			counts.answered = counts.answered + 1
+		end
+		check(r.status ~= 0 or (disturbed[o.node] or 0) > began,
+			"no answer from %s, which was left alone", o.node.name)
+		if o.key then
+			outcomes[o.key] = word
+		end
+	end
+end
+
+local function check_runs()
+	local runs = {}
+	for _, s in ipairs(f.servers) do
+		local r = http.request{url = "http://" .. s.address ..
+			"/runs?all=1"}
+		for _, e in ipairs((json.decode(r.body) or {}).runs or {}) do
+			runs[e.key] = (runs[e.key] or 0) + e.count
+		end
+	end
+	for key, word in pairs(outcomes) do
+		local n = runs[key] or 0
+		check(n <= 1, "key %s ran %d times", key, n)
+		check(word ~= "ran" or n == 1, "key %s: ran, %d runs", key, n)
+		check(word ~= "not-run" or n == 0, "key %s: not-run, %d runs",
+			key, n)
+	end
+end
+
+while sys.now_ms() - start < seconds * 1000 do
+	undo_due(false)
+	if math.random() < 0.5 then
+		local name = pick(names)
+		local ms = math.random(100, 3000)
+		local who = actions[name](ms)
+		if who then
+			counts.faults = counts.faults + 1
+			note("%s %s, %d ms", name, who, ms)
+		end
+	end
+	edit()
+	read()
+	calls()
+	sys.sleep(math.random(0, 200))
+end
+
+undo_due(true)
+for _, group in ipairs{f.controls, f.nodes} do
+	for _, p in ipairs(group) do
+		restart(p)
+	end
+end
+f:wait_leader(RECOVERY_MS)
+local last = f:set(KIND_READ, "weight", 7)
+check(last > newest, "version %d after %d", last, newest)
+f:wait_version(last, RECOVERY_MS)
+for _, n in ipairs(f.nodes) do
+	fleet.wait_until("a call through " .. n.name, RECOVERY_MS, function()
+		return fleet.call(n, KIND_READ).status == 200
+	end)
+end
+check_runs()
+f:stop()
+for _, n in ipairs(f.nodes) do
+	check(n.status == 0, "%s ended with %s", n.name, tostring(n.status))
+end
+print(string.format("ok: seed %d, %d faults, %d edits, %d of %d calls " ..
+	"answered with 200", seed, counts.faults, counts.edits,
+	counts.answered, counts.calls))
