--- a/packages/explain/cause.c
+++ b/packages/explain/cause.c
@@ -107,7 +107,7 @@
 	if (strcmp(reason, "no-endpoint") == 0) {
 		(void)append_buf_fmt(why,
 		    "%s knew no node of service %s that it could use, after "
-		    "%lld offers. See peer.changed, peer.gone and link.lost.",
+		    "%lld offers. See peer.changed, peer.replaced and link.lost.",
 		    get_line_text(end, "process"),
 		    get_line_text(end, "service"),
 		    (long long)get_line_number(end, "offers"));
