--- a/packages/hop/tests/test_hop.c
+++ b/packages/hop/tests/test_hop.c
@@ -104,14 +104,16 @@
 
 /* Writes the frame's bytes; returns how many they are. */
 static size_t
-make_frame(char *out, uint32_t type, uint32_t stream, const char *payload)
+make_frame(char *out, uint32_t type, uint32_t stream, const char *text)
 {
+	struct str payload = make_str(text);
 	uint32_t head[3] = {
-	    htonl((uint32_t)strlen(payload)), htonl(type), htonl(stream)};
+	    htonl((uint32_t)payload.len), htonl(type), htonl(stream)};
 
 	memcpy(out, head, sizeof(head));
-	memcpy(out + sizeof(head), payload, strlen(payload));
-	return sizeof(head) + strlen(payload);
+	if (payload.len > 0)
+		memcpy(out + sizeof(head), payload.data, payload.len);
+	return sizeof(head) + payload.len;
 }
 
 /* Guards against frames that are lost or merged where a read ends inside one. */
