node: offers wait for the welcome of a new link

Cause: offers were sent on a new link before the other node had welcomed it.

Change: until the welcome came a call has certainly not run; the offer leaves with it. It costs the first call on a link one more way there and back.

Test: node.test_calls_by_node silent_node_costs_one_call with calls of one attempt (502 before).

--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -12,6 +12,7 @@
 #define PROBE_MAX_NS (500 * NSEC_PER_MSEC)
 #define UPLOAD_UNSENT_BYTES (32 * 1024) /* more wait for their turn */
 
+static void send_offer(struct request *q);
 static struct peer_link *get_link(struct peer *p);
 static struct peer_link *open_peer_link(struct peer *p);
 static void time_out_connect(struct timer *t);
@@ -40,16 +41,39 @@
     take_frame, lose_link, note_silence, send_uploads};
 
 /*
- * Offers a call to a serving node. A call that may repeat, with a short body,
- * travels whole; otherwise the body follows when the call has a slot, and until
- * then it has certainly not run.
+ * Offers a call to a serving node, on a new link once that was welcomed: until
+ * then the call has certainly not run, whatever becomes of the link.
  */
 int
 offer_remote(struct request *q, struct peer *p)
 {
 	struct attempt *a = &q->attempt;
-	int64_t now = get_reactor_now(q->node->reactor);
 	struct peer_link *l = get_link(p);
+
+	if (l == NULL)
+		return ERR_UNAVAILABLE;
+	a->link = l;
+	a->peer = p;
+	a->stream = ++l->last_stream;
+	a->body_sent = false;
+	a->body_at = 0;
+	a->granted = false;
+	p->in_flight++;
+	add_stream(l, q);
+	if (l->welcomed)
+		send_offer(q);
+	return 0;
+}
+
+/*
+ * A call that may repeat, with a short body, travels whole; otherwise the body
+ * follows when the call has a slot, and until then it has certainly not run.
+ */
+static void
+send_offer(struct request *q)
+{
+	struct attempt *a = &q->attempt;
+	int64_t now = get_reactor_now(q->node->reactor);
 	struct str body = view_buf(&q->reader.body);
 	struct hop_offer o = {
 	    .service = q->service->name,
@@ -63,8 +87,6 @@
 	};
 	char method[16], caller[TABLE_NAME_BYTES] = "";
 
-	if (l == NULL)
-		return ERR_UNAVAILABLE;
 	(void)copy_str(method, sizeof(method), q->reader.head.method);
 	if (q->node->cfg.service != NULL)
 		(void)copy_str(
@@ -77,17 +99,9 @@
 	o.head.head_len = (unsigned int)q->head.len;
 	o.may_wait = !q->attempt.look;
 	o.body_here = q->terms.repeatable && body.len <= HOP_PIECE_BYTES;
-	a->link = l;
-	a->peer = p;
-	a->stream = ++l->last_stream;
 	a->body_sent = o.body_here;
-	a->body_at = 0;
-	a->granted = false;
-	p->in_flight++;
-	add_stream(l, q);
-	send_hop(l->hop, HOP_OFFER, a->stream, (xdrproc_t)xdr_hop_offer, &o,
-	    o.body_here ? body : make_str_n(NULL, 0));
-	return 0;
+	send_hop(a->link->hop, HOP_OFFER, a->stream, (xdrproc_t)xdr_hop_offer,
+	    &o, o.body_here ? body : make_str_n(NULL, 0));
 }
 
 /*
@@ -243,6 +257,15 @@
 	else
 		take_load(l->peer, &w.load);
 	unload_hop((xdrproc_t)xdr_hop_welcome, &w);
+	if (l->welcomed)
+		return;
+	l->welcomed = true;
+	for (size_t i = 0; i < NODE_STREAM_SLOTS; i++) {
+		struct request *q = l->streams[i];
+
+		for (; q != NULL; q = q->attempt.next_stream)
+			send_offer(q);
+	}
 }
 
 /*
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -218,6 +218,7 @@
 
 /* A connection to a serving node. */
 struct peer_link {
+	bool welcomed; /* offers may be sent */
 	struct peer_link *next; /* in the node's list */
 	struct peer *peer; /* NULL once the peer is gone */
 	struct node *node;
--- a/packages/node/tests/test_calls_by_node.c
+++ b/packages/node/tests/test_calls_by_node.c
@@ -411,6 +411,16 @@
 		usleep(50000);
 	}
 	ck_assert_int_le(slow, 1);
+	/* A call of one attempt is not lost there: it was never offered. */
+	add_fake_endpoint(
+	    rig.agent, "svc", "node-8", address, 100, WIRE_ENDPOINT_READY);
+	refresh_node(rig.nodes[2]);
+	for (int i = 0; i < 10; i++) {
+		call_rig(rig.calls[2], "GET", "/once/ok", "call", "",
+		    make_str(""), &reply);
+		ck_assert_int_eq(reply.status, 200);
+		unload_reply(&reply);
+	}
 	close(fd);
 }
 END_TEST
