--- a/packages/policy/outcome.h
+++ b/packages/policy/outcome.h
@@ -25,9 +25,10 @@
 	REFUSE_NO_TABLE,
 	REFUSE_NO_QUORUM,
 	REFUSE_UNKNOWN_KIND,
-	REFUSE_BUSY, /* nothing is free at once, and the offer may not wait */
 	REFUSE_BODY_MEMORY, /* body above the node's --body-memory */
-	REFUSE_REASON_COUNT
+	REFUSE_REASON_COUNT, /* of those that can end a call */
+	/* Of an offer that may not wait: nothing is free at once. */
+	REFUSE_BUSY = REFUSE_REASON_COUNT,
 };
 
 /* How far the connection of an attempt got. */
