node: run pipelined requests ahead of the answers before them

Cause: caller.c read one request at a time on a connection. A client of the further deployments that sends further safe requests before the first is answered waited for each answer in turn; its later requests reached a backend server after more than half of their target.

Change: a connection holds a list of its requests in order (pipeline.c). A request that may repeat starts as soon as it has been read; its answer is kept until those before it have been sent. One that must not repeat waits for the answers before it, because callers send everything behind a closing answer again. A malformed request gets its answer after those before it. A stopping node answers every request that it has started and reads no further ones behind them.

A side effect: the deadline of a request counts from the moment its bytes were read, also when they were read together with an earlier one.

Tests: test_pipeline.c. On the code before, three of its eleven checks fail: the second request is not started while the first is unanswered, not all of a caller's calls are under way when it leaves, and a stop does not answer what was accepted on the connection. The other eight (order, cuts, malformed input) pass on both and guard the new code.

--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -1,6 +1,6 @@
 /*
- * Connections of callers: reads requests and writes answers, one request at a
- * time on each connection.
+ * Connections of callers: reads requests and writes answers. pipeline.c keeps
+ * the order of both.
  */
 #include <errno.h>
 #include <netinet/tcp.h>
@@ -10,8 +10,8 @@
 #include <netinet/in.h>
 #include <unistd.h>
 
+#include "caller_state.h"
 #include "log.h"
-#include "node_state.h"
 
 #define ACCEPTS_PER_EVENT 64 /* then other sockets are served */
 #define LINGER_NS NSEC_PER_SEC /* for the caller to read the last answer */
@@ -21,34 +21,22 @@
 #define DEFAULT_HEAD_BYTES (32 * 1024)
 #define DEFAULT_BODY_BYTES (64 * 1024 * 1024)
 
-/* A connection of a caller. */
-struct caller {
-	struct node *node;
-	struct caller *next, **prev; /* in the node's list */
-	request_fn handle;
-	struct watch watch;
-	struct timer timer; /* read, write, idle or linger time-out */
-	struct request *request; /* being read or answered; NULL: none */
-	struct buf input; /* bytes read beyond the current request */
-	struct buf out;
-	size_t out_sent;
-	bool closing; /* close after the answer that is being sent */
-	bool lingering; /* answered; discards input until the caller closes */
-};
-
 static void start_caller(struct node *n, int fd, request_fn handle);
 static void serve_caller(struct watch *w, uint32_t events);
 static void read_caller(struct caller *c);
-static void parse_input(struct caller *c, struct str in);
-static bool open_request(struct caller *c);
-static void dispatch_request(struct caller *c, struct str surplus);
-static void refuse_input(struct caller *c, enum http_event e);
-static void continue_upload(struct caller *c);
+static void resume_caller(struct caller *c);
+static void progress_caller(struct caller *c, struct str in);
+static bool advance_caller(struct caller *c, struct str *in);
+static void parse_request(struct caller *c, struct str *in);
+static struct request *open_request(struct caller *c);
+static void refuse_input(struct request *q, enum http_event e);
+static void continue_upload(struct request *q);
 static void write_caller(struct caller *c);
-static void finish_answer(struct caller *c);
+static void wait_for_caller(struct caller *c);
 static void linger_caller(struct caller *c);
 static void discard_input(struct caller *c);
 static void close_caller(struct caller *c);
+static void free_caller(struct caller *c);
 static void time_out_caller(struct timer *t);
 static void arm_timer(struct caller *c, int64_t timeout);
 static int64_t choose_timeout(int64_t value, int64_t fallback);
@@ -91,51 +79,34 @@
 
 	for (c = n->callers; c != NULL; c = next) {
 		next = c->next;
-		if (c->request == NULL && c->out.len == 0)
+		if (c->first == NULL && c->out.len == 0)
 			close_caller(c);
 	}
 }
 
 /*
- * Queues an answer, writes what the socket accepts now and frees the request.
- * An answer without a caller is dropped. The connection stays open unless the
- * caller asked to close it or the node is stopping.
+ * Queues an answer in the order of the requests and writes what the socket
+ * accepts now. An answer without a caller is dropped. The connection stays open
+ * unless the caller asked to close it or the node is stopping.
  */
 void
 send_answer(struct request *q, int status, struct str head, struct str body)
 {
 	struct caller *c = q->caller;
-	bool bare = is_http_name_equal(q->reader.head.method, "HEAD");
-	int rc;
 
 	if (c == NULL) {
 		free_request(q);
 		return;
 	}
-	c->closing = c->closing || !q->reader.head.keep_alive ||
-		     c->node->leaving_at != 0;
-	rc = append_buf_fmt(
-	    &c->out, "HTTP/1.1 %d %s\r\n", status, get_http_reason(status));
-	if (rc == 0)
-		rc = append_buf_str(&c->out, head);
-	if (rc == 0 && (status >= 200 && status != 204 && status != 304))
-		rc = append_buf_fmt(
-		    &c->out, "Content-Length: %zu\r\n", body.len);
-	if (rc == 0 && c->closing)
-		rc = append_buf_str(&c->out, make_str("Connection: close\r\n"));
-	if (rc == 0)
-		rc = append_buf(&c->out, "\r\n", 2);
-	if (rc == 0 && !bare)
-		rc = append_buf_str(&c->out, body);
-	free_request(q);
-	if (rc != 0) {
+	if (keep_answer(q, status, head, body) != 0) {
 		write_log(LOG_LEVEL_ERR,
 		    "out of memory for an answer; a caller's connection is "
 		    "closed");
 		close_caller(c);
 		return;
 	}
-	write_caller(c);
+	if (!c->busy)
+		resume_caller(c);
 }
 
 /*
@@ -148,14 +119,16 @@
 		return;
 	cancel_timer(q->node->reactor, &q->timer);
 	if (q->caller != NULL)
-		q->caller->request = NULL;
+		remove_pipeline(q->caller, q);
 	q->node->body_bytes -= q->reader.body.len;
+	q->node->kept_bytes -= q->answer.len;
 	if (q->counted) {
 		q->node->requests--;
 		schedule_drain_check(q->node);
 	}
 	close_http_reader(&q->reader);
 	unload_buf(&q->head);
+	unload_buf(&q->answer);
 	free(q->fallback);
 	free(q);
 }
@@ -180,6 +153,7 @@
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	c->node = n;
 	c->handle = handle;
+	c->tail = &c->first;
 	c->next = n->callers;
 	c->prev = &n->callers;
 	if (c->next != NULL)
@@ -204,13 +178,12 @@
 		return;
 	}
 	if ((events & (EPOLLERR | EPOLLHUP)) != 0 ||
-	    ((events & EPOLLRDHUP) != 0 && c->request != NULL &&
-		c->request->state != REQUEST_READING)) {
+	    ((events & EPOLLRDHUP) != 0 && has_unanswered(c))) {
 		close_caller(c);
 		return;
 	}
 	if ((events & EPOLLOUT) != 0) {
-		write_caller(c);
+		resume_caller(c);
 		return;
 	}
 	if ((events & (EPOLLIN | EPOLLRDHUP)) != 0)
@@ -230,120 +203,171 @@
 		return;
 	}
 	n = recv(c->watch.fd, bytes, REACTOR_SCRATCH_BYTES, 0);
-	if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR))
+	if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR)) {
 		close_caller(c);
-	else if (n > 0)
-		parse_input(c, make_str_n(bytes, (size_t)n));
+	} else if (n > 0) {
+		c->input_at = get_reactor_now(r);
+		progress_caller(c, make_str_n(bytes, (size_t)n));
+	}
 	release_scratch(r);
 }
 
 /*
- * Parses more bytes of the request. Bytes after a complete request are kept
- * until it has been answered.
+ * Goes on with the input that was kept, and with output that was not accepted
+ * by the socket.
+ */
+static void
+resume_caller(struct caller *c)
+{
+	struct buf kept = c->input;
+
+	c->input = (struct buf){0};
+	progress_caller(c, view_buf(&kept));
+	unload_buf(&kept);
+}
+
+/*
+ * Parses input, starts requests and sends answers as far as possible; the rest
+ * of the input is kept. May free the connection.
+ */
+static void
+progress_caller(struct caller *c, struct str in)
+{
+	c->busy = true;
+	do {
+		while (advance_caller(c, &in))
+			;
+		if (!c->closed)
+			write_caller(c);
+	} while (!c->closed && in.len > 0 && may_read_request(c));
+	if (!c->closed && in.len > 0 && append_buf_str(&c->input, in) != 0) {
+		write_log(LOG_LEVEL_ERR, "out of memory for a request");
+		close_caller(c);
+	}
+	if (!c->closed)
+		wait_for_caller(c);
+	c->busy = false;
+	if (c->closed)
+		free_caller(c);
+}
+
+/*
+ * Does one step of progress_caller(); false when none is left.
+ */
+static bool
+advance_caller(struct caller *c, struct str *in)
+{
+	if (c->closed)
+		return false;
+	if (collect_answers(c) != 0) {
+		write_log(LOG_LEVEL_ERR, "out of memory for an answer");
+		close_caller(c);
+		return false;
+	}
+	if (c->closing)
+		return false;
+	if (start_held_request(c))
+		return true;
+	if (in->len == 0 || !may_read_request(c))
+		return false;
+	parse_request(c, in);
+	return true;
+}
+
+/*
+ * Parses bytes of one request; a complete one is started.
  */
 static void
-parse_input(struct caller *c, struct str in)
+parse_request(struct caller *c, struct str *in)
 {
-	struct request *q;
+	struct request *q = open_request(c);
 	enum http_event e;
 	size_t before;
 
-	if (!open_request(c)) {
+	if (q == NULL) {
+		write_log(LOG_LEVEL_ERR, "out of memory for a request");
 		close_caller(c);
 		return;
 	}
-	q = c->request;
 	before = q->reader.body.len;
 	do {
-		e = read_http(&q->reader, &in);
+		e = read_http(&q->reader, in);
 		if (e == READ_HEAD)
-			continue_upload(c);
+			continue_upload(q);
 	} while (e == READ_HEAD);
 	c->node->body_bytes += q->reader.body.len - before;
-	if (e == READ_MORE && is_http_reading(&q->reader)) {
-		arm_timer(c, choose_timeout(c->node->head_ns, DEFAULT_HEAD_NS));
-	} else if (e == READ_END) {
-		dispatch_request(c, in);
-	} else if (e != READ_MORE) {
-		refuse_input(c, e);
+	if (e == READ_MORE) {
+		if (!is_http_reading(&q->reader))
+			free_request(q); /* only empty lines so far */
+		return;
 	}
+	if (e != READ_END) {
+		refuse_input(q, e);
+		return;
+	}
+	if (!q->reader.head.keep_alive)
+		c->input_ended = true;
+	q->complete = get_reactor_now(c->node->reactor);
+	start_in_order(c, q);
 }
 
 /*
- * Begins a request unless one is being read. False when out of memory.
+ * Returns the request being read, a new one if necessary. NULL: out of memory.
  */
-static bool
+static struct request *
 open_request(struct caller *c)
 {
 	struct node *n = c->node;
-	struct request *q = c->request;
+	struct request *q = get_reading(c);
 
 	if (q != NULL)
-		return true;
+		return q;
 	q = calloc(1, sizeof(*q));
 	if (q == NULL)
-		return false;
+		return NULL;
 	q->node = n;
 	q->caller = c;
-	q->arrived = get_reactor_now(n->reactor);
+	q->arrived = c->input_at;
 	open_http_reader(&q->reader, true,
 	    n->head_max != 0 ? n->head_max : DEFAULT_HEAD_BYTES,
 	    n->body_max != 0 ? n->body_max : DEFAULT_BODY_BYTES);
-	c->request = q;
-	return true;
-}
-
-/*
- * Passes a complete request to the listener's handler. surplus: bytes of later
- * requests. Until the answer the socket is watched only for a disconnect.
- */
-static void
-dispatch_request(struct caller *c, struct str surplus)
-{
-	struct request *q = c->request;
-
-	c->input.len = 0;
-	if (append_buf_str(&c->input, surplus) != 0) {
-		close_caller(c);
-		return;
-	}
-	q->state = REQUEST_RUNNING;
-	q->complete = get_reactor_now(c->node->reactor);
-	cancel_timer(c->node->reactor, &c->timer);
-	change_watch(c->node->reactor, &c->watch, EPOLLRDHUP);
-	c->handle(c->node, q);
+	append_pipeline(c, q);
+	return q;
 }
 
 /*
  * Answers 400 to a malformed request, 431 or 413 to one whose head or body is
- * too large, and closes the connection.
+ * too large, after the answers to the requests before it. The connection is
+ * closed then.
  */
 static void
-refuse_input(struct caller *c, enum http_event e)
+refuse_input(struct request *q, enum http_event e)
 {
 	int status = e == READ_HEAD_TOO_LARGE ? 431 :
 		     e == READ_BODY_TOO_LARGE ? 413 :
 						400;
-	struct request *q = c->request;
 
 	write_log(LOG_LEVEL_NOTICE, "request refused with status %d: %s",
 	    status, status == 400 ? "not valid HTTP/1.1" : "too large");
-	c->closing = true;
+	q->caller->input_ended = true;
 	q->state = REQUEST_DONE;
 	send_answer(q, status, make_str(""), make_str(""));
 }
 
 /*
  * Sends 100 Continue to a caller that expects it before it sends the body.
+ * Behind unanswered requests it would be taken for a part of their answers; the
+ * caller then sends the body without it (RFC 9110, 10.1.1).
  */
 static void
-continue_upload(struct caller *c)
+continue_upload(struct request *q)
 {
 	static const char answer[] = "HTTP/1.1 100 Continue\r\n\r\n";
-	struct str expect =
-	    find_http_header(&c->request->reader.head, "expect");
+	struct caller *c = q->caller;
+	struct str expect = find_http_header(&q->reader.head, "expect");
 
-	if (!is_http_name_equal(expect, "100-continue"))
+	if (!is_http_name_equal(expect, "100-continue") || c->first != q ||
+	    c->out.len > c->out_sent)
 		return;
 	if (send(c->watch.fd, answer, sizeof(answer) - 1, MSG_NOSIGNAL) < 0)
 		write_log(LOG_LEVEL_NOTICE,
@@ -352,23 +376,17 @@
 }
 
 /*
- * Writes pending output; the rest follows when the socket becomes writable.
+ * Writes pending output as far as the socket accepts it.
  */
 static void
 write_caller(struct caller *c)
 {
-	struct reactor *r = c->node->reactor;
-
 	while (c->out_sent < c->out.len) {
 		ssize_t n = send(c->watch.fd, c->out.data + c->out_sent,
 		    c->out.len - c->out_sent, MSG_NOSIGNAL);
 
-		if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
-			change_watch(r, &c->watch, EPOLLOUT);
-			arm_timer(c,
-			    choose_timeout(c->node->idle_ns, DEFAULT_IDLE_NS));
+		if (n < 0 && (errno == EAGAIN || errno == EINTR))
 			return;
-		}
 		if (n < 0) {
 			close_caller(c);
 			return;
@@ -376,30 +394,36 @@
 		c->out_sent += (size_t)n;
 	}
 	c->out.len = c->out_sent = 0;
-	finish_answer(c);
 }
 
 /*
- * The answer has been written: goes on with the next request, or closes.
+ * Sets the events and the time-out for which the connection waits, or ends it
+ * after its last answer.
  */
 static void
-finish_answer(struct caller *c)
+wait_for_caller(struct caller *c)
 {
 	struct node *n = c->node;
-	struct str in;
 
+	if (c->out.len > c->out_sent) {
+		change_watch(n->reactor, &c->watch, EPOLLOUT);
+		arm_timer(c, choose_timeout(n->idle_ns, DEFAULT_IDLE_NS));
+		return;
+	}
 	if (c->closing) {
+		if (c->input.len > 0 || c->first != NULL)
+			count_metric(n->metrics.unread_closes_total, 1);
 		linger_caller(c);
 		return;
 	}
-	arm_timer(c, choose_timeout(n->idle_ns, DEFAULT_IDLE_NS));
-	change_watch(n->reactor, &c->watch, EPOLLIN | EPOLLRDHUP);
-	if (c->input.len == 0)
-		return;
-	in = view_buf(&c->input);
-	c->input = (struct buf){0};
-	parse_input(c, in);
-	free((char *)(uintptr_t)in.data);
+	change_watch(n->reactor, &c->watch,
+	    may_read_request(c) ? EPOLLIN | EPOLLRDHUP : EPOLLRDHUP);
+	if (get_reading(c) != NULL)
+		arm_timer(c, choose_timeout(n->head_ns, DEFAULT_HEAD_NS));
+	else if (c->first == NULL)
+		arm_timer(c, choose_timeout(n->idle_ns, DEFAULT_IDLE_NS));
+	else
+		cancel_timer(n->reactor, &c->timer);
 }
 
 /*
@@ -428,37 +452,61 @@
 }
 
 /*
- * Closes and frees the connection. A call in flight is handled as abandoned by
- * its caller.
+ * Closes and frees the connection. Calls in flight are handled as abandoned by
+ * their caller.
  */
 static void
 close_caller(struct caller *c)
 {
-	struct request *q = c->request;
+	struct request *q, *next;
 
+	if (c->closed)
+		return;
+	c->closed = true;
 	*c->prev = c->next;
 	if (c->next != NULL)
 		c->next->prev = c->prev;
 	stop_watch(c->node->reactor, &c->watch);
 	cancel_timer(c->node->reactor, &c->timer);
 	close(c->watch.fd);
+	for (q = c->first; q != NULL; q = next) {
+		next = q->next_request;
+		q->caller = NULL;
+		if (q->state == REQUEST_RUNNING)
+			handle_caller_hangup(q);
+		else
+			free_request(q);
+	}
+	c->first = NULL;
+	if (!c->busy)
+		free_caller(c);
+}
+
+static void
+free_caller(struct caller *c)
+{
 	unload_buf(&c->input);
 	unload_buf(&c->out);
 	free(c);
-	if (q == NULL)
-		return;
-	q->caller = NULL;
-	if (q->state == REQUEST_RUNNING)
-		handle_caller_hangup(q);
-	else
-		free_request(q);
 }
 
+/*
+ * Closes the connection, unless requests before the one that is being read are
+ * unanswered: these are answered first.
+ */
 static void
 time_out_caller(struct timer *t)
 {
-	close_caller(
-	    (struct caller *)((char *)t - offsetof(struct caller, timer)));
+	struct caller *c =
+	    (struct caller *)((char *)t - offsetof(struct caller, timer));
+
+	if (!has_unanswered(c) || c->out.len > c->out_sent || c->lingering) {
+		close_caller(c);
+		return;
+	}
+	c->input_ended = true;
+	free_request(get_reading(c));
+	resume_caller(c);
 }
 
 static void
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -63,6 +63,12 @@
     SPEC(peers_usable, METRIC_GAUGE, "Serving nodes that take calls."),
     SPEC(peers_avoided, METRIC_GAUGE, "Serving nodes avoided now."),
     SPEC(body_bytes, METRIC_GAUGE, "Bytes of request bodies in memory."),
+    SPEC(pipelined_total, METRIC_COUNTER,
+	"Calls read before earlier ones of their connection were answered."),
+    SPEC(unread_closes_total, METRIC_COUNTER,
+	"Connections closed with requests behind the last answer."),
+    SPEC(kept_bytes, METRIC_GAUGE,
+	"Bytes of answers that wait for earlier ones of their connection."),
     SPEC(log_dropped_lines, METRIC_GAUGE,
 	"Log lines that found no room since the start."),
 };
@@ -149,6 +155,7 @@
 	set_metric(m->peers, peers);
 	set_metric(m->peers_usable, usable);
 	set_metric(m->peers_avoided, avoided);
+	set_metric(m->kept_bytes, (int64_t)n->kept_bytes);
 	set_metric(m->body_bytes, (int64_t)n->body_bytes);
 	set_metric(m->log_dropped_lines, (int64_t)count_dropped_lines());
 	for (const struct service *s = n->services; s != NULL; s = s->next) {
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -90,14 +90,16 @@
 
 enum request_state {
 	REQUEST_READING,
+	REQUEST_HELD, /* complete; starts after the answers before it */
 	REQUEST_RUNNING, /* complete; an attempt is active or is started next */
-	REQUEST_DONE,
+	REQUEST_DONE, /* its answer waits for those before it */
 };
 
 /* A caller's request, from its first byte to its answer. */
 struct request {
 	struct node *node;
 	struct caller *caller; /* NULL: disconnected */
+	struct request *next_request; /* of the caller's connection */
 	enum request_state state;
 	struct http_reader reader;
 	int64_t arrived; /* mono ns; first byte */
@@ -123,6 +125,8 @@
 	int64_t retry_after; /* ns; longest that a refusal asked for */
 	struct job_answer *fallback; /* owned; failed answer during a retry */
 	bool counted; /* in node.requests */
+	struct buf answer; /* until it is sent: head without its end, body */
+	size_t answer_head_len; /* bytes of answer */
 	struct trace_event trace[REQUEST_TRACE_MAX];
 	size_t trace_count;
 };
@@ -289,6 +293,7 @@
 	metric_id table_version, requests, runs, queued, in_flight, slots;
 	metric_id backend_connections, backend_state, mean_run_us, failed_ppm;
 	metric_id peers, peers_usable, peers_avoided, body_bytes;
+	metric_id pipelined_total, unread_closes_total, kept_bytes;
 	metric_id log_dropped_lines;
 };
 
@@ -313,6 +318,7 @@
 	int requests; /* callers' calls in flight */
 	int64_t last_call_at; /* mono ns; arrival of the newest call */
 	size_t body_bytes; /* of request bodies in memory */
+	size_t kept_bytes; /* of answers that wait for earlier ones */
 	struct service *services;
 	struct peer *peers;
 	struct peer_link *links;
@@ -362,6 +368,8 @@
 
 /* request.c */
 void route_call(struct node *n, struct request *q); /* complete request */
+/* Whether the request may start before earlier ones are answered. */
+bool may_run_ahead(struct node *n, struct request *q);
 void handle_caller_hangup(struct request *q);
 void refuse_request(struct request *q, int status, enum refuse_reason reason,
     int64_t retry_after);
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -64,6 +64,18 @@
 	start_next_attempt(q);
 }
 
+/*
+ * A call that must not repeat may not run ahead: a caller sends all requests
+ * behind an answer that closes the connection again, of whatever kind.
+ */
+bool
+may_run_ahead(struct node *n, struct request *q)
+{
+	const struct row *r = n->table != NULL ? find_call_row(n, q) : NULL;
+
+	return r == NULL || r->repeatable;
+}
+
 /*
  * Cancels and frees a call whose caller has disconnected. A call that may not
  * repeat and may be running is left to finish, so that its work is not cut off
