node: free closed connections of callers at the end of the round

Cause: the analyzer of make lint reports a use after free in progress_caller(), because close_caller() frees the connection unless a flag says that a function which uses it is running. The flag was right, but neither the analyzer nor a reader can see that from one function.

Change: close_caller() detaches the connection, and a deferred task frees it at the end of the reactor's round.

Tests: node.test_pipeline and the other node tests pass; clang-tidy is clean for both files.

--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -36,7 +36,7 @@
 static void linger_caller(struct caller *c);
 static void discard_input(struct caller *c);
 static void close_caller(struct caller *c);
-static void free_caller(struct caller *c);
+static void free_closed_callers(struct task *t);
 static void time_out_caller(struct timer *t);
 static void arm_timer(struct caller *c, int64_t timeout);
 static int64_t choose_timeout(int64_t value, int64_t fallback);
@@ -58,6 +58,9 @@
 	}
 }
 
+/*
+ * Closes all connections, after the reactor has stopped.
+ */
 void
 close_callers(struct node *n)
 {
@@ -67,6 +70,8 @@
 		next = c->next;
 		close_caller(c);
 	}
+	cancel_task(n->reactor, &n->free_callers);
+	free_closed_callers(&n->free_callers);
 }
 
 /*
@@ -228,7 +233,7 @@
 
 /*
  * Parses input, starts requests and sends answers as far as possible; the rest
- * of the input is kept. May free the connection.
+ * of the input is kept. May close the connection.
  */
 static void
 progress_caller(struct caller *c, struct str in)
@@ -247,8 +252,6 @@
 	if (!c->closed)
 		wait_for_caller(c);
 	c->busy = false;
-	if (c->closed)
-		free_caller(c);
 }
 
 /*
@@ -452,12 +455,13 @@
 }
 
 /*
- * Closes and frees the connection. Calls in flight are handled as abandoned by
+ * Closes the connection; it is freed at the end of the round. Calls in flight are handled as abandoned by
  * their caller.
  */
 static void
 close_caller(struct caller *c)
 {
+	struct node *n = c->node;
 	struct request *q, *next;
 
 	if (c->closed)
@@ -466,8 +470,8 @@
 	*c->prev = c->next;
 	if (c->next != NULL)
 		c->next->prev = c->prev;
-	stop_watch(c->node->reactor, &c->watch);
-	cancel_timer(c->node->reactor, &c->timer);
+	stop_watch(n->reactor, &c->watch);
+	cancel_timer(n->reactor, &c->timer);
 	close(c->watch.fd);
 	for (q = c->first; q != NULL; q = next) {
 		next = q->next_request;
@@ -478,16 +482,28 @@
 			free_request(q);
 	}
 	c->first = NULL;
-	if (!c->busy)
-		free_caller(c);
+	c->next = n->closed_callers;
+	n->closed_callers = c;
+	defer_task(n->reactor, &n->free_callers, free_closed_callers);
 }
 
+/*
+ * Frees the connections that were closed in this round. Functions that handle
+ * one of them may still be running when it is closed.
+ */
 static void
-free_caller(struct caller *c)
+free_closed_callers(struct task *t)
 {
-	unload_buf(&c->input);
-	unload_buf(&c->out);
-	free(c);
+	struct node *n =
+	    (struct node *)((char *)t - offsetof(struct node, free_callers));
+	struct caller *c;
+
+	while ((c = n->closed_callers) != NULL) {
+		n->closed_callers = c->next;
+		unload_buf(&c->input);
+		unload_buf(&c->out);
+		free(c);
+	}
 }
 
 /*
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -315,6 +315,8 @@
 	size_t head_max, body_max;
 
 	struct caller *callers;
+	struct caller *closed_callers; /* to be freed */
+	struct task free_callers;
 	int requests; /* callers' calls in flight */
 	int64_t last_call_at; /* mono ns; arrival of the newest call */
 	size_t body_bytes; /* of request bodies in memory */
