control, agent: packed watch replies, set changes in intervals

Each of 295 announcements was answered with a reply to each of 295 nodes, and 1,160 more routes are some 350 KB for each node, over links of 3.85 Mbit/s.

Change: - GGS_WATCH_PACKED returns the reply deflated by zlib. Nodes with the same versions get the same bytes, packed once. A control process of an older build refuses the procedure and is asked for plain replies; an older node goes on with GGS_WATCH. - Changes of endpoint sets are sent at intervals of 8 ms for each pending watch, at most 1 s; a table, a heartbeat or a missing set is sent at once and carries them. Nodes do not depend on them for drains or used-again addresses, which the serving node itself refuses. - The overdue time of a watch, and the timeouts of an RPC client's calls, count on while a reply is arriving only from its last bytes. A reply must be complete within 10 s, as before. - The rate limit of full tables counts packed bytes.

--- a/packages/agent/agent_core.h
+++ b/packages/agent/agent_core.h
@@ -57,6 +57,7 @@
 	uint64_t held_version; /* table version reported in it; 0: none */
 	uint64_t self_seq; /* of the node's record sent; 0: none */
 	uint64_t interest_digest; /* of the interest, sent or omitted */
+	bool packed; /* the reply is a wire_packed */
 };
 
 /* The outcome of an RPC, queued for the agent's thread. */
@@ -97,6 +98,7 @@
 	int control_count; /* slots in use */
 	uint64_t seed_mask; /* bit i: control i is a configured seed */
 	uint64_t member_mask; /* bit i: control i is a member of the group */
+	uint64_t plain_mask; /* bit i: control i cannot pack its replies */
 	uint64_t incarnation; /* start time, wall clock ns */
 	struct rpc_client *client;
 	struct rpc_peer *peers[AGENT_KNOWN_CONTROLS_MAX];
--- a/packages/agent/agent_follow.c
+++ b/packages/agent/agent_follow.c
@@ -117,6 +117,18 @@
 	p->sent_at = now;
 }
 
+/*
+ * The overdue time counts from the last bytes of a reply that is on its way: a
+ * large table takes long over the link of a small machine, and asking another
+ * control process would begin the transfer anew.
+ */
+void
+record_watch_input(struct watch_plan *p, int64_t received_at)
+{
+	if (p->watching && received_at > p->no_reply_since)
+		p->no_reply_since = received_at;
+}
+
 /*
  * Changes share the watch that is sent WATCH_BATCH_MS after the first of them.
  */
--- a/packages/agent/agent_follow.h
+++ b/packages/agent/agent_follow.h
@@ -61,6 +61,8 @@
 bool is_watch_attached(const struct watch_plan *p);
 
 void record_watch_sent(struct watch_plan *p, int64_t now);
+/* A part of a reply arrived then; 0: none is being received. */
+void record_watch_input(struct watch_plan *p, int64_t received_at);
 void record_node_change(struct watch_plan *p, int64_t now);
 void record_node_leaving(struct watch_plan *p); /* the last change */
 void handle_watch_reply(
--- a/packages/agent/agent_watch.c
+++ b/packages/agent/agent_watch.c
@@ -24,6 +24,8 @@
 static void advance_retry(struct agent *a, int64_t now);
 static uint64_t fill_self(struct agent *a, struct wire_endpoint *out,
     struct own_endpoint *copy, int *wait_ms);
+static int decode_reply(
+    const struct agent_watch *w, struct str body, struct wire_watch_reply *out);
 static void handle_watch_rpc(void *arg, const struct rpc_result *result);
 static void fail_watch(struct agent *a, int control, int64_t now);
 static void handle_reply(struct agent *a, const struct agent_watch *w,
@@ -50,6 +52,8 @@
 {
 	struct watch_step s;
 
+	record_watch_input(&a->watch_plan,
+	    get_rpc_partial_input(a->peers[get_watch_control(&a->watch_plan)]));
 	for (;;) {
 		s = get_watch_step(&a->watch_plan, now);
 		if (s.action == WATCH_WAIT)
@@ -82,9 +86,16 @@
 	bool newest = w->number == a->last_watch && a->watch_plan.watching;
 	int rc = o->status;
 
+	if (rc == ERR_NOT_FOUND && w->packed) {
+		/* An older build: ask it for plain replies from now on. */
+		a->plain_mask |= 1ULL << w->control;
+		if (newest)
+			send_watch(a, w->control, now);
+		free(w);
+		return;
+	}
 	if (rc == 0)
-		rc = decode_wire(
-		    (xdrproc_t)xdr_wire_watch_reply, view_buf(&o->body), &r);
+		rc = decode_reply(w, view_buf(&o->body), &r);
 	if (rc == 0) {
 		if (a->events != NULL)
 			merge_hlc(a->events,
@@ -121,6 +132,7 @@
 	w->agent = a;
 	w->number = ++a->last_watch;
 	w->control = control;
+	w->packed = (a->plain_mask & 1ULL << control) == 0;
 	w->held_version = current != NULL ? current->version : 0;
 	n = list_interest(a->sets, interest, WIRE_INTEREST_MAX);
 	if (a->events != NULL) {
@@ -152,7 +164,8 @@
 	advance_retry(a, now);
 	rc = encode_wire((xdrproc_t)xdr_wire_watch_args, &args, &body);
 	if (rc == 0)
-		rc = call_rpc(a->peers[control], GGS_WATCH, view_buf(&body),
+		rc = call_rpc(a->peers[control],
+		    w->packed ? GGS_WATCH_PACKED : GGS_WATCH, view_buf(&body),
 		    a->watch_plan.timing.overdue_ms + RPC_SLACK_MS,
 		    handle_watch_rpc, w);
 fail:
@@ -239,6 +252,27 @@
 	return copy->seq;
 }
 
+/*
+ * Decodes the reply to a watch; unload_wire() frees it. Returns the errors of
+ * unpack_wire() and decode_wire().
+ */
+static int
+decode_reply(
+    const struct agent_watch *w, struct str body, struct wire_watch_reply *out)
+{
+	struct buf plain = {0};
+	int rc = 0;
+
+	if (w->packed) {
+		rc = unpack_wire(body, &plain);
+		body = view_buf(&plain);
+	}
+	if (rc == 0)
+		rc = decode_wire((xdrproc_t)xdr_wire_watch_reply, body, out);
+	unload_buf(&plain);
+	return rc;
+}
+
 /*
  * Runs on the RPC client's thread and queues the outcome for the agent's
  * thread.
--- a/packages/agent/tests/agent_fixture.h
+++ b/packages/agent/tests/agent_fixture.h
@@ -84,6 +84,7 @@
 	uint64_t registry;
 	_Atomic enum fake_watch_mode watch_mode;
 	_Atomic enum fake_claim_mode claim_mode;
+	atomic_bool old_build; /* knows no packed replies */
 	struct seen_watch watches[SEEN_MAX];
 	int watch_count;
 	struct rpc_reply *pending[SEEN_MAX]; /* calls without a reply */
@@ -176,14 +177,18 @@
 }
 
 static inline void
-send_watch_reply(struct rpc_reply *reply, struct wire_watch_reply *w)
+send_watch_reply(
+    struct fake_control *c, struct rpc_reply *reply, struct wire_watch_reply *w)
 {
-	struct buf out = {0};
+	struct buf plain = {0}, packed = {0};
 
 	ck_assert_int_eq(
-	    encode_wire((xdrproc_t)xdr_wire_watch_reply, w, &out), 0);
-	complete_rpc(reply, 0, view_buf(&out));
-	unload_buf(&out);
+	    encode_wire((xdrproc_t)xdr_wire_watch_reply, w, &plain), 0);
+	ck_assert_int_eq(pack_wire(view_buf(&plain), &packed), 0);
+	complete_rpc(
+	    reply, 0, view_buf(atomic_load(&c->old_build) ? &plain : &packed));
+	unload_buf(&plain);
+	unload_buf(&packed);
 }
 
 /* Fills the table of a reply as the mode says; body backs it. */
@@ -247,7 +252,7 @@
 					      WIRE_OK;
 	w.retry_ms = 200;
 	if (w.status != WIRE_OK) {
-		send_watch_reply(reply, &w);
+		send_watch_reply(c, reply, &w);
 		return;
 	}
 	if (mode == WATCH_MODE_GARBAGE) {
@@ -275,7 +280,7 @@
 		news = true;
 	}
 	if (news || args->wait_ms == 0)
-		send_watch_reply(reply, &w);
+		send_watch_reply(c, reply, &w);
 	else
 		c->pending[c->pending_count++] = reply;
 	unload_buf(&body);
@@ -363,7 +368,11 @@
 static inline void
 handle_call(void *arg, const struct rpc_request *req, struct rpc_reply *reply)
 {
-	if (req->proc == GGS_WATCH)
+	struct fake_control *c = arg;
+
+	if (req->proc == GGS_WATCH_PACKED && atomic_load(&c->old_build))
+		complete_rpc(reply, ERR_NOT_FOUND, make_str(""));
+	else if (req->proc == GGS_WATCH || req->proc == GGS_WATCH_PACKED)
 		handle_watch(arg, req, reply);
 	else
 		handle_claim(arg, req, reply);
@@ -481,7 +490,7 @@
 		struct buf body = {0};
 
 		fill_table_update(c, fx->version - 1, &w.table, &body);
-		send_watch_reply(c->pending[k], &w);
+		send_watch_reply(c, c->pending[k], &w);
 		unload_buf(&body);
 	}
 	c->pending_count = 0;
@@ -498,7 +507,7 @@
 	for (int k = 0; k < c->pending_count; k++) {
 		struct wire_watch_reply w = {.registry_id = c->registry};
 
-		send_watch_reply(c->pending[k], &w);
+		send_watch_reply(c, c->pending[k], &w);
 	}
 	c->pending_count = 0;
 	pthread_mutex_unlock(&fx->lock);
--- a/packages/agent/tests/test_agent_follow.c
+++ b/packages/agent/tests/test_agent_follow.c
@@ -81,6 +81,31 @@
 }
 END_TEST
 
+/*
+ * A large table takes longer than the overdue time over a thin link (hunted day
+ * hunt-cd0c-7). Guards against giving it up while its bytes arrive, and against
+ * waiting on when they stop.
+ */
+START_TEST(arriving_reply_is_not_overdue)
+{
+	const bool same_zone[1] = {false};
+	int64_t now = START;
+	struct watch_plan p;
+
+	start_watch_plan(&p, 1, same_zone, 1, now);
+	step_at(&p, now);
+	for (int i = 0; i < 10; i++) {
+		now += MS(AGENT_OVERDUE_MS - 1);
+		ck_assert_int_eq(step_at(&p, now).action, WATCH_WAIT);
+		record_watch_input(&p, now);
+	}
+	record_watch_input(&p, 0); /* no reply is arriving */
+	record_watch_input(&p, START);
+	now += MS(AGENT_OVERDUE_MS);
+	ck_assert_int_eq(step_at(&p, now).action, WATCH_ABANDON);
+}
+END_TEST
+
 /* Guards against changes that hide an unresponsive connection. */
 START_TEST(changes_do_not_postpone_the_overdue_time)
 {
@@ -290,6 +315,7 @@
 
 	tcase_add_test(t, order_prefers_the_same_zone_and_is_spread);
 	tcase_add_test(t, overdue_watch_is_abandoned);
+	tcase_add_test(t, arriving_reply_is_not_overdue);
 	tcase_add_test(t, changes_do_not_postpone_the_overdue_time);
 	tcase_add_test(t, change_is_sent_at_once);
 	tcase_add_loop_test(
--- a/packages/agent/tests/test_agent_watch.c
+++ b/packages/agent/tests/test_agent_watch.c
@@ -108,6 +108,26 @@
 }
 END_TEST
 
+/*
+ * A control process of an older build, which cannot pack its replies, is
+ * replaced while the node follows it. Guards against a node that gets no table
+ * or no update from it.
+ */
+START_TEST(older_control_sends_plain_replies)
+{
+	struct fixture fx;
+
+	open_fixture(&fx, 1);
+	atomic_store(&fx.controls[0].old_build, true);
+	start_fixture_agent(&fx, NULL);
+	WAIT_UNTIL(get_agent_version(&fx) == 5);
+	publish_next_version(&fx, 0, 20);
+	ADVANCE_UNTIL(
+	    &fx, (send_periodic_heartbeats(&fx), get_agent_version(&fx) == 6));
+	close_fixture(&fx);
+}
+END_TEST
+
 /*
  * Guards against a node that fetches an invalid version repeatedly, or that
  * misses the version after it.
@@ -498,6 +518,7 @@
 	tcase_add_test(t, new_version_replaces_the_old_one);
 	tcase_add_loop_test(t, bad_reply_changes_nothing_and_is_recovered, 0,
 	    COUNT(fault_cases));
+	tcase_add_test(t, older_control_sends_plain_replies);
 	tcase_add_test(t, invalid_version_is_fetched_once_per_control);
 	tcase_add_test(t, node_without_a_table_leaves_a_stale_control);
 	tcase_add_test(t, limited_node_retries_the_same_control);
--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -396,8 +396,9 @@
 		handle_sync(c, q, reply);
 		break;
 	case GGS_WATCH:
+	case GGS_WATCH_PACKED:
 	case GGS_PULL:
-		handle_watch(c, q, reply, q->proc == GGS_PULL);
+		handle_watch(c, q, reply);
 		break;
 	case GGS_CLAIM:
 		handle_claim(c, q, reply);
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -79,6 +79,7 @@
 	int64_t deadline_ns; /* answered by then, with or without a change */
 	uint64_t read_round; /* round that confirms it; 0: none needed */
 	bool wants_confirmed_read; /* a PULL with wait_ms 0 */
+	bool packed; /* the reply is a wire_packed */
 };
 
 /*
@@ -179,6 +180,8 @@
 	struct token_bucket bucket;
 	struct pending_watch *pending_watches;
 	size_t pending_watch_count;
+	bool sets_due; /* serve_watches() sends changes of sets */
+	int64_t next_sets_ns; /* when it does so next */
 	struct read_rounds reads;
 	struct submission *submissions;
 	struct upstream upstream;
@@ -281,8 +284,8 @@
     struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
 
 /* watches.c */
-void handle_watch(struct control *c, const struct rpc_request *q,
-    struct rpc_reply *reply, bool pull);
+void handle_watch(
+    struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
 void serve_watches(struct control *c, int64_t now); /* lock held */
 void drop_connection(struct control *c, uint64_t conn); /* takes the lock */
 void drop_watches(struct control *c); /* lock held; answers all */
--- a/packages/control/tests/fleet_fixture.h
+++ b/packages/control/tests/fleet_fixture.h
@@ -88,8 +88,8 @@
 drop_partitioned_message(void *arg, const struct rpc_message_info *info)
 {
 	struct member *m = arg;
-	bool node = info->proc == GGS_WATCH || info->proc == GGS_CLAIM ||
-		    info->proc == GGS_PING;
+	bool node = info->proc == GGS_WATCH || info->proc == GGS_WATCH_PACKED ||
+		    info->proc == GGS_CLAIM || info->proc == GGS_PING;
 	int partition = atomic_load(&m->partition);
 	struct rpc_fault f = {RPC_FAULT_PASS, 0};
 
--- a/packages/control/tests/test_watch.c
+++ b/packages/control/tests/test_watch.c
@@ -20,7 +20,7 @@
 	bool timed_out;
 	uint64_t known_version; /* of the node */
 	uint64_t refused; /* version */
-	bool newer_set;
+	bool newer_set; /* the node has none */
 	enum watch_verdict want;
 };
 
@@ -67,8 +67,11 @@
 	struct wire_watch_args a = {.held_version = c->known_version,
 	    .refused_version = c->refused,
 	    .registry_id = 77};
-	struct watch_view v = {c->version, c->stale, c->starting, c->confirmed,
-	    c->timed_out, NULL};
+	struct watch_view v = {.version = c->version,
+	    .stale = c->stale,
+	    .starting = c->starting,
+	    .confirmed = c->confirmed,
+	    .timed_out = c->timed_out};
 
 	ck_assert_int_eq(open_registry(1, 77, &g), 0);
 	v.registry = g;
@@ -79,6 +82,88 @@
 }
 END_TEST
 
+struct set_case {
+	const char *what;
+	uint64_t known; /* set version of the node; 0: none */
+	bool sets_due, timed_out;
+	enum watch_verdict want;
+};
+
+/* The set has version 3. */
+static const struct set_case set_cases[] = {
+    {"a node without the set", 0, false, false, WATCH_REPLY},
+    {"a change that is not due", 2, false, false, WATCH_PENDING},
+    {"a change that is due", 2, true, false, WATCH_REPLY},
+    {"a heartbeat carries the change", 2, false, true, WATCH_REPLY},
+    {"no change", 3, true, false, WATCH_PENDING},
+};
+
+static void
+announce(struct registry *g, const char *id, uint64_t seq, int slots)
+{
+	struct wire_endpoint e = {.id = (char *)(uintptr_t)id,
+	    .incarnation = 1,
+	    .seq = seq,
+	    .service = (char *)(uintptr_t) "svc",
+	    .address = (char *)(uintptr_t) "127.0.0.1:1",
+	    .zone = (char *)(uintptr_t) "z",
+	    .instance = (char *)(uintptr_t) "",
+	    .backend = (char *)(uintptr_t) "",
+	    .slots = slots,
+	    .state = WIRE_ENDPOINT_READY};
+
+	ck_assert_int_eq(announce_endpoint_record(g, 1, &e), REGISTRY_CHANGED);
+}
+
+/*
+ * Pattern: 295 nodes announce themselves within a second. Guards against one
+ * reply to each node for each of them, which grows with the square of the
+ * fleet, and against a new node that waits for its first set.
+ */
+START_TEST(set_changes_wait_until_they_are_due)
+{
+	const struct set_case *c = &set_cases[_i];
+	struct registry *g = NULL;
+	struct wire_interest interest = {(char *)(uintptr_t) "svc", c->known};
+	struct wire_watch_args a = {.held_version = 5, .registry_id = 77};
+	struct watch_view v = {
+	    .version = 5, .sets_due = c->sets_due, .timed_out = c->timed_out};
+
+	ck_assert_int_eq(open_registry(1, 77, &g), 0);
+	announce(g, "n1", 1, 4);
+	announce(g, "n1", 2, 5);
+	ck_assert_uint_eq(get_set_version(g, make_str("svc")), 3);
+	v.registry = g;
+	a.interest.interest_len = 1;
+	a.interest.interest_val = &interest;
+	ck_assert_msg(decide_watch(&v, &a) == c->want, "%s", c->what);
+	close_registry(g);
+}
+END_TEST
+
+struct interval_case {
+	size_t watches;
+	int64_t want_ms;
+};
+
+static const struct interval_case interval_cases[] = {
+    {0, 0}, {3, 24}, /* below one tick: sent with the next */
+    {60, 480}, {540, 1000}, /* 9,200 nodes at 17 control processes */
+};
+
+/*
+ * Guards against replies for changes of sets that take more than 130 a second
+ * of a control process, and against changes that wait for over a second.
+ */
+START_TEST(set_interval_grows_with_the_watches)
+{
+	const struct interval_case *c = &interval_cases[_i];
+
+	ck_assert_int_eq(
+	    get_set_interval(c->watches), c->want_ms * NSEC_PER_MSEC);
+}
+END_TEST
+
 /* Opens a state with many rows, so that a delta is shorter than the table. */
 static struct state *
 open_many_rows(void)
@@ -225,6 +310,69 @@
 }
 END_TEST
 
+/*
+ * Pattern: a large table for hundreds of nodes with thin links. Guards against
+ * a packed reply that differs from the plain one, that is packed again for each
+ * node, or that is kept although its inputs changed.
+ */
+START_TEST(packed_replies_equal_plain_ones)
+{
+	struct state *s = open_many_rows();
+	struct watch_cache *cache = calloc(1, sizeof(*cache));
+	struct registry *g = NULL;
+	struct wire_interest interest = {(char *)(uintptr_t) "svc", 0};
+	struct wire_watch_args a = {.registry_id = 77};
+	struct wire_hlc stamp = {1, 2};
+	struct buf plain = {0}, packed = {0}, again = {0}, out = {0};
+	uint64_t encoded;
+
+	a.interest.interest_len = 1;
+	a.interest.interest_val = &interest;
+	ck_assert_int_eq(open_registry(1, 77, &g), 0);
+	announce(g, "n1", 1, 4);
+	ck_assert_int_eq(
+	    encode_watch_reply(cache, s, g, &no_controls, &a, &stamp, &plain),
+	    0);
+	ck_assert_int_eq(
+	    encode_packed_reply(cache, s, g, &no_controls, &a, &stamp, &packed),
+	    0);
+	ck_assert_uint_lt(packed.len * WATCH_PACKED_RATIO, plain.len);
+	ck_assert_int_eq(unpack_wire(view_buf(&packed), &out), 0);
+	ck_assert(is_str_equal(view_buf(&out), view_buf(&plain)));
+	encoded = cache->encoded;
+	ck_assert_int_eq(
+	    encode_packed_reply(cache, s, g, &no_controls, &a, &stamp, &again),
+	    0);
+	ck_assert(is_str_equal(view_buf(&again), view_buf(&packed)));
+	ck_assert_uint_eq(cache->encoded, encoded);
+	for (int i = 0; i < 3; i++) {
+		plain.len = again.len = out.len = 0;
+		if (i == 0)
+			announce(g, "n1", 2, 5);
+		else if (i == 1)
+			edit_row(s, 3, "20");
+		else
+			interest.set_version = 3;
+		ck_assert_int_eq(encode_watch_reply(cache, s, g, &no_controls,
+				     &a, &stamp, &plain),
+		    0);
+		ck_assert_int_eq(encode_packed_reply(cache, s, g, &no_controls,
+				     &a, &stamp, &again),
+		    0);
+		ck_assert_int_eq(unpack_wire(view_buf(&again), &out), 0);
+		ck_assert(is_str_equal(view_buf(&out), view_buf(&plain)));
+	}
+	unload_buf(&plain);
+	unload_buf(&packed);
+	unload_buf(&again);
+	unload_buf(&out);
+	clear_cache(cache);
+	free(cache);
+	close_registry(g);
+	close_state(s);
+}
+END_TEST
+
 /*
  * Guards against a delta that is longer than the table, or that needs a version
  * no longer in the history.
@@ -244,7 +392,7 @@
 	unload_command_result(&r);
 	ck_assert_int_eq(find_update(cache, s, 1, &u), 0);
 	ck_assert_int_eq(u->form, FULL);
-	ck_assert_uint_eq(get_update_tokens(u), 1);
+	ck_assert_uint_eq(get_update_tokens(u, false), 1);
 	for (int i = 0; i < HISTORY_MAX; i++) {
 		r = apply_edit(s, "anna", "", s->table->version, "a", COL_RANK,
 		    i % 2 == 0 ? "5" : "6");
@@ -252,7 +400,7 @@
 	}
 	ck_assert_int_eq(find_update(cache, s, 2, &u), 0);
 	ck_assert_int_eq(u->form, DELTA);
-	ck_assert_uint_eq(get_update_tokens(u), 0);
+	ck_assert_uint_eq(get_update_tokens(u, true), 0);
 	ck_assert_int_eq(find_update(cache, s, 1, &u), 0);
 	ck_assert_int_eq(u->form, FULL);
 	clear_cache(cache);
@@ -538,7 +686,12 @@
 	tcase_set_timeout(t, 60);
 	tcase_add_loop_test(t, verdicts_depend_on_version_and_contact, 0,
 	    sizeof(verdict_cases) / sizeof(verdict_cases[0]));
+	tcase_add_loop_test(t, set_changes_wait_until_they_are_due, 0,
+	    sizeof(set_cases) / sizeof(set_cases[0]));
+	tcase_add_loop_test(t, set_interval_grows_with_the_watches, 0,
+	    sizeof(interval_cases) / sizeof(interval_cases[0]));
 	tcase_add_test(t, updates_produce_the_current_table);
+	tcase_add_test(t, packed_replies_equal_plain_ones);
 	tcase_add_test(t, full_table_when_it_is_shorter_or_history_is_removed);
 	tcase_add_test(t, replies_carry_the_newer_sets_only);
 	tcase_add_test(t, oversized_sets_follow_in_later_replies);
--- a/packages/control/watch.c
+++ b/packages/control/watch.c
@@ -6,8 +6,21 @@
 
 #include "watch.h"
 
+/* What a node lacks of its endpoint sets. */
+enum set_news {
+	SETS_SAME,
+	SETS_CHANGED,
+	SETS_MISSING, /* it has none of some service, or of another registry */
+};
+
+static enum set_news find_set_news(
+    const struct registry *g, const struct wire_watch_args *a);
 static bool has_newer_set(
     const struct registry *g, const struct wire_watch_args *a);
+static uint64_t digest_reply_inputs(const struct state *s,
+    const struct registry *g, const struct watch_controls *controls,
+    const struct wire_watch_args *a);
+static uint64_t hash_number(uint64_t number, uint64_t seed);
 static uint64_t get_known_set_version(const struct registry *g,
     const struct wire_watch_args *a, const struct wire_interest *i);
 static int fill_update(struct watch_cache *c, const struct state *s,
@@ -21,7 +34,8 @@
 static void unload_sets(struct wire_watch_reply *r);
 
 /*
- * Decides whether a watch is answered now. While the whole group starts, a
+ * Decides whether a watch is answered now. Changes of sets wait until they are
+ * due; a node without a set gets it at once. While the whole group starts, a
  * watch stays pending until its timeout: the first leader is elected soon, and
  * a refused node would reconnect only after its delay.
  */
@@ -34,12 +48,28 @@
 		return WATCH_STALE;
 	if (a->held_version == 0 && !v->confirmed)
 		return WATCH_NEEDS_READ;
-	if (v->timed_out || needs_table(v->version, a) ||
-	    has_newer_set(v->registry, a))
+	if (v->timed_out || needs_table(v->version, a))
 		return WATCH_REPLY;
+	switch (find_set_news(v->registry, a)) {
+	case SETS_MISSING:
+		return WATCH_REPLY;
+	case SETS_CHANGED:
+		return v->sets_due ? WATCH_REPLY : WATCH_PENDING;
+	case SETS_SAME:
+		break;
+	}
 	return WATCH_PENDING;
 }
 
+int64_t
+get_set_interval(size_t pending_watches)
+{
+	int64_t interval = (int64_t)pending_watches * WATCH_SET_SPACING_NS;
+
+	return interval < WATCH_SET_INTERVAL_MAX_NS ? interval :
+						      WATCH_SET_INTERVAL_MAX_NS;
+}
+
 /*
  * Tells whether the node gets the table in force. A version that the node
  * refused is not sent again; the node waits for the next one.
@@ -133,8 +163,12 @@
 		unload_buf(&c->updates[i].reply);
 		c->updates[i].used = false;
 	}
+	for (size_t i = 0; i < WATCH_PACKED_MAX; i++) {
+		unload_buf(&c->packed[i].reply);
+		c->packed[i].key = 0;
+	}
 	unload_buf(&c->full_table);
-	c->next_evicted = 0;
+	c->next_evicted = c->next_packed = 0;
 }
 
 /*
@@ -188,6 +222,41 @@
 	return rc;
 }
 
+/*
+ * Nodes that have the same versions get the same bytes, packed once and kept,
+ * with the stamp of the first one.
+ */
+int
+encode_packed_reply(struct watch_cache *c, const struct state *s,
+    const struct registry *g, const struct watch_controls *controls,
+    const struct wire_watch_args *a, const struct wire_hlc *stamp,
+    struct buf *out)
+{
+	uint64_t key = digest_reply_inputs(s, g, controls, a);
+	struct packed_reply *p;
+	struct buf plain = {0};
+	int rc;
+
+	for (size_t i = 0; i < WATCH_PACKED_MAX; i++) {
+		if (c->packed[i].key == key)
+			return append_buf_str(
+			    out, view_buf(&c->packed[i].reply));
+	}
+	rc = encode_watch_reply(c, s, g, controls, a, stamp, &plain);
+	/* Encoding may have cleared the cache for a new table version. */
+	p = &c->packed[c->next_packed];
+	c->next_packed = (c->next_packed + 1) % WATCH_PACKED_MAX;
+	p->key = 0;
+	p->reply.len = 0;
+	if (rc == 0)
+		rc = pack_wire(view_buf(&plain), &p->reply);
+	unload_buf(&plain);
+	if (rc != 0)
+		return rc;
+	p->key = key;
+	return append_buf_str(out, view_buf(&p->reply));
+}
+
 int
 encode_watch_refusal(wire_status status, int retry_ms,
     const struct wire_hlc *stamp, struct buf *out)
@@ -203,24 +272,74 @@
  * for every WATCH_TOKEN_BYTES.
  */
 uint32_t
-get_update_tokens(const struct watch_update *u)
+get_update_tokens(const struct watch_update *u, bool packed)
 {
+	size_t token_bytes =
+	    packed ? WATCH_TOKEN_BYTES * WATCH_PACKED_RATIO : WATCH_TOKEN_BYTES;
+
 	if (u->form != WIRE_TABLE_WHOLE)
 		return 0;
-	return (uint32_t)(1 + u->body.len / WATCH_TOKEN_BYTES);
+	return (uint32_t)(1 + u->body.len / token_bytes);
+}
+
+static enum set_news
+find_set_news(const struct registry *g, const struct wire_watch_args *a)
+{
+	enum set_news news = SETS_SAME;
+
+	for (unsigned int k = 0; k < a->interest.interest_len; k++) {
+		const struct wire_interest *i = &a->interest.interest_val[k];
+		uint64_t known = get_known_set_version(g, a, i);
+
+		if (get_set_version(g, make_str(i->service)) == known)
+			continue;
+		if (known == 0)
+			return SETS_MISSING;
+		news = SETS_CHANGED;
+	}
+	return news;
 }
 
 static bool
 has_newer_set(const struct registry *g, const struct wire_watch_args *a)
 {
+	return find_set_news(g, a) != SETS_SAME;
+}
+
+/*
+ * Returns a digest, never 0, of everything that a reply depends on but its
+ * stamp: the table and the base of its update, the sets and the versions of
+ * them that the node has, and the control processes.
+ */
+static uint64_t
+digest_reply_inputs(const struct state *s, const struct registry *g,
+    const struct watch_controls *controls, const struct wire_watch_args *a)
+{
+	uint64_t h = hash_number(s->table->digest, s->table->version);
+
+	h = hash_number(
+	    needs_table(s->table->version, a) ? a->held_version + 1 : 0, h);
+	h = hash_number(
+	    a->controls_digest != 0 && controls->digest != a->controls_digest ?
+		controls->digest :
+		0,
+	    h);
+	h = hash_number(get_registry_id(g), h);
+	h = hash_number(get_newest_version(g), h);
 	for (unsigned int k = 0; k < a->interest.interest_len; k++) {
 		const struct wire_interest *i = &a->interest.interest_val[k];
 
-		if (get_set_version(g, make_str(i->service)) !=
-		    get_known_set_version(g, a, i))
-			return true;
+		h = hash_str(make_str(i->service), h);
+		h = hash_number(get_known_set_version(g, a, i), h);
 	}
-	return false;
+	return h != 0 ? h : 1;
+}
+
+static uint64_t
+hash_number(uint64_t number, uint64_t seed)
+{
+	return hash_str(
+	    make_str_n((const char *)&number, sizeof(number)), seed);
 }
 
 /*
--- a/packages/control/watch.h
+++ b/packages/control/watch.h
@@ -11,8 +11,16 @@
 
 #define WATCH_STALE_NS (2 * NSEC_PER_SEC) /* without contact to a leader */
 #define WATCH_CACHE_MAX 256 /* base versions with an encoded reply */
+#define WATCH_PACKED_MAX 32 /* packed replies kept for further nodes */
+/*
+ * Changes of sets are sent at intervals that grow with the watches, so that a
+ * series of changes costs each node one reply an interval and not one a change.
+ */
+#define WATCH_SET_SPACING_NS (8 * NSEC_PER_MSEC) /* per pending watch */
+#define WATCH_SET_INTERVAL_MAX_NS NSEC_PER_SEC
 #define WATCH_REPLY_BYTES (900 * 1024) /* further sets go in the next reply */
 #define WATCH_TOKEN_BYTES 16384 /* bytes of a full table per token */
+#define WATCH_PACKED_RATIO 4 /* a packed table is shorter by this at least */
 #define WATCH_TOKEN_RATE 1000 /* per second; about 16 MB/s */
 #define WATCH_RETRY_MAX_MS 15000
 
@@ -30,11 +38,14 @@
 	bool starting; /* no contact to a leader since the process started */
 	bool confirmed; /* by a read index requested after the watch arrived */
 	bool timed_out; /* the heartbeat interval of the request has passed */
+	bool sets_due; /* changes of sets are sent now */
 	const struct registry *registry;
 };
 
 enum watch_verdict decide_watch(
     const struct watch_view *v, const struct wire_watch_args *a);
+/* Time between replies for changes of sets, in ns. */
+int64_t get_set_interval(size_t pending_watches);
 
 /* Rate limit of full tables */
 struct token_bucket {
@@ -58,8 +69,16 @@
 	struct buf reply; /* encoded once, sent to all nodes with this base */
 };
 
+/* A packed reply, and what it depends on. */
+struct packed_reply {
+	uint64_t key; /* digest of the inputs; 0: unused */
+	struct buf reply;
+};
+
 struct watch_cache {
 	uint64_t version; /* of the table that the updates lead to */
+	struct packed_reply packed[WATCH_PACKED_MAX];
+	size_t next_packed; /* index in packed, round robin */
 	struct buf full_table; /* as CSV; empty: not rendered yet */
 	struct watch_update updates[WATCH_CACHE_MAX];
 	size_t next_evicted; /* index in updates, round robin */
@@ -87,10 +106,16 @@
     const struct registry *g, const struct watch_controls *controls,
     const struct wire_watch_args *a, const struct wire_hlc *stamp,
     struct buf *out);
+/* The same as an encoded wire_packed. */
+int encode_packed_reply(struct watch_cache *c, const struct state *s,
+    const struct registry *g, const struct watch_controls *controls,
+    const struct wire_watch_args *a, const struct wire_hlc *stamp,
+    struct buf *out);
 /* Appends a refusal (LIMIT, STALE, ...): a reply without table and sets. */
 int encode_watch_refusal(wire_status status, int retry_ms,
     const struct wire_hlc *stamp, struct buf *out);
 bool needs_table(uint64_t version, const struct wire_watch_args *a);
-uint32_t get_update_tokens(const struct watch_update *u); /* delta: 0 */
+uint32_t get_update_tokens(
+    const struct watch_update *u, bool packed); /* delta: 0 */
 
 #endif
--- a/packages/control/watches.c
+++ b/packages/control/watches.c
@@ -21,13 +21,14 @@
 static void free_watch(struct pending_watch *w);
 
 /*
- * Handles a WATCH, or a PULL when pull is set: records the report of the node,
- * and replies at once or keeps the call pending.
+ * Handles a WATCH or a PULL: records the report of the node, and replies at
+ * once or keeps the call pending.
  */
 void
-handle_watch(struct control *c, const struct rpc_request *q,
-    struct rpc_reply *reply, bool pull)
+handle_watch(
+    struct control *c, const struct rpc_request *q, struct rpc_reply *reply)
 {
+	bool pull = q->proc == GGS_PULL;
 	struct pending_watch *w = calloc(1, sizeof(*w));
 	int64_t now = read_mono(&c->cfg.clock);
 	int wait_ms;
@@ -49,6 +50,7 @@
 	if (wait_ms > SERVICE_WATCH_WAIT_MAX_MS)
 		wait_ms = SERVICE_WATCH_WAIT_MAX_MS;
 	w->reply = reply;
+	w->packed = q->proc == GGS_WATCH_PACKED;
 	w->conn = q->conn;
 	w->deadline_ns = now + (int64_t)wait_ms * NSEC_PER_MSEC;
 	w->wants_confirmed_read = pull && wait_ms == 0;
@@ -86,7 +88,9 @@
 {
 	bool stale = is_control_stale(c), needs_read = false;
 	struct pending_watch **p = &c->pending_watches, *w;
+	size_t pending = c->pending_watch_count;
 
+	c->sets_due = now >= c->next_sets_ns;
 	while ((w = *p) != NULL) {
 		if (serve_watch(c, w, stale, now)) {
 			*p = w->next;
@@ -98,6 +102,9 @@
 			needs_read = true;
 		p = &w->next;
 	}
+	if (c->sets_due)
+		c->next_sets_ns = now + get_set_interval(pending);
+	c->sets_due = false;
 	if (needs_read)
 		begin_read_round(c);
 	set_metric(c->metrics.pending_watches, (int64_t)c->pending_watch_count);
@@ -207,6 +214,7 @@
 	    .confirmed =
 		w->read_round != 0 && c->reads.confirmed >= w->read_round,
 	    .timed_out = now >= w->deadline_ns,
+	    .sets_due = c->sets_due,
 	    .registry = c->registry,
 	};
 	enum watch_verdict verdict = decide_watch(&v, &w->args);
@@ -247,9 +255,9 @@
 
 	if (needs_table(c->state->table->version, &w->args))
 		rc = find_update(&c->cache, c->state, w->args.held_version, &u);
-	if (rc == 0 && u != NULL && get_update_tokens(u) > 0)
-		retry_ms =
-		    consume_tokens(&c->bucket, get_update_tokens(u), now);
+	if (rc == 0 && u != NULL && get_update_tokens(u, w->packed) > 0)
+		retry_ms = consume_tokens(
+		    &c->bucket, get_update_tokens(u, w->packed), now);
 	if (retry_ms > 0) {
 		count_metric(c->metrics.limited, 1);
 		reply_refusal(c, w, WIRE_LIMIT, retry_ms);
@@ -257,7 +265,10 @@
 	}
 	if (w->args.controls_digest != 0)
 		fill_controls(c, &group, &controls);
-	if (rc == 0)
+	if (rc == 0 && w->packed)
+		rc = encode_packed_reply(&c->cache, c->state, c->registry,
+		    &controls, &w->args, &stamp, &b);
+	else if (rc == 0)
 		rc = encode_watch_reply(&c->cache, c->state, c->registry,
 		    &controls, &w->args, &stamp, &b);
 	if (rc == 0 && u != NULL)
@@ -291,11 +302,14 @@
     int retry_ms)
 {
 	struct wire_hlc stamp = make_message_stamp(c);
-	struct buf b = {0};
-	int rc = encode_watch_refusal(status, retry_ms, &stamp, &b);
+	struct buf plain = {0}, packed = {0};
+	int rc = encode_watch_refusal(status, retry_ms, &stamp, &plain);
 
-	complete_rpc(w->reply, rc, view_buf(&b));
-	unload_buf(&b);
+	if (rc == 0 && w->packed)
+		rc = pack_wire(view_buf(&plain), &packed);
+	complete_rpc(w->reply, rc, view_buf(w->packed ? &packed : &plain));
+	unload_buf(&plain);
+	unload_buf(&packed);
 }
 
 static void
--- a/packages/rpc/rpc_client.c
+++ b/packages/rpc/rpc_client.c
@@ -64,6 +64,7 @@
 	uint32_t next_xid;
 	bool want_write; /* epoll reports when the socket is writable */
 	atomic_int in_flight; /* calls not yet completed */
+	_Atomic int64_t partial_input; /* see get_rpc_partial_input() */
 	atomic_size_t unsent_bytes; /* arguments not yet encoded */
 };
 
@@ -214,6 +215,12 @@
 	return get_rpc_meter_stats(&c->meter);
 }
 
+int64_t
+get_rpc_partial_input(struct rpc_peer *p)
+{
+	return atomic_load(&p->partial_input);
+}
+
 /*
  * Makes the I/O thread read the clock again.
  */
@@ -548,6 +555,7 @@
 		decrement_rpc_open(&p->client->meter);
 	}
 	p->state = PEER_DISCONNECTED;
+	atomic_store(&p->partial_input, 0);
 	p->queue = NULL;
 	p->queue_tail = &p->queue;
 	for (int i = 0; i < CALL_BUCKETS; i++) {
@@ -637,6 +645,7 @@
 			return rc;
 	}
 	compact_rpc_stream(st, popped, now);
+	atomic_store(&p->partial_input, st->partial_since != 0 ? now : 0);
 	if (st->partial_since != 0)
 		lower_next_deadline(p->client,
 		    st->partial_since + PARTIAL_REPLY_MAX_MS * NSEC_PER_MSEC);
@@ -922,7 +931,8 @@
 }
 
 /*
- * Fails sent calls that have timed out. Returns true when the connection is
+ * Fails sent calls that have timed out, but none while a reply is arriving,
+ * which may be that of the oldest call. Returns true when the connection is
  * unresponsive: without input since such a call was sent and for
  * unresponsive_ms.
  */
@@ -934,6 +944,11 @@
 	int64_t received = p->link.stream.last_received;
 	bool is_unresponsive = false;
 
+	if (p->link.stream.partial_since != 0 &&
+	    now - received < unresponsive_ns) {
+		lower_next_deadline(p->client, received + unresponsive_ns);
+		return false;
+	}
 	for (int i = 0; i < CALL_BUCKETS && p->sent_count > 0; i++) {
 		struct call **at = &p->sent[i], *call;
 
--- a/packages/wire/gen/wire_xdr.c
+++ b/packages/wire/gen/wire_xdr.c
@@ -428,6 +428,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_wire_packed (XDR *xdrs, wire_packed *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->inflated_len))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, WIRE_PACKED_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wire_claim_state (XDR *xdrs, wire_claim_state *objp)
 {
--- a/packages/wire/gen/wire_xdr.h
+++ b/packages/wire/gen/wire_xdr.h
@@ -25,6 +25,7 @@
 #define WIRE_SET_MAX 2048
 #define WIRE_ENTRIES_MAX 1024
 #define WIRE_MEMBERS_MAX 17
+#define WIRE_PACKED_MAX 4194304
 
 typedef char *wire_name;
 
@@ -293,6 +294,15 @@
 };
 typedef struct wire_watch_reply wire_watch_reply;
 
+struct wire_packed {
+	u_int inflated_len;
+	struct {
+		u_int data_len;
+		char *data_val;
+	} data;
+};
+typedef struct wire_packed wire_packed;
+
 enum wire_claim_state {
 	WIRE_CLAIM_OPEN = 0,
 	WIRE_CLAIM_RAN = 1,
@@ -368,6 +378,9 @@
 #define GGS_JOIN 9
 extern  wire_join_reply * ggs_join_1(wire_join_args , CLIENT *);
 extern  wire_join_reply * ggs_join_1_svc(wire_join_args , struct svc_req *);
+#define GGS_WATCH_PACKED 10
+extern  wire_packed * ggs_watch_packed_1(wire_watch_args , CLIENT *);
+extern  wire_packed * ggs_watch_packed_1_svc(wire_watch_args , struct svc_req *);
 extern int ggs_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -401,6 +414,9 @@
 #define GGS_JOIN 9
 extern  wire_join_reply * ggs_join_1();
 extern  wire_join_reply * ggs_join_1_svc();
+#define GGS_WATCH_PACKED 10
+extern  wire_packed * ggs_watch_packed_1();
+extern  wire_packed * ggs_watch_packed_1_svc();
 extern int ggs_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -432,6 +448,7 @@
 extern  bool_t xdr_wire_table_form (XDR *, wire_table_form*);
 extern  bool_t xdr_wire_table_update (XDR *, wire_table_update*);
 extern  bool_t xdr_wire_watch_reply (XDR *, wire_watch_reply*);
+extern  bool_t xdr_wire_packed (XDR *, wire_packed*);
 extern  bool_t xdr_wire_claim_state (XDR *, wire_claim_state*);
 extern  bool_t xdr_wire_claim_args (XDR *, wire_claim_args*);
 extern  bool_t xdr_wire_claim_reply (XDR *, wire_claim_reply*);
@@ -462,6 +479,7 @@
 extern bool_t xdr_wire_table_form ();
 extern bool_t xdr_wire_table_update ();
 extern bool_t xdr_wire_watch_reply ();
+extern bool_t xdr_wire_packed ();
 extern bool_t xdr_wire_claim_state ();
 extern bool_t xdr_wire_claim_args ();
 extern bool_t xdr_wire_claim_reply ();
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -1,6 +1,6 @@
 /*
  * XDR messages between processes: the types that rpcgen generates from wire.x,
- * and their encoding and decoding.
+ * their encoding and decoding, and the compression of large messages.
  */
 #ifndef WIRE_H
 #define WIRE_H
@@ -17,4 +17,8 @@
 int decode_wire(xdrproc_t proc, struct str bytes, void *value);
 void unload_wire(xdrproc_t proc, void *value); /* frees value's members */
 
+/* An encoded message as the bytes of a wire_packed, and back. */
+int pack_wire(struct str message, struct buf *out);
+int unpack_wire(struct str bytes, struct buf *out);
+
 #endif
--- a/packages/wire/wire.x
+++ b/packages/wire/wire.x
@@ -16,6 +16,7 @@
 const WIRE_SET_MAX = 2048;         /* endpoints in one message */
 const WIRE_ENTRIES_MAX = 1024;     /* log entries in one message */
 const WIRE_MEMBERS_MAX = 17;       /* control processes in one message */
+const WIRE_PACKED_MAX = 4194304;   /* bytes of a packed message */
 
 typedef string wire_name<WIRE_NAME_MAX>;
 typedef string wire_text<WIRE_TEXT_MAX>;
@@ -239,6 +240,12 @@
 	wire_member controls<WIRE_MEMBERS_MAX>; /* members of the group */
 };
 
+/* An encoded message, deflated (RFC 1950) when that makes it shorter. */
+struct wire_packed {
+	unsigned int inflated_len; /* 0: data is not deflated */
+	opaque data<WIRE_PACKED_MAX>;
+};
+
 /* Claims of at-most-once calls */
 
 enum wire_claim_state {
@@ -286,5 +293,7 @@
 		wire_claim_reply GGS_CLAIM(wire_claim_args) = 7;
 		wire_group_reply GGS_GROUP(wire_group_args) = 8;
 		wire_join_reply GGS_JOIN(wire_join_args) = 9;
+		/* GGS_WATCH whose reply is a packed wire_watch_reply */
+		wire_packed GGS_WATCH_PACKED(wire_watch_args) = 10;
 	} = 1;
 } = 0x20474753;
