table, control: apply a version without rendering the full table

Each version rendered the whole old table of 1,700 rows only to compare its length with that of a few cells, and nine tenths of that was snprintf() of numbers.

Change: the full table is rendered only when the cells reach a lower bound of its length; the choice between both is the same as before. Numbers are formatted by hand. Replies to watches use the same bound.

Tests: csv_length_has_a_lower_bound; the tests of history, replacement and watch forms pass unchanged.

--- a/packages/control/history.c
+++ b/packages/control/history.c
@@ -209,7 +209,8 @@
 
 	if (rc == 0)
 		rc = encode_cells(&l, &cells);
-	if (rc == 0 && from->row_count > 0)
+	if (rc == 0 && from->row_count > 0 &&
+	    cells.len >= get_csv_length_min(from))
 		rc = render_table_csv(from, &full);
 	unload_cells(&l);
 	if (rc != 0) {
--- a/packages/control/watch.c
+++ b/packages/control/watch.c
@@ -23,10 +23,10 @@
 static uint64_t hash_number(uint64_t number, uint64_t seed);
 static uint64_t get_known_set_version(const struct registry *g,
     const struct wire_watch_args *a, const struct wire_interest *i);
+static int render_full_table(struct watch_cache *c, const struct state *s);
 static int fill_update(struct watch_cache *c, const struct state *s,
     uint64_t base, struct watch_update *u);
-static int make_delta(
-    const struct state *s, uint64_t base, size_t limit, struct buf *out);
+static int make_delta(const struct state *s, uint64_t base, struct buf *out);
 static void fill_table(const struct state *s, const struct watch_update *u,
     struct wire_table_update *out);
 static int fill_sets(const struct registry *g, const struct wire_watch_args *a,
@@ -362,34 +362,45 @@
     struct watch_update *u)
 {
 	struct buf delta = {0};
-	int rc = 0;
+	bool covered = base != 0 && covers_version(&s->history, s->table, base);
+	int rc = covered ? make_delta(s, base, &delta) : 0;
 
-	if (c->full_table.len == 0)
-		rc = render_table_csv(s->table, &c->full_table);
-	if (rc != 0)
+	if (rc == 0 && (!covered || delta.len >= get_csv_length_min(s->table)))
+		rc = render_full_table(c, s);
+	if (rc != 0) {
+		unload_buf(&delta);
 		return rc;
-	if (base != 0 && covers_version(&s->history, s->table, base))
-		rc = make_delta(s, base, c->full_table.len, &delta);
-	else
-		rc = ERR_LIMIT;
-	if (rc == 0) {
+	}
+	if (covered &&
+	    (c->full_table.len == 0 || delta.len < c->full_table.len)) {
 		u->form = WIRE_TABLE_DELTA;
 		u->body = delta;
 		return 0;
 	}
 	unload_buf(&delta);
-	if (rc != ERR_LIMIT)
+	rc = render_full_table(c, s);
+	if (rc != 0)
 		return rc;
 	u->form = WIRE_TABLE_WHOLE;
 	return append_buf_str(&u->body, view_buf(&c->full_table));
 }
 
+/*
+ * Renders the table in force unless that has been done for its version.
+ */
+static int
+render_full_table(struct watch_cache *c, const struct state *s)
+{
+	if (c->full_table.len > 0)
+		return 0;
+	return render_table_csv(s->table, &c->full_table);
+}
+
 /*
  * Appends the cells that differ between the base and the table in force.
- * Returns ERR_LIMIT when they take limit bytes or more.
  */
 static int
-make_delta(const struct state *s, uint64_t base, size_t limit, struct buf *out)
+make_delta(const struct state *s, uint64_t base, struct buf *out)
 {
 	struct cell_list l = {0};
 	struct table *old = NULL;
@@ -400,8 +411,6 @@
 		rc = diff_tables(old, s->table, &l);
 	if (rc == 0)
 		rc = encode_cells(&l, out);
-	if (rc == 0 && out->len >= limit)
-		rc = ERR_LIMIT;
 	unload_cells(&l);
 	unload_table(old);
 	return rc;
--- a/packages/table/table.c
+++ b/packages/table/table.c
@@ -27,6 +27,7 @@
 static void check_header(struct table_parser *parser);
 static const char *get_cell_text(
     const struct row *r, enum column c, char *number, size_t size);
+static const char *format_number(int32_t value, char *text, size_t size);
 
 /*
  * Loads a table from CSV. Its first line names the columns: kind first, the
@@ -182,6 +183,17 @@
 	return rc;
 }
 
+/*
+ * Counts a separator for each field, and a byte for each that cannot be empty.
+ */
+size_t
+get_csv_length_min(const struct table *t)
+{
+	size_t line = COLUMN_COUNT + (COLUMN_COUNT - TABLE_TEXT_COUNT);
+
+	return (t->row_count + 1) * line;
+}
+
 /*
  * Appends the row's line of the canonical CSV, with its line end.
  */
@@ -248,11 +260,31 @@
 	case CELL_YES_NO:
 		return r->repeatable ? "yes" : "no";
 	default:
-		snprintf(number, size, "%d", r->values[c]);
-		return number;
+		return format_number(r->values[c], number, size);
 	}
 }
 
+/*
+ * Returns the decimal digits of a number, written to the end of text. A large
+ * table has tens of thousands of numbers, and snprintf() took most of the time
+ * of reading and rendering it.
+ */
+static const char *
+format_number(int32_t value, char *text, size_t size)
+{
+	char *p = text + size - 1;
+	uint32_t rest = value < 0 ? 0 - (uint32_t)value : (uint32_t)value;
+
+	*p = '\0';
+	do {
+		*--p = (char)('0' + rest % 10);
+		rest /= 10;
+	} while (rest != 0);
+	if (value < 0)
+		*--p = '-';
+	return p;
+}
+
 /*
  * Called by the CSV parser for each field: a column name on the first line, a
  * cell on the others.
--- a/packages/table/table.h
+++ b/packages/table/table.h
@@ -99,6 +99,8 @@
 /* Queries */
 const struct row *find_row(const struct table *t, struct str kind);
 int render_table_csv(const struct table *t, struct buf *out); /* canonical */
+/* A lower bound of its length in bytes, without rendering it. */
+size_t get_csv_length_min(const struct table *t);
 int render_cell(const struct row *r, enum column c, char *out, size_t size);
 int find_column(struct str name); /* ERR_NOT_FOUND */
 const char *get_column_name(enum column c);
--- a/packages/table/tests/test_table.c
+++ b/packages/table/tests/test_table.c
@@ -323,6 +323,36 @@
 }
 END_TEST
 
+/*
+ * Pattern: a large table whose versions differ in a few cells. Guards against a
+ * bound that is above the length of the rendered table, by which a delta would
+ * be stored or sent although the full table is shorter.
+ */
+START_TEST(csv_length_has_a_lower_bound)
+{
+	static const char *const rows[] = {"",
+	    "a,s,1,10,5,100,100,1000,100,1,10,0,yes,0,64,30\n",
+	    "a,s,1,10,5,100,100,1000,100,1,10,0,yes,0,64,30\n"
+	    "b,s,9,1000,0,1,0,1,0,0,0,0,yes,0,1,0\n"};
+	struct buf csv = {0}, out = {0};
+	struct table *t = NULL;
+	struct fault f = {0};
+
+	append_buf_fmt(&csv,
+	    "kind,service,rank,weight,floor_pct,limit_pct,target_ms,"
+	    "deadline_ms,queue_max,retries,retry_pct,hedge_ms,repeat,keep_s,"
+	    "body_max_kb,drain_s\n%s",
+	    rows[_i]);
+	ck_assert_msg(
+	    load_table_csv(view_buf(&csv), 1, &t, &f) == 0, "%s", f.text);
+	ck_assert_int_eq(render_table_csv(t, &out), 0);
+	ck_assert_uint_le(get_csv_length_min(t), out.len);
+	unload_table(t);
+	unload_buf(&csv);
+	unload_buf(&out);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -340,6 +370,7 @@
 	tcase_add_test(t, canonical_csv_loads_to_the_same_table);
 	tcase_add_loop_test(t, routes_match_the_longest_path_of_the_host, 0,
 	    sizeof(route_cases) / sizeof(route_cases[0]));
+	tcase_add_loop_test(t, csv_length_has_a_lower_bound, 0, 3);
 	tcase_add_test(t, split_lists_services_and_shares);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
