--- a/packages/table/tests/test_table.c
+++ b/packages/table/tests/test_table.c
@@ -333,7 +333,7 @@
 	static const char *const rows[] = {"",
 	    "a,s,1,10,5,100,100,1000,100,1,10,0,yes,0,64,30\n",
 	    "a,s,1,10,5,100,100,1000,100,1,10,0,yes,0,64,30\n"
-	    "b,s,9,1000,0,1,0,1,0,0,0,0,yes,0,1,0\n"};
+	    "b,s,9,1,0,1,1,1,1,0,1,0,yes,0,1,1\n"};
 	struct buf csv = {0}, out = {0};
 	struct table *t = NULL;
 	struct fault f = {0};
