node: give up answers of the backend server that do not end

Cause: found by looking for what the users tell of servers in trouble, whose bytes may come without end. An answer's body was read up to 64 MB; a node of a small machine has 160 MB for up to 16 slots, so that a few such answers end the process and with it all its calls. Interim answers (1xx) were discarded without a limit, until the deadline.

Change: when the answers being read take more than 32 MB together, one of at least 1 MB is given up; so is an answer after 16 interim ones. The connection is closed, the call counts as one that may have run (502, or a retry if it may repeat), and a log line says after how many bytes. Heads were bounded before.

Tests: endless_answers_are_given_up and three cases of callers_get_the_expected outcome.

--- a/packages/node/backend_conn.c
+++ b/packages/node/backend_conn.c
@@ -16,6 +16,13 @@
 #define ANSWER_BODY_MAX (64 * 1024 * 1024) /* bytes of an answer's body */
 #define CONNECT_NS (500 * NSEC_PER_MSEC) /* connect time-out */
 #define UNEXPECTED_ANSWERS_MAX 3 /* discarded while a call is running */
+#define INTERIM_ANSWERS_MAX 16 /* discarded while a call is running */
+/*
+ * A server in trouble may send bytes until the connection is closed. Above this
+ * sum of all answers being read, one of at least ANSWER_LONG_BYTES is given up.
+ */
+#define ANSWERS_MEMORY_MAX (32 * 1024 * 1024) /* bytes of bodies */
+#define ANSWER_LONG_BYTES (1024 * 1024)
 /*
  * A call that may not repeat uses a connection that was used this recently, or
  * a new one. If the server has closed an idle connection unnoticed, a call sent
@@ -34,6 +41,8 @@
 static void send_call(struct backend_conn *c);
 static void read_conn(struct backend_conn *c);
 static void parse_answers(struct backend_conn *c, struct str in);
+static bool discard_answer(struct backend_conn *c);
+static bool exceeds_memory(const struct backend_conn *c);
 static bool is_unexpected_answer(const struct backend_conn *c);
 static void complete_answer(struct backend_conn *c, bool surplus);
 static void check_answer(struct backend_conn *c, struct job *j);
@@ -161,7 +170,7 @@
 
 	c->out.len = c->out_sent = 0;
 	c->sent_at = 0;
-	c->unexpected_answers = 0;
+	c->unexpected_answers = c->interim_answers = 0;
 	c->close_after_use = false;
 	reset_http_reader(&c->reader);
 	c->reader.is_head_response = is_http_name_equal(j->spec.method, "HEAD");
@@ -320,21 +329,21 @@
 
 		if (e == READ_HEAD)
 			continue;
-		if (e == READ_MORE)
+		if (e == READ_MORE && !exceeds_memory(c))
 			return;
 		if (e != READ_END) {
+			write_log(LOG_LEVEL_NOTICE,
+			    "an answer of the backend server is given up after "
+			    "%zu bytes of its body: not valid, or too long",
+			    c->reader.body.len);
 			fail_conn(c, ATTEMPT_BROKEN);
 			return;
 		}
 		if (c->reader.head.status < 200 || is_unexpected_answer(c)) {
-			if (c->reader.head.status >= 200 &&
-			    ++c->unexpected_answers > UNEXPECTED_ANSWERS_MAX) {
+			if (!discard_answer(c)) {
 				fail_conn(c, ATTEMPT_BROKEN);
 				return;
 			}
-			c->close_after_use =
-			    c->close_after_use || c->reader.head.status >= 200;
-			reset_http_reader(&c->reader);
 			continue;
 		}
 		complete_answer(c, in.len > 0);
@@ -342,6 +351,42 @@
 	}
 }
 
+/*
+ * Discards an interim answer, or one to an earlier call. False when there are
+ * too many of them.
+ */
+static bool
+discard_answer(struct backend_conn *c)
+{
+	if (c->reader.head.status < 200) {
+		if (++c->interim_answers > INTERIM_ANSWERS_MAX)
+			return false;
+	} else {
+		if (++c->unexpected_answers > UNEXPECTED_ANSWERS_MAX)
+			return false;
+		c->close_after_use = true;
+	}
+	reset_http_reader(&c->reader);
+	return true;
+}
+
+/*
+ * Says whether the answer being read is long and all of them together take more
+ * memory than allowed.
+ */
+static bool
+exceeds_memory(const struct backend_conn *c)
+{
+	size_t sum = 0;
+
+	if (c->reader.body.len < ANSWER_LONG_BYTES)
+		return false;
+	for (const struct backend_conn *b = c->node->backend->busy; b != NULL;
+	     b = b->next)
+		sum += b->reader.body.len;
+	return sum > ANSWERS_MEMORY_MAX;
+}
+
 /*
  * Says whether the answer belongs to an earlier call on the connection.
  */
--- a/packages/node/backend_state.h
+++ b/packages/node/backend_state.h
@@ -29,6 +29,7 @@
 	bool reused; /* has carried earlier calls */
 	bool close_after_use; /* not reusable after the current call */
 	int unexpected_answers; /* to other calls, discarded during this one */
+	int interim_answers; /* with status below 200, of this call */
 	int64_t idle_since; /* mono ns */
 	int64_t sent_at; /* mono ns; start of sending the call; 0: not yet */
 	struct buf head; /* header lines of the answer to pass on */
--- a/packages/node/tests/fake_server.c
+++ b/packages/node/tests/fake_server.c
@@ -44,6 +44,7 @@
 	char line[256];
 	char head[4096];
 	size_t body_len;
+	size_t endless_bytes; /* sent by one endless answer, at most */
 };
 
 typedef void (*behave_fn)(struct fake_server *s, struct fake_conn *c);
@@ -77,6 +78,12 @@
 static void answer_garbage(struct fake_server *s, struct fake_conn *c);
 static void answer_encoded(struct fake_server *s, struct fake_conn *c);
 static void answer_closing(struct fake_server *s, struct fake_conn *c);
+static void send_endless(struct fake_server *s, struct fake_conn *c,
+    const char *start, const char *unit);
+static void answer_endless_head(struct fake_server *s, struct fake_conn *c);
+static void answer_endless_body(struct fake_server *s, struct fake_conn *c);
+static void answer_endless_chunks(struct fake_server *s, struct fake_conn *c);
+static void answer_endless_interim(struct fake_server *s, struct fake_conn *c);
 
 static const struct {
 	const char *name;
@@ -101,6 +108,11 @@
     {"garbage", true, answer_garbage}, /* not an HTTP answer */
     {"encoded", true, answer_encoded}, /* 200 with Content-Encoding */
     {"closing", true, answer_closing}, /* signed 200 with Connection: close */
+    /* until the node closes the connection */
+    {"endless-head", true, answer_endless_head}, /* header lines */
+    {"endless-body", true, answer_endless_body}, /* without a length */
+    {"endless-chunks", true, answer_endless_chunks},
+    {"endless-interim", true, answer_endless_interim}, /* 102 */
 };
 
 struct fake_server *
@@ -581,3 +593,67 @@
 	    c->id, s->instance);
 	close_fake_conn(c, false);
 }
+
+/*
+ * Sends start, then unit again and again until the node closes the connection.
+ */
+static void
+send_endless(struct fake_server *s, struct fake_conn *c, const char *start,
+    const char *unit)
+{
+	struct buf b = {0};
+	size_t sent = 0;
+	ssize_t n;
+
+	send_text(c, "%s", start);
+	while (b.len < 64 * 1024)
+		if (append_buf_str(&b, make_str(unit)) != 0)
+			break;
+	while (c->fd >= 0 &&
+	       (n = send(c->fd, b.data, b.len, MSG_NOSIGNAL)) == (ssize_t)b.len)
+		sent += (size_t)n;
+	if (sent > s->endless_bytes)
+		s->endless_bytes = sent;
+	unload_buf(&b);
+	if (c->fd >= 0)
+		close_fake_conn(c, false);
+}
+
+static void
+answer_endless_head(struct fake_server *s, struct fake_conn *c)
+{
+	send_endless(s, c, "HTTP/1.1 200 OK\r\n", "X-More: aaaaaaaaaa\r\n");
+}
+
+static void
+answer_endless_body(struct fake_server *s, struct fake_conn *c)
+{
+	send_endless(s, c, "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaaaaaaaaaa");
+}
+
+static void
+answer_endless_chunks(struct fake_server *s, struct fake_conn *c)
+{
+	send_endless(s, c,
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	    "40\r\n"
+	    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+	    "\r\n");
+}
+
+static void
+answer_endless_interim(struct fake_server *s, struct fake_conn *c)
+{
+	send_endless(s, c, "", "HTTP/1.1 102 Processing\r\n\r\n");
+}
+
+size_t
+get_fake_endless_bytes(struct fake_server *s)
+{
+	size_t n;
+
+	pthread_mutex_lock(&s->lock);
+	n = s->endless_bytes;
+	pthread_mutex_unlock(&s->lock);
+	return n;
+}
--- a/packages/node/tests/fake_server.h
+++ b/packages/node/tests/fake_server.h
@@ -22,6 +22,8 @@
 /* Copies the request line of the last request. */
 void get_fake_line(struct fake_server *s, char *out, size_t size);
 size_t get_fake_body_len(struct fake_server *s);
+/* Bytes that an endless answer sent before the node closed it, at most. */
+size_t get_fake_endless_bytes(struct fake_server *s);
 /* Resets all connections, like a server that dropped its idle ones. */
 void reset_fake_connections(struct fake_server *s);
 /* Resets each open connection when its next bytes arrive. */
--- a/packages/node/tests/test_calls_by_node.c
+++ b/packages/node/tests/test_calls_by_node.c
@@ -78,6 +78,9 @@
     {"/read/garbage", 502, 2, false, ""},
     {"/read/encoded", 502, 2, false, ""},
     {"/read/closing", 200, 1, true, "ok"},
+    {"/read/endless-head", 502, 2, false, ""},
+    {"/read/endless-interim", 502, 2, false, ""},
+    {"/pay/endless-interim", 502, 1, false, ""},
     {"/once/failed", 500, 1, true, "fail"},
     {"/once/reset", 502, 1, false, ""},
     {"/pay/ok", 200, 1, true, "ok"},
@@ -126,6 +129,35 @@
 }
 END_TEST
 
+static const char *const endless_paths[] = {
+    "/pay/endless-head", "/pay/endless-body", "/pay/endless-chunks"};
+
+/*
+ * A server in trouble sends until the connection is closed. Guards against an
+ * answer that takes the memory of the node (160 MB on small machines), and
+ * against a refusal as not run.
+ */
+START_TEST(endless_answers_are_given_up)
+{
+	const size_t limit = 40 * 1024 * 1024; /* with socket buffers */
+	struct test_reply reply;
+
+	send_test_call(fixture.calls[2], "POST", endless_paths[_i], "endless",
+	    "Deadline-Ms: 5000\r\n", make_str("x"), &reply);
+	ck_assert_int_eq(reply.status, 502);
+	ck_assert_int_eq(count_runs("endless"), 1);
+	unload_reply(&reply);
+	for (int i = 0; i < 2; i++)
+		ck_assert_uint_lt(
+		    get_fake_endless_bytes(fixture.servers[i]), limit);
+	/* The node goes on serving. */
+	send_test_call(fixture.calls[2], "GET", "/read/ok", "after", "",
+	    make_str(""), &reply);
+	ck_assert_int_eq(reply.status, 200);
+	unload_reply(&reply);
+}
+END_TEST
+
 /*
  * A server answers a call twice, the second time just before the next answer on
  * the connection. Guards against passing that answer on to the next call, and
@@ -705,6 +737,8 @@
 	tcase_add_checked_fixture(t, open_nodes, close_nodes);
 	tcase_add_loop_test(t, callers_get_the_expected_outcome, 0,
 	    sizeof(call_cases) / sizeof(call_cases[0]));
+	tcase_add_loop_test(t, endless_answers_are_given_up, 0,
+	    sizeof(endless_paths) / sizeof(endless_paths[0]));
 	tcase_add_test(t, late_answers_are_discarded);
 	tcase_add_test(t, requests_arrive_unchanged);
 	tcase_add_test(t, split_rows_keep_their_shares);
