control: measure how long nodes use an outdated table

No log line or metric told a table that is on its way from a node that nothing is sent to, or how much time is left in hand.

Change: a control process records when its recent versions came into force. When a node reports a newer version, ggs_control_version_lag_us gets the time since the first version that the node lacked, so that a series of versions does not start the count anew. ggs_control_nodes_behind counts attached nodes that are late, and node.late tells the time until the update was sent from that of its transfer.

Deciding is unchanged.

--- a/packages/control/control_metrics.c
+++ b/packages/control/control_metrics.c
@@ -38,6 +38,10 @@
     SPEC(claims, METRIC_COUNTER, "control_claims_total", "CLAIM calls."),
     SPEC(resends, METRIC_COUNTER, "control_resends_total",
 	"Digests of endpoint sets that differed between control processes."),
+    SPEC(lag_us, METRIC_HISTOGRAM, "control_version_lag_us",
+	"Time from a version at this process to its use by a node, us."),
+    SPEC(nodes_behind, METRIC_GAUGE, "control_nodes_behind",
+	"Attached nodes whose table has been outdated for over 1 s."),
     SPEC(role, METRIC_GAUGE, "replica_role",
 	"0 follower, 1 asks for votes, 2 candidate, 3 leader."),
     SPEC(has_leader, METRIC_GAUGE, "replica_has_leader",
@@ -84,6 +88,8 @@
 
 	pthread_mutex_lock(&c->lock);
 	set_metric(m->encoded, (int64_t)c->cache.encoded);
+	set_metric(
+	    m->nodes_behind, count_late_nodes(c, read_mono(&c->cfg.clock)));
 	pthread_mutex_unlock(&c->lock);
 	if (is_relay(c) || !get_replication_status(c, &s))
 		return;
--- a/packages/control/nodes.c
+++ b/packages/control/nodes.c
@@ -9,7 +9,6 @@
 
 static bool match_node(const struct hash_link *l, const void *key);
 static struct node_report *add_node(struct node_list *l, struct str name);
-static struct node_report *find_node(struct node_list *l, struct str name);
 static int copy_interest(
     const wire_interest *from, unsigned int count, wire_interest **out);
 static void free_interest(wire_interest *list, unsigned int count);
@@ -24,7 +23,7 @@
     uint64_t conn, int64_t mono_ns, int64_t wall_ns)
 {
 	struct str name = make_str(a->node);
-	struct node_report *n = find_node(l, name);
+	struct node_report *n = find_node_report(l, name);
 	bool changed;
 
 	if (n == NULL)
@@ -51,10 +50,18 @@
 	return changed;
 }
 
+/* Returns NULL for a node that has not reported. */
+struct node_report *
+find_node_report(struct node_list *l, struct str name)
+{
+	return (struct node_report *)find_link(
+	    &l->index, hash_str(name, 0), match_node, &name);
+}
+
 int
 restore_interest(struct node_list *l, struct wire_watch_args *a, uint64_t conn)
 {
-	struct node_report *n = find_node(l, make_str(a->node));
+	struct node_report *n = find_node_report(l, make_str(a->node));
 	wire_interest *copy = NULL;
 	int rc;
 
@@ -163,13 +170,6 @@
 	return n;
 }
 
-static struct node_report *
-find_node(struct node_list *l, struct str name)
-{
-	return (struct node_report *)find_link(
-	    &l->index, hash_str(name, 0), match_node, &name);
-}
-
 /*
  * Copies a list and its strings, allocated so that xdr_free() can free them.
  * Returns ERR_MEMORY.
--- a/packages/control/nodes.h
+++ b/packages/control/nodes.h
@@ -21,6 +21,8 @@
 	uint64_t refused_version; /* 0: none */
 	char refused_reason[WIRE_TEXT_MAX + 1];
 	int64_t last_contact_ns; /* last report, monotonic */
+	int64_t table_sent_ns; /* last table update to it, monotonic; 0: none */
+	size_t table_sent_bytes;
 	uint64_t conn; /* 0: closed */
 	uint64_t interest_conn; /* connection that sent the list below */
 	uint64_t interest_digest; /* 0: no list is stored */
@@ -35,6 +37,7 @@
 /* Returns true when the table version or the refused version changed. */
 bool record_node_report(struct node_list *l, const struct wire_watch_args *a,
     uint64_t conn, int64_t mono_ns, int64_t wall_ns);
+struct node_report *find_node_report(struct node_list *l, struct str name);
 /*
  * Fills in the stored interest list of a request that is marked as unchanged;
  * otherwise stores a copy of the request's list. Returns ERR_NOT_FOUND when the
--- a/packages/control/relay.c
+++ b/packages/control/relay.c
@@ -267,6 +267,8 @@
 		rc = adopt_table(c->state, next);
 	if (rc == 0) {
 		set_metric(c->metrics.version, (int64_t)t->table_version);
+		record_version_time(&c->version_times, t->table_version,
+		    read_mono(&c->cfg.clock));
 		record_event(c->cfg.events, "version", "relay",
 		    t->table_version, "pulled");
 	} else {
--- a/packages/control/replication.c
+++ b/packages/control/replication.c
@@ -477,5 +477,6 @@
 	record_event(c->cfg.events, "version", v != NULL ? v->author : "", now,
 	    "accepted, %u cells", v != NULL ? v->cell_count : 0);
 	set_metric(c->metrics.version, (int64_t)now);
+	record_version_time(&c->version_times, now, read_mono(&c->cfg.clock));
 	pthread_cond_broadcast(&c->wake);
 }
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -12,6 +12,7 @@
 #include <stdatomic.h>
 
 #include "control.h"
+#include "lag.h"
 #include "membership_plan.h"
 #include "metric.h"
 #include "nodes.h"
@@ -154,6 +155,8 @@
 	metric_id retries;
 	metric_id claims;
 	metric_id resends;
+	metric_id lag_us; /* histogram */
+	metric_id nodes_behind;
 	/* Gauges of the replica and its log, set on each scrape */
 	metric_id role, has_leader, term, commit, applied, last, snapshot;
 	metric_id voter, failed, contact_ms, dropped;
@@ -176,6 +179,7 @@
 	struct state *state;
 	struct registry *registry;
 	struct node_list nodes;
+	struct version_times version_times;
 	struct watch_cache cache;
 	struct token_bucket bucket;
 	struct pending_watch *pending_watches;
@@ -289,6 +293,7 @@
 void serve_watches(struct control *c, int64_t now); /* lock held */
 void drop_connection(struct control *c, uint64_t conn); /* takes the lock */
 void drop_watches(struct control *c); /* lock held; answers all */
+int64_t count_late_nodes(struct control *c, int64_t now); /* lock held */
 
 /* relay.c */
 void run_relay(struct control *c, int64_t now); /* lock held */
--- a/packages/control/watches.c
+++ b/packages/control/watches.c
@@ -5,11 +5,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "log.h"
 #include "service.h"
 
+#define LATE_NODE_NS NSEC_PER_SEC /* outdated for longer: the node is late */
+
 static bool is_valid_watch(const struct wire_watch_args *a, bool pull);
 static void record_watch(
     struct control *c, const struct pending_watch *w, int64_t now, bool pull);
+static void record_version_lag(
+    struct control *c, const struct wire_watch_args *a, int64_t now);
 static bool serve_watch(
     struct control *c, struct pending_watch *w, bool stale, int64_t now);
 static void reply_update(
@@ -177,6 +182,7 @@
 
 	if (pull)
 		return;
+	record_version_lag(c, a, now);
 	if (record_node_report(
 		&c->nodes, a, w->conn, now, read_wall(&c->cfg.clock)) &&
 	    a->refused_version != 0) {
@@ -200,6 +206,54 @@
 		    (unsigned long long)a->self->seq, (int)a->self->state);
 }
 
+/*
+ * Measures how long the node's last table was outdated when it reports a newer
+ * one. For a node that was late the line tells the time until the update was
+ * sent, which grows while the node or this process is cut off, from the time of
+ * its transfer, which grows with its size over the node's link.
+ */
+static void
+record_version_lag(
+    struct control *c, const struct wire_watch_args *a, int64_t now)
+{
+	const struct node_report *n =
+	    find_node_report(&c->nodes, make_str(a->node));
+	int64_t lag, transfer;
+
+	if (n == NULL || n->version == 0 || a->held_version <= n->version)
+		return;
+	lag = get_version_lag(&c->version_times, n->version, now);
+	observe_metric(c->metrics.lag_us, (uint64_t)(lag / NSEC_PER_USEC));
+	if (lag < LATE_NODE_NS)
+		return;
+	transfer = n->table_sent_ns != 0 ? now - n->table_sent_ns : 0;
+	WRITE_EVENT(LOG_LEVEL_NOTICE, "node.late", LOG_TEXT("node", n->name),
+	    LOG_INT("version", a->held_version), LOG_INT("before", n->version),
+	    LOG_INT("lag_ms", lag / NSEC_PER_MSEC),
+	    LOG_INT("transfer_ms", transfer / NSEC_PER_MSEC),
+	    LOG_INT("bytes", n->table_sent_bytes),
+	    LOG_INT("switch_ms", a->switch_ms));
+}
+
+/*
+ * Counts the attached nodes that are late; the lock is held.
+ */
+int64_t
+count_late_nodes(struct control *c, int64_t now)
+{
+	const struct hash_link *l = get_first_link(&c->nodes.index);
+	int64_t count = 0;
+
+	for (; l != NULL; l = get_next_link(&c->nodes.index, l)) {
+		const struct node_report *n = (const struct node_report *)l;
+
+		if (n->conn != 0 && get_version_lag(&c->version_times,
+					n->version, now) >= LATE_NODE_NS)
+			count++;
+	}
+	return count;
+}
+
 /*
  * Replies to the watch if decide_watch() says so. Returns false while it stays
  * pending; when true the caller frees it. The lock is held.
@@ -271,10 +325,18 @@
 	else if (rc == 0)
 		rc = encode_watch_reply(&c->cache, c->state, c->registry,
 		    &controls, &w->args, &stamp, &b);
-	if (rc == 0 && u != NULL)
+	if (rc == 0 && u != NULL) {
+		struct node_report *n =
+		    find_node_report(&c->nodes, make_str(w->args.node));
+
 		count_metric(u->form == WIRE_TABLE_WHOLE ? c->metrics.full :
 							   c->metrics.delta,
 		    1);
+		if (n != NULL) {
+			n->table_sent_ns = now;
+			n->table_sent_bytes = b.len;
+		}
+	}
 	complete_rpc(w->reply, rc, view_buf(&b));
 	unload_buf(&b);
 }
