agent: test of a table that is slower than the overdue time of its watch

The new test carries the reply over a link that passes two bytes a step of the paused clock, so that it takes more than twice the overdue time, and counts the connections.

--- a/packages/agent/tests/agent_fixture.h
+++ b/packages/agent/tests/agent_fixture.h
@@ -103,6 +103,7 @@
 	uint64_t version; /* at the control processes; 0: none */
 	uint64_t set_version; /* of the only service */
 	struct agent *agent;
+	int overdue_ms; /* of the agent's watches; 0: its default */
 	_Atomic enum rpc_fault_kind reply_fault;
 };
 
@@ -451,6 +452,7 @@
 	    .control_count = (size_t)fx->control_count,
 	    .key = make_str(fleet_key),
 	    .seed = 3,
+	    .overdue_ms = fx->overdue_ms,
 	    .connect_ms = 10000};
 	struct fault f = {0};
 
