node, policy: keep the rate of calls that a backend server names

Cause: no code read the limit; a server got what its slots admit, 579 calls in 4 s where 461 were allowed.

Change: a node reads the limit in the answers of its own backend server, which can only be reached through it. So the limit needs no sharing: admission keeps it as a token bucket (policy/rate_limit), for the calls of all entry nodes together, in the order in which it gives out slots. Estimates of waits count the rate, less what more urgent rows use of it, so that a call that would come too late is refused at once with the time at which the rate reaches it; calls that wait when a limit falls are refused at once if the new rate does not reach them. Load reports show the slots that the rate keeps busy, so that entry nodes choose other servers. A limit of 0 still gets one call in 2 s: only an answer tells that it has ended. The limit ends with an answer that does not name it, and with the run of the server.

Ruled out: shares for each entry node. With up to 295 of them and limits of a few calls a second most shares would be below one call.

--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -39,6 +39,7 @@
 		return ERR_MEMORY;
 	rc = create_admission(&a, get_reactor_now(n->reactor), &n->admission);
 	n->backend->node = n;
+	n->backend->rate_per_s = NO_RATE_LIMIT;
 	(void)copy_str(n->backend->address, sizeof(n->backend->address),
 	    make_str(n->cfg.backend));
 	return rc;
@@ -114,6 +115,12 @@
 	return n->backend != NULL ? n->backend->instance : "";
 }
 
+double
+get_backend_rate(const struct node *n)
+{
+	return n->backend != NULL ? n->backend->rate_per_s : NO_RATE_LIMIT;
+}
+
 /*
  * Says whether a report belongs to an earlier incarnation of the backend server
  * or was overtaken by a newer one. A report that makes the state worse is
@@ -156,8 +163,10 @@
 	b->seq = 0;
 	b->state = REPORT_READY;
 	b->announced = false;
+	b->run++;
 	n->service_ns = 0;
 	n->failed_share = 0;
+	clear_notices(n);
 }
 
 /*
--- a/packages/node/backend_conn.c
+++ b/packages/node/backend_conn.c
@@ -172,6 +172,7 @@
 	c->sent_at = 0;
 	c->unexpected_answers = c->interim_answers = 0;
 	c->close_after_use = false;
+	c->run = c->node->backend->run;
 	reset_http_reader(&c->reader);
 	c->reader.is_head_response = is_http_name_equal(j->spec.method, "HEAD");
 	(void)copy_str(c->id, sizeof(c->id), j->spec.id);
@@ -438,11 +439,16 @@
 	struct str id = names->call_id != NULL ?
 			    find_http_header(h, names->call_id) :
 			    make_str("");
+	bool rejected;
 
 	a.sealed = names->seal == NULL ||
 		   find_http_header(h, names->seal).data != NULL;
-	if (names->not_executed != NULL &&
-	    find_http_header(h, names->not_executed).data != NULL) {
+	rejected = names->not_executed != NULL &&
+		   find_http_header(h, names->not_executed).data != NULL;
+	if (c->run == c->node->backend->run && h->status != 421 &&
+	    (a.sealed || rejected))
+		apply_answer_notices(c->node, h, a.sealed);
+	if (rejected) {
 		reject_job(j);
 		return;
 	}
@@ -541,6 +547,7 @@
 {
 	struct backend_conn *c = open_conn(n);
 
+	record_resent_call(n->admission, get_reactor_now(n->reactor));
 	j->resent = true;
 	if (c == NULL)
 		return ERR_UNAVAILABLE;
--- a/packages/node/backend_state.h
+++ b/packages/node/backend_state.h
@@ -1,12 +1,14 @@
 /*
  * State of the node's backend server and of the connections to it; included by
- * backend.c and backend_conn.c only.
+ * backend.c, backend_conn.c and notice.c only.
  */
 #ifndef BACKEND_STATE_H
 #define BACKEND_STATE_H
 
 #include "node_state.h"
 
+#define NO_RATE_LIMIT (-1.0)
+
 enum conn_state {
 	CONN_OPENING,
 	CONN_BUSY,
@@ -27,6 +29,7 @@
 	size_t out_sent;
 	size_t sent_body_at; /* unused */
 	bool reused; /* has carried earlier calls */
+	uint64_t run; /* of the backend server when the call was sent */
 	bool close_after_use; /* not reusable after the current call */
 	int unexpected_answers; /* to other calls, discarded during this one */
 	int interim_answers; /* with status below 200, of this call */
@@ -53,11 +56,19 @@
 	int connect_failures; /* in a row */
 	struct timer down_timer;
 	bool down; /* does not accept connections */
+	uint64_t run; /* counts the starts of the backend server */
+	double rate_per_s; /* limit that it names, or NO_RATE_LIMIT */
+	bool bad_notice; /* a notice could not be read, which was logged */
 };
 
 /* backend.c */
 void record_backend_connect_failure(struct node *n);
 
+/* notice.c */
+void apply_answer_notices(
+    struct node *n, const struct http_head *h, bool sealed);
+void clear_notices(struct node *n); /* the server has started anew */
+
 /* backend_conn.c */
 void close_conns(struct backend_conn *list);
 
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -27,6 +27,7 @@
 	const char *not_executed; /* in an answer: the call has not run */
 	const char *seal; /* in an answer: the backend server's signature */
 	const char *caller_service; /* service whose node sends the call */
+	const char *rate_limit; /* in an answer: calls per second it accepts */
 };
 
 /* State that a backend server reports about itself. */
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -69,6 +69,8 @@
 	"Connections closed with requests behind the last answer."),
     SPEC(kept_bytes, METRIC_GAUGE,
 	"Bytes of answers that wait for earlier ones of their connection."),
+    SPEC(rate_limit_milli, METRIC_GAUGE,
+	"Calls that the backend server accepts in 1,000 s; -1: no limit."),
     SPEC(log_dropped_lines, METRIC_GAUGE,
 	"Log lines that found no room since the start."),
 };
@@ -152,6 +154,9 @@
 	set_metric(m->mean_run_us, l.service_us);
 	set_metric(m->failed_ppm, l.failed_ppm);
 	set_metric(m->body_wait_us, l.body_wait_us);
+	set_metric(m->rate_limit_milli,
+	    get_backend_rate(n) < 0 ? -1 :
+				      (int64_t)(get_backend_rate(n) * 1e3));
 	set_metric(m->peers, peers);
 	set_metric(m->peers_usable, usable);
 	set_metric(m->peers_avoided, avoided);
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -294,7 +294,7 @@
 	metric_id backend_connections, backend_state, mean_run_us, failed_ppm;
 	metric_id peers, peers_usable, peers_avoided, body_bytes;
 	metric_id pipelined_total, unread_closes_total, kept_bytes;
-	metric_id log_dropped_lines;
+	metric_id log_dropped_lines, rate_limit_milli;
 };
 
 struct node {
@@ -418,6 +418,7 @@
 void cancel_job(struct job *j);
 void start_leaving_timer(struct node *n); /* the backend server is leaving */
 void refresh_admission(struct node *n);
+void set_serving_rate(struct node *n, double per_s); /* negative: unlimited */
 void free_jobs(struct node *n);
 struct hop_load get_own_load(struct node *n);
 /* Outcomes from the backend connection */
@@ -434,6 +435,7 @@
 int get_backend_slots(const struct node *n);
 int count_backend_connections(const struct node *n);
 const char *get_backend_instance(const struct node *n);
+double get_backend_rate(const struct node *n); /* negative: unlimited */
 
 /* inbound.c */
 void accept_links(struct watch *w, uint32_t events);
--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -17,6 +17,8 @@
 #define FAILED_SHARE_GAIN 0.05 /* of the recent share of failed calls */
 #define SERVICE_GAIN 0.1 /* of the recent mean service time */
 
+static void apply_rate_to_load(
+    const struct admission_load *a, int64_t service_ns, struct hop_load *l);
 static int find_row_queue_index(
     struct node *n, const struct job_spec *spec, bool internal);
 static bool is_internal_call(struct node *n, const struct job_spec *spec);
@@ -199,6 +201,20 @@
 	arm_admission(n);
 }
 
+/*
+ * Sets the calls per second that the backend server accepts.
+ */
+void
+set_serving_rate(struct node *n, double per_s)
+{
+	struct admission_changes changes = {0};
+
+	set_admission_rate(
+	    n->admission, per_s, get_reactor_now(n->reactor), &changes);
+	apply_changes(n, &changes);
+	arm_admission(n);
+}
+
 /*
  * Frees all jobs without events, and admission. For the end of the node.
  */
@@ -240,9 +256,28 @@
 	l.service_us = (unsigned int)(n->service_ns / NSEC_PER_USEC);
 	l.failed_ppm = (unsigned int)(n->failed_share * 1e6);
 	l.body_wait_us = (unsigned int)(a.body_wait_ns / NSEC_PER_USEC);
+	if (a.rate_per_s > 0)
+		apply_rate_to_load(&a, n->service_ns, &l);
 	return l;
 }
 
+/*
+ * Reports the slots that a limited rate keeps busy instead of all of them, all
+ * in use while it admits no call, so that entry nodes choose other nodes.
+ */
+static void
+apply_rate_to_load(
+    const struct admission_load *a, int64_t service_ns, struct hop_load *l)
+{
+	double busy =
+	    a->rate_per_s * (double)service_ns / (double)NSEC_PER_SEC + 1;
+
+	if (busy < l->limit)
+		l->limit = (int)busy;
+	if (a->rate_wait_ns > 0 && l->in_flight < l->limit)
+		l->in_flight = l->limit;
+}
+
 /*
  * Ends a job with an answer of the backend server; a status of 500 and above
  * counts as failed.
--- a/packages/node/tests/fake_server.c
+++ b/packages/node/tests/fake_server.c
@@ -36,6 +36,7 @@
 	int listener;
 	char address[32];
 	char instance[32];
+	char notices[128]; /* header lines of its answers */
 	struct fake_conn conns[CONNECTIONS_MAX];
 	int accepted;
 	int requests;
@@ -210,6 +211,14 @@
 	return n;
 }
 
+void
+set_fake_notices(struct fake_server *s, const char *lines)
+{
+	pthread_mutex_lock(&s->lock);
+	snprintf(s->notices, sizeof(s->notices), "%s", lines);
+	pthread_mutex_unlock(&s->lock);
+}
+
 void
 get_fake_header(struct fake_server *s, const char *name, char *out, size_t size)
 {
@@ -434,9 +443,9 @@
 send_ok(struct fake_server *s, struct fake_conn *c)
 {
 	send_text(c,
-	    "HTTP/1.1 200 OK\r\nCall-Id: %s\r\nSeal: %s\r\n"
+	    "HTTP/1.1 200 OK\r\nCall-Id: %s\r\nSeal: %s\r\n%s"
 	    "Connection: keep-alive\r\nContent-Length: 2\r\n\r\nok",
-	    c->id, s->instance);
+	    c->id, s->instance, s->notices);
 }
 
 static void
--- a/packages/node/tests/fake_server.h
+++ b/packages/node/tests/fake_server.h
@@ -16,6 +16,8 @@
 int count_fake_requests(struct fake_server *s); /* complete ones */
 int count_fake_connections(struct fake_server *s); /* accepted so far */
 int count_fake_open(struct fake_server *s); /* open now */
+/* Header lines of all following 200 answers, each with its line end. */
+void set_fake_notices(struct fake_server *s, const char *lines);
 /* Copies a header of the last request; "" when it had none. */
 void get_fake_header(
     struct fake_server *s, const char *name, char *out, size_t size);
--- a/packages/node/tests/node_fixture.c
+++ b/packages/node/tests/node_fixture.c
@@ -112,7 +112,8 @@
 		.instance = "Instance",
 		.not_executed = "Not-Run",
 		.seal = "Seal",
-		.caller_service = "Caller"},
+		.caller_service = "Caller",
+		.rate_limit = "Rate"},
 	    .reports = {read_report, is_readiness_check},
 	    .seed = (uint64_t)i + 1,
 	};
--- /dev/null
+++ b/packages/node/tests/test_notices.c
@@ -0,0 +1,201 @@
+/*
+ * What a backend server says of itself in its answers.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "node_fixture.h"
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+#define CALLERS 12
+#define FLOOD_NS (3 * NSEC_PER_SEC) /* less than the users' window of 4 s */
+
+static struct fixture fixture;
+
+/* Node 0 has the only server of "svc"; the other nodes are entry nodes. */
+static void
+open_nodes(void)
+{
+	open_fixture(&fixture, 3);
+	clear_fake_endpoints(fixture.agent, "svc");
+	add_fake_endpoint(fixture.agent, "svc", "node-0", fixture.links[0], 4,
+	    WIRE_ENDPOINT_READY);
+	for (int i = 0; i < 3; i++)
+		refresh_node(fixture.nodes[i]);
+}
+
+static void
+close_nodes(void)
+{
+	close_fixture(&fixture);
+}
+
+/* Sends one call to an entry node; returns the status. */
+static int
+send_call(int entry)
+{
+	struct test_reply reply;
+
+	send_test_call(fixture.calls[entry], "GET", "/read/ok", "call", "",
+	    make_str(""), &reply);
+	unload_reply(&reply);
+	return reply.status;
+}
+
+/* Returns a gauge of node 0 from its metrics page. */
+static long long
+get_gauge(const char *name)
+{
+	struct test_reply reply;
+	char line[96];
+	const char *at;
+	long long value;
+
+	send_test_call(fixture.metrics[0], "GET", "/metrics", "q", "",
+	    make_str(""), &reply);
+	ck_assert_int_eq(append_buf(&reply.body, "", 1), 0);
+	snprintf(line, sizeof(line), "\n%s ", name);
+	at = strstr(reply.body.data, line);
+	ck_assert_ptr_nonnull(at);
+	value = atoll(at + strlen(line));
+	unload_reply(&reply);
+	return value;
+}
+
+/*
+ * Keeps CALLERS calls under way at all entry nodes for FLOOD_NS; returns how
+ * many were answered with a status.
+ */
+static int
+flood(int status)
+{
+	int64_t end = read_test_clock() + FLOOD_NS;
+	int count = 0;
+
+	while (read_test_clock() < end) {
+		int fd[CALLERS];
+
+		for (int i = 0; i < CALLERS; i++) {
+			static const char text[] =
+			    "GET /read/ok HTTP/1.1\r\nHost: test.example\r\n"
+			    "Call-Id: call\r\nConnection: close\r\n\r\n";
+
+			fd[i] = connect_test_client(fixture.calls[i % 3]);
+			ck_assert_int_eq(
+			    send(fd[i], text, strlen(text), MSG_NOSIGNAL),
+			    (ssize_t)strlen(text));
+		}
+		for (int i = 0; i < CALLERS; i++) {
+			struct test_reply reply;
+
+			read_test_reply(fd[i], &reply);
+			ck_assert(reply.status == 200 || reply.status == 503);
+			ck_assert(reply.status == 200 ||
+				  has_header(&reply, "Retry-After: "));
+			count += reply.status == status ? 1 : 0;
+			unload_reply(&reply);
+			close(fd[i]);
+		}
+	}
+	return count;
+}
+
+/*
+ * Guards against issue 24, LIMIT: a backend server that names 20 calls a second
+ * got as many as each entry node had, some hundred a second.
+ */
+START_TEST(named_limit_holds_for_all_entry_nodes_together)
+{
+	int before, sent, refused;
+
+	set_fake_notices(fixture.servers[0], "Rate: 20\r\n");
+	ck_assert_int_eq(send_call(1), 200);
+	before = count_fake_requests(fixture.servers[0]);
+	refused = flood(503);
+	sent = count_fake_requests(fixture.servers[0]) - before;
+	ck_assert_int_le(sent, 20 * 4 * 3 / 2 + 5);
+	ck_assert_int_ge(sent, 20); /* it is not starved either */
+	ck_assert_int_gt(refused, 0);
+}
+END_TEST
+
+struct notice_case {
+	const char *lines;
+	long long want_milli; /* limit after an answer with them */
+};
+
+static const struct notice_case notice_cases[] = {
+    {"Rate: 12\r\n", 12000},
+    {"Rate: 12.5\r\n", 12500},
+    {"rate: 0.4\r\n", 400},
+    {"Rate: 0\r\n", 0},
+    {"Rate: 7.\r\n", 7000},
+    {"Rate: 99999999999999999999\r\n", 1000000000},
+    {"", -1},
+    {"Rate: \r\n", 5000},
+    {"Rate: -3\r\n", 5000},
+    {"Rate: 1e3\r\n", 5000},
+    {"Rate: nan\r\n", 5000},
+    {"Rate: 0x10\r\n", 5000},
+    {"Rate: 1.2.3\r\n", 5000},
+    {"Rate: .5\r\n", 5000},
+    {"Rate: 3 4\r\n", 5000},
+    {"Rate: 000000000000000000000000000000000001\r\n", 5000},
+};
+
+/*
+ * Guards against a limit that outlasts the answers that name it, and against
+ * text that is taken for another limit: then the former one, 5, stays.
+ */
+START_TEST(limit_is_what_the_last_answer_names)
+{
+	const struct notice_case *c = &notice_cases[_i];
+
+	ck_assert_int_eq(get_gauge("ggs_node_rate_limit_milli"), -1);
+	set_fake_notices(fixture.servers[0], "Rate: 5\r\n");
+	ck_assert_int_eq(send_call(2), 200);
+	ck_assert_int_eq(get_gauge("ggs_node_rate_limit_milli"), 5000);
+	set_fake_notices(fixture.servers[0], c->lines);
+	ck_assert_int_eq(send_call(2), 200);
+	ck_assert_msg(get_gauge("ggs_node_rate_limit_milli") == c->want_milli,
+	    "\"%s\": %lld", c->lines, get_gauge("ggs_node_rate_limit_milli"));
+}
+END_TEST
+
+/* Guards against a limit that a server inherits from the run before it. */
+START_TEST(limit_ends_with_the_run_of_the_server)
+{
+	set_fake_notices(fixture.servers[0], "Rate: 5\r\n");
+	ck_assert_int_eq(send_call(1), 200);
+	ck_assert_int_eq(get_gauge("ggs_node_rate_limit_milli"), 5000);
+	send_report(&fixture, 0, "i-0", "ready", 9, 1000);
+	ck_assert_int_eq(get_gauge("ggs_node_rate_limit_milli"), 5000);
+	send_report(&fixture, 0, "i-0", "ready", 1, 2000);
+	ck_assert_int_eq(get_gauge("ggs_node_rate_limit_milli"), -1);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("notices");
+	TCase *t = tcase_create("limit");
+	SRunner *r;
+	int failed;
+
+	tcase_set_timeout(t, 60);
+	tcase_add_checked_fixture(t, open_nodes, close_nodes);
+	tcase_add_test(t, named_limit_holds_for_all_entry_nodes_together);
+	tcase_add_loop_test(
+	    t, limit_is_what_the_last_answer_names, 0, COUNT(notice_cases));
+	tcase_add_test(t, limit_ends_with_the_run_of_the_server);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -21,6 +21,7 @@
 static void accrue_queues(struct admission *a, int64_t now);
 static void dispatch_calls(
     struct admission *a, int64_t now, struct admission_changes *out);
+static bool may_start_call(const struct admission *a);
 static void mark_blocked_queues(struct admission *a, int64_t now);
 static void start_call(struct admission *a, struct row_queue *q,
     struct admission_call *c, int64_t now, struct admission_changes *out);
@@ -41,6 +42,8 @@
 static int create_late_queue(struct admission *a, int row);
 static void update_mean_body(
     struct row_queue *q, const struct admission_call *c);
+static void refuse_beyond_rate(struct admission *a, struct row_queue *q,
+    int64_t now, struct admission_changes *out);
 static void demote_call(struct admission *a, struct row_queue *q,
     struct admission_call *c, int64_t now, struct admission_changes *out);
 static struct admit_verdict refuse_late_offer(
@@ -209,6 +212,8 @@
 	    !a->view.queues[row].used || a->view.queues[row].retired)
 		return refuse_offer(a, c, REFUSE_UNKNOWN_KIND);
 	accrue_queues(a, now);
+	if (a->rate.active)
+		dispatch_calls(a, now, out); /* those before the new call */
 	q = &a->view.queues[row];
 	update_mean_body(q, c);
 	c->queue = row;
@@ -399,6 +404,35 @@
 	dispatch_calls(a, now, out);
 }
 
+/*
+ * Sets the rate at which the backend server accepts calls, per second; negative
+ * ends the limit. Calls beyond it wait as for a slot or are refused, those that
+ * wait already at once if the new rate does not reach them in time.
+ */
+void
+set_admission_rate(struct admission *a, double per_s, int64_t now,
+    struct admission_changes *out)
+{
+	accrue_queues(a, now);
+	if (per_s < 0)
+		clear_rate_limit(&a->rate);
+	else
+		set_rate_limit(&a->rate, per_s, now);
+	for (size_t i = 0; i < a->view.queue_count && a->rate.active; i++)
+		refuse_beyond_rate(a, &a->view.queues[i], now, out);
+	dispatch_calls(a, now, out);
+}
+
+/*
+ * Counts a call that is sent a second time in the slot that it has.
+ */
+void
+record_resent_call(struct admission *a, int64_t now)
+{
+	refill_rate_limit(&a->rate, now);
+	consume_rate_limit(&a->rate);
+}
+
 /*
  * Refuses every waiting call and every later offer as draining, so that entry
  * nodes send them elsewhere. Running calls end in finish_call().
@@ -430,12 +464,17 @@
 struct admission_load
 get_admission_load(const struct admission *a, int64_t now)
 {
+	struct rate_limit rate = a->rate;
+
+	refill_rate_limit(&rate, now);
 	return (struct admission_load){.in_flight = a->view.in_flight,
 	    .queued = (int)a->view.waiting,
 	    .slots = a->limiter.slots,
 	    .limit =
 		a->fixed_limit ? a->limiter.slots : get_limit(&a->limiter, now),
-	    .body_wait_ns = get_body_wait(a)};
+	    .body_wait_ns = get_body_wait(a),
+	    .rate_per_s = rate.active ? rate.per_s : 0,
+	    .rate_wait_ns = (int64_t)get_rate_wait_ns(&rate, 0, 0)};
 }
 
 /* Returns the running calls of a row. */
@@ -462,7 +501,8 @@
 /*
  * Returns the monotonic time in ns at which expire_calls() should run next;
  * INT64_MAX: never. While calls wait although slots are free (reserved for
- * floors, or a limit that grows), that is one poll interval from now.
+ * floors, or a limit that grows), that is one poll interval from now; while
+ * they wait for the rate limit, the time at which it admits the next one.
  */
 int64_t
 get_admission_wakeup(const struct admission *a, int64_t now)
@@ -477,9 +517,14 @@
 		    a->view.queues[i].waiting > 0)
 			at = now + LATE_POLL_NS;
 	}
-	if (load.in_flight < load.limit || load.limit < load.slots ||
-	    !a->policy->by_deadline)
+	if (load.rate_wait_ns > 0 && load.in_flight < load.limit) {
+		int64_t admitted = now + load.rate_wait_ns + NSEC_PER_USEC;
+
+		at = admitted < at ? admitted : at;
+	} else if (load.in_flight < load.limit || load.limit < load.slots ||
+		   !a->policy->by_deadline) {
 		at = now + RESERVED_POLL_NS;
+	}
 	/* Ordered by arrival, finding the next expiry takes a full scan. */
 	if (!a->policy->by_deadline)
 		return at;
@@ -512,6 +557,7 @@
 {
 	double dt = (double)(now - a->accrued_at);
 
+	refill_rate_limit(&a->rate, now);
 	a->view.limit = get_admission_load(a, now).limit;
 	if (dt <= 0)
 		return;
@@ -522,12 +568,16 @@
 	}
 }
 
-/* Starts waiting calls while slots are free, in the policy's order. */
+/*
+ * Starts waiting calls while slots are free and the rate limit allows it, in
+ * the policy's order.
+ */
 static void
 dispatch_calls(struct admission *a, int64_t now, struct admission_changes *out)
 {
 	a->view.limit = get_admission_load(a, now).limit;
-	while (a->view.waiting != 0 && a->view.in_flight < a->view.limit) {
+	refill_rate_limit(&a->rate, now);
+	while (a->view.waiting != 0 && may_start_call(a)) {
 		struct row_queue *q;
 		int i;
 
@@ -540,10 +590,16 @@
 			a->free_slot_at = now;
 		start_call(a, q, get_first_call(q), now, out);
 	}
-	if (a->view.in_flight < a->view.limit)
+	if (may_start_call(a))
 		a->free_slot_at = now;
 }
 
+static bool
+may_start_call(const struct admission *a)
+{
+	return a->view.in_flight < a->view.limit && has_rate_room(&a->rate);
+}
+
 /* Marks the rows whose next call has a body that the link has no room for. */
 static void
 mark_blocked_queues(struct admission *a, int64_t now)
@@ -582,6 +638,8 @@
 	q->in_flight++;
 	a->view.in_flight++;
 	add_inflow(&a->inflow, c->body_bytes, now);
+	consume_rate_limit(&a->rate);
+	add_started_call(q);
 	c->state = CALL_RUNNING;
 	c->started = now;
 	a->policy->charge_queue(&a->view, q);
@@ -742,6 +800,27 @@
 	q->body_bytes += BODY_GAIN * ((double)c->body_bytes - q->body_bytes);
 }
 
+/*
+ * Refuses the waiting calls of a base queue that the rate limit would not admit
+ * in time for their target. Those that go before a call count even if they are
+ * refused, too.
+ */
+static void
+refuse_beyond_rate(struct admission *a, struct row_queue *q, int64_t now,
+    struct admission_changes *out)
+{
+	if (!q->used || q->base_queue >= 0)
+		return;
+	for (size_t i = q->waiting; i > 0; i--) {
+		struct admission_call *c = q->heap[i - 1];
+
+		if (c->target != 0 && misses_target(a, q, c, now))
+			refuse_queued_call(a, q, c, REFUSE_OVERLOAD, out);
+		if (i > q->waiting + 1)
+			i = q->waiting + 1;
+	}
+}
+
 /*
  * Moves a waiting call to the late queue, behind all calls that can still meet
  * their target. In an overload it is refused.
--- a/packages/policy/admission.h
+++ b/packages/policy/admission.h
@@ -93,6 +93,8 @@
 	int slots; /* announced */
 	int limit; /* most slots that may be in use now */
 	int64_t body_wait_ns; /* until the transfer of a new body could begin */
+	double rate_per_s; /* limit of the rate of calls; 0: none */
+	int64_t rate_wait_ns; /* until it admits the next call */
 };
 
 int create_admission(
@@ -142,6 +144,10 @@
     struct admission *a, int64_t now, struct admission_changes *out);
 void set_admission_slots(
     struct admission *a, int slots, int64_t now, struct admission_changes *out);
+/* Calls per second that the backend server accepts; negative: unlimited. */
+void set_admission_rate(struct admission *a, double per_s, int64_t now,
+    struct admission_changes *out);
+void record_resent_call(struct admission *a, int64_t now);
 /* Refuses every waiting call as draining; later offers are admitted. */
 void refuse_waiting_calls(
     struct admission *a, int64_t now, struct admission_changes *out);
--- a/packages/policy/estimate.c
+++ b/packages/policy/estimate.c
@@ -64,7 +64,8 @@
 		return true;
 	if (!a->policy->sheds)
 		return false;
-	if (q->waiting != 0 && c->deadline >= get_first_call(q)->deadline)
+	if (!has_rate_room(&a->rate) ||
+	    (q->waiting != 0 && c->deadline >= get_first_call(q)->deadline))
 		wait = estimate_wait(a, q);
 	return (double)(c->deadline - now) < wait + q->service_ns;
 }
@@ -72,27 +73,30 @@
 /*
  * Estimates how long a new call of a row waits, in ns: the work of all calls
  * that go before it over all slots, or the work of its own row over the slots
- * of its floor, whichever is shorter. Later arrivals are left out, so the
- * estimate errs towards queueing.
+ * of its floor, whichever is shorter; at least until the rate limit admits it.
+ * Later arrivals are left out, so the estimate errs towards queueing.
  */
 double
 estimate_wait(const struct admission *a, const struct row_queue *q)
 {
 	double floor_slots = get_floor_slots(q, a->view.limit);
 	double own = (double)q->waiting * get_base_queue(a, q)->service_ns;
-	double ahead = 0;
+	double ahead = 0, calls = 0, urgent_per_s = 0, rate_wait;
 
 	for (size_t i = 0; i < a->view.queue_count; i++) {
 		const struct row_queue *o = &a->view.queues[i];
 
-		if (o->used && o->rank <= q->rank && !o->link_blocked)
-			ahead += (double)o->waiting *
-				 get_base_queue(a, o)->service_ns;
+		if (!o->used || o->rank > q->rank || o->link_blocked)
+			continue;
+		urgent_per_s += o->rank < q->rank ? o->started_per_s : 0;
+		ahead += (double)o->waiting * get_base_queue(a, o)->service_ns;
+		calls += (double)o->waiting;
 	}
 	ahead /= a->view.limit;
 	if (floor_slots > 0 && own / floor_slots < ahead)
-		return own / floor_slots;
-	return ahead;
+		ahead = own / floor_slots;
+	rate_wait = get_rate_wait_ns(&a->rate, calls, urgent_per_s);
+	return ahead > rate_wait ? ahead : rate_wait;
 }
 
 /*
@@ -117,7 +121,7 @@
 
 	need += estimate_body_wait(a, q, c) *
 		(1 + LONG_BODY_WEIGHT * get_body_ratio(q, c));
-	if (a->view.in_flight < a->view.limit)
+	if (a->view.in_flight < a->view.limit && has_rate_room(&a->rate))
 		return (double)(c->target - now) < need;
 	return (double)(c->target - now) < estimate_wait_ahead(a, q, c) + need;
 }
@@ -225,19 +229,25 @@
     const struct admission_call *c)
 {
 	double ahead = q->service_ns / 2; /* until a slot comes free */
+	double calls = 0, urgent_per_s = 0, rate_wait;
 
 	for (size_t i = 0; i < a->view.queue_count; i++) {
 		const struct row_queue *o = &a->view.queues[i];
 
 		if (!o->used || o->base_queue >= 0 || o->rank > q->rank)
 			continue;
+		urgent_per_s += o->rank < q->rank ? o->started_per_s : 0;
 		for (size_t k = 0; k < o->waiting; k++) {
 			if (o->rank < q->rank ||
-			    o->heap[k]->sort_key <= c->sort_key)
+			    o->heap[k]->sort_key <= c->sort_key) {
 				ahead += o->service_ns;
+				calls++;
+			}
 		}
 	}
-	return ahead / a->view.limit;
+	ahead /= a->view.limit;
+	rate_wait = get_rate_wait_ns(&a->rate, calls, urgent_per_s);
+	return ahead > rate_wait ? ahead : rate_wait;
 }
 
 /* Returns the size of a call's body over the mean body size of its row. */
--- a/packages/policy/estimate.h
+++ b/packages/policy/estimate.h
@@ -7,6 +7,7 @@
 
 #include "inflow.h"
 #include "limiter.h"
+#include "rate_limit.h"
 #include "sharing.h"
 
 /*
@@ -22,6 +23,7 @@
 	struct scheduler_view view;
 	struct limiter limiter;
 	struct inflow inflow;
+	struct rate_limit rate; /* named by the backend server */
 	bool fixed_limit;
 	bool draining;
 	int64_t accrued_at; /* mono ns; see accrue_queues() */
--- a/packages/policy/lane.c
+++ b/packages/policy/lane.c
@@ -23,7 +23,8 @@
 #define SLOW_RATIO 1.6
 /* Mean deviations by which a slow call exceeds the mean. */
 #define SLOW_DEVIATIONS 2.0
-#define IN_FLIGHT_MEAN_NS 1e9 /* time constant of mean_in_flight */
+/* Time constant of mean_in_flight and started_per_s */
+#define IN_FLIGHT_MEAN_NS 1e9
 /* Slots; lower bound of mean_in_flight in an estimate of the wait. */
 #define IN_FLIGHT_MEAN_MIN 0.1
 #define SERVICE_GUESS_DIVISOR 10 /* a target is typically ten service times */
@@ -184,6 +185,12 @@
 	return n < 1 ? 1 : n;
 }
 
+void
+add_started_call(struct row_queue *q)
+{
+	q->started_per_s += NSEC_PER_SEC / IN_FLIGHT_MEAN_NS;
+}
+
 /*
  * Advances the floor's credit and the mean of slots in use by dt ns.
  *
@@ -206,6 +213,7 @@
 	double alpha = dt / (IN_FLIGHT_MEAN_NS + dt);
 
 	q->mean_in_flight += alpha * (q->in_flight - q->mean_in_flight);
+	q->started_per_s -= alpha * q->started_per_s;
 	if (q->floor_pct == 0)
 		return;
 	q->floor_credit += (FLOOR_MARGIN * floor_slots - charged) * dt;
--- a/packages/policy/lane.h
+++ b/packages/policy/lane.h
@@ -41,6 +41,7 @@
 	double vtime; /* virtual time: slot-ns over weight; fair only */
 	double body_bytes; /* recent mean over offered bodies */
 	double mean_in_flight; /* recent mean of in_flight */
+	double started_per_s; /* recent rate of started calls */
 	bool overflowed; /* overflowed and has not been empty since */
 	bool link_blocked; /* its next call's body waits for the link */
 };
@@ -55,6 +56,7 @@
 double get_slow_service_ns(const struct row_queue *q); /* few calls exceed it */
 double get_floor_slots(const struct row_queue *q, int limit);
 int get_limit_slots(const struct row_queue *q, int limit); /* at least 1 */
+void add_started_call(struct row_queue *q);
 /* Advances the time-weighted state by dt ns. */
 void accrue_queue(struct row_queue *q, int limit, double dt);
 /* Whether a new call should be refused because of a lasting overload. */
