node: a server that answers as leaving gets no further calls

Cause: only reports of the server made its node stop. A report that is late or lost, or a server that never reports that it leaves, left it in use.

Change: an answer of the present run that is marked as leaving counts as its report that it drains. Every call for the server goes through its node, so the calls of all entry nodes end there. The mark holds until the server runs anew; answers of an earlier run are left out.

Evidence: node.test_notices server_that_answers_as_leaving_gets_no_call fails without the reading of the header in the three cases that name it.

--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -97,6 +97,22 @@
 	update_state(n);
 }
 
+/*
+ * The backend server is leaving, as an answer of this run says. Its own report
+ * may come later or never; reports of the same run that it is ready were sent
+ * before.
+ */
+void
+mark_backend_leaving(struct node *n)
+{
+	struct backend *b = n->backend;
+
+	if (b->state != REPORT_READY)
+		return;
+	b->state = REPORT_DRAINING;
+	update_state(n);
+}
+
 int
 get_backend_slots(const struct node *n)
 {
--- a/packages/node/backend_state.h
+++ b/packages/node/backend_state.h
@@ -63,6 +63,7 @@
 
 /* backend.c */
 void record_backend_connect_failure(struct node *n);
+void mark_backend_leaving(struct node *n); /* it said so in an answer */
 
 /* notice.c */
 void apply_answer_notices(
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -28,6 +28,7 @@
 	const char *seal; /* in an answer: the backend server's signature */
 	const char *caller_service; /* service whose node sends the call */
 	const char *rate_limit; /* in an answer: calls per second it accepts */
+	const char *leaving; /* in an answer: "1" while the server leaves */
 };
 
 /* State that a backend server reports about itself. */
--- a/packages/node/notice.c
+++ b/packages/node/notice.c
@@ -1,6 +1,6 @@
 /*
  * What the backend server says of itself in its answers: the rate of calls that
- * it accepts. This node is the only way to its backend server, so a limit that
+ * it accepts, and that it is leaving. This node is the only way to its backend server, so a limit that
  * it keeps holds for the calls of all entry nodes together.
  */
 #include <stdlib.h>
@@ -12,6 +12,7 @@
 #define RATE_TEXT_MAX 32 /* characters of a rate */
 #define RATE_PER_S_MAX 1e6
 
+static void apply_rate(struct node *n, const struct http_head *h, bool sealed);
 static void update_rate(struct node *n, double per_s);
 static int parse_rate(struct str text, double *out);
 
@@ -22,13 +23,31 @@
 void
 apply_answer_notices(struct node *n, const struct http_head *h, bool sealed)
 {
-	const char *name = n->cfg.names.rate_limit;
-	struct str text;
+	const struct call_names *names = &n->cfg.names;
+
+	if (names->rate_limit != NULL)
+		apply_rate(n, h, sealed);
+	if (names->leaving != NULL &&
+	    is_str_equal(find_http_header(h, names->leaving), make_str("1")))
+		mark_backend_leaving(n);
+}
+
+/*
+ * Forgets the notices, when the backend server has started anew.
+ */
+void
+clear_notices(struct node *n)
+{
+	n->backend->bad_notice = false;
+	update_rate(n, NO_RATE_LIMIT);
+}
+
+static void
+apply_rate(struct node *n, const struct http_head *h, bool sealed)
+{
+	struct str text = find_http_header(h, n->cfg.names.rate_limit);
 	double per_s;
 
-	if (name == NULL)
-		return;
-	text = find_http_header(h, name);
 	if (text.data == NULL) {
 		if (sealed)
 			update_rate(n, NO_RATE_LIMIT);
@@ -45,16 +64,6 @@
 	}
 }
 
-/*
- * Forgets the notices, when the backend server has started anew.
- */
-void
-clear_notices(struct node *n)
-{
-	n->backend->bad_notice = false;
-	update_rate(n, NO_RATE_LIMIT);
-}
-
 /*
  * Sets the limit that admission keeps, calls per second or NO_RATE_LIMIT. Its
  * beginning and its end are logged and sent to entry nodes, whose choice
--- a/packages/node/tests/node_fixture.c
+++ b/packages/node/tests/node_fixture.c
@@ -113,7 +113,8 @@
 		.not_executed = "Not-Run",
 		.seal = "Seal",
 		.caller_service = "Caller",
-		.rate_limit = "Rate"},
+		.rate_limit = "Rate",
+		.leaving = "Leaving"},
 	    .reports = {read_report, is_readiness_check},
 	    .seed = (uint64_t)i + 1,
 	};
--- a/packages/node/tests/test_notices.c
+++ b/packages/node/tests/test_notices.c
@@ -178,11 +178,80 @@
 }
 END_TEST
 
+struct leaving_case {
+	const char *lines;
+	bool want_leaving;
+};
+
+static const struct leaving_case leaving_cases[] = {
+    {"Leaving: 1\r\n", true},
+    {"leaving:1\r\n", true},
+    {"Rate: 50\r\nLeaving: 1\r\n", true},
+    {"", false},
+    {"Leaving: 0\r\n", false},
+    {"Leaving: \r\n", false},
+    {"Leaving: 11\r\n", false},
+};
+
+/*
+ * Guards against issue 24, DRAIN: a server that says in an answer that it is
+ * leaving, and has not reported it or cannot, gets further calls. It does not
+ * come back with a later report of the same run, but with a new run.
+ */
+START_TEST(server_that_answers_as_leaving_gets_no_call)
+{
+	const struct leaving_case *c = &leaving_cases[_i];
+	int requests, want = c->want_leaving ? 503 : 200;
+
+	set_fake_notices(fixture.servers[0], c->lines);
+	ck_assert_int_eq(send_call(1), 200);
+	requests = count_fake_requests(fixture.servers[0]);
+	for (int i = 0; i < 9; i++)
+		ck_assert_int_eq(send_call(i % 3), want);
+	send_report(&fixture, 0, "i-0", "ready", 9, 1000);
+	ck_assert_int_eq(send_call(2), want);
+	ck_assert_int_eq(count_fake_requests(fixture.servers[0]),
+	    c->want_leaving ? requests : requests + 10);
+	set_fake_notices(fixture.servers[0], "");
+	send_report(&fixture, 0, "i-0", "ready", 1, 2000);
+	ck_assert_int_eq(send_call(2), 200);
+}
+END_TEST
+
+/*
+ * A server restarts while a call runs, and the answer of its last run names a
+ * limit and says that it is leaving. Guards against a new run that is taken for
+ * the old one.
+ */
+START_TEST(answer_of_an_earlier_run_says_nothing_of_the_new_one)
+{
+	static const char text[] =
+	    "GET /read/slow HTTP/1.1\r\nHost: test.example\r\n"
+	    "Call-Id: slow\r\nConnection: close\r\n\r\n";
+	int fd = connect_test_client(fixture.calls[1]);
+	struct test_reply reply;
+
+	set_fake_notices(fixture.servers[0], "Rate: 5\r\nLeaving: 1\r\n");
+	ck_assert_int_eq(
+	    send(fd, text, strlen(text), MSG_NOSIGNAL), (ssize_t)strlen(text));
+	while (count_fake_requests(fixture.servers[0]) == 0)
+		usleep(1000);
+	send_report(&fixture, 0, "i-0", "ready", 1, 2000);
+	read_test_reply(fd, &reply);
+	ck_assert_int_eq(reply.status, 200);
+	unload_reply(&reply);
+	close(fd);
+	ck_assert_int_eq(get_gauge("ggs_node_rate_limit_milli"), -1);
+	set_fake_notices(fixture.servers[0], "");
+	ck_assert_int_eq(send_call(2), 200);
+}
+END_TEST
+
 int
 main(void)
 {
 	Suite *s = suite_create("notices");
-	TCase *t = tcase_create("limit");
+	TCase *t = tcase_create("answers");
 	SRunner *r;
 	int failed;
 
@@ -192,6 +261,9 @@
 	tcase_add_loop_test(
 	    t, limit_is_what_the_last_answer_names, 0, COUNT(notice_cases));
 	tcase_add_test(t, limit_ends_with_the_run_of_the_server);
+	tcase_add_loop_test(t, server_that_answers_as_leaving_gets_no_call, 0,
+	    COUNT(leaving_cases));
+	tcase_add_test(t, answer_of_an_earlier_run_says_nothing_of_the_new_one);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
