node, hop: a restarted node learns from entry nodes what its server had said

Cause: what a server says in its answers was state of one process.

Change: a node sends the notice of its server behind its WELCOME and LOAD when it changes, and each entry node returns the last one behind the HELLO of a new link, before its first offer. The node applies it to the run of the server that it names (instance and start time) until the server itself answers; of several the strictest counts. Reports that the server drains are kept in the same way. Older builds ignore the bytes behind these messages and send none, so both work side by side. Cost: one message of some 100 bytes to each linked node for a change, for a changed limit at most two a second and only above a tenth.

--- a/packages/hop/gen/hop_xdr.c
+++ b/packages/hop/gen/hop_xdr.c
@@ -85,6 +85,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hop_notice (XDR *xdrs, hop_notice *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->node, HOP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->instance, HOP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->start_ms))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->rate_per_s))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hop_hello (XDR *xdrs, hop_hello *objp)
 {
--- a/packages/hop/gen/hop_xdr.h
+++ b/packages/hop/gen/hop_xdr.h
@@ -29,6 +29,15 @@
 };
 typedef struct hop_load hop_load;
 
+struct hop_notice {
+	char *node;
+	char *instance;
+	quad_t start_ms;
+	double rate_per_s;
+	bool_t leaving;
+};
+typedef struct hop_notice hop_notice;
+
 struct hop_hello {
 	char *node;
 	char *zone;
@@ -102,6 +111,7 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_hop_load (XDR *, hop_load*);
+extern  bool_t xdr_hop_notice (XDR *, hop_notice*);
 extern  bool_t xdr_hop_hello (XDR *, hop_hello*);
 extern  bool_t xdr_hop_welcome (XDR *, hop_welcome*);
 extern  bool_t xdr_hop_offer (XDR *, hop_offer*);
@@ -112,6 +122,7 @@
 
 #else /* K&R C */
 extern bool_t xdr_hop_load ();
+extern bool_t xdr_hop_notice ();
 extern bool_t xdr_hop_hello ();
 extern bool_t xdr_hop_welcome ();
 extern bool_t xdr_hop_offer ();
--- a/packages/hop/hop.c
+++ b/packages/hop/hop.c
@@ -108,7 +108,6 @@
 {
 	char head[FRAME_HEAD_BYTES];
 	size_t at = l->out.len, size = 0;
-	XDR x;
 	int rc;
 
 	if (l->closed)
@@ -121,14 +120,8 @@
 	rc = reserve_buf(&l->out, sizeof(head) + size + tail.len);
 	if (rc == 0)
 		rc = append_buf(&l->out, head, sizeof(head));
-	if (rc == 0 && size > 0) {
-		xdrmem_create(&x, l->out.data + l->out.len, (unsigned int)size,
-		    XDR_ENCODE);
-		if (!proc(&x, (void *)(uintptr_t)value))
-			rc = ERR_INVALID;
-		l->out.len += size;
-		xdr_destroy(&x);
-	}
+	if (rc == 0 && size > 0)
+		rc = append_hop_message(&l->out, proc, value);
 	if (rc == 0)
 		rc = append_buf_str(&l->out, tail);
 	if (rc != 0) {
@@ -177,6 +170,24 @@
 	return l->unresponsive;
 }
 
+int
+append_hop_message(struct buf *b, xdrproc_t proc, const void *value)
+{
+	size_t size = xdr_sizeof(proc, (void *)(uintptr_t)value);
+	int rc = reserve_buf(b, size);
+	XDR x;
+
+	if (rc != 0)
+		return rc;
+	xdrmem_create(&x, b->data + b->len, (unsigned int)size, XDR_ENCODE);
+	if (proc(&x, (void *)(uintptr_t)value))
+		b->len += size;
+	else
+		rc = ERR_INVALID;
+	xdr_destroy(&x);
+	return rc;
+}
+
 /*
  * Returns ERR_CORRUPT for an incomplete or invalid message; value is freed
  * then. Otherwise the caller frees it with unload_hop_message().
--- a/packages/hop/hop.h
+++ b/packages/hop/hop.h
@@ -25,6 +25,7 @@
 #define HOP_UNRESPONSIVE_NS (600 * NSEC_PER_MSEC)
 
 enum hop_type {
+	/* The first two and HOP_LOAD may have a struct hop_notice behind. */
 	HOP_HELLO = 1, /* struct hop_hello */
 	HOP_WELCOME, /* struct hop_welcome */
 	HOP_OFFER, /* struct hop_offer, and the body if body_here */
@@ -86,6 +87,8 @@
 bool was_hop_connected(const struct hop_link *l); /* may have sent frames */
 bool is_hop_unresponsive(const struct hop_link *l);
 
+/* Appends a message, to be the tail of a frame; ERR_MEMORY, ERR_INVALID. */
+int append_hop_message(struct buf *b, xdrproc_t proc, const void *value);
 /* Decodes the message at the start of a payload; rest is the remainder. */
 int decode_hop_message(
     struct str payload, xdrproc_t proc, void *value, struct str *rest);
--- a/packages/hop/hop.x
+++ b/packages/hop/hop.x
@@ -20,6 +20,19 @@
 	unsigned int body_wait_us; /* until a new body can be accepted */
 };
 
+/*
+ * What a backend server said of itself in its answers. Its serving node sends
+ * it behind HOP_WELCOME and HOP_LOAD; entry nodes return the last one behind
+ * HOP_HELLO, for the case that the serving node has started again meanwhile.
+ */
+struct hop_notice {
+	string node<HOP_NAME_MAX>;     /* serving node */
+	string instance<HOP_NAME_MAX>; /* of the backend server */
+	hyper start_ms;                /* of that instance, Unix ms */
+	double rate_per_s;             /* limit of its calls; < 0: none */
+	bool leaving;
+};
+
 /* First message on a link: identifies the entry node. */
 struct hop_hello {
 	string node<HOP_NAME_MAX>;
--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -40,6 +40,7 @@
 	rc = create_admission(&a, get_reactor_now(n->reactor), &n->admission);
 	n->backend->node = n;
 	n->backend->rate_per_s = NO_RATE_LIMIT;
+	n->backend->returned.rate_per_s = NO_RATE_LIMIT;
 	(void)copy_str(n->backend->address, sizeof(n->backend->address),
 	    make_str(n->cfg.backend));
 	return rc;
@@ -55,6 +56,7 @@
 	close_conns(b->idle);
 	close_conns(b->busy);
 	cancel_timer(n->reactor, &b->down_timer);
+	unload_buf(&b->notice);
 	free(b);
 	n->backend = NULL;
 }
@@ -182,7 +184,7 @@
 	b->run++;
 	n->service_ns = 0;
 	n->failed_share = 0;
-	clear_notices(n);
+	start_notices(n);
 }
 
 /*
@@ -210,6 +212,7 @@
 		n->state = state;
 		if (state == HOP_STATE_LEAVING)
 			start_leaving_timer(n);
+		update_notice(n);
 		broadcast_load(n);
 	}
 	announce_state(n);
--- a/packages/node/backend_state.h
+++ b/packages/node/backend_state.h
@@ -59,6 +59,16 @@
 	uint64_t run; /* counts the starts of the backend server */
 	double rate_per_s; /* limit that it names, or NO_RATE_LIMIT */
 	bool bad_notice; /* a notice could not be read, which was logged */
+	bool answered; /* an answer of this run told what it says now */
+	struct buf notice; /* struct hop_notice as sent last; may be empty */
+	double sent_rate; /* in notice */
+	int64_t notice_at; /* mono ns; when it was sent */
+	struct returned_notice {
+		char instance[NODE_ID_BYTES];
+		int64_t start_ms;
+		double rate_per_s; /* or NO_RATE_LIMIT */
+		bool leaving;
+	} returned; /* by entry nodes, before the server's first report */
 };
 
 /* backend.c */
@@ -68,7 +78,8 @@
 /* notice.c */
 void apply_answer_notices(
     struct node *n, const struct http_head *h, bool sealed);
-void clear_notices(struct node *n); /* the server has started anew */
+void update_notice(struct node *n); /* encodes what entry nodes get */
+void start_notices(struct node *n); /* the server has started anew */
 
 /* backend_conn.c */
 void close_conns(struct backend_conn *list);
--- a/packages/node/inbound.c
+++ b/packages/node/inbound.c
@@ -83,7 +83,7 @@
 	for (struct inbound_link *l = n->inbound; l != NULL; l = l->next) {
 		if (l->handshake_done)
 			send_hop(l->hop, HOP_LOAD, 0, (xdrproc_t)xdr_hop_load,
-			    &load, make_str_n(NULL, 0));
+			    &load, get_own_notice(n));
 	}
 }
 
@@ -151,7 +151,6 @@
 	    .node = (char *)(uintptr_t)cfg->name,
 	    .service =
 		(char *)(uintptr_t)(cfg->service != NULL ? cfg->service : ""),
-	    .load = get_own_load(l->node),
 	};
 	struct hop_hello h = {0};
 	struct str rest;
@@ -160,9 +159,11 @@
 	    0)
 		return;
 	unload_hop_message((xdrproc_t)xdr_hop_hello, &h);
+	adopt_notice(l->node, rest);
+	w.load = get_own_load(l->node);
 	l->handshake_done = true;
 	send_hop(l->hop, HOP_WELCOME, 0, (xdrproc_t)xdr_hop_welcome, &w,
-	    make_str_n(NULL, 0));
+	    get_own_notice(l->node));
 }
 
 /*
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -206,7 +206,7 @@
 	set_timer(n->reactor, &l->timer,
 	    get_reactor_now(n->reactor) + CONNECT_NS, time_out_connect);
 	send_hop(l->hop, HOP_HELLO, 0, (xdrproc_t)xdr_hop_hello, &hello,
-	    make_str_n(NULL, 0));
+	    get_known_notice(n, p->id));
 	return l;
 }
 
@@ -276,6 +276,7 @@
 		mark_address_reused(l->peer, w.node);
 	else
 		update_peer_load(l->peer, &w.load);
+	remember_notice(l->node, w.node, rest);
 	unload_hop_message((xdrproc_t)xdr_hop_welcome, &w);
 	if (l->handshake_done)
 		return;
@@ -308,8 +309,11 @@
 	struct str rest;
 
 	if (decode_hop_message(
-		payload, (xdrproc_t)xdr_hop_load, &load, &rest) == 0)
-		update_peer_load(l->peer, &load);
+		payload, (xdrproc_t)xdr_hop_load, &load, &rest) != 0)
+		return;
+	update_peer_load(l->peer, &load);
+	if (l->peer != NULL)
+		remember_notice(l->node, l->peer->id, rest);
 }
 
 /*
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -399,6 +399,7 @@
 		free_jobs(n);
 		close_backend(n);
 		clear_services(n);
+		clear_known_notices(n);
 		cancel_timer(n->reactor, &n->leave_timer);
 	}
 	if (n->table != NULL)
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -282,6 +282,7 @@
 };
 
 struct backend; /* backend.c */
+struct known_notice; /* notice_memory.c */
 struct inbound_link; /* inbound.c */
 
 struct node_metrics {
@@ -333,6 +334,8 @@
 	int job_count;
 	struct backend *backend;
 	struct inbound_link *inbound;
+	struct known_notice *known_notices; /* of other nodes' servers */
+	size_t known_notice_count;
 	enum hop_state state; /* as a serving node */
 	int64_t service_ns; /* recent mean service time; 0: unknown */
 	double failed_share; /* recent share of failed calls, 0 to 1 */
@@ -437,6 +440,17 @@
 const char *get_backend_instance(const struct node *n);
 double get_backend_rate(const struct node *n); /* negative: unlimited */
 
+/* notice.c */
+/* Encoded notice of this node's server, sent to entry nodes; may be empty */
+struct str get_own_notice(const struct node *n);
+/* Handles a notice that an entry node returned. */
+void adopt_notice(struct node *n, struct str message);
+
+/* notice_memory.c */
+void remember_notice(struct node *n, const char *node, struct str message);
+struct str get_known_notice(const struct node *n, const char *node);
+void clear_known_notices(struct node *n);
+
 /* inbound.c */
 void accept_links(struct watch *w, uint32_t events);
 void broadcast_load(struct node *n); /* to all entry nodes */
--- a/packages/node/notice.c
+++ b/packages/node/notice.c
@@ -11,9 +11,16 @@
 
 #define RATE_TEXT_MAX 32 /* characters of a rate */
 #define RATE_PER_S_MAX 1e6
+/* A changed limit is sent to entry nodes at most this often, */
+#define NOTICE_INTERVAL_NS (500 * NSEC_PER_MSEC)
+#define NOTICE_CHANGE 0.1 /* and if it changed by more than this share */
 
+static void keep_returned(struct backend *b, const struct returned_notice *r);
+static void apply_returned(struct node *n, const struct returned_notice *r);
+static bool is_stricter(double rate, double other);
 static void apply_rate(struct node *n, const struct http_head *h, bool sealed);
 static void update_rate(struct node *n, double per_s);
+static bool is_notice_outdated(const struct backend *b, int64_t now);
 static int parse_rate(struct str text, double *out);
 
 /*
@@ -25,6 +32,7 @@
 {
 	const struct call_names *names = &n->cfg.names;
 
+	n->backend->answered = n->backend->answered || sealed;
 	if (names->rate_limit != NULL)
 		apply_rate(n, h, sealed);
 	if (names->leaving != NULL &&
@@ -33,13 +41,131 @@
 }
 
 /*
- * Forgets the notices, when the backend server has started anew.
+ * The backend server has started: forgets the notices of its last run. After a
+ * restart of this node alone, what entry nodes have returned applies again.
  */
 void
-clear_notices(struct node *n)
+start_notices(struct node *n)
 {
-	n->backend->bad_notice = false;
+	struct backend *b = n->backend;
+	struct returned_notice r = b->returned;
+
+	b->bad_notice = b->answered = false;
+	b->returned = (struct returned_notice){.rate_per_s = NO_RATE_LIMIT};
 	update_rate(n, NO_RATE_LIMIT);
+	if (strcmp(r.instance, b->instance) == 0 && r.start_ms == b->start_ms)
+		apply_returned(n, &r);
+	else
+		update_notice(n);
+}
+
+/*
+ * Handles a notice that an entry node returned: empty, or what this node sent
+ * before it last started. It counts until the backend server itself answers. Of
+ * several the most restrictive one counts, since entry nodes may not have heard
+ * of the end of a limit.
+ */
+void
+adopt_notice(struct node *n, struct str message)
+{
+	struct backend *b = n->backend;
+	struct returned_notice r;
+	struct hop_notice m = {0};
+	struct str rest;
+
+	if (b == NULL || b->answered || message.len == 0)
+		return;
+	if (decode_hop_message(message, (xdrproc_t)xdr_hop_notice, &m, &rest) !=
+	    0) {
+		write_log(LOG_LEVEL_WARNING,
+		    "a returned notice cannot be read and is ignored");
+		return;
+	}
+	r = (struct returned_notice){.start_ms = m.start_ms,
+	    .rate_per_s = m.rate_per_s >= 0 ? m.rate_per_s : NO_RATE_LIMIT,
+	    .leaving = m.leaving};
+	if (r.rate_per_s > RATE_PER_S_MAX)
+		r.rate_per_s = RATE_PER_S_MAX;
+	if (strcmp(m.node, n->cfg.name) == 0 &&
+	    copy_str(r.instance, sizeof(r.instance), make_str(m.instance)) ==
+		0) {
+		if (!b->reported)
+			keep_returned(b, &r);
+		else if (strcmp(r.instance, b->instance) == 0 &&
+			 r.start_ms == b->start_ms)
+			apply_returned(n, &r);
+	}
+	unload_hop_message((xdrproc_t)xdr_hop_notice, &m);
+}
+
+struct str
+get_own_notice(const struct node *n)
+{
+	return n->backend != NULL ? view_buf(&n->backend->notice) :
+				    make_str("");
+}
+
+/*
+ * Encodes the present notice for entry nodes. It stays empty until there is
+ * something to say.
+ */
+void
+update_notice(struct node *n)
+{
+	struct backend *b = n->backend;
+	struct hop_notice m = {
+	    .node = (char *)(uintptr_t)n->cfg.name,
+	    .instance = b->instance,
+	    .start_ms = b->start_ms,
+	    .rate_per_s = b->rate_per_s,
+	    .leaving = b->state != REPORT_READY,
+	};
+
+	if (b->notice.len == 0 && m.rate_per_s < 0 && !m.leaving)
+		return;
+	b->notice.len = 0;
+	b->sent_rate = b->rate_per_s;
+	b->notice_at = get_reactor_now(n->reactor);
+	if (append_hop_message(&b->notice, (xdrproc_t)xdr_hop_notice, &m) == 0)
+		return;
+	b->notice.len = 0;
+	write_log(LOG_LEVEL_ERR,
+	    "out of memory: entry nodes do not learn the notices of instance "
+	    "%s",
+	    b->instance);
+}
+
+/*
+ * Keeps a returned notice until the first report of the backend server.
+ */
+static void
+keep_returned(struct backend *b, const struct returned_notice *r)
+{
+	struct returned_notice *kept = &b->returned;
+
+	if (strcmp(kept->instance, r->instance) != 0 ||
+	    kept->start_ms != r->start_ms) {
+		*kept = *r;
+		return;
+	}
+	if (is_stricter(r->rate_per_s, kept->rate_per_s))
+		kept->rate_per_s = r->rate_per_s;
+	kept->leaving = kept->leaving || r->leaving;
+}
+
+static void
+apply_returned(struct node *n, const struct returned_notice *r)
+{
+	if (is_stricter(r->rate_per_s, n->backend->rate_per_s))
+		update_rate(n, r->rate_per_s);
+	if (r->leaving)
+		mark_backend_leaving(n);
+}
+
+static bool
+is_stricter(double rate, double other)
+{
+	return rate >= 0 && (other < 0 || rate < other);
 }
 
 static void
@@ -66,27 +192,42 @@
 
 /*
  * Sets the limit that admission keeps, calls per second or NO_RATE_LIMIT. Its
- * beginning and its end are logged and sent to entry nodes, whose choice
- * depends on the load.
+ * beginning, its end and larger changes are logged and sent to entry nodes,
+ * whose choice depends on the load.
  */
 static void
 update_rate(struct node *n, double per_s)
 {
 	struct backend *b = n->backend;
-	bool limited = b->rate_per_s >= 0;
+	bool switched = (b->rate_per_s >= 0) != (per_s >= 0);
 
 	if (per_s == b->rate_per_s)
 		return;
 	b->rate_per_s = per_s;
 	set_serving_rate(n, per_s);
-	if (limited == (per_s >= 0))
+	if (!switched && !is_notice_outdated(b, get_reactor_now(n->reactor)))
 		return;
+	update_notice(n);
 	WRITE_EVENT(LOG_LEVEL_NOTICE, "backend.limit",
 	    LOG_TEXT("instance", b->instance), LOG_BOOL("limited", per_s >= 0),
 	    LOG_REAL("per_s", per_s >= 0 ? per_s : 0));
 	broadcast_load(n);
 }
 
+/*
+ * Says whether the limit differs enough from the one that entry nodes know. Not
+ * each answer that names another limit is worth a message to all of them.
+ */
+static bool
+is_notice_outdated(const struct backend *b, int64_t now)
+{
+	double change = b->rate_per_s - b->sent_rate;
+
+	return now - b->notice_at >= NOTICE_INTERVAL_NS &&
+	       (change > NOTICE_CHANGE * b->sent_rate ||
+		   change < -NOTICE_CHANGE * b->sent_rate);
+}
+
 /*
  * Reads digits with at most one point among them. Returns ERR_INVALID for
  * anything else.
