--- a/packages/agent/tests/thin_link.h
+++ b/packages/agent/tests/thin_link.h
@@ -27,8 +27,7 @@
 	int listener;
 	pthread_t thread;
 	atomic_bool limited; /* only allowed bytes pass towards the agent */
-	atomic_long
-	    allowed; /* bytes; unused ones of a closed connection stay */
+	atomic_long allowed; /* bytes; those of a closed connection stay */
 	atomic_int connections; /* of the agent, so far */
 	atomic_bool stopping;
 };
--- a/packages/control/lag.c
+++ b/packages/control/lag.c
@@ -28,9 +28,12 @@
 int64_t
 get_version_lag(const struct version_times *t, uint64_t held, int64_t now)
 {
+	size_t newest = (t->next + LAG_VERSIONS_MAX - 1) % LAG_VERSIONS_MAX;
 	size_t oldest =
 	    (t->next + LAG_VERSIONS_MAX - t->count) % LAG_VERSIONS_MAX;
 
+	if (t->count == 0 || t->list[newest].version <= held)
+		return 0; /* the usual case, without a search */
 	for (size_t i = 0; i < t->count; i++) {
 		const struct version_time *v =
 		    &t->list[(oldest + i) % LAG_VERSIONS_MAX];
--- a/packages/hop/hop.h
+++ b/packages/hop/hop.h
@@ -25,7 +25,7 @@
 #define HOP_UNRESPONSIVE_NS (600 * NSEC_PER_MSEC)
 
 enum hop_type {
-	/* The first two and HOP_LOAD may have a struct hop_notice behind. */
+	/* HELLO, WELCOME and LOAD may be followed by a struct hop_notice. */
 	HOP_HELLO = 1, /* struct hop_hello */
 	HOP_WELCOME, /* struct hop_welcome */
 	HOP_OFFER, /* struct hop_offer, and the body if body_here */
--- a/packages/hop/hop.x
+++ b/packages/hop/hop.x
@@ -21,9 +21,9 @@
 };
 
 /*
- * What a backend server said of itself in its answers. Its serving node sends
- * it behind HOP_WELCOME and HOP_LOAD; entry nodes return the last one behind
- * HOP_HELLO, for the case that the serving node has started again meanwhile.
+ * What a backend server said of itself in its answers. Its serving node appends
+ * it to HOP_WELCOME and HOP_LOAD; entry nodes append the last one to HOP_HELLO,
+ * in case the serving node has started again meanwhile.
  */
 struct hop_notice {
 	string node<HOP_NAME_MAX>;     /* serving node */
--- a/packages/node/notice.c
+++ b/packages/node/notice.c
@@ -1,7 +1,8 @@
 /*
  * What the backend server says of itself in its answers: the rate of calls that
- * it accepts, and that it is leaving. This node is the only way to its backend server, so a limit that
- * it keeps holds for the calls of all entry nodes together.
+ * it accepts, and that it is leaving. This node is the only way to its backend
+ * server, so a limit that it keeps holds for the calls of all entry nodes
+ * together.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -11,9 +12,8 @@
 
 #define RATE_TEXT_MAX 32 /* characters of a rate */
 #define RATE_PER_S_MAX 1e6
-/* A changed limit is sent to entry nodes at most this often, */
-#define NOTICE_INTERVAL_NS (500 * NSEC_PER_MSEC)
-#define NOTICE_CHANGE 0.1 /* and if it changed by more than this share */
+#define NOTICE_INTERVAL_NS (500 * NSEC_PER_MSEC) /* between changed limits */
+#define NOTICE_CHANGE 0.1 /* smaller changes of a limit are not sent */
 
 static void keep_returned(struct backend *b, const struct returned_notice *r);
 static void apply_returned(struct node *n, const struct returned_notice *r);
@@ -24,8 +24,9 @@
 static int parse_rate(struct str text, double *out);
 
 /*
- * Applies the notices in the head of an answer of the backend server to a call.
- * A limit holds until a signed answer does not name it.
+ * Applies the notices in the head of an answer to a call. sealed: it has the
+ * backend server's signature. A limit holds until such an answer does not name
+ * it; refusals without a signature need not repeat it.
  */
 void
 apply_answer_notices(struct node *n, const struct http_head *h, bool sealed)
@@ -41,8 +42,9 @@
 }
 
 /*
- * The backend server has started: forgets the notices of its last run. After a
- * restart of this node alone, what entry nodes have returned applies again.
+ * The backend server has started, or is known for the first time: forgets the
+ * notices of its last run and applies what entry nodes have returned for this
+ * one, which is the case after a restart of this node alone.
  */
 void
 start_notices(struct node *n)
@@ -153,6 +155,9 @@
 	kept->leaving = kept->leaving || r->leaving;
 }
 
+/*
+ * Applies a returned notice to the present run of the backend server.
+ */
 static void
 apply_returned(struct node *n, const struct returned_notice *r)
 {
@@ -168,6 +173,10 @@
 	return rate >= 0 && (other < 0 || rate < other);
 }
 
+/*
+ * Applies the limit that an answer names, or its absence. Text that is no rate
+ * leaves the former limit in force.
+ */
 static void
 apply_rate(struct node *n, const struct http_head *h, bool sealed)
 {
--- a/packages/policy/rate_limit.c
+++ b/packages/policy/rate_limit.c
@@ -67,19 +67,21 @@
 	return !l->active || l->tokens >= 1 - ROUNDING_TOKENS;
 }
 
+/*
+ * Estimates the wait for the token of a call. What is in the bucket goes to more
+ * urgent calls in the same proportion as what comes in.
+ */
 double
 get_rate_wait_ns(const struct rate_limit *l, double ahead, double urgent_per_s)
 {
-	double left = l->per_s - urgent_per_s, missing;
+	double left = l->per_s - urgent_per_s;
 
+	if (!l->active || (has_rate_room(l) && ahead < l->tokens))
+		return 0;
 	if (left < SHARE_LEFT_MIN * l->per_s)
 		left = SHARE_LEFT_MIN * l->per_s;
-	missing = ahead + 1 - l->tokens * left / l->per_s;
-	if (has_rate_room(l) && ahead < l->tokens)
-		missing = 0;
-	return l->active && missing > 0 ?
-		   missing / left * (double)NSEC_PER_SEC :
-		   0;
+	return (ahead + 1 - l->tokens * left / l->per_s) / left *
+	       (double)NSEC_PER_SEC;
 }
 
 static double
