rpc: a reply that makes progress is not given up after 10 s

Change: the reply gets the time that its bytes so far take at 4 KB/s in addition. A peer that sends single bytes still ends after about 10 s, since each byte extends the time by a quarter of a millisecond.

The thin link of the agent's test moves to packages/rpc/tests, where both tests use it.

--- a/packages/agent/tests/test_thin_link.c
+++ b/packages/agent/tests/test_thin_link.c
@@ -2,7 +2,7 @@
  * The agent behind a link that is slow for the size of a table.
  */
 #include "agent_fixture.h"
-#include "thin_link.h"
+#include "tests/thin_link.h"
 
 #define TEST_OVERDUE_MS 2000
 #define STEP_MS 100 /* of the paused clock */
--- a/packages/rpc/rpc_client.c
+++ b/packages/rpc/rpc_client.c
@@ -18,7 +18,13 @@
 #define DEFAULT_CONNECT_MS 1000
 #define DEFAULT_UNRESPONSIVE_MS 1000
 #define DEFAULT_IDLE_MS 30000
-#define PARTIAL_REPLY_MAX_MS 10000 /* limit to receive a complete reply */
+/*
+ * A reply must be complete within this time, and that which its bytes so far
+ * take at the rate below. A fixed time alone would end the transfer of a large
+ * table over a thin link, which would then begin anew.
+ */
+#define PARTIAL_REPLY_MAX_MS 10000
+#define PARTIAL_REPLY_BYTES_PER_S 4096
 #define DEFAULT_MAX_IN_FLIGHT 1024
 #define DEFAULT_MAX_OUTPUT (8 * 1024 * 1024)
 #define CALL_BUCKETS 256
@@ -117,6 +123,7 @@
 static void disconnect_retired_peers(struct rpc_client *c);
 static void check_peers(struct rpc_client *c, int64_t now);
 static void check_peer(struct rpc_peer *p, int64_t now);
+static int64_t get_partial_deadline(const struct rpc_stream *st);
 static bool extend_connect_deadline(struct rpc_peer *p, int64_t now);
 static bool time_out_sent(struct rpc_peer *p, int64_t now);
 static void time_out_queued(struct rpc_peer *p, int64_t now);
@@ -646,9 +653,7 @@
 	}
 	compact_rpc_stream(st, popped, now);
 	atomic_store(&p->partial_input, st->partial_since != 0 ? now : 0);
-	if (st->partial_since != 0)
-		lower_next_deadline(p->client,
-		    st->partial_since + PARTIAL_REPLY_MAX_MS * NSEC_PER_MSEC);
+	lower_next_deadline(p->client, get_partial_deadline(st));
 	return 0;
 }
 
@@ -887,10 +892,7 @@
 		lower_next_deadline(c, p->connect_deadline);
 	if (p->state != PEER_OPEN)
 		return;
-	partial_deadline = p->link.stream.partial_since != 0 ?
-			       p->link.stream.partial_since +
-				   PARTIAL_REPLY_MAX_MS * NSEC_PER_MSEC :
-			       INT64_MAX;
+	partial_deadline = get_partial_deadline(&p->link.stream);
 	if (now >= partial_deadline) {
 		count_rpc_refusal(&c->meter, ERR_TIMEOUT);
 		disconnect_peer(p, ERR_UNAVAILABLE);
@@ -912,6 +914,19 @@
 	flush_peer(p, now);
 }
 
+/*
+ * Returns the time in ns until which the reply that is being received must be
+ * complete, which further bytes extend; INT64_MAX: none is being received.
+ */
+static int64_t
+get_partial_deadline(const struct rpc_stream *st)
+{
+	if (st->partial_since == 0)
+		return INT64_MAX;
+	return st->partial_since + PARTIAL_REPLY_MAX_MS * NSEC_PER_MSEC +
+	       (int64_t)st->in.len * NSEC_PER_SEC / PARTIAL_REPLY_BYTES_PER_S;
+}
+
 /*
  * Extends the deadline to handshake_deadline if the peer's host has accepted
  * the TCP connection, so that a busy process has time to send its hello.
