scenario: a limit of file sizes does not cut the log of the process

Cause: the size limit that stands in for a full disk (RLIMIT_FSIZE) also cut the log file of the process. Behind that, a second one: the script looked for the line at the moment at which the status told of the failure, while log lines are written by a thread of their own.

Change: with a file limit the log goes through a pipe to a process without one. The script waits for the line, at most 10 s; it fails as before if there is none.

Test code only, nothing that is installed changes.

--- a/bench/scenario_process.c
+++ b/bench/scenario_process.c
@@ -34,6 +34,8 @@
 
 static void exec_child(
     char *const *argv, const char *log_path, int64_t file_limit);
+static int open_child_log(const char *log_path, int64_t file_limit);
+static void copy_child_log(int from, int to);
 static void sleep_ms(int ms);
 static int parse_status_kb(const char *text, const char *name, int64_t *out);
 static int lua_start(lua_State *l);
@@ -219,11 +221,11 @@
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
 	sigemptyset(&none);
 	sigprocmask(SIG_SETMASK, &none, NULL);
+	fd = open_child_log(log_path, file_limit);
 	if (file_limit > 0) {
 		setrlimit(RLIMIT_FSIZE, &r);
 		signal(SIGXFSZ, SIG_IGN);
 	}
-	fd = open(log_path, O_WRONLY | O_CREAT | O_APPEND, 0600);
 	if (fd >= 0) {
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
@@ -234,6 +236,46 @@
 	_exit(127);
 }
 
+/*
+ * Opens the log of a child. With a file_limit it is written through a pipe by a
+ * process of its own, so that the limit holds for the child's data and not for
+ * its log. That process ends with the last writer. Returns -1 on an error.
+ */
+static int
+open_child_log(const char *log_path, int64_t file_limit)
+{
+	int fd = open(log_path, O_WRONLY | O_CREAT | O_APPEND, 0600);
+	int ends[2];
+	pid_t pid;
+
+	if (file_limit == 0 || fd < 0 || pipe(ends) != 0)
+		return fd;
+	pid = fork();
+	/* A second fork, so that the program has no child to wait for. */
+	if (pid == 0 && fork() == 0) {
+		close(ends[1]);
+		copy_child_log(ends[0], fd);
+	}
+	if (pid == 0)
+		_exit(0);
+	(void)waitpid(pid, NULL, 0);
+	close(ends[0]);
+	close(fd);
+	return ends[1];
+}
+
+static void
+copy_child_log(int from, int to)
+{
+	char bytes[65536];
+	ssize_t n;
+
+	while ((n = read(from, bytes, sizeof(bytes))) > 0 &&
+	       write(to, bytes, (size_t)n) == n)
+		;
+	_exit(0);
+}
+
 static void
 sleep_ms(int ms)
 {
--- a/scenarios/disk.lua
+++ b/scenarios/disk.lua
@@ -111,8 +111,10 @@
 		local g = group_status(c)
 		return g and g.failed
 	end)
-	fleet.check(f:log(c):find("disk", 1, true), "%s logs no disk error",
-		c.name)
+	-- Log lines are written by a thread of their own.
+	fleet.wait_until(c.name .. " to log the disk error", 10000, function()
+		return f:log(c):find("disk", 1, true) ~= nil
+	end)
 	local g = group_status(c)
 	fleet.check(g.role == "follower" and g.leader == 0,
 		"%s is %s after the fault", c.name, g.role)
