node: test that returned notices are checked

Guards against a notice behind HELLO that is believed although it names another node, server or run, has no valid number, or is no notice at all, and against a handshake with an older build, which sends none, that fails.

--- a/packages/node/tests/test_notices.c
+++ b/packages/node/tests/test_notices.c
@@ -1,12 +1,15 @@
 /*
  * What a backend server says of itself in its answers.
  */
+#include <arpa/inet.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "hop.h"
 #include "node_fixture.h"
 
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
@@ -304,6 +307,83 @@
 }
 END_TEST
 
+struct hello_case {
+	const char *name;
+	const char *raw; /* appended to HELLO instead of a notice */
+	struct hop_notice notice;
+	long long want_milli; /* limit in force afterwards */
+	int want_status; /* of a call afterwards */
+};
+
+#define NOTICE(n, i, start, rate, leaves)                                    \
+	{                                                                    \
+		(char *)(uintptr_t)(n), (char *)(uintptr_t)(i), start, rate, \
+		    leaves                                                   \
+	}
+
+static const struct hello_case hello_cases[] = {
+    {"older build", "", {0}, -1, 200},
+    {"bytes that are no notice", "\xff\xff\xff\xff", {0}, -1, 200},
+    {"cut notice", "node", {0}, -1, 200},
+    {"limit", NULL, NOTICE("node-0", "i-0", 1000, 7, false), 7000, 200},
+    {"limit of 0", NULL, NOTICE("node-0", "i-0", 1000, 0, false), 0, 200},
+    {"huge limit", NULL, NOTICE("node-0", "i-0", 1000, 1e300, false),
+	1000000000, 200},
+    {"no number", NULL, NOTICE("node-0", "i-0", 1000, (double)NAN, false), -1,
+	200},
+    {"leaving", NULL, NOTICE("node-0", "i-0", 1000, -1, true), -1, 503},
+    {"other node", NULL, NOTICE("node-1", "i-0", 1000, 7, true), -1, 200},
+    {"other server", NULL, NOTICE("node-0", "i-7", 1000, 7, true), -1, 200},
+    {"earlier run", NULL, NOTICE("node-0", "i-0", 999, 7, true), -1, 200},
+};
+
+/* Appends a 32-bit number in network byte order. */
+static void
+append_number(struct buf *b, size_t number)
+{
+	uint32_t bytes = htonl((uint32_t)number);
+
+	ck_assert_int_eq(append_buf(b, &bytes, sizeof(bytes)), 0);
+}
+
+/*
+ * Guards against a returned notice that is believed for another node, server or
+ * run, or that is no notice, and against a handshake that fails without one.
+ */
+START_TEST(returned_notices_are_checked)
+{
+	const struct hello_case *c = &hello_cases[_i];
+	struct hop_hello hello = {
+	    (char *)(uintptr_t) "node-5", (char *)(uintptr_t) "z1"};
+	struct buf message = {0}, frame = {0};
+	int fd = connect_test_client(fixture.links[0]);
+	unsigned char head[12] = {0};
+
+	ck_assert_int_eq(
+	    append_hop_message(&message, (xdrproc_t)xdr_hop_hello, &hello), 0);
+	if (c->raw != NULL)
+		ck_assert_int_eq(append_buf_str(&message, make_str(c->raw)), 0);
+	else
+		ck_assert_int_eq(append_hop_message(&message,
+				     (xdrproc_t)xdr_hop_notice, &c->notice),
+		    0);
+	append_number(&frame, message.len);
+	append_number(&frame, HOP_HELLO);
+	append_number(&frame, 0);
+	ck_assert_int_eq(append_buf_str(&frame, view_buf(&message)), 0);
+	ck_assert_int_eq(
+	    send(fd, frame.data, frame.len, MSG_NOSIGNAL), (ssize_t)frame.len);
+	ck_assert_int_eq(recv(fd, head, sizeof(head), MSG_WAITALL), 12);
+	ck_assert_int_eq(head[7], HOP_WELCOME);
+	ck_assert_msg(get_gauge("ggs_node_rate_limit_milli") == c->want_milli,
+	    "%s: %lld", c->name, get_gauge("ggs_node_rate_limit_milli"));
+	ck_assert_msg(send_call(0) == c->want_status, "%s", c->name);
+	close(fd);
+	unload_buf(&message);
+	unload_buf(&frame);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -323,6 +403,8 @@
 	tcase_add_test(t, answer_of_an_earlier_run_says_nothing_of_the_new_one);
 	tcase_add_loop_test(t, restarted_node_learns_notices_from_entry_nodes,
 	    0, COUNT(restart_cases));
+	tcase_add_loop_test(
+	    t, returned_notices_are_checked, 0, COUNT(hello_cases));
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
