Add review case 5: uploads exceed the memory of a node

Seen: a node holds the whole body of every upload without a limit. A burst of 13 uploads of 25 MB in place of 5 takes it over the 260 MB of its machine, the platform ends it, and the requests that other upstreams run for its callers end without an answer.

Broken: LOST, more than three requests on kept connections.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Runs the case after the build of the deploy file and review/build.sh.
+cd "$(dirname "$0")" || exit 2
+ROOT=$(cd ../.. && pwd)
+export ROOT
+[ -x ../build/case5 ] || { echo "run review/build.sh first"; exit 2; }
+exec ../build/case5
