--- a/review/2/run.sh
+++ b/review/1/run.sh
@@ -3,5 +3,5 @@
 cd "$(dirname "$0")" || exit 2
 ROOT=$(cd ../.. && pwd)
 export ROOT
-[ -x ../build/case2 ] || { echo "run review/build.sh first"; exit 2; }
-exec ../build/case2
+[ -x ../build/case1 ] || { echo "run review/build.sh first"; exit 2; }
+exec ../build/case1
--- a/review/stand/mesh.c
+++ b/review/stand/mesh.c
@@ -809,7 +809,7 @@
 	    "Content-Length: %zu\r\n\r\n",
 	    m->ip, base, strlen(body));
 	if (send_all(fd, head, (size_t)n) && send_all(fd, body, strlen(body)))
-		read_reply(fd, &r, 0, now_ms() + 1000);
+		read_reply(fd, &r, 0, now_ms() + 1000 + (int64_t)strlen(body) / 250);
 	record("operator: version on top of %s to %s: %d %.150s", base, m->name,
 	    r.status, r.body != NULL ? r.body : "");
 	free(r.body);
@@ -817,6 +817,33 @@
 	return r.status;
 }
 
+int
+get_config(struct machine *m, size_t *len)
+{
+	char head[128];
+	struct reply r = {0};
+	int n, version = 0, fd = dial(m->ip, CONTROL_PORT, 500, 0);
+
+	*len = 0;
+	if (fd < 0)
+		return -1;
+	n = snprintf(head, sizeof(head),
+	    "GET /-/config/get HTTP/1.1\r\nHost: %s\r\n\r\n", m->ip);
+	if (send_all(fd, head, (size_t)n))
+		read_reply(fd, &r, 0, now_ms() + 4000);
+	if (r.status == 200 && r.complete) {
+		const char *p = strstr(r.body, "\"r");
+
+		version = p != NULL ? atoi(p + 2) : 0;
+		*len = r.body_len;
+	}
+	record("operator: read from %s: %d, version %d, %zu bytes", m->name,
+	    r.status, version, r.body_len);
+	free(r.body);
+	close(fd);
+	return r.status == 200 && r.complete ? version : -1;
+}
+
 void
 start_mesh(const char *body, const char *probe_host, const char *probe)
 {
--- a/review/stand/mesh.h
+++ b/review/stand/mesh.h
@@ -97,6 +97,8 @@
 bool is_ready(struct machine *m);
 /* Sends a configuration to a core machine; 0: no answer. */
 int put_config(struct machine *m, const char *base, const char *body);
+/* Reads the configuration of a core machine; its version, or -1. */
+int get_config(struct machine *m, size_t *len);
 
 int dial(const char *ip, int port, int timeout_ms, int receive_buffer);
 bool send_all(int fd, const void *data, size_t len);
