Keep the review's cases inside the limits that they quote

Case 3 freezes one node of eleven in place of one of three, since the sheet has a share of 0.11. Cases 3 to 5 begin after contact-s has passed since the start of the machines, and case 5 judges both runs by one check. Case 1 accepts a newer version than the acknowledged one when it reads back.

--- a/review/1/case.c
+++ b/review/1/case.c
@@ -117,7 +117,7 @@
 			start_machine(&mesh.machines[i]);
 	}
 	end = now_ms() + RECOVERY_MS;
-	for (int i = 0; got != version && now_ms() < end; i++) {
+	for (int i = 0; got < version && now_ms() < end; i++) {
 		/* The platform starts ended processes again. */
 		for (int k = 0; k < CORES; k++) {
 			if (wait_end(&mesh.machines[k], 0) &&
@@ -127,11 +127,11 @@
 		got = get_config(&mesh.machines[i % CORES], &len);
 		sleep_ms(300);
 	}
-	if (got != version || len != sent)
+	/* An order without a clear response may be in force, too. */
+	if (got < version || (got == version && len != sent))
 		finish(CASE_BROKEN,
 		    "version %d was acknowledged; %d s after the start of the "
 		    "core the read gives %d",
 		    version, RECOVERY_MS / 1000, got);
-	finish(CASE_HELD, "version %d of %zu bytes was read back", version,
-	    len);
+	finish(CASE_HELD, "version %d of %zu bytes was read back", got, len);
 }
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -13,6 +13,7 @@
 
 #include "mesh.h"
 
+#define NODES 11 /* as on the sheet; one of them freezes */
 #define ROUNDS 40
 #define CLIENTS 64
 #define DEPTH 4 /* requests that a client sends before the first answer */
@@ -145,8 +146,10 @@
 	entry = add_sidecar("portal", 6);
 	add_sidecar("status", 18);
 	search = add_sidecar("search", 18);
+	for (int i = 0; i < NODES - 3; i++)
+		add_sidecar("portal", 6);
 	start_mesh(config, "search.example", "/search/x?w=1&b=10");
-	sleep_ms(1500);
+	sleep_ms(CONTACT_MS + 500);
 	pthread_barrier_init(&begin, NULL, CLIENTS + 1);
 	for (int i = 0; i < CLIENTS; i++) {
 		numbers[i] = i;
--- a/review/5/case.c
+++ b/review/5/case.c
@@ -73,6 +73,7 @@
 	entry = add_sidecar("portal", 6);
 	add_sidecar("report", SLOTS);
 	start_mesh(config, "report.example", "/reports/x?w=1&b=10");
+	sleep_ms(CONTACT_MS + 500);
 	for (int i = 0; i < CLIENTS; i++) {
 		clients[i] = (struct client){.entry = entry};
 		snprintf(clients[i].id, sizeof(clients[i].id), "report-%d", i);
@@ -92,11 +93,10 @@
 
 		pthread_join(threads[i], NULL);
 		served += c->r.status == 200 && c->r.complete;
-		if (has_trouble() && !c->r.complete && !has_run(c->id) &&
+		if (!c->r.complete && !has_run(c->id) &&
 		    c->ended > c->sent + LOSS_SLACK_MS &&
-		    c->ended < term + GRACE_MS + 1000)
-			broken++;
-		if (!has_trouble() && !c->r.complete)
+		    c->ended < c->sent + DEADLINE_MS &&
+		    (!has_trouble() || c->ended < term + GRACE_MS + 1000))
 			broken++;
 	}
 	if (broken > 0)
--- a/review/stand/mesh.h
+++ b/review/stand/mesh.h
@@ -17,6 +17,7 @@
 #define READY_PORT 8625
 #define APP_PORT 8628
 #define OUTBOUND_PORT 8629
+#define CONTACT_MS 3000 /* contact-s of the settings */
 
 /* Exit codes of a case. */
 #define CASE_HELD 0
