control, wire: keep configurations of more than 1 MiB through a restart

Change: encode_wire() returns ERR_LIMIT.

Why it works: a text is accepted only if each message and record that ever carries it has room for it, and an encoder that fails says so before anything is dropped.

--- a/packages/control/api_change.c
+++ b/packages/control/api_change.c
@@ -309,6 +309,9 @@
 	if (rc == 0) {
 		answer_result(a, &r);
 		unload_command_result(&r);
+	} else if (rc == ERR_LIMIT) {
+		answer_error(
+		    a, 413, "limit", "the change is too long; split it", false);
 	} else {
 		answer_error(a, 503, "unavailable", OUTCOME_UNKNOWN_TEXT, true);
 	}
--- a/packages/control/command.x
+++ b/packages/control/command.x
@@ -10,7 +10,8 @@
 const COMMAND_CELLS_MAX = 1024;    /* cells of one edit */
 const COMMAND_CELL_MAX = 511;      /* bytes of a cell */
 const COMMAND_CSV_MAX = 1048576;   /* bytes of a table as CSV */
-const COMMAND_SOURCE_MAX = 1048576; /* bytes of the text of a replacement */
+const COMMAND_SOURCE_MAX = 4194304; /* bytes of the text of a replacement */
+const COMMAND_DELTA_MAX = 4194312; /* bytes of a difference of texts */
 const COMMAND_TEXT_MAX = 320;      /* bytes of a message for people */
 const COMMAND_ANSWER_MAX = 1024;   /* bytes of a stored response */
 const COMMAND_CLAIM_ID_BYTES = 16;
@@ -67,7 +68,7 @@
 	opaque cells<COMMAND_CSV_MAX>; /* see encode_cells */
 	bool whole;                /* cells is the full table as CSV */
 	unsigned hyper table_digest;
-	opaque source<COMMAND_SOURCE_MAX>; /* see make_source_delta */
+	opaque source<COMMAND_DELTA_MAX>; /* see make_source_delta */
 	unsigned hyper source_digest; /* of the whole text */
 };
 
--- a/packages/control/control_metrics.c
+++ b/packages/control/control_metrics.c
@@ -52,6 +52,8 @@
     SPEC(last, METRIC_GAUGE, "replica_last", "Last entry of the log."),
     SPEC(snapshot, METRIC_GAUGE, "replica_snapshot",
 	"Entry of the newest snapshot."),
+    SPEC(snapshot_errors, METRIC_GAUGE, "replica_snapshot_errors",
+	"Snapshots that could not be made; the log grows."),
     SPEC(voter, METRIC_GAUGE, "replica_voter", "1 as a voter."),
     SPEC(failed, METRIC_GAUGE, "replica_failed",
 	"1 when storage has failed for good."),
@@ -100,6 +102,7 @@
 	set_metric(m->applied, (int64_t)s.applied);
 	set_metric(m->last, (int64_t)s.last);
 	set_metric(m->snapshot, (int64_t)s.snapshot);
+	set_metric(m->snapshot_errors, (int64_t)s.snapshot_errors);
 	set_metric(m->voter, s.voter);
 	set_metric(m->failed, s.failed);
 	set_metric(m->contact_ms,
--- a/packages/control/edits.c
+++ b/packages/control/edits.c
@@ -175,6 +175,10 @@
 		rc = apply_source_delta(source,
 		    make_str_n(r->source.source_val, r->source.source_len),
 		    &out->source);
+	if (rc == 0 && out->source.len > COMMAND_SOURCE_MAX)
+		rc = set_fault(&f, ERR_LIMIT,
+		    "the text takes %zu bytes; shorten it, at most %d fit",
+		    out->source.len, COMMAND_SOURCE_MAX);
 	if (rc == 0 &&
 	    compute_source_digest(view_buf(&out->source)) != r->source_digest)
 		rc = set_fault(&f, ERR_INVALID,
--- a/packages/control/gen/command_xdr.c
+++ b/packages/control/gen/command_xdr.c
@@ -160,7 +160,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->table_digest))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->source.source_val, (u_int *) &objp->source.source_len, COMMAND_SOURCE_MAX))
+	 if (!xdr_bytes (xdrs, (char **)&objp->source.source_val, (u_int *) &objp->source.source_len, COMMAND_DELTA_MAX))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->source_digest))
 		 return FALSE;
--- a/packages/control/replace.c
+++ b/packages/control/replace.c
@@ -5,21 +5,20 @@
 #include <string.h>
 
 #include "api.h"
-#include "source.h"
+#include "replacement.h"
+
+_Static_assert(API_BODY_MAX <= COMMAND_SOURCE_MAX, "every body can be stored");
 
 #define REPLACE_TIMEOUT_MS 3000 /* wait for a quorum */
 
 static int catch_up_to(struct control *c, uint64_t base);
-static int encode_replacement(struct control *c, uint64_t base,
-    const struct table *t, struct str source, struct buf *out);
-static int encode_difference(const struct table *from, const struct table *to,
-    struct command_replace *r, struct buf *cells);
 static int decode_result(struct str bytes, struct fault *f);
 
 /*
  * Replaces the table if base is the current version, and waits for the result.
  * ERR_CONFLICT: another change came first; ERR_UNKNOWN: it may still take
- * effect; ERR_UNAVAILABLE: no quorum. f names the remedy.
+ * effect; ERR_UNAVAILABLE: no quorum; ERR_LIMIT: source is too long. f names
+ * the remedy.
  */
 int
 replace_control_table(struct control *c, uint64_t base, const struct table *t,
@@ -28,13 +27,20 @@
 	struct buf bytes = {0}, result = {0};
 	int rc = catch_up_to(c, base);
 
-	if (rc == 0)
-		rc = encode_replacement(c, base, t, source, &bytes);
+	if (rc == 0) {
+		pthread_mutex_lock(&c->lock);
+		rc = encode_replacement(c->state, base, t, source, &bytes);
+		pthread_mutex_unlock(&c->lock);
+	}
 	if (rc == 0)
 		rc = wait_command(
 		    c, view_buf(&bytes), REPLACE_TIMEOUT_MS, &result);
 	if (rc == 0)
 		rc = decode_result(view_buf(&result), f);
+	else if (rc == ERR_LIMIT)
+		(void)set_fault(f, ERR_LIMIT,
+		    "the text takes %zu bytes; shorten it, at most %d fit",
+		    source.len, COMMAND_SOURCE_MAX);
 	else
 		(void)set_fault(f, (enum err)rc,
 		    rc == ERR_UNKNOWN ?
@@ -80,72 +86,6 @@
 	return wait_read(c, SERVICE_READ_TIMEOUT_MS) == 0 ? 0 : ERR_UNAVAILABLE;
 }
 
-/*
- * Encodes the command. If base is not the current version no difference is
- * computed: the state machine then refuses the command, or finds that it was
- * accepted before.
- */
-static int
-encode_replacement(struct control *c, uint64_t base, const struct table *t,
-    struct str source, struct buf *out)
-{
-	char author[] = "operator", key[1] = "";
-	struct command m = {.author = author, .key = key, .base = base};
-	struct command_replace *r = &m.body.command_body_u.replace;
-	struct buf cells = {0}, delta = {0};
-	int rc = 0;
-
-	m.body.type = COMMAND_REPLACE;
-	r->number = t->version;
-	r->table_digest = t->digest;
-	r->source_digest = compute_source_digest(source);
-	pthread_mutex_lock(&c->lock);
-	if (c->state->table->version == base) {
-		rc = encode_difference(c->state->table, t, r, &cells);
-		if (rc == 0)
-			rc = make_source_delta(
-			    view_buf(&c->state->source), source, &delta);
-	}
-	pthread_mutex_unlock(&c->lock);
-	r->cells.cells_val = cells.data;
-	r->cells.cells_len = (unsigned int)cells.len;
-	r->source.source_val = delta.data;
-	r->source.source_len = (unsigned int)delta.len;
-	if (rc == 0)
-		rc = encode_command(&m, out);
-	unload_buf(&cells);
-	unload_buf(&delta);
-	return rc;
-}
-
-/*
- * Encodes the cells that differ. From an empty table the full CSV is used
- * instead if it is shorter.
- */
-static int
-encode_difference(const struct table *from, const struct table *to,
-    struct command_replace *r, struct buf *cells)
-{
-	struct cell_list l = {0};
-	struct buf full = {0};
-	int rc = diff_tables(from, to, &l);
-
-	if (rc == 0)
-		rc = encode_cells(&l, cells);
-	unload_cells(&l);
-	if (rc != 0 || from->row_count > 0)
-		return rc;
-	rc = render_table_csv(to, &full);
-	if (rc == 0 && full.len < cells->len) {
-		unload_buf(cells);
-		*cells = full;
-		r->whole = TRUE;
-		return 0;
-	}
-	unload_buf(&full);
-	return rc;
-}
-
 /*
  * Returns the status of an encoded result with its text in f; ERR_STALE becomes
  * ERR_CONFLICT.
--- a/packages/control/replication.c
+++ b/packages/control/replication.c
@@ -387,12 +387,18 @@
 	struct control *c = arg;
 	struct peer *p = find_control_peer(c, to);
 	struct buf b = {0};
+	int rc;
 
 	if (p == NULL)
 		return;
-	if (encode_wire((xdrproc_t)xdr_wire_raft_message, m, &b) == 0)
+	rc = encode_wire((xdrproc_t)xdr_wire_raft_message, m, &b);
+	if (rc == 0)
 		(void)call_rpc(p->rpc, GGS_RAFT_STEP, view_buf(&b),
 		    SERVICE_STEP_TIMEOUT_MS, ignore_reply, NULL);
+	else
+		write_log(LOG_LEVEL_ERR,
+		    "cannot encode a message of type %d to member %llu: %s",
+		    (int)m->type, (unsigned long long)to, get_err_name(rc));
 	unload_buf(&b);
 }
 
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -159,6 +159,7 @@
 	metric_id nodes_behind;
 	/* Gauges of the replica and its log, set on each scrape */
 	metric_id role, has_leader, term, commit, applied, last, snapshot;
+	metric_id snapshot_errors;
 	metric_id voter, failed, contact_ms, dropped;
 	metric_id syncs, append_bytes, segments, snapshots, torn;
 };
--- a/packages/control/source.c
+++ b/packages/control/source.c
@@ -9,7 +9,6 @@
  */
 #include <stdlib.h>
 #include <string.h>
-#include <string.h>
 
 #include <xxhash.h>
 
@@ -52,12 +51,16 @@
 static void append_u32(struct delta_writer *w, uint32_t v);
 static uint32_t read_u32(const char *p);
 
+/*
+ * A delta longer than the text in one literal, as many short copies make one,
+ * gives way to that literal.
+ */
 int
 make_source_delta(struct str old, struct str text, struct buf *out)
 {
 	struct delta_writer w = {.out = out};
 	struct chunk_index x;
-	size_t len;
+	size_t start = out->len, len;
 	int rc = open_index(&x, old);
 
 	if (rc != 0)
@@ -74,6 +77,11 @@
 	}
 	flush_writer(&w);
 	free(x.slots);
+	if (w.rc == 0 && out->len - start > LITERAL_BYTES + text.len) {
+		out->len = start;
+		add_literal(&w, text.data, text.len);
+		flush_writer(&w);
+	}
 	return w.rc;
 }
 
--- a/packages/control/source.h
+++ b/packages/control/source.h
@@ -7,7 +7,10 @@
 
 #include "base.h"
 
-/* Appends the delta from old to text. Returns 0 or ERR_MEMORY. */
+/*
+ * Appends the delta from old to text, which exceeds the text by 5 bytes at
+ * most. Returns 0 or ERR_MEMORY.
+ */
 int make_source_delta(struct str old, struct str text, struct buf *out);
 /* Appends the text that results from old and delta. ERR_CORRUPT, ERR_MEMORY. */
 int apply_source_delta(struct str old, struct str delta, struct buf *out);
--- a/packages/control/submit.c
+++ b/packages/control/submit.c
@@ -39,15 +39,18 @@
  * Queues a copy of a command and makes the first attempt. Unless an error is
  * returned, fn runs exactly once: with status 0 and the encoded result,
  * ERR_INVALID, ERR_UNAVAILABLE (not applied) or ERR_UNKNOWN (may still be
- * applied).
+ * applied). Returns ERR_LIMIT for a command that no log entry holds.
  */
 int
 submit_command(struct control *c, struct str bytes, int timeout_ms,
     submit_fn fn, void *arg)
 {
-	struct submission *s = calloc(1, sizeof(*s));
+	struct submission *s;
 	int64_t now = read_mono(&c->cfg.clock);
 
+	if (bytes.len > REPLICA_COMMAND_MAX)
+		return ERR_LIMIT;
+	s = calloc(1, sizeof(*s));
 	if (s == NULL)
 		return ERR_MEMORY;
 	s->control = c;
--- a/packages/control/tests/test_fleet.c
+++ b/packages/control/tests/test_fleet.c
@@ -2,6 +2,7 @@
  * Control processes on loopback: edits through any of them, isolated leaders,
  * restarts, watches, claims and relays.
  */
+#include "api.h"
 #include "fleet_fixture.h"
 #include "service.h"
 
@@ -131,6 +132,54 @@
 }
 END_TEST
 
+/*
+ * Guards against a configuration near the longest that the API accepts that a
+ * log entry, a message or a restart loses.
+ */
+START_TEST(longest_text_survives_a_restart)
+{
+	struct buf text = {0}, back = {0};
+	struct fault f = {0};
+	uint64_t version = 0;
+	int rc = ERR_UNAVAILABLE;
+
+	open_fleet(3, 0, NULL);
+	for (int i = 0; text.len < API_BODY_MAX - 64; i++)
+		ck_assert_int_eq(
+		    append_buf_fmt(&text, "[\"row\",%d],%*d\n", i, 30, i), 0);
+	for (uint64_t v = 1; v <= 3; v++) {
+		struct table *t = NULL;
+
+		text.data[0] = (char)('0' + v);
+		ck_assert_int_eq(
+		    load_table_csv(make_str(FLEET_TABLE), v, &t, &f), 0);
+		rc = ERR_UNAVAILABLE;
+		for (int i = 0; i < 5 && rc != 0; i++)
+			rc = replace_control_table(
+			    fleet.members[(wait_leader() + v) % 3].control,
+			    v - 1, t, view_buf(&text), &f);
+		ck_assert_msg(rc == 0, "version %d: %s", (int)v, f.text);
+		unload_table(t);
+	}
+	for (size_t i = 0; i < 3; i++)
+		stop_member(i);
+	for (size_t i = 0; i < 3; i++)
+		start_member(i);
+	(void)wait_leader();
+	for (size_t i = 0; i < 3; i++) {
+		back.len = 0;
+		for (int k = 0; k < 5 && back.len == 0; k++)
+			(void)read_control_source(
+			    fleet.members[i].control, &back, &version);
+		ck_assert_uint_eq(version, 3);
+		ck_assert(is_str_equal(view_buf(&back), view_buf(&text)));
+	}
+	unload_buf(&text);
+	unload_buf(&back);
+	close_fleet();
+}
+END_TEST
+
 /*
  * Guards against an older table for a node: an isolated process must not serve
  * a node without a table, and pending watches must be answered both when
@@ -420,6 +469,7 @@
 	int failed;
 
 	tcase_set_timeout(t, 110);
+	tcase_add_test(t, longest_text_survives_a_restart);
 	tcase_add_test(t, watches_report_new_versions_and_lost_contact);
 	tcase_add_test(t, claims_are_exclusive_across_processes);
 	tcase_add_test(t, endpoints_reach_every_process);
--- a/packages/control/tests/test_replace.c
+++ b/packages/control/tests/test_replace.c
@@ -2,6 +2,8 @@
  * Replacement of the whole table under a version number chosen by the operator,
  * and the text that the table was read from.
  */
+#include "api.h"
+#include "replacement.h"
 #include "source.h"
 #include "state_fixture.h"
 
@@ -127,6 +129,141 @@
 }
 END_TEST
 
+#define MIB (1024 * 1024)
+
+/* Makes a table of rows whose columns rank and weight have these values. */
+static struct table *
+make_wide_table(uint64_t version, int rows, int rank, int weight)
+{
+	struct buf csv = {0};
+	struct table *t = NULL;
+	struct fault f = {0};
+
+	append_buf_str(&csv, make_str(HEADER));
+	for (int i = 0; i < rows; i++)
+		append_buf_fmt(&csv,
+		    "kind-with-a-long-name-%05d,svc,%d,%d,0,100,100,1000,%d,1,"
+		    "10,0,yes,0,%d,30\n",
+		    i, rank, weight, 100 * weight, 64 * weight);
+	ck_assert_msg(
+	    load_table_csv(view_buf(&csv), version, &t, &f) == 0, "%s", f.text);
+	unload_buf(&csv);
+	return t;
+}
+
+/* Appends a text that contains no line end or bracket, or little else. */
+static void
+append_text(struct buf *out, size_t len, bool brackets, int seed)
+{
+	struct rng r;
+
+	seed_rng(&r, (uint64_t)seed);
+	if (reserve_buf(out, len) != 0)
+		ck_abort_msg("out of memory");
+	for (size_t i = 0; i < len; i++)
+		out->data[out->len + i] = brackets && i % 2 == 0 ?
+					      "]}\n"[draw_below(&r, 3)] :
+					      (char)('a' + draw_below(&r, 26));
+	out->len += len;
+}
+
+/* Applies the replacement that a control process encodes; returns a status. */
+static int
+replace_whole(
+    struct state *s, uint64_t number, const struct table *t, struct str text)
+{
+	struct buf bytes = {0}, result = {0};
+	struct command_result r = {0};
+	int rc = encode_replacement(s, s->table->version, t, text, &bytes);
+
+	ck_assert_uint_eq(t->version, number);
+	if (rc == 0) {
+		apply_state(s, T0, T0, view_buf(&bytes), &result);
+		ck_assert_int_eq(
+		    decode_command_result(view_buf(&result), &r), 0);
+		rc = r.status;
+		unload_command_result(&r);
+	}
+	unload_buf(&bytes);
+	unload_buf(&result);
+	return rc;
+}
+
+struct size_case {
+	int rows;
+	size_t text; /* bytes */
+	int steps; /* replacements that reach this size */
+	bool brackets; /* short chunks, whose copies are longer than they are */
+	int want;
+};
+
+static const struct size_case size_cases[] = {
+    {1, MIB - 1, 1, false, 0},
+    {1, MIB + 1, 1, false, 0},
+    {1, MIB + 1, 5, false, 0},
+    {5900, 1121893, 4, false, 0},
+    {8192, API_BODY_MAX, 1, false, 0},
+    {8192, API_BODY_MAX, 3, true, 0},
+    {1, API_BODY_MAX + 1, 1, false, ERR_LIMIT},
+    {1, API_BODY_MAX + 1, 5, false, ERR_LIMIT},
+};
+
+/*
+ * Guards against an acknowledged configuration that a snapshot loses, as texts
+ * above 1 MiB were, and against refusing one that is not too long.
+ */
+START_TEST(snapshot_keeps_every_accepted_size)
+{
+	const struct size_case *c = &size_cases[_i];
+	struct state *s = open_sample(), *copy = open_sample();
+	struct buf text = {0}, saved = {0};
+	struct fault f = {0};
+	int rc = 0;
+
+	for (int i = 1; i <= c->steps && rc == 0; i++) {
+		size_t len = c->text * (size_t)i / (size_t)c->steps;
+		struct table *t = make_wide_table(
+		    (uint64_t)i, 1 + (c->rows - 1) * i / c->steps, 1, i);
+
+		append_text(&text, len - text.len, c->brackets, i);
+		rc = replace_whole(s, (uint64_t)i, t, view_buf(&text));
+		ck_assert_int_eq(rc, i == c->steps ? c->want : 0);
+		unload_table(t);
+	}
+	ck_assert_int_eq(save_state(s, &saved), 0);
+	ck_assert_int_eq(load_state(copy, view_buf(&saved), &f), 0);
+	ck_assert_uint_eq(copy->table->version, s->table->version);
+	ck_assert_uint_eq(copy->table->digest, s->table->digest);
+	ck_assert(is_str_equal(view_buf(&copy->source), view_buf(&s->source)));
+	if (c->want == 0)
+		ck_assert(
+		    is_str_equal(view_buf(&copy->source), view_buf(&text)));
+	unload_buf(&text);
+	unload_buf(&saved);
+	close_state(s);
+	close_state(copy);
+}
+END_TEST
+
+/*
+ * Guards against a valid change that is refused because the list of its cells
+ * is longer than the table.
+ */
+START_TEST(change_of_every_cell_is_accepted)
+{
+	struct state *s = open_sample();
+	struct table *t = make_wide_table(1, 8000, 1, 1);
+
+	ck_assert_int_eq(replace_whole(s, 1, t, make_str(TEXT_A)), 0);
+	unload_table(t);
+	t = make_wide_table(2, 8000, 9, 9);
+	ck_assert_int_eq(replace_whole(s, 2, t, make_str(TEXT_B)), 0);
+	ck_assert_uint_eq(s->table->digest, t->digest);
+	unload_table(t);
+	close_state(s);
+}
+END_TEST
+
 /* Guards against a text that no longer matches the current table. */
 START_TEST(cell_edit_discards_the_text)
 {
@@ -227,6 +364,9 @@
 	    0, sizeof(replace_cases) / sizeof(replace_cases[0]));
 	tcase_add_test(t, resend_is_accepted_again_after_later_changes);
 	tcase_add_test(t, snapshot_keeps_the_text_and_its_digest);
+	tcase_add_loop_test(t, snapshot_keeps_every_accepted_size, 0,
+	    sizeof(size_cases) / sizeof(size_cases[0]));
+	tcase_add_test(t, change_of_every_cell_is_accepted);
 	tcase_add_test(t, cell_edit_discards_the_text);
 	tcase_add_test(t, source_delta_round_trips);
 	tcase_add_test(t, source_delta_of_one_row_is_short);
--- a/packages/replica/replica.h
+++ b/packages/replica/replica.h
@@ -96,6 +96,7 @@
 	uint64_t applied;
 	uint64_t last;
 	uint64_t snapshot; /* index of the newest snapshot */
+	uint64_t snapshot_errors; /* snapshots that could not be made */
 	bool voter;
 	bool failed; /* storage or state machine failed; no recovery */
 	bool transferring; /* leader is handing over */
--- a/packages/replica/replica_core.h
+++ b/packages/replica/replica_core.h
@@ -86,6 +86,8 @@
 	enum raft_role role; /* as last written to the log */
 	uint64_t logged_leader;
 	struct log_time log_time;
+	int64_t snapshot_retry_at; /* monotonic clock; after an error */
+	uint64_t snapshot_errors;
 	uint64_t accepted_proposals;
 	uint64_t next_context; /* of a read request */
 	struct pending_proposal *proposals;
--- a/packages/replica/tests/group.h
+++ b/packages/replica/tests/group.h
@@ -32,6 +32,7 @@
 	bool stalled; /* its thread does not run */
 	struct raft_members members; /* as last reported to the transport */
 	bool load_fails; /* load_values() returns an error */
+	bool save_fails; /* save_values() returns an error */
 };
 
 /* An encoded message in the network. */
@@ -109,6 +110,8 @@
 		rc = append_buf(out, &m->log_ns, sizeof(m->log_ns));
 	if (rc == 0)
 		rc = append_buf(out, m->state.data, m->state.len);
+	if (rc == 0 && m->save_fails)
+		rc = ERR_LIMIT;
 	for (size_t i = 0; i < m->g->snapshot_padding / 64 && rc == 0; i++)
 		rc = append_buf_fmt(out, "%-64d", (int)i);
 	return rc;
--- a/packages/replica/tests/test_replica.c
+++ b/packages/replica/tests/test_replica.c
@@ -353,6 +353,45 @@
 	ck_assert_uint_eq(g->member[id].state.len, g->member[lead].state.len);
 }
 
+/*
+ * Guards against dropping the log when no snapshot can be made: members that
+ * start again keep every command, and the next try is made later.
+ */
+static void
+keep_log_without_snapshot(struct group *g, uint64_t lead)
+{
+	struct outcome o = {.g = g};
+	static char big[700 * 1024];
+	size_t applied;
+
+	for (uint64_t id = 1; id <= 3; id++)
+		g->member[id].save_fails = true;
+	for (int k = 0; k < 3; k++) {
+		ck_assert_int_eq(propose_replica(g->member[lead].r,
+				     make_str_n(big, sizeof(big)), 2000,
+				     record_proposal_outcome, &o),
+		    0);
+		settle_group(g);
+	}
+	run_group(g, 1000);
+	ck_assert_uint_eq(get_status(g, lead).snapshot, 0);
+	ck_assert_uint_eq(get_status(g, lead).snapshot_errors, 1);
+	applied = g->member[lead].state.len;
+	for (uint64_t id = 1; id <= 3; id++)
+		stop_member(g, id, true);
+	for (uint64_t id = 1; id <= 3; id++)
+		ck_assert_int_eq(start_member(g, id, NULL), 0);
+	run_group(g, 1000);
+	commit_values(g, 1);
+	for (uint64_t id = 1; id <= 3; id++) {
+		ck_assert_uint_eq(g->member[id].state.len, applied + 8);
+		g->member[id].save_fails = false;
+	}
+	run_group(g, 6000);
+	for (uint64_t id = 1; id <= 3; id++)
+		ck_assert_uint_gt(get_status(g, id).snapshot, 0);
+}
+
 /*
  * A snapshot that the state machine cannot load keeps the member from starting.
  */
@@ -495,6 +534,7 @@
     {"torn last record", truncate_last_record},
     {"damaged log", damage_log},
     {"catch up by snapshot", catch_up_by_snapshot},
+    {"snapshot that cannot be made", keep_log_without_snapshot},
     {"snapshot that does not load", refuse_bad_snapshot},
     {"second loss after a replacement", lose_second_after_replacement},
     {"transfer before a stop", transfer_before_stop},
--- a/packages/replica/work.c
+++ b/packages/replica/work.c
@@ -7,8 +7,12 @@
 #include "log.h"
 #include "replica_core.h"
 
+/* The state changes meanwhile; each try may encode some megabytes. */
+#define SNAPSHOT_RETRY_NS (5 * NSEC_PER_SEC)
+
 static void run_ticks(struct replica *r, int64_t now);
 static void send_messages(struct replica *r);
+static void delay_snapshot(struct replica *r, int rc);
 static bool store_next(struct replica *r);
 static void apply_committed(struct replica *r);
 static void apply_entry(struct replica *r, const struct raft_apply *a);
@@ -74,7 +78,9 @@
 
 /*
  * Replaces the log with a snapshot of the state machine once it exceeds
- * cfg.snapshot_bytes. The replica fails if the snapshot cannot be stored.
+ * cfg.snapshot_bytes. The replica fails if the snapshot cannot be stored. One
+ * that cannot be made, for want of memory or since its state breaks a bound of
+ * the records, leaves the log as it is.
  */
 void
 compact_replica(struct replica *r)
@@ -85,14 +91,17 @@
 	int rc;
 
 	if (s.log_bytes < r->cfg.snapshot_bytes || s.applied <= s.snapshot ||
-	    is_raft_sending_snapshot(r->raft))
+	    is_raft_sending_snapshot(r->raft) ||
+	    read_mono(&r->cfg.clock) < r->snapshot_retry_at)
 		return;
 	rc = r->cfg.machine.save(r->cfg.machine.arg, &b);
 	if (rc == 0)
 		rc = compact_raft(r->raft, s.applied, view_buf(&b));
 	unload_buf(&b);
-	if (rc != 0)
-		return; /* the next run_replica_work() tries again */
+	if (rc != 0) {
+		delay_snapshot(r, rc);
+		return;
+	}
 	rc = save_wal_snapshot(r->wal, get_raft_snapshot(r->raft), &f);
 	if (rc != 0)
 		fail_replica(r, f.text);
@@ -117,6 +126,7 @@
 	r->status.applied = s.applied;
 	r->status.last = s.last;
 	r->status.snapshot = s.snapshot;
+	r->status.snapshot_errors = r->snapshot_errors;
 	r->status.voter = s.voter && !r->failed;
 	r->status.failed = r->failed;
 	r->status.transferring = s.transferring;
@@ -181,6 +191,21 @@
 	}
 }
 
+/*
+ * Reports a snapshot that cannot be made and schedules the next try.
+ */
+static void
+delay_snapshot(struct replica *r, int rc)
+{
+	struct raft_status s = get_raft_status(r->raft);
+
+	r->snapshot_errors++;
+	r->snapshot_retry_at = read_mono(&r->cfg.clock) + SNAPSHOT_RETRY_NS;
+	WRITE_EVENT(LOG_LEVEL_ERR, "replica.snapshot_error",
+	    LOG_TEXT("reason", get_err_name(rc)), LOG_INT("applied", s.applied),
+	    LOG_INT("snapshot", s.snapshot), LOG_INT("log_bytes", s.log_bytes));
+}
+
 /*
  * Stores the next unit of storage work and reports it to the core. Returns
  * whether there was one; the replica fails on an error.
--- a/packages/rpc/rpc_procs.c
+++ b/packages/rpc/rpc_procs.c
@@ -1,11 +1,15 @@
 /*
- * Size limits of the procedures of wire.x: WIRE_MESSAGE_MAX (4 MiB) between
+ * Size limits of the procedures of wire.x: WIRE_MESSAGE_MAX between
  * control processes and for replies to nodes, 64 KiB for requests from nodes
  * and for the replies to claims.
  */
 #include "rpc.h"
+#include "rpc_message.h"
 #include "wire.h"
 
+_Static_assert(WIRE_MESSAGE_MAX + RPC_CALL_OVERHEAD <= RPC_RECORD_MAX,
+    "every message fits into a record");
+
 #define NODE_MESSAGE_MAX (64 * 1024) /* bytes, as are the others */
 #define JOIN_REPLY_MAX 4096 /* lists the members of a group */
 #define SMALL_MESSAGE_MAX 1024 /* a few short fields */
--- a/packages/wire/wire.c
+++ b/packages/wire/wire.c
@@ -7,9 +7,8 @@
 
 /*
  * Appends the encoded value to out. Returns ERR_LIMIT when it exceeds
- * WIRE_MESSAGE_MAX, ERR_INVALID when encoding fails, and ERR_MEMORY. Returns 0
- * and appends nothing when xdr_sizeof() is 0: for void, and for a value that
- * breaks a bound of wire.x.
+ * WIRE_MESSAGE_MAX or a bound of its .x file, ERR_INVALID when encoding fails,
+ * and ERR_MEMORY. After an error out is as before.
  */
 int
 encode_wire(xdrproc_t proc, const void *value, struct buf *out)
@@ -19,9 +18,8 @@
 	XDR x;
 	int rc;
 
-	if (size == 0)
-		return 0;
-	if (size > WIRE_MESSAGE_MAX)
+	/* xdr_sizeof() returns 0 for a value that breaks a bound. */
+	if (size == 0 || size > WIRE_MESSAGE_MAX)
 		return ERR_LIMIT;
 	rc = reserve_buf(out, size);
 	if (rc != 0)
