hop: do not send a message beyond its bounds as an empty one

Callers saw: a request with a path and query of more than 64 KiB, on a table that allows such heads, was refused with 503 after every node had been asked.

The target of an offer was bounded by 64 KiB, while a row may allow heads of 1 MiB. xdr_sizeof() returns 0 for a value that breaks a bound, and send_hop() then sent the frame without its message.

Change: the bounds of an offer are those of the table; an answer's frame has room for the longest body and its head, which a static assertion keeps.

Evidence: before, node.test_calls_by_node got 503 for a target of 70,000 bytes, and hop.test_hop saw 16 bytes (a frame without its message) for two offers beyond their bounds. Both pass now. The stand-in server reads heads of any length; it crashed on a target of 60,000 bytes before.

Why it works: no call that the table allows exceeds a frame, and a frame that cannot be encoded is no longer taken for an empty one.

--- a/packages/hop/gen/hop_xdr.h
+++ b/packages/hop/gen/hop_xdr.h
@@ -15,8 +15,8 @@
 
 #define HOP_NAME_MAX 64
 #define HOP_ID_MAX 128
-#define HOP_TARGET_MAX 65536
-#define HOP_HEAD_MAX 1048576
+#define HOP_TARGET_MAX 1048576
+#define HOP_HEAD_MAX 2097152
 
 struct hop_load {
 	int state;
--- a/packages/hop/hop.c
+++ b/packages/hop/hop.c
@@ -120,7 +120,7 @@
 	rc = reserve_buf(&l->out, sizeof(head) + size + tail.len);
 	if (rc == 0)
 		rc = append_buf(&l->out, head, sizeof(head));
-	if (rc == 0 && size > 0)
+	if (rc == 0 && proc != NULL)
 		rc = append_hop_message(&l->out, proc, value);
 	if (rc == 0)
 		rc = append_buf_str(&l->out, tail);
@@ -170,13 +170,20 @@
 	return l->unresponsive;
 }
 
+/*
+ * Returns ERR_LIMIT for a value that breaks a bound of hop.x, or ERR_MEMORY.
+ */
 int
 append_hop_message(struct buf *b, xdrproc_t proc, const void *value)
 {
 	size_t size = xdr_sizeof(proc, (void *)(uintptr_t)value);
-	int rc = reserve_buf(b, size);
 	XDR x;
+	int rc;
 
+	/* xdr_sizeof() returns 0 for a value that breaks a bound. */
+	if (size == 0)
+		return ERR_LIMIT;
+	rc = reserve_buf(b, size);
 	if (rc != 0)
 		return rc;
 	xdrmem_create(&x, b->data + b->len, (unsigned int)size, XDR_ENCODE);
--- a/packages/hop/hop.h
+++ b/packages/hop/hop.h
@@ -13,7 +13,8 @@
 #include "gen/hop_xdr.h"
 #include "reactor.h"
 
-#define HOP_PAYLOAD_MAX (64 * 1024 * 1024) /* bytes; more closes the link */
+/* Bytes; more closes the link. The longest body fits with its message. */
+#define HOP_PAYLOAD_MAX (68 * 1024 * 1024)
 #define HOP_BODY_CHUNK_BYTES (16 * 1024) /* bytes of a body in one HOP_BODY */
 /*
  * Times since the last bytes from the peer, on a link with calls in flight:
--- a/packages/hop/hop.x
+++ b/packages/hop/hop.x
@@ -6,8 +6,10 @@
 
 const HOP_NAME_MAX = 64;           /* bytes of a name */
 const HOP_ID_MAX = 128;            /* bytes of a call id */
-const HOP_TARGET_MAX = 65536;      /* bytes of a path with its query */
-const HOP_HEAD_MAX = 1048576;      /* bytes of header lines */
+/* Bytes of a path with its query; the longest head that the table allows. */
+const HOP_TARGET_MAX = 1048576;
+/* Bytes of header lines; those that are passed on may be written longer. */
+const HOP_HEAD_MAX = 2097152;
 
 /* Load of a serving node, from which entry nodes choose a peer. */
 struct hop_load {
--- a/packages/hop/tests/test_hop.c
+++ b/packages/hop/tests/test_hop.c
@@ -173,6 +173,53 @@
 }
 END_TEST
 
+struct bound_case {
+	size_t target, head; /* bytes */
+	bool sent;
+};
+
+static const struct bound_case bound_cases[] = {
+    {1, 1, true},
+    {HOP_TARGET_MAX, HOP_HEAD_MAX, true},
+    {HOP_TARGET_MAX + 1, 1, false},
+    {1, HOP_HEAD_MAX + 1, false},
+};
+
+/*
+ * Guards against a message beyond its bounds that is sent as an empty one, with
+ * its body.
+ */
+START_TEST(message_beyond_its_bounds_is_not_sent)
+{
+	static char bytes[HOP_HEAD_MAX + 1], sink[65536];
+	const struct bound_case *c = &bound_cases[_i];
+	static char none[1];
+	struct hop_offer o = {.service = none,
+	    .kind = none,
+	    .id = none,
+	    .method = none,
+	    .caller_service = none};
+	size_t got = 0;
+	ssize_t n;
+
+	o.target.target_val = o.head.head_val = bytes;
+	o.target.target_len = (unsigned int)c->target;
+	o.head.head_len = (unsigned int)c->head;
+	send_hop(link_under_test, HOP_OFFER, 1, (xdrproc_t)xdr_hop_offer, &o,
+	    make_str("body"));
+	for (int i = 0; i < 200; i++) {
+		run_reactor_round(reactor, 1);
+		while ((n = recv(peer, sink, sizeof(sink), 0)) > 0)
+			got += (size_t)n;
+	}
+	ck_assert_int_eq(recorded.close_count, 0);
+	if (c->sent)
+		ck_assert_uint_gt(got, c->target + c->head);
+	else
+		ck_assert_uint_eq(got, 0);
+}
+END_TEST
+
 /* Guards against reads beyond the end of a truncated message. */
 START_TEST(truncated_messages_are_rejected)
 {
@@ -319,6 +366,8 @@
 	    t, frames_are_reassembled_from_any_read_sizes, 0, 40);
 	tcase_add_loop_test(t, invalid_frame_closes_the_link, 0,
 	    (int)(sizeof(invalid_head_cases) / sizeof(invalid_head_cases[0])));
+	tcase_add_loop_test(t, message_beyond_its_bounds_is_not_sent, 0,
+	    sizeof(bound_cases) / sizeof(bound_cases[0]));
 	tcase_add_test(t, truncated_messages_are_rejected);
 	tcase_add_test(t, unresponsive_peer_is_reported_once_while_busy);
 	tcase_add_test(t, pings_are_answered);
--- a/packages/node/backend_conn.c
+++ b/packages/node/backend_conn.c
@@ -14,6 +14,9 @@
 
 #define ANSWER_HEAD_MAX (64 * 1024) /* bytes of an answer's head */
 #define ANSWER_BODY_MAX (64 * 1024 * 1024) /* bytes of an answer's body */
+/* A longer frame would close the link, with all calls on it. */
+_Static_assert(ANSWER_HEAD_MAX + ANSWER_BODY_MAX < HOP_PAYLOAD_MAX,
+    "every answer fits into a frame");
 #define CONNECT_NS (500 * NSEC_PER_MSEC) /* connect time-out */
 #define UNEXPECTED_ANSWERS_MAX 3 /* discarded while a call is running */
 #define INTERIM_ANSWERS_MAX 16 /* discarded while a call is running */
--- a/packages/node/tests/fake_server.c
+++ b/packages/node/tests/fake_server.c
@@ -352,32 +352,36 @@
 handle_request(struct fake_server *s, struct fake_conn *c)
 {
 	char *end = c->in.len > 0 ? strstr(c->in.data, "\r\n\r\n") : NULL;
-	char length[24] = "", name[64];
-	size_t head, body, i;
-	const char *space, *slash;
+	char length[24] = "", name[64] = "", *text;
+	size_t head, body, path;
+	const char *slash;
 
 	if (end == NULL)
 		return false;
 	head = (size_t)(end - c->in.data) + 4;
-	snprintf(s->head, sizeof(s->head), "%.*s", (int)head, c->in.data);
-	copy_header(s->head, "Content-Length", length, sizeof(length));
+	text = strndup(c->in.data, head);
+	copy_header(text, "Content-Length", length, sizeof(length));
 	body = (size_t)strtoul(length, NULL, 10);
-	if (c->in.len < head + body)
+	if (c->in.len < head + body) {
+		free(text);
 		return false;
+	}
 	s->requests++;
 	s->body_len = body;
-	snprintf(s->line, sizeof(s->line), "%.*s",
-	    (int)strcspn(s->head, "\r\n"), s->head);
-	copy_header(s->head, "Call-Id", c->id, sizeof(c->id));
+	snprintf(s->head, sizeof(s->head), "%s", text);
+	snprintf(
+	    s->line, sizeof(s->line), "%.*s", (int)strcspn(text, "\r\n"), text);
+	copy_header(text, "Call-Id", c->id, sizeof(c->id));
 	memmove(c->in.data, c->in.data + head + body, c->in.len - head - body);
 	c->in.len -= head + body;
 	c->in.data[c->in.len] = '\0';
-	space = strrchr(s->line, ' ');
-	i = (size_t)(space - s->line);
-	slash = memrchr(s->line, '/', i);
-	snprintf(
-	    name, sizeof(name), "%.*s", (int)(space - slash - 1), slash + 1);
-	name[strcspn(name, "?")] = '\0';
+	path = strcspn(text, " ") + 1;
+	path += strcspn(text + path, "? ");
+	slash = memrchr(text, '/', path);
+	if (slash != NULL)
+		snprintf(name, sizeof(name), "%.*s",
+		    (int)(text + path - slash - 1), slash + 1);
+	free(text);
 	run_behaviour(s, c, name);
 	return true;
 }
--- a/packages/node/tests/test_calls_by_node.c
+++ b/packages/node/tests/test_calls_by_node.c
@@ -225,6 +225,35 @@
 }
 END_TEST
 
+/*
+ * Guards against refusing a call because its target or its head is longer than
+ * the frame between nodes allows, although the table allows it.
+ */
+START_TEST(heads_as_long_as_the_table_allows_arrive)
+{
+	static const size_t targets[] = {60000, 70000};
+	struct test_reply reply;
+	struct buf path = {0};
+
+	set_fixture_table(&fixture, 2,
+	    "wide,svc,1,10,0,100,500,2000,100,1,10,0,yes,0,64,30,test.example,"
+	    "/wide/,,1024,1000,2000\n");
+	usleep(50000);
+	append_buf_fmt(&path, "/read/ok?");
+	while (path.len < targets[_i])
+		append_buf_fmt(&path, "%64d", 0);
+	for (size_t i = 0; i < path.len; i++) {
+		if (path.data[i] == ' ')
+			path.data[i] = 'x';
+	}
+	send_test_call(fixture.calls[2], "GET", path.data, "call", "",
+	    make_str(""), &reply);
+	ck_assert_int_eq(reply.status, 200);
+	unload_reply(&reply);
+	unload_buf(&path);
+}
+END_TEST
+
 /* Guards against a split of calls that differs from the configured shares. */
 START_TEST(split_rows_keep_their_shares)
 {
@@ -741,6 +770,7 @@
 	    sizeof(endless_paths) / sizeof(endless_paths[0]));
 	tcase_add_test(t, late_answers_are_discarded);
 	tcase_add_test(t, requests_arrive_unchanged);
+	tcase_add_loop_test(t, heads_as_long_as_the_table_allows_arrive, 0, 2);
 	tcase_add_test(t, split_rows_keep_their_shares);
 	tcase_add_test(t, calls_of_disconnected_callers_are_cancelled);
 	tcase_add_test(t, calls_survive_closed_idle_connections);
