--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -353,7 +353,8 @@
 	bool drained; /* lock; drain_node() may return */
 };
 
-/* node.c */
+/* stop.c */
+void begin_node_stop(struct task *t); /* node.drain */
 void schedule_drain_check(struct node *n); /* a call or job has ended */
 
 /* listen.c */
