node: end a stop in time while callers go on to send calls

Callers saw: a node that was told to stop kept serving new calls for as long as they came, and was then killed in the middle of some.

Cause: each call that ended as the last one in flight set the timer of the stop's periodic check to 50 ms later. Calls one after the other put the check off for good, so that listeners were never closed and the end of the stop was never noticed.

Change: the check runs every 50 ms and is not put off. An extra check at the end of a call gains nothing.

--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -127,10 +127,8 @@
 		remove_pipeline(q->caller, q);
 	q->node->body_bytes -= q->reader.body.len;
 	q->node->kept_bytes -= q->answer.len;
-	if (q->counted) {
+	if (q->counted)
 		q->node->requests--;
-		schedule_drain_check(q->node);
-	}
 	close_http_reader(&q->reader);
 	unload_buf(&q->head);
 	unload_buf(&q->answer);
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -355,7 +355,6 @@
 
 /* stop.c */
 void begin_node_stop(struct task *t); /* node.drain */
-void schedule_drain_check(struct node *n); /* a call or job has ended */
 
 /* listen.c */
 int add_listener(
--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -568,7 +568,6 @@
 	cancel_timer(n->reactor, &j->timer);
 	cancel_task(n->reactor, &j->task);
 	n->job_count--;
-	schedule_drain_check(n);
 	free(j);
 }
 
--- a/packages/node/stop.c
+++ b/packages/node/stop.c
@@ -41,19 +41,6 @@
 	    check_leaving);
 }
 
-/*
- * Lets check_leaving() run soon when the last call or job of a stopping node
- * has ended.
- */
-void
-schedule_drain_check(struct node *n)
-{
-	if (n->leaving_at != 0 && n->requests == 0 && n->job_count == 0)
-		set_timer(n->reactor, &n->leave_timer,
-		    get_reactor_now(n->reactor) + LEAVE_CHECK_NS,
-		    check_leaving);
-}
-
 /*
  * Ends the drain once callers have had leave_ns to notice the stop and nothing
  * is in flight, or when stop_ns is over.
