node: answer the requests that still wait when a stop ends

Cause: when the time of a stop was over, everything that was left was closed alike: calls that run, whose outcome nobody knows, and calls that wait, which can be refused truthfully. What a caller had sent that was held, unread or not accepted yet did not count as left at all.

Change: a call that waits is refused with 503 once a run of its kind no longer fits before the end; so is each new attempt. Queued calls of other nodes are refused as draining. Calls that still run at the end get 502, which promises nothing, and those held behind them 503. A stop waits for requests that are being read and for answers that are being sent, reads what has arrived before it closes a listener or a connection, and leaves no unread input that would reset the last answer. The stop's time is at least five sixths of the platform's.

Why it works: each request that was read ends by an answer that is true for it, before the process may exit.

--- a/apps/greengagespurd/platform_role.c
+++ b/apps/greengagespurd/platform_role.c
@@ -38,7 +38,12 @@
 #define TCP_CONNECT_TIMEOUT_MS 200
 /* Readiness is checked every second; after two misses callers are moved. */
 #define STOP_NOTICE_NS (2300 * NSEC_PER_MSEC)
-#define STOP_MARGIN_S 1.0 /* for leaving the fleet before SIGKILL */
+/*
+ * For the last answers and for leaving the fleet, before SIGKILL. Runs are cut
+ * in the last sixth of the time at the earliest, whatever that time is.
+ */
+#define STOP_MARGIN_MAX_S 1.0
+#define STOP_MARGIN_SHARE (1.0 / 6)
 
 static struct platform_settings settings;
 static struct agent *agent;
@@ -57,6 +62,7 @@
 static int start_platform_node(
     struct event_log *events, uint64_t seed, struct fault *f);
 static void handle_agent_change(void *arg);
+static int64_t get_stop_ns(void);
 static void fill_seed_addresses(const char **out);
 static void reload_settings(void);
 
@@ -208,8 +214,7 @@
 		(int64_t)(settings.retry_window_s * NSEC_PER_SEC),
 	    .drain_ns = (int64_t)(settings.drain_s * NSEC_PER_SEC),
 	    .leave_ns = STOP_NOTICE_NS,
-	    .stop_ns = (int64_t)((settings.stop_grace_s - STOP_MARGIN_S) *
-				 NSEC_PER_SEC),
+	    .stop_ns = get_stop_ns(),
 	    .names = get_platform_call_names(),
 	    .reports = get_platform_report_reader(),
 	    .seed = seed,
@@ -243,6 +248,19 @@
 	pthread_mutex_unlock(&node_lock);
 }
 
+/*
+ * Returns the time for which a stopping node lets calls run.
+ */
+static int64_t
+get_stop_ns(void)
+{
+	double margin = settings.stop_grace_s * STOP_MARGIN_SHARE;
+
+	if (margin > STOP_MARGIN_MAX_S)
+		margin = STOP_MARGIN_MAX_S;
+	return (int64_t)((settings.stop_grace_s - margin) * NSEC_PER_SEC);
+}
+
 /*
  * The addresses in out refer to settings.seeds.
  */
--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -60,6 +60,11 @@
 void
 start_next_attempt(struct request *q)
 {
+	if (!may_end_before_stop(q->node, q->stats->kind_service_ns)) {
+		q->reason = REFUSE_DRAINING;
+		end_request(q);
+		return;
+	}
 	while (q->offers < OFFERS_MAX && q->tried_count < REQUEST_TRIED_MAX) {
 		bool immediate = false;
 		struct peer *p = choose_next_peer(q, &immediate);
@@ -275,6 +280,20 @@
 	end_request(q);
 }
 
+/*
+ * Ends a call that the node cannot wait for any longer: refuses one that has
+ * not run, and answers any other one as of unknown outcome.
+ */
+void
+end_stopped_request(struct request *q)
+{
+	if (may_be_running(q))
+		q->may_have_run = true;
+	cancel_request_attempt(q);
+	q->reason = REFUSE_DRAINING;
+	end_request(q);
+}
+
 /*
  * Updates the moving average of the service time of a kind.
  */
--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -35,6 +35,8 @@
 static void wait_for_caller(struct caller *c);
 static void linger_caller(struct caller *c);
 static void discard_input(struct caller *c);
+static void discard_all_input(struct caller *c);
+static bool is_caller_busy(const struct caller *c);
 static void close_caller(struct caller *c);
 static void free_closed_callers(struct task *t);
 static void time_out_caller(struct timer *t);
@@ -59,7 +61,8 @@
 }
 
 /*
- * Closes all connections, after the reactor has stopped.
+ * Closes all connections, after the reactor has stopped. Unread input would
+ * reset a connection, and its caller might lose the last answer.
  */
 void
 close_callers(struct node *n)
@@ -68,6 +71,7 @@
 
 	for (c = n->callers; c != NULL; c = next) {
 		next = c->next;
+		discard_all_input(c);
 		close_caller(c);
 	}
 	cancel_task(n->reactor, &n->free_callers);
@@ -75,7 +79,8 @@
 }
 
 /*
- * Closes the connections that have neither a request nor an unsent answer.
+ * Closes the connections that have neither a request nor an answer that may not
+ * have arrived. A request that has arrived by now is read and handled.
  */
 void
 close_idle_callers(struct node *n)
@@ -84,11 +89,37 @@
 
 	for (c = n->callers; c != NULL; c = next) {
 		next = c->next;
-		if (c->first == NULL && c->out.len == 0)
+		if (is_caller_busy(c))
+			continue;
+		read_caller(c);
+		if (!c->closed && !is_caller_busy(c))
 			close_caller(c);
 	}
 }
 
+bool
+has_busy_callers(const struct node *n)
+{
+	for (const struct caller *c = n->callers; c != NULL; c = c->next) {
+		if (is_caller_busy(c))
+			return true;
+	}
+	return false;
+}
+
+struct request *
+find_request(const struct node *n, bool (*match)(const struct request *q))
+{
+	for (const struct caller *c = n->callers; c != NULL; c = c->next) {
+		for (struct request *q = c->first; q != NULL;
+		     q = q->next_request) {
+			if (match(q))
+				return q;
+		}
+	}
+	return NULL;
+}
+
 /*
  * Queues an answer in the order of the requests and writes what the socket
  * accepts now. An answer without a caller is dropped. The connection stays open
@@ -452,6 +483,25 @@
 		close_caller(c);
 }
 
+static void
+discard_all_input(struct caller *c)
+{
+	char bytes[4096];
+
+	while (recv(c->watch.fd, bytes, sizeof(bytes), MSG_DONTWAIT) > 0)
+		;
+}
+
+/*
+ * Says whether the connection has a request, from its first byte on, or an
+ * answer that its caller may not have read yet.
+ */
+static bool
+is_caller_busy(const struct caller *c)
+{
+	return c->first != NULL || c->out.len > c->out_sent || c->lingering;
+}
+
 /*
  * Closes the connection; it is freed at the end of the round. Calls in flight are handled as abandoned by
  * their caller.
--- a/packages/node/listen.c
+++ b/packages/node/listen.c
@@ -71,6 +71,18 @@
 	return ERR_IO;
 }
 
+/*
+ * Accepts the callers that have connected. Closing a listener resets them.
+ */
+void
+accept_pending_callers(struct node *n)
+{
+	for (size_t i = 0; i < n->listener_count; i++) {
+		if (n->listeners[i].handle != NULL)
+			accept_callers(&n->listeners[i].watch, EPOLLIN);
+	}
+}
+
 void
 close_listeners(struct node *n)
 {
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -355,17 +355,23 @@
 
 /* stop.c */
 void begin_node_stop(struct task *t); /* node.drain */
+bool may_end_before_stop(const struct node *n, int64_t service_ns);
 
 /* listen.c */
 int add_listener(
     struct node *n, const char *address, request_fn handle, struct fault *f);
 int bind_listener(const char *address, int *fd, struct fault *f);
+void accept_pending_callers(struct node *n);
 void close_listeners(struct node *n);
 
 /* caller.c */
 void accept_callers(struct watch *w, uint32_t events);
 void close_callers(struct node *n);
 void close_idle_callers(struct node *n); /* those without a request */
+bool has_busy_callers(const struct node *n);
+/* Returns a request of a connected caller that matches; NULL: none. */
+struct request *find_request(
+    const struct node *n, bool (*match)(const struct request *q));
 /* Sends an answer and frees the request. head: complete header lines. */
 void send_answer(
     struct request *q, int status, struct str head, struct str body);
@@ -392,6 +398,7 @@
 void handle_attempt_failure(
     struct request *q, enum attempt_end cause, bool not_sent);
 void expire_request(struct timer *t);
+void end_stopped_request(struct request *q); /* the node is stopping */
 
 /* services.c */
 void refresh_services(struct node *n);
@@ -419,6 +426,7 @@
 void provide_job_body(struct job *j, struct str body); /* after granted() */
 /* The owner drops the job. One that was sent and may not repeat runs on. */
 void cancel_job(struct job *j);
+void refuse_queued_jobs(struct node *n); /* those that wait for a slot */
 void start_leaving_timer(struct node *n); /* the backend server is leaving */
 void refresh_admission(struct node *n);
 void set_serving_rate(struct node *n, double per_s); /* negative: unlimited */
--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -185,6 +185,19 @@
 	    end_leaving_wait);
 }
 
+/*
+ * Refuses the calls that wait for a slot, so that other nodes can run them.
+ */
+void
+refuse_queued_jobs(struct node *n)
+{
+	struct admission_changes changes = {0};
+
+	refuse_waiting_calls(
+	    n->admission, get_reactor_now(n->reactor), &changes);
+	apply_changes(n, &changes);
+}
+
 /*
  * Applies the rows of the current table to admission.
  */
@@ -513,13 +526,8 @@
 static void
 end_leaving_wait(struct timer *t)
 {
-	struct node *n =
-	    (struct node *)((char *)t - offsetof(struct node, leaving_timer));
-	struct admission_changes changes = {0};
-
-	refuse_waiting_calls(
-	    n->admission, get_reactor_now(n->reactor), &changes);
-	apply_changes(n, &changes);
+	refuse_queued_jobs(
+	    (struct node *)((char *)t - offsetof(struct node, leaving_timer)));
 }
 
 /*
