node: end the calls of a caller that has left at the end of the round

Cause: handle_unresponsive_link() held the calls of the silent link in an array and ended one after the other. The answer of one found its caller gone, close_caller() freed the other calls of that connection at once, and the next steps used them. The same way the link itself was freed while it was held, there and, for a link that had been silent before, in handle_link_lost(). And of more than 256 calls on the link the rest stayed until their deadline.

Change: close_caller() closes the socket; the connection's calls are ended at the end of the round, when no loop runs, and count as left by their caller until then. The calls of a silent link are taken off it first, without a bound.

Evidence: node.test_callers_leave, where callers reset their connections in the round in which the link is given up. Before: two of four cases ended with SIGSEGV (silent link; lost after it was silent), and of 360 calls on a silent link some had no answer within 10 s.

Why it works: nothing but its own end frees a call while a callback or a loop runs.

--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -144,7 +144,7 @@
 	}
 	if (retry_after > q->retry_after)
 		q->retry_after = retry_after;
-	if (q->caller == NULL) {
+	if (!has_caller(q)) {
 		log_request(q, 0, "left");
 		free_request(q);
 		return;
@@ -178,7 +178,7 @@
 	q->arrivals++;
 	if (a->status < 500)
 		update_service_time(q->stats, a->service_ns);
-	if (q->caller == NULL) {
+	if (!has_caller(q)) {
 		log_request(q, 0, "left");
 		free_request(q);
 		return;
@@ -202,7 +202,7 @@
 	add_trace(
 	    q, TRACE_FAILED, q->attempt.peer->id, (int)cause, not_sent, 0);
 	close_attempt(q);
-	if (q->caller == NULL) {
+	if (!has_caller(q)) {
 		log_request(q, 0, "left");
 		free_request(q);
 		return;
@@ -268,7 +268,7 @@
 	    0, 0);
 	if (may_be_running(q))
 		q->may_have_run = true;
-	if (q->caller == NULL) {
+	if (!has_caller(q)) {
 		/* Was left to finish after its caller disconnected. */
 		cancel_request_attempt(q);
 		log_request(q, 0, "left");
--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -38,7 +38,7 @@
 static void discard_all_input(struct caller *c);
 static bool is_caller_busy(const struct caller *c);
 static void close_caller(struct caller *c);
-static void free_closed_callers(struct task *t);
+static void end_closed_callers(struct task *t);
 static void time_out_caller(struct timer *t);
 static void arm_timer(struct caller *c, int64_t timeout);
 static int64_t choose_timeout(int64_t value, int64_t fallback);
@@ -74,8 +74,8 @@
 		discard_all_input(c);
 		close_caller(c);
 	}
-	cancel_task(n->reactor, &n->free_callers);
-	free_closed_callers(&n->free_callers);
+	cancel_task(n->reactor, &n->end_callers);
+	end_closed_callers(&n->end_callers);
 }
 
 /*
@@ -130,7 +130,7 @@
 {
 	struct caller *c = q->caller;
 
-	if (c == NULL) {
+	if (!has_caller(q)) {
 		free_request(q);
 		return;
 	}
@@ -145,6 +145,12 @@
 		resume_caller(c);
 }
 
+bool
+has_caller(const struct request *q)
+{
+	return q->caller != NULL && !q->caller->closed;
+}
+
 /*
  * Frees a request and detaches it from its caller; NULL is allowed.
  */
@@ -503,14 +509,14 @@
 }
 
 /*
- * Closes the connection; it is freed at the end of the round. Calls in flight are handled as abandoned by
- * their caller.
+ * Closes the connection. Its requests are ended, and it is freed, at the end of
+ * the round: a loop over calls may be running that has found the caller gone
+ * while it sent the answer of one of them, and holds pointers to the others.
  */
 static void
 close_caller(struct caller *c)
 {
 	struct node *n = c->node;
-	struct request *q, *next;
 
 	if (c->closed)
 		return;
@@ -521,33 +527,33 @@
 	stop_watch(n->reactor, &c->watch);
 	cancel_timer(n->reactor, &c->timer);
 	close(c->watch.fd);
-	for (q = c->first; q != NULL; q = next) {
-		next = q->next_request;
-		q->caller = NULL;
-		if (q->state == REQUEST_RUNNING)
-			handle_caller_hangup(q);
-		else
-			free_request(q);
-	}
-	c->first = NULL;
 	c->next = n->closed_callers;
 	n->closed_callers = c;
-	defer_task(n->reactor, &n->free_callers, free_closed_callers);
+	defer_task(n->reactor, &n->end_callers, end_closed_callers);
 }
 
 /*
- * Frees the connections that were closed in this round. Functions that handle
- * one of them may still be running when it is closed.
+ * Ends the calls of the connections that were closed in this round, as
+ * abandoned by their callers, and frees the connections.
  */
 static void
-free_closed_callers(struct task *t)
+end_closed_callers(struct task *t)
 {
 	struct node *n =
-	    (struct node *)((char *)t - offsetof(struct node, free_callers));
+	    (struct node *)((char *)t - offsetof(struct node, end_callers));
+	struct request *q;
 	struct caller *c;
 
 	while ((c = n->closed_callers) != NULL) {
 		n->closed_callers = c->next;
+		while ((q = c->first) != NULL) {
+			remove_pipeline(c, q);
+			q->caller = NULL;
+			if (q->state == REQUEST_RUNNING)
+				handle_caller_hangup(q);
+			else
+				free_request(q);
+		}
 		unload_buf(&c->input);
 		unload_buf(&c->out);
 		free(c);
--- a/packages/node/caller_state.h
+++ b/packages/node/caller_state.h
@@ -24,7 +24,7 @@
 	bool closing; /* the answer in out is the last one */
 	bool lingering; /* answered; discards input until the caller closes */
 	bool busy; /* progress_caller() is running */
-	bool closed; /* freed at the end of the round */
+	bool closed; /* its requests are ended at the end of the round */
 };
 
 /* pipeline.c */
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -28,6 +28,7 @@
 static void handle_grant_frame(struct request *q, struct str payload);
 static void handle_link_lost(void *arg, const char *why);
 static void handle_unresponsive_link(void *arg);
+static struct request *take_movable_calls(struct peer_link *l);
 static void send_uploads(void *arg);
 static void retire_link(struct peer_link *l);
 static void free_link_if_idle(struct peer_link *l);
@@ -464,47 +465,58 @@
 handle_unresponsive_link(void *arg)
 {
 	struct peer_link *l = arg;
-	struct request *list[256];
-	size_t count = 0;
+	struct request *list, *next;
 
 	WRITE_EVENT(LOG_LEVEL_NOTICE, "link.silent",
 	    LOG_TEXT("node", l->peer != NULL ? l->peer->id : ""),
 	    LOG_INT("calls", l->stream_count));
 	if (l->peer != NULL)
 		record_peer_failure(l->peer);
-	for (size_t i = 0; i < NODE_STREAM_SLOTS; i++) {
-		struct request *q = l->streams[i];
-
-		for (; q != NULL; q = q->attempt.next_stream) {
-			if (count == sizeof(list) / sizeof(list[0]))
-				break;
-			if (!q->attempt.body_sent ||
-			    (q->caller != NULL && reserve_request_move(q)))
-				list[count++] = q;
-		}
-	}
 	if (!l->retired) {
 		if (l->peer != NULL && l->peer->link == l)
 			l->peer->link = NULL;
 		l->retired = true;
 	}
-	for (size_t i = 0; i < count; i++) {
-		bool sent = list[i]->attempt.body_sent;
-
-		add_trace(list[i], TRACE_UNRESPONSIVE,
-		    list[i]->attempt.peer->id, 0, 0, 0);
-		send_hop(l->hop, HOP_CANCEL, list[i]->attempt.stream, NULL,
-		    NULL, make_str_n(NULL, 0));
-		remove_stream(list[i]);
-		list[i]->attempt.peer->in_flight--;
-		if (sent)
-			move_request(list[i]);
+	for (list = take_movable_calls(l); list != NULL; list = next) {
+		next = list->attempt.next_stream;
+		if (list->attempt.body_sent)
+			move_request(list);
 		else
-			handle_attempt_failure(list[i], ATTEMPT_TIMEOUT, true);
+			handle_attempt_failure(list, ATTEMPT_TIMEOUT, true);
 	}
 	free_link_if_idle(l);
 }
 
+/*
+ * Takes the calls off a silent link that need not wait for it: those that have
+ * certainly not run, and those that get a retry. Returns them linked by
+ * attempt.next_stream.
+ */
+static struct request *
+take_movable_calls(struct peer_link *l)
+{
+	struct request *list = NULL, *q, *next;
+
+	for (size_t i = 0; i < NODE_STREAM_SLOTS; i++) {
+		for (q = l->streams[i]; q != NULL; q = next) {
+			struct attempt *a = &q->attempt;
+
+			next = a->next_stream;
+			if (a->body_sent &&
+			    !(has_caller(q) && reserve_request_move(q)))
+				continue;
+			add_trace(q, TRACE_UNRESPONSIVE, a->peer->id, 0, 0, 0);
+			send_hop(l->hop, HOP_CANCEL, a->stream, NULL, NULL,
+			    make_str_n(NULL, 0));
+			remove_stream(q);
+			a->peer->in_flight--;
+			a->next_stream = list;
+			list = q;
+		}
+	}
+	return list;
+}
+
 /*
  * Sends pieces of the queued bodies round robin while less than
  * UPLOAD_UNSENT_BYTES are unsent, so that frames of other calls do not wait
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -98,7 +98,7 @@
 /* A caller's request, from its first byte to its answer. */
 struct request {
 	struct node *node;
-	struct caller *caller; /* NULL: disconnected */
+	struct caller *caller; /* NULL: left; see has_caller() */
 	struct request *next_request; /* of the caller's connection */
 	enum request_state state;
 	struct http_reader reader;
@@ -316,8 +316,8 @@
 	size_t head_max, body_max;
 
 	struct caller *callers;
-	struct caller *closed_callers; /* to be freed */
-	struct task free_callers;
+	struct caller *closed_callers; /* their calls are ended next */
+	struct task end_callers;
 	int requests; /* callers' calls in flight */
 	int64_t last_call_at; /* mono ns; arrival of the newest call */
 	size_t body_bytes; /* of request bodies in memory */
@@ -376,6 +376,7 @@
 void send_answer(
     struct request *q, int status, struct str head, struct str body);
 void free_request(struct request *q);
+bool has_caller(const struct request *q); /* that is still connected */
 
 /* request.c */
 void route_call(struct node *n, struct request *q); /* complete request */
--- a/packages/node/tests/node_fixture.c
+++ b/packages/node/tests/node_fixture.c
@@ -2,6 +2,7 @@
  * Sets up nodes, servers and the table, and implements the client.
  */
 #include <arpa/inet.h>
+#include <semaphore.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,6 +13,7 @@
 
 #define REPORT_PREFIX "/report/"
 #define REPLY_TIMEOUT_S 10
+#define HOLD_INSTANCE "hold" /* whose reports hold the reactor */
 #define HEADER                                                            \
 	"kind,service,rank,weight,floor_pct,limit_pct,target_ms,"         \
 	"deadline_ms,queue_max,retries,retry_pct,hedge_ms,repeat,keep_s," \
@@ -24,6 +26,8 @@
     HEADER ROW("read", "1", "yes", "") ROW("once", "0", "yes", "")
 	ROW("pay", "1", "no", "") ROW("split", "1", "yes", "svc:3 other:1");
 
+static sem_t held, released; /* by a report of HOLD_INSTANCE */
+
 static int read_report(const struct http_head *head, struct str body,
     struct backend_report *out, struct fault *f);
 static bool is_readiness_check(const struct http_head *head);
@@ -41,6 +45,8 @@
 	unsigned int net = (unsigned int)getpid();
 
 	memset(r, 0, sizeof(*r));
+	sem_init(&held, 0, 0);
+	sem_init(&released, 0, 0);
 	r->agent = open_fake_agent();
 	r->count = nodes;
 	r->stop_ns = 3 * NSEC_PER_SEC;
@@ -145,6 +151,28 @@
 	}
 }
 
+int
+hold_fixture_node(struct fixture *r, int i)
+{
+	static const char report[] =
+	    "POST " REPORT_PREFIX HOLD_INSTANCE
+	    "/ready/1/1 HTTP/1.1\r\nHost: test.example\r\n"
+	    "Content-Length: 0\r\n\r\n";
+	int fd = connect_test_client(r->reports[i]);
+
+	ck_assert_int_ge(fd, 0);
+	send_all(fd, report, sizeof(report) - 1);
+	sem_wait(&held);
+	return fd;
+}
+
+void
+release_fixture_node(int hold)
+{
+	sem_post(&released);
+	close(hold);
+}
+
 int
 send_report(struct fixture *r, int i, const char *instance, const char *state,
     int seq, int start_ms)
@@ -311,6 +339,11 @@
 	if (sscanf(path + strlen(REPORT_PREFIX), "%64[^/]/%15[^/]/%llu/%lld",
 		out->id, state, &seq, &start_ms) != 4)
 		return set_fault(f, ERR_INVALID, "bad report");
+	if (strcmp(out->id, HOLD_INSTANCE) == 0) {
+		sem_post(&held);
+		sem_wait(&released);
+		return set_fault(f, ERR_INVALID, "held");
+	}
 	out->slots = 4;
 	out->seq = seq;
 	out->start_ms = start_ms;
--- a/packages/node/tests/node_fixture.h
+++ b/packages/node/tests/node_fixture.h
@@ -51,6 +51,13 @@
 int send_report(struct fixture *r, int i, const char *instance,
     const char *state, int seq, int start_ms);
 
+/*
+ * Holds the reactor of node i inside a callback, so that what happens meanwhile
+ * meets it in one round; release_fixture_node() lets it go on.
+ */
+int hold_fixture_node(struct fixture *r, int i);
+void release_fixture_node(int hold);
+
 /* Sends one request on a new connection and reads the answer. */
 void send_test_call(const char *address, const char *method, const char *path,
     const char *id, const char *more, struct str body, struct test_reply *out);
