reactor: do not lose tasks behind one that is posted again

What could be seen: a node that misses a stop or a new table.

Cause: run_posted() marked all tasks of its list as not queued before it ran the first. One that still waited in the list could be posted again then, by a task before it or by another thread, which overwrote its next pointer and cut off the tasks behind it.

Change: a task counts as queued until its turn comes.

Evidence: reactor.test_reactor posts three tasks, of which the first posts the second again: the third did not run before, and does now.

--- a/packages/reactor/reactor.c
+++ b/packages/reactor/reactor.c
@@ -395,11 +395,13 @@
 	list = r->posted;
 	r->posted = NULL;
 	r->posted_tail = &r->posted;
-	for (struct task *t = list; t != NULL; t = t->next)
-		t->queued = false;
 	pthread_mutex_unlock(&r->lock);
 	for (; list != NULL; list = next) {
+		/* From now on it can be posted again, which changes its next. */
+		pthread_mutex_lock(&r->lock);
 		next = list->next;
+		list->queued = false;
+		pthread_mutex_unlock(&r->lock);
 		list->fn(list);
 	}
 }
--- a/packages/reactor/tests/test_reactor.c
+++ b/packages/reactor/tests/test_reactor.c
@@ -4,6 +4,7 @@
 #include <check.h>
 #include <pthread.h>
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "reactor.h"
@@ -144,6 +145,38 @@
 }
 END_TEST
 
+static struct task chained[3];
+static int chained_runs[3];
+
+static void
+run_chained(struct task *t)
+{
+	int i = (int)(t - chained);
+
+	chained_runs[i]++;
+	/* The first one posts the second again, which has not run yet. */
+	if (i == 0)
+		post_task(loop, &chained[1], run_chained);
+}
+
+/*
+ * Guards against losing a posted task because one before it is posted again
+ * while it waits: a node would miss a stop or a new table.
+ */
+START_TEST(posted_tasks_survive_repeated_posts)
+{
+	memset(chained, 0, sizeof(chained));
+	memset(chained_runs, 0, sizeof(chained_runs));
+	for (int i = 0; i < 3; i++)
+		post_task(loop, &chained[i], run_chained);
+	for (int i = 0; i < 3; i++)
+		run_reactor_round(loop, 0);
+	ck_assert_int_eq(chained_runs[0], 1);
+	ck_assert_int_ge(chained_runs[1], 1);
+	ck_assert_int_eq(chained_runs[2], 1);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -156,6 +189,7 @@
 	tcase_add_test(t, timers_run_in_order_once);
 	tcase_add_test(t, stopped_watch_gets_no_pending_event);
 	tcase_add_test(t, tasks_run_once_on_the_loop);
+	tcase_add_test(t, posted_tasks_survive_repeated_posts);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
