node: wait for links to entry nodes before a stop ends

Cause: a call counted as ended when its answer was handed to the next output buffer, and bytes there counted for nothing: in the buffer of the caller's connection, and in that of the link to the entry node.

Change: a stop also waits for links to entry nodes with unsent bytes, until its end.

Evidence: node.test_stop, stop_sends_answers_to_their_end.

--- a/packages/node/inbound.c
+++ b/packages/node/inbound.c
@@ -87,6 +87,20 @@
 	}
 }
 
+/*
+ * Says whether bytes to an entry node, such as an answer, are still queued.
+ */
+bool
+has_unsent_inbound(const struct node *n)
+{
+	for (const struct inbound_link *l = n->inbound; l != NULL;
+	     l = l->next) {
+		if (get_hop_unsent(l->hop) > 0)
+			return true;
+	}
+	return false;
+}
+
 void
 close_inbound(struct node *n)
 {
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -464,6 +464,7 @@
 void accept_links(struct watch *w, uint32_t events);
 void broadcast_load(struct node *n); /* to all entry nodes */
 void close_inbound(struct node *n);
+bool has_unsent_inbound(const struct node *n);
 
 /* local_api.c */
 void answer_ready(struct node *n, struct request *q);
--- a/packages/node/stop.c
+++ b/packages/node/stop.c
@@ -164,7 +164,8 @@
 static bool
 is_idle(const struct node *n)
 {
-	return n->requests == 0 && n->job_count == 0 && !has_busy_callers(n);
+	return n->requests == 0 && n->job_count == 0 && !has_busy_callers(n) &&
+	       !has_unsent_inbound(n);
 }
 
 /*
--- a/packages/node/tests/fake_server.c
+++ b/packages/node/tests/fake_server.c
@@ -63,6 +63,7 @@
 static void send_ok(struct fake_server *s, struct fake_conn *c);
 static void close_fake_conn(struct fake_conn *c, bool reset);
 static int64_t read_now(void);
+static void answer_large(struct fake_server *s, struct fake_conn *c);
 static void answer_slow(struct fake_server *s, struct fake_conn *c);
 static void answer_failed(struct fake_server *s, struct fake_conn *c);
 static void answer_full(struct fake_server *s, struct fake_conn *c);
@@ -92,6 +93,7 @@
 	behave_fn fn;
 } behaviours[] = {
     {"ok", true, send_ok}, /* signed 200 */
+    {"large", true, answer_large}, /* signed 200, FAKE_LARGE_BYTES */
     {"slow", true, answer_slow}, /* the same after 150 ms */
     {"failed", true, answer_failed}, /* a signed 500 */
     {"full", false, answer_full}, /* 503, marked as not run */
@@ -452,6 +454,28 @@
 	    c->id, s->instance, s->notices);
 }
 
+static void
+answer_large(struct fake_server *s, struct fake_conn *c)
+{
+	static const char part[64 * 1000];
+	ssize_t n = 0;
+
+	send_text(c,
+	    "HTTP/1.1 200 OK\r\nCall-Id: %s\r\nSeal: %s\r\n"
+	    "Content-Length: %d\r\n\r\n",
+	    c->id, s->instance, FAKE_LARGE_BYTES);
+	for (size_t sent = 0; sent < FAKE_LARGE_BYTES; sent += (size_t)n) {
+		size_t left = FAKE_LARGE_BYTES - sent;
+
+		n = send(c->fd, part, left < sizeof(part) ? left : sizeof(part),
+		    MSG_NOSIGNAL);
+		if (n <= 0) {
+			close_fake_conn(c, false);
+			return;
+		}
+	}
+}
+
 static void
 close_fake_conn(struct fake_conn *c, bool reset)
 {
--- a/packages/node/tests/relay.c
+++ b/packages/node/tests/relay.c
@@ -116,7 +116,11 @@
 	ck_assert_uint_lt(r->pairs, RELAY_CONNECTIONS_MAX);
 	ck_assert_int_eq(parse_hop_address(r->target, &sa, &len), 0);
 	out = socket(AF_INET, SOCK_STREAM, 0);
-	ck_assert_int_eq(connect(out, (void *)&sa, len), 0);
+	if (connect(out, (void *)&sa, len) != 0) {
+		close(in); /* the target has stopped */
+		close(out);
+		return;
+	}
 	r->conns[r->pairs][0] = in;
 	r->conns[r->pairs][1] = out;
 	r->pairs++;
--- a/packages/node/tests/test_stop.c
+++ b/packages/node/tests/test_stop.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "node_fixture.h"
+#include "relay.h"
 
 #define SLOTS 8 /* of both servers of "svc" */
 #define WAITING_MAX 4
@@ -227,6 +228,64 @@
 }
 END_TEST
 
+struct slow_case {
+	const char *what;
+	int stops; /* node that stops */
+	bool link; /* the link between the nodes is slow, else the caller */
+};
+
+static const struct slow_case slow_cases[] = {
+    {"caller of its own server", 0, false},
+    {"caller, server at another node", 2, false},
+    {"link to the entry node", 1, true},
+};
+
+/*
+ * Guards against a stop that cuts an answer that is still being sent, as
+ * review/4 showed, to a caller or to the entry node.
+ */
+START_TEST(stop_sends_answers_to_their_end)
+{
+	const struct slow_case *c = &slow_cases[_i];
+	struct relay *relay = open_relay(fixture.links[1]);
+	static char bytes[1 << 20];
+	int fd, stops = c->stops;
+	struct buf head = {0};
+	size_t got = 0;
+	pthread_t t;
+	ssize_t n;
+
+	if (c->link) {
+		clear_fake_endpoints(fixture.agent, "svc");
+		add_fake_endpoint(fixture.agent, "svc", "node-1",
+		    get_relay_address(relay), 4, WIRE_ENDPOINT_READY);
+		refresh_node(fixture.nodes[2]);
+		usleep(50000);
+	}
+	fd = start_call(c->link ? 2 : c->stops, "/order/large", "large", 20);
+	for (int k = 0; k < POLLS_MAX && count_runs("large") == 0; k++)
+		usleep(1000);
+	set_relay_paused(relay, c->link);
+	ck_assert_int_eq(pthread_create(&t, NULL, stop_entry, &stops), 0);
+	usleep(1200000);
+	set_relay_paused(relay, false);
+	while ((n = recv(fd, bytes, sizeof(bytes), 0)) > 0) {
+		if (head.len < 512)
+			append_buf(&head, bytes, n < 512 ? (size_t)n : 512);
+		got += (size_t)n;
+		if (got > FAKE_LARGE_BYTES + 100)
+			break;
+	}
+	ck_assert_msg(got > FAKE_LARGE_BYTES, "%s: %zu bytes, %.40s", c->what,
+	    got, head.len > 0 ? head.data : "");
+	ck_assert(strncmp(head.data, "HTTP/1.1 200", 12) == 0);
+	close(fd);
+	pthread_join(t, NULL);
+	close_relay(relay);
+	unload_buf(&head);
+}
+END_TEST
+
 /*
  * Guards against a reset that takes the last answer from a caller that has sent
  * more than the stopping node will read.
@@ -270,6 +329,8 @@
 	    sizeof(stop_cases) / sizeof(stop_cases[0]));
 	tcase_add_test(t, stop_answers_requests_held_behind_others);
 	tcase_add_test(t, stop_ends_in_time_under_steady_calls);
+	tcase_add_loop_test(t, stop_sends_answers_to_their_end, 0,
+	    sizeof(slow_cases) / sizeof(slow_cases[0]));
 	tcase_add_test(t, stop_does_not_reset_callers_that_sent_more);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
