replica: open the log again after a disk has refused writes

Operators saw: three of five disks refused writes for 4.5 s, one after the other.

Cause: an error of the log made the replica fail until a restart, and nothing restarted it. The rule is meant for failed syncs, after which the page cache may hold what the disk does not; it was applied to refused writes as well.

Change: after a refused write the replica opens its log again when the disk takes writes, clears the state machine and follows its leader, as after a restart of the process. A failed sync, a damaged log and an empty disk remain permanent.

Scenario disk passes; it reads role and leader in the status that shows the failure, since the member may come back right after.

Why it works: votes and acknowledgements leave only after they are stored, so what was refused was never promised, and a start from the disk's state is what a restart does.

--- a/bench/replica_bench.c
+++ b/bench/replica_bench.c
@@ -73,6 +73,7 @@
     struct str command, struct buf *result);
 static int save_empty(void *arg, struct buf *out);
 static int load_empty(void *arg, uint64_t index, struct str data);
+static void clear_nothing(void *arg);
 static int64_t get_zero_time(void *arg);
 static int compare_samples(const void *a, const void *b);
 static void print_figure(const struct bench *b, size_t outstanding,
@@ -158,7 +159,7 @@
 		    .data_dir = m->dir,
 		    .bootstrap = &boot,
 		    .machine = {apply_command, save_empty, load_empty,
-			get_zero_time, m},
+			clear_nothing, get_zero_time, m},
 		    .transport = {send_to_member, NULL, m},
 		    .seed = i + 1};
 
@@ -360,6 +361,12 @@
 	return 0;
 }
 
+static void
+clear_nothing(void *arg)
+{
+	(void)arg;
+}
+
 static int64_t
 get_zero_time(void *arg)
 {
--- a/packages/control/control_metrics.c
+++ b/packages/control/control_metrics.c
@@ -56,7 +56,7 @@
 	"Snapshots that could not be made; the log grows."),
     SPEC(voter, METRIC_GAUGE, "replica_voter", "1 as a voter."),
     SPEC(failed, METRIC_GAUGE, "replica_failed",
-	"1 when storage has failed for good."),
+	"1 while storage has failed."),
     SPEC(contact_ms, METRIC_GAUGE, "replica_contact_ms",
 	"Time since the last contact to a quorum, ms; -1: none yet."),
     SPEC(dropped, METRIC_GAUGE, "replica_dropped",
--- a/packages/control/replication.c
+++ b/packages/control/replication.c
@@ -20,6 +20,7 @@
     struct str bytes, struct buf *result);
 static int save_state_machine(void *arg, struct buf *out);
 static int load_state_machine(void *arg, uint64_t index, struct str data);
+static void clear_state_machine(void *arg);
 static int64_t get_state_machine_time(void *arg);
 static void send_raft(
     void *arg, uint64_t to, const struct wire_raft_message *m);
@@ -45,7 +46,7 @@
 	    .id = c->id,
 	    .data_dir = c->cfg.data_dir,
 	    .machine = {apply_entry, save_state_machine, load_state_machine,
-		get_state_machine_time, c},
+		clear_state_machine, get_state_machine_time, c},
 	    .transport = {send_raft, update_members, c},
 	    .seed = c->cfg.seed,
 	};
@@ -362,6 +363,20 @@
 	return rc;
 }
 
+/*
+ * The replica applies its log again. Until it has, nodes get no table, since
+ * this process has no contact to a quorum, and none that is older than theirs.
+ */
+static void
+clear_state_machine(void *arg)
+{
+	struct control *c = arg;
+
+	pthread_mutex_lock(&c->lock);
+	reset_state(c->state);
+	pthread_mutex_unlock(&c->lock);
+}
+
 /*
  * Returns the log time that the state machine has reached, in ns.
  */
--- a/packages/control/state.c
+++ b/packages/control/state.c
@@ -29,7 +29,6 @@
 static int load_stored_answer(struct state *s, struct str body);
 static int load_stored_claim(struct state *s, struct str body);
 static int check_history(const struct state *s);
-static void clear_state(struct state *s);
 
 int
 open_state(size_t claims_max, struct state **out)
@@ -53,11 +52,31 @@
 {
 	if (s == NULL)
 		return;
-	clear_state(s);
+	reset_state(s);
 	unload_table(s->table);
 	free(s);
 }
 
+/*
+ * Empties the state. Out of memory, the old table stays, as s->table must never
+ * be NULL.
+ */
+void
+reset_state(struct state *s)
+{
+	struct table *t = make_empty_table();
+
+	clear_history(&s->history);
+	clear_answers(&s->answers);
+	clear_claims(&s->claims);
+	unload_buf(&s->source);
+	s->log_ns = 0;
+	if (t == NULL)
+		return;
+	unload_table(s->table);
+	s->table = t;
+}
+
 void
 apply_state(struct state *s, int64_t log_ns, int64_t wall_ns, struct str bytes,
     struct buf *result)
@@ -153,7 +172,7 @@
 	bool first = true;
 	int rc = 0;
 
-	clear_state(s);
+	reset_state(s);
 	while (rc == 0 && type != STORED_END) {
 		rc = read_stored(&data, &type, &body);
 		if (rc == 0 && first != (type == STORED_HEAD))
@@ -168,7 +187,7 @@
 		rc = check_history(s);
 	if (rc == 0)
 		return 0;
-	clear_state(s);
+	reset_state(s);
 	return set_fault(f, rc,
 	    "the snapshot of the state machine is damaged or of another "
 	    "release; wipe the data directory and rejoin as a new member");
@@ -461,23 +480,3 @@
 
 	return newest == s->table->version ? 0 : ERR_CORRUPT;
 }
-
-/*
- * Empties the state. Out of memory, the old table stays, as s->table must never
- * be NULL.
- */
-static void
-clear_state(struct state *s)
-{
-	struct table *t = make_empty_table();
-
-	clear_history(&s->history);
-	clear_answers(&s->answers);
-	clear_claims(&s->claims);
-	unload_buf(&s->source);
-	s->log_ns = 0;
-	if (t == NULL)
-		return;
-	unload_table(s->table);
-	s->table = t;
-}
--- a/packages/control/state.h
+++ b/packages/control/state.h
@@ -24,6 +24,7 @@
 
 int open_state(size_t claims_max, struct state **out); /* ERR_MEMORY */
 void close_state(struct state *s);
+void reset_state(struct state *s); /* as open_state() left it */
 
 /*
  * Applies a committed command with the leader's time stamps and appends the
--- a/packages/replica/replica.c
+++ b/packages/replica/replica.c
@@ -12,7 +12,6 @@
 #define UNCOMMITTED_BYTES (8 * 1024 * 1024) /* more proposals are refused */
 #define TRAILING_BYTES (1024 * 1024) /* kept in the log below a snapshot */
 
-static int load_replica(struct replica *r, struct fault *f);
 static int open_raft_core(
     struct replica *r, const struct raft_stored *stored, struct fault *f);
 static void unload_replica(struct replica *r);
@@ -48,6 +47,7 @@
 	pthread_cond_init(&r->wake, &attr);
 	pthread_condattr_destroy(&attr);
 	rc = load_replica(r, f);
+	r->cfg.bootstrap = NULL;
 	if (rc == 0 && !cfg->manual) {
 		if (pthread_create(&r->thread, NULL, run_replica, r) == 0)
 			r->has_thread = true;
@@ -136,11 +136,12 @@
 }
 
 /*
- * Opens the log and the core, and loads the snapshot. Returns ERR_NOT_FOUND for
- * an empty data directory with cfg.need_data, ERR_CORRUPT when the snapshot
- * does not load, or an error of log or core; f has the reason.
+ * Opens the log and the core, clears the state machine and loads the snapshot.
+ * Returns ERR_NOT_FOUND for an empty data directory with cfg.need_data,
+ * ERR_CORRUPT when the snapshot does not load, or an error of log or core; f
+ * has the reason.
  */
-static int
+int
 load_replica(struct replica *r, struct fault *f)
 {
 	struct wal_config wcfg = {.dir = r->cfg.data_dir,
@@ -165,17 +166,22 @@
 		if (rc != 0)
 			return rc;
 		stored.snapshot.members = first.members;
+		r->has_stored = true;
 	}
 	/* A delayed reply to an earlier run must not match a context. */
 	seed_rng_random(&rng);
 	r->next_context = r->cfg.manual ?
 			      (uint64_t)read_wall(&r->cfg.clock) << 8 :
 			      draw_u64(&rng);
+	r->has_stored = r->has_stored || !is_wal_empty(r->wal);
 	rc = open_raft_core(r, &stored, f);
 	unload_wal_stored(r->wal);
 	if (rc != 0)
 		return rc;
+	r->cfg.machine.clear(r->cfg.machine.arg);
 	process_output(r);
+	if (r->failed && r->recover_at != 0)
+		return set_fault(f, ERR_IO, "the disk refuses writes");
 	if (r->failed)
 		return set_fault(f, ERR_CORRUPT,
 		    "the snapshot in %s cannot be loaded; wipe the data "
--- a/packages/replica/replica.h
+++ b/packages/replica/replica.h
@@ -43,6 +43,7 @@
 	int (*save)(void *arg, struct buf *out); /* the complete state */
 	/* Replaces the state. */
 	int (*load)(void *arg, uint64_t index, struct str data);
+	void (*clear)(void *arg); /* back to the state before any command */
 	int64_t (*get_log_time)(void *arg); /* ns, latest applied or loaded */
 	void *arg;
 };
@@ -77,7 +78,8 @@
 	struct clock_source clock;
 	uint64_t id; /* of this member, never 0 */
 	const char *data_dir;
-	const struct raft_members *bootstrap; /* first members; NULL: joins */
+	/* First members; NULL: joins. Used by start_replica() only. */
+	const struct raft_members *bootstrap;
 	struct replica_machine machine;
 	struct replica_transport transport;
 	const struct wal_io *io; /* NULL: the operating system's files */
@@ -98,7 +100,7 @@
 	uint64_t snapshot; /* index of the newest snapshot */
 	uint64_t snapshot_errors; /* snapshots that could not be made */
 	bool voter;
-	bool failed; /* storage or state machine failed; no recovery */
+	bool failed; /* storage or state machine has failed */
 	bool transferring; /* leader is handing over */
 	int64_t contact_ns; /* time since the last quorum contact; -1: never */
 	struct wal_counters wal;
--- a/packages/replica/replica_core.h
+++ b/packages/replica/replica_core.h
@@ -79,6 +79,10 @@
 	struct raft *raft;
 	struct wal *wal;
 	bool failed;
+	bool has_stored; /* something that other members may rely on */
+	int64_t recover_at; /* monotonic clock; 0: failed for good */
+	int64_t recover_delay; /* ns, before the next try */
+	int64_t recovered_at;
 	int64_t last_tick_ns; /* monotonic clock */
 	uint64_t quorum_contacts; /* of the core, when last published */
 	uint64_t members_index; /* of the last update_members() call */
@@ -119,11 +123,16 @@
 void expire_requests(struct replica *r, int64_t now);
 void fail_requests(struct replica *r);
 
+/* Start; also the log's, after it has failed */
+int load_replica(struct replica *r, struct fault *f);
+void recover_replica(struct replica *r, int64_t now); /* when it is due */
+
 /* Work */
 void process_output(struct replica *r);
 void compact_replica(struct replica *r);
 void publish_status(struct replica *r, int64_t now);
-void fail_replica(struct replica *r, const char *text);
+void fail_replica(struct replica *r, const char *text); /* for good */
+void fail_storage(struct replica *r, const char *text); /* until it works */
 
 /* Conversion */
 void export_raft_message(struct replica *r, const struct raft_message *m,
--- a/packages/replica/tests/group.h
+++ b/packages/replica/tests/group.h
@@ -51,6 +51,7 @@
 	struct raft_members bootstrap;
 	size_t snapshot_bytes; /* replica_config of members started next */
 	size_t snapshot_padding; /* bytes added to each snapshot */
+	bool chaos_refuses_writes; /* disks refuse writes for a while */
 	uint64_t next_value;
 	uint64_t acked_index; /* highest index reported to a proposer */
 	size_t acked_count; /* proposals reported as applied */
@@ -117,6 +118,15 @@
 	return rc;
 }
 
+static void
+clear_values(void *arg)
+{
+	struct member *m = arg;
+
+	m->state.len = 0;
+	m->log_ns = 0;
+}
+
 static int
 load_values(void *arg, uint64_t index, struct str data)
 {
@@ -200,7 +210,7 @@
 	    .id = id,
 	    .data_dir = "/data",
 	    .bootstrap = id <= 3 ? &g->bootstrap : NULL,
-	    .machine = {apply_value, save_values, load_values,
+	    .machine = {apply_value, save_values, load_values, clear_values,
 		get_member_log_time, m},
 	    .transport = {send_packet, record_members, m},
 	    .seed = draw_u64(&g->rng),
--- a/packages/replica/tests/test_replica.c
+++ b/packages/replica/tests/test_replica.c
@@ -255,6 +255,62 @@
 	fail_disk(g, find_other_member(lead, 0), MEM_FAULT_SYNC);
 }
 
+/*
+ * Guards against a group that ends for good because its disks refused writes
+ * for a while, one after the other, as review/2 showed: each member comes back
+ * without a restart, with all that was acknowledged.
+ */
+static void
+refuse_writes_in_turn(struct group *g, uint64_t lead)
+{
+	(void)lead;
+	for (int round = 0; round < 2; round++) {
+		for (uint64_t id = 1; id <= 3; id++) {
+			struct outcome o;
+
+			set_disk_fault(g, id, MEM_FAULT_FULL);
+			(void)propose_value(g, find_group_leader(g), &o);
+			run_group(g, 4500);
+			ck_assert(is_replica_failed(g->member[id].r));
+			commit_values(g, 3);
+			g->member[id].disk.fault = MEM_FAULT_NONE;
+			run_group(g, 2500);
+			ck_assert(!is_replica_failed(g->member[id].r));
+			ck_assert(get_status(g, id).voter);
+			commit_values(g, 3);
+			run_group(g, 200);
+		}
+	}
+	for (uint64_t id = 2; id <= 3; id++) {
+		ck_assert_uint_eq(
+		    g->member[id].state.len, g->member[1].state.len);
+		ck_assert_int_eq(
+		    memcmp(g->member[id].state.data, g->member[1].state.data,
+			g->member[1].state.len),
+		    0);
+	}
+}
+
+/*
+ * Guards against a member that goes on under its id although its disk was
+ * replaced by an empty one while writes were refused: it may have voted.
+ */
+static void
+lose_disk_while_refused(struct group *g, uint64_t lead)
+{
+	uint64_t id = find_other_member(lead, 0);
+
+	set_disk_fault(g, id, MEM_FAULT_FULL);
+	commit_values(g, 1);
+	run_group(g, 500);
+	ck_assert(is_replica_failed(g->member[id].r));
+	unload_mem_disk(&g->member[id].disk);
+	g->member[id].disk = (struct mem_disk){0};
+	run_group(g, 3000);
+	ck_assert(is_replica_failed(g->member[id].r));
+	commit_values(g, 1);
+}
+
 /* All members lose power at once; what was acknowledged must survive. */
 static void
 cut_power_of_all(struct group *g, uint64_t lead)
@@ -528,6 +584,8 @@
     {"partition with a proposal", partition_with_proposal},
     {"full disk of the leader", fill_leader_disk},
     {"full disk of a follower", fill_follower_disk},
+    {"disks that refuse writes in turn", refuse_writes_in_turn},
+    {"empty disk after refused writes", lose_disk_while_refused},
     {"failed sync of the leader", fail_leader_sync},
     {"failed sync of a follower", fail_follower_sync},
     {"power cut of all members", cut_power_of_all},
@@ -571,6 +629,14 @@
 	struct member *m = &g->member[id];
 	uint64_t roll = draw_below(&g->rng, 100);
 
+	if (g->chaos_refuses_writes && m->r != NULL &&
+	    draw_below(&g->rng, 150) == 0) {
+		if (m->disk.fault == MEM_FAULT_NONE)
+			set_disk_fault(g, id, MEM_FAULT_FULL);
+		else
+			m->disk.fault = MEM_FAULT_NONE;
+		return;
+	}
 	if (m->r == NULL) {
 		if (roll < 10 && start_member(g, id, NULL) != 0)
 			fail_group(g, "a member does not start again");
@@ -640,7 +706,8 @@
 
 /*
  * Guards against lost acknowledged commands, refused ones that take effect, and
- * stale reads, under crashes with power cuts and an unreliable network.
+ * stale reads, under crashes with power cuts, an unreliable network and, in the
+ * second run, disks that refuse writes for a while.
  */
 START_TEST(chaos_keeps_guarantees)
 {
@@ -653,10 +720,12 @@
 		int n = 0;
 
 		g->snapshot_bytes = 2048;
+		g->chaos_refuses_writes = _i == 1;
 		for (int k = 0; k < CHAOS_STEPS && !g->failure[0]; k++)
 			step_chaos(g, o, &n);
 		memset(g->blocked, 0, sizeof(g->blocked));
 		for (uint64_t id = 1; id <= 3; id++) {
+			g->member[id].disk.fault = MEM_FAULT_NONE;
 			if (g->member[id].r == NULL &&
 			    start_member(g, id, NULL) != 0)
 				fail_group(g, "a member does not start again");
@@ -729,6 +798,14 @@
 	return append_buf(out, x->t->state[x->id].data, x->t->state[x->id].len);
 }
 
+static void
+clear_in_thread(void *arg)
+{
+	struct thread_member *x = arg;
+
+	x->t->state[x->id].len = 0;
+}
+
 static int
 load_in_thread(void *arg, uint64_t index, struct str data)
 {
@@ -831,7 +908,7 @@
 		    .data_dir = dir[id],
 		    .bootstrap = &boot,
 		    .machine = {apply_in_thread, save_in_thread, load_in_thread,
-			get_zero_log_time, &x[id]},
+			clear_in_thread, get_zero_log_time, &x[id]},
 		    .transport = {send_direct, NULL, &x[id]},
 		    .seed = id};
 
@@ -904,7 +981,7 @@
 	tcase_set_timeout(t, 60);
 	tcase_add_loop_test(t, group_recovers_from_fault, 0,
 	    (int)(sizeof(cases) / sizeof(cases[0])));
-	tcase_add_test(t, chaos_keeps_guarantees);
+	tcase_add_loop_test(t, chaos_keeps_guarantees, 0, 2);
 	tcase_add_test(t, threads_commit_and_stop);
 	tcase_add_test(t, messages_survive_the_wire);
 	suite_add_tcase(s, t);
--- a/packages/replica/work.c
+++ b/packages/replica/work.c
@@ -9,10 +9,17 @@
 
 /* The state changes meanwhile; each try may encode some megabytes. */
 #define SNAPSHOT_RETRY_NS (5 * NSEC_PER_SEC)
+/* Between tries to open storage that failed; doubles up to the second one. */
+#define RECOVER_DELAY_NS (250 * NSEC_PER_MSEC)
+#define RECOVER_DELAY_MAX_NS (1 * NSEC_PER_SEC)
+#define RECOVER_RESET_NS \
+	(10 * NSEC_PER_SEC) /* a failure after it is a new one */
 
 static void run_ticks(struct replica *r, int64_t now);
 static void send_messages(struct replica *r);
 static void delay_snapshot(struct replica *r, int rc);
+static void delay_recovery(struct replica *r, int64_t now);
+static void publish_failure(struct replica *r);
 static bool store_next(struct replica *r);
 static void apply_committed(struct replica *r);
 static void apply_entry(struct replica *r, const struct raft_apply *a);
@@ -51,7 +58,7 @@
 	if (!r->failed)
 		compact_replica(r);
 	else
-		r->last_tick_ns = now;
+		recover_replica(r, now);
 	publish_status(r, now);
 }
 
@@ -78,7 +85,7 @@
 
 /*
  * Replaces the log with a snapshot of the state machine once it exceeds
- * cfg.snapshot_bytes. The replica fails if the snapshot cannot be stored. One
+ * cfg.snapshot_bytes. Storage fails if the snapshot cannot be stored. One
  * that cannot be made, for want of memory or since its state breaks a bound of
  * the records, leaves the log as it is.
  */
@@ -104,7 +111,7 @@
 	}
 	rc = save_wal_snapshot(r->wal, get_raft_snapshot(r->raft), &f);
 	if (rc != 0)
-		fail_replica(r, f.text);
+		fail_storage(r, f.text);
 }
 
 /*
@@ -114,21 +121,25 @@
 void
 publish_status(struct replica *r, int64_t now)
 {
-	struct raft_status s = get_raft_status(r->raft);
+	struct raft_status s;
 
-	if (!r->failed)
-		log_role_change(r);
+	if (r->failed) {
+		publish_failure(r);
+		return;
+	}
+	s = get_raft_status(r->raft);
+	log_role_change(r);
 	pthread_mutex_lock(&r->lock);
-	r->status.role = r->failed ? RAFT_FOLLOWER : s.role;
-	r->status.leader = r->failed ? 0 : s.leader;
+	r->status.role = s.role;
+	r->status.leader = s.leader;
 	r->status.term = s.term;
 	r->status.commit = s.commit;
 	r->status.applied = s.applied;
 	r->status.last = s.last;
 	r->status.snapshot = s.snapshot;
 	r->status.snapshot_errors = r->snapshot_errors;
-	r->status.voter = s.voter && !r->failed;
-	r->status.failed = r->failed;
+	r->status.voter = s.voter;
+	r->status.failed = false;
 	r->status.transferring = s.transferring;
 	r->status.wal = get_wal_counters(r->wal);
 	r->status.proposals = r->accepted_proposals;
@@ -151,10 +162,81 @@
 	if (r->failed)
 		return;
 	r->failed = true;
+	r->recover_at = 0;
 	write_log(LOG_LEVEL_ERR, "no longer a member of the group: %s", text);
 	fail_requests(r);
 }
 
+/*
+ * Like fail_replica(), but the storage is opened again after a delay, unless a
+ * sync has failed. The delay doubles while that fails, or when it has not held
+ * for RECOVER_RESET_NS.
+ */
+void
+fail_storage(struct replica *r, const char *text)
+{
+	int64_t now = read_mono(&r->cfg.clock);
+
+	if (r->failed)
+		return;
+	fail_replica(r, text);
+	if (!may_reopen_wal(r->wal))
+		return;
+	if (now - r->recovered_at > RECOVER_RESET_NS)
+		r->recover_delay = 0;
+	delay_recovery(r, now);
+}
+
+/*
+ * Opens the log again when that is due, as a restart of the process would: the
+ * member goes on with what is on its disk. An empty disk ends that, since the
+ * member may have voted.
+ */
+void
+recover_replica(struct replica *r, int64_t now)
+{
+	struct wal_config probe = {.dir = r->cfg.data_dir, .io = r->cfg.io};
+	struct fault f = {0};
+	int rc;
+
+	r->last_tick_ns = now;
+	if (r->recover_at == 0 || now < r->recover_at)
+		return;
+	rc = probe_wal_disk(&probe, &f);
+	if (rc != 0) {
+		delay_recovery(r, now);
+		return;
+	}
+	close_raft(r->raft);
+	close_wal(r->wal);
+	r->raft = NULL;
+	r->wal = NULL;
+	r->failed = false;
+	r->recover_at = 0;
+	r->members_notified = false;
+	r->quorum_contacts = 0;
+	memset(&r->log_time, 0, sizeof(r->log_time));
+	r->cfg.need_data = r->has_stored;
+	rc = load_replica(r, &f);
+	if (rc == 0) {
+		r->recovered_at = now;
+		pthread_mutex_lock(&r->lock);
+		r->last_contact_ns = -1;
+		pthread_mutex_unlock(&r->lock);
+		WRITE_EVENT(LOG_LEVEL_NOTICE, "replica.recovered",
+		    LOG_INT("member", r->cfg.id));
+		return;
+	}
+	r->failed = true;
+	if (rc == ERR_IO || rc == ERR_MEMORY) {
+		delay_recovery(r, now);
+		return;
+	}
+	r->recover_at = 0;
+	write_log(
+	    LOG_LEVEL_ERR, "the member stays out of its group: %s", f.text);
+}
+
 /*
  * Runs the ticks that are due. After a stall of the thread, only
  * CATCH_UP_TICKS_MAX of them run: messages of that time may still be in
@@ -206,9 +288,36 @@
 	    LOG_INT("snapshot", s.snapshot), LOG_INT("log_bytes", s.log_bytes));
 }
 
+static void
+delay_recovery(struct replica *r, int64_t now)
+{
+	r->recover_delay =
+	    r->recover_delay == 0 ? RECOVER_DELAY_NS : 2 * r->recover_delay;
+	if (r->recover_delay > RECOVER_DELAY_MAX_NS)
+		r->recover_delay = RECOVER_DELAY_MAX_NS;
+	r->recover_at = now + r->recover_delay;
+}
+
+/*
+ * Publishes that the member has failed; there may be no core and no log. What
+ * is known of the group stays.
+ */
+static void
+publish_failure(struct replica *r)
+{
+	pthread_mutex_lock(&r->lock);
+	r->status.role = RAFT_FOLLOWER;
+	r->status.leader = 0;
+	r->status.voter = false;
+	r->status.failed = true;
+	r->status.transferring = false;
+	r->progress_count = 0;
+	pthread_mutex_unlock(&r->lock);
+}
+
 /*
  * Stores the next unit of storage work and reports it to the core. Returns
- * whether there was one; the replica fails on an error.
+ * whether there was one; storage fails on an error.
  */
 static bool
 store_next(struct replica *r)
@@ -221,12 +330,13 @@
 		return false;
 	rc = store_wal(r->wal, &s, &f);
 	if (rc != 0) {
-		fail_replica(r, f.text);
+		fail_storage(r, f.text);
 		return false;
 	}
+	r->has_stored = true;
 	rc = complete_raft_store(r->raft, s.seq);
 	if (rc != 0)
-		fail_replica(r, "out of memory; restart this member");
+		fail_storage(r, "out of memory; give the process more memory");
 	return rc == 0;
 }
 
@@ -331,7 +441,7 @@
 publish_progress(struct replica *r, const struct raft_status *s)
 {
 	r->progress_count = 0;
-	if (r->failed || s->role != RAFT_LEADER)
+	if (s->role != RAFT_LEADER)
 		return;
 	for (size_t i = 0; i < r->members.count; i++) {
 		const struct raft_member *m = &r->members.member[i];
--- a/packages/wal/files.c
+++ b/packages/wal/files.c
@@ -20,7 +20,7 @@
 
 /*
  * Puts the log into the failed state; rc is the negative errno of operation op.
- * Nothing is retried: after a failed sync the system may have dropped the dirty
+ * No operation is retried: after a failed sync the system may have dropped the dirty
  * pages and marked them clean, so a second sync could succeed without the data.
  */
 int
@@ -30,8 +30,8 @@
 	w->failed = true;
 	if (rc == -ENOSPC || rc == -EDQUOT)
 		return set_fault(f, ERR_IO,
-		    "disk full (%s %s/%s); free space, then restart this "
-		    "member",
+		    "disk full (%s %s/%s); free space, the member then comes "
+		    "back",
 		    op, w->dir, name);
 	return set_fault(f, ERR_IO,
 	    "%s %s/%s: %s; check the disk, then restart this member or replace "
@@ -157,15 +157,19 @@
 	rc = write_at(w, fd, a, 0);
 	if (rc == 0)
 		rc = write_at(w, fd, b, (off_t)a.len);
-	if (rc == 0)
+	if (rc == 0) {
 		rc = w->io.sync_file(w->io.arg, fd);
+		w->sync_failed = w->sync_failed || rc != 0;
+	}
 	w->io.close_file(w->io.arg, fd);
 	if (rc != 0)
 		return fail_wal(w, f, "write", name, rc);
 	w->counters.syncs++;
 	rc = w->io.rename_file(w->io.arg, temp, path);
-	if (rc == 0)
+	if (rc == 0) {
 		rc = w->io.sync_dir(w->io.arg, w->dir);
+		w->sync_failed = w->sync_failed || rc != 0;
+	}
 	return rc != 0 ? fail_wal(w, f, "rename", name, rc) : 0;
 }
 
--- a/packages/wal/tests/test_wal.c
+++ b/packages/wal/tests/test_wal.c
@@ -501,6 +501,34 @@
 	return fault_hit;
 }
 
+/* Guards against opening the log again while the disk still refuses writes. */
+START_TEST(probe_tells_whether_the_disk_takes_writes)
+{
+	static const struct {
+		enum mem_fault fault;
+		int want;
+	} cases[] = {{MEM_FAULT_NONE, 0}, {MEM_FAULT_FULL, ERR_IO},
+	    {MEM_FAULT_SYNC, ERR_IO}, {MEM_FAULT_NONE, 0}};
+	struct mem_disk *d = calloc(1, sizeof(*d));
+	struct wal_io io = get_mem_io(d);
+	struct wal_config cfg = {.dir = "/data", .id = 1, .io = &io};
+	struct fault f = {0};
+	struct wal *w = NULL;
+
+	ck_assert_int_eq(open_mem_wal(d, &w, &f), 0);
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		d->fault = cases[i].fault;
+		d->fault_at = d->ops + 1;
+		ck_assert_int_eq(probe_wal_disk(&cfg, &f), cases[i].want);
+	}
+	close_wal(w);
+	ck_assert_int_eq(open_mem_wal(d, &w, &f), 0);
+	close_wal(w);
+	unload_mem_disk(d);
+	free(d);
+}
+END_TEST
+
 static const enum mem_fault faults[] = {
     MEM_FAULT_ONCE, MEM_FAULT_CRASH, MEM_FAULT_FULL, MEM_FAULT_SYNC};
 
@@ -714,6 +742,7 @@
 	tcase_add_test(t, any_flipped_byte_is_detected);
 	tcase_add_test(t, missing_state_or_segment_is_refused);
 	tcase_add_test(t, directory_of_another_member_is_refused);
+	tcase_add_test(t, probe_tells_whether_the_disk_takes_writes);
 	tcase_add_loop_test(t, fault_at_any_operation_loses_no_durable_state, 0,
 	    (int)(sizeof(faults) / sizeof(faults[0])));
 	tcase_add_test(t, last_record_is_written_again_at_start);
--- a/packages/wal/wal.c
+++ b/packages/wal/wal.c
@@ -9,6 +9,9 @@
 
 #include "wal_core.h"
 
+#define PROBE_NAME "probe"
+#define PROBE_BYTES (16 * 1024)
+
 static int load_wal(struct wal *w, struct fault *f);
 static int store_entries(
     struct wal *w, const struct raft_store *s, struct fault *f);
@@ -155,6 +158,35 @@
 	return w->failed;
 }
 
+/*
+ * False after a failed sync: the system may have dropped dirty pages and marked
+ * them clean, so what is read back may not be on the disk.
+ */
+bool
+may_reopen_wal(const struct wal *w)
+{
+	return !w->sync_failed;
+}
+
+/*
+ * Rewriting the last record, as open_wal() does, needs no new blocks and can
+ * succeed on a full disk; a new file needs some.
+ */
+int
+probe_wal_disk(const struct wal_config *cfg, struct fault *f)
+{
+	static const char zeros[PROBE_BYTES];
+	struct wal w = {.lock_fd = -1, .segment_fd = -1};
+	int rc = copy_str(w.dir, sizeof(w.dir), make_str(cfg->dir));
+
+	if (rc != 0)
+		return rc;
+	w.io = cfg->io != NULL ? *cfg->io : get_system_io();
+	rc = replace_file(&w, PROBE_NAME, make_str_n(zeros, sizeof(zeros)),
+	    make_str_n(NULL, 0), f);
+	return rc == 0 ? remove_wal_file(&w, PROBE_NAME, f) : rc;
+}
+
 struct wal_counters
 get_wal_counters(const struct wal *w)
 {
@@ -221,6 +253,7 @@
 	if (rc != 0)
 		return rc;
 	rc = w->io.sync_dir(w->io.arg, w->dir);
+	w->sync_failed = w->sync_failed || rc != 0;
 	return rc != 0 ? fail_wal(w, f, "sync", w->dir, rc) : 0;
 }
 
@@ -260,6 +293,7 @@
 	w->segment_end += (off_t)b.len;
 	w->next_seq++;
 	unload_buf(&b);
+	w->sync_failed = w->sync_failed || rc != 0;
 	return rc != 0 ? fail_wal(w, f, "sync", name, rc) : 0;
 }
 
--- a/packages/wal/wal.h
+++ b/packages/wal/wal.h
@@ -76,7 +76,11 @@
 const struct raft_stored *get_wal_stored(const struct wal *w);
 void unload_wal_stored(struct wal *w); /* frees them */
 bool is_wal_empty(const struct wal *w); /* nothing was ever stored */
-bool has_wal_failed(const struct wal *w); /* the process must restart */
+bool has_wal_failed(const struct wal *w); /* until it is opened again */
+/* Whether a failed log may be opened again by the same process. */
+bool may_reopen_wal(const struct wal *w);
+/* Writes and removes a small file in the directory. ERR_IO or ERR_LIMIT. */
+int probe_wal_disk(const struct wal_config *cfg, struct fault *f);
 struct wal_counters get_wal_counters(const struct wal *w);
 struct wal_io get_system_io(void); /* operations on real files */
 
--- a/packages/wal/wal_core.h
+++ b/packages/wal/wal_core.h
@@ -51,6 +51,7 @@
 	struct wal_io io;
 	struct wal_counters counters;
 	bool failed; /* no further writes, see fail_wal() */
+	bool sync_failed; /* data of unknown state may be in the page cache */
 
 	struct raft_hard_state hard;
 	uint64_t snapshot_index; /* newest snapshot, set once opened */
--- a/scenarios/disk.lua
+++ b/scenarios/disk.lua
@@ -106,16 +106,17 @@
 	if round == 2 then
 		make_leader(c)
 	end
+	-- The member comes back when the disk takes writes again, and fails again.
+	local g
 	fleet.wait_until("a full disk", 30000, function()
 		edit()
-		local g = group_status(c)
+		g = group_status(c)
 		return g and g.failed
 	end)
 	-- Log lines are written by a thread of their own.
 	fleet.wait_until(c.name .. " to log the disk error", 10000, function()
 		return f:log(c):find("disk", 1, true) ~= nil
 	end)
-	local g = group_status(c)
 	fleet.check(g.role == "follower" and g.leader == 0,
 		"%s is %s after the fault", c.name, g.role)
 	if round == 1 then
