--- a/packages/replica/replica_core.h
+++ b/packages/replica/replica_core.h
@@ -123,8 +123,9 @@
 void expire_requests(struct replica *r, int64_t now);
 void fail_requests(struct replica *r);
 
-/* Start; also the log's, after it has failed */
+/* Start and recovery */
 int load_replica(struct replica *r, struct fault *f);
+void fail_storage(struct replica *r, const char *text); /* until it works */
 void recover_replica(struct replica *r, int64_t now); /* when it is due */
 
 /* Work */
@@ -132,7 +133,6 @@
 void compact_replica(struct replica *r);
 void publish_status(struct replica *r, int64_t now);
 void fail_replica(struct replica *r, const char *text); /* for good */
-void fail_storage(struct replica *r, const char *text); /* until it works */
 
 /* Conversion */
 void export_raft_message(struct replica *r, const struct raft_message *m,
