--- a/packages/node/tests/node_fixture.c
+++ b/packages/node/tests/node_fixture.c
@@ -151,6 +151,16 @@
 	}
 }
 
+int
+count_fixture_runs(struct fixture *r, const char *id)
+{
+	int n = 0;
+
+	for (int i = 0; i < r->count; i++)
+		n += count_fake_runs(r->servers[i], id);
+	return n;
+}
+
 int
 hold_fixture_node(struct fixture *r, int i)
 {
--- a/packages/node/tests/node_fixture.h
+++ b/packages/node/tests/node_fixture.h
@@ -51,6 +51,7 @@
 int send_report(struct fixture *r, int i, const char *instance,
     const char *state, int seq, int start_ms);
 
+int count_fixture_runs(struct fixture *r, const char *id); /* of one call */
 /*
  * Holds the reactor of node i inside a callback, so that what happens meanwhile
  * meets it in one round; release_fixture_node() lets it go on.
--- a/packages/node/tests/test_calls_by_node.c
+++ b/packages/node/tests/test_calls_by_node.c
@@ -29,16 +29,6 @@
 }
 
 /* Returns how often a call ran on all servers together. */
-static int
-count_runs(const char *id)
-{
-	int n = 0;
-
-	for (int i = 0; i < fixture.count; i++)
-		n += count_fake_runs(fixture.servers[i], id);
-	return n;
-}
-
 static int
 count_requests(void)
 {
@@ -115,9 +105,9 @@
 		    make_str(pay ? "12345" : ""), &reply);
 		ck_assert_msg(!reply.closed && reply.status == c->want,
 		    "%s by node %d: %d", c->path, entry, reply.status);
-		ck_assert_msg(count_runs(id) == c->want_runs,
+		ck_assert_msg(count_fixture_runs(&fixture, id) == c->want_runs,
 		    "%s by node %d ran %d times", c->path, entry,
-		    count_runs(id));
+		    count_fixture_runs(&fixture, id));
 		ck_assert(has_header(&reply, "Seal: ") == c->want_seal);
 		ck_assert(is_str_equal(
 		    view_buf(&reply.body), make_str(c->want_body)));
@@ -145,7 +135,7 @@
 	send_test_call(fixture.calls[2], "POST", endless_paths[_i], "endless",
 	    "Deadline-Ms: 5000\r\n", make_str("x"), &reply);
 	ck_assert_int_eq(reply.status, 502);
-	ck_assert_int_eq(count_runs("endless"), 1);
+	ck_assert_int_eq(count_fixture_runs(&fixture, "endless"), 1);
 	unload_reply(&reply);
 	for (int i = 0; i < 2; i++)
 		ck_assert_uint_lt(
@@ -175,7 +165,7 @@
 		    make_str(""), &reply);
 		ck_assert_int_eq(reply.status, 200);
 		ck_assert_msg(has_header(&reply, id), "%s", reply.head);
-		ck_assert_int_eq(count_runs(id), 1);
+		ck_assert_int_eq(count_fixture_runs(&fixture, id), 1);
 		unload_reply(&reply);
 	}
 }
@@ -309,7 +299,7 @@
 		send_test_call(fixture.calls[0], pay ? "POST" : "GET",
 		    pay ? "/pay/ok" : "/read/ok", id, "", make_str(""), &reply);
 		ck_assert_int_eq(reply.status, 200);
-		ck_assert_int_eq(count_runs(id), 1);
+		ck_assert_int_eq(count_fixture_runs(&fixture, id), 1);
 		unload_reply(&reply);
 		reset_fake_connections(fixture.servers[0]);
 		reset_fake_connections(fixture.servers[1]);
@@ -333,7 +323,7 @@
 		send_test_call(fixture.calls[0], "GET", "/read/ok", id, "",
 		    make_str(""), &reply);
 		ck_assert_int_eq(reply.status, 200);
-		ck_assert_int_eq(count_runs(id), 1);
+		ck_assert_int_eq(count_fixture_runs(&fixture, id), 1);
 		unload_reply(&reply);
 		reset_fake_connections_on_use(fixture.servers[0]);
 		reset_fake_connections_on_use(fixture.servers[1]);
@@ -443,7 +433,7 @@
 
 		read_test_reply(fd[i], &reply);
 		snprintf(id, sizeof(id), "pay-%d", i);
-		ck_assert_int_eq(count_runs(id), 1);
+		ck_assert_int_eq(count_fixture_runs(&fixture, id), 1);
 		ck_assert_int_eq(reply.status, 502);
 		unload_reply(&reply);
 		close(fd[i]);
@@ -530,7 +520,7 @@
 		set_relay_paused(relay, false);
 		read_test_reply(fd, &reply);
 		ck_assert_msg(reply.status == 200, "%s: %d", id, reply.status);
-		ck_assert_int_eq(count_runs(id), 1);
+		ck_assert_int_eq(count_fixture_runs(&fixture, id), 1);
 		unload_reply(&reply);
 		close(fd);
 	}
--- a/packages/node/tests/test_pipeline.c
+++ b/packages/node/tests/test_pipeline.c
@@ -34,23 +34,14 @@
 	close_fixture(&fixture);
 }
 
-static int
-count_runs(const char *id)
-{
-	int n = 0;
-
-	for (int i = 0; i < fixture.count; i++)
-		n += count_fake_runs(fixture.servers[i], id);
-	return n;
-}
-
 /* Waits until a call has run as often as wanted; false: it did not. */
 static bool
 wait_for_runs(const char *id, int want)
 {
-	for (int k = 0; k < POLLS_MAX && count_runs(id) < want; k++)
+	for (int k = 0;
+	     k < POLLS_MAX && count_fixture_runs(&fixture, id) < want; k++)
 		usleep(10000);
-	return count_runs(id) == want;
+	return count_fixture_runs(&fixture, id) == want;
 }
 
 static void
@@ -201,7 +192,7 @@
 			continue;
 		snprintf(id, sizeof(id), "p-%zu-%d", step, i);
 		ck_assert_msg(!read_answer(&c, &reply), "%s", p->what);
-		ck_assert_int_eq(count_runs(id), 0);
+		ck_assert_int_eq(count_fixture_runs(&fixture, id), 0);
 	}
 	unload_buf(&b);
 	close_client(&c);
@@ -263,12 +254,12 @@
 	ck_assert(wait_for_runs("ahead-1", 1));
 	/* The first is unanswered: one that must not repeat has to wait. */
 	ck_assert_int_eq(recv(c.fd, &(char){0}, 1, MSG_DONTWAIT), -1);
-	ck_assert_int_eq(count_runs("ahead-2"), 0);
+	ck_assert_int_eq(count_fixture_runs(&fixture, "ahead-2"), 0);
 	for (int i = 0; i < 3; i++) {
 		ck_assert(read_answer(&c, &reply));
 		ck_assert_int_eq(reply.status, i == 0 ? 504 : 200);
 	}
-	ck_assert_int_eq(count_runs("ahead-2"), 1);
+	ck_assert_int_eq(count_fixture_runs(&fixture, "ahead-2"), 1);
 	unload_buf(&b);
 	close_client(&c);
 }
@@ -323,7 +314,7 @@
 		       count_fake_open(fixture.servers[1]);
 	}
 	ck_assert_int_eq(open, 0);
-	ck_assert_int_eq(count_runs("gone-pay"), 0);
+	ck_assert_int_eq(count_fixture_runs(&fixture, "gone-pay"), 0);
 	unload_buf(&b);
 }
 END_TEST
@@ -368,7 +359,7 @@
 	}
 	ck_assert(has_header(&reply, "Connection: close"));
 	ck_assert(!read_answer(&c, &reply));
-	ck_assert_int_eq(count_runs("stop-3"), 0);
+	ck_assert_int_eq(count_fixture_runs(&fixture, "stop-3"), 0);
 	pthread_join(t, NULL);
 	unload_buf(&b);
 	close_client(&c);
--- a/packages/node/tests/test_stop.c
+++ b/packages/node/tests/test_stop.c
@@ -39,16 +39,6 @@
 	close_fixture(&fixture);
 }
 
-static int
-count_runs(const char *id)
-{
-	int n = 0;
-
-	for (int i = 0; i < fixture.count; i++)
-		n += count_fake_runs(fixture.servers[i], id);
-	return n;
-}
-
 static int
 count_requests(void)
 {
@@ -144,7 +134,7 @@
 	pthread_join(t, NULL);
 	for (int i = 0; i < WAITING_MAX; i++) {
 		snprintf(id, sizeof(id), "waiting-%d", i);
-		ck_assert_int_eq(count_runs(id), 0);
+		ck_assert_int_eq(count_fixture_runs(&fixture, id), 0);
 	}
 }
 END_TEST
@@ -181,7 +171,7 @@
 	ck_assert_ptr_nonnull(strstr(in.data, "Call-Id: first\r\n"));
 	ck_assert_ptr_nonnull(strstr(in.data, "HTTP/1.1 503"));
 	ck_assert_ptr_nonnull(strstr(in.data, "Call-Id: held\r\n"));
-	ck_assert_int_eq(count_runs("held"), 0);
+	ck_assert_int_eq(count_fixture_runs(&fixture, "held"), 0);
 	unload_buf(&b);
 	unload_buf(&in);
 	close(fd);
@@ -215,7 +205,8 @@
 		if (send(fd, text, (size_t)len, MSG_NOSIGNAL) == len) {
 			read_test_reply(fd, &reply);
 			snprintf(text, sizeof(text), "steady-%d", sent);
-			ck_assert_msg(!reply.closed || count_runs(text) == 0,
+			ck_assert_msg(!reply.closed || count_fixture_runs(
+							   &fixture, text) == 0,
 			    "%s ran and got no answer", text);
 			unload_reply(&reply);
 			sent++;
@@ -263,7 +254,8 @@
 		usleep(50000);
 	}
 	fd = start_call(c->link ? 2 : c->stops, "/order/large", "large", 20);
-	for (int k = 0; k < POLLS_MAX && count_runs("large") == 0; k++)
+	for (int k = 0;
+	     k < POLLS_MAX && count_fixture_runs(&fixture, "large") == 0; k++)
 		usleep(1000);
 	set_relay_paused(relay, c->link);
 	ck_assert_int_eq(pthread_create(&t, NULL, stop_entry, &stops), 0);
@@ -309,7 +301,7 @@
 	read_test_reply(fd, &reply);
 	ck_assert(!reply.closed);
 	ck_assert_int_eq(reply.status, 502);
-	ck_assert_int_eq(count_runs("unread"), 0);
+	ck_assert_int_eq(count_fixture_runs(&fixture, "unread"), 0);
 	unload_reply(&reply);
 	close(fd);
 }
