http: read heads as long as the table allows

Callers saw: a request whose head is longer than 80 KB was refused with 400, although a row may allow up to 1 MiB, and one with more than 96 header lines too, as if it were malformed.

Cause: http-parser has a bound of its own on a head, 80 KB by default, and any error while a head was parsed counted as malformed.

Change: the parser's bound is above every head that the reader lets through, which has its own. Too many header lines give 431.

Evidence: http.test_http_reader, heads of 100 KB and 1000 KB and 97 header lines were READ_BAD before; node.test_calls_by_node, a target of 1,000,000 bytes got 400 and gets 200 now.

--- a/packages/http/http.c
+++ b/packages/http/http.c
@@ -2,6 +2,7 @@
  * HTTP messages, parsed by http-parser. The complete head is buffered before
  * it is parsed, so that its strings do not move; the body has its own buffer.
  */
+#include <pthread.h>
 #include <string.h>
 #include <strings.h>
 
@@ -9,7 +10,13 @@
 
 #define BODY_RESERVE_MAX_BYTES (1024 * 1024) /* before a body arrives */
 #define RESPONSE_START_BYTES 7 /* of "HTTP/1." */
+/*
+ * The parser's own bound on heads, chunk sizes and trailers, 80 KB by default.
+ * Heads are bounded by head_max, which never exceeds it.
+ */
+#define PARSER_HEAD_MAX_BYTES (2 * 1024 * 1024)
 
+static void raise_parser_limit(void);
 static bool skip_blank_lines(struct http_reader *r, struct str *in);
 static enum http_event read_head(struct http_reader *r, struct str *in);
 static enum http_event parse_head(struct http_reader *r);
@@ -39,6 +46,9 @@
 open_http_reader(
     struct http_reader *r, bool requests, size_t head_max, size_t body_max)
 {
+	static pthread_once_t once = PTHREAD_ONCE_INIT;
+
+	(void)pthread_once(&once, raise_parser_limit);
 	memset(r, 0, sizeof(*r));
 	r->requests = requests;
 	r->head_max = head_max;
@@ -217,6 +227,12 @@
 	return parse_head(r);
 }
 
+static void
+raise_parser_limit(void)
+{
+	http_parser_set_max_header_size(PARSER_HEAD_MAX_BYTES);
+}
+
 /*
  * Some clients send an empty line after a body. Returns whether in is empty
  * then.
@@ -278,6 +294,8 @@
 	size_t n = http_parser_execute(
 	    &r->parser, &settings, r->head_bytes.data, r->head_bytes.len);
 
+	if (r->error == ERR_LIMIT)
+		return READ_HEAD_TOO_LARGE; /* too many headers */
 	if (r->error != 0 || !r->head_done ||
 	    (HTTP_PARSER_ERRNO(&r->parser) != HPE_OK &&
 		HTTP_PARSER_ERRNO(&r->parser) != HPE_PAUSED) ||
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -10,7 +10,7 @@
 
 #include "base.h"
 
-#define HTTP_HEADERS_MAX 96 /* of one message; more give READ_BAD */
+#define HTTP_HEADERS_MAX 96 /* of one message; more: READ_HEAD_TOO_LARGE */
 
 /* Results of read_http() and end_http(). */
 enum http_event {
--- a/packages/http/tests/test_http_reader.c
+++ b/packages/http/tests/test_http_reader.c
@@ -170,6 +170,46 @@
 }
 END_TEST
 
+struct head_case {
+	size_t target; /* bytes */
+	int headers;
+	enum http_event want;
+};
+
+static const struct head_case head_cases[] = {
+    {70 * 1024, 1, READ_HEAD},
+    {100 * 1024, 1, READ_HEAD},
+    {1000 * 1024, 1, READ_HEAD},
+    {1024 * 1024, 1, READ_HEAD_TOO_LARGE},
+    {2, HTTP_HEADERS_MAX, READ_HEAD},
+    {2, HTTP_HEADERS_MAX + 1, READ_HEAD_TOO_LARGE},
+};
+
+/*
+ * Guards against calling a head malformed that is allowed, or too large: the
+ * parser has a bound of its own, of 80 KB.
+ */
+START_TEST(long_heads_are_read)
+{
+	const struct head_case *c = &head_cases[_i];
+	struct http_reader r;
+	struct buf b = {0};
+	struct str in;
+
+	append_buf_fmt(&b, "GET /%0*d HTTP/1.1\r\n", (int)c->target - 1, 0);
+	for (int i = 0; i < c->headers; i++)
+		append_buf_fmt(&b, "N%d: v\r\n", i);
+	append_buf_fmt(&b, "\r\n");
+	in = view_buf(&b);
+	open_http_reader(&r, true, 1024 * 1024, BODY_MAX);
+	ck_assert_int_eq(read_http(&r, &in), c->want);
+	if (c->want == READ_HEAD)
+		ck_assert_uint_eq(r.head.target.len, c->target);
+	close_http_reader(&r);
+	unload_buf(&b);
+}
+END_TEST
+
 /* Guards against state of one message that leaks into the next. */
 START_TEST(pipelined_messages_share_no_state)
 {
@@ -258,6 +298,8 @@
 	tcase_add_loop_test(t, messages_parse_equally_from_any_read_sizes, 0,
 	    sizeof(cases) / sizeof(cases[0]));
 	tcase_add_test(t, large_heads_are_rejected);
+	tcase_add_loop_test(t, long_heads_are_read, 0,
+	    sizeof(head_cases) / sizeof(head_cases[0]));
 	tcase_add_test(t, pipelined_messages_share_no_state);
 	tcase_add_loop_test(t, hop_by_hop_headers_are_recognized, 0,
 	    sizeof(header_cases) / sizeof(header_cases[0]));
--- a/packages/node/tests/test_calls_by_node.c
+++ b/packages/node/tests/test_calls_by_node.c
@@ -221,7 +221,7 @@
  */
 START_TEST(heads_as_long_as_the_table_allows_arrive)
 {
-	static const size_t targets[] = {60000, 70000};
+	static const size_t targets[] = {60000, 70000, 1000000};
 	struct test_reply reply;
 	struct buf path = {0};
 
@@ -760,7 +760,7 @@
 	    sizeof(endless_paths) / sizeof(endless_paths[0]));
 	tcase_add_test(t, late_answers_are_discarded);
 	tcase_add_test(t, requests_arrive_unchanged);
-	tcase_add_loop_test(t, heads_as_long_as_the_table_allows_arrive, 0, 2);
+	tcase_add_loop_test(t, heads_as_long_as_the_table_allows_arrive, 0, 3);
 	tcase_add_test(t, split_rows_keep_their_shares);
 	tcase_add_test(t, calls_of_disconnected_callers_are_cancelled);
 	tcase_add_test(t, calls_survive_closed_idle_connections);
