node: choose among all nodes of a service of more than 256

Callers would see: of a service with more nodes than that, only the first in the endpoint set get calls of other nodes; if these are unusable, calls are refused with 503 although others are free.

Cause: the candidates of a choice were the first 256 of the list.

Change: of a longer list, usable nodes from a random place on are taken. Up to 256 nodes nothing changes.

Evidence: node.test_calls_by_node, a service with 600 nodes that have left before one that is ready: 503 before, 200 now.

--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -29,6 +29,8 @@
 static void update_service_time(struct kind_stats *k, int64_t service_ns);
 static struct peer *choose_next_peer(struct request *q, bool *immediate);
 static struct peer *choose_peer(struct request *q, enum peer_choice choice);
+static size_t list_candidates(
+    const struct service *s, struct rng *r, struct peer *peers[CANDIDATES_MAX]);
 static bool is_candidate(
     const struct request *q, const struct peer *p, enum peer_choice choice);
 static void fill_option(const struct request *q, const struct peer *p,
@@ -332,24 +334,46 @@
 choose_peer(struct request *q, enum peer_choice choice)
 {
 	struct placement_option options[CANDIDATES_MAX];
-	const struct service *s = q->service;
+	struct peer *peers[CANDIDATES_MAX];
 	int64_t now = get_reactor_now(q->node->reactor);
 	struct placement_call call = {.target_left = q->target_at - now,
 	    .deadline_left = q->deadline - now,
 	    .kind_service_ns = q->stats->kind_service_ns,
 	    .body_len = q->reader.body.len};
-	size_t count =
-	    s->peer_count < CANDIDATES_MAX ? s->peer_count : CANDIDATES_MAX;
+	size_t count;
 	int best;
 
 	if (q->deadline - now < ATTEMPT_TIME_MIN_NS)
 		return NULL;
+	count = list_candidates(q->service, &q->node->rng, peers);
 	for (size_t i = 0; i < count; i++) {
-		fill_option(q, s->peers[i], now, &options[i]);
-		options[i].tried = !is_candidate(q, s->peers[i], choice);
+		fill_option(q, peers[i], now, &options[i]);
+		options[i].tried = !is_candidate(q, peers[i], choice);
 	}
 	best = choose_placement(options, count, &call, &q->node->rng);
-	return best >= 0 ? s->peers[best] : NULL;
+	return best >= 0 ? peers[best] : NULL;
+}
+
+/*
+ * Lists the service's nodes; of more than CANDIDATES_MAX that many usable ones,
+ * from a random place on, so that each of them gets calls.
+ */
+static size_t
+list_candidates(
+    const struct service *s, struct rng *r, struct peer *peers[CANDIDATES_MAX])
+{
+	size_t start = 0, count = 0;
+	bool all = s->peer_count <= CANDIDATES_MAX;
+
+	if (!all)
+		start = draw_below(r, s->peer_count);
+	for (size_t i = 0; i < s->peer_count && count < CANDIDATES_MAX; i++) {
+		struct peer *p = s->peers[(start + i) % s->peer_count];
+
+		if (all || p->usable)
+			peers[count++] = p;
+	}
+	return count;
 }
 
 /*
--- a/packages/node/tests/test_calls_by_node.c
+++ b/packages/node/tests/test_calls_by_node.c
@@ -215,6 +215,35 @@
 }
 END_TEST
 
+/*
+ * Guards against a service of which only the first nodes of a long list are
+ * chosen: here all but the last ones are unusable.
+ */
+START_TEST(nodes_at_the_end_of_a_long_list_are_chosen)
+{
+	struct test_reply reply;
+
+	clear_fake_endpoints(fixture.agent, "svc");
+	for (int i = 0; i < 600; i++) {
+		char name[24];
+
+		snprintf(name, sizeof(name), "node-left-%d", i);
+		add_fake_endpoint(fixture.agent, "svc", name, fixture.links[0],
+		    4, WIRE_ENDPOINT_DRAINING);
+	}
+	add_fake_endpoint(fixture.agent, "svc", "node-1", fixture.links[1], 4,
+	    WIRE_ENDPOINT_READY);
+	refresh_node(fixture.nodes[2]);
+	usleep(50000);
+	for (int i = 0; i < 10; i++) {
+		send_test_call(fixture.calls[2], "GET", "/read/ok", "call", "",
+		    make_str(""), &reply);
+		ck_assert_int_eq(reply.status, 200);
+		unload_reply(&reply);
+	}
+}
+END_TEST
+
 /*
  * Guards against refusing a call because its target or its head is longer than
  * the frame between nodes allows, although the table allows it.
@@ -760,6 +789,7 @@
 	    sizeof(endless_paths) / sizeof(endless_paths[0]));
 	tcase_add_test(t, late_answers_are_discarded);
 	tcase_add_test(t, requests_arrive_unchanged);
+	tcase_add_test(t, nodes_at_the_end_of_a_long_list_are_chosen);
 	tcase_add_loop_test(t, heads_as_long_as_the_table_allows_arrive, 0, 3);
 	tcase_add_test(t, split_rows_keep_their_shares);
 	tcase_add_test(t, calls_of_disconnected_callers_are_cancelled);
--- a/packages/proxy/tests/fake_agent.c
+++ b/packages/proxy/tests/fake_agent.c
@@ -11,7 +11,7 @@
 #include "fake_agent.h"
 
 #define FAKE_TABLES 16
-#define FAKE_ENDPOINTS 16
+#define FAKE_ENDPOINTS 1024
 #define FAKE_SETS 8
 #define FAKE_CLAIMS 512
 
