--- a/packages/control/tests/test_fleet.c
+++ b/packages/control/tests/test_fleet.c
@@ -180,6 +180,46 @@
 }
 END_TEST
 
+static void *
+send_pending_edit(void *arg)
+{
+	int *status = arg;
+
+	*status = send_json(0, "POST", "/v1/edit", NULL,
+	    "{\"row\":\"a\",\"column\":\"rank\",\"value\":\"4\","
+	    "\"base\":1,\"key\":\"p\"}",
+	    NULL);
+	return NULL;
+}
+
+/*
+ * Guards against a stop that closes the connections of operators' requests that
+ * it has read, without an answer.
+ */
+START_TEST(stop_answers_pending_orders)
+{
+	pthread_t t[8];
+	int status[8] = {0};
+
+	open_fleet(3, 0, NULL);
+	(void)wait_leader();
+	ck_assert_int_eq(import_table(0, 0, "k1"), 1);
+	stop_member(1);
+	stop_member(2);
+	for (size_t i = 0; i < 8; i++)
+		ck_assert_int_eq(pthread_create(&t[i], NULL, send_pending_edit,
+				     &status[i]),
+		    0);
+	sleep_ms(300);
+	stop_member(0);
+	for (size_t i = 0; i < 8; i++) {
+		pthread_join(t[i], NULL);
+		ck_assert_int_eq(status[i], 503);
+	}
+	close_fleet();
+}
+END_TEST
+
 /*
  * Guards against an older table for a node: an isolated process must not serve
  * a node without a table, and pending watches must be answered both when
@@ -470,6 +510,7 @@
 
 	tcase_set_timeout(t, 110);
 	tcase_add_test(t, longest_text_survives_a_restart);
+	tcase_add_test(t, stop_answers_pending_orders);
 	tcase_add_test(t, watches_report_new_versions_and_lost_contact);
 	tcase_add_test(t, claims_are_exclusive_across_processes);
 	tcase_add_test(t, endpoints_reach_every_process);
