node: tests of long answers during a stop bear a slow machine

Under ThreadSanitizer an answer of 24 MB over a link took longer than the 3 s that a node of the fixture has for a stop, and got 502, which is right then.

--- a/packages/node/tests/node_fixture.h
+++ b/packages/node/tests/node_fixture.h
@@ -39,6 +39,8 @@
 };
 
 void open_fixture(struct fixture *r, int nodes); /* ready for calls */
+/* The same with nodes that may take stop_ns to stop, else 3 s. */
+void open_fixture_with_stop(struct fixture *r, int nodes, int64_t stop_ns);
 void close_fixture(struct fixture *r);
 void start_fixture_node(struct fixture *r, int i);
 void stop_fixture_node(struct fixture *r, int i);
