control: send the last answers before a stop closes the listener

Operators saw: an order that a control process had read when it was told to stop ended with a closed connection, without the 503 that says that it may still take effect.

Cause: libmicrohttpd closes a connection whose answer is queued but not sent yet when the listener stops.

Change: a stop waits until the answers of the requests that were read are sent, for 1 s at most. Their handlers return at once when a stop begins.

Why it works: the listener is stopped after each of its answers has been handed to the kernel.

--- a/packages/control/http.c
+++ b/packages/control/http.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <unistd.h>
 
 #include <microhttpd.h>
 
@@ -18,12 +19,16 @@
 #define HTTP_IDLE_TIMEOUT_S 15
 #define HTTP_REQUEST_TIMEOUT_NS (30 * NSEC_PER_SEC) /* headers to last byte */
 #define PEM_MAX_BYTES (64 * 1024)
+/* A stop waits this long for the last answers to be sent. */
+#define HTTP_STOP_WAIT_NS (1 * NSEC_PER_SEC)
+#define HTTP_STOP_POLL_US 2000
 
 /* A request whose body is being received. */
 struct http_request {
 	struct buf body;
 	int64_t started_ns; /* receipt of the headers */
 	bool too_large; /* the body was discarded */
+	bool serving; /* complete; counted in control.http_serving */
 };
 
 /* PEM contents, needed only until libmicrohttpd has started. */
@@ -101,9 +106,18 @@
 							  rc;
 }
 
+/*
+ * libmicrohttpd closes connections whose answer is queued but not sent yet, so
+ * these are waited for. The handlers return soon, since c->stopping is set.
+ */
 void
 stop_http(struct control *c)
 {
+	int64_t until = read_mono(&c->cfg.clock) + HTTP_STOP_WAIT_NS;
+
+	while (atomic_load(&c->http_serving) > 0 &&
+	       read_mono(&c->cfg.clock) < until)
+		usleep(HTTP_STOP_POLL_US);
 	if (c->http != NULL)
 		MHD_stop_daemon(c->http);
 	if (c->metrics_http != NULL)
@@ -248,7 +262,7 @@
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HTTP_HEADER_MAX_BYTES,
 	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)HTTP_IDLE_TIMEOUT_S,
 	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_NOTIFY_COMPLETED,
-	    finish_request, NULL, MHD_OPTION_ARRAY,
+	    finish_request, c, MHD_OPTION_ARRAY,
 	    t->cert.len > 0 ? tls : tls + 2, MHD_OPTION_END);
 }
 
@@ -275,6 +289,8 @@
 	}
 	if (*size > 0)
 		return receive_body(c, r, data, size);
+	r->serving = true;
+	atomic_fetch_add(&c->http_serving, 1);
 	return serve_request(c, conn, url, method, r);
 }
 
@@ -444,12 +460,14 @@
     enum MHD_RequestTerminationCode code)
 {
 	struct http_request *r = *state;
+	struct control *c = arg;
 
-	(void)arg;
 	(void)conn;
 	(void)code;
 	if (r == NULL)
 		return;
+	if (r->serving)
+		atomic_fetch_sub(&c->http_serving, 1);
 	unload_buf(&r->body);
 	free(r);
 	*state = NULL;
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -211,6 +211,7 @@
 	struct operator_tokens *tokens; /* NULL: no authentication */
 	struct MHD_Daemon *http;
 	struct MHD_Daemon *metrics_http; /* NULL: none */
+	atomic_size_t http_serving; /* requests read and not answered */
 	pthread_t thread;
 	bool thread_started;
 };
--- a/packages/control/tests/test_fleet.c
+++ b/packages/control/tests/test_fleet.c
@@ -192,6 +192,19 @@
 	return NULL;
 }
 
+static size_t
+count_submissions(struct control *c)
+{
+	size_t n = 0;
+
+	pthread_mutex_lock(&c->lock);
+	for (const struct submission *s = c->submissions; s != NULL;
+	     s = s->next)
+		n++;
+	pthread_mutex_unlock(&c->lock);
+	return n;
+}
+
 /*
  * Guards against a stop that closes the connections of operators' requests that
  * it has read, without an answer.
@@ -210,7 +223,10 @@
 		ck_assert_int_eq(
 		    pthread_create(&t[i], NULL, send_pending_edit, &status[i]),
 		    0);
-	sleep_ms(300);
+	for (int i = 0;
+	     i < 400 && count_submissions(fleet.members[0].control) < 8; i++)
+		sleep_ms(5);
+	ck_assert_uint_eq(count_submissions(fleet.members[0].control), 8);
 	stop_member(0);
 	for (size_t i = 0; i < 8; i++) {
 		pthread_join(t[i], NULL);
