wal: ignore a removed segment that a power cut brings back

Operators would see a member that never starts again: "a segment is missing", although its disk lost nothing that was synced.

After a power loss each removed name may be kept or lost by itself, so an older segment can be back where a newer one is not. The start took that gap for damage. The file layer of the tests reverted either all names or none, which hid it.

Change: the log is read from the last segment before which there is no gap, and what is before the gap is removed. The file layer keeps or loses each name by itself, and a failed sync of the directory marks its names clean, as a failed sync of a file already did for its bytes.

--- a/packages/wal/replay.c
+++ b/packages/wal/replay.c
@@ -22,6 +22,9 @@
 	int rc;
 };
 
+static size_t count_obsolete_segments(const struct wal *w);
+static int remove_obsolete_segments(
+    struct wal *w, size_t count, struct fault *f);
 static void classify_file(void *arg, const char *name);
 static int replay_segment(struct wal *w, size_t at, int *torn, struct fault *f);
 static int replay_record(
@@ -70,20 +73,17 @@
 replay_log(struct wal *w, struct fault *f)
 {
 	bool reset = false;
+	size_t obsolete = count_obsolete_segments(w);
 	int torn = TORN_NONE, rc = 0;
 
 	w->base_index = w->stored.snapshot.index;
 	w->next_seq = 0;
-	for (size_t i = 0; i < w->segment_count && rc == 0; i++) {
-		if (i > 0 &&
-		    w->segments[i].number != w->segments[i - 1].number + 1)
-			return set_damage_fault(
-			    f, w->dir, "a segment is missing");
+	for (size_t i = obsolete; i < w->segment_count && rc == 0; i++)
 		rc = replay_segment(w, i, &torn, f);
-	}
-	if (rc != 0)
-		return rc;
-	rc = trim_log_to_snapshot(w, &reset, f);
+	if (rc == 0)
+		rc = trim_log_to_snapshot(w, &reset, f);
+	if (rc == 0)
+		rc = remove_obsolete_segments(w, obsolete, f);
 	if (rc != 0)
 		return rc;
 	rc = continue_segment(w, torn, f);
@@ -93,6 +93,42 @@
 	return rc;
 }
 
+/*
+ * Returns the number of segments before a gap in their numbers. Segments that a
+ * snapshot covers are removed without a sync of the directory, so after a power
+ * cut an older one may be back where a newer one is not. If the snapshot does
+ * not cover the gap, trim_log_to_snapshot() finds that entries are missing.
+ */
+static size_t
+count_obsolete_segments(const struct wal *w)
+{
+	size_t first = w->segment_count;
+
+	while (first > 1 && w->segments[first - 2].number + 1 ==
+				w->segments[first - 1].number)
+		first--;
+	return first > 1 ? first - 1 : 0;
+}
+
+/*
+ * Removes the first count segments. Returns ERR_IO.
+ */
+static int
+remove_obsolete_segments(struct wal *w, size_t count, struct fault *f)
+{
+	char name[WAL_PATH_BYTES];
+	int rc = 0;
+
+	for (size_t i = 0; i < count && rc == 0; i++) {
+		format_segment_name(w->segments[i].number, name);
+		rc = remove_wal_file(w, name, f);
+	}
+	memmove(w->segments, w->segments + count,
+	    (w->segment_count - count) * sizeof(*w->segments));
+	w->segment_count -= count;
+	return rc;
+}
+
 /*
  * Adds one file of the directory to the listing arg; other names are ignored.
  */
--- a/packages/wal/tests/mem_io.h
+++ b/packages/wal/tests/mem_io.h
@@ -22,6 +22,7 @@
 	MEM_FAULT_CRASH = 2, /* it and all later operations fail */
 	MEM_FAULT_FULL = 3, /* writes fail with ENOSPC from fault_at on */
 	MEM_FAULT_SYNC = 4, /* syncs fail from fault_at on */
+	MEM_FAULT_NAMES = 5, /* no new, renamed or removed files from then on */
 };
 
 /* A file: its bytes and name now and as of the last sync. */
@@ -31,6 +32,7 @@
 	struct buf now;
 	struct buf synced;
 	struct buf dirty; /* 1 for each byte written since the last sync */
+	bool name_dirty; /* its name changed since the last sync */
 	bool used;
 };
 
@@ -59,7 +61,7 @@
  * fault gives it, or 0.
  */
 static int
-count_mem_op(struct mem_disk *d, bool writes, bool syncs)
+count_mem_op(struct mem_disk *d, bool writes, bool syncs, bool names)
 {
 	d->ops++;
 	if (d->fault == MEM_FAULT_NONE || d->ops < d->fault_at)
@@ -70,6 +72,8 @@
 		return -EIO;
 	if (d->fault == MEM_FAULT_FULL)
 		return writes ? -ENOSPC : 0;
+	if (d->fault == MEM_FAULT_NAMES)
+		return names ? -EROFS : 0;
 	return syncs ? -EIO : 0;
 }
 
@@ -110,7 +114,7 @@
 mem_make_dir(void *arg, const char *path)
 {
 	(void)path;
-	return count_mem_op(arg, false, false);
+	return count_mem_op(arg, false, false, false);
 }
 
 static int
@@ -118,7 +122,7 @@
     void (*fn)(void *fn_arg, const char *name), void *fn_arg)
 {
 	struct mem_disk *d = arg;
-	int rc = count_mem_op(d, false, false);
+	int rc = count_mem_op(d, false, false, false);
 
 	(void)path;
 	for (int i = 0; i < MEM_FILES && rc == 0; i++) {
@@ -131,7 +135,7 @@
 static int
 mem_lock_file(void *arg, const char *path)
 {
-	int rc = count_mem_op(arg, false, false);
+	int rc = count_mem_op(arg, false, false, false);
 
 	(void)path;
 	return rc != 0 ? rc : MEM_FILES; /* not the handle of a file */
@@ -151,6 +155,7 @@
 			continue;
 		memset(f, 0, sizeof(*f));
 		f->used = true;
+		f->name_dirty = true;
 		strncpy(f->name, name, MEM_NAME_BYTES - 1);
 		return f;
 	}
@@ -163,7 +168,8 @@
 	struct mem_disk *d = arg;
 	const char *name = get_mem_file_name(path);
 	struct mem_file *f = find_mem_file(d, name);
-	int rc = count_mem_op(d, (flags & O_CREAT) != 0, false);
+	int rc = count_mem_op(d, (flags & O_CREAT) != 0, false,
+	    (flags & O_CREAT) != 0);
 
 	if (rc != 0)
 		return rc;
@@ -191,7 +197,7 @@
 {
 	struct mem_disk *d = arg;
 	const struct buf *b = &d->file[fd].now;
-	int rc = count_mem_op(d, false, false);
+	int rc = count_mem_op(d, false, false, false);
 
 	if (rc != 0)
 		return rc;
@@ -213,7 +219,7 @@
 {
 	struct mem_disk *d = arg;
 	struct buf *b = &d->file[fd].now;
-	int rc = count_mem_op(d, true, false);
+	int rc = count_mem_op(d, true, false, false);
 	size_t partial_len = len / 2 + 1;
 
 	if (rc == 0 && len > 1)
@@ -241,7 +247,7 @@
 mem_truncate_file(void *arg, int fd, off_t len)
 {
 	struct mem_disk *d = arg;
-	int rc = count_mem_op(d, true, false);
+	int rc = count_mem_op(d, true, false, false);
 
 	if (rc == 0)
 		d->file[fd].now.len = (size_t)len;
@@ -257,7 +263,7 @@
 {
 	struct mem_disk *d = arg;
 	struct mem_file *f = &d->file[fd];
-	int rc = count_mem_op(d, false, true);
+	int rc = count_mem_op(d, false, true, false);
 
 	if (d->sync_failed)
 		d->syncs_after_failure++;
@@ -283,15 +289,18 @@
 	struct mem_disk *d = arg;
 	struct mem_file *f = find_mem_file(d, get_mem_file_name(from));
 	struct mem_file *old = find_mem_file(d, get_mem_file_name(to));
-	int rc = count_mem_op(d, false, false);
+	int rc = count_mem_op(d, false, false, true);
 
 	if (rc != 0)
 		return rc;
 	if (f == NULL)
 		return -ENOENT;
-	if (old != NULL)
+	if (old != NULL) {
 		old->name[0] = '\0';
+		old->name_dirty = true;
+	}
 	strncpy(f->name, get_mem_file_name(to), MEM_NAME_BYTES - 1);
+	f->name_dirty = true;
 	return 0;
 }
 
@@ -300,39 +309,72 @@
 {
 	struct mem_disk *d = arg;
 	struct mem_file *f = find_mem_file(d, get_mem_file_name(path));
-	int rc = count_mem_op(d, false, false);
+	int rc = count_mem_op(d, false, false, true);
 
 	if (rc != 0)
 		return rc;
 	if (f == NULL)
 		return -ENOENT;
 	f->name[0] = '\0';
+	f->name_dirty = true;
 	return 0;
 }
 
 /*
- * Syncs the names of all files and frees the removed ones.
+ * Returns the file that has a name after the last sync, or NULL.
+ */
+static struct mem_file *
+find_synced_mem_file(struct mem_disk *d, const char *name)
+{
+	for (int i = 0; i < MEM_FILES; i++) {
+		if (d->file[i].used &&
+		    strcmp(d->file[i].synced_name, name) == 0)
+			return &d->file[i];
+	}
+	return NULL;
+}
+
+/*
+ * Makes the current name of a file durable; no other file has it any more.
+ */
+static void
+sync_mem_name(struct mem_disk *d, struct mem_file *f)
+{
+	struct mem_file *old =
+	    f->name[0] != '\0' ? find_synced_mem_file(d, f->name) : NULL;
+
+	if (old != NULL && old != f) {
+		old->synced_name[0] = '\0';
+		if (old->name[0] == '\0')
+			unload_mem_file(old);
+	}
+	memcpy(f->synced_name, f->name, MEM_NAME_BYTES);
+	f->name_dirty = false;
+	if (f->name[0] == '\0')
+		unload_mem_file(f);
+}
+
+/*
+ * Syncs the names that changed since the last sync. A failed sync marks them
+ * clean, too: later syncs do not write them.
  */
 static int
 mem_sync_dir(void *arg, const char *path)
 {
 	struct mem_disk *d = arg;
-	int rc = count_mem_op(d, false, true);
+	int rc = count_mem_op(d, false, true, false);
 
 	(void)path;
 	if (rc != 0)
-		return rc;
+		d->sync_failed = true;
 	for (int i = 0; i < MEM_FILES; i++) {
 		struct mem_file *f = &d->file[i];
 
-		if (!f->used)
-			continue;
-		memcpy(f->synced_name, f->name, MEM_NAME_BYTES);
-		if (f->name[0] == '\0') {
-			unload_mem_file(f);
-		}
+		if (f->used && f->name_dirty && rc == 0)
+			sync_mem_name(d, f);
+		f->name_dirty = false;
 	}
-	return 0;
+	return rc;
 }
 
 static struct wal_io
@@ -344,17 +386,71 @@
 	    mem_sync_dir, d};
 }
 
+/*
+ * Decides which file has a name after a power cut: the one that has it now, or
+ * the one that had it at the last sync, each name by itself. With rng NULL, all
+ * names are as of the last sync.
+ */
+static void
+settle_mem_name(
+    struct mem_disk *d, const char *name, char kept[][MEM_NAME_BYTES],
+    struct rng *rng)
+{
+	struct mem_file *now = find_mem_file(d, name);
+	struct mem_file *synced = find_synced_mem_file(d, name);
+	struct mem_file *f =
+	    rng != NULL && draw_below(rng, 2) == 0 ? now : synced;
+
+	if (f != NULL)
+		memcpy(kept[f - d->file], name, MEM_NAME_BYTES);
+}
+
+/*
+ * Reverts some of the names that were not synced. A file keeps at most one.
+ */
+static void
+cut_mem_names(struct mem_disk *d, struct rng *rng)
+{
+	char kept[MEM_FILES][MEM_NAME_BYTES] = {{0}};
+
+	for (int i = 0; i < MEM_FILES; i++) {
+		struct mem_file *f = &d->file[i];
+
+		if (!f->used)
+			continue;
+		if (f->name[0] != '\0')
+			settle_mem_name(d, f->name, kept, rng);
+	}
+	/* A renamed file that keeps its new name loses the old one. */
+	for (int i = 0; i < MEM_FILES; i++) {
+		struct mem_file *f = &d->file[i];
+
+		if (f->used && f->synced_name[0] != '\0' &&
+		    kept[i][0] == '\0' &&
+		    find_mem_file(d, f->synced_name) == NULL)
+			settle_mem_name(d, f->synced_name, kept, rng);
+	}
+	for (int i = 0; i < MEM_FILES; i++) {
+		struct mem_file *f = &d->file[i];
+
+		memcpy(f->name, kept[i], MEM_NAME_BYTES);
+		memcpy(f->synced_name, kept[i], MEM_NAME_BYTES);
+		f->name_dirty = false;
+		if (f->used && f->name[0] == '\0')
+			unload_mem_file(f);
+	}
+}
+
 /*
  * Simulates a power cut and clears the fault. Each sector with unsynced bytes
  * survives or is lost at random, and the file's length is between the synced
- * and the current one. With rng NULL, everything unsynced is lost. Either all
- * names revert to the last sync of the directory or all stay.
+ * and the current one. With rng NULL, everything unsynced is lost. Names that
+ * were not synced are kept or lost, each by itself.
  */
 static void
 cut_power(struct mem_disk *d, struct rng *rng)
 {
-	bool keep_names = rng != NULL && draw_below(rng, 2) == 0;
-
+	cut_mem_names(d, rng);
 	for (int i = 0; i < MEM_FILES; i++) {
 		struct mem_file *f = &d->file[i];
 		struct buf survived = {0};
@@ -382,13 +478,6 @@
 		f->now = survived;
 		copy_to_mem_buf(&f->synced, view_buf(&f->now));
 		unload_buf(&f->dirty);
-		if (keep_names)
-			memcpy(f->synced_name, f->name, MEM_NAME_BYTES);
-		else
-			memcpy(f->name, f->synced_name, MEM_NAME_BYTES);
-		if (f->name[0] == '\0') {
-			unload_mem_file(f);
-		}
 	}
 	d->fault = MEM_FAULT_NONE;
 	d->sync_failed = false;
--- a/packages/wal/tests/test_wal.c
+++ b/packages/wal/tests/test_wal.c
@@ -529,12 +529,12 @@
 }
 END_TEST
 
-static const enum mem_fault faults[] = {
-    MEM_FAULT_ONCE, MEM_FAULT_CRASH, MEM_FAULT_FULL, MEM_FAULT_SYNC};
+static const enum mem_fault faults[] = {MEM_FAULT_ONCE, MEM_FAULT_CRASH,
+    MEM_FAULT_FULL, MEM_FAULT_SYNC, MEM_FAULT_NAMES};
 
 /*
  * Guards against losing durable state: every file operation of the sequence
- * fails in four ways, each followed by eleven different power cuts.
+ * fails in five ways, each followed by eleven different power cuts.
  */
 START_TEST(fault_at_any_operation_loses_no_durable_state)
 {
@@ -551,6 +551,41 @@
 }
 END_TEST
 
+/*
+ * Guards against a member that can never start again: segments that a snapshot
+ * covers were removed, and a power cut has brought back one of them with a gap
+ * after it.
+ */
+START_TEST(removed_segment_that_returns_is_ignored)
+{
+	struct mem_disk *d = calloc(1, sizeof(*d));
+	struct buf first = {0};
+	struct mem_file *file;
+	struct fault f = {0};
+	struct wal *w;
+
+	ck_assert_int_eq(open_mem_wal(d, &w, NULL), 0);
+	ck_assert_int_eq(store_hard(w, 1, 7, NULL), 0);
+	for (uint64_t k = 1; k <= 48; k += 4)
+		ck_assert_int_eq(store_entries_at(w, k, 1, 4, NULL), 0);
+	file = find_mem_file(d, "log-0000000000000001");
+	copy_to_mem_buf(&first, view_buf(&file->now));
+	ck_assert_int_eq(save_snapshot(w, 40, 1, NULL), 0);
+	close_wal(w);
+	ck_assert_ptr_null(find_mem_file(d, "log-0000000000000001"));
+	ck_assert_ptr_null(find_mem_file(d, "log-0000000000000002"));
+	file = create_mem_file(d, "log-0000000000000001");
+	copy_to_mem_buf(&file->now, view_buf(&first));
+	ck_assert_msg(open_mem_wal(d, &w, &f) == 0, "%s", f.text);
+	check_entries(w, 41, 8, 1);
+	ck_assert_ptr_null(find_mem_file(d, "log-0000000000000001"));
+	close_wal(w);
+	unload_buf(&first);
+	unload_mem_disk(d);
+	free(d);
+}
+END_TEST
+
 /*
  * Guards against losing an entry that was replayed after a failed sync: it may
  * have been in the page cache only, so the start must write and sync it again.
@@ -745,6 +780,7 @@
 	tcase_add_test(t, probe_tells_whether_the_disk_takes_writes);
 	tcase_add_loop_test(t, fault_at_any_operation_loses_no_durable_state, 0,
 	    (int)(sizeof(faults) / sizeof(faults[0])));
+	tcase_add_test(t, removed_segment_that_returns_is_ignored);
 	tcase_add_test(t, last_record_is_written_again_at_start);
 	tcase_add_test(t, mutated_records_never_decode_as_others);
 	tcase_add_test(t, mutated_segment_never_crashes);
