wal, replica: bring a member back after a failed sync

Operators saw: the syncs of three of five disks failed for 4.5 s, one disk after the other.

Cause: a failed sync ended the member until its process was started again, which nobody does. The reason for it was sound: after a failed sync the page cache may call clean what is not on the disk, and the log only wrote its last record again when it was opened. The same held for names after a failed sync of the folder.

So the member opens its log again after any error, as after refused writes; the state machine that did not load and an entry that was to be replaced are retried as well, up to every 30 s. Only an empty disk, or one of another member, ends recovery.

The file layer of the tests counted every sync after a failed one. It now counts syncs of a file whose own sync failed and whose content was not replaced, which is what must not be relied on, and drops names of failed folder syncs.

Why it works: nothing that a failed sync covered was acknowledged. What the reopened log reports has been written and synced again in files that no failed sync has touched, so a power cut right after it finds all of it.

--- a/packages/replica/inbox.c
+++ b/packages/replica/inbox.c
@@ -197,7 +197,7 @@
 	case ITEM_MESSAGE:
 		rc = step_raft(r->raft, &it->message);
 		if (rc == ERR_CORRUPT)
-			fail_replica(r,
+			fail_replica(r, ERR_CORRUPT,
 			    "a leader tried to replace a committed entry; "
 			    "check that no two members have the same id");
 		break;
--- a/packages/replica/replica.c
+++ b/packages/replica/replica.c
@@ -135,6 +135,19 @@
 	return get_replica_status(r).failed;
 }
 
+bool
+is_replica_unrecoverable(struct replica *r, struct fault *f)
+{
+	bool unrecoverable;
+
+	pthread_mutex_lock(&r->lock);
+	unrecoverable = r->unrecoverable;
+	if (unrecoverable)
+		*f = r->unrecoverable_fault;
+	pthread_mutex_unlock(&r->lock);
+	return unrecoverable;
+}
+
 /*
  * Opens the log and the core, clears the state machine and loads the snapshot.
  * Returns ERR_NOT_FOUND for an empty data directory with cfg.need_data,
@@ -180,13 +193,8 @@
 		return rc;
 	r->cfg.machine.clear(r->cfg.machine.arg);
 	process_output(r);
-	if (r->failed && r->recover_at != 0)
-		return set_fault(f, ERR_IO, "the disk refuses writes");
 	if (r->failed)
-		return set_fault(f, ERR_CORRUPT,
-		    "the snapshot in %s cannot be loaded; wipe the data "
-		    "directory and rejoin as a new member",
-		    r->cfg.data_dir);
+		return set_fault(f, r->failure.kind, "%s", r->failure.text);
 	publish_status(r, r->last_tick_ns);
 	return 0;
 }
--- a/packages/replica/replica.h
+++ b/packages/replica/replica.h
@@ -100,7 +100,7 @@
 	uint64_t snapshot; /* index of the newest snapshot */
 	uint64_t snapshot_errors; /* snapshots that could not be made */
 	bool voter;
-	bool failed; /* storage or state machine has failed */
+	bool failed; /* storage or state machine; until it works again */
 	bool transferring; /* leader is handing over */
 	int64_t contact_ns; /* time since the last quorum contact; -1: never */
 	struct wal_counters wal;
@@ -146,6 +146,8 @@
     struct replica *r, struct replica_progress out[RAFT_MEMBERS_MAX]);
 bool is_replica_leader(struct replica *r);
 bool is_replica_failed(struct replica *r);
+/* The process has to end: its data is gone. Copies the reason to f. */
+bool is_replica_unrecoverable(struct replica *r, struct fault *f);
 
 /* Runs all work that is due, once; only with replica_config.manual. */
 void run_replica_work(struct replica *r);
--- a/packages/replica/replica_core.h
+++ b/packages/replica/replica_core.h
@@ -71,6 +71,8 @@
 	size_t progress_count; /* 0 unless this member is the leader */
 	int64_t last_contact_ns; /* monotonic clock; -1: never */
 	bool stopping;
+	bool unrecoverable;
+	struct fault unrecoverable_fault;
 
 	/* ---- replica's thread only, without the lock ---- */
 	struct replica_config cfg;
@@ -80,9 +82,10 @@
 	struct wal *wal;
 	bool failed;
 	bool has_stored; /* something that other members may rely on */
-	int64_t recover_at; /* monotonic clock; 0: failed for good */
+	int64_t recover_at; /* monotonic clock; 0: not, or unrecoverable */
 	int64_t recover_delay; /* ns, before the next try */
 	int64_t recovered_at;
+	struct fault failure; /* why it failed last */
 	int64_t last_tick_ns; /* monotonic clock */
 	uint64_t quorum_contacts; /* of the core, when last published */
 	uint64_t members_index; /* of the last update_members() call */
@@ -125,14 +128,14 @@
 
 /* Start and recovery */
 int load_replica(struct replica *r, struct fault *f);
-void fail_storage(struct replica *r, const char *text); /* until it works */
+/* Until recover_replica() has opened everything again. */
+void fail_replica(struct replica *r, enum err kind, const char *text);
 void recover_replica(struct replica *r, int64_t now); /* when it is due */
 
 /* Work */
 void process_output(struct replica *r);
 void compact_replica(struct replica *r);
 void publish_status(struct replica *r, int64_t now);
-void fail_replica(struct replica *r, const char *text); /* for good */
 
 /* Conversion */
 void export_raft_message(struct replica *r, const struct raft_message *m,
--- a/packages/replica/tests/group.h
+++ b/packages/replica/tests/group.h
@@ -51,7 +51,7 @@
 	struct raft_members bootstrap;
 	size_t snapshot_bytes; /* replica_config of members started next */
 	size_t snapshot_padding; /* bytes added to each snapshot */
-	bool chaos_refuses_writes; /* disks refuse writes for a while */
+	int chaos_faults; /* of disks; 0: none, 1: writes, 2: any operation */
 	uint64_t next_value;
 	uint64_t acked_index; /* highest index reported to a proposer */
 	size_t acked_count; /* proposals reported as applied */
--- a/packages/replica/tests/test_replica.c
+++ b/packages/replica/tests/test_replica.c
@@ -256,19 +256,18 @@
 }
 
 /*
- * Guards against a group that ends for good because its disks refused writes
- * for a while, one after the other, as review/2 showed: each member comes back
- * without a restart, with all that was acknowledged.
+ * Guards against a group that ends for good because its disks refused an
+ * operation for a while, one after the other, as review/2 showed for writes:
+ * each member comes back without a restart, with all that was acknowledged.
  */
 static void
-refuse_writes_in_turn(struct group *g, uint64_t lead)
+refuse_in_turn(struct group *g, enum mem_fault fault)
 {
-	(void)lead;
 	for (int round = 0; round < 2; round++) {
 		for (uint64_t id = 1; id <= 3; id++) {
 			struct outcome o;
 
-			set_disk_fault(g, id, MEM_FAULT_FULL);
+			set_disk_fault(g, id, fault);
 			(void)propose_value(g, find_group_leader(g), &o);
 			run_group(g, 4500);
 			ck_assert(is_replica_failed(g->member[id].r));
@@ -291,6 +290,86 @@
 	}
 }
 
+static void
+refuse_writes_in_turn(struct group *g, uint64_t lead)
+{
+	(void)lead;
+	refuse_in_turn(g, MEM_FAULT_FULL);
+}
+
+static void
+refuse_syncs_in_turn(struct group *g, uint64_t lead)
+{
+	(void)lead;
+	refuse_in_turn(g, MEM_FAULT_SYNC);
+}
+
+/*
+ * Guards against depending on what a failed sync left in the page cache: the
+ * syncs of all disks fail, the members come back, commit values and lose power
+ * right after.
+ */
+static void
+cut_power_after_failed_syncs(struct group *g, uint64_t lead)
+{
+	struct outcome o;
+
+	(void)lead;
+	for (int round = 0; round < 4; round++) {
+		for (uint64_t id = 1; id <= 3; id++)
+			set_disk_fault(g, id, MEM_FAULT_SYNC);
+		(void)propose_value(g, find_group_leader(g), &o);
+		run_group(g, 1000);
+		for (uint64_t id = 1; id <= 3; id++)
+			g->member[id].disk.fault = MEM_FAULT_NONE;
+		for (int ms = 0; find_group_leader(g) == 0 && ms < 4000; ms++)
+			run_group(g, REPLICA_TICK_MS);
+		commit_values(g, 1);
+		for (uint64_t id = 1; id <= 3; id++)
+			stop_member(g, id, true);
+		for (uint64_t id = 1; id <= 3; id++)
+			ck_assert_int_eq(start_member(g, id, NULL), 0);
+		run_group(g, 2000);
+		commit_values(g, 1);
+		run_group(g, 200);
+		for (uint64_t id = 1; id <= 3; id++)
+			ck_assert(has_value(&g->member[id], g->next_value - 1));
+	}
+}
+
+/*
+ * Guards against a member that stays out because its state machine could not
+ * load a snapshot once, for example without memory.
+ */
+static void
+recover_from_failed_load(struct group *g, uint64_t lead)
+{
+	static char big[700 * 1024];
+	uint64_t id = find_other_member(lead, 0);
+	struct outcome o = {.g = g};
+
+	stop_member(g, id, false);
+	for (int k = 0; k < 3; k++) {
+		ck_assert_int_eq(propose_replica(g->member[lead].r,
+				     make_str_n(big, sizeof(big)), 2000,
+				     record_proposal_outcome, &o),
+		    0);
+		settle_group(g);
+	}
+	ck_assert_uint_gt(get_status(g, lead).snapshot, 0);
+	ck_assert_int_eq(start_member(g, id, NULL), 0);
+	g->member[id].load_fails = true;
+	run_group(g, 500);
+	ck_assert(is_replica_failed(g->member[id].r));
+	g->member[id].load_fails = false;
+	run_group(g, 3000);
+	ck_assert(!is_replica_failed(g->member[id].r));
+	commit_values(g, 1);
+	run_group(g, 200);
+	ck_assert_uint_eq(
+	    get_status(g, id).applied, get_status(g, lead).applied);
+}
+
 /*
  * Guards against a member that goes on under its id although its disk was
  * replaced by an empty one while writes were refused: it may have voted.
@@ -299,15 +378,19 @@
 lose_disk_while_refused(struct group *g, uint64_t lead)
 {
 	uint64_t id = find_other_member(lead, 0);
+	struct fault f = {0};
 
 	set_disk_fault(g, id, MEM_FAULT_FULL);
 	commit_values(g, 1);
 	run_group(g, 500);
 	ck_assert(is_replica_failed(g->member[id].r));
+	ck_assert(!is_replica_unrecoverable(g->member[id].r, &f));
 	unload_mem_disk(&g->member[id].disk);
 	g->member[id].disk = (struct mem_disk){0};
 	run_group(g, 3000);
 	ck_assert(is_replica_failed(g->member[id].r));
+	ck_assert(is_replica_unrecoverable(g->member[id].r, &f));
+	ck_assert_ptr_nonnull(strstr(f.text, "is empty"));
 	commit_values(g, 1);
 }
 
@@ -585,6 +668,9 @@
     {"full disk of the leader", fill_leader_disk},
     {"full disk of a follower", fill_follower_disk},
     {"disks that refuse writes in turn", refuse_writes_in_turn},
+    {"disks that refuse syncs in turn", refuse_syncs_in_turn},
+    {"power cut after failed syncs", cut_power_after_failed_syncs},
+    {"state that did not load once", recover_from_failed_load},
     {"empty disk after refused writes", lose_disk_while_refused},
     {"failed sync of the leader", fail_leader_sync},
     {"failed sync of a follower", fail_follower_sync},
@@ -618,6 +704,19 @@
 }
 END_TEST
 
+/*
+ * Draws what a disk refuses for a while.
+ */
+static enum mem_fault
+draw_chaos_fault(struct group *g)
+{
+	static const enum mem_fault all[] = {
+	    MEM_FAULT_FULL, MEM_FAULT_SYNC, MEM_FAULT_NAMES};
+
+	return g->chaos_faults == 1 ? MEM_FAULT_FULL :
+				      all[draw_below(&g->rng, 3)];
+}
+
 /*
  * Runs one random step: work, time, a request, a fault or a message. o gets the
  * outcomes of the *n requests so far.
@@ -629,10 +728,10 @@
 	struct member *m = &g->member[id];
 	uint64_t roll = draw_below(&g->rng, 100);
 
-	if (g->chaos_refuses_writes && m->r != NULL &&
+	if (g->chaos_faults > 0 && m->r != NULL &&
 	    draw_below(&g->rng, 150) == 0) {
 		if (m->disk.fault == MEM_FAULT_NONE)
-			set_disk_fault(g, id, MEM_FAULT_FULL);
+			set_disk_fault(g, id, draw_chaos_fault(g));
 		else
 			m->disk.fault = MEM_FAULT_NONE;
 		return;
@@ -706,8 +805,9 @@
 
 /*
  * Guards against lost acknowledged commands, refused ones that take effect, and
- * stale reads, under crashes with power cuts, an unreliable network and, in the
- * second run, disks that refuse writes for a while.
+ * stale reads, under crashes with power cuts, an unreliable network and disks
+ * that refuse, for a while, writes in the second run, and writes, syncs or names
+ * in the third.
  */
 START_TEST(chaos_keeps_guarantees)
 {
@@ -720,7 +820,7 @@
 		int n = 0;
 
 		g->snapshot_bytes = 2048;
-		g->chaos_refuses_writes = _i == 1;
+		g->chaos_faults = _i;
 		for (int k = 0; k < CHAOS_STEPS && !g->failure[0]; k++)
 			step_chaos(g, o, &n);
 		memset(g->blocked, 0, sizeof(g->blocked));
@@ -981,7 +1081,7 @@
 	tcase_set_timeout(t, 60);
 	tcase_add_loop_test(t, group_recovers_from_fault, 0,
 	    (int)(sizeof(cases) / sizeof(cases[0])));
-	tcase_add_loop_test(t, chaos_keeps_guarantees, 0, 2);
+	tcase_add_loop_test(t, chaos_keeps_guarantees, 0, 3);
 	tcase_add_test(t, threads_commit_and_stop);
 	tcase_add_test(t, messages_survive_the_wire);
 	suite_add_tcase(s, t);
--- a/packages/replica/work.c
+++ b/packages/replica/work.c
@@ -105,7 +105,7 @@
 	}
 	rc = save_wal_snapshot(r->wal, get_raft_snapshot(r->raft), &f);
 	if (rc != 0)
-		fail_storage(r, f.text);
+		fail_replica(r, (enum err)rc, f.text);
 }
 
 /*
@@ -146,21 +146,6 @@
 	pthread_mutex_unlock(&r->lock);
 }
 
-/*
- * Marks the replica as failed; only a restart ends that. Pending proposals end
- * with ERR_UNKNOWN, since other members may have them.
- */
-void
-fail_replica(struct replica *r, const char *text)
-{
-	if (r->failed)
-		return;
-	r->failed = true;
-	r->recover_at = 0;
-	write_log(LOG_LEVEL_ERR, "no longer a member of the group: %s", text);
-	fail_requests(r);
-}
-
 /*
  * Runs the ticks that are due. After a stall of the thread, only
  * CATCH_UP_TICKS_MAX of them run: messages of that time may still be in
@@ -244,13 +229,14 @@
 		return false;
 	rc = store_wal(r->wal, &s, &f);
 	if (rc != 0) {
-		fail_storage(r, f.text);
+		fail_replica(r, (enum err)rc, f.text);
 		return false;
 	}
 	r->has_stored = true;
 	rc = complete_raft_store(r->raft, s.seq);
 	if (rc != 0)
-		fail_storage(r, "out of memory; give the process more memory");
+		fail_replica(r, ERR_MEMORY,
+		    "out of memory; give the process more memory");
 	return rc == 0;
 }
 
@@ -270,7 +256,7 @@
 		}
 		if (r->cfg.machine.load(
 			r->cfg.machine.arg, a.index, a.snapshot->data) != 0) {
-			fail_replica(r,
+			fail_replica(r, ERR_CORRUPT,
 			    "the snapshot cannot be loaded; wipe the data "
 			    "directory and rejoin as a new member");
 			return;
--- a/packages/wal/files.c
+++ b/packages/wal/files.c
@@ -19,9 +19,10 @@
 #define TEMP_SUFFIX ".tmp"
 
 /*
- * Puts the log into the failed state; rc is the negative errno of operation op.
- * No operation is retried: after a failed sync the system may have dropped the dirty
- * pages and marked them clean, so a second sync could succeed without the data.
+ * Puts the log into the failed state, which ends when it is opened again; rc is
+ * the negative errno of operation op. No operation is retried before: after a
+ * failed sync the system may have dropped the dirty pages and marked them clean,
+ * so a second sync could succeed without the data.
  */
 int
 fail_wal(
@@ -34,8 +35,7 @@
 		    "back",
 		    op, w->dir, name);
 	return set_fault(f, ERR_IO,
-	    "%s %s/%s: %s; check the disk, then restart this member or replace "
-	    "it by a new one",
+	    "%s %s/%s: %s; check the disk; the member comes back when it works",
 	    op, w->dir, name, strerror(-rc));
 }
 
@@ -146,7 +146,7 @@
 
 	if (w->failed)
 		return set_fault(
-		    f, ERR_IO, "the log has failed; restart this member");
+		    f, ERR_IO, "the log has failed; open it again");
 	rc = make_path(w, name, path);
 	if (rc != 0)
 		return rc;
@@ -157,19 +157,15 @@
 	rc = write_at(w, fd, a, 0);
 	if (rc == 0)
 		rc = write_at(w, fd, b, (off_t)a.len);
-	if (rc == 0) {
+	if (rc == 0)
 		rc = w->io.sync_file(w->io.arg, fd);
-		w->sync_failed = w->sync_failed || rc != 0;
-	}
 	w->io.close_file(w->io.arg, fd);
 	if (rc != 0)
 		return fail_wal(w, f, "write", name, rc);
 	w->counters.syncs++;
 	rc = w->io.rename_file(w->io.arg, temp, path);
-	if (rc == 0) {
+	if (rc == 0)
 		rc = w->io.sync_dir(w->io.arg, w->dir);
-		w->sync_failed = w->sync_failed || rc != 0;
-	}
 	return rc != 0 ? fail_wal(w, f, "rename", name, rc) : 0;
 }
 
--- a/packages/wal/replay.c
+++ b/packages/wal/replay.c
@@ -65,9 +65,8 @@
 
 /*
  * Reads all segments into w->stored, which already has the snapshot, and opens
- * the last one for appending. Its last record is written and synced again: if
- * the previous process ended after a failed sync, the record may be in the page
- * cache only. Returns ERR_CORRUPT, ERR_IO or ERR_MEMORY.
+ * the last one, written anew, for appending. Returns ERR_CORRUPT, ERR_IO or
+ * ERR_MEMORY.
  */
 int
 replay_log(struct wal *w, struct fault *f)
@@ -381,9 +380,9 @@
 }
 
 /*
- * Opens the last segment for appending after its last complete record, cuts off
- * a torn tail and writes the last record again. Creates a segment when there is
- * none or the last one has no complete record.
+ * Writes the last segment anew, up to its last complete record, and opens it for
+ * appending. Creates a segment when there is none or the last one has no
+ * complete record.
  */
 static int
 continue_segment(struct wal *w, int torn, struct fault *f)
@@ -392,7 +391,6 @@
 	size_t intact_count =
 	    w->segment_count - (torn == TORN_EMPTY_SEGMENT ? 1 : 0);
 	struct buf b = {0};
-	struct str tail;
 	int rc;
 
 	if (intact_count == 0 &&
@@ -413,26 +411,20 @@
 		    f);
 	format_segment_name(w->segments[w->segment_count - 1].number, name);
 	rc = read_whole_file(w, name, &b, f);
+	if (rc == 0 && b.len < (size_t)w->segment_end)
+		rc = set_damage_fault(f, name, "it has become shorter");
+	if (rc == 0)
+		rc = replace_file(w, name,
+		    make_str_n(b.data, (size_t)w->segment_end),
+		    make_str_n(NULL, 0), f);
 	if (rc == 0)
 		rc = make_path(w, name, path);
-	if (rc != 0) {
-		unload_buf(&b);
+	unload_buf(&b);
+	if (rc != 0)
 		return rc;
-	}
 	w->segment_fd = w->io.open_file(w->io.arg, path, O_RDWR);
-	rc = w->segment_fd < 0 ? w->segment_fd : 0;
-	if (rc == 0 && torn == TORN_TAIL)
-		rc = w->io.truncate_file(
-		    w->io.arg, w->segment_fd, w->segment_end);
-	tail = make_str_n(
-	    b.data + w->last_record, (size_t)(w->segment_end - w->last_record));
-	if (rc == 0)
-		rc = write_at(w, w->segment_fd, tail, w->last_record);
-	if (rc == 0)
-		rc = w->io.sync_file(w->io.arg, w->segment_fd);
-	unload_buf(&b);
-	w->counters.syncs++;
-	return rc != 0 ? fail_wal(w, f, "recover", name, rc) : 0;
+	return w->segment_fd < 0 ? fail_wal(w, f, "open", name, w->segment_fd) :
+				   0;
 }
 
 static int
--- a/packages/wal/tests/mem_io.h
+++ b/packages/wal/tests/mem_io.h
@@ -33,6 +33,7 @@
 	struct buf synced;
 	struct buf dirty; /* 1 for each byte written since the last sync */
 	bool name_dirty; /* its name changed since the last sync */
+	bool sync_failed; /* until its content is replaced */
 	bool used;
 };
 
@@ -41,8 +42,7 @@
 	enum mem_fault fault;
 	uint64_t fault_at; /* number of the failing operation, from 1 */
 	uint64_t ops; /* operations since the last power cut */
-	uint64_t syncs_after_failure; /* of files, after a failed sync */
-	bool sync_failed;
+	uint64_t syncs_after_failure; /* of a file whose sync had failed */
 };
 
 /*
@@ -168,8 +168,8 @@
 	struct mem_disk *d = arg;
 	const char *name = get_mem_file_name(path);
 	struct mem_file *f = find_mem_file(d, name);
-	int rc = count_mem_op(d, (flags & O_CREAT) != 0, false,
-	    (flags & O_CREAT) != 0);
+	int rc = count_mem_op(
+	    d, (flags & O_CREAT) != 0, false, (flags & O_CREAT) != 0);
 
 	if (rc != 0)
 		return rc;
@@ -179,8 +179,10 @@
 		f = create_mem_file(d, name);
 	if (f == NULL)
 		return -ENFILE;
-	if ((flags & O_TRUNC) != 0)
+	if ((flags & O_TRUNC) != 0) {
 		f->now.len = 0;
+		f->sync_failed = false;
+	}
 	return (int)(f - d->file);
 }
 
@@ -265,10 +267,10 @@
 	struct mem_file *f = &d->file[fd];
 	int rc = count_mem_op(d, false, true, false);
 
-	if (d->sync_failed)
+	if (f->sync_failed)
 		d->syncs_after_failure++;
 	if (rc != 0)
-		d->sync_failed = true;
+		f->sync_failed = true;
 	while (rc == 0 && f->synced.len < f->now.len) {
 		if (append_buf(&f->synced, "", 1) != 0)
 			abort();
@@ -365,8 +367,6 @@
 	int rc = count_mem_op(d, false, true, false);
 
 	(void)path;
-	if (rc != 0)
-		d->sync_failed = true;
 	for (int i = 0; i < MEM_FILES; i++) {
 		struct mem_file *f = &d->file[i];
 
@@ -392,9 +392,8 @@
  * names are as of the last sync.
  */
 static void
-settle_mem_name(
-    struct mem_disk *d, const char *name, char kept[][MEM_NAME_BYTES],
-    struct rng *rng)
+settle_mem_name(struct mem_disk *d, const char *name,
+    char kept[][MEM_NAME_BYTES], struct rng *rng)
 {
 	struct mem_file *now = find_mem_file(d, name);
 	struct mem_file *synced = find_synced_mem_file(d, name);
@@ -474,13 +473,13 @@
 			if (draw_below(rng, 2) == 0 && at + n <= f->now.len)
 				memcpy(survived.data + at, f->now.data + at, n);
 		}
+		f->sync_failed = false;
 		unload_buf(&f->now);
 		f->now = survived;
 		copy_to_mem_buf(&f->synced, view_buf(&f->now));
 		unload_buf(&f->dirty);
 	}
 	d->fault = MEM_FAULT_NONE;
-	d->sync_failed = false;
 	d->syncs_after_failure = 0;
 	d->ops = 0;
 }
--- a/packages/wal/tests/test_wal.c
+++ b/packages/wal/tests/test_wal.c
@@ -458,7 +458,7 @@
 			rc = run_operation(w, op, &m, &f);
 		op--;
 		if (rc == ERR_IO) {
-			/* The log stays failed and retries no sync. */
+			/* The log stays failed and repeats no sync. */
 			d->fault = MEM_FAULT_NONE;
 			ck_assert(has_wal_failed(w));
 			ck_assert_int_eq(
@@ -551,6 +551,77 @@
 }
 END_TEST
 
+/*
+ * Runs the sequence with a fault at file operation fault_at, opens the log again
+ * when the disk works, and cuts the power right after. What the opened log
+ * reported must be there. Returns false when the sequence ended before the
+ * fault.
+ */
+static bool
+reopen_before_power_cut(
+    enum mem_fault fault, uint64_t fault_at, struct rng *rng)
+{
+	struct mem_disk *d = calloc(1, sizeof(*d));
+	struct expected_state m = {0};
+	struct fault f = {0};
+	struct raft_stored opened;
+	struct wal *w = NULL, *again = NULL;
+	const struct raft_stored *s;
+	int rc, op = 0;
+
+	d->fault = fault;
+	d->fault_at = fault_at;
+	rc = open_mem_wal(d, &w, &f);
+	for (op = 0; rc == 0; op++)
+		rc = run_operation(w, op, &m, &f);
+	close_wal(w);
+	d->fault = MEM_FAULT_NONE;
+	if (rc == ERR_IO) {
+		w = NULL;
+		ck_assert_msg(open_mem_wal(d, &w, &f) == 0, "%s", f.text);
+		check_expected_state(w, &m, fault_at, op - 1);
+		opened = *get_wal_stored(w);
+		cut_power(d, rng);
+		ck_assert_msg(open_mem_wal(d, &again, &f) == 0,
+		    "fault %d at %d op %d: %s", (int)fault, (int)fault_at, op,
+		    f.text);
+		s = get_wal_stored(again);
+		ck_assert_uint_eq(s->hard.term, opened.hard.term);
+		ck_assert_uint_eq(s->hard.vote, opened.hard.vote);
+		ck_assert_uint_eq(s->snapshot.index, opened.snapshot.index);
+		ck_assert_msg(s->entry_count == opened.entry_count,
+		    "fault %d at %d op %d: %d of %d entries", (int)fault,
+		    (int)fault_at, op, (int)s->entry_count,
+		    (int)opened.entry_count);
+		close_wal(again);
+		close_wal(w);
+	}
+	unload_mem_disk(d);
+	free(d);
+	return rc == ERR_IO;
+}
+
+/*
+ * Guards against depending on what is only in the page cache: after a failed
+ * sync the dirty pages and names count as clean, and a power cut right after
+ * the recovery loses them unless they are written anew.
+ */
+START_TEST(reopened_log_survives_a_power_cut)
+{
+	struct rng rng;
+	uint64_t at;
+
+	for (at = 1; at < 1000 && reopen_before_power_cut(faults[_i], at, NULL);
+	     at++) {
+		for (uint64_t seed = 1; seed <= 10; seed++) {
+			seed_rng(&rng, at * 100 + seed);
+			reopen_before_power_cut(faults[_i], at, &rng);
+		}
+	}
+	ck_assert_uint_gt(at, 30);
+}
+END_TEST
+
 /*
  * Guards against a member that can never start again: segments that a snapshot
  * covers were removed, and a power cut has brought back one of them with a gap
@@ -780,6 +851,8 @@
 	tcase_add_test(t, probe_tells_whether_the_disk_takes_writes);
 	tcase_add_loop_test(t, fault_at_any_operation_loses_no_durable_state, 0,
 	    (int)(sizeof(faults) / sizeof(faults[0])));
+	tcase_add_loop_test(t, reopened_log_survives_a_power_cut, 0,
+	    sizeof(faults) / sizeof(faults[0]));
 	tcase_add_test(t, removed_segment_that_returns_is_ignored);
 	tcase_add_test(t, last_record_is_written_again_at_start);
 	tcase_add_test(t, mutated_records_never_decode_as_others);
--- a/packages/wal/wal.c
+++ b/packages/wal/wal.c
@@ -22,8 +22,8 @@
  * Opens the directory and reads hard state, snapshot and log. A torn last
  * record is cut off. Returns ERR_CORRUPT for any other damage, ERR_INVALID when
  * the directory belongs to another member, ERR_CONFLICT when another process
- * uses it, ERR_IO when a file operation fails, ERR_LIMIT when the path is too
- * long and ERR_MEMORY. The caller closes *out with close_wal().
+ * uses it, ERR_DENIED when it cannot be created there, ERR_IO when a file
+ * operation fails, ERR_LIMIT when the path is too long and ERR_MEMORY. The caller closes *out with close_wal().
  */
 int
 open_wal(const struct wal_config *cfg, struct wal **out, struct fault *f)
@@ -86,7 +86,7 @@
 
 	if (w->failed)
 		return set_fault(
-		    f, ERR_IO, "the log has failed; restart this member");
+		    f, ERR_IO, "the log has failed; open it again");
 	if (s->has_hard)
 		rc = save_hard_state(w, s->hard, f);
 	if (rc == 0 && s->snapshot != NULL) {
@@ -159,18 +159,8 @@
 }
 
 /*
- * False after a failed sync: the system may have dropped dirty pages and marked
- * them clean, so what is read back may not be on the disk.
- */
-bool
-may_reopen_wal(const struct wal *w)
-{
-	return !w->sync_failed;
-}
-
-/*
- * Rewriting the last record, as open_wal() does, needs no new blocks and can
- * succeed on a full disk; a new file needs some.
+ * Tells whether the disk works again before everything is read and written anew
+ * by open_wal().
  */
 int
 probe_wal_disk(const struct wal_config *cfg, struct fault *f)
@@ -253,14 +243,13 @@
 	if (rc != 0)
 		return rc;
 	rc = w->io.sync_dir(w->io.arg, w->dir);
-	w->sync_failed = w->sync_failed || rc != 0;
 	return rc != 0 ? fail_wal(w, f, "sync", w->dir, rc) : 0;
 }
 
 /*
  * Appends one record to the last segment and syncs it. At most one record is
- * not yet synced, so only the last record can be torn. Any error is permanent:
- * ERR_IO or ERR_MEMORY.
+ * not yet synced, so only the last record can be torn. After an error, ERR_IO
+ * or ERR_MEMORY, the log has to be opened again.
  */
 int
 write_record(
@@ -293,7 +282,6 @@
 	w->segment_end += (off_t)b.len;
 	w->next_seq++;
 	unload_buf(&b);
-	w->sync_failed = w->sync_failed || rc != 0;
 	return rc != 0 ? fail_wal(w, f, "sync", name, rc) : 0;
 }
 
@@ -323,7 +311,14 @@
 /*
  * Creates and locks the directory and reads its files. A new directory gets an
  * initial hard state; one with a log or a snapshot but without a hard state is
- * damaged. Returns the errors of open_wal().
+ * damaged.
+ *
+ * A sync may have failed before, here or in an earlier process, and what it
+ * covered may be in the page cache only: the hard state, the newest snapshot,
+ * the last segment, or one of their names. Each is written anew to a new file,
+ * which is synced, before anything depends on it; to read it back is no proof.
+ * Older segments were synced before the next one was created. Returns the errors
+ * of open_wal().
  */
 static int
 load_wal(struct wal *w, struct fault *f)
@@ -333,6 +328,11 @@
 	int rc;
 
 	rc = w->io.make_dir(w->io.arg, w->dir);
+	if (rc == -EACCES || rc == -ENOENT || rc == -ENOTDIR)
+		return set_fault(f, ERR_DENIED,
+		    "cannot create the data folder %s: %s; check the parent "
+		    "folder and its mode",
+		    w->dir, strerror(-rc));
 	if (rc != 0)
 		return fail_wal(w, f, "create", "", rc);
 	rc = lock_wal(w, f);
@@ -352,14 +352,14 @@
 		rc = load_snapshot_file(w, snapshot_index, f);
 	if (rc == ERR_NOT_FOUND)
 		rc = set_damage_fault(f, w->dir, "a snapshot is missing");
+	if (rc == 0 && !is_new)
+		rc = save_hard_state(w, w->hard, f);
+	if (rc == 0 && has_snapshot)
+		rc = save_snapshot_file(w, &w->stored.snapshot, f);
 	if (rc == 0)
 		rc = replay_log(w, f);
 	if (rc != 0)
 		return rc;
-	/* An earlier run may have ended between a rename and its sync. */
-	rc = w->io.sync_dir(w->io.arg, w->dir);
-	if (rc != 0)
-		return fail_wal(w, f, "sync", "", rc);
 	return is_new ? 0 : remove_old_files(w, UINT64_MAX, f);
 }
 
--- a/packages/wal/wal.h
+++ b/packages/wal/wal.h
@@ -66,7 +66,7 @@
 
 /*
  * Both are durable on return. Once the log has failed, every later call returns
- * ERR_IO.
+ * ERR_IO; closing and opening it again ends that.
  */
 int store_wal(struct wal *w, const struct raft_store *s, struct fault *f);
 int save_wal_snapshot(
@@ -77,8 +77,6 @@
 void unload_wal_stored(struct wal *w); /* frees them */
 bool is_wal_empty(const struct wal *w); /* nothing was ever stored */
 bool has_wal_failed(const struct wal *w); /* until it is opened again */
-/* Whether a failed log may be opened again by the same process. */
-bool may_reopen_wal(const struct wal *w);
 /* Writes and removes a small file in the directory. ERR_IO or ERR_LIMIT. */
 int probe_wal_disk(const struct wal_config *cfg, struct fault *f);
 struct wal_counters get_wal_counters(const struct wal *w);
--- a/packages/wal/wal_core.h
+++ b/packages/wal/wal_core.h
@@ -51,7 +51,6 @@
 	struct wal_io io;
 	struct wal_counters counters;
 	bool failed; /* no further writes, see fail_wal() */
-	bool sync_failed; /* data of unknown state may be in the page cache */
 
 	struct raft_hard_state hard;
 	uint64_t snapshot_index; /* newest snapshot, set once opened */
@@ -84,7 +83,7 @@
 
 /* Files of the directory */
 int fail_wal(struct wal *w, struct fault *f, const char *op, const char *name,
-    int rc); /* permanently; returns ERR_IO */
+    int rc); /* until it is opened again; returns ERR_IO */
 int set_damage_fault(struct fault *f, const char *name, const char *reason);
 int make_path(const struct wal *w, const char *name,
     char *path); /* path: WAL_PATH_BYTES; ERR_LIMIT */
