control: start while the disk refuses operations

Cause: the id and the log were opened once, at the start, and an error ended the process, while an error of the same kind after the start heals.

Change: a process whose data folder cannot be opened runs without a replica, answers 503 and tries again after 0.25 s and then up to every second. The id is stored by the same step, and written anew at each start: the sync of an earlier process may have failed, and a lost id leaves a log of "another member", with which no start succeeds. A folder that cannot be created at all (missing parent, no permission) still ends the start.

Evidence: control.test_fleet, start_waits_for_a_disk_that_refuses_writes: before, the start failed.

Why it works: without a replica the process has no vote and confirms no read, as before its first start; peers that found the group meanwhile are noted, so it joins as the member that they expect.

--- a/packages/control/bootstrap.c
+++ b/packages/control/bootstrap.c
@@ -1,5 +1,9 @@
 /*
- * Start of a voter whose data folder is empty. Such a process is either new or
+ * Start of a voter. While its disk refuses operations, the process runs without
+ * a replica and tries again, so that its other work goes on and the platform
+ * counts no end.
+ *
+ * The data folder may be empty. Such a process is either new or
  * has lost its disk, and with it its votes and acknowledged log entries. It
  * must not vote under its old id then, so it asks the other processes for an
  * existing group before its replica starts.
@@ -10,6 +14,9 @@
 #include "service.h"
 
 #define QUERY_INTERVAL_NS (200 * NSEC_PER_MSEC) /* between group queries */
+/* Between tries to open the data folder; doubles up to the second one. */
+#define OPEN_DELAY_NS (250 * NSEC_PER_MSEC)
+#define OPEN_DELAY_MAX_NS NSEC_PER_SEC
 
 /* A group query whose reply waits for a confirmed read of the membership. */
 struct group_query {
@@ -18,6 +25,9 @@
 	uint64_t sender;
 };
 
+static int open_storage(struct control *c, struct fault *f);
+static void retry_open(struct control *c, int64_t now);
+static void delay_open(struct control *c, int64_t now);
 static int start_joining(struct control *c, struct fault *f);
 static void query_peers(struct control *c, int64_t now);
 static void finish_query(void *arg, const struct rpc_result *r);
@@ -33,24 +43,46 @@
     struct control *c, struct rpc_reply *reply, int status, uint64_t sender);
 
 /*
- * Starts the replica at once if it has data or this process is the only initial
- * voter; a process that joins by automatic membership starts empty. Otherwise
- * the service thread starts the replica after the peers have replied.
+ * Opens the data folder; while its disk refuses that, the service thread tries
+ * again.
  */
 int
 open_bootstrap(struct control *c, struct fault *f)
+{
+	int rc = open_storage(c, f);
+
+	if (rc != ERR_IO)
+		return rc;
+	delay_open(c, read_mono(&c->cfg.clock));
+	WRITE_EVENT(
+	    LOG_LEVEL_ERR, "storage.waiting", LOG_TEXT("reason", f->text));
+	return 0;
+}
+
+/*
+ * Starts the replica at once if it has data or this process is the only initial
+ * voter; a process that joins by automatic membership starts empty. Otherwise
+ * the service thread starts the replica after the peers have replied. The id is
+ * stored anew first, since the sync of an earlier process may have failed.
+ */
+static int
+open_storage(struct control *c, struct fault *f)
 {
 	struct raft_members initial_voters = {0};
 	struct bootstrap *s = &c->bootstrap;
-	int rc;
+	int rc = store_identity(c, f);
 
+	if (rc != 0)
+		return rc;
 	s->founder = find_initial_voters(c, &initial_voters);
 	rc = start_replication(c, !s->founder || initial_voters.count > 1, f);
 	if (rc != ERR_NOT_FOUND)
 		return rc;
 	if (c->cfg.auto_members && !s->founder)
 		return start_joining(c, f);
+	pthread_mutex_lock(&c->lock);
 	s->pending = true;
+	pthread_mutex_unlock(&c->lock);
 	record_event(c->cfg.events, "founding", c->cfg.zone, 0,
 	    "the data folder is empty; asking %zu processes for a group",
 	    c->peer_count);
@@ -60,20 +92,74 @@
 	return 0;
 }
 
+/*
+ * Tries to open the data folder again when that is due. Another error than
+ * ERR_IO ends the process. Runs on the service thread.
+ */
+static void
+retry_open(struct control *c, int64_t now)
+{
+	struct bootstrap *s = &c->bootstrap;
+	struct fault f = {0};
+	int rc;
+
+	if (!s->waits_for_disk || now < s->next_open_ns)
+		return;
+	rc = open_storage(c, &f);
+	if (rc == ERR_IO) {
+		delay_open(c, now);
+		return;
+	}
+	if (rc == 0)
+		WRITE_EVENT(LOG_LEVEL_NOTICE, "storage.opened",
+		    LOG_INT("member", c->id));
+	pthread_mutex_lock(&c->lock);
+	s->waits_for_disk = false;
+	s->failed = rc != 0;
+	s->fault = f;
+	pthread_mutex_unlock(&c->lock);
+}
+
+static void
+delay_open(struct control *c, int64_t now)
+{
+	struct bootstrap *s = &c->bootstrap;
+
+	s->open_delay_ns =
+	    s->open_delay_ns == 0 ? OPEN_DELAY_NS : 2 * s->open_delay_ns;
+	if (s->open_delay_ns > OPEN_DELAY_MAX_NS)
+		s->open_delay_ns = OPEN_DELAY_MAX_NS;
+	s->next_open_ns = now + s->open_delay_ns;
+	pthread_mutex_lock(&c->lock);
+	s->waits_for_disk = true;
+	pthread_mutex_unlock(&c->lock);
+}
+
 /*
  * Starts a replica without members; the leader of a group adds it. If the log
- * of a stored id is missing, the id may have voted, so a new one is chosen.
+ * of a stored id is missing, the id may have voted, so a new one is chosen;
+ * once other threads use the id, only a new process can do that.
  */
 static int
 start_joining(struct control *c, struct fault *f)
 {
-	int rc = c->membership.id_loaded ? choose_identity(c, f) : 0;
-
+	int rc = 0;
+
+	if (c->membership.id_loaded && c->thread_started)
+		return set_fault(f, ERR_NOT_FOUND,
+		    "the log of member %llu is missing; the process has to "
+		    "start again, to join under a new id",
+		    (unsigned long long)c->id);
+	if (c->membership.id_loaded) {
+		choose_identity(c);
+		rc = store_identity(c, f);
+	}
 	return rc == 0 ? start_replication(c, false, f) : rc;
 }
 
 /*
- * Queries the peers every QUERY_INTERVAL_NS until the replica may start or the
+ * Opens a data folder whose disk has refused it when that is due. With an empty
+ * one, queries the peers every QUERY_INTERVAL_NS until the replica may start or the
  * start is refused. Runs on the service thread.
  */
 void
@@ -82,6 +168,7 @@
 	struct bootstrap *s = &c->bootstrap;
 	bool start = false;
 
+	retry_open(c, now);
 	pthread_mutex_lock(&c->lock);
 	if (s->pending && !s->failed && !c->stopping) {
 		start = is_start_safe(c);
@@ -131,7 +218,7 @@
 	merge_message_stamp(c, &a.stamp);
 	if (a.founder) {
 		pthread_mutex_lock(&c->lock);
-		if (c->bootstrap.pending)
+		if (c->bootstrap.pending || c->bootstrap.waits_for_disk)
 			add_seen(c, a.sender);
 		pthread_mutex_unlock(&c->lock);
 		answer_group(c, reply, 0, a.sender);
--- a/packages/control/identity.c
+++ b/packages/control/identity.c
@@ -56,7 +56,10 @@
 	int rc;
 
 	if (mkdir(dir, 0700) != 0 && errno != EEXIST)
-		return set_fault(f, ERR_IO,
+		return set_fault(f,
+		    errno == EACCES || errno == ENOENT || errno == ENOTDIR ?
+			ERR_DENIED :
+			ERR_IO,
 		    "cannot create the data folder %s: %s; check the parent "
 		    "folder and its mode",
 		    dir, strerror(errno));
--- a/packages/control/identity.h
+++ b/packages/control/identity.h
@@ -10,7 +10,8 @@
 
 /* ERR_NOT_FOUND: the folder contains none; ERR_CORRUPT, ERR_IO. */
 int load_identity(const char *dir, uint64_t *out, struct fault *f);
-int save_identity(const char *dir, uint64_t id, struct fault *f); /* durable */
+/* Durable on return. ERR_DENIED: the folder cannot be created; ERR_IO. */
+int save_identity(const char *dir, uint64_t id, struct fault *f);
 /* The id of an initial voter, derived from its "IP:port" so that all initial
  * voters know each other's ids; never 0. */
 uint64_t derive_identity(const char *address);
--- a/packages/control/membership.c
+++ b/packages/control/membership.c
@@ -29,7 +29,8 @@
 static bool is_member(const struct raft_members *m, uint64_t id);
 
 /*
- * Loads the id of this process, or chooses one if the data folder is empty.
+ * Loads the id of this process, or chooses one if the data folder is empty; the
+ * bootstrap stores it.
  * Returns ERR_CORRUPT or ERR_IO when the stored id cannot be read. Does nothing
  * without automatic membership.
  */
@@ -51,17 +52,17 @@
 	if (rc == ERR_CORRUPT || rc == ERR_IO)
 		return rc;
 	*f = ignored;
-	return choose_identity(c, f);
+	choose_identity(c);
+	return 0;
 }
 
 /*
- * Chooses and stores an id for an empty data folder. Only a seed in the first
- * start of the fleet bootstraps the group and derives its id from its address.
- * In any later start the process may have lost its disk and must join under a
- * new random id. Returns an error of save_identity().
+ * Chooses an id for an empty data folder. Only a seed in the first start of the
+ * fleet bootstraps the group and derives its id from its address. In any later
+ * start the process may have lost its disk and must join under a new random id.
  */
-int
-choose_identity(struct control *c, struct fault *f)
+void
+choose_identity(struct control *c)
 {
 	bool bootstraps = false;
 
@@ -73,7 +74,16 @@
 	c->membership.bootstraps = bootstraps;
 	c->id =
 	    bootstraps ? derive_identity(c->cfg.rpc_listen) : draw_identity();
-	return save_identity(c->cfg.data_dir, c->id, f);
+}
+
+/*
+ * Stores the id durably. Does nothing without automatic membership.
+ */
+int
+store_identity(struct control *c, struct fault *f)
+{
+	return c->cfg.auto_members ? save_identity(c->cfg.data_dir, c->id, f) :
+				     0;
 }
 
 /*
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -111,7 +111,10 @@
 	void *arg;
 };
 
-/* Start of a voter with an empty data folder: bootstrap, join or refusal. */
+/*
+ * Start of a voter whose disk refuses operations, or with an empty data folder:
+ * bootstrap, join or refusal.
+ */
 struct bootstrap {
 	bool pending; /* the replica is not started yet */
 	bool founder; /* the settings list it among the initial voters */
@@ -119,6 +122,9 @@
 	bool failed; /* the process must end for the reason in fault */
 	struct fault fault;
 	int64_t next_query_ns; /* next GROUP request to the peers */
+	bool waits_for_disk; /* the data folder could not be opened */
+	int64_t next_open_ns;
+	int64_t open_delay_ns;
 	/* Initial voters that reported no group since this start. */
 	uint64_t seen[CONTROL_PEER_MAX];
 	size_t seen_count;
@@ -259,7 +265,8 @@
 
 /* membership.c */
 int open_membership(struct control *c, struct fault *f); /* sets c->id */
-int choose_identity(struct control *c, struct fault *f); /* sets a new id */
+void choose_identity(struct control *c); /* sets a new id */
+int store_identity(struct control *c, struct fault *f); /* ERR_IO */
 int open_seeds(struct control *c, struct fault *f);
 void run_membership(struct control *c, int64_t now); /* takes the lock */
 void handle_join(
--- a/packages/control/tests/test_fleet.c
+++ b/packages/control/tests/test_fleet.c
@@ -2,6 +2,9 @@
  * Control processes on loopback: edits through any of them, isolated leaders,
  * restarts, watches, claims and relays.
  */
+#include <signal.h>
+#include <sys/resource.h>
+
 #include "api.h"
 #include "fleet_fixture.h"
 #include "service.h"
@@ -236,6 +239,46 @@
 }
 END_TEST
 
+/*
+ * Limits the size of the files that this program may write; a write beyond it
+ * is refused, as on a full disk. RLIM_INFINITY ends that.
+ */
+static void
+limit_files(rlim_t bytes)
+{
+	struct rlimit r;
+
+	signal(SIGXFSZ, SIG_IGN);
+	ck_assert_int_eq(getrlimit(RLIMIT_FSIZE, &r), 0);
+	r.rlim_cur = bytes;
+	ck_assert_int_eq(setrlimit(RLIMIT_FSIZE, &r), 0);
+}
+
+/*
+ * Guards against a process that ends, and counts as ended with the platform,
+ * because its disk refuses writes when it starts: it waits and starts then.
+ */
+START_TEST(start_waits_for_a_disk_that_refuses_writes)
+{
+	struct replica_status st;
+	struct control *c;
+	struct fault f;
+
+	limit_files(0);
+	open_fleet(1, 0, NULL);
+	c = fleet.members[0].control;
+	sleep_ms(1500);
+	ck_assert(!has_control_failed(c, &f));
+	ck_assert(!get_replication_status(c, &st));
+	ck_assert_int_eq(
+	    send_json(0, "GET", "/v1/table", NULL, NULL, NULL), 503);
+	limit_files(RLIM_INFINITY);
+	(void)wait_leader();
+	ck_assert_int_eq(import_table(0, 0, "k1"), 1);
+	close_fleet();
+}
+END_TEST
+
 /*
  * Guards against an older table for a node: an isolated process must not serve
  * a node without a table, and pending watches must be answered both when
@@ -527,6 +570,7 @@
 	tcase_set_timeout(t, 110);
 	tcase_add_test(t, longest_text_survives_a_restart);
 	tcase_add_test(t, stop_answers_pending_orders);
+	tcase_add_test(t, start_waits_for_a_disk_that_refuses_writes);
 	tcase_add_test(t, watches_report_new_versions_and_lost_contact);
 	tcase_add_test(t, claims_are_exclusive_across_processes);
 	tcase_add_test(t, endpoints_reach_every_process);
