control: end a process whose disk has become empty

Operators saw a control process that goes on without its group, for good, after its disk had refused writes and was then replaced by an empty one: "the member stays out of its group".

Cause: the replica rightly refuses to go on under its id, since it may have voted, but nothing ended the process, so nobody joined in its place.

Change: has_control_failed() reports a replica that has lost its data, and the process ends with the reason. The platform starts it again, and it joins as a new member; with fixed ids, the start names the remedy.

Why it works: an empty folder at a start is the case that bootstrap already handles, by a new id.

--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -113,12 +113,20 @@
 
 /*
  * Tells whether the process has to end, for example a voter that may neither
- * bootstrap nor join a group. Copies the reason to f.
+ * bootstrap nor join a group, or one that has lost its data. Copies the reason
+ * to f.
  */
 bool
 has_control_failed(struct control *c, struct fault *f)
 {
-	bool failed;
+	bool failed = false;
+
+	pthread_rwlock_rdlock(&c->replica_guard);
+	if (c->replica != NULL)
+		failed = is_replica_unrecoverable(c->replica, f);
+	pthread_rwlock_unlock(&c->replica_guard);
+	if (failed)
+		return true;
 
 	pthread_mutex_lock(&c->lock);
 	failed = c->bootstrap.failed;
--- a/packages/control/tests/test_fleet.c
+++ b/packages/control/tests/test_fleet.c
@@ -279,6 +279,40 @@
 }
 END_TEST
 
+/*
+ * Guards against a process that goes on without its group after its disk was
+ * replaced by an empty one: it has to end, so that a new one joins.
+ */
+START_TEST(process_ends_when_its_disk_is_empty)
+{
+	char kept[80];
+	struct control *c;
+	struct fault f = {0};
+
+	open_fleet(1, 0, NULL);
+	(void)wait_leader();
+	ck_assert_int_eq(import_table(0, 0, "k1"), 1);
+	c = fleet.members[0].control;
+	limit_files(0);
+	(void)send_json(0, "POST", "/v1/edit", NULL,
+	    "{\"row\":\"a\",\"column\":\"rank\",\"value\":\"4\","
+	    "\"base\":1,\"key\":\"p\"}",
+	    NULL);
+	ck_assert(!has_control_failed(c, &f));
+	snprintf(kept, sizeof(kept), "%s.kept", fleet.members[0].dir);
+	ck_assert_int_eq(rename(fleet.members[0].dir, kept), 0);
+	ck_assert_int_eq(mkdir(fleet.members[0].dir, 0700), 0);
+	limit_files(RLIM_INFINITY);
+	for (int i = 0; i < FLEET_WAIT_S * 100 && !has_control_failed(c, &f);
+	     i++)
+		sleep_ms(10);
+	ck_assert(has_control_failed(c, &f));
+	ck_assert_int_eq(f.kind, ERR_NOT_FOUND);
+	ck_assert_ptr_nonnull(strstr(f.text, "is empty"));
+	close_fleet();
+}
+END_TEST
+
 /*
  * Guards against an older table for a node: an isolated process must not serve
  * a node without a table, and pending watches must be answered both when
@@ -571,6 +605,7 @@
 	tcase_add_test(t, longest_text_survives_a_restart);
 	tcase_add_test(t, stop_answers_pending_orders);
 	tcase_add_test(t, start_waits_for_a_disk_that_refuses_writes);
+	tcase_add_test(t, process_ends_when_its_disk_is_empty);
 	tcase_add_test(t, watches_report_new_versions_and_lost_contact);
 	tcase_add_test(t, claims_are_exclusive_across_processes);
 	tcase_add_test(t, endpoints_reach_every_process);
