control: refuse at once what cannot be served without a quorum

Operators saw silence: with three of five control processes killed, paused or out, each read at the other two was answered after 2,001 ms, also 9 s into it, and no change within a second.

Cause: reads and commands waited for their own time-outs, whatever the process knew of its contact to a quorum. A command that had been forwarded to a leader whose disk hangs also waited for that one, although another led by then.

Change: without contact to a quorum for 0.9 s, or with failed storage, a process refuses reads and commands at once, and ends those that wait, commands as unknown where an attempt is in flight. The age of the contact is measured outside the replica's thread, so it also grows while the disk blocks that thread. A command that waits for one leader is sent to the next one as well; commands may be sent again, as edits carry a key and claims an id.

Tests: stop_answers_pending_orders pauses the clock of its processes, so that the orders stay pending as it requires. change() and read_version() try again in intervals for as long as before, as a refusal no longer takes seconds.

Why it works: an election takes less than 0.9 s, so a call that waits for one still gets its result, and any answer that is longer under way would not be read any more.

--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -170,6 +170,29 @@
 	       st.contact_ns < 0 || st.contact_ns > WATCH_STALE_NS;
 }
 
+/*
+ * Tells whether this process knows that it cannot serve a read or a command: it
+ * has had no contact to a quorum for SERVICE_QUORUM_LOST_NS or its storage has
+ * failed. The age of the contact also grows while a disk blocks the replica's
+ * thread.
+ */
+bool
+is_quorum_lost(struct control *c)
+{
+	struct replica_status st;
+	int64_t age;
+
+	if (is_relay(c))
+		return is_control_stale(c) &&
+		       read_mono(&c->cfg.clock) - c->started_ns >
+			   WATCH_STALE_NS;
+	if (get_replication_status(c, &st) && st.failed)
+		return true;
+	age = st.contact_ns >= 0 ? st.contact_ns :
+				   read_mono(&c->cfg.clock) - c->started_ns;
+	return age > SERVICE_QUORUM_LOST_NS;
+}
+
 /*
  * Tells whether a voter has had no contact to a leader since its start. False
  * for a process that has not joined yet: its group may have a leader already.
@@ -283,6 +306,7 @@
 	}
 	seed_rng(&c->rng, cfg->seed + cfg->id);
 	c->upstream.contact_ns = -1;
+	c->started_ns = read_mono(&cfg->clock);
 	return 0;
 }
 
--- a/packages/control/replication.c
+++ b/packages/control/replication.c
@@ -27,6 +27,8 @@
 static void update_members(void *arg, const struct raft_members *m);
 static void ignore_reply(void *arg, const struct rpc_result *r);
 static void handle_read_round_result(void *arg, int status, uint64_t index);
+static int64_t get_elapsed_ns(
+    const struct timespec *from, const struct timespec *to);
 static void answer_read(void *arg, int status, uint64_t index);
 static void report_torn_records(struct control *c);
 static void publish_version(struct control *c, uint64_t before);
@@ -156,13 +158,14 @@
 }
 
 /*
- * Replies with a read index that a quorum has confirmed, or UNAVAILABLE after
- * SERVICE_READ_TIMEOUT_MS.
+ * Replies with a read index that a quorum has confirmed, or UNAVAILABLE: at once
+ * without a quorum, otherwise after SERVICE_READ_TIMEOUT_MS.
  */
 void
 handle_read_index(struct control *c, struct rpc_reply *reply)
 {
 	struct pending_read_call *call = calloc(1, sizeof(*call));
+	bool lost = is_quorum_lost(c);
 	int rc = ERR_UNAVAILABLE;
 
 	if (call == NULL) {
@@ -171,7 +174,7 @@
 	}
 	*call = (struct pending_read_call){reply, c};
 	pthread_rwlock_rdlock(&c->replica_guard);
-	if (c->replica != NULL)
+	if (c->replica != NULL && !lost)
 		rc = request_replica_read(
 		    c->replica, SERVICE_READ_TIMEOUT_MS, answer_read, call);
 	pthread_rwlock_unlock(&c->replica_guard);
@@ -232,34 +235,37 @@
 
 /*
  * Waits until a read requested now is confirmed; takes the lock. Returns
- * ERR_UNAVAILABLE when its round fails or after timeout_ms.
+ * ERR_UNAVAILABLE when its round fails, as soon as the quorum is known to be
+ * lost, or after timeout_ms.
  */
 int
 wait_read(struct control *c, int timeout_ms)
 {
-	struct timespec until;
+	struct timespec start, step;
 	uint64_t round;
 	int rc = 0;
 
-	clock_gettime(CLOCK_MONOTONIC, &until);
-	until.tv_sec += timeout_ms / 1000;
-	until.tv_nsec += timeout_ms % 1000 * NSEC_PER_MSEC;
-	if (until.tv_nsec >= NSEC_PER_SEC) {
-		until.tv_nsec -= NSEC_PER_SEC;
-		until.tv_sec++;
-	}
+	clock_gettime(CLOCK_MONOTONIC, &start);
 	pthread_mutex_lock(&c->lock);
 	round = get_next_read_round(c);
 	while (rc == 0 && c->reads.confirmed < round) {
-		if (c->stopping || c->reads.failed >= round) {
+		clock_gettime(CLOCK_MONOTONIC, &step);
+		if (c->stopping || c->reads.failed >= round ||
+		    is_quorum_lost(c) ||
+		    get_elapsed_ns(&start, &step) >=
+			timeout_ms * NSEC_PER_MSEC) {
 			rc = ERR_UNAVAILABLE;
 			break;
 		}
 		begin_read_round(c);
 		if (c->reads.confirmed >= round || c->reads.failed >= round)
 			continue;
-		if (pthread_cond_timedwait(&c->wake, &c->lock, &until) != 0)
-			rc = ERR_UNAVAILABLE;
+		step.tv_nsec += SERVICE_WAIT_STEP_NS;
+		if (step.tv_nsec >= NSEC_PER_SEC) {
+			step.tv_nsec -= NSEC_PER_SEC;
+			step.tv_sec++;
+		}
+		(void)pthread_cond_timedwait(&c->wake, &c->lock, &step);
 	}
 	pthread_mutex_unlock(&c->lock);
 	return rc;
@@ -448,6 +454,13 @@
 	pthread_mutex_unlock(&c->lock);
 }
 
+static int64_t
+get_elapsed_ns(const struct timespec *from, const struct timespec *to)
+{
+	return (int64_t)(to->tv_sec - from->tv_sec) * NSEC_PER_SEC +
+	       to->tv_nsec - from->tv_nsec;
+}
+
 static void
 answer_read(void *arg, int status, uint64_t index)
 {
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -34,6 +34,14 @@
 #define SERVICE_UNRESPONSIVE_MS 500 /* without input; see call_rpc() */
 #define SERVICE_RETRY_NS \
 	(50 * NSEC_PER_MSEC) /* between attempts of a command */
+/*
+ * Without contact to a quorum for this long, reads and commands are refused at
+ * once. An election takes less; operators leave a call without an answer after
+ * 1 s.
+ */
+#define SERVICE_QUORUM_LOST_NS (900 * NSEC_PER_MSEC)
+#define SERVICE_WAIT_STEP_NS \
+	(50 * NSEC_PER_MSEC) /* between looks at it while a read waits */
 #define SERVICE_WATCH_WAIT_MAX_MS 30000 /* longest time a watch is pending */
 #define SERVICE_COMMAND_WAIT_MAX_MS 10000 /* longest wait for a command */
 #define SERVICE_LINKS_MAX 128 /* distinct addresses of control processes */
@@ -98,14 +106,20 @@
 /* Receives the outcome of a command; see submit_command(). */
 typedef void (*submit_fn)(void *arg, int status, struct str result);
 
-/* A command that is sent to the leader until it succeeds or times out. */
+/*
+ * A command that is sent to the leader until it succeeds or times out. Listed
+ * and allocated until it has ended and no attempt is in flight.
+ */
 struct submission {
 	struct submission *next;
 	struct control *control;
 	struct buf command;
 	int64_t deadline_ns;
 	int64_t retry_ns; /* next attempt */
-	bool in_flight;
+	int attempts; /* in flight */
+	uint64_t target; /* leader of the last attempt; 0: none yet */
+	bool held; /* by the service thread */
+	bool ended; /* fn was or is being called */
 	bool may_have_applied; /* an attempt has an unknown outcome */
 	submit_fn fn;
 	void *arg;
@@ -136,7 +150,7 @@
 	bool in_flight; /* a PULL is in flight */
 	bool confirms_read; /* the PULL in flight confirms a read round */
 	int64_t retry_ns; /* next PULL not before this time */
-	int64_t contact_ns; /* last successful reply; -1: none */
+	_Atomic(int64_t) contact_ns; /* last successful reply; -1: none */
 	uint64_t registry_id; /* that the set versions below refer to */
 	struct upstream_set {
 		char service[WIRE_NAME_MAX + 1];
@@ -199,6 +213,7 @@
 	struct bootstrap bootstrap;
 	struct membership membership;
 	uint64_t leader_hint; /* relay: leader named by a voter; 0: unknown */
+	int64_t started_ns; /* monotonic clock */
 	int64_t last_tick_ns;
 	int64_t last_digest_ns;
 	int64_t last_lease_ns;
@@ -225,6 +240,7 @@
 /* control.c */
 bool is_control_stale(struct control *c); /* no contact to a leader */
 bool is_control_starting(struct control *c); /* no contact since start */
+bool is_quorum_lost(struct control *c); /* refuse reads and commands at once */
 struct wire_hlc make_message_stamp(struct control *c); /* for a new message */
 void merge_message_stamp(struct control *c, const struct wire_hlc *h);
 bool is_relay(const struct control *c);
--- a/packages/control/submit.c
+++ b/packages/control/submit.c
@@ -1,19 +1,25 @@
 /*
  * Submits commands to the leader. Every command may be sent again, because
  * edits carry an idempotency key and claims an id; so an attempt with an
- * unknown outcome is retried until the deadline of the command.
+ * unknown outcome is retried until the deadline of the command, and one that a
+ * stalled leader holds is repeated at the next leader. Without a quorum,
+ * commands end at once.
  */
 #include <stdlib.h>
 #include <string.h>
 
 #include "service.h"
 
+#define ATTEMPTS_MAX 4 /* of one command in flight, at different leaders */
+
 /* A PROPOSE or CLAIM call that waits for the outcome of its command. */
 struct pending_call {
 	struct control *control;
 	struct rpc_reply *reply;
 };
 
+static void run_submission(struct submission *s, int64_t now, bool lost);
+static uint64_t find_other_leader(const struct submission *s);
 static void try_submission(struct submission *s, int64_t now);
 static void forward_submission(struct submission *s, int remaining_ms);
 static struct peer *choose_leader(struct control *c);
@@ -22,8 +28,9 @@
 static void finish_forward(void *arg, const struct rpc_result *r);
 static void handle_attempt_result(
     struct submission *s, int status, struct str result);
-static void end_submission(struct submission *s, int status, struct str result);
-static bool unlink_submission(struct control *c, struct submission *s);
+static int get_unfinished_status(const struct submission *s);
+static bool unlink_submission(struct submission *s);
+static void free_submission(struct submission *s);
 static void answer_proposal(
     void *arg, int status, uint64_t index, struct str result);
 static void send_proposal_reply(struct control *c, struct rpc_reply *reply,
@@ -39,7 +46,8 @@
  * Queues a copy of a command and makes the first attempt. Unless an error is
  * returned, fn runs exactly once: with status 0 and the encoded result,
  * ERR_INVALID, ERR_UNAVAILABLE (not applied) or ERR_UNKNOWN (may still be
- * applied). Returns ERR_LIMIT for a command that no log entry holds.
+ * applied). Returns ERR_LIMIT for a command that no log entry holds, and
+ * ERR_UNAVAILABLE when the quorum is known to be lost.
  */
 int
 submit_command(struct control *c, struct str bytes, int timeout_ms,
@@ -50,6 +58,8 @@
 
 	if (bytes.len > REPLICA_COMMAND_MAX)
 		return ERR_LIMIT;
+	if (is_quorum_lost(c))
+		return ERR_UNAVAILABLE;
 	s = calloc(1, sizeof(*s));
 	if (s == NULL)
 		return ERR_MEMORY;
@@ -57,7 +67,7 @@
 	s->fn = fn;
 	s->arg = arg;
 	s->deadline_ns = now + (int64_t)timeout_ms * NSEC_PER_MSEC;
-	s->in_flight = true;
+	s->attempts = 1;
 	if (append_buf_str(&s->command, bytes) != 0) {
 		free(s);
 		return ERR_MEMORY;
@@ -78,46 +88,34 @@
 }
 
 /*
- * Retries the submissions that are due and ends those past their deadline, or
- * all when the process stops. Submissions in flight are left alone: the attempt
- * ends by its own timeout.
+ * Ends the submissions past their deadline, or all when the quorum is lost or
+ * the process stops, and makes the attempts that are due. When the process
+ * stops, submissions in flight are left alone: the attempt ends soon and may
+ * have succeeded.
  */
 void
 run_submissions(struct control *c, int64_t now)
 {
-	struct submission *due = NULL, *s, **p;
-	bool stopping;
+	bool lost = is_quorum_lost(c);
+	struct submission *s, *next;
 
+	/* Those that are held stay listed; new ones are put before them. */
 	pthread_mutex_lock(&c->lock);
-	stopping = c->stopping;
-	for (p = &c->submissions; (s = *p) != NULL;) {
-		bool must_end = now >= s->deadline_ns || stopping;
-
-		if (s->in_flight || (!must_end && now < s->retry_ns)) {
-			p = &s->next;
-			continue;
-		}
-		*p = s->next;
-		s->next = due;
-		due = s;
-	}
-	for (s = due; s != NULL; s = s->next)
-		s->in_flight = true;
+	for (s = c->submissions; s != NULL; s = s->next)
+		s->held = true;
+	s = c->submissions;
 	pthread_mutex_unlock(&c->lock);
-	while ((s = due) != NULL) {
-		due = s->next;
-		if (now >= s->deadline_ns || stopping) {
-			end_submission(s,
-			    s->may_have_applied ? ERR_UNKNOWN : ERR_UNAVAILABLE,
-			    make_str(""));
-			continue;
-		}
+	for (; s != NULL; s = next) {
+		bool done;
+
+		run_submission(s, now, lost);
 		pthread_mutex_lock(&c->lock);
-		s->next = c->submissions;
-		c->submissions = s;
+		next = s->next;
+		s->held = false;
+		done = unlink_submission(s);
 		pthread_mutex_unlock(&c->lock);
-		count_metric(c->metrics.retries, 1);
-		try_submission(s, now);
+		if (done)
+			free_submission(s);
 	}
 }
 
@@ -205,9 +203,51 @@
 	unload_wire((xdrproc_t)xdr_wire_claim_args, &a);
 }
 
+/*
+ * Ends one submission or makes an attempt, if that is due; it is held.
+ */
+static void
+run_submission(struct submission *s, int64_t now, bool lost)
+{
+	struct control *c = s->control;
+	bool ends, tries;
+	int status;
+
+	pthread_mutex_lock(&c->lock);
+	ends = !s->ended && (now >= s->deadline_ns || lost ||
+				(c->stopping && s->attempts == 0));
+	status = get_unfinished_status(s);
+	s->ended = s->ended || ends;
+	tries = !s->ended && (s->attempts == 0 ? now >= s->retry_ns :
+						 find_other_leader(s) != 0);
+	s->attempts += tries ? 1 : 0;
+	pthread_mutex_unlock(&c->lock);
+	if (ends)
+		s->fn(s->arg, status, make_str(""));
+	if (tries) {
+		count_metric(c->metrics.retries, 1);
+		try_submission(s, now);
+	}
+}
+
+/*
+ * Returns the leader that took over while an earlier one holds the command, or
+ * 0. The earlier one may be stalled by its disk and answer late. Lock held.
+ */
+static uint64_t
+find_other_leader(const struct submission *s)
+{
+	struct replica_status st;
+
+	if (s->attempts >= ATTEMPTS_MAX || s->target == 0 ||
+	    !get_replication_status(s->control, &st))
+		return 0;
+	return st.leader != s->target ? st.leader : 0;
+}
+
 /*
  * Makes one attempt: proposes the command on the leader, else forwards it. The
- * caller has marked the submission as in flight.
+ * caller has counted the attempt.
  */
 static void
 try_submission(struct submission *s, int64_t now)
@@ -216,12 +256,16 @@
 	int remaining_ms = (int)((s->deadline_ns - now) / NSEC_PER_MSEC);
 	struct replica_status st;
 	struct buf early_result = {0};
-	bool answered;
+	bool answered, local;
 	int rc;
 
 	if (remaining_ms < 1)
 		remaining_ms = 1;
-	if (!get_replication_status(c, &st) || st.role != RAFT_LEADER) {
+	local = get_replication_status(c, &st) && st.role == RAFT_LEADER;
+	pthread_mutex_lock(&c->lock);
+	s->target = st.leader;
+	pthread_mutex_unlock(&c->lock);
+	if (!local) {
 		forward_submission(s, remaining_ms);
 		return;
 	}
@@ -324,66 +368,69 @@
 }
 
 /*
- * Ends the submission after a final outcome (0, ERR_INVALID) or when the
- * process stops; otherwise the service thread retries it.
+ * Counts an attempt as ended. A final outcome (0, ERR_INVALID) ends the
+ * submission, and so does any other when the process stops; otherwise the
+ * service thread goes on.
  */
 static void
 handle_attempt_result(struct submission *s, int status, struct str result)
 {
+	bool final = status == 0 || status == ERR_INVALID, ends, done;
 	struct control *c = s->control;
-	bool stopping;
+	submit_fn fn = s->fn;
+	void *arg = s->arg;
 
-	if (status == 0 || status == ERR_INVALID) {
-		pthread_mutex_lock(&c->lock);
-		(void)unlink_submission(c, s);
-		pthread_mutex_unlock(&c->lock);
-		end_submission(s, status, result);
-		return;
-	}
 	pthread_mutex_lock(&c->lock);
+	s->attempts--;
 	if (status == ERR_UNKNOWN || status == ERR_TIMEOUT)
 		s->may_have_applied = true;
 	s->retry_ns = read_mono(&c->cfg.clock) + SERVICE_RETRY_NS;
-	stopping = c->stopping;
-	if (stopping)
-		(void)unlink_submission(c, s);
-	else
-		s->in_flight = false;
+	ends = !s->ended && (final || (c->stopping && s->attempts == 0));
+	if (!final)
+		status = get_unfinished_status(s);
+	s->ended = s->ended || ends;
+	done = unlink_submission(s);
 	pthread_mutex_unlock(&c->lock);
-	if (stopping)
-		end_submission(s,
-		    s->may_have_applied ? ERR_UNKNOWN : ERR_UNAVAILABLE,
-		    make_str(""));
+	if (ends)
+		fn(arg, status, final ? result : make_str(""));
+	if (done)
+		free_submission(s);
 }
 
 /*
- * Reports the outcome and frees the submission, which is unlinked.
+ * Returns how a submission without a result ends. Lock held.
  */
-static void
-end_submission(struct submission *s, int status, struct str result)
+static int
+get_unfinished_status(const struct submission *s)
 {
-	s->fn(s->arg, status, result);
-	unload_buf(&s->command);
-	free(s);
+	return s->may_have_applied || s->attempts > 0 ? ERR_UNKNOWN :
+							ERR_UNAVAILABLE;
 }
 
 /*
- * Removes a submission from the list; the lock is held. Returns false when it
- * was not listed.
+ * Takes an ended submission off the list when nothing refers to it any more.
+ * Returns whether it did; the caller frees it. Lock held.
  */
 static bool
-unlink_submission(struct control *c, struct submission *s)
+unlink_submission(struct submission *s)
 {
-	struct submission **p = &c->submissions;
+	struct submission **p = &s->control->submissions;
 
-	while (*p != NULL && *p != s)
-		p = &(*p)->next;
-	if (*p == NULL)
+	if (!s->ended || s->attempts > 0 || s->held)
 		return false;
+	while (*p != s)
+		p = &(*p)->next;
 	*p = s->next;
 	return true;
 }
 
+static void
+free_submission(struct submission *s)
+{
+	unload_buf(&s->command);
+	free(s);
+}
+
 static void
 answer_proposal(void *arg, int status, uint64_t index, struct str result)
 {
--- a/packages/control/tests/fleet_fixture.h
+++ b/packages/control/tests/fleet_fixture.h
@@ -38,6 +38,7 @@
 	PARTITION_NONE = 0,
 	PARTITION_ALL,
 	PARTITION_VOTERS, /* all but the PULL calls of relays */
+	PARTITION_COMMANDS, /* the commands that are forwarded to it */
 };
 
 struct member {
@@ -67,6 +68,36 @@
 /* Static: hooks run on other threads and must not outlive their fleet. */
 static struct fleet fleet;
 
+/* Monotonic time at which the clock of the fleet stands; 0: it runs. */
+static atomic_llong fleet_paused_ns;
+
+static inline int64_t
+read_fleet_mono(void *arg)
+{
+	struct clock_source real = get_real_clock();
+	long long paused_ns = atomic_load(&fleet_paused_ns);
+
+	(void)arg;
+	return paused_ns != 0 ? paused_ns : read_mono(&real);
+}
+
+static inline int64_t
+read_fleet_wall(void *arg)
+{
+	struct clock_source real = get_real_clock();
+
+	(void)arg;
+	return read_wall(&real);
+}
+
+static inline void
+pause_fleet_clock(void)
+{
+	struct clock_source real = get_real_clock();
+
+	atomic_store(&fleet_paused_ns, read_mono(&real));
+}
+
 static inline void
 sleep_ms(long ms)
 {
@@ -95,9 +126,12 @@
 
 	if (partition == PARTITION_NONE && !info->is_reply)
 		partition = get_address_partition(info->peer);
-	if (!node &&
-	    (partition == PARTITION_ALL ||
-		(partition == PARTITION_VOTERS && info->proc != GGS_PULL)))
+	if (partition == PARTITION_COMMANDS) {
+		if (info->proc == GGS_PROPOSE)
+			f.kind = RPC_FAULT_DROP;
+	} else if (!node && (partition == PARTITION_ALL ||
+				(partition == PARTITION_VOTERS &&
+				    info->proc != GGS_PULL)))
 		f.kind = RPC_FAULT_DROP;
 	return f;
 }
@@ -116,7 +150,7 @@
 	    .token_file = fleet.token_file,
 	    .tls_cert_file = fleet.tls_cert_file,
 	    .tls_key_file = fleet.tls_key_file,
-	    .clock = get_real_clock(),
+	    .clock = {read_fleet_mono, read_fleet_wall, NULL},
 	    .events = m->events,
 	    .seed = 7,
 	    .hooks = &m->hooks,
@@ -158,6 +192,7 @@
 	struct fault f;
 
 	memset(&fleet, 0, sizeof(fleet));
+	atomic_store(&fleet_paused_ns, 0);
 	strcpy(fleet.root, "/tmp/ggs-fleet-XXXXXX");
 	ck_assert_ptr_nonnull(mkdtemp(fleet.root));
 	fleet.voters = voters;
--- a/packages/control/tests/test_fleet.c
+++ b/packages/control/tests/test_fleet.c
@@ -9,6 +9,10 @@
 #include "fleet_fixture.h"
 #include "service.h"
 
+/* A process without contact to its quorum refuses at once. */
+#define TRY_INTERVAL_MS 50
+#define TRIES_MAX (FLEET_WAIT_S * 1000 / TRY_INTERVAL_MS)
+
 /* Sends a change, again while the answer is 503; returns the version. */
 static json_int_t
 change(size_t i, const char *path, const char *text, int want)
@@ -17,9 +21,11 @@
 	json_t *o = NULL;
 	int status = 503;
 
-	for (int k = 0; k < 12 && status == 503; k++) {
+	for (int k = 0; k < TRIES_MAX && status == 503; k++) {
 		json_decref(o);
 		o = NULL;
+		if (k > 0)
+			sleep_ms(TRY_INTERVAL_MS);
 		status = send_json(i, "POST", path, NULL, text, &o);
 	}
 	ck_assert_msg(status == want, "%s: %d %s", text, status,
@@ -63,9 +69,11 @@
 	json_t *o = NULL;
 	int status = 503;
 
-	for (int k = 0; k < 12 && status == 503; k++) {
+	for (int k = 0; k < TRIES_MAX && status == 503; k++) {
 		json_decref(o);
 		o = NULL;
+		if (k > 0)
+			sleep_ms(TRY_INTERVAL_MS);
 		status = send_json(i, "GET", "/v1/table", NULL, NULL, &o);
 	}
 	ck_assert_int_eq(status, 200);
@@ -220,6 +228,8 @@
 	open_fleet(3, 0, NULL);
 	(void)wait_leader();
 	ck_assert_int_eq(import_table(0, 0, "k1"), 1);
+	/* Time stands, so that the orders stay pending. */
+	pause_fleet_clock();
 	stop_member(1);
 	stop_member(2);
 	for (size_t i = 0; i < 8; i++)
@@ -239,6 +249,103 @@
 }
 END_TEST
 
+/* A request that another thread sends. */
+static struct sender {
+	size_t to;
+	const char *text;
+	int *status;
+} fleet_sender;
+
+static void *
+send_fleet_text(void *arg)
+{
+	(void)arg;
+	*fleet_sender.status = send_json(
+	    fleet_sender.to, "POST", "/v1/edit", NULL, fleet_sender.text, NULL);
+	return NULL;
+}
+
+static void
+record_status(void *arg, int status, struct str result)
+{
+	(void)result;
+	atomic_store((atomic_int *)arg, status);
+}
+
+/*
+ * Guards against operators who get silence from a process that has lost contact
+ * to its quorum: a command that waits ends when that is known, and from then on
+ * commands and reads are refused without another try.
+ */
+START_TEST(lost_quorum_is_answered_at_once)
+{
+	const int forever_ms = 3600 * 1000;
+	size_t isolated;
+	struct control *c;
+	atomic_int status = 1;
+	uint64_t rounds;
+
+	open_fleet(3, 0, NULL);
+	isolated = (wait_leader() + 1) % 3;
+	ck_assert_int_eq(import_table(isolated, 0, "k1"), 1);
+	c = fleet.members[isolated].control;
+	atomic_store(&fleet.members[isolated].partition, PARTITION_ALL);
+	ck_assert_int_eq(submit_command(c, make_str("any"), forever_ms,
+			     record_status, &status),
+	    0);
+	for (int i = 0; i < FLEET_WAIT_S * 100 && atomic_load(&status) == 1;
+	     i++)
+		sleep_ms(10);
+	ck_assert_int_eq(atomic_load(&status), ERR_UNKNOWN);
+	ck_assert(is_quorum_lost(c));
+	ck_assert_int_eq(submit_command(c, make_str("any"), forever_ms,
+			     record_status, &status),
+	    ERR_UNAVAILABLE);
+	pthread_mutex_lock(&c->lock);
+	rounds = c->reads.started;
+	pthread_mutex_unlock(&c->lock);
+	ck_assert_int_eq(wait_read(c, forever_ms), ERR_UNAVAILABLE);
+	pthread_mutex_lock(&c->lock);
+	ck_assert_uint_eq(c->reads.started, rounds);
+	pthread_mutex_unlock(&c->lock);
+	atomic_store(&fleet.members[isolated].partition, PARTITION_NONE);
+	ck_assert_int_eq(edit(isolated, "a", "4", 1, "k2", 200), 2);
+	close_fleet();
+}
+END_TEST
+
+/*
+ * Guards against a change that waits for a leader that is stalled, for example
+ * by its disk, until its time-out, although another process leads: it has to be
+ * sent to that one as well.
+ */
+START_TEST(change_goes_to_the_next_leader)
+{
+	const char *text = "{\"row\":\"a\",\"column\":\"rank\","
+			   "\"value\":\"4\",\"base\":1,\"key\":\"p\"}";
+	size_t leader, other, next;
+	int status = 0;
+	pthread_t t;
+
+	open_fleet(3, 0, NULL);
+	leader = wait_leader();
+	ck_assert_int_eq(import_table(leader, 0, "k1"), 1);
+	other = (leader + 1) % 3;
+	atomic_store(&fleet.members[leader].partition, PARTITION_COMMANDS);
+	fleet_sender = (struct sender){other, text, &status};
+	ck_assert_int_eq(pthread_create(&t, NULL, send_fleet_text, NULL), 0);
+	while (count_submissions(fleet.members[other].control) == 0)
+		sleep_ms(5);
+	(void)transfer_replica_leadership(
+	    fleet.members[leader].control->replica);
+	next = wait_leader(); /* the partitioned one does not count */
+	pthread_join(t, NULL);
+	ck_assert_int_eq(status, 200);
+	ck_assert_int_eq(read_version(next), 2);
+	close_fleet();
+}
+END_TEST
+
 /*
  * Limits the size of the files that this program may write; a write beyond it
  * is refused, as on a full disk. RLIM_INFINITY ends that.
@@ -604,6 +711,8 @@
 	tcase_set_timeout(t, 110);
 	tcase_add_test(t, longest_text_survives_a_restart);
 	tcase_add_test(t, stop_answers_pending_orders);
+	tcase_add_test(t, lost_quorum_is_answered_at_once);
+	tcase_add_test(t, change_goes_to_the_next_leader);
 	tcase_add_test(t, start_waits_for_a_disk_that_refuses_writes);
 	tcase_add_test(t, process_ends_when_its_disk_is_empty);
 	tcase_add_test(t, watches_report_new_versions_and_lost_contact);
