control: give unused connections to new members

Operators would see a control process that reaches no new member any more after it has known 128 addresses of control processes, with "restart this process" in its log. Replaced members and changed seeds come with new addresses, and all long-lived processes get there at the same time.

Cause: a connection was opened once per address and kept until the process ended.

Change: after SERVICE_LINKS_MAX addresses, the connection that no peer and no seed uses, and that got its address first, is moved to the new one; the rpc client closes it and connects there.

Evidence: control.test_fleet, replaced_members_do_not_use_up_the_connections: open_link() returned ERR_LIMIT at the 128th address before.

--- a/packages/control/membership.c
+++ b/packages/control/membership.c
@@ -109,6 +109,7 @@
 			update_peer(c, derive_identity(c->cfg.seeds[i]),
 			    c->cfg.seeds[i]);
 	}
+	mark_seed_links(c, m->seeds, m->seed_count);
 	return 0;
 }
 
@@ -138,6 +139,7 @@
 	memcpy(c->membership.seeds, links, n * sizeof(links[0]));
 	c->membership.seed_count = n;
 	pthread_mutex_unlock(&c->lock);
+	mark_seed_links(c, links, n);
 	return 0;
 }
 
--- a/packages/control/peers.c
+++ b/packages/control/peers.c
@@ -10,6 +10,7 @@
 
 static bool has_address(
     struct control *c, const struct peer *p, const char *address);
+static struct link *find_unused_link(struct control *c);
 static struct peer *allocate_peer(struct control *c);
 static int parse_peer(
     const char *text, uint64_t *id, const char **address, struct fault *f);
@@ -112,43 +113,64 @@
 }
 
 /*
- * The connection is opened once per address and lives until the process ends.
- * Returns ERR_LIMIT after SERVICE_LINKS_MAX addresses.
+ * Opens the connection to an address, which all peers with that address share.
+ * After SERVICE_LINKS_MAX addresses, the longest unused connection gets the new
+ * one. Returns ERR_LIMIT when all are in use.
  */
 int
 open_link(struct control *c, const char *address, struct rpc_peer **out,
     struct fault *f)
 {
-	struct rpc_peer *found = NULL;
+	struct link *l = NULL;
+	struct rpc_peer *rpc = NULL;
 	int rc;
 
 	pthread_mutex_lock(&c->peers_lock);
-	for (size_t i = 0; i < c->link_count && found == NULL; i++) {
+	for (size_t i = 0; i < c->link_count && rpc == NULL; i++) {
 		if (strcmp(c->links[i].address, address) == 0)
-			found = c->links[i].rpc;
+			rpc = c->links[i].rpc;
 	}
+	if (rpc == NULL && c->link_count == SERVICE_LINKS_MAX)
+		l = find_unused_link(c);
 	pthread_mutex_unlock(&c->peers_lock);
-	if (found != NULL) {
-		*out = found;
+	if (rpc != NULL) {
+		*out = rpc;
 		return 0;
 	}
-	if (c->link_count == SERVICE_LINKS_MAX)
+	if (l == NULL && c->link_count == SERVICE_LINKS_MAX)
 		return set_fault(f, ERR_LIMIT,
-		    "connections to %d addresses of control processes were "
-		    "opened; restart this process",
+		    "%d connections to control processes are in use; remove "
+		    "members or seeds",
 		    SERVICE_LINKS_MAX);
-	rc = open_rpc_peer(c->client, address, &found, f);
+	rc = l != NULL ? move_rpc_peer(l->rpc, address, f) :
+			 open_rpc_peer(c->client, address, &rpc, f);
 	if (rc != 0)
 		return rc;
 	pthread_mutex_lock(&c->peers_lock);
-	(void)copy_str(c->links[c->link_count].address, RPC_ADDRESS_BYTES,
-	    make_str(address));
-	c->links[c->link_count++].rpc = found;
+	if (l == NULL) {
+		l = &c->links[c->link_count++];
+		l->rpc = rpc;
+	}
+	(void)copy_str(l->address, sizeof(l->address), make_str(address));
+	l->order = c->link_order++;
+	*out = l->rpc;
 	pthread_mutex_unlock(&c->peers_lock);
-	*out = found;
 	return 0;
 }
 
+void
+mark_seed_links(struct control *c, struct rpc_peer *const *seeds, size_t count)
+{
+	pthread_mutex_lock(&c->peers_lock);
+	for (size_t i = 0; i < c->link_count; i++) {
+		c->links[i].seed = false;
+		for (size_t k = 0; k < count; k++)
+			c->links[i].seed =
+			    c->links[i].seed || seeds[k] == c->links[i].rpc;
+	}
+	pthread_mutex_unlock(&c->peers_lock);
+}
+
 /*
  * Sends the endpoint changes since the last tick, digests every
  * SERVICE_DIGEST_NS, and all owned records to the peers whose digest differed.
@@ -207,6 +229,28 @@
 	unload_buf(&b);
 }
 
+/*
+ * Returns the link without a peer or a seed that got its address first, or NULL.
+ * One that was opened just now has no peer yet, but is the last in that order.
+ * peers_lock is held.
+ */
+static struct link *
+find_unused_link(struct control *c)
+{
+	struct link *best = NULL;
+
+	for (size_t i = 0; i < c->link_count; i++) {
+		struct link *l = &c->links[i];
+		bool used = l->seed;
+
+		for (size_t k = 0; k < c->peer_count && !used; k++)
+			used = c->peers[k].rpc == l->rpc;
+		if (!used && (best == NULL || l->order < best->order))
+			best = l;
+	}
+	return best;
+}
+
 /*
  * Returns a free entry, or that of a process that is no longer a member; NULL
  * when all are members. peers_lock is held.
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -44,7 +44,7 @@
 	(50 * NSEC_PER_MSEC) /* between looks at it while a read waits */
 #define SERVICE_WATCH_WAIT_MAX_MS 30000 /* longest time a watch is pending */
 #define SERVICE_COMMAND_WAIT_MAX_MS 10000 /* longest wait for a command */
-#define SERVICE_LINKS_MAX 128 /* distinct addresses of control processes */
+#define SERVICE_LINKS_MAX 128 /* addresses of control processes at a time */
 #define SERVICE_PULL_WAIT_MS 500 /* heartbeat interval of a relay's PULL */
 
 /* Another control process. */
@@ -58,10 +58,12 @@
 	struct control *control;
 };
 
-/* The connection to an address; open until the process ends. */
+/* The connection to an address. */
 struct link {
 	char address[RPC_ADDRESS_BYTES];
 	struct rpc_peer *rpc;
+	uint64_t order; /* in which the links got their addresses */
+	bool seed;
 };
 
 /* Membership that the group manages by itself. */
@@ -226,6 +228,7 @@
 	atomic_size_t peer_count; /* changed under peers_lock */
 	struct link links[SERVICE_LINKS_MAX];
 	size_t link_count;
+	uint64_t link_order; /* of the next address */
 
 	struct rpc_server *server;
 	struct rpc_client *client;
@@ -295,6 +298,9 @@
 /* Returns the connection to an address; all ids with that address share it. */
 int open_link(struct control *c, const char *address, struct rpc_peer **out,
     struct fault *f);
+/* The links of the seeds keep their addresses; no other one does. */
+void mark_seed_links(
+    struct control *c, struct rpc_peer *const *seeds, size_t count);
 int open_peers(struct control *c, struct fault *f);
 void update_peer(struct control *c, uint64_t id, const char *address);
 /* NULL: none. A peer's entry lasts as long as c, but may get another id. */
--- a/packages/control/tests/test_fleet.c
+++ b/packages/control/tests/test_fleet.c
@@ -346,6 +346,42 @@
 }
 END_TEST
 
+/*
+ * Guards against a control process that can reach no new member after it has
+ * known SERVICE_LINKS_MAX addresses, until it is started again.
+ */
+START_TEST(replaced_members_do_not_use_up_the_connections)
+{
+	struct rpc_peer *rpc = NULL, *kept;
+	struct control *c;
+	char address[48];
+	struct fault f;
+	struct peer *p;
+
+	open_fleet(2, 0, NULL);
+	(void)wait_leader();
+	c = fleet.members[0].control;
+	kept = find_control_peer(c, 2)->rpc;
+	for (int i = 0; i < 3 * SERVICE_LINKS_MAX; i++) {
+		snprintf(address, sizeof(address), "127.9.%d.%d:7401", i / 250,
+		    1 + i % 250);
+		ck_assert_msg(
+		    open_link(c, address, &rpc, &f) == 0, "%s", f.text);
+		ck_assert_ptr_ne(rpc, kept);
+	}
+	/* A connection that had another address reaches the member. */
+	ck_assert_int_eq(
+	    move_rpc_peer(rpc, fleet.members[1].rpc_address, &f), 0);
+	p = find_control_peer(c, 2);
+	pthread_mutex_lock(&c->peers_lock);
+	p->rpc = rpc;
+	pthread_mutex_unlock(&c->peers_lock);
+	ck_assert_int_eq(import_table(0, 0, "k1"), 1);
+	ck_assert_int_eq(edit(1, "a", "4", 1, "k2", 200), 2);
+	close_fleet();
+}
+END_TEST
+
 /*
  * Limits the size of the files that this program may write; a write beyond it
  * is refused, as on a full disk. RLIM_INFINITY ends that.
@@ -713,6 +749,7 @@
 	tcase_add_test(t, stop_answers_pending_orders);
 	tcase_add_test(t, lost_quorum_is_answered_at_once);
 	tcase_add_test(t, change_goes_to_the_next_leader);
+	tcase_add_test(t, replaced_members_do_not_use_up_the_connections);
 	tcase_add_test(t, start_waits_for_a_disk_that_refuses_writes);
 	tcase_add_test(t, process_ends_when_its_disk_is_empty);
 	tcase_add_test(t, watches_report_new_versions_and_lost_contact);
--- a/packages/rpc/rpc.h
+++ b/packages/rpc/rpc.h
@@ -205,6 +205,8 @@
 int open_rpc_peer(struct rpc_client *c, const char *address,
     struct rpc_peer **out, struct fault *f);
 void reset_rpc_peer(struct rpc_peer *p); /* closes the connection */
+/* Closes the connection; later ones go to the address. ERR_INVALID. */
+int move_rpc_peer(struct rpc_peer *p, const char *address, struct fault *f);
 /* Time of the last input of an incomplete reply, mono ns; 0: none. Any thread */
 int64_t get_rpc_partial_input(struct rpc_peer *p);
 
--- a/packages/rpc/rpc_client.c
+++ b/packages/rpc/rpc_client.c
@@ -72,6 +72,11 @@
 	atomic_int in_flight; /* calls not yet completed */
 	_Atomic int64_t partial_input; /* see get_rpc_partial_input() */
 	atomic_size_t unsent_bytes; /* arguments not yet encoded */
+
+	/* Under the client's lock: the address of later connections */
+	bool moved;
+	char next_address[RPC_ADDRESS_BYTES];
+	struct rpc_address next_socket_address;
 };
 
 struct rpc_client {
@@ -101,6 +106,7 @@
 	struct buf *body;
 };
 
+static int set_address_fault(struct fault *f, const char *address);
 static void set_defaults(struct rpc_client_config *c);
 static int submit_call(struct rpc_client *c, struct call *call);
 static void complete_wait(void *arg, const struct rpc_result *result);
@@ -254,9 +260,7 @@
 	if (parse_rpc_address(address, &p->socket_address) != 0 ||
 	    copy_str(p->address, sizeof(p->address), make_str(address)) != 0) {
 		free(p);
-		return set_fault(f, ERR_INVALID,
-		    "address \"%s\": write IP:port or [IPv6]:port",
-		    address != NULL ? address : "");
+		return set_address_fault(f, address);
 	}
 	p->client = c;
 	p->link.stream.fd = -1;
@@ -286,6 +290,28 @@
 		free(call);
 }
 
+/*
+ * Gives the peer another address: its connection is closed, and later calls go
+ * to that address.
+ */
+int
+move_rpc_peer(struct rpc_peer *p, const char *address, struct fault *f)
+{
+	struct rpc_address parsed;
+	char copy[RPC_ADDRESS_BYTES];
+
+	if (parse_rpc_address(address, &parsed) != 0 ||
+	    copy_str(copy, sizeof(copy), make_str(address)) != 0)
+		return set_address_fault(f, address);
+	pthread_mutex_lock(&p->client->lock);
+	p->moved = true;
+	memcpy(p->next_address, copy, sizeof(copy));
+	p->next_socket_address = parsed;
+	pthread_mutex_unlock(&p->client->lock);
+	reset_rpc_peer(p);
+	return 0;
+}
+
 int
 call_rpc(struct rpc_peer *p, uint32_t proc, struct str args, int timeout_ms,
     rpc_done_fn fn, void *arg)
@@ -354,6 +380,14 @@
 	return rc;
 }
 
+static int
+set_address_fault(struct fault *f, const char *address)
+{
+	return set_fault(f, ERR_INVALID,
+	    "address \"%s\": write IP:port or [IPv6]:port",
+	    address != NULL ? address : "");
+}
+
 static void
 set_defaults(struct rpc_client_config *c)
 {
@@ -519,9 +553,17 @@
 connect_peer(struct rpc_peer *p, int64_t now)
 {
 	struct rpc_client *c = p->client;
-	int fd = socket(p->socket_address.storage.ss_family,
-	    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int fd;
 
+	pthread_mutex_lock(&c->lock);
+	if (p->moved) {
+		memcpy(p->address, p->next_address, sizeof(p->address));
+		p->socket_address = p->next_socket_address;
+		p->moved = false;
+	}
+	pthread_mutex_unlock(&c->lock);
+	fd = socket(p->socket_address.storage.ss_family,
+	    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0) {
 		disconnect_peer(p, ERR_UNAVAILABLE);
 		return;
