--- /dev/null
+++ b/apps/greengagespurd/tests/faulty_disk.c
@@ -0,0 +1,252 @@
+/*
+ * A layer below the daemon's file operations that refuses or delays them, as
+ * full, failing and stalled disks do. Linked into greengagespurd_faulty_disk,
+ * whose calls it replaces by symbol. Environment variables:
+ *
+ * GGS_FAULTY_DIR: only files below this folder are affected.
+ * GGS_FAULTY_SWITCH: a file that is read before each operation; its words
+ *   switch the faults on. An empty or missing file: none.
+ *
+ *   write: writes are refused; part: half of the bytes are written first
+ *   name: files cannot be created, renamed, removed or shortened
+ *   sync: syncs are refused, of files and folders
+ *   errno=N: of refused operations; ENOSPC without it
+ *   hang_ms=N: writes and syncs take this long first, while switched on
+ */
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
+
+#define DESCRIPTORS_MAX 4096 /* of files; a higher one is never affected */
+#define SWITCH_BYTES 256
+#define HANG_STEP_NS 10000000 /* between looks at the switch while hanging */
+
+struct faults {
+	bool write, part, name, sync;
+	int error;
+	long hang_ms;
+};
+
+static volatile bool affected[DESCRIPTORS_MAX];
+
+static struct faults read_switch(void);
+static void hang(void);
+static bool is_affected(int fd);
+static bool is_affected_path(const char *path);
+static bool refuse_names(const char *path);
+static int sync_descriptor(long number, int fd);
+static ssize_t write_descriptor(
+    int fd, const void *data, size_t len, off_t at, bool has_at);
+
+int
+open(const char *path, int flags, ...)
+{
+	bool is_ours = is_affected_path(path);
+	mode_t mode = 0;
+	va_list ap;
+	int fd;
+
+	va_start(ap, flags);
+	if ((flags & O_CREAT) != 0)
+		mode = va_arg(ap, mode_t);
+	va_end(ap);
+	if (is_ours && (flags & O_CREAT) != 0 &&
+	    syscall(SYS_faccessat, AT_FDCWD, path, F_OK) != 0 &&
+	    refuse_names(path))
+		return -1;
+	fd = (int)syscall(SYS_openat, AT_FDCWD, path, flags, mode);
+	if (fd >= 0 && fd < DESCRIPTORS_MAX)
+		affected[fd] = is_ours;
+	return fd;
+}
+
+int
+close(int fd)
+{
+	if (fd >= 0 && fd < DESCRIPTORS_MAX)
+		affected[fd] = false;
+	return (int)syscall(SYS_close, fd);
+}
+
+ssize_t
+write(int fd, const void *data, size_t len)
+{
+	return write_descriptor(fd, data, len, 0, false);
+}
+
+ssize_t
+pwrite(int fd, const void *data, size_t len, off_t at)
+{
+	return write_descriptor(fd, data, len, at, true);
+}
+
+int
+ftruncate(int fd, off_t len)
+{
+	struct faults f = read_switch();
+
+	if (is_affected(fd) && f.name) {
+		errno = f.error;
+		return -1;
+	}
+	return (int)syscall(SYS_ftruncate, fd, len);
+}
+
+int
+fsync(int fd)
+{
+	return sync_descriptor(SYS_fsync, fd);
+}
+
+int
+fdatasync(int fd)
+{
+	return sync_descriptor(SYS_fdatasync, fd);
+}
+
+int
+rename(const char *from, const char *to)
+{
+	if (refuse_names(from))
+		return -1;
+	return (int)syscall(SYS_renameat2, AT_FDCWD, from, AT_FDCWD, to, 0);
+}
+
+int
+unlink(const char *path)
+{
+	if (refuse_names(path))
+		return -1;
+	return (int)syscall(SYS_unlinkat, AT_FDCWD, path, 0);
+}
+
+int
+mkdir(const char *path, mode_t mode)
+{
+	if (refuse_names(path))
+		return -1;
+	return (int)syscall(SYS_mkdirat, AT_FDCWD, path, mode);
+}
+
+/*
+ * Reads the switch by system calls, which this file does not replace.
+ */
+static struct faults
+read_switch(void)
+{
+	const char *path = getenv("GGS_FAULTY_SWITCH");
+	struct faults f = {.error = ENOSPC};
+	char text[SWITCH_BYTES] = "", *word, *rest = text;
+	ssize_t n = -1;
+	int fd = -1;
+
+	if (path != NULL)
+		fd = (int)syscall(SYS_openat, AT_FDCWD, path, O_RDONLY, 0);
+	if (fd >= 0) {
+		n = syscall(SYS_read, fd, text, sizeof(text) - 1);
+		(void)syscall(SYS_close, fd);
+	}
+	text[n > 0 ? n : 0] = '\0';
+	while ((word = strtok_r(rest, " \n", &rest)) != NULL) {
+		f.write = f.write || strcmp(word, "write") == 0;
+		f.part = f.part || strcmp(word, "part") == 0;
+		f.name = f.name || strcmp(word, "name") == 0;
+		f.sync = f.sync || strcmp(word, "sync") == 0;
+		if (strncmp(word, "errno=", 6) == 0)
+			f.error = atoi(word + 6);
+		if (strncmp(word, "hang_ms=", 8) == 0)
+			f.hang_ms = atol(word + 8);
+	}
+	return f;
+}
+
+/*
+ * Waits as long as the switch says, or until it is changed.
+ */
+static void
+hang(void)
+{
+	struct timespec step = {0, HANG_STEP_NS};
+	long waited_ms = 0;
+
+	while (waited_ms < read_switch().hang_ms) {
+		nanosleep(&step, NULL);
+		waited_ms += HANG_STEP_NS / 1000000;
+	}
+}
+
+static bool
+is_affected(int fd)
+{
+	return fd >= 0 && fd < DESCRIPTORS_MAX && affected[fd];
+}
+
+static bool
+is_affected_path(const char *path)
+{
+	const char *dir = getenv("GGS_FAULTY_DIR");
+
+	return dir != NULL && strncmp(path, dir, strlen(dir)) == 0;
+}
+
+/*
+ * Returns whether a change of this name is refused, and sets errno then.
+ */
+static bool
+refuse_names(const char *path)
+{
+	struct faults f = read_switch();
+
+	if (!is_affected_path(path) || !f.name)
+		return false;
+	errno = f.error;
+	return true;
+}
+
+static int
+sync_descriptor(long number, int fd)
+{
+	struct faults f;
+
+	if (is_affected(fd)) {
+		hang();
+		f = read_switch();
+		if (f.sync) {
+			errno = f.error;
+			return -1;
+		}
+	}
+	return (int)syscall(number, fd);
+}
+
+static ssize_t
+write_descriptor(int fd, const void *data, size_t len, off_t at, bool has_at)
+{
+	bool refused = false;
+	struct faults f;
+	ssize_t n;
+
+	if (is_affected(fd)) {
+		hang();
+		f = read_switch();
+		refused = f.write || (f.part && len < 2);
+		if (f.part)
+			len /= 2;
+	}
+	if (refused) {
+		errno = f.error;
+		return -1;
+	}
+	n = has_at ? syscall(SYS_pwrite64, fd, data, len, at) :
+		     syscall(SYS_write, fd, data, len);
+	return n;
+}
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -33,8 +33,8 @@
 };
 
 /* Processes; an id stays valid until the runner exits */
-int start_process(char *const *argv, const char *log_path, int64_t file_limit,
-    struct fault *f); /* id or error */
+int start_process(char *const *argv, char *const *env, const char *log_path,
+    int64_t file_limit, struct fault *f); /* id or error */
 int signal_process(int id, int sig);
 int wait_process(int id, int timeout_ms, int *status); /* ERR_TIMEOUT */
 int get_process_usage(int id, struct process_usage *out);
--- a/bench/scenario_process.c
+++ b/bench/scenario_process.c
@@ -18,7 +18,7 @@
 
 #include "scenario.h"
 
-#define ARGS_MAX 64 /* arguments of one process */
+#define ARGS_MAX 64 /* arguments, and variables, of one process */
 #define END_WAIT_MS 3000 /* from SIGTERM to SIGKILL */
 #define POLL_MS 5
 
@@ -32,12 +32,13 @@
 static struct process processes[SCENARIO_PROCESS_MAX];
 static int process_count;
 
-static void exec_child(
-    char *const *argv, const char *log_path, int64_t file_limit);
+static void exec_child(char *const *argv, char *const *env,
+    const char *log_path, int64_t file_limit);
 static int open_child_log(const char *log_path, int64_t file_limit);
 static void copy_child_log(int from, int to);
 static void sleep_ms(int ms);
 static int parse_status_kb(const char *text, const char *name, int64_t *out);
+static int load_strings(lua_State *l, const char *field, char **out);
 static int lua_start(lua_State *l);
 static int lua_signal(lua_State *l);
 static int lua_wait(lua_State *l);
@@ -45,13 +46,14 @@
 static int lua_pid(lua_State *l);
 
 /*
- * Starts a program with its output appended to log_path. file_limit is the
+ * Starts a program with its output appended to log_path. env lists the
+ * variables, NAME=value, that it gets besides the runner's. file_limit is the
  * largest file that it may write, in bytes; 0: no limit. Returns an id, or
  * ERR_LIMIT or ERR_IO with the reason in f.
  */
 int
-start_process(char *const *argv, const char *log_path, int64_t file_limit,
-    struct fault *f)
+start_process(char *const *argv, char *const *env, const char *log_path,
+    int64_t file_limit, struct fault *f)
 {
 	pid_t pid;
 
@@ -62,7 +64,7 @@
 	if (pid < 0)
 		return set_fault(f, ERR_IO, "fork: %s", strerror(errno));
 	if (pid == 0)
-		exec_child(argv, log_path, file_limit);
+		exec_child(argv, env, log_path, file_limit);
 	processes[process_count] = (struct process){.pid = pid};
 	return process_count++;
 }
@@ -186,7 +188,8 @@
 }
 
 /*
- * process.start{args={...}, log=path, file_limit=bytes} returns an id;
+ * process.start{args={...}, env={"NAME=value", ...}, log=path,
+ * file_limit=bytes} returns an id;
  * process.kill(id, "KILL"|"TERM"|"STOP"|"CONT"), process.wait(id, ms),
  * process.usage(id), process.pid(id).
  */
@@ -212,7 +215,8 @@
  * beyond file_limit fail with EFBIG, because SIGXFSZ is ignored.
  */
 static void
-exec_child(char *const *argv, const char *log_path, int64_t file_limit)
+exec_child(char *const *argv, char *const *env, const char *log_path,
+    int64_t file_limit)
 {
 	struct rlimit r = {(rlim_t)file_limit, (rlim_t)file_limit};
 	sigset_t none;
@@ -232,6 +236,8 @@
 	}
 	for (int i = STDERR_FILENO + 1; i < 1024; i++)
 		close(i);
+	for (; *env != NULL; env++)
+		(void)putenv(*env);
 	execv(argv[0], argv);
 	_exit(127);
 }
@@ -299,30 +305,48 @@
 	return 0;
 }
 
+/*
+ * Fills out with the strings of a list, a field of the table at index 1, which
+ * stay on the stack. Returns their number, 0 without the field.
+ */
+static int
+load_strings(lua_State *l, const char *field, char **out)
+{
+	lua_Integer n;
+	int at;
+
+	if (lua_getfield(l, 1, field) == LUA_TNIL)
+		return 0;
+	at = lua_gettop(l);
+	n = luaL_len(l, at);
+	if (n > ARGS_MAX)
+		return luaL_error(
+		    l, "process.start: %s has more than %d", field, ARGS_MAX);
+	luaL_checkstack(l, (int)n, field);
+	for (int i = 0; i < n; i++) {
+		lua_geti(l, at, i + 1);
+		out[i] = (char *)(uintptr_t)luaL_checkstring(l, -1);
+	}
+	return (int)n;
+}
+
 static int
 lua_start(lua_State *l)
 {
-	char *argv[ARGS_MAX + 1] = {0};
+	char *argv[ARGS_MAX + 1] = {0}, *env[ARGS_MAX + 1] = {0};
 	const char *log_path;
 	struct fault f = {0};
 	int64_t limit;
-	lua_Integer n;
 	int id;
 
-	lua_getfield(l, 1, "args");
-	n = luaL_len(l, -1);
-	if (n < 1 || n > ARGS_MAX)
-		return luaL_error(
-		    l, "process.start: give 1 to %d args", ARGS_MAX);
-	for (int i = 0; i < n; i++) {
-		lua_geti(l, 2, i + 1);
-		argv[i] = (char *)(uintptr_t)luaL_checkstring(l, -1);
-	}
+	if (load_strings(l, "args", argv) == 0)
+		return luaL_error(l, "process.start: give args");
+	(void)load_strings(l, "env", env);
 	lua_getfield(l, 1, "log");
 	log_path = luaL_optstring(l, -1, "/dev/null");
 	lua_getfield(l, 1, "file_limit");
 	limit = luaL_optinteger(l, -1, 0);
-	id = start_process(argv, log_path, limit, &f);
+	id = start_process(argv, env, log_path, limit, &f);
 	if (id < 0)
 		return luaL_error(l, "process.start: %s", f.text);
 	lua_pushinteger(l, id);
--- a/scenarios/fleet.lua
+++ b/scenarios/fleet.lua
@@ -76,6 +76,7 @@
 
 -- Creates the run's folder, the fleet key and the operators' tokens; starts no
 -- process. opts.links: routes control connections through faultable links.
+-- opts.faulty_disks: set_disk() can make the disks of control processes refuse.
 function M.new(name, opts)
 	opts = opts or {}
 	local f = setmetatable({name = name, opts = opts, controls = {},
@@ -96,8 +97,9 @@
 	return f
 end
 
-local function daemon_path()
-	return BUILD .. "/apps/greengagespurd/greengagespurd"
+local function daemon_path(faulty_disks)
+	return BUILD .. "/apps/greengagespurd/greengagespurd" ..
+		(faulty_disks and "_faulty_disk" or "")
 end
 
 -- Starts count control processes and assigns them to the zones round robin.
@@ -127,8 +129,13 @@
 				own_peers[k] = k .. "=" .. addr
 			end
 		end
-		c.args = {daemon_path(), "--role=control", "--name=" .. c.name,
-			"--id=" .. i, "--zone=" .. c.zone,
+		if self.opts.faulty_disks then
+			c.switch = self.dir .. "/switch-" .. i
+			c.env = {"GGS_FAULTY_DIR=" .. c.data,
+				"GGS_FAULTY_SWITCH=" .. c.switch}
+		end
+		c.args = {daemon_path(c.switch), "--role=control",
+			"--name=" .. c.name, "--id=" .. i, "--zone=" .. c.zone,
 			"--peers=" .. table.concat(own_peers, ","),
 			"--rpc-listen=" .. c.rpc, "--http-listen=" .. c.http,
 			"--data-dir=" .. c.data, "--key-file=" .. self.key_file,
@@ -214,7 +221,8 @@
 -- Starts a process; file_limit is the largest file size in bytes that it may
 -- write (nil: no limit).
 function Fleet:start(p, file_limit)
-	p.proc = process.start{args = p.args, file_limit = file_limit,
+	p.proc = process.start{args = p.args, env = p.env,
+		file_limit = file_limit,
 		log = self.dir .. "/" .. p.name .. ".log"}
 	p.running = true
 end
@@ -237,6 +245,12 @@
 	return text
 end
 
+-- Sets the faults of a disk; see faulty_disk.c. "" ends them.
+function M.set_disk(c, faults)
+	sys.write(c.switch .. ".new", faults, tonumber("600", 8))
+	assert(os.rename(c.switch .. ".new", c.switch))
+end
+
 -- Simulates the loss of the disk of a stopped control process: sets its data
 -- folder aside and creates an empty one. restore_disk puts the old one back.
 function Fleet:wipe_disk(c)
--- a/scenarios/soak.lua
+++ b/scenarios/soak.lua
@@ -20,7 +20,7 @@
 local RECOVERY_MS = 30000 -- after the last fault; as after a restart of all
 local CALL_TIMEOUT_MS = 6000 -- caller timeout: the row's deadline plus 1 s
 
-local f = fleet.new("soak-" .. seed, {links = true})
+local f = fleet.new("soak-" .. seed, {links = true, faulty_disks = true})
 f:add_controls(control_count, fleet.grants.zones)
 f:wait_leader()
 local newest = f:import(ROOT .. "/examples/grants.csv")
@@ -67,6 +67,17 @@
 	disturbed[p] = math.max(disturbed[p] or 0, sys.now_ms() + ms + 3000)
 end
 
+-- Draws from 1 to n for faults of disks. Its own generator keeps the other
+-- faults of a seed as they were without them.
+local disk_draws = seed
+local function draw_disk(n)
+	disk_draws = (disk_draws * 6364136223846793005 + 1442695040888963407)
+	return (disk_draws >> 33) % n + 1
+end
+
+local disk_faults = {"write", "part write", "name", "sync", "sync errno=5",
+	"write name sync errno=30", "hang_ms=30000", "hang_ms=700"}
+
 -- Picks a process to freeze, kill or stop, whose disk stays: any that is
 -- running and not frozen, also one whose links have a fault. Returns nil if
 -- there is none.
@@ -177,6 +188,20 @@
 end
 table.sort(names) -- the order of pairs() differs between runs
 
+-- Lets the disk of a control process refuse operations or hang. Overlapping
+-- faults of one disk end together.
+local function disturb_disk()
+	local c = f.controls[draw_disk(#f.controls)]
+	local fault = disk_faults[draw_disk(#disk_faults)]
+	local ms = 100 + draw_disk(4400)
+	fleet.set_disk(c, fault)
+	schedule_undo(ms, "ends the fault of the disk of " .. c.name, function()
+		fleet.set_disk(c, "")
+	end)
+	counts.faults = counts.faults + 1
+	add_trace("disk: %s, %s, %d ms", fault, c.name, ms)
+end
+
 -- Ends the faults that are due, or all of them.
 local function undo_faults(undo_all)
 	local remaining = {}
@@ -316,6 +341,9 @@
 			add_trace("%s %s, %d ms", name, target, ms)
 		end
 	end
+	if draw_disk(4) == 1 then
+		disturb_disk()
+	end
 	edit()
 	read()
 	send_calls()
