--- a/packages/control/control_metrics.c
+++ b/packages/control/control_metrics.c
@@ -35,6 +35,8 @@
 	"Commands submitted to the log."),
     SPEC(retries, METRIC_COUNTER, "control_retries_total",
 	"Commands sent again."),
+    SPEC(no_quorum, METRIC_COUNTER, "control_no_quorum_total",
+	"Reads and commands refused or ended without a quorum."),
     SPEC(claims, METRIC_COUNTER, "control_claims_total", "CLAIM calls."),
     SPEC(resends, METRIC_COUNTER, "control_resends_total",
 	"Digests of endpoint sets that differed between control processes."),
--- a/packages/control/replication.c
+++ b/packages/control/replication.c
@@ -250,8 +250,12 @@
 	round = get_next_read_round(c);
 	while (rc == 0 && c->reads.confirmed < round) {
 		clock_gettime(CLOCK_MONOTONIC, &step);
+		if (is_quorum_lost(c)) {
+			count_metric(c->metrics.no_quorum, 1);
+			rc = ERR_UNAVAILABLE;
+			break;
+		}
 		if (c->stopping || c->reads.failed >= round ||
-		    is_quorum_lost(c) ||
 		    get_elapsed_ns(&start, &step) >=
 			timeout_ms * NSEC_PER_MSEC) {
 			rc = ERR_UNAVAILABLE;
--- a/packages/control/service.c
+++ b/packages/control/service.c
@@ -2,10 +2,12 @@
  * The service thread: replies to pending watches, endpoint leases, endpoint
  * synchronization and retries of commands.
  */
+#include "log.h"
 #include "service.h"
 
 static void wait_tick(struct control *c);
 static void run_tick(struct control *c, int64_t now);
+static void log_quorum(struct control *c);
 
 /*
  * Runs until the process stops, then refuses the pending watches.
@@ -27,6 +29,7 @@
 		}
 		stopping = c->stopping;
 		pthread_mutex_unlock(&c->lock);
+		log_quorum(c);
 		run_submissions(c, read_mono(&c->cfg.clock));
 		run_bootstrap(c, read_mono(&c->cfg.clock));
 		run_membership(c, read_mono(&c->cfg.clock));
@@ -80,3 +83,23 @@
 	tick_registry(c->registry, now, !is_control_stale(c));
 	expire_nodes(&c->nodes, now);
 }
+
+/*
+ * Logs when contact to a quorum is lost, and when it is back.
+ */
+static void
+log_quorum(struct control *c)
+{
+	bool lost = is_quorum_lost(c);
+	struct replica_status st;
+
+	if (lost == c->quorum_lost)
+		return;
+	c->quorum_lost = lost;
+	(void)get_replication_status(c, &st);
+	WRITE_EVENT(lost ? LOG_LEVEL_WARNING : LOG_LEVEL_NOTICE,
+	    lost ? "quorum.lost" : "quorum.regained",
+	    LOG_INT("leader", st.leader), LOG_INT("failed", st.failed),
+	    LOG_INT("contact_ms",
+		st.contact_ns < 0 ? -1 : st.contact_ns / NSEC_PER_MSEC));
+}
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -175,6 +175,7 @@
 	metric_id digest_mismatch;
 	metric_id commands;
 	metric_id retries;
+	metric_id no_quorum;
 	metric_id claims;
 	metric_id resends;
 	metric_id lag_us; /* histogram */
@@ -216,6 +217,7 @@
 	struct membership membership;
 	uint64_t leader_hint; /* relay: leader named by a voter; 0: unknown */
 	int64_t started_ns; /* monotonic clock */
+	bool quorum_lost; /* as last written to the log */
 	int64_t last_tick_ns;
 	int64_t last_digest_ns;
 	int64_t last_lease_ns;
--- a/packages/control/submit.c
+++ b/packages/control/submit.c
@@ -58,8 +58,10 @@
 
 	if (bytes.len > REPLICA_COMMAND_MAX)
 		return ERR_LIMIT;
-	if (is_quorum_lost(c))
+	if (is_quorum_lost(c)) {
+		count_metric(c->metrics.no_quorum, 1);
 		return ERR_UNAVAILABLE;
+	}
 	s = calloc(1, sizeof(*s));
 	if (s == NULL)
 		return ERR_MEMORY;
@@ -222,6 +224,8 @@
 						 find_other_leader(s) != 0);
 	s->attempts += tries ? 1 : 0;
 	pthread_mutex_unlock(&c->lock);
+	if (ends && lost)
+		count_metric(c->metrics.no_quorum, 1);
 	if (ends)
 		s->fn(s->arg, status, make_str(""));
 	if (tries) {
--- a/scenarios/disk.lua
+++ b/scenarios/disk.lua
@@ -120,7 +120,7 @@
 	fleet.check(g.role == "follower" and g.leader == 0,
 		"%s is %s after the fault", c.name, g.role)
 	if round == 1 then
-		-- The response comes only after the 10 s command timeout.
+		-- Without its storage it refuses edits at once.
 		local r = fleet.ask(c, "POST", "/v1/edit", {row = "photo-set",
 			column = "weight", value = "5", base = version,
 			key = fleet.key()}, {timeout_ms = 15000})
