--- a/apps/greengagespurd/tests/faulty_disk.c
+++ b/apps/greengagespurd/tests/faulty_disk.c
@@ -7,7 +7,7 @@
  * GGS_FAULTY_SWITCH: a file that is read before each operation; its words
  *   switch the faults on. An empty or missing file: none.
  *
- *   write: writes are refused; part: half of the bytes are written first
+ *   write: writes are refused; with part, half of the bytes are written first
  *   name: files cannot be created, renamed, removed or shortened
  *   sync: syncs are refused, of files and folders
  *   errno=N: of refused operations; ENOSPC without it
@@ -37,9 +37,10 @@
 };
 
 static volatile bool affected[DESCRIPTORS_MAX];
+static volatile bool cut_short[DESCRIPTORS_MAX]; /* the last write */
 
 static struct faults read_switch(void);
-static void hang(void);
+static struct faults read_switch_after_hang(void);
 static bool is_affected(int fd);
 static bool is_affected_path(const char *path);
 static bool refuse_names(const char *path);
@@ -170,18 +171,21 @@
 }
 
 /*
- * Waits as long as the switch says, or until it is changed.
+ * Waits as long as the switch says, or until it is changed; returns what it says
+ * then.
  */
-static void
-hang(void)
+static struct faults
+read_switch_after_hang(void)
 {
 	struct timespec step = {0, HANG_STEP_NS};
-	long waited_ms = 0;
+	struct faults f = read_switch();
 
-	while (waited_ms < read_switch().hang_ms) {
+	for (long waited_ms = 0; waited_ms < f.hang_ms;
+	     waited_ms += HANG_STEP_NS / 1000000) {
 		nanosleep(&step, NULL);
-		waited_ms += HANG_STEP_NS / 1000000;
+		f = read_switch();
 	}
+	return f;
 }
 
 static bool
@@ -215,11 +219,9 @@
 static int
 sync_descriptor(long number, int fd)
 {
-	struct faults f;
-
 	if (is_affected(fd)) {
-		hang();
-		f = read_switch();
+		struct faults f = read_switch_after_hang();
+
 		if (f.sync) {
 			errno = f.error;
 			return -1;
@@ -231,22 +233,18 @@
 static ssize_t
 write_descriptor(int fd, const void *data, size_t len, off_t at, bool has_at)
 {
-	bool refused = false;
-	struct faults f;
-	ssize_t n;
-
 	if (is_affected(fd)) {
-		hang();
-		f = read_switch();
-		refused = f.write || (f.part && len < 2);
-		if (f.part)
+		struct faults f = read_switch_after_hang();
+
+		if (f.write && (!f.part || cut_short[fd] || len < 2)) {
+			cut_short[fd] = false;
+			errno = f.error;
+			return -1;
+		}
+		cut_short[fd] = f.write;
+		if (f.write)
 			len /= 2;
 	}
-	if (refused) {
-		errno = f.error;
-		return -1;
-	}
-	n = has_at ? syscall(SYS_pwrite64, fd, data, len, at) :
-		     syscall(SYS_write, fd, data, len);
-	return n;
+	return has_at ? syscall(SYS_pwrite64, fd, data, len, at) :
+			syscall(SYS_write, fd, data, len);
 }
