control: let only a current leader answer a command early

A new leader whose state machine has not applied all that earlier leaders committed could answer a resent command from an older state, for example refuse an edit of a row that it does not have yet. The review noticed the window in reading; commands that are sent to the next leader as well make it more likely.

Change: the replica's status says whether a leader has applied an entry of its own term; until then commands go through the log, which decides.

Evidence: replica.test_replica, "current after the first entry", sees a leader that is not current before its first entry is committed.

--- a/packages/control/submit.c
+++ b/packages/control/submit.c
@@ -146,7 +146,7 @@
 	rc = get_replication_status(c, &st) && st.role == RAFT_LEADER ?
 		 0 :
 		 ERR_UNAVAILABLE;
-	if (rc == 0) {
+	if (rc == 0 && st.current) {
 		pthread_mutex_lock(&c->lock);
 		answered = answer_early(c->state, bytes, &early_result);
 		pthread_mutex_unlock(&c->lock);
@@ -260,7 +260,7 @@
 	int remaining_ms = (int)((s->deadline_ns - now) / NSEC_PER_MSEC);
 	struct replica_status st;
 	struct buf early_result = {0};
-	bool answered, local;
+	bool answered = false, local;
 	int rc;
 
 	if (remaining_ms < 1)
@@ -273,9 +273,12 @@
 		forward_submission(s, remaining_ms);
 		return;
 	}
-	pthread_mutex_lock(&c->lock);
-	answered = answer_early(c->state, view_buf(&s->command), &early_result);
-	pthread_mutex_unlock(&c->lock);
+	if (st.current) {
+		pthread_mutex_lock(&c->lock);
+		answered = answer_early(
+		    c->state, view_buf(&s->command), &early_result);
+		pthread_mutex_unlock(&c->lock);
+	}
 	if (answered) {
 		handle_attempt_result(s, 0, view_buf(&early_result));
 	} else {
--- a/packages/replica/replica.h
+++ b/packages/replica/replica.h
@@ -102,6 +102,8 @@
 	bool voter;
 	bool failed; /* storage or state machine; until it works again */
 	bool transferring; /* leader is handing over */
+	/* Leader whose state machine has all that earlier leaders committed. */
+	bool current;
 	int64_t contact_ns; /* time since the last quorum contact; -1: never */
 	struct wal_counters wal;
 	uint64_t dropped; /* incoming messages, because the inbox was full */
--- a/packages/replica/tests/test_replica.c
+++ b/packages/replica/tests/test_replica.c
@@ -643,6 +643,37 @@
 	ck_assert_int_eq(o[REPLICA_INBOX_MAX].callbacks, 0);
 }
 
+/*
+ * Guards against a new leader whose state is taken for the newest before it has
+ * applied what the earlier leader committed.
+ */
+static void
+become_current_after_first_entry(struct group *g, uint64_t lead)
+{
+	uint64_t next = 0;
+
+	commit_values(g, 3);
+	stop_member(g, lead, false);
+	for (int ms = 0; next == 0 && ms < 5000; ms += REPLICA_TICK_MS) {
+		advance_clock(&g->pc, REPLICA_TICK_MS * NSEC_PER_MSEC);
+		for (int i = 0; i < 20 && next == 0; i++) {
+			for (uint64_t id = 1; id <= 3; id++) {
+				if (g->member[id].r != NULL)
+					run_replica_work(g->member[id].r);
+			}
+			next = find_group_leader(g);
+			for (size_t n = g->net_count; n > 0 && next == 0; n--)
+				deliver_packet(g, 0, false);
+		}
+	}
+	ck_assert_uint_ne(next, 0);
+	ck_assert(!get_status(g, next).current);
+	settle_group(g);
+	ck_assert_uint_eq(find_group_leader(g), next);
+	ck_assert(get_status(g, next).current);
+	ck_assert(has_value(&g->member[next], g->next_value));
+}
+
 /* A replica that stops ends each pending request exactly once. */
 static void
 stop_with_requests(struct group *g, uint64_t lead)
@@ -686,6 +717,7 @@
     {"bounded inbox", fill_inbox},
     {"proposal skipped by a snapshot", skip_proposal_by_snapshot},
     {"lead again with other entries", replace_proposals_of_old_leader},
+    {"current after the first entry", become_current_after_first_entry},
     {"stop with requests", stop_with_requests},
 };
 
--- a/packages/replica/work.c
+++ b/packages/replica/work.c
@@ -135,6 +135,7 @@
 	r->status.voter = s.voter;
 	r->status.failed = false;
 	r->status.transferring = s.transferring;
+	r->status.current = s.role == RAFT_LEADER && r->log_time.term == s.term;
 	r->status.wal = get_wal_counters(r->wal);
 	r->status.proposals = r->accepted_proposals;
 	if (s.quorum_contacts != r->quorum_contacts) {
@@ -210,6 +211,7 @@
 	r->status.voter = false;
 	r->status.failed = true;
 	r->status.transferring = false;
+	r->status.current = false;
 	r->progress_count = 0;
 	pthread_mutex_unlock(&r->lock);
 }
