--- a/packages/wal/replay.c
+++ b/packages/wal/replay.c
@@ -17,6 +17,7 @@
 struct dir_listing {
 	struct wal *w;
 	struct buf temp_names; /* of unfinished files, each with a NUL */
+	struct buf old_snapshots; /* their indexes, uint64_t */
 	uint64_t snapshot; /* index of the newest */
 	bool has_snapshot;
 	int rc;
@@ -42,7 +43,8 @@
  * ERR_IO or ERR_MEMORY.
  */
 int
-scan_dir(struct wal *w, uint64_t *snapshot, bool *has_snapshot, struct fault *f)
+scan_dir(struct wal *w, uint64_t *snapshot, bool *has_snapshot,
+    struct buf *old_snapshots, struct fault *f)
 {
 	struct dir_listing d = {.w = w};
 	int rc = w->io.list_dir(w->io.arg, w->dir, classify_file, &d);
@@ -60,6 +62,7 @@
 		    compare_segments);
 	*snapshot = d.snapshot;
 	*has_snapshot = d.has_snapshot;
+	*old_snapshots = d.old_snapshots;
 	return rc;
 }
 
@@ -145,8 +148,15 @@
 	} else if (sscanf(name, "log-%16llx", &v) == 1) {
 		d->rc = add_segment(d->w, v, 0);
 	} else if (sscanf(name, "snapshot-%16llx", &v) == 1) {
-		if (!d->has_snapshot || v > d->snapshot)
-			d->snapshot = v;
+		uint64_t index = v, old = index;
+
+		if (!d->has_snapshot || index > d->snapshot) {
+			old = d->snapshot;
+			d->snapshot = index;
+		}
+		if (d->has_snapshot)
+			d->rc =
+			    append_buf(&d->old_snapshots, &old, sizeof(old));
 		d->has_snapshot = true;
 	}
 }
--- a/packages/wal/tests/test_wal.c
+++ b/packages/wal/tests/test_wal.c
@@ -657,6 +657,64 @@
 }
 END_TEST
 
+/*
+ * Stores a snapshot of index 40 with a fault at that file operation. Returns
+ * whether it was stored and the removal of an older one was refused.
+ */
+static bool
+refuse_removal(struct mem_disk *d, uint64_t fault_at)
+{
+	struct mem_file *file;
+	struct wal *w;
+	int rc;
+
+	ck_assert_int_eq(open_mem_wal(d, &w, NULL), 0);
+	ck_assert_int_eq(store_hard(w, 1, 7, NULL), 0);
+	for (uint64_t k = 1; k <= 48; k += 4)
+		ck_assert_int_eq(store_entries_at(w, k, 1, 4, NULL), 0);
+	ck_assert_int_eq(save_snapshot(w, 8, 1, NULL), 0);
+	file = create_mem_file(d, "snapshot-0000000000000004");
+	copy_to_mem_buf(&file->now, make_str("older"));
+	d->fault = MEM_FAULT_ONCE;
+	d->fault_at = d->ops + fault_at;
+	rc = save_snapshot(w, 40, 1, NULL);
+	d->fault = MEM_FAULT_NONE;
+	close_wal(w);
+	return rc == ERR_IO &&
+	       find_mem_file(d, "snapshot-0000000000000028") != NULL &&
+	       find_mem_file(d, "snapshot-0000000000000008") != NULL;
+}
+
+/*
+ * Guards against a disk that fills up with files that a snapshot covers: their
+ * removal was refused, and the log was opened again.
+ */
+START_TEST(covered_files_are_removed_at_the_next_opening)
+{
+	struct mem_disk *d = calloc(1, sizeof(*d));
+	uint64_t at = 1;
+	struct wal *w;
+
+	while (at < 100 && !refuse_removal(d, at)) {
+		unload_mem_disk(d);
+		at++;
+	}
+	ck_assert_uint_lt(at, 100);
+	ck_assert_int_eq(open_mem_wal(d, &w, NULL), 0);
+	check_entries(w, 41, 8, 1);
+	ck_assert_ptr_null(find_mem_file(d, "snapshot-0000000000000004"));
+	ck_assert_ptr_null(find_mem_file(d, "snapshot-0000000000000008"));
+	ck_assert_ptr_null(find_mem_file(d, "log-0000000000000001"));
+	ck_assert_ptr_null(find_mem_file(d, "log-0000000000000002"));
+	close_wal(w);
+	ck_assert_int_eq(open_mem_wal(d, &w, NULL), 0);
+	check_entries(w, 41, 8, 1);
+	close_wal(w);
+	unload_mem_disk(d);
+	free(d);
+}
+END_TEST
+
 /*
  * Guards against losing an entry that was replayed after a failed sync: it may
  * have been in the page cache only, so the start must write and sync it again.
@@ -854,6 +912,7 @@
 	tcase_add_loop_test(t, reopened_log_survives_a_power_cut, 0,
 	    sizeof(faults) / sizeof(faults[0]));
 	tcase_add_test(t, removed_segment_that_returns_is_ignored);
+	tcase_add_test(t, covered_files_are_removed_at_the_next_opening);
 	tcase_add_test(t, last_record_is_written_again_at_start);
 	tcase_add_test(t, mutated_records_never_decode_as_others);
 	tcase_add_test(t, mutated_segment_never_crashes);
--- a/packages/wal/wal.c
+++ b/packages/wal/wal.c
@@ -15,8 +15,10 @@
 static int load_wal(struct wal *w, struct fault *f);
 static int store_entries(
     struct wal *w, const struct raft_store *s, struct fault *f);
-static int remove_old_files(
-    struct wal *w, uint64_t old_snapshot, struct fault *f);
+static int load_files(
+    struct wal *w, struct buf *old_snapshots, struct fault *f);
+static int remove_old_snapshot(struct wal *w, uint64_t index, struct fault *f);
+static int remove_old_segments(struct wal *w, struct fault *f);
 
 /*
  * Opens the directory and reads hard state, snapshot and log. A torn last
@@ -55,7 +57,6 @@
 		return rc;
 	}
 	w->stored.hard = w->hard;
-	w->snapshot_index = w->stored.snapshot.index;
 	*out = w;
 	return 0;
 }
@@ -96,10 +97,13 @@
 		if (rc == 0)
 			rc = write_reset(
 			    w, s->snapshot->index, s->snapshot->term, f);
-		w->snapshot_index = s->snapshot->index;
-		w->counters.snapshots++;
+		if (rc == 0) {
+			w->snapshot_index = s->snapshot->index;
+			w->counters.snapshots++;
+			rc = remove_old_snapshot(w, old_snapshot, f);
+		}
 		if (rc == 0)
-			rc = remove_old_files(w, old_snapshot, f);
+			rc = remove_old_segments(w, f);
 	}
 	if (rc == 0 && s->entry_count > 0)
 		rc = store_entries(w, s, f);
@@ -121,7 +125,8 @@
 		return rc;
 	w->snapshot_index = s->index;
 	w->counters.snapshots++;
-	return remove_old_files(w, old_snapshot, f);
+	rc = remove_old_snapshot(w, old_snapshot, f);
+	return rc == 0 ? remove_old_segments(w, f) : rc;
 }
 
 const struct raft_stored *
@@ -321,7 +326,7 @@
  * of open_wal().
  */
 static int
-load_wal(struct wal *w, struct fault *f)
+load_files(struct wal *w, struct buf *old_snapshots, struct fault *f)
 {
 	bool has_snapshot, is_new = false;
 	uint64_t snapshot_index;
@@ -337,7 +342,8 @@
 		return fail_wal(w, f, "create", "", rc);
 	rc = lock_wal(w, f);
 	if (rc == 0)
-		rc = scan_dir(w, &snapshot_index, &has_snapshot, f);
+		rc = scan_dir(
+		    w, &snapshot_index, &has_snapshot, old_snapshots, f);
 	if (rc != 0)
 		return rc;
 	rc = load_hard_state(w, f);
@@ -356,11 +362,31 @@
 		rc = save_hard_state(w, w->hard, f);
 	if (rc == 0 && has_snapshot)
 		rc = save_snapshot_file(w, &w->stored.snapshot, f);
+	return rc == 0 ? replay_log(w, f) : rc;
+}
+
+/*
+ * Loads the files, then removes those that the newest snapshot covers: an
+ * earlier run may have ended, or failed, before it removed them, and a power
+ * loss may have brought them back. Returns the errors of open_wal().
+ */
+static int
+load_wal(struct wal *w, struct fault *f)
+{
+	struct buf old_snapshots = {0};
+	int rc = load_files(w, &old_snapshots, f);
+	uint64_t index;
+
+	w->snapshot_index = w->stored.snapshot.index;
+	for (size_t at = 0; rc == 0 && at < old_snapshots.len;
+	     at += sizeof(index)) {
+		memcpy(&index, old_snapshots.data + at, sizeof(index));
+		rc = remove_old_snapshot(w, index, f);
+	}
 	if (rc == 0)
-		rc = replay_log(w, f);
-	if (rc != 0)
-		return rc;
-	return is_new ? 0 : remove_old_files(w, UINT64_MAX, f);
+		rc = remove_old_segments(w, f);
+	unload_buf(&old_snapshots);
+	return rc;
 }
 
 /*
@@ -416,28 +442,38 @@
 }
 
 /*
- * Removes the snapshot of index old_snapshot (UINT64_MAX: none) and the
- * segments whose entries snapshot_index covers, the oldest first, so that the
- * remaining ones have no gap. The last segment always stays.
+ * Removes the snapshot of that index, unless it is the newest. A missing file is
+ * no error. Returns ERR_IO or ERR_LIMIT.
+ */
+static int
+remove_old_snapshot(struct wal *w, uint64_t index, struct fault *f)
+{
+	char name[WAL_PATH_BYTES], path[WAL_PATH_BYTES];
+	int rc;
+
+	if (index == w->snapshot_index)
+		return 0;
+	format_snapshot_name(index, name);
+	rc = make_path(w, name, path);
+	if (rc != 0)
+		return rc;
+	rc = w->io.remove_file(w->io.arg, path);
+	return rc != 0 && rc != -ENOENT ? fail_wal(w, f, "remove", name, rc) :
+					  0;
+}
+
+/*
+ * Removes the segments whose entries snapshot_index covers, the oldest first, so
+ * that the remaining ones have no gap. The last segment always stays. Returns
+ * ERR_IO or ERR_LIMIT.
  */
 static int
-remove_old_files(struct wal *w, uint64_t old_snapshot, struct fault *f)
+remove_old_segments(struct wal *w, struct fault *f)
 {
 	char name[WAL_PATH_BYTES];
 	size_t removed = 0;
 	int rc = 0;
 
-	if (old_snapshot != w->snapshot_index && old_snapshot != UINT64_MAX) {
-		char path[WAL_PATH_BYTES];
-
-		format_snapshot_name(old_snapshot, name);
-		rc = make_path(w, name, path);
-		if (rc == 0)
-			rc = w->io.remove_file(w->io.arg, path);
-		if (rc != 0 && rc != -ENOENT)
-			return fail_wal(w, f, "remove", name, rc);
-		rc = 0;
-	}
 	while (removed + 1 < w->segment_count && rc == 0 &&
 	       w->segments[removed].max_index <= w->snapshot_index) {
 		format_segment_name(w->segments[removed].number, name);
--- a/packages/wal/wal_core.h
+++ b/packages/wal/wal_core.h
@@ -107,8 +107,12 @@
     struct wal *w, const struct raft_snapshot *s, struct fault *f);
 
 /* Log */
+/*
+ * Lists the segments and removes temporary files. old_snapshots gets the index
+ * of each snapshot file but the newest, as uint64_t; the caller unloads it.
+ */
 int scan_dir(struct wal *w, uint64_t *snapshot, bool *has_snapshot,
-    struct fault *f); /* lists the segments, removes temporary files */
+    struct buf *old_snapshots, struct fault *f);
 int replay_log(struct wal *w, struct fault *f);
 int open_segment(struct wal *w, uint64_t number, struct fault *f); /* creates */
 int add_segment(struct wal *w, uint64_t number, uint64_t max_index);
