base: go on logging after a write of the log has failed

Operators would see a process whose log ends for good when the disk of its log has been full for a moment, while it goes on: just the lines that explain a full disk are missing.

Cause: the writer's thread ended at the first write that failed.

Change: it counts the lines that were lost and tries again after 250 ms. A line that was written in part is ended, and the rest of it left out, so that the next one is whole.

Evidence: base.test_log, log_goes_on_after_a_full_disk, failed before: no line of the last round arrived. closed_pipe_does_not_block_or_kill still passes.

--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -19,6 +19,7 @@
 #define RING_BYTES (128 * 1024) /* buffers lines while the reader is slow */
 #define BATCH_BYTES (16 * 1024) /* drained from the ring at a time */
 #define BATCH_DELAY_MS 10 /* lets several lines share one write */
+#define RETRY_DELAY_MS 250 /* after a write that failed */
 #define FLUSH_TIMEOUT_MS 250 /* for a blocked reader when the writer stops */
 #define PIPE_CHUNK_BYTES 4096 /* one write to a writable pipe never blocks */
 
@@ -40,6 +41,14 @@
 	uint64_t reported; /* of these, counted in a log.dropped line */
 };
 
+/* What the writer thread has written. */
+struct output {
+	bool in_line; /* the last line has no end yet */
+	bool cuts_line; /* and will not get the rest of it */
+	bool
+	    skips_line; /* the next batch begins with the rest of a dropped line */
+};
+
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER; /* guards the rest */
 static pthread_cond_t wake = PTHREAD_COND_INITIALIZER;
 static char process_name[LOG_NAME_BYTES] = "greengagespur";
@@ -56,7 +65,8 @@
 static void push_ring(const char *bytes, size_t len);
 static void *run_writer(void *arg);
 static size_t pop_ring(char *bytes, size_t size);
-static bool write_all(const char *bytes, size_t len);
+static bool write_batch(struct output *out, const char *bytes, size_t len);
+static size_t write_bytes(const char *bytes, size_t len);
 static const char *get_level_name(enum log_level level);
 
 void
@@ -349,15 +359,18 @@
 }
 
 /*
- * Body of the writer thread: drains the ring until the writer is stopped or a
- * write fails, for instance because the reader has closed the pipe.
+ * Body of the writer thread: drains the ring until the writer is stopped. Lines
+ * that cannot be written, for instance to a full disk or a closed pipe, are
+ * counted as dropped.
  */
 static void *
 run_writer(void *arg)
 {
 	struct timespec batch_delay = {0, BATCH_DELAY_MS * NSEC_PER_MSEC};
+	struct timespec retry_delay = {0, RETRY_DELAY_MS * NSEC_PER_MSEC};
+	struct output out = {0};
 	char batch[BATCH_BYTES];
-	bool open = true, stopping;
+	bool stopping, written = true;
 	size_t n;
 
 	(void)arg;
@@ -368,10 +381,11 @@
 		stopping = writer.stopping;
 		pthread_mutex_unlock(&lock);
 		if (!stopping)
-			nanosleep(&batch_delay, NULL);
-		while (open && (n = pop_ring(batch, sizeof(batch))) > 0)
-			open = write_all(batch, n);
-	} while (open && !stopping);
+			nanosleep(written ? &batch_delay : &retry_delay, NULL);
+		written = true;
+		while (written && (n = pop_ring(batch, sizeof(batch))) > 0)
+			written = write_batch(&out, batch, n);
+	} while (!stopping);
 	pthread_mutex_lock(&lock);
 	writer.closed = true;
 	writer.len = 0;
@@ -379,6 +393,45 @@
 	return NULL;
 }
 
+/*
+ * Writes one batch, and before it the end of a line that an earlier one left
+ * unfinished. Counts the lines that could not be written. A line that goes on in
+ * the next batch is left out there. Returns whether all was written.
+ */
+static bool
+write_batch(struct output *out, const char *bytes, size_t len)
+{
+	const char *end;
+	uint64_t lines = 0;
+	size_t done;
+
+	if (out->skips_line) {
+		end = memchr(bytes, '\n', len);
+		if (end == NULL)
+			return true;
+		len -= (size_t)(end + 1 - bytes);
+		bytes = end + 1;
+		out->skips_line = false;
+	}
+	if (len == 0)
+		return true;
+	if (out->cuts_line && write_bytes("\n", 1) == 1)
+		out->cuts_line = false;
+	done = out->cuts_line ? 0 : write_bytes(bytes, len);
+	if (done > 0)
+		out->in_line = bytes[done - 1] != '\n';
+	if (done == len)
+		return true;
+	out->cuts_line = out->in_line;
+	for (size_t i = done; i < len; i++)
+		lines += bytes[i] == '\n';
+	out->skips_line = bytes[len - 1] != '\n';
+	pthread_mutex_lock(&lock);
+	writer.dropped += lines + out->skips_line;
+	pthread_mutex_unlock(&lock);
+	return false;
+}
+
 /*
  * Moves up to size bytes out of the ring. Returns their number.
  */
@@ -399,17 +452,19 @@
 }
 
 /*
- * Writes all bytes. Waits for a slow reader without limit while the process
- * runs; once the writer stops, gives up after FLUSH_TIMEOUT_MS of waiting.
- * Returns false then, or when a write fails.
+ * Writes bytes and returns how many. Waits for a slow reader without limit while
+ * the process runs; once the writer stops, gives up after FLUSH_TIMEOUT_MS of
+ * waiting. Gives up, too, when a write fails.
  */
-static bool
-write_all(const char *bytes, size_t len)
+static size_t
+write_bytes(const char *bytes, size_t len)
 {
+	size_t done = 0;
 	int waited = 0;
 
-	while (len > 0) {
+	while (done < len) {
 		struct pollfd p = {.fd = writer.fd, .events = POLLOUT};
+		size_t rest = len - done;
 		ssize_t n;
 		bool stopping;
 
@@ -419,19 +474,17 @@
 		if (poll(&p, 1, BATCH_DELAY_MS) == 0) {
 			waited += BATCH_DELAY_MS;
 			if (stopping && waited >= FLUSH_TIMEOUT_MS)
-				return false;
+				break;
 			continue;
 		}
-		n = write(writer.fd, bytes,
-		    len < PIPE_CHUNK_BYTES ? len : PIPE_CHUNK_BYTES);
+		n = write(writer.fd, bytes + done,
+		    rest < PIPE_CHUNK_BYTES ? rest : PIPE_CHUNK_BYTES);
 		if (n < 0 && errno != EINTR && errno != EAGAIN)
-			return false;
-		if (n > 0) {
-			bytes += n;
-			len -= (size_t)n;
-		}
+			break;
+		if (n > 0)
+			done += (size_t)n;
 	}
-	return true;
+	return done;
 }
 
 static const char *
--- a/packages/base/tests/test_log.c
+++ b/packages/base/tests/test_log.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -226,6 +227,64 @@
 }
 END_TEST
 
+/*
+ * Guards against a process that logs nothing any more after a write of its log
+ * has failed once, for example to a full disk, and against lines that are lost
+ * without being counted.
+ */
+START_TEST(log_goes_on_after_a_full_disk)
+{
+	struct timespec pause = {0, 600 * NSEC_PER_MSEC};
+	char path[] = "/tmp/ggs-log-XXXXXX";
+	struct rlimit r = {.rlim_max = RLIM_INFINITY};
+	int file = mkstemp(path), lines = 0, received = 0, dropped = 0;
+	uint64_t before = count_dropped_lines();
+	json_int_t last = -1;
+	char *at;
+	json_t *o;
+
+	ck_assert_int_ge(file, 0);
+	signal(SIGXFSZ, SIG_IGN);
+	stop_log_writer();
+	ck_assert_int_eq(start_log_writer(file), 0);
+	for (int round = 0; round < 3; round++) {
+		/* The second round does not fit, not even its first line. */
+		r.rlim_cur = round == 1 ? 1000 : RLIM_INFINITY;
+		ck_assert_int_eq(setrlimit(RLIMIT_FSIZE, &r), 0);
+		for (int i = 0; i < 4 + 40 * (round == 1); i++, lines++)
+			WRITE_EVENT(
+			    LOG_LEVEL_INFO, "test.line", LOG_INT("n", lines));
+		nanosleep(&pause, NULL);
+	}
+	stop_log_writer();
+	ck_assert_int_eq(start_log_writer(pipe_fds[1]), 0);
+	output_len = (size_t)pread(file, output, OUTPUT_BYTES - 1, 0);
+	output[output_len] = '\0';
+	close(file);
+	(void)unlink(path);
+	for (at = output; *at != '\0';) {
+		size_t len = strcspn(at, "\n");
+
+		o = json_loadb(at, len, 0, NULL);
+		at += len + (at[len] != '\0');
+		if (o == NULL)
+			continue; /* cut by the full disk */
+		if (json_object_get(o, "lines") != NULL)
+			dropped += (int)json_integer_value(
+			    json_object_get(o, "lines"));
+		else
+			received++;
+		last = json_integer_value(json_object_get(o, "n"));
+		json_decref(o);
+	}
+	ck_assert_int_eq(last, lines - 1); /* of the last round */
+	ck_assert_int_gt(dropped, 0);
+	ck_assert_int_lt(received, lines);
+	ck_assert_uint_ge(
+	    count_dropped_lines() - before, (uint64_t)(lines - received));
+}
+END_TEST
+
 /* Guards against a crash or a block when the reader closes the pipe. */
 START_TEST(closed_pipe_does_not_block_or_kill)
 {
@@ -256,6 +315,7 @@
 	tcase_add_test(t, long_values_are_omitted);
 	tcase_add_test(t, lines_below_the_level_are_dropped);
 	tcase_add_test(t, stopped_reader_does_not_block_writers);
+	tcase_add_test(t, log_goes_on_after_a_full_disk);
 	tcase_add_test(t, closed_pipe_does_not_block_or_kill);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
