--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -45,8 +45,7 @@
 struct output {
 	bool in_line; /* the last line has no end yet */
 	bool cuts_line; /* and will not get the rest of it */
-	bool
-	    skips_line; /* the next batch begins with the rest of a dropped line */
+	bool skips_line; /* the next batch begins with the rest of a lost one */
 };
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER; /* guards the rest */
--- a/packages/control/bootstrap.c
+++ b/packages/control/bootstrap.c
@@ -3,10 +3,10 @@
  * a replica and tries again, so that its other work goes on and the platform
  * counts no end.
  *
- * The data folder may be empty. Such a process is either new or
- * has lost its disk, and with it its votes and acknowledged log entries. It
- * must not vote under its old id then, so it asks the other processes for an
- * existing group before its replica starts.
+ * The data folder may be empty. Such a process is either new or has lost its
+ * disk, and with it its votes and acknowledged log entries. It must not vote
+ * under its old id then, so it asks the other processes for an existing group
+ * before its replica starts.
  */
 #include <stdlib.h>
 
@@ -159,8 +159,8 @@
 
 /*
  * Opens a data folder whose disk has refused it when that is due. With an empty
- * one, queries the peers every QUERY_INTERVAL_NS until the replica may start or the
- * start is refused. Runs on the service thread.
+ * one, queries the peers every QUERY_INTERVAL_NS until the replica may start or
+ * the start is refused. Runs on the service thread.
  */
 void
 run_bootstrap(struct control *c, int64_t now)
--- a/packages/control/membership.c
+++ b/packages/control/membership.c
@@ -30,9 +30,8 @@
 
 /*
  * Loads the id of this process, or chooses one if the data folder is empty; the
- * bootstrap stores it.
- * Returns ERR_CORRUPT or ERR_IO when the stored id cannot be read. Does nothing
- * without automatic membership.
+ * bootstrap stores it. Returns ERR_CORRUPT or ERR_IO when the stored id cannot
+ * be read. Does nothing without automatic membership.
  */
 int
 open_membership(struct control *c, struct fault *f)
