scenarios: choose the leader of disk_faults.lua in one place

It waits for a leader where it needs one, and the pattern "leader" takes the one of the moment for each fault.

--- a/scenarios/disk_faults.lua
+++ b/scenarios/disk_faults.lua
@@ -102,18 +102,24 @@
 	return out
 end
 
--- Returns the groups of cores that are hit one after the other.
+local function wait_leader()
+	return (fleet.wait_until("a leader", ACK_MS, function()
+		return p:leader()
+	end))
+end
+
+-- Returns the groups of cores that are hit one after the other. An empty one
+-- stands for the leader at that time.
 local function choose_victims()
-	local leader = p:leader()
+	local leader = wait_leader()
 	local others = {}
 	for _, m in ipairs(shuffle(p.cores)) do
 		if m ~= leader then
 			others[#others + 1] = m
 		end
 	end
-	others[#others + 1] = leader
 	if pattern == "turn" then
-		return {{others[1]}, {leader or others[2]}, {others[3]}}
+		return {{others[1]}, {leader}, {others[3]}}
 	elseif pattern == "pair" then
 		return {{others[1], leader}, {others[2], others[3]}}
 	elseif pattern == "three" then
@@ -121,7 +127,7 @@
 	elseif pattern == "every" then
 		return {p.cores}
 	end
-	return {{leader}, {p:leader()}, {}}
+	return {{}, {}, {}}
 end
 
 -- Disturbs a core whose disk has a fault; the platform starts it again.
@@ -145,13 +151,11 @@
 	if before then
 		sys.sleep(math.random(0, 300))
 	end
-	local start, disturbed = sys.now_ms(), false
-	local disturbed_at
+	local start, disturbed_at = sys.now_ms(), nil
 	while sys.now_ms() - start < for_ms do
 		probe(extra == "pause" and #victims >= 3 and disturbed_at and
 			sys.now_ms() - disturbed_at > LOST_MS)
-		if not disturbed and sys.now_ms() - start > for_ms / 3 then
-			disturbed = true
+		if not disturbed_at and sys.now_ms() - start > for_ms / 3 then
 			disturbed_at = sys.now_ms()
 			for _, m in ipairs(victims) do
 				disturb(m)
@@ -224,11 +228,8 @@
 		end
 		return voters == 5
 	end)
-	for i, victims in ipairs(choose_victims()) do
-		if #victims == 0 then
-			victims = {p:leader()}
-		end
-		strike(victims)
+	for _, victims in ipairs(choose_victims()) do
+		strike(#victims > 0 and victims or {wait_leader()})
 	end
 end
 p:stop()
