--- a/scenarios/disk_faults.lua
+++ b/scenarios/disk_faults.lua
@@ -6,7 +6,7 @@
 -- usage: disk_faults.lua SEED [KIND PATTERN EXTRA FOR_MS]
 -- Without further arguments, SEED draws them.
 local fleet = require "fleet"
-local platform = require "platform"
+local deployment = dofile(ROOT .. "/platform/tests/deployment.lua")
 
 local ACK_MS = 4000 -- ack-s: a change is acknowledged within it
 local CATCH_UP_MS = 4000 -- catch-up-s: a machine is back in service within it
@@ -48,7 +48,7 @@
 local title = string.format("seed %d, %s %s %s %d", seed, kind, pattern, extra,
 	for_ms)
 
-local p = platform.new("disk-" .. seed .. "-" .. kind .. "-" .. pattern .. "-" ..
+local p = deployment.new("disk-" .. seed .. "-" .. kind .. "-" .. pattern .. "-" ..
 	extra, 5, 3)
 local slowest, slow = 0, {} -- of the answers of cores that are not disturbed
 local refused, answered = 0, 0
