--- a/apps/greengagespurctl/main.c
+++ b/apps/greengagespurctl/main.c
@@ -58,6 +58,7 @@
     "GREENGAGESPUR_",
     specs,
     sizeof(specs) / sizeof(specs[0]),
+    NULL,
 };
 
 static int load_ctl(const struct settings *s, struct ctl *c, struct fault *f);
--- a/apps/greengagespurd/daemon.h
+++ b/apps/greengagespurd/daemon.h
@@ -26,6 +26,9 @@
 	int (*stop)(struct fault *f); /* graceful; 0 or why it failed */
 };
 
+/* The commit that the process was built from, or a hash of its sources. */
+const char *get_build_id(void);
+
 const struct settings_program *get_daemon_program(void);
 const struct role *get_node_role(void);
 const struct role *get_control_role(void);
--- a/apps/greengagespurd/main.c
+++ b/apps/greengagespurd/main.c
@@ -140,7 +140,8 @@
 		return EXIT_START_FAILED;
 	}
 	WRITE_EVENT(LOG_LEVEL_NOTICE, "process.started",
-	    LOG_TEXT("role", role->name), LOG_TEXT("version", GGS_VERSION));
+	    LOG_TEXT("role", role->name), LOG_TEXT("version", GGS_VERSION),
+	    LOG_TEXT("build", get_build_id()));
 	record_event(events, "start",
 	    has_setting(s, "name") ? get_setting(s, "name") : role->name, 0,
 	    "role %s", role->name);
--- a/apps/greengagespurd/options.c
+++ b/apps/greengagespurd/options.c
@@ -81,6 +81,7 @@
     "GREENGAGESPUR_",
     specs,
     sizeof(specs) / sizeof(specs[0]),
+    get_build_id,
 };
 
 const struct settings_program *
--- a/apps/greengagespurd/tests/check_settings.sh
+++ b/apps/greengagespurd/tests/check_settings.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Guards against a daemon that starts with invalid settings, or whose message
-# names no remedy. usage: check_settings.sh DAEMON
+# Guards against a daemon that starts with invalid settings, whose message names
+# no remedy, or that does not name its build. usage: check_settings.sh DAEMON
 set -u
 daemon=$1
 dir=$(mktemp -d)
@@ -55,4 +55,8 @@
 	echo "FAILED: a key file that others can read was accepted"
 	failed=$((failed + 1))
 }
+"$daemon" --version | grep -Eq '\((src-)?[0-9a-f]{10}\+?\)$' || {
+	echo "FAILED: --version names no commit and no hash of the sources"
+	failed=$((failed + 1))
+}
 [ "$failed" -eq 0 ]
--- a/packages/settings/settings.c
+++ b/packages/settings/settings.c
@@ -39,6 +39,9 @@
 	int first_arg; /* index in argv */
 };
 
+/* For --version, whose hook gets no input. */
+static const struct settings_program *parsed;
+
 static error_t read_flag(int key, char *arg, struct argp_state *state);
 static void print_version(FILE *stream, struct argp_state *state);
 static int parse_flags(const struct settings_program *p, int argc, char **argv,
@@ -234,7 +237,10 @@
 static void
 print_version(FILE *stream, struct argp_state *state)
 {
-	fprintf(stream, "%s %s\n", state->name, GGS_VERSION);
+	fprintf(stream, "%s %s", state->name, GGS_VERSION);
+	if (parsed != NULL && parsed->get_build != NULL)
+		fprintf(stream, " (%s)", parsed->get_build());
+	fputc('\n', stream);
 }
 
 /*
@@ -248,6 +254,7 @@
 	struct argp argp = {
 	    options, read_flag, p->usage, p->about, NULL, NULL, NULL};
 
+	parsed = p;
 	argp_program_version_hook = print_version;
 	argp_err_exit_status = SETTINGS_EXIT_INVALID;
 	for (size_t i = 0; i < p->spec_count; i++) {
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -52,6 +52,7 @@
 	const char *env_prefix; /* "GREENGAGESPUR_" */
 	const struct setting_spec *specs;
 	size_t spec_count;
+	const char *(*get_build)(void); /* for --version; NULL: not shown */
 };
 
 struct settings;
--- a/packages/settings/tests/test_settings.c
+++ b/packages/settings/tests/test_settings.c
@@ -22,8 +22,8 @@
     {"quiet", SETTING_FLAG, NULL, 0, 0, NULL, "flag"},
 };
 
-static const struct settings_program program = {
-    "test", NULL, NULL, "GGSTEST_", specs, sizeof(specs) / sizeof(specs[0])};
+static const struct settings_program program = {"test", NULL, NULL, "GGSTEST_",
+    specs, sizeof(specs) / sizeof(specs[0]), NULL};
 
 struct value_case {
 	const char *flag; /* one flag with its value, or NULL */
