control: log how an operator's read of the configuration ended

A read that gets 503, or an older version, left no line: quorum.lost says that the quorum is lost, but not what a read was answered with, nor whether a leader without a quorum, a round that failed or a table that is behind was the reason.

read.ended has the version that was answered, the time that the read waited, and the entry applied, term, leader and age of the contact to a quorum then; info for an answer, notice otherwise. Operators read every few seconds, so the lines cost little.

--- a/packages/control/replace.c
+++ b/packages/control/replace.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "api.h"
+#include "log.h"
 #include "replacement.h"
 
 #define REPLACE_TIMEOUT_MS 3000 /* wait for a quorum */
@@ -12,6 +13,8 @@
 _Static_assert(API_BODY_MAX <= COMMAND_SOURCE_MAX, "every body can be stored");
 
 static int catch_up_to(struct control *c, uint64_t base);
+static void log_read(
+    struct control *c, int rc, uint64_t version, int64_t start);
 static int decode_result(struct str bytes, struct fault *f);
 
 /*
@@ -65,17 +68,20 @@
 int
 read_control_source(struct control *c, struct buf *out, uint64_t *version)
 {
+	int64_t start = read_mono(&c->cfg.clock);
 	int rc = wait_read(c, SERVICE_READ_TIMEOUT_MS);
 
-	if (rc != 0)
-		return ERR_UNAVAILABLE;
-	pthread_mutex_lock(&c->lock);
-	*version = c->state->table->version;
-	if (c->state->source.len > 0)
-		rc = append_buf_str(out, view_buf(&c->state->source));
-	else
-		rc = ERR_NOT_FOUND;
-	pthread_mutex_unlock(&c->lock);
+	*version = 0;
+	if (rc == 0) {
+		pthread_mutex_lock(&c->lock);
+		*version = c->state->table->version;
+		if (c->state->source.len > 0)
+			rc = append_buf_str(out, view_buf(&c->state->source));
+		else
+			rc = ERR_NOT_FOUND;
+		pthread_mutex_unlock(&c->lock);
+	}
+	log_read(c, rc, *version, start);
 	return rc;
 }
 
@@ -91,6 +97,28 @@
 	return wait_read(c, SERVICE_READ_TIMEOUT_MS) == 0 ? 0 : ERR_UNAVAILABLE;
 }
 
+/*
+ * Logs an operator's read that began at the monotonic time start, in ns, with
+ * what tells a lost quorum from a leader that does not confirm, and an older
+ * version from a newer one.
+ */
+static void
+log_read(struct control *c, int rc, uint64_t version, int64_t start)
+{
+	struct replica_status st;
+	int64_t waited = read_mono(&c->cfg.clock) - start;
+
+	(void)get_replication_status(c, &st);
+	WRITE_EVENT(rc == 0 ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE, "read.ended",
+	    LOG_INT("version", version),
+	    LOG_TEXT("outcome", rc == 0 ? "answered" : get_err_name(rc)),
+	    LOG_INT("waited_ms", waited / NSEC_PER_MSEC),
+	    LOG_INT("applied", st.applied), LOG_INT("term", st.term),
+	    LOG_INT("leader", st.leader),
+	    LOG_INT("contact_ms",
+		st.contact_ns < 0 ? -1 : st.contact_ns / NSEC_PER_MSEC));
+}
+
 /*
  * Returns the status of an encoded result with its text in f; ERR_STALE becomes
  * ERR_CONFLICT.
