raft, replica: elect a leader, and keep it, on slow disks

What callers saw: with disks that take 150 ms for a write and for a sync, the group had no leader for as long as that lasted, and reads and changes of the configuration got 503.

Cause: a vote is three disk operations, and the timeouts of the consensus did not know of them.

Change: a candidate asks for votes while it stores its own, provided that its log is durable: a restart must not get votes for entries that it has lost. It leads only once its own vote is durable, as before. It waits for members that have just answered its pre-vote, up to four timeouts, and ends an election that it cannot win. Members report how long their storage work takes in replies to APPEND and PREVOTE, and candidates pass it on in VOTE; a leader gives each follower that time, and a voter its candidate. With fast disks, below a tick of 20 ms, all times are as before.

Ruled out: storage on a thread of its own.

--- a/packages/raft/election.c
+++ b/packages/raft/election.c
@@ -4,7 +4,17 @@
 #include "raft_core.h"
 
 #define STARTUP_TIMEOUT_DIVISOR 3 /* of election_ticks */
+/*
+ * A vote is sent only once it is durable, which takes longer than the election
+ * timeout on a slow disk. A new election would ask for the next vote from disks
+ * that still store this one.
+ */
+#define VOTE_WAIT_FACTOR 4 /* election timeouts that a candidate waits */
 
+static int count_votes(struct raft *r);
+static bool can_win(const struct raft *r);
+static unsigned int get_longest_storage(const struct raft *r);
+static bool is_log_durable(const struct raft *r);
 static bool is_log_up_to_date(
     const struct raft *r, uint64_t index, uint64_t term);
 static void reset_peer_progress(struct raft *r);
@@ -74,10 +84,15 @@
 
 	if (self == NULL || !self->voter || r->role == RAFT_LEADER)
 		return ERR_DENIED;
+	for (size_t i = 0; i < r->peer_count; i++) {
+		struct peer *p = &r->peers[i];
+
+		p->reachable = force || (r->role == RAFT_PRE_CANDIDATE &&
+					    p->vote == VOTE_GRANTED);
+		p->vote = VOTE_NONE;
+	}
 	become_follower(r, r->hard.term, 0);
 	r->role = pre_vote ? RAFT_PRE_CANDIDATE : RAFT_CANDIDATE;
-	for (size_t i = 0; i < r->peer_count; i++)
-		r->peers[i].vote = VOTE_NONE;
 	if (!pre_vote) {
 		r->hard.term++;
 		r->hard.vote = r->cfg.id;
@@ -92,7 +107,14 @@
 		m.log_index = get_log_last(&r->log);
 		m.log_term = get_log_term(&r->log, m.log_index);
 		m.context = force ? RAFT_FORCE_VOTE : 0;
-		if (pre_vote)
+		m.hint = get_longest_storage(r);
+		/*
+		 * Sent before the own vote is durable: the disks of all members
+		 * work at the same time, and no other one starts an election
+		 * meanwhile. The log must be durable, since a restart must not
+		 * receive votes for entries that it has lost.
+		 */
+		if (pre_vote || is_log_durable(r))
 			queue_message(r, &m);
 		else
 			queue_message_after_store(r, &m);
@@ -103,9 +125,15 @@
 	return pre_vote ? count_own_vote(r) : 0;
 }
 
+static bool
+is_log_durable(const struct raft *r)
+{
+	return r->stable == get_log_last(&r->log) && !r->snapshot_dirty &&
+	       !r->store_has_snapshot;
+}
+
 /*
- * Counts this member's own vote. With a majority, a pre-candidate starts the
- * election and a candidate becomes the leader.
+ * Counts this member's own vote.
  */
 int
 count_own_vote(struct raft *r)
@@ -115,11 +143,19 @@
 	if (self == NULL)
 		return 0;
 	self->vote = VOTE_GRANTED;
-	if (!has_quorum_votes(r, VOTE_GRANTED))
-		return 0;
-	if (r->role == RAFT_PRE_CANDIDATE)
-		return start_campaign(r, false, false);
-	return become_leader(r);
+	return count_votes(r);
+}
+
+/*
+ * Returns whether a candidate still waits for votes that can elect it.
+ */
+bool
+is_vote_awaited(const struct raft *r)
+{
+	return r->role == RAFT_CANDIDATE && can_win(r) &&
+	       r->election_elapsed <
+		   VOTE_WAIT_FACTOR * r->election_timeout +
+		       STORES_BEFORE_REPLY * get_longest_storage(r);
 }
 
 /*
@@ -175,6 +211,7 @@
 			    (r->hard.vote == 0 && r->leader == 0));
 	reply.reject = !grant;
 	if (pre_vote) {
+		reply.hint = r->storage_ticks;
 		if (grant)
 			reply.term = m->term;
 		queue_message(r, &reply);
@@ -184,15 +221,18 @@
 		r->hard.vote = m->from;
 		r->hard_dirty = true;
 	}
-	if (grant)
+	if (grant) {
 		reset_election_timer(r);
+		/* The candidate waits for slower disks than this one's. */
+		r->election_timeout +=
+		    STORES_BEFORE_REPLY * limit_storage_ticks(r, m->hint);
+	}
 	queue_message_after_store(r, &reply);
 	return 0;
 }
 
 /*
- * Counts a PREVOTE_REPLY or VOTE_REPLY. A majority of grants wins; a majority
- * of rejections ends the election.
+ * Counts a PREVOTE_REPLY or VOTE_REPLY.
  */
 int
 handle_vote_reply(struct raft *r, const struct raft_message *m)
@@ -200,21 +240,79 @@
 	bool pre_vote = m->type == RAFT_PREVOTE_REPLY;
 	struct peer *p = find_peer(r, m->from);
 
-	if (p == NULL ||
-	    r->role != (pre_vote ? RAFT_PRE_CANDIDATE : RAFT_CANDIDATE))
+	if (p == NULL)
+		return 0;
+	if (pre_vote && !m->reject && m->term == r->hard.term)
+		p->reachable = true; /* the election has begun without it */
+	if (r->role != (pre_vote ? RAFT_PRE_CANDIDATE : RAFT_CANDIDATE))
 		return 0;
 	if (!m->reject && m->term != r->hard.term + (pre_vote ? 1 : 0))
 		return 0;
+	if (pre_vote)
+		p->storage_ticks = limit_storage_ticks(r, m->hint);
 	if (p->vote == VOTE_NONE)
 		p->vote = m->reject ? VOTE_REJECTED : VOTE_GRANTED;
-	if (has_quorum_votes(r, VOTE_GRANTED))
-		return pre_vote ? start_campaign(r, false, false) :
-				  become_leader(r);
-	if (has_quorum_votes(r, VOTE_REJECTED))
+	return count_votes(r);
+}
+
+/*
+ * With a majority, a pre-candidate starts the election and a candidate becomes
+ * the leader, once its own vote is durable: a leader whose term is lost could
+ * lead the same term again, with other entries. An election that cannot be won
+ * ends; the next one begins after a new random timeout.
+ */
+static int
+count_votes(struct raft *r)
+{
+	const struct peer *self = find_peer(r, r->cfg.id);
+
+	if (has_quorum_votes(r, VOTE_REJECTED) ||
+	    (r->role == RAFT_CANDIDATE && !can_win(r)))
 		become_follower(r, r->hard.term, 0);
+	else if (self != NULL && self->vote == VOTE_GRANTED &&
+		 has_quorum_votes(r, VOTE_GRANTED))
+		return r->role == RAFT_PRE_CANDIDATE ?
+			   start_campaign(r, false, false) :
+			   become_leader(r);
 	return 0;
 }
 
+/*
+ * Returns whether the votes that a candidate has, and those of the members that
+ * have just answered its pre-vote, are a majority.
+ */
+static bool
+can_win(const struct raft *r)
+{
+	size_t votes = 0;
+
+	for (size_t i = 0; i < r->peer_count; i++) {
+		const struct peer *p = &r->peers[i];
+
+		if (p->voter && (p->vote == VOTE_GRANTED ||
+				    (p->vote == VOTE_NONE && p->reachable)))
+			votes++;
+	}
+	return votes >= get_quorum_size(r);
+}
+
+/*
+ * Returns the longest storage work of this member and those that it waits for.
+ */
+static unsigned int
+get_longest_storage(const struct raft *r)
+{
+	unsigned int longest = r->storage_ticks;
+
+	for (size_t i = 0; i < r->peer_count; i++) {
+		const struct peer *p = &r->peers[i];
+
+		if (p->reachable && p->storage_ticks > longest)
+			longest = p->storage_ticks;
+	}
+	return longest;
+}
+
 /*
  * Returns whether a log that ends at index with term is at least as up to date
  * as this member's.
@@ -236,7 +334,9 @@
 {
 	for (size_t i = 0; i < r->peer_count; i++) {
 		struct peer *p = &r->peers[i];
-		struct peer fresh = {.id = p->id, .voter = p->voter};
+		struct peer fresh = {.id = p->id,
+		    .voter = p->voter,
+		    .storage_ticks = p->storage_ticks};
 
 		fresh.next = get_log_last(&r->log) + 1;
 		*p = fresh;
--- a/packages/raft/raft.c
+++ b/packages/raft/raft.c
@@ -6,9 +6,15 @@
 
 #include "raft_core.h"
 
+/* Election timeouts that slow storage counts for, and is remembered for. */
+#define STORAGE_ELECTIONS_MAX 4
+#define STORAGE_ELECTIONS_KEPT 16
+
 static int handle_message(struct raft *r, const struct raft_message *m);
 static bool handle_higher_term(struct raft *r, const struct raft_message *m);
 static void reject_old_term(struct raft *r, const struct raft_message *m);
+static void decay_storage_ticks(struct raft *r);
+static size_t count_live_voters(const struct raft *r);
 static int tick_leader(struct raft *r);
 static int check_config(const struct raft_config *cfg, struct fault *f);
 
@@ -114,10 +120,11 @@
 tick_raft(struct raft *r)
 {
 	expire_reads(r);
+	decay_storage_ticks(r);
 	r->election_elapsed++;
 	if (r->role == RAFT_LEADER)
 		return tick_leader(r);
-	if (r->election_elapsed < r->election_timeout)
+	if (r->election_elapsed < r->election_timeout || is_vote_awaited(r))
 		return 0;
 	if (!is_self_voter(r)) {
 		r->leader = 0;
@@ -127,6 +134,25 @@
 	return start_campaign(r, true, false);
 }
 
+/*
+ * Keeps the longest time of late; tick_raft() halves it from time to time.
+ */
+void
+set_raft_storage_ticks(struct raft *r, unsigned int ticks)
+{
+	ticks = limit_storage_ticks(r, ticks);
+	if (ticks > r->storage_ticks)
+		r->storage_ticks = ticks;
+}
+
+unsigned int
+limit_storage_ticks(const struct raft *r, uint64_t ticks)
+{
+	unsigned int max = STORAGE_ELECTIONS_MAX * r->cfg.election_ticks;
+
+	return ticks < max ? (unsigned int)ticks : max;
+}
+
 /*
  * Appends a command to the leader's log and sets *index to its place. Returns
  * ERR_UNAVAILABLE when this member is not the leader or is handing leadership
@@ -315,16 +341,53 @@
 }
 
 /*
- * Steps down when no quorum has replied within an election timeout, abandons a
- * leadership transfer that takes as long, and sends heartbeats when they are
- * due.
+ * Forgets slow storage work after some time.
+ */
+static void
+decay_storage_ticks(struct raft *r)
+{
+	if (++r->storage_elapsed <
+	    STORAGE_ELECTIONS_KEPT * r->cfg.election_ticks)
+		return;
+	r->storage_elapsed = 0;
+	r->storage_ticks /= 2;
+	for (size_t i = 0; i < r->peer_count; i++)
+		r->peers[i].storage_ticks /= 2;
+}
+
+/*
+ * Counts the voters that replied within the last election_ticks, or as long as
+ * their storage work holds up a reply, and this member. A quorum of slow disks
+ * would otherwise depose each leader that it elects.
+ */
+static size_t
+count_live_voters(const struct raft *r)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < r->peer_count; i++) {
+		const struct peer *p = &r->peers[i];
+
+		if (p->voter &&
+		    (p->id == r->cfg.id ||
+			p->ticks_since_contact <
+			    r->cfg.election_ticks +
+				STORES_BEFORE_REPLY * p->storage_ticks))
+			n++;
+	}
+	return n;
+}
+
+/*
+ * Steps down when no quorum has replied in time, abandons a leadership transfer
+ * that takes an election timeout, and sends heartbeats when they are due.
  */
 static int
 tick_leader(struct raft *r)
 {
 	for (size_t i = 0; i < r->peer_count; i++)
 		r->peers[i].ticks_since_contact++;
-	if (count_active_voters(r) < get_quorum_size(r)) {
+	if (count_live_voters(r) < get_quorum_size(r)) {
 		become_follower(r, r->hard.term, 0);
 		return 0;
 	}
--- a/packages/raft/raft.h
+++ b/packages/raft/raft.h
@@ -98,7 +98,12 @@
 	uint64_t commit;
 	uint64_t context; /* heartbeat round or read request; replies echo it */
 	bool reject;
-	uint64_t hint; /* rejected APPEND: index where the logs may agree */
+	/*
+	 * Rejected APPEND: index where the logs may agree. Other replies to
+	 * APPEND and PREVOTE: ticks that the sender's storage work takes. VOTE:
+	 * the longest ones of the members that the candidate waits for.
+	 */
+	uint64_t hint;
 	size_t entry_count;
 	const struct raft_entry *entries;
 	uint64_t snapshot_offset;
@@ -183,6 +188,8 @@
 int step_raft(struct raft *r, const struct raft_message *m); /* copies m */
 int tick_raft(struct raft *r); /* one tick has passed */
 int complete_raft_store(struct raft *r, uint64_t seq); /* seq is durable */
+/* How long the latest storage work took; members tell each other. */
+void set_raft_storage_ticks(struct raft *r, unsigned int ticks);
 int propose_raft(struct raft *r, struct str command, uint64_t *index);
 int change_raft_members(struct raft *r, const struct raft_change *change,
     uint64_t *index, struct fault *f);
--- a/packages/raft/raft_core.h
+++ b/packages/raft/raft_core.h
@@ -15,6 +15,9 @@
 	PEER_SNAPSHOT = 2, /* receives the snapshot, one chunk at a time */
 };
 
+/* A reply waits for the storage work in progress and for its own. */
+#define STORES_BEFORE_REPLY 2
+
 enum peer_vote {
 	VOTE_NONE = 0,
 	VOTE_GRANTED = 1,
@@ -26,6 +29,7 @@
 	uint64_t id;
 	bool voter;
 	enum peer_vote vote;
+	bool reachable; /* granted the pre-vote before this election */
 	enum peer_state state;
 	uint64_t match; /* highest index known to be durable there */
 	uint64_t next; /* index of the next entry to send */
@@ -34,6 +38,7 @@
 	bool paused; /* probe or chunk sent, no reply yet */
 	bool send_pending; /* flush_appends() must check it */
 	unsigned int ticks_since_contact; /* since its last reply */
+	unsigned int storage_ticks; /* as it reported; its storage work */
 	uint64_t acked_round; /* newest heartbeat round it acknowledged */
 	uint64_t snapshot_index; /* snapshot being sent */
 	uint64_t chunk_offset; /* next bytes to send */
@@ -88,6 +93,8 @@
 	unsigned int election_elapsed; /* ticks, as the next two */
 	unsigned int election_timeout;
 	unsigned int heartbeat_elapsed;
+	unsigned int storage_ticks; /* that recent storage work took */
+	unsigned int storage_elapsed; /* ticks since it was halved */
 	uint64_t quorum_contacts; /* see struct raft_status */
 	size_t proposed_bytes; /* leader: entries that are not committed */
 
@@ -165,6 +172,8 @@
 int count_own_vote(struct raft *r);
 void reset_election_timer(struct raft *r);
 void shorten_election_timeout(struct raft *r); /* before first contact */
+bool is_vote_awaited(const struct raft *r);
+unsigned int limit_storage_ticks(const struct raft *r, uint64_t ticks);
 int handle_vote(struct raft *r, const struct raft_message *m);
 int handle_vote_reply(struct raft *r, const struct raft_message *m);
 bool is_in_lease(const struct raft *r);
--- a/packages/raft/replication.c
+++ b/packages/raft/replication.c
@@ -38,6 +38,7 @@
 	int rc;
 
 	reply = make_message(r, RAFT_APPEND_REPLY, m->from);
+	reply.hint = r->storage_ticks;
 	if (m->log_index < r->commit) {
 		reply.log_index = r->commit;
 		queue_message_after_store(r, &reply);
@@ -77,6 +78,7 @@
 	if (!m->reject) {
 		if (m->log_index > get_log_last(&r->log))
 			return ERR_INVALID;
+		p->storage_ticks = limit_storage_ticks(r, m->hint);
 		record_match(r, p, m->log_index);
 		return advance_commit(r);
 	}
--- a/packages/raft/tests/test_raft.c
+++ b/packages/raft/tests/test_raft.c
@@ -928,6 +928,92 @@
 }
 END_TEST
 
+/* Disks whose storage work takes longer than an election timeout. */
+struct slow_case {
+	const char *name;
+	int slow; /* nodes 1 to slow */
+	int store_ticks; /* that their storage work takes */
+};
+
+static const struct slow_case slow_cases[] = {
+    {"all disks, an election timeout", 5, SIM_ELECTION_TICKS},
+    {"all disks, three election timeouts", 5, 3 * SIM_ELECTION_TICKS},
+    {"three disks, an election timeout", 3, SIM_ELECTION_TICKS},
+    {"three disks, three election timeouts", 3, 3 * SIM_ELECTION_TICKS},
+};
+
+/*
+ * Runs all nodes for a tick. One whose storage work is pending neither ticks nor
+ * gets messages, like a replica whose thread waits for its disk; done counts
+ * the ticks of that work.
+ */
+static void
+run_slow_tick(struct sim *s, const struct slow_case *c, int done[SIM_NODES])
+{
+	for (uint64_t n = 1; n < SIM_NODES; n++) {
+		struct sim_node *x = &s->node[n];
+		int ticks = (int)n <= c->slow ? c->store_ticks : 0;
+
+		if (x->core == NULL)
+			continue;
+		if (!x->pending.used)
+			tick_node(s, n);
+		else if (++done[n] < ticks)
+			continue;
+		if (x->pending.used && done[n] >= ticks) {
+			set_raft_storage_ticks(x->core, (unsigned int)ticks);
+			done[n] = 0;
+			finish_store(s, n);
+		}
+	}
+	for (size_t at = 0; at < s->net_count;) {
+		struct sim_node *to = &s->node[s->net[at].to];
+
+		if (to->core != NULL && to->pending.used)
+			at++;
+		else
+			deliver_message(s, at, false);
+	}
+}
+
+/*
+ * Guards against a group without a leader for as long as disks are slow: votes
+ * arrive after the candidate has begun the next election, or the leader gives
+ * up while its followers store. The bound is contact-s and ack-s, 3 s and 4 s,
+ * for election timeouts of 300 ms.
+ */
+START_TEST(slow_disks_do_not_prevent_a_leader)
+{
+	const struct slow_case *c = &slow_cases[_i];
+	const int ticks_max = 7000 * SIM_ELECTION_TICKS / 300;
+
+	for (uint64_t seed = 1; seed <= 40; seed++) {
+		struct sim *s = open_sim(seed, 5);
+		int done[SIM_NODES] = {0}, ticks = 0;
+		uint64_t lead, commit;
+
+		for (int i = 0; i < 1000 && find_leader(s) == 0; i++)
+			run_sim(s, 1);
+		run_sim(s, SIM_HEARTBEAT_TICKS);
+		lead = find_leader(s);
+		ck_assert_uint_ne(lead, 0);
+		commit = get_status(s, lead).commit;
+		crash_node(s, lead, 3);
+		do {
+			run_slow_tick(s, c, done);
+			lead = find_leader(s);
+			ticks++;
+		} while (ticks < 10000 &&
+			 (lead == 0 || get_status(s, lead).commit <= commit));
+		ck_assert_msg(ticks <= ticks_max,
+		    "%s, seed %d: no entry committed for %d ticks", c->name,
+		    (int)seed, ticks);
+		ck_assert_msg(s->failure[0] == '\0', "%s", s->failure);
+		close_sim(s);
+	}
+}
+END_TEST
+
 /* Guards against a membership decoder that reads out of bounds. */
 START_TEST(damaged_membership_is_refused)
 {
@@ -971,6 +1057,8 @@
 	tcase_add_test(t, own_vote_counts_once_stored);
 	tcase_add_test(t, read_needs_a_majority);
 	tcase_add_test(t, restarted_group_elects_soon);
+	tcase_add_loop_test(t, slow_disks_do_not_prevent_a_leader, 0,
+	    sizeof(slow_cases) / sizeof(slow_cases[0]));
 	tcase_add_test(t, damaged_membership_is_refused);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
--- a/packages/replica/work.c
+++ b/packages/replica/work.c
@@ -225,15 +225,19 @@
 {
 	struct raft_store s;
 	struct fault f = {0};
+	int64_t start;
 	int rc;
 
 	if (!pop_raft_store(r->raft, &s))
 		return false;
+	start = read_mono(&r->cfg.clock);
 	rc = store_wal(r->wal, &s, &f);
 	if (rc != 0) {
 		fail_replica(r, (enum err)rc, f.text);
 		return false;
 	}
+	set_raft_storage_ticks(r->raft,
+	    (unsigned int)((read_mono(&r->cfg.clock) - start) / TICK_NS));
 	r->has_stored = true;
 	rc = complete_raft_store(r->raft, s.seq);
 	if (rc != 0)
