agent: read the list of endpoint sets only under its lock

Cause: expire_retained() runs on the agent's thread after every wake-up and read s->count and s->entries[] without the lock, while add_interest() on the node's thread writes the entry and then the count under it. arm64 may show the count before the entry, so the agent's thread could follow a null pointer and the node would end.

Change: expire_retained() gets each entry under the lock. The other readers of the list (list, render, reset, acquire, expire, apply) held it already.

Entries are removed only by the agent's thread, so an entry that it got under the lock stays valid without it.

--- a/packages/agent/agent_sets.c
+++ b/packages/agent/agent_sets.c
@@ -32,6 +32,11 @@
 	size_t retained_count;
 };
 
+/*
+ * Any thread may append an entry and read sets, so entries, count, used_at and
+ * set need the lock. Only the agent's thread removes entries, replaces sets and
+ * uses tombstones and retained records; it may keep an entry without the lock.
+ */
 struct set_store {
 	pthread_mutex_t lock; /* leaf; sets are built outside it */
 	struct service_entry *entries[WIRE_INTEREST_MAX];
@@ -39,6 +44,7 @@
 };
 
 static bool is_service_name(struct str name);
+static struct service_entry *get_entry(struct set_store *s, int i);
 static struct service_entry *find_entry(
     struct set_store *s, struct str service);
 static void unref_set(struct endpoint_set *set);
@@ -252,10 +258,10 @@
 int
 expire_retained(struct set_store *s, int64_t now)
 {
+	struct service_entry *e;
 	int changed = 0;
 
-	for (int i = 0; i < s->count; i++) {
-		struct service_entry *e = s->entries[i];
+	for (int i = 0; (e = get_entry(s, i)) != NULL; i++) {
 		struct endpoint_set *new_set, *old = e->set;
 
 		if (e->retained_count == 0 ||
@@ -325,6 +331,20 @@
 	return name.len > 0 && name.len < TABLE_NAME_BYTES;
 }
 
+/*
+ * Returns NULL after the last entry. Takes the lock.
+ */
+static struct service_entry *
+get_entry(struct set_store *s, int i)
+{
+	struct service_entry *e;
+
+	pthread_mutex_lock(&s->lock);
+	e = i < s->count ? s->entries[i] : NULL;
+	pthread_mutex_unlock(&s->lock);
+	return e;
+}
+
 /*
  * The caller has the lock.
  */
--- a/packages/agent/tests/test_agent_sets.c
+++ b/packages/agent/tests/test_agent_sets.c
@@ -2,6 +2,8 @@
  * Endpoint sets: order of records, changes, registries and interest.
  */
 #include <check.h>
+#include <pthread.h>
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -332,6 +334,129 @@
 }
 END_TEST
 
+#define RACE_ROUNDS 40
+
+/* What the agent's thread does while another one adds interest. */
+struct race_case {
+	const char *name;
+	void (*step)(struct set_store *s);
+};
+
+struct race {
+	struct set_store *store;
+	atomic_bool started, done;
+};
+
+static void
+step_expire_retained(struct set_store *s)
+{
+	(void)expire_retained(s, NOW);
+}
+
+static void
+step_expire_interest(struct set_store *s)
+{
+	(void)expire_interest(s, NOW);
+}
+
+static void
+step_list(struct set_store *s)
+{
+	struct wire_interest list[WIRE_INTEREST_MAX];
+
+	(void)list_interest(s, list, WIRE_INTEREST_MAX);
+}
+
+static void
+step_render(struct set_store *s)
+{
+	struct buf out = {0};
+
+	ck_assert_int_eq(render_sets(s, &out), 0);
+	unload_buf(&out);
+}
+
+static void
+step_reset(struct set_store *s)
+{
+	reset_set_versions(s);
+}
+
+/* Applies the next full set, of another registry each time. */
+static void
+step_apply(struct set_store *s)
+{
+	static const struct change both = {
+	    7, true, {{"a", 1, 1, R}, {"b", 1, 1, R}}, 1, true};
+	static const struct change one = {3, true, {{"b", 1, 1, R}}, 1, true};
+
+	(void)apply_change(s, &both, NOW);
+	(void)apply_change(s, &one, NOW);
+	(void)expire_retained(s, NOW + SETS_RETAIN_NS);
+}
+
+static const struct race_case race_cases[] = {
+    {"expire_retained", step_expire_retained},
+    {"expire_interest", step_expire_interest},
+    {"list_interest", step_list},
+    {"render_sets", step_render},
+    {"reset_set_versions", step_reset},
+    {"apply_set and expire_retained", step_apply},
+};
+
+/*
+ * Adds interest as the node's thread does for new routes, and acquires and
+ * releases the sets.
+ */
+static void *
+add_services(void *arg)
+{
+	struct race *r = arg;
+	char name[16];
+
+	atomic_store_explicit(&r->started, true, memory_order_relaxed);
+	for (int i = 1; i < WIRE_INTEREST_MAX; i++) {
+		snprintf(name, sizeof(name), "svc-%d", i);
+		(void)add_interest(r->store, make_str(name), false, NOW);
+		release_set(
+		    r->store, acquire_set(r->store, make_str("svc"), NOW));
+		release_set(
+		    r->store, acquire_set(r->store, make_str(name), NOW));
+	}
+	/* Relaxed, so that the flags order nothing for the sanitizer. */
+	atomic_store_explicit(&r->done, true, memory_order_relaxed);
+	return NULL;
+}
+
+/*
+ * Guards against entries that the agent's thread reads without the lock while
+ * the node's thread adds a service: on a weakly ordered processor the count can
+ * be seen before the entry. The thread sanitizer reports such a read; the issue
+ * is 36.
+ */
+START_TEST(interest_is_added_while_sets_change)
+{
+	const struct race_case *c = &race_cases[_i];
+
+	for (int round = 0; round < RACE_ROUNDS; round++) {
+		struct race r = {.store = open_set_store()};
+		pthread_t thread;
+
+		add_interest(r.store, make_str("svc"), true, NOW);
+		ck_assert_msg(
+		    pthread_create(&thread, NULL, add_services, &r) == 0,
+		    "%s: no thread", c->name);
+		while (!atomic_load_explicit(&r.started, memory_order_relaxed))
+			sched_yield();
+		do
+			c->step(r.store);
+		while (!atomic_load_explicit(&r.done, memory_order_relaxed));
+		pthread_join(thread, NULL);
+		close_set_store(r.store);
+	}
+}
+END_TEST
+
 #define COUNT(a) (int)(sizeof(a) / sizeof((a)[0]))
 
 int
@@ -351,6 +476,8 @@
 	tcase_add_loop_test(t,
 	    incomplete_set_of_another_registry_retains_endpoints, 0,
 	    COUNT(retain_cases));
+	tcase_add_loop_test(
+	    t, interest_is_added_while_sets_change, 0, COUNT(race_cases));
 	suite_add_tcase(s, t);
 	run = srunner_create(s);
 	srunner_run_all(run, CK_ENV);
