reactor: read the function of a posted task under the lock

No failure of callers is known: both sides have the same function in all uses of today, so the value read was right.

Cause: run_posted() marks a task as not queued under the lock and called list->fn after it, while post_task() may already write fn.

Change: fn is copied under the lock.

--- a/packages/reactor/reactor.c
+++ b/packages/reactor/reactor.c
@@ -387,6 +387,7 @@
 	    (struct reactor *)((char *)w - offsetof(struct reactor, wake));
 	struct task *list, *next;
 	uint64_t count;
+	task_fn fn;
 
 	(void)events;
 	if (read(w->fd, &count, sizeof(count)) < 0 && errno != EAGAIN)
@@ -397,12 +398,13 @@
 	r->posted_tail = &r->posted;
 	pthread_mutex_unlock(&r->lock);
 	for (; list != NULL; list = next) {
-		/* From now on it can be posted again, which changes its next. */
+		/* From then on it can be posted again, which changes it. */
 		pthread_mutex_lock(&r->lock);
 		next = list->next;
+		fn = list->fn;
 		list->queued = false;
 		pthread_mutex_unlock(&r->lock);
-		list->fn(list);
+		fn(list);
 	}
 }
 
--- a/packages/reactor/tests/test_reactor.c
+++ b/packages/reactor/tests/test_reactor.c
@@ -3,6 +3,7 @@
  */
 #include <check.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -177,6 +178,68 @@
 }
 END_TEST
 
+#define POSTS 20000
+
+/* Threads that post the same tasks again and again. */
+struct post_case {
+	int threads;
+	int tasks;
+};
+
+static const struct post_case post_cases[] = {{1, 1}, {1, 3}, {3, 1}, {3, 3}};
+
+static struct task repeated[3];
+static atomic_int post_count; /* before the post */
+static atomic_int posters; /* still running */
+static int seen_count; /* post_count when a task ran last */
+
+static void
+see_posts(struct task *t)
+{
+	(void)t;
+	seen_count = atomic_load_explicit(&post_count, memory_order_relaxed);
+}
+
+static void *
+post_repeatedly(void *arg)
+{
+	const struct post_case *c = arg;
+
+	for (int i = 0; i < POSTS; i++) {
+		atomic_fetch_add_explicit(&post_count, 1, memory_order_relaxed);
+		post_task(loop, &repeated[i % c->tasks], see_posts);
+	}
+	atomic_fetch_sub(&posters, 1);
+	return NULL;
+}
+
+/*
+ * Guards against a data race of a task that runs with the thread that posts it
+ * again (the thread sanitizer reports it), and against a post that is lost
+ * then: a node would keep an older table until the next change.
+ */
+START_TEST(tasks_are_posted_while_they_run)
+{
+	const struct post_case *c = &post_cases[_i];
+	pthread_t threads[3];
+
+	memset(repeated, 0, sizeof(repeated));
+	seen_count = 0;
+	atomic_store(&post_count, 0);
+	atomic_store(&posters, c->threads);
+	for (int i = 0; i < c->threads; i++)
+		ck_assert_int_eq(pthread_create(&threads[i], NULL,
+				     post_repeatedly, (void *)(uintptr_t)c),
+		    0);
+	while (atomic_load(&posters) > 0)
+		run_reactor_round(loop, 10);
+	for (int i = 0; i < c->threads; i++)
+		pthread_join(threads[i], NULL);
+	run_reactor_round(loop, 0);
+	ck_assert_int_eq(seen_count, c->threads * POSTS);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -190,6 +253,8 @@
 	tcase_add_test(t, stopped_watch_gets_no_pending_event);
 	tcase_add_test(t, tasks_run_once_on_the_loop);
 	tcase_add_test(t, posted_tasks_survive_repeated_posts);
+	tcase_add_loop_test(t, tasks_are_posted_while_they_run, 0,
+	    (int)(sizeof(post_cases) / sizeof(post_cases[0])));
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
