metric: publish threads and metrics with release, read with acquire

A scrape may end the process.

Cause: readers of the registry loaded slot_count, family_count, first and next and then what these announce, without any order between the two loads; only the writer had a fence. arm64 may satisfy the second load first: the counters of a new thread as a null pointer, which is followed, or the name of a family before it was written. Each connection of an operator gets a thread, so new threads and scrapes meet often.

Change: these words are atomic, stored with release and loaded with acquire order. Fences of Concurrency Kit would do, too, but the thread sanitizer does not see them. Counting stays without locks and fences.

That a process has ended by it was not seen.

--- a/packages/metric/metric.c
+++ b/packages/metric/metric.c
@@ -21,13 +21,14 @@
 	char name[METRIC_NAME_BYTES];
 	char help[METRIC_NAME_BYTES];
 	enum metric_kind kind;
-	unsigned int first, last; /* metrics, id plus 1; 0: none */
+	atomic_uint first; /* metric, id plus 1; 0: none; published */
+	unsigned int last; /* under registry_lock */
 };
 
 struct metric {
 	char name[METRIC_NAME_BYTES];
 	enum metric_kind kind;
-	unsigned int next; /* in its family, id plus 1; 0: last */
+	atomic_uint next; /* in its family, id plus 1; 0: last; published */
 	int64_t gauge;
 	uint64_t *buckets; /* HISTOGRAM_BUCKETS, shared by all threads */
 	uint64_t sum;
@@ -37,20 +38,29 @@
 	uint64_t counts[METRIC_MAX];
 };
 
+/*
+ * Readers take no lock. What they read is written before a release store to one
+ * of the published words (slot_count, family_count, first, next), which they
+ * load with acquire order; a count that is only compared orders nothing on a
+ * weakly ordered processor.
+ */
+
 static pthread_mutex_t registry_lock = PTHREAD_MUTEX_INITIALIZER;
 static struct metric metrics[METRIC_MAX];
 static unsigned int metric_count;
 static struct family families[METRIC_FAMILIES_MAX];
-static unsigned int family_count;
+static atomic_uint family_count;
 static unsigned int histogram_count;
 static unsigned int index_ids[INDEX_ENTRIES]; /* by name: id plus 1; 0: free */
 static uint64_t refusals;
 static struct thread_slot *slots[GGS_MAX_THREADS];
-static unsigned int slot_count;
+static atomic_uint slot_count;
 static struct thread_slot shared_slot; /* of threads above the limit */
 static __thread struct thread_slot *own_slot;
 static __thread bool own_slot_shared;
 
+static unsigned int load_published(const atomic_uint *word);
+static void publish(atomic_uint *word, unsigned int value);
 static struct thread_slot *get_own_slot(void);
 static unsigned int get_bucket_index(uint64_t value);
 static uint64_t get_bucket_max(unsigned int bucket);
@@ -148,7 +158,7 @@
 	if (metrics[id].kind == METRIC_GAUGE)
 		return (int64_t)ck_pr_load_64((uint64_t *)&metrics[id].gauge);
 	sum = ck_pr_load_64(&shared_slot.counts[id]);
-	n = ck_pr_load_uint(&slot_count);
+	n = load_published(&slot_count);
 	for (unsigned int i = 0; i < n; i++)
 		sum += ck_pr_load_64(&slots[i]->counts[id]);
 	return (int64_t)sum;
@@ -187,7 +197,7 @@
 int
 render_metrics(struct buf *out)
 {
-	unsigned int n = ck_pr_load_uint(&family_count);
+	unsigned int n = load_published(&family_count);
 	int rc = append_buf_fmt(out,
 	    "# HELP ggs_metrics_refused_total Metrics above the limits\n"
 	    "# TYPE ggs_metrics_refused_total counter\n"
@@ -243,11 +253,7 @@
 	(void)copy_str(m->name, sizeof(m->name), make_str(name));
 	m->kind = kind;
 	metric_count++;
-	ck_pr_fence_store();
-	if (f->last != 0)
-		ck_pr_store_uint(&metrics[f->last - 1].next, id + 1);
-	else
-		ck_pr_store_uint(&f->first, id + 1);
+	publish(f->last != 0 ? &metrics[f->last - 1].next : &f->first, id + 1);
 	f->last = id + 1;
 	return (metric_id)id;
 }
@@ -260,19 +266,19 @@
 find_family(enum metric_kind kind, const char *name, const char *help)
 {
 	struct str base = make_str_n(name, strcspn(name, "{"));
+	unsigned int n = load_published(&family_count);
 	struct family *f = families;
 
-	for (unsigned int i = 0; i < family_count; i++, f++) {
+	for (unsigned int i = 0; i < n; i++, f++) {
 		if (is_str_equal(make_str(f->name), base))
 			return f;
 	}
-	if (family_count == METRIC_FAMILIES_MAX)
+	if (n == METRIC_FAMILIES_MAX)
 		return NULL;
 	(void)copy_str(f->name, sizeof(f->name), base);
 	(void)copy_str(f->help, sizeof(f->help), make_str(help));
 	f->kind = kind;
-	ck_pr_fence_store();
-	ck_pr_store_uint(&family_count, family_count + 1);
+	publish(&family_count, n + 1);
 	return f;
 }
 
@@ -282,7 +288,7 @@
 static int
 render_family(struct buf *out, const struct family *f)
 {
-	unsigned int next = ck_pr_load_uint(&f->first);
+	unsigned int next = load_published(&f->first);
 	int rc = next != 0 ? render_family_header(out, f) : 0;
 
 	while (next != 0 && rc == 0) {
@@ -293,7 +299,7 @@
 		else
 			rc = append_buf_fmt(out, "%s %lld\n", metrics[id].name,
 			    (long long)get_metric(id));
-		next = ck_pr_load_uint(&metrics[id].next);
+		next = load_published(&metrics[id].next);
 	}
 	return rc;
 }
@@ -308,6 +314,21 @@
 					"summary");
 }
 
+/*
+ * After it, the caller sees what was written before publish().
+ */
+static unsigned int
+load_published(const atomic_uint *word)
+{
+	return atomic_load_explicit(word, memory_order_acquire);
+}
+
+static void
+publish(atomic_uint *word, unsigned int value)
+{
+	atomic_store_explicit(word, value, memory_order_release);
+}
+
 /*
  * Returns the calling thread's slot and allocates it on first use. Threads
  * above GGS_MAX_THREADS, or without memory for a slot, share one and add
@@ -316,15 +337,17 @@
 static struct thread_slot *
 get_own_slot(void)
 {
+	unsigned int n;
+
 	if (own_slot != NULL)
 		return own_slot;
 	pthread_mutex_lock(&registry_lock);
-	if (slot_count < GGS_MAX_THREADS)
+	n = load_published(&slot_count);
+	if (n < GGS_MAX_THREADS)
 		own_slot = calloc(1, sizeof(*own_slot));
 	if (own_slot != NULL) {
-		slots[slot_count] = own_slot;
-		ck_pr_fence_store();
-		ck_pr_store_uint(&slot_count, slot_count + 1);
+		slots[n] = own_slot;
+		publish(&slot_count, n + 1);
 	} else {
 		own_slot = &shared_slot;
 		own_slot_shared = true;
--- a/packages/metric/tests/test_metric.c
+++ b/packages/metric/tests/test_metric.c
@@ -2,6 +2,8 @@
  * The registry with the metrics of a large table, its limits and its text form.
  */
 #include <check.h>
+#include <pthread.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -89,6 +91,81 @@
 }
 END_TEST
 
+#define RACE_THREADS 48 /* one after the other, below GGS_MAX_THREADS */
+
+/* What new threads do while another one renders the metrics. */
+struct race_case {
+	const char *name;
+	bool registers; /* a metric of its own */
+};
+
+static const struct race_case race_cases[] = {
+    {"threads that count for the first time", false},
+    {"threads that register metrics", true},
+};
+
+static const struct race_case *race_case;
+static metric_id shared_counter;
+static atomic_bool race_done;
+
+static void *
+count_in_thread(void *arg)
+{
+	char name[METRIC_NAME_BYTES];
+
+	count_metric(shared_counter, 1);
+	if (!race_case->registers)
+		return NULL;
+	snprintf(name, sizeof(name), "race_%d{k=\"1\"}", *(const int *)arg);
+	count_metric(register_metric(METRIC_COUNTER, name, "Race."), 1);
+	snprintf(name, sizeof(name), "race{k=\"%d\"}", *(const int *)arg);
+	set_metric(register_metric(METRIC_GAUGE, name, "Race."), 1);
+	return NULL;
+}
+
+static void *
+start_threads(void *arg)
+{
+	(void)arg;
+	for (int i = 0; i < RACE_THREADS; i++) {
+		pthread_t t;
+
+		ck_assert_int_eq(
+		    pthread_create(&t, NULL, count_in_thread, &i), 0);
+		pthread_join(t, NULL);
+	}
+	atomic_store(&race_done, true);
+	return NULL;
+}
+
+/*
+ * Guards against a scrape that sees the number of threads before the counters
+ * of the last one, as weakly ordered processors may: it would follow a null
+ * pointer and end the process. The thread sanitizer reports such a read.
+ */
+START_TEST(scrapes_while_threads_start)
+{
+	pthread_t t;
+
+	race_case = &race_cases[_i];
+	shared_counter = register_metric(METRIC_COUNTER, "shared_total", "S");
+	ck_assert_int_eq(pthread_create(&t, NULL, start_threads, NULL), 0);
+	do {
+		struct buf b = {0};
+
+		ck_assert_int_eq(render_metrics(&b), 0);
+		ck_assert_ptr_nonnull(strstr(b.data, "\nshared_total "));
+		ck_assert_msg(strstr(b.data, "# HELP  ") == NULL,
+		    "%s: a family without "
+		    "a name",
+		    race_case->name);
+		unload_buf(&b);
+	} while (!atomic_load_explicit(&race_done, memory_order_relaxed));
+	pthread_join(t, NULL);
+	ck_assert_int_eq(get_metric(shared_counter), RACE_THREADS);
+}
+END_TEST
+
 static void
 register_rows(int rows)
 {
@@ -130,6 +207,8 @@
 	tcase_add_test(t, refused_registrations_are_counted);
 	tcase_add_test(t, histograms_are_bounded);
 	tcase_add_test(t, samples_of_a_family_are_adjacent);
+	tcase_add_loop_test(t, scrapes_while_threads_start, 0,
+	    (int)(sizeof(race_cases) / sizeof(race_cases[0])));
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
