--- a/bench/scenario_process.c
+++ b/bench/scenario_process.c
@@ -190,8 +190,8 @@
 /*
  * process.start{args={...}, env={"NAME=value", ...}, log=path,
  * file_limit=bytes} returns an id;
- * process.kill(id, "KILL"|"TERM"|"STOP"|"CONT"), process.wait(id, ms),
- * process.usage(id), process.pid(id).
+ * process.kill(id, "KILL"|"TERM"|"STOP"|"CONT"|"HUP"),
+ * process.wait(id, ms), process.usage(id), process.pid(id).
  */
 void
 load_process_library(lua_State *l)
@@ -357,8 +357,9 @@
 lua_signal(lua_State *l)
 {
 	static const char *const names[] = {
-	    "KILL", "TERM", "STOP", "CONT", NULL};
-	static const int signals[] = {SIGKILL, SIGTERM, SIGSTOP, SIGCONT};
+	    "KILL", "TERM", "STOP", "CONT", "HUP", NULL};
+	static const int signals[] = {
+	    SIGKILL, SIGTERM, SIGSTOP, SIGCONT, SIGHUP};
 	int id = (int)luaL_checkinteger(l, 1);
 
 	lua_pushboolean(
