control: add a peer and its connection in one step

Cause: update_peer() looked for the member, opened the connection and added the entry under three separate holds of peers_lock. The replica's thread (a membership in the log) and the thread of the rpc client (a reply to a request to join) learn of the same member at about the same time: it got two entries and two connections. Duplicates use up the 17 entries, a later address reaches only the first one, and two threads that open the last of the 128 connections would write behind the list. An entry that was found could also be given to another member before it was written.

Change: one hold for all of it. Below it only the rpc client's own lock is taken, which runs no callback; the lock order says so now.

Evidence: control.test_fleet, members_learned_by_two_threads_get_one_entry (two cases, three threads), on 8 cores.

--- a/packages/control/peers.c
+++ b/packages/control/peers.c
@@ -8,8 +8,11 @@
 #include "log.h"
 #include "service.h"
 
-static bool has_address(
-    struct control *c, const struct peer *p, const char *address);
+static void set_peer(struct control *c, struct peer *p, uint64_t id,
+    const char *address, struct rpc_peer *rpc);
+static struct peer *find_peer(struct control *c, uint64_t id);
+static int find_or_open_link(struct control *c, const char *address,
+    struct rpc_peer **out, struct fault *f);
 static struct link *find_unused_link(struct control *c);
 static struct peer *allocate_peer(struct control *c);
 static int parse_peer(
@@ -49,112 +52,127 @@
 }
 
 /*
- * Adds a peer or changes its address. The entry of a removed member is kept
- * until a new peer needs it. A peer that cannot be added is logged.
+ * Adds a peer or changes its address, in one step, since several threads learn
+ * of the same member. The entry of a removed member is kept until a new peer
+ * needs it. A peer that cannot be added is logged.
  */
 void
 update_peer(struct control *c, uint64_t id, const char *address)
 {
-	struct peer *p = find_control_peer(c, id);
 	struct rpc_peer *rpc = NULL;
-	struct fault f;
+	struct fault f = {0};
+	struct peer *p;
+	int rc = 0;
 
-	if (p != NULL && has_address(c, p, address))
-		return;
-	if (open_link(c, address, &rpc, &f) != 0) {
-		write_log(LOG_LEVEL_WARNING, "control process %llu: %s",
-		    (unsigned long long)id, f.text);
-		return;
-	}
 	pthread_mutex_lock(&c->peers_lock);
-	if (p == NULL)
-		p = allocate_peer(c);
-	if (p != NULL) {
-		p->control = c;
-		p->rpc = rpc;
-		(void)copy_str(
-		    p->address, sizeof(p->address), make_str(address));
-		if (p->id != id) {
-			p->id = id;
-			p->resend = false;
-			p->resend_position = 0;
-			p->member = true;
-		}
-		/* From here on other threads read the entry. */
-		if (p == &c->peers[c->peer_count])
-			c->peer_count++;
+	p = find_peer(c, id);
+	if (p == NULL || strcmp(p->address, address) != 0) {
+		rc = find_or_open_link(c, address, &rpc, &f);
+		if (rc == 0 && p == NULL)
+			p = allocate_peer(c);
+		if (rc == 0 && p != NULL)
+			set_peer(c, p, id, address, rpc);
 	}
 	pthread_mutex_unlock(&c->peers_lock);
+	if (rc != 0)
+		write_log(LOG_LEVEL_WARNING, "control process %llu: %s",
+		    (unsigned long long)id, f.text);
 }
 
-static bool
-has_address(struct control *c, const struct peer *p, const char *address)
+/*
+ * Fills an entry; peers_lock is held. A new one is counted last, because from
+ * then on other threads read it.
+ */
+static void
+set_peer(struct control *c, struct peer *p, uint64_t id, const char *address,
+    struct rpc_peer *rpc)
 {
-	bool same;
-
-	pthread_mutex_lock(&c->peers_lock);
-	same = strcmp(p->address, address) == 0;
-	pthread_mutex_unlock(&c->peers_lock);
-	return same;
+	p->control = c;
+	p->rpc = rpc;
+	(void)copy_str(p->address, sizeof(p->address), make_str(address));
+	if (p->id != id) {
+		p->id = id;
+		p->resend = false;
+		p->resend_position = 0;
+		p->member = true;
+	}
+	if (p == &c->peers[c->peer_count])
+		c->peer_count++;
 }
 
 struct peer *
 find_control_peer(struct control *c, uint64_t id)
 {
-	struct peer *p = NULL;
+	struct peer *p;
 
 	pthread_mutex_lock(&c->peers_lock);
-	for (size_t i = 0; i < c->peer_count && p == NULL; i++) {
+	p = find_peer(c, id);
+	pthread_mutex_unlock(&c->peers_lock);
+	return p;
+}
+
+/*
+ * peers_lock is held.
+ */
+static struct peer *
+find_peer(struct control *c, uint64_t id)
+{
+	for (size_t i = 0; i < c->peer_count; i++) {
 		if (c->peers[i].id == id)
-			p = &c->peers[i];
+			return &c->peers[i];
 	}
+	return NULL;
+}
+
+int
+open_link(struct control *c, const char *address, struct rpc_peer **out,
+    struct fault *f)
+{
+	int rc;
+
+	pthread_mutex_lock(&c->peers_lock);
+	rc = find_or_open_link(c, address, out, f);
 	pthread_mutex_unlock(&c->peers_lock);
-	return p;
+	return rc;
 }
 
 /*
  * Opens the connection to an address, which all peers with that address share.
  * After SERVICE_LINKS_MAX addresses, the longest unused connection gets the new
- * one. Returns ERR_LIMIT when all are in use.
+ * one. Returns ERR_LIMIT when all are in use. peers_lock is held.
  */
-int
-open_link(struct control *c, const char *address, struct rpc_peer **out,
+static int
+find_or_open_link(struct control *c, const char *address, struct rpc_peer **out,
     struct fault *f)
 {
 	struct link *l = NULL;
-	struct rpc_peer *rpc = NULL;
 	int rc;
 
-	pthread_mutex_lock(&c->peers_lock);
-	for (size_t i = 0; i < c->link_count && rpc == NULL; i++) {
-		if (strcmp(c->links[i].address, address) == 0)
-			rpc = c->links[i].rpc;
+	for (size_t i = 0; i < c->link_count; i++) {
+		if (strcmp(c->links[i].address, address) == 0) {
+			*out = c->links[i].rpc;
+			return 0;
+		}
 	}
-	if (rpc == NULL && c->link_count == SERVICE_LINKS_MAX)
+	if (c->link_count < SERVICE_LINKS_MAX) {
+		l = &c->links[c->link_count];
+		rc = open_rpc_peer(c->client, address, &l->rpc, f);
+	} else {
 		l = find_unused_link(c);
-	pthread_mutex_unlock(&c->peers_lock);
-	if (rpc != NULL) {
-		*out = rpc;
-		return 0;
+		if (l == NULL)
+			return set_fault(f, ERR_LIMIT,
+			    "%d connections to control processes are in use; "
+			    "remove members or seeds",
+			    SERVICE_LINKS_MAX);
+		rc = move_rpc_peer(l->rpc, address, f);
 	}
-	if (l == NULL && c->link_count == SERVICE_LINKS_MAX)
-		return set_fault(f, ERR_LIMIT,
-		    "%d connections to control processes are in use; remove "
-		    "members or seeds",
-		    SERVICE_LINKS_MAX);
-	rc = l != NULL ? move_rpc_peer(l->rpc, address, f) :
-			 open_rpc_peer(c->client, address, &rpc, f);
 	if (rc != 0)
 		return rc;
-	pthread_mutex_lock(&c->peers_lock);
-	if (l == NULL) {
-		l = &c->links[c->link_count++];
-		l->rpc = rpc;
-	}
+	if (l == &c->links[c->link_count])
+		c->link_count++;
 	(void)copy_str(l->address, sizeof(l->address), make_str(address));
 	l->order = c->link_order++;
 	*out = l->rpc;
-	pthread_mutex_unlock(&c->peers_lock);
 	return 0;
 }
 
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -1,8 +1,8 @@
 /*
  * Internals of a control process, shared by its source files only.
  *
- * Lock order: service lock < replica_guard < locks of replica and rpc <
- * metric and event. The replica and the rpc client run callbacks without
+ * Lock order: service lock < replica_guard < peers_lock < locks of replica and
+ * rpc < metric and event. The replica and the rpc client run callbacks without
  * holding their own locks, so callbacks may take the service lock.
  */
 #ifndef SERVICE_H
@@ -225,7 +225,7 @@
 	pthread_rwlock_t replica_guard; /* locked while replica is in use */
 	struct replica *replica; /* NULL: relay, or stopped */
 
-	pthread_mutex_t peers_lock; /* leaf lock: takes no other one */
+	pthread_mutex_t peers_lock; /* takes only that of the rpc client */
 	struct peer peers[CONTROL_PEER_MAX];
 	atomic_size_t peer_count; /* changed under peers_lock */
 	struct link links[SERVICE_LINKS_MAX];
--- a/packages/control/tests/test_fleet.c
+++ b/packages/control/tests/test_fleet.c
@@ -382,6 +382,73 @@
 }
 END_TEST
 
+#define MEMBER_THREADS 3
+#define MEMBER_IDS 15 /* entries of peers that the fleet of two leaves free */
+
+/* Threads that learn the same new members, as from a reply and from the log. */
+struct member_news {
+	struct control *control;
+	pthread_barrier_t *barrier;
+	bool moves; /* each member has moved since the last time */
+};
+
+static const bool member_cases[] = {false, true};
+
+static void *
+learn_members(void *arg)
+{
+	struct member_news *n = arg;
+	char address[48];
+
+	for (int round = 0; round < (n->moves ? 2 : 1); round++) {
+		for (int i = 0; i < MEMBER_IDS; i++) {
+			snprintf(address, sizeof(address), "127.9.%d.%d:7401",
+			    round, 1 + i);
+			pthread_barrier_wait(n->barrier);
+			update_peer(n->control, (uint64_t)(100 + i), address);
+		}
+	}
+	return NULL;
+}
+
+/*
+ * Guards against a member that gets two entries and two connections because two
+ * threads learn of it at once: they use up the table of peers, and a later
+ * address reaches only one of them.
+ */
+START_TEST(members_learned_by_two_threads_get_one_entry)
+{
+	struct member_news n = {.moves = member_cases[_i]};
+	pthread_t threads[MEMBER_THREADS];
+	pthread_barrier_t barrier;
+	struct control *c;
+
+	open_fleet(2, 0, NULL);
+	(void)wait_leader();
+	c = n.control = fleet.members[0].control;
+	n.barrier = &barrier;
+	pthread_barrier_init(&barrier, NULL, MEMBER_THREADS);
+	for (int i = 0; i < MEMBER_THREADS; i++)
+		ck_assert_int_eq(
+		    pthread_create(&threads[i], NULL, learn_members, &n), 0);
+	for (int i = 0; i < MEMBER_THREADS; i++)
+		pthread_join(threads[i], NULL);
+	for (uint64_t id = 100; id < 100 + MEMBER_IDS; id++) {
+		size_t entries = 0, links = 0;
+
+		for (size_t k = 0; k < c->peer_count; k++)
+			entries += c->peers[k].id == id;
+		for (size_t k = 0; k < c->link_count; k++)
+			links += strcmp(c->links[k].address,
+				     find_control_peer(c, id)->address) == 0;
+		ck_assert_uint_eq(entries, 1);
+		ck_assert_uint_eq(links, 1);
+	}
+	pthread_barrier_destroy(&barrier);
+	close_fleet();
+}
+END_TEST
+
 /*
  * Limits the size of the files that this program may write; a write beyond it
  * is refused, as on a full disk. RLIM_INFINITY ends that.
@@ -750,6 +817,8 @@
 	tcase_add_test(t, lost_quorum_is_answered_at_once);
 	tcase_add_test(t, change_goes_to_the_next_leader);
 	tcase_add_test(t, replaced_members_do_not_use_up_the_connections);
+	tcase_add_loop_test(t, members_learned_by_two_threads_get_one_entry, 0,
+	    (int)(sizeof(member_cases) / sizeof(member_cases[0])));
 	tcase_add_test(t, start_waits_for_a_disk_that_refuses_writes);
 	tcase_add_test(t, process_ends_when_its_disk_is_empty);
 	tcase_add_test(t, watches_report_new_versions_and_lost_contact);
