control: a state that was emptied answers no confirmed read

Cause: after a disk has refused an operation, the replica empties the state machine and applies its log again (clear_state_machine). wait_read() gave the lock back after its round was confirmed, and its caller locked again to read; a reader that waited for its round also took a round that was confirmed before the reset. Its thread has to be kept from the processor for the 250 ms until the recovery, as on a paused or crowded machine. A command on a leader had the same gap between reading the status and answering early. A recovering replica also showed itself as recovered for a moment with the time of its contact before the failure, so as not stale.

Change: lock_confirmed_state() returns with the lock held; a reset voids the confirmed rounds, so that reads and new nodes' watches that waited end as unavailable or stale; the status is read under the lock for early answers, and shows a failure before the state is emptied; the time of the last contact is forgotten before the log is opened again (no test: the moment is a few instructions long).

Evidence: control.test_fleet, reset_state_is_not_read_as_confirmed: with the functions renamed but nothing voided, 94%: Checks: 17, Failures: 1, "w.status == 0" in four of four runs; after, three runs: 100%. Also 100%: test_membership, test_replace, test_http, replica.test_replica. Real processes were not seen to do it.

--- a/packages/control/api.c
+++ b/packages/control/api.c
@@ -135,7 +135,11 @@
 	json_t *o = NULL;
 	int rc = 0;
 
-	if (!local && wait_read(c, SERVICE_READ_TIMEOUT_MS) != 0) {
+	if (!local)
+		rc = lock_confirmed_state(c, SERVICE_READ_TIMEOUT_MS);
+	else
+		pthread_mutex_lock(&c->lock);
+	if (rc != 0) {
 		answer_json(a, 503,
 		    json_pack("{s:s,s:s,s:b,s:b,s:I}", "error", "stale", "text",
 			"this control process is cut off from the quorum; ask "
@@ -145,7 +149,6 @@
 			(json_int_t)get_control_version(c)));
 		return;
 	}
-	pthread_mutex_lock(&c->lock);
 	if (csv) {
 		rc = render_table_csv(c->state->table, &a->body);
 	} else {
--- a/packages/control/replace.c
+++ b/packages/control/replace.c
@@ -12,7 +12,7 @@
 
 _Static_assert(API_BODY_MAX <= COMMAND_SOURCE_MAX, "every body can be stored");
 
-static int catch_up_to(struct control *c, uint64_t base);
+static int lock_state_from(struct control *c, uint64_t base);
 static void log_read(
     struct control *c, int rc, uint64_t version, int64_t start);
 static int decode_result(struct str bytes, struct fault *f);
@@ -29,10 +29,9 @@
 {
 	struct buf bytes = {0}, result = {0};
 	struct replacement r = {0};
-	int rc = catch_up_to(c, base);
+	int rc = lock_state_from(c, base);
 
 	if (rc == 0) {
-		pthread_mutex_lock(&c->lock);
 		rc = make_replacement(c->state, base, t, source, &r);
 		pthread_mutex_unlock(&c->lock);
 	}
@@ -69,11 +68,10 @@
 read_control_source(struct control *c, struct buf *out, uint64_t *version)
 {
 	int64_t start = read_mono(&c->cfg.clock);
-	int rc = wait_read(c, SERVICE_READ_TIMEOUT_MS);
+	int rc = lock_confirmed_state(c, SERVICE_READ_TIMEOUT_MS);
 
 	*version = 0;
 	if (rc == 0) {
-		pthread_mutex_lock(&c->lock);
 		*version = c->state->table->version;
 		if (c->state->source.len > 0)
 			rc = append_buf_str(out, view_buf(&c->state->source));
@@ -86,15 +84,17 @@
 }
 
 /*
- * The difference is computed from the local version, which may be behind the
- * base; a confirmed read brings it up to date.
+ * Returns 0 with the lock held. The difference is computed from the local
+ * version, which may be behind the base; a confirmed read brings it up to date.
  */
 static int
-catch_up_to(struct control *c, uint64_t base)
+lock_state_from(struct control *c, uint64_t base)
 {
-	if (get_control_version(c) >= base)
+	pthread_mutex_lock(&c->lock);
+	if (c->state->table->version >= base)
 		return 0;
-	return wait_read(c, SERVICE_READ_TIMEOUT_MS) == 0 ? 0 : ERR_UNAVAILABLE;
+	pthread_mutex_unlock(&c->lock);
+	return lock_confirmed_state(c, SERVICE_READ_TIMEOUT_MS);
 }
 
 /*
--- a/packages/control/replication.c
+++ b/packages/control/replication.c
@@ -234,12 +234,26 @@
 }
 
 /*
- * Waits until a read requested now is confirmed; takes the lock. Returns
- * ERR_UNAVAILABLE when its round fails, as soon as the quorum is known to be
- * lost, or after timeout_ms.
+ * Empties the state, which the replica builds again from its log. Reads that
+ * were confirmed before do not hold for it. The lock is held.
+ */
+void
+reset_control_state(struct control *c)
+{
+	reset_state(c->state);
+	c->reads.confirmed = 0;
+	c->reads.failed = c->reads.started;
+	pthread_cond_broadcast(&c->wake);
+}
+
+/*
+ * Waits until a read requested now is confirmed, and returns 0 with the lock
+ * held, so that nothing can happen to the state before it is read. Returns
+ * ERR_UNAVAILABLE, without the lock, when its round fails, as soon as the
+ * quorum is known to be lost, or after timeout_ms.
  */
 int
-wait_read(struct control *c, int timeout_ms)
+lock_confirmed_state(struct control *c, int timeout_ms)
 {
 	struct timespec start, step;
 	uint64_t round;
@@ -271,7 +285,8 @@
 		}
 		(void)pthread_cond_timedwait(&c->wake, &c->lock, &step);
 	}
-	pthread_mutex_unlock(&c->lock);
+	if (rc != 0)
+		pthread_mutex_unlock(&c->lock);
 	return rc;
 }
 
@@ -365,10 +380,12 @@
 	pthread_mutex_lock(&c->lock);
 	before = c->state->table->version;
 	rc = load_state(c->state, data, &f);
-	if (rc == 0)
+	if (rc == 0) {
 		publish_version(c, before);
-	else
+	} else {
+		reset_control_state(c);
 		write_log(LOG_LEVEL_ERR, "%s", f.text);
+	}
 	pthread_mutex_unlock(&c->lock);
 	return rc;
 }
@@ -383,7 +400,7 @@
 	struct control *c = arg;
 
 	pthread_mutex_lock(&c->lock);
-	reset_state(c->state);
+	reset_control_state(c);
 	pthread_mutex_unlock(&c->lock);
 }
 
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -100,7 +100,7 @@
  */
 struct read_rounds {
 	uint64_t started; /* newest round started */
-	uint64_t confirmed; /* newest confirmed round */
+	uint64_t confirmed; /* newest confirmed round; 0 after a reset */
 	uint64_t failed; /* newest failed round */
 	bool in_flight;
 };
@@ -270,7 +270,9 @@
 uint64_t get_next_read_round(struct control *c); /* lock held */
 void begin_read_round(struct control *c); /* lock held */
 void finish_read_round(struct control *c, bool confirmed); /* lock held */
-int wait_read(struct control *c, int timeout_ms); /* takes the lock */
+void reset_control_state(struct control *c); /* lock held */
+/* Waits for a confirmed read; 0: the lock is held, else it is not. */
+int lock_confirmed_state(struct control *c, int timeout_ms);
 
 /* bootstrap.c: start of a voter whose data folder is empty */
 int open_bootstrap(struct control *c, struct fault *f);
--- a/packages/control/submit.c
+++ b/packages/control/submit.c
@@ -21,6 +21,8 @@
 static void run_submission(struct submission *s, int64_t now, bool lost);
 static uint64_t find_other_leader(const struct submission *s);
 static void try_submission(struct submission *s, int64_t now);
+static bool answer_if_current(
+    struct control *c, struct str bytes, struct buf *result);
 static void forward_submission(struct submission *s, int remaining_ms);
 static struct peer *choose_leader(struct control *c);
 static void finish_proposal(
@@ -146,11 +148,8 @@
 	rc = get_replication_status(c, &st) && st.role == RAFT_LEADER ?
 		 0 :
 		 ERR_UNAVAILABLE;
-	if (rc == 0 && st.current) {
-		pthread_mutex_lock(&c->lock);
-		answered = answer_early(c->state, bytes, &early_result);
-		pthread_mutex_unlock(&c->lock);
-	}
+	if (rc == 0)
+		answered = answer_if_current(c, bytes, &early_result);
 	if (rc != 0 || answered) {
 		send_proposal_reply(c, reply, rc, 0, view_buf(&early_result));
 	} else {
@@ -260,7 +259,7 @@
 	int remaining_ms = (int)((s->deadline_ns - now) / NSEC_PER_MSEC);
 	struct replica_status st;
 	struct buf early_result = {0};
-	bool answered = false, local;
+	bool answered, local;
 	int rc;
 
 	if (remaining_ms < 1)
@@ -273,12 +272,7 @@
 		forward_submission(s, remaining_ms);
 		return;
 	}
-	if (st.current) {
-		pthread_mutex_lock(&c->lock);
-		answered = answer_early(
-		    c->state, view_buf(&s->command), &early_result);
-		pthread_mutex_unlock(&c->lock);
-	}
+	answered = answer_if_current(c, view_buf(&s->command), &early_result);
 	if (answered) {
 		handle_attempt_result(s, 0, view_buf(&early_result));
 	} else {
@@ -290,6 +284,24 @@
 	unload_buf(&early_result);
 }
 
+/*
+ * Answers a command early on a leader whose state has all earlier commands. The
+ * status is read under the lock: a replica that fails shows that in its status
+ * before it empties the state.
+ */
+static bool
+answer_if_current(struct control *c, struct str bytes, struct buf *result)
+{
+	struct replica_status st;
+	bool answered;
+
+	pthread_mutex_lock(&c->lock);
+	answered = get_replication_status(c, &st) && st.current &&
+		   answer_early(c->state, bytes, result);
+	pthread_mutex_unlock(&c->lock);
+	return answered;
+}
+
 /*
  * Sends the command to the presumed leader. Without one the attempt fails with
  * ERR_UNAVAILABLE.
--- a/packages/control/tests/test_fleet.c
+++ b/packages/control/tests/test_fleet.c
@@ -304,7 +304,7 @@
 	pthread_mutex_lock(&c->lock);
 	rounds = c->reads.started;
 	pthread_mutex_unlock(&c->lock);
-	ck_assert_int_eq(wait_read(c, forever_ms), ERR_UNAVAILABLE);
+	ck_assert_int_eq(lock_confirmed_state(c, forever_ms), ERR_UNAVAILABLE);
 	pthread_mutex_lock(&c->lock);
 	ck_assert_uint_eq(c->reads.started, rounds);
 	pthread_mutex_unlock(&c->lock);
@@ -382,6 +382,87 @@
 }
 END_TEST
 
+#define RESET_WAIT_MS 10000 /* of the read */
+
+/* Whether the state is emptied between a confirmed read and its answer. */
+struct reset_case {
+	bool resets;
+	int want;
+};
+
+static const struct reset_case reset_cases[] = {
+    {false, 0},
+    {true, ERR_UNAVAILABLE},
+};
+
+/* A read that waits, and the version that it saw. */
+struct waiting_read {
+	struct control *control;
+	atomic_bool starts, done;
+	int status;
+	uint64_t version;
+};
+
+static void *
+read_version_in_thread(void *arg)
+{
+	struct waiting_read *w = arg;
+
+	atomic_store(&w->starts, true);
+	w->status = lock_confirmed_state(w->control, RESET_WAIT_MS);
+	if (w->status == 0) {
+		w->version = w->control->state->table->version;
+		pthread_mutex_unlock(&w->control->lock);
+	}
+	atomic_store(&w->done, true);
+	return NULL;
+}
+
+/*
+ * Guards against a read that was confirmed, but whose thread runs only after a
+ * disk was refused and the replica has emptied the state to build it again: it
+ * would answer an older version than one that was acknowledged, or none.
+ */
+START_TEST(reset_state_is_not_read_as_confirmed)
+{
+	const struct reset_case *rc = &reset_cases[_i];
+	struct waiting_read w = {.version = 0};
+	struct control *c;
+	bool idle = false;
+	pthread_t t;
+
+	open_fleet(1, 0, NULL);
+	ck_assert_int_eq(import_table(wait_leader(), 0, "k1"), 1);
+	c = w.control = fleet.members[0].control;
+	/* No round ends but by this test. */
+	while (!idle) {
+		pthread_mutex_lock(&c->lock);
+		idle = !c->reads.in_flight;
+		c->reads.in_flight = true;
+		pthread_mutex_unlock(&c->lock);
+	}
+	ck_assert_int_eq(
+	    pthread_create(&t, NULL, read_version_in_thread, &w), 0);
+	while (!atomic_load(&w.starts))
+		sleep_ms(1);
+	sleep_ms(200); /* so that the read waits for its round */
+	do {
+		pthread_mutex_lock(&c->lock);
+		c->reads.started++;
+		finish_read_round(c, true);
+		c->reads.in_flight = true;
+		if (rc->resets)
+			reset_control_state(c);
+		pthread_mutex_unlock(&c->lock);
+		sleep_ms(10);
+	} while (!rc->resets && !atomic_load(&w.done));
+	pthread_join(t, NULL);
+	ck_assert_int_eq(w.status, rc->want);
+	ck_assert_uint_eq(w.version, rc->want == 0 ? 1 : 0);
+	close_fleet();
+}
+END_TEST
+
 #define MEMBER_THREADS 3
 #define MEMBER_IDS 15 /* entries of peers that the fleet of two leaves free */
 
@@ -817,6 +898,8 @@
 	tcase_add_test(t, lost_quorum_is_answered_at_once);
 	tcase_add_test(t, change_goes_to_the_next_leader);
 	tcase_add_test(t, replaced_members_do_not_use_up_the_connections);
+	tcase_add_loop_test(t, reset_state_is_not_read_as_confirmed, 0,
+	    (int)(sizeof(reset_cases) / sizeof(reset_cases[0])));
 	tcase_add_loop_test(t, members_learned_by_two_threads_get_one_entry, 0,
 	    (int)(sizeof(member_cases) / sizeof(member_cases[0])));
 	tcase_add_test(t, start_waits_for_a_disk_that_refuses_writes);
--- a/packages/replica/recover.c
+++ b/packages/replica/recover.c
@@ -65,9 +65,6 @@
 	rc = reopen_replica(r, &f);
 	if (rc == 0) {
 		r->recovered_at = now;
-		pthread_mutex_lock(&r->lock);
-		r->last_contact_ns = -1;
-		pthread_mutex_unlock(&r->lock);
 		WRITE_EVENT(LOG_LEVEL_NOTICE, "replica.recovered",
 		    LOG_INT("member", r->cfg.id));
 	} else if (rc == ERR_NOT_FOUND || rc == ERR_INVALID) {
@@ -93,6 +90,10 @@
 	r->quorum_contacts = 0;
 	memset(&r->log_time, 0, sizeof(r->log_time));
 	r->cfg.need_data = r->has_stored;
+	/* Before the new status shows: the state may be older than then. */
+	pthread_mutex_lock(&r->lock);
+	r->last_contact_ns = -1;
+	pthread_mutex_unlock(&r->lock);
 	return load_replica(r, f);
 }
 
