tests: disks that refuse reads or have little room

The file layer gets two words: read refuses reads, and room=N refuses writes that would let the files of a folder grow beyond N bytes, as a quota does; the part that fits is written.

--- a/apps/greengagespurd/tests/faulty_disk.c
+++ b/apps/greengagespurd/tests/faulty_disk.c
@@ -10,9 +10,13 @@
  *   write: writes are refused; with part, half of the bytes are written first
  *   name: files cannot be created, renamed, removed or shortened
  *   sync: syncs are refused, of files and folders
+ *   read: reads are refused
+ *   room=N: writes that would let the files in the folder grow beyond N bytes
+ *     in all are refused, as on a full disk; the part that fits is written
  *   errno=N: of refused operations; ENOSPC without it
  *   hang_ms=N: writes and syncs take this long first, while switched on
  */
+#include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <stdarg.h>
@@ -31,8 +35,9 @@
 #define HANG_STEP_NS 10000000 /* between looks at the switch while hanging */
 
 struct faults {
-	bool write, part, name, sync;
+	bool write, part, name, sync, read;
 	int error;
+	long long room; /* 0: no bound */
 	long hang_ms;
 };
 
@@ -47,6 +52,10 @@
 static int sync_descriptor(long number, int fd);
 static ssize_t write_descriptor(
     int fd, const void *data, size_t len, off_t at, bool has_at);
+static size_t fit_into_room(
+    long long room, int fd, size_t len, off_t at, bool has_at);
+static long long get_folder_bytes(void);
+static bool refuse_read(int fd);
 
 int
 open(const char *path, int flags, ...)
@@ -90,6 +99,18 @@
 	return write_descriptor(fd, data, len, at, true);
 }
 
+ssize_t
+read(int fd, void *data, size_t len)
+{
+	return refuse_read(fd) ? -1 : syscall(SYS_read, fd, data, len);
+}
+
+ssize_t
+pread(int fd, void *data, size_t len, off_t at)
+{
+	return refuse_read(fd) ? -1 : syscall(SYS_pread64, fd, data, len, at);
+}
+
 int
 ftruncate(int fd, off_t len)
 {
@@ -162,10 +183,13 @@
 		f.part = f.part || strcmp(word, "part") == 0;
 		f.name = f.name || strcmp(word, "name") == 0;
 		f.sync = f.sync || strcmp(word, "sync") == 0;
+		f.read = f.read || strcmp(word, "read") == 0;
 		if (strncmp(word, "errno=", 6) == 0)
 			f.error = atoi(word + 6);
 		if (strncmp(word, "hang_ms=", 8) == 0)
 			f.hang_ms = atol(word + 8);
+		if (strncmp(word, "room=", 5) == 0)
+			f.room = atoll(word + 5);
 	}
 	return f;
 }
@@ -244,7 +268,66 @@
 		cut_short[fd] = f.write;
 		if (f.write)
 			len /= 2;
+		if (f.room > 0 && len > 0) {
+			len = fit_into_room(f.room, fd, len, at, has_at);
+			if (len == 0) {
+				errno = ENOSPC;
+				return -1;
+			}
+		}
 	}
 	return has_at ? syscall(SYS_pwrite64, fd, data, len, at) :
 			syscall(SYS_write, fd, data, len);
 }
+
+/*
+ * Returns how many of the bytes may be written at that offset, or at the
+ * descriptor's own one.
+ */
+static size_t
+fit_into_room(long long room, int fd, size_t len, off_t at, bool has_at)
+{
+	long long left = room - get_folder_bytes();
+	struct stat st;
+
+	if (fstat(fd, &st) != 0)
+		return len;
+	if (!has_at)
+		at = lseek(fd, 0, SEEK_CUR);
+	left += st.st_size - at; /* bytes that exist already need no room */
+	if (left <= 0)
+		return 0;
+	return (long long)len < left ? len : (size_t)left;
+}
+
+static long long
+get_folder_bytes(void)
+{
+	const char *dir = getenv("GGS_FAULTY_DIR");
+	DIR *d = dir != NULL ? opendir(dir) : NULL;
+	struct dirent *e;
+	struct stat st;
+	long long sum = 0;
+
+	while (d != NULL && (e = readdir(d)) != NULL) {
+		if (fstatat(dirfd(d), e->d_name, &st, 0) == 0 &&
+		    S_ISREG(st.st_mode))
+			sum += st.st_size;
+	}
+	if (d != NULL)
+		closedir(d);
+	return sum;
+}
+
+static bool
+refuse_read(int fd)
+{
+	struct faults f;
+
+	if (!is_affected(fd))
+		return false;
+	f = read_switch();
+	if (f.read)
+		errno = f.error;
+	return f.read;
+}
