--- a/scenarios/hung_disk.lua
+++ b/scenarios/hung_disk.lua
@@ -2,17 +2,18 @@
 -- than config-apply-s because the disk of their control process hangs. A change
 -- is sent just as the disks of two of five control processes begin to hang, and
 -- each node is asked from config-apply-s after the acknowledgement on.
--- usage: hung_disk.lua SEED [ROUNDS [NODES]]
+-- usage: hung_disk.lua SEED [ROUNDS [NODES [FAULT [leader]]]]
+-- With "leader", the leader is one of the two. FAULT is one of faulty_disk.c.
 local fleet = require "fleet"
 local operator = require "operator"
 local deployment = dofile(ROOT .. "/platform/tests/deployment.lua")
 
 local APPLY_MS = 2000 -- config-apply-s
 local ASK_MS = 500 -- time after it in which the nodes are asked
-local HANG = "hang_ms=30000"
 
 local seed = math.tointeger(tonumber(arg[1] or "1"))
 local rounds = tonumber(arg[2] or "2")
+local fault = arg[4] or "hang_ms=30000"
 math.randomseed(seed)
 
 local p = deployment.new("hung-" .. seed, 5, tonumber(arg[3] or "10"))
@@ -41,17 +42,24 @@
 	end
 	local first = math.random(#others)
 	local victims = {others[first], others[first % #others + 1]}
+	local sound = leader
+	if arg[5] == "leader" then
+		victims[2], sound = leader, others[first % #others + 1]
+	end
 	local pick = p.pick_core
-	p.pick_core = function() return leader end
+	p.pick_core = function() return sound end
 	op:change_within(4000)
 	sys.sleep(math.random(1000, 1300))
 	for _, m in ipairs(victims) do
-		fleet.set_disk(m, HANG)
+		fleet.set_disk(m, fault)
 	end
 	local ms = op:change_within(4000)
 	p.pick_core = pick
 	local acked = sys.now_ms()
-	sys.sleep(math.floor(APPLY_MS - (sys.now_ms() - acked)) + 1)
+	while sys.now_ms() - acked < APPLY_MS do
+		p:watch()
+		sys.sleep(5)
+	end
 	local before, latest = #op.broken, 0
 	while sys.now_ms() - acked < APPLY_MS + ASK_MS do
 		local count = #op.broken
@@ -71,6 +79,7 @@
 	p:wait_in_force(4000)
 end
 op:finish()
-local ok = op:report("hung_disk seed " .. seed)
+local ok = op:report(string.format("hung_disk seed %d \"%s\" %s",
+	seed, fault, arg[5] or ""))
 p:stop()
 fleet.check(ok, "rule CONFIG is broken")
