--- a/scenarios/hung_disk.lua
+++ b/scenarios/hung_disk.lua
@@ -5,7 +5,7 @@
 -- usage: hung_disk.lua SEED [ROUNDS [NODES [FAULT [leader]]]]
 -- With "leader", the leader is one of the two. FAULT is one of faulty_disk.c.
 local fleet = require "fleet"
-local operator = require "operator"
+local operator = dofile(ROOT .. "/platform/tests/operator.lua")
 local deployment = dofile(ROOT .. "/platform/tests/deployment.lua")
 
 local APPLY_MS = 2000 -- config-apply-s
