control: a test of claims sends a claim again while its outcome is unknown

The old leader is cut off, and the command waits for the next one; since it ends as unknown after 0.9 s without a quorum.

Unknown is a true answer, and a node sends the claim again. The test does so now; that the claim is never granted, and that it ends as a conflict with the first answer, is checked as before.

--- a/packages/control/tests/fleet_fixture.h
+++ b/packages/control/tests/fleet_fixture.h
@@ -442,4 +442,25 @@
 	return r;
 }
 
+/*
+ * Sends a claim as a node does, again while its outcome is not known: a second
+ * election in a row can take longer than a command waits without a quorum.
+ */
+static inline struct wire_claim_reply
+send_claim_until_known(struct rpc_peer *p, const char *key, char id,
+    enum wire_claim_state state, const char *answer)
+{
+	struct wire_claim_reply r = send_claim(p, key, id, state, answer);
+
+	for (int i = 0;
+	     i < FLEET_WAIT_S * 20 &&
+	     (r.status == WIRE_UNKNOWN || r.status == WIRE_UNAVAILABLE);
+	     i++) {
+		unload_wire((xdrproc_t)xdr_wire_claim_reply, &r);
+		sleep_ms(50);
+		r = send_claim(p, key, id, state, answer);
+	}
+	return r;
+}
+
 #endif
--- a/packages/control/tests/test_fleet.c
+++ b/packages/control/tests/test_fleet.c
@@ -684,7 +684,8 @@
 	ck_assert_int_eq(r.status, WIRE_OK);
 	unload_wire((xdrproc_t)xdr_wire_claim_reply, &r);
 	atomic_store(&fleet.members[leader].partition, PARTITION_ALL);
-	r = send_claim(n[(leader + 1) % 3], "pay-1", 'y', WIRE_CLAIM_OPEN, "");
+	r = send_claim_until_known(
+	    n[(leader + 1) % 3], "pay-1", 'y', WIRE_CLAIM_OPEN, "");
 	ck_assert_int_eq(r.status, WIRE_CONFLICT);
 	ck_assert_int_eq(r.state, WIRE_CLAIM_RAN);
 	ck_assert_uint_eq(r.answer.answer_len, 4);
