wal: an empty log of another member is given to the new id

Seen: a control process that was killed, or lost power, before its log had stored anything ended at each later start, for good: "DIR belongs to member A; use its own data directory or an empty one". After a kill of all within the first second of a fleet, two of five control processes were lost that way, which uses up the losses that the fleet is to bear; the same holds for each machine that replaces another one and is killed before the leader has reached it.

Cause: a process that finds its stored id with an empty log chooses a new id, since the old one may have voted. But the first opening of the log had already written a hard state and a segment with the old id, so the second one refused them, in this start and all later ones.

Its segments are removed durably before the hard state changes.

--- a/packages/wal/files.c
+++ b/packages/wal/files.c
@@ -207,7 +207,8 @@
 
 /*
  * Loads term and vote into w->hard. Returns ERR_NOT_FOUND for a new directory,
- * ERR_INVALID when it belongs to another member and ERR_CORRUPT.
+ * ERR_CORRUPT, and ERR_INVALID when it belongs to another member, whose term
+ * and vote are then in w->hard.
  */
 int
 load_hard_state(struct wal *w, struct fault *f)
@@ -220,15 +221,15 @@
 		get_u32(b.data + 4) != WAL_FORMAT ||
 		get_u64(b.data + 32) != hash_bytes(b.data, 32, 0)))
 		rc = set_damage_fault(f, STATE_NAME, "checksum");
+	if (rc == 0) {
+		w->hard.term = get_u64(b.data + 16);
+		w->hard.vote = get_u64(b.data + 24);
+	}
 	if (rc == 0 && get_u64(b.data + 8) != w->id)
 		rc = set_fault(f, ERR_INVALID,
 		    "%s belongs to member %llu; use its own data directory or "
 		    "an empty one",
 		    w->dir, (unsigned long long)get_u64(b.data + 8));
-	if (rc == 0) {
-		w->hard.term = get_u64(b.data + 16);
-		w->hard.vote = get_u64(b.data + 24);
-	}
 	unload_buf(&b);
 	return rc;
 }
--- a/packages/wal/tests/test_wal.c
+++ b/packages/wal/tests/test_wal.c
@@ -337,6 +337,87 @@
 }
 END_TEST
 
+static int
+open_mem_wal_of(
+    struct mem_disk *d, uint64_t id, struct wal **w, struct fault *f)
+{
+	struct wal_io io = get_mem_io(d);
+	struct wal_config cfg = {
+	    .dir = "/data", .id = id, .segment_bytes = 400, .io = &io};
+
+	return open_wal(&cfg, w, f);
+}
+
+/*
+ * Guards against a process that can never start again: it was killed before its
+ * log had stored anything, and chooses another id when it starts again. That
+ * log is given to the new id, whatever fails meanwhile, and only as long as it
+ * is empty.
+ */
+START_TEST(empty_log_of_another_member_is_taken_over)
+{
+	static const enum mem_fault ways[] = {MEM_FAULT_NONE, MEM_FAULT_ONCE,
+	    MEM_FAULT_CRASH, MEM_FAULT_FULL, MEM_FAULT_SYNC, MEM_FAULT_NAMES};
+	struct mem_disk *d = calloc(1, sizeof(*d));
+	struct fault f = {0};
+	struct wal *w;
+	struct rng rng;
+	int rc;
+
+	for (uint64_t seed = 0; seed < 20 * 30 * 6; seed++) {
+		seed_rng(&rng, seed);
+		ck_assert_int_eq(open_mem_wal_of(d, 7, &w, &f), 0);
+		close_wal(w);
+		cut_power(d, &rng);
+		d->fault = ways[seed % 6];
+		d->fault_at = 1 + seed / 6 % 30;
+		rc = open_mem_wal_of(d, 8, &w, &f);
+		ck_assert_msg(rc == 0 || rc == ERR_IO, "%s", f.text);
+		if (rc == 0)
+			close_wal(w);
+		cut_power(d, &rng);
+		ck_assert_msg(open_mem_wal_of(d, 8, &w, &f) == 0, "seed %d: %s",
+		    (int)seed, f.text);
+		ck_assert(is_wal_empty(w));
+		ck_assert_int_eq(store_hard(w, 1, 8, &f), 0);
+		ck_assert_int_eq(store_entries_at(w, 1, 1, 2, &f), 0);
+		close_wal(w);
+		cut_power(d, &rng);
+		ck_assert_int_eq(open_mem_wal_of(d, 7, &w, &f), ERR_INVALID);
+		ck_assert_int_eq(open_mem_wal_of(d, 8, &w, &f), 0);
+		check_entries(w, 1, 2, 1);
+		close_wal(w);
+		unload_mem_disk(d);
+	}
+	free(d);
+}
+END_TEST
+
+/*
+ * Guards against taking over a log that has stored a vote, or the members of a
+ * bootstrap only: its id may not be forgotten.
+ */
+START_TEST(used_log_of_another_member_is_not_taken_over)
+{
+	struct mem_disk *d = calloc(1, sizeof(*d));
+	struct fault f = {0};
+	struct wal *w;
+
+	ck_assert_int_eq(open_mem_wal_of(d, 7, &w, &f), 0);
+	if (_i == 0)
+		ck_assert_int_eq(store_hard(w, 1, 9, &f), 0);
+	else
+		ck_assert_int_eq(save_snapshot(w, 0, 0, &f), 0);
+	close_wal(w);
+	ck_assert_int_eq(open_mem_wal_of(d, 8, &w, &f), ERR_INVALID);
+	ck_assert_int_eq(open_mem_wal_of(d, 7, &w, &f), 0);
+	ck_assert(!is_wal_empty(w));
+	close_wal(w);
+	unload_mem_disk(d);
+	free(d);
+}
+END_TEST
+
 /*
  * Guards against a member that starts with another member's data directory and
  * so votes with its term and vote.
@@ -905,6 +986,9 @@
 	tcase_add_test(t, last_record_torn_at_any_byte_is_truncated);
 	tcase_add_test(t, any_flipped_byte_is_detected);
 	tcase_add_test(t, missing_state_or_segment_is_refused);
+	tcase_add_test(t, empty_log_of_another_member_is_taken_over);
+	tcase_add_loop_test(
+	    t, used_log_of_another_member_is_not_taken_over, 0, 2);
 	tcase_add_test(t, directory_of_another_member_is_refused);
 	tcase_add_test(t, probe_tells_whether_the_disk_takes_writes);
 	tcase_add_loop_test(t, fault_at_any_operation_loses_no_durable_state, 0,
--- a/packages/wal/wal.c
+++ b/packages/wal/wal.c
@@ -17,6 +17,7 @@
     struct wal *w, const struct raft_store *s, struct fault *f);
 static int load_files(
     struct wal *w, struct buf *old_snapshots, struct fault *f);
+static int discard_empty_log(struct wal *w, struct fault *f);
 static int remove_old_snapshot(struct wal *w, uint64_t index, struct fault *f);
 static int remove_old_segments(struct wal *w, struct fault *f);
 
@@ -324,6 +325,10 @@
  * which is synced, before anything depends on it; to read it back is no proof.
  * Older segments were synced before the next one was created. Returns the errors
  * of open_wal().
+ *
+ * A log of another member that has never stored a term or a snapshot is empty,
+ * since the term of an entry is stored before it. It is given to this member: a
+ * process that was killed so early may have chosen another id since.
  */
 static int
 load_files(struct wal *w, struct buf *old_snapshots, struct fault *f)
@@ -347,6 +352,8 @@
 	if (rc != 0)
 		return rc;
 	rc = load_hard_state(w, f);
+	if (rc == ERR_INVALID && w->hard.term == 0 && !has_snapshot)
+		rc = discard_empty_log(w, f);
 	if (rc == ERR_NOT_FOUND) {
 		if (w->segment_count > 0 || has_snapshot)
 			return set_damage_fault(f, w->dir,
@@ -365,6 +372,30 @@
 	return rc == 0 ? replay_log(w, f) : rc;
 }
 
+/*
+ * Removes the segments of an empty log. Their removal is made durable before
+ * the hard state names this member, because after a power cut a segment of
+ * another member beside it would count as damage. Returns ERR_NOT_FOUND, as for
+ * a new directory, or ERR_IO.
+ */
+static int
+discard_empty_log(struct wal *w, struct fault *f)
+{
+	char name[WAL_PATH_BYTES];
+	int rc = 0;
+
+	w->hard = (struct raft_hard_state){0};
+	for (size_t i = 0; i < w->segment_count && rc == 0; i++) {
+		format_segment_name(w->segments[i].number, name);
+		rc = remove_wal_file(w, name, f);
+	}
+	if (rc != 0)
+		return rc;
+	w->segment_count = 0;
+	rc = w->io.sync_dir(w->io.arg, w->dir);
+	return rc != 0 ? fail_wal(w, f, "sync", w->dir, rc) : ERR_NOT_FOUND;
+}
+
 /*
  * Loads the files, then removes those that the newest snapshot covers: an
  * earlier run may have ended, or failed, before it removed them, and a power
