control: initial voters that restart before the group exists go on with it

Seen: control processes that are killed, stopped or lose power in the first second of a fleet, before the group is bootstrapped, and start again. With the flag of the first start, one of the others ended for good: "the data folder is empty, but process A is in a group that knows process B as a voter". Without it, which is the case on the platform, they joined under new ids, and if more than one did so, no group ever came about: no change was acknowledged any more.

Cause: only the settings said who bootstraps. A stored id was loaded before that was decided, so with the flag the process bootstrapped at once, without having shown the others that it had no group; without it, the initial voters were gone, though their disks were not.

Change: the list of initial voters is stored in the data folder before the id and removed once the log has the members. A process that finds it, with an empty log, queries the others as at its first start; a group that exists meanwhile is the one that it was to bootstrap, since its disk shows that it has never voted. The list also keeps the initial voters the same if the settings name others by now. If a disk comes back without the list, the strict rule holds again.

Ruled out: to bootstrap with a majority of the initial voters, which one that had voted and lost its disk could join.

What remains: if two of three initial voters lose their disks before the group exists, none comes about.

--- a/packages/control/bootstrap.c
+++ b/packages/control/bootstrap.c
@@ -76,6 +76,8 @@
 		return rc;
 	s->founder = find_initial_voters(c, &initial_voters);
 	rc = start_replication(c, !s->founder || initial_voters.count > 1, f);
+	if (rc == 0)
+		discard_initial_voters(c);
 	if (rc != ERR_NOT_FOUND)
 		return rc;
 	if (c->cfg.auto_members && !s->founder)
@@ -105,6 +107,7 @@
 
 	if (!s->waits_for_disk || now < s->next_open_ns)
 		return;
+	check_resumption(c);
 	rc = open_storage(c, &f);
 	if (rc == ERR_IO) {
 		delay_open(c, now);
@@ -192,7 +195,8 @@
 	struct bootstrap *s = &c->bootstrap;
 
 	pthread_mutex_lock(&c->lock);
-	if (s->pending && !s->failed && s->founder && !is_seen(s, from))
+	if (s->pending && !s->failed && s->founder && !is_seen(s, from) &&
+	    !c->membership.resumes)
 		refuse_start(c, from);
 	pthread_mutex_unlock(&c->lock);
 }
@@ -292,7 +296,9 @@
  * An initial voter that was seen without a group since this process started and
  * now has one bootstrapped it in the same start, with this process as a member
  * that has not voted yet. Any other group is older than this process, which
- * then refuses to start. A joining process must not be a voter of the group.
+ * then refuses to start, unless the data folder shows that it is this group that
+ * an earlier process was about to bootstrap, and that its disk was not lost. A
+ * joining process must not be a voter of the group.
  */
 static void
 evaluate_reply(
@@ -302,6 +308,8 @@
 
 	if (s->founder && !r->exists)
 		add_seen(c, peer);
+	else if (s->founder && c->membership.resumes)
+		add_seen(c, peer);
 	else if (s->founder && !is_seen(s, peer))
 		refuse_start(c, peer);
 	else if (!s->founder && r->exists && r->voter)
@@ -360,6 +368,8 @@
 	struct fault f = {0};
 	int rc = start_replication(c, false, &f);
 
+	if (rc == 0)
+		discard_initial_voters(c);
 	pthread_mutex_lock(&c->lock);
 	c->bootstrap.pending = false;
 	c->bootstrap.failed = rc != 0;
--- a/packages/control/identity.c
+++ b/packages/control/identity.c
@@ -1,5 +1,6 @@
 /*
- * The file with the id of a control process, and how ids are chosen.
+ * The files with the id of a control process and with the initial voters, and
+ * how ids are chosen.
  */
 #include <errno.h>
 #include <fcntl.h>
@@ -11,9 +12,12 @@
 #include "identity.h"
 
 #define FILE_NAME "identity"
+#define VOTERS_FILE_NAME "initial-voters"
 #define PATH_BYTES 512
 #define RANDOM_BIT (1ULL << 62) /* set in random ids, clear in derived ones */
 
+static int replace_text(
+    const char *dir, const char *name, const char *text, struct fault *f);
 static int sync_dir(const char *dir);
 static int write_file(const char *path, const char *text);
 
@@ -45,39 +49,65 @@
 	return 0;
 }
 
-/*
- * Writes and syncs a temporary file and renames it, so that a crash leaves
- * either the old id or the new one. Creates the folder when it is missing.
- */
 int
 save_identity(const char *dir, uint64_t id, struct fault *f)
 {
-	char path[PATH_BYTES], temp[PATH_BYTES], text[32];
-	int rc;
+	char text[32];
 
-	if (mkdir(dir, 0700) != 0 && errno != EEXIST)
-		return set_fault(f,
-		    errno == EACCES || errno == ENOENT || errno == ENOTDIR ?
-			ERR_DENIED :
-			ERR_IO,
-		    "cannot create the data folder %s: %s; check the parent "
-		    "folder and its mode",
-		    dir, strerror(errno));
-	snprintf(path, sizeof(path), "%s/" FILE_NAME, dir);
-	snprintf(temp, sizeof(temp), "%s/" FILE_NAME ".new", dir);
 	snprintf(text, sizeof(text), "%llu\n", (unsigned long long)id);
-	rc = write_file(temp, text);
-	if (rc == 0 && rename(temp, path) != 0)
-		rc = -errno;
-	if (rc == 0)
-		rc = sync_dir(dir);
-	if (rc != 0)
+	return replace_text(dir, FILE_NAME, text, f);
+}
+
+/*
+ * The file has one address a line.
+ */
+int
+load_voter_list(const char *dir, struct voter_list *out, struct fault *f)
+{
+	char path[PATH_BYTES], line[RPC_ADDRESS_BYTES + 1];
+	FILE *in;
+
+	memset(out, 0, sizeof(*out));
+	snprintf(path, sizeof(path), "%s/" VOTERS_FILE_NAME, dir);
+	in = fopen(path, "re");
+	if (in == NULL && errno == ENOENT)
+		return ERR_NOT_FOUND;
+	if (in == NULL)
 		return set_fault(f, ERR_IO,
-		    "cannot write %s: %s; free disk space or check the disk",
-		    path, strerror(-rc));
+		    "cannot read %s: %s; check the disk", path,
+		    strerror(errno));
+	while (out->count < CONTROL_PEER_MAX &&
+	       fgets(line, sizeof(line), in) != NULL) {
+		line[strcspn(line, "\n")] = '\0';
+		(void)copy_str(out->address[out->count], RPC_ADDRESS_BYTES,
+		    make_str(line));
+		out->count++;
+	}
+	fclose(in);
 	return 0;
 }
 
+int
+save_voter_list(const char *dir, const struct voter_list *list, struct fault *f)
+{
+	char text[CONTROL_PEER_MAX * (RPC_ADDRESS_BYTES + 1)] = "";
+	size_t len = 0;
+
+	for (size_t i = 0; i < list->count; i++)
+		len += (size_t)snprintf(
+		    text + len, sizeof(text) - len, "%s\n", list->address[i]);
+	return replace_text(dir, VOTERS_FILE_NAME, text, f);
+}
+
+void
+remove_voter_list(const char *dir)
+{
+	char path[PATH_BYTES];
+
+	snprintf(path, sizeof(path), "%s/" VOTERS_FILE_NAME, dir);
+	(void)unlink(path);
+}
+
 /*
  * Packs an IPv4 address and its port into 48 bits; hashes any other address.
  */
@@ -102,6 +132,39 @@
 	return (draw_u64(&r) >> 2) | RANDOM_BIT;
 }
 
+/*
+ * Writes and syncs a temporary file and renames it, so that a crash leaves
+ * either the old text or the new one. Creates the folder when it is missing.
+ */
+static int
+replace_text(
+    const char *dir, const char *name, const char *text, struct fault *f)
+{
+	char path[PATH_BYTES], temp[PATH_BYTES];
+	int rc;
+
+	if (mkdir(dir, 0700) != 0 && errno != EEXIST)
+		return set_fault(f,
+		    errno == EACCES || errno == ENOENT || errno == ENOTDIR ?
+			ERR_DENIED :
+			ERR_IO,
+		    "cannot create the data folder %s: %s; check the parent "
+		    "folder and its mode",
+		    dir, strerror(errno));
+	snprintf(path, sizeof(path), "%s/%s", dir, name);
+	snprintf(temp, sizeof(temp), "%s/%s.new", dir, name);
+	rc = write_file(temp, text);
+	if (rc == 0 && rename(temp, path) != 0)
+		rc = -errno;
+	if (rc == 0)
+		rc = sync_dir(dir);
+	if (rc != 0)
+		return set_fault(f, ERR_IO,
+		    "cannot write %s: %s; free disk space or check the disk",
+		    path, strerror(-rc));
+	return 0;
+}
+
 static int
 sync_dir(const char *dir)
 {
--- a/packages/control/membership.c
+++ b/packages/control/membership.c
@@ -16,6 +16,7 @@
 /* A member without a leader for longer than this may have been replaced. */
 #define JOIN_NO_LEADER_NS (1500 * NSEC_PER_MSEC)
 
+static bool lists_itself(const struct control *c);
 static bool is_join_due(struct control *c, int64_t now);
 static struct rpc_peer *choose_target(struct control *c);
 static void send_join(struct control *c, int64_t now);
@@ -32,6 +33,10 @@
  * Loads the id of this process, or chooses one if the data folder is empty; the
  * bootstrap stores it. Returns ERR_CORRUPT or ERR_IO when the stored id cannot
  * be read. Does nothing without automatic membership.
+ *
+ * If the folder has the list of initial voters, an earlier process was ended
+ * before the group existed for it. This one goes on with that list, since the
+ * settings may name other seeds by now, and no first start.
  */
 int
 open_membership(struct control *c, struct fault *f)
@@ -44,14 +49,21 @@
 		return 0;
 	m->voters_wanted = c->cfg.voters_wanted;
 	rc = load_identity(c->cfg.data_dir, &c->id, f);
-	if (rc == 0) {
-		m->id_loaded = true;
-		return 0;
-	}
 	if (rc == ERR_CORRUPT || rc == ERR_IO)
 		return rc;
+	m->id_loaded = rc == 0;
+	rc = load_voter_list(c->cfg.data_dir, &m->initial, f);
+	if (rc == ERR_IO)
+		return rc;
 	*f = ignored;
-	choose_identity(c);
+	m->resumes =
+	    rc == 0 && lists_itself(c) &&
+	    (!m->id_loaded || c->id == derive_identity(c->cfg.rpc_listen));
+	m->bootstraps = m->resumes;
+	if (m->resumes)
+		c->id = derive_identity(c->cfg.rpc_listen);
+	else if (!m->id_loaded)
+		choose_identity(c);
 	return 0;
 }
 
@@ -63,26 +75,61 @@
 void
 choose_identity(struct control *c)
 {
-	bool bootstraps = false;
+	struct membership *m = &c->membership;
 
-	for (size_t i = 0; i < c->cfg.seed_count; i++) {
-		if (strcmp(c->cfg.seeds[i], c->cfg.rpc_listen) == 0)
-			bootstraps = c->cfg.first_start;
-	}
-	c->membership.id_loaded = false;
-	c->membership.bootstraps = bootstraps;
-	c->id =
-	    bootstraps ? derive_identity(c->cfg.rpc_listen) : draw_identity();
+	m->initial.count = 0;
+	for (size_t i = 0; i < c->cfg.seed_count && c->cfg.first_start; i++)
+		(void)copy_str(m->initial.address[m->initial.count++],
+		    RPC_ADDRESS_BYTES, make_str(c->cfg.seeds[i]));
+	m->id_loaded = false;
+	m->bootstraps = lists_itself(c);
+	c->id = m->bootstraps ? derive_identity(c->cfg.rpc_listen) :
+				draw_identity();
 }
 
 /*
- * Stores the id durably. Does nothing without automatic membership.
+ * Stores the id durably, after the list of initial voters, without which the id
+ * of one of them is of no use. Does nothing without automatic membership.
  */
 int
 store_identity(struct control *c, struct fault *f)
 {
-	return c->cfg.auto_members ? save_identity(c->cfg.data_dir, c->id, f) :
-				     0;
+	struct membership *m = &c->membership;
+	int rc = 0;
+
+	if (!c->cfg.auto_members)
+		return 0;
+	if (m->bootstraps)
+		rc = save_voter_list(c->cfg.data_dir, &m->initial, f);
+	return rc == 0 ? save_identity(c->cfg.data_dir, c->id, f) : rc;
+}
+
+/*
+ * Called before a disk that refused operations is tried again: if it has come
+ * back without the list of initial voters, nothing shows any more that this
+ * process has never voted.
+ */
+void
+check_resumption(struct control *c)
+{
+	struct voter_list list;
+	struct fault f = {0};
+
+	if (c->membership.resumes &&
+	    load_voter_list(c->cfg.data_dir, &list, &f) == ERR_NOT_FOUND)
+		c->membership.resumes = false;
+}
+
+/*
+ * Removes the list of initial voters once the log has data, and the list is
+ * obsolete. It must not outlive the log: a process with an empty log and the
+ * list counts as one that has never voted.
+ */
+void
+discard_initial_voters(struct control *c)
+{
+	if (c->cfg.auto_members)
+		remove_voter_list(c->cfg.data_dir);
 }
 
 /*
@@ -104,9 +151,11 @@
 		if (rc != 0)
 			return rc;
 		m->seeds[m->seed_count++] = p;
-		if (m->bootstraps)
-			update_peer(c, derive_identity(c->cfg.seeds[i]),
-			    c->cfg.seeds[i]);
+	}
+	for (size_t i = 0; i < m->initial.count && m->bootstraps; i++) {
+		if (strcmp(m->initial.address[i], c->cfg.rpc_listen) != 0)
+			update_peer(c, derive_identity(m->initial.address[i]),
+			    m->initial.address[i]);
 	}
 	mark_seed_links(c, m->seeds, m->seed_count);
 	return 0;
@@ -193,6 +242,21 @@
 	unload_wire((xdrproc_t)xdr_wire_join_args, &a);
 }
 
+/*
+ * Tells whether this process is one of the initial voters.
+ */
+static bool
+lists_itself(const struct control *c)
+{
+	const struct voter_list *list = &c->membership.initial;
+
+	for (size_t i = 0; i < list->count; i++) {
+		if (strcmp(list->address[i], c->cfg.rpc_listen) == 0)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Limits the requests to one per JOIN_INTERVAL_NS while this process is no
  * voter or has lost contact to the leader.
--- a/packages/control/replication.c
+++ b/packages/control/replication.c
@@ -318,21 +318,23 @@
 }
 
 /*
- * Lists the seeds, which bootstrap the group on the first start of a fleet;
+ * Lists the seeds of the first start of a fleet, which bootstrap the group;
  * false when this process does not bootstrap.
  */
 static bool
 list_seed_voters(struct control *c, struct raft_members *out)
 {
+	const struct voter_list *list = &c->membership.initial;
+
 	if (!c->membership.bootstraps)
 		return false;
-	for (size_t i = 0; i < c->cfg.seed_count; i++) {
+	for (size_t i = 0; i < list->count; i++) {
 		struct raft_member *m = &out->member[out->count++];
 
-		m->id = derive_identity(c->cfg.seeds[i]);
+		m->id = derive_identity(list->address[i]);
 		m->voter = true;
 		(void)copy_str(
-		    m->address, sizeof(m->address), make_str(c->cfg.seeds[i]));
+		    m->address, sizeof(m->address), make_str(list->address[i]));
 	}
 	return true;
 }
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -12,6 +12,7 @@
 #include <stdatomic.h>
 
 #include "control.h"
+#include "identity.h"
 #include "lag.h"
 #include "membership_plan.h"
 #include "metric.h"
@@ -71,6 +72,8 @@
 	size_t voters_wanted;
 	bool id_loaded; /* the data folder contains an id */
 	bool bootstraps; /* this process bootstraps the group */
+	bool resumes; /* an earlier process was about to, with this disk */
+	struct voter_list initial; /* the voters, if it bootstraps */
 	struct rpc_peer *seeds[CONTROL_PEER_MAX];
 	size_t seed_count;
 	struct candidate candidates[MEMBERSHIP_CANDIDATES_MAX];
@@ -290,6 +293,8 @@
 int open_membership(struct control *c, struct fault *f); /* sets c->id */
 void choose_identity(struct control *c); /* sets a new id */
 int store_identity(struct control *c, struct fault *f); /* ERR_IO */
+void check_resumption(struct control *c); /* clears membership.resumes */
+void discard_initial_voters(struct control *c);
 int open_seeds(struct control *c, struct fault *f);
 void run_membership(struct control *c, int64_t now); /* takes the lock */
 void handle_join(
--- a/packages/control/tests/test_membership.c
+++ b/packages/control/tests/test_membership.c
@@ -313,6 +313,158 @@
 }
 END_TEST
 
+static void
+close_processes(void)
+{
+	for (int i = 0; i < PROCESSES; i++) {
+		if (processes[i].control != NULL)
+			stop_process(i);
+	}
+	ck_assert_int_eq(nftw(root, remove_entry, 8, FTW_DEPTH | FTW_PHYS), 0);
+}
+
+/*
+ * Guards against a fleet that never gets a group, or a process that ends for
+ * good: initial voters were ended before the group existed, and start again with
+ * or without the flag of the first start, with the disks that they had.
+ */
+static const struct {
+	unsigned int restarted; /* bit i: process i starts twice */
+	bool first; /* the flag of the second start */
+	bool id_lost; /* killed before the id was stored */
+} restart_cases[] = {
+    {1, false, false},
+    {1, true, false},
+    {1, false, true},
+    {2, false, false},
+    {2, true, false},
+    {4, true, false},
+    {3, false, false},
+    {3, true, false},
+    {7, false, false},
+    {7, true, false},
+    {7, false, true},
+    {31, false, false},
+    {31, true, false},
+};
+
+START_TEST(initial_voters_restart_before_the_group_exists)
+{
+	unsigned int restarted = restart_cases[_i].restarted;
+	char path[80];
+
+	open_processes();
+	/* One at a time, so that they never see each other. */
+	for (int i = 0; i < 5; i++) {
+		if ((restarted & 1U << i) == 0)
+			continue;
+		start_process(i, true);
+		stop_process(i);
+		snprintf(path, sizeof(path), "%s/identity", processes[i].dir);
+		if (restart_cases[_i].id_lost)
+			ck_assert_int_eq(remove(path), 0);
+	}
+	for (int i = 4; i >= 0; i--) {
+		if ((restarted & 1U << i) == 0)
+			start_process(i, true);
+	}
+	usleep(300000);
+	for (int i = 0; i < 5; i++) {
+		if ((restarted & 1U << i) != 0)
+			start_process(i, restart_cases[_i].first);
+	}
+	wait_for_full_group(0);
+	close_processes();
+}
+END_TEST
+
+/*
+ * Guards against a process that ends for good: an initial voter was ended just
+ * before it bootstrapped the group, and the others have done so meanwhile.
+ */
+START_TEST(initial_voter_restarts_when_the_others_have_a_group)
+{
+	char path[80];
+	struct voter_list list;
+	struct fault f = {0};
+	uint64_t id;
+
+	open_processes();
+	for (int i = 4; i >= 0; i--)
+		start_process(i, true);
+	wait_for_full_group(0);
+	stop_process(0);
+	/* As its disk was before: the list of initial voters, and no log. */
+	memset(&list, 0, sizeof(list));
+	for (int i = 0; i < 3; i++)
+		snprintf(list.address[list.count++], RPC_ADDRESS_BYTES, "%s",
+		    processes[i].rpc);
+	wipe_process(0);
+	id = derive_identity(processes[0].rpc);
+	ck_assert_int_eq(save_voter_list(processes[0].dir, &list, &f), 0);
+	ck_assert_int_eq(save_identity(processes[0].dir, id, &f), 0);
+	start_process(0, _i == 1);
+	wait_for_full_group(0);
+	ck_assert(!has_control_failed(processes[0].control, &f));
+	ck_assert_uint_eq(processes[0].control->id, id);
+	snprintf(path, sizeof(path), "%s/initial-voters", processes[0].dir);
+	ck_assert_int_ne(access(path, F_OK), 0);
+	close_processes();
+}
+END_TEST
+
+/*
+ * Guards against a fleet that never gets a group: an initial voter lost its disk
+ * before the group existed, or starts late and without the flag of the first
+ * start, so that its id is never seen.
+ */
+START_TEST(initial_voter_loses_its_disk_before_the_group_exists)
+{
+	open_processes();
+	if (_i == 0) {
+		start_process(2, true);
+		usleep(50000);
+		stop_process(2);
+		wipe_process(2);
+	}
+	for (int i = 4; i >= 0; i--) {
+		if (i != 2)
+			start_process(i, true);
+	}
+	usleep(300000);
+	start_process(2, false);
+	wait_for_full_group(derive_identity(processes[2].rpc));
+	close_processes();
+}
+END_TEST
+
+/*
+ * Guards against two groups: an initial voter that lost its disk after the group
+ * had been bootstrapped must not bootstrap another one, though it is told that
+ * this is the first start and another one has not yet started again.
+ */
+START_TEST(initial_voter_without_its_disk_bootstraps_no_second_group)
+{
+	struct fault f = {0};
+
+	open_processes();
+	for (int i = 4; i >= 0; i--)
+		start_process(i, true);
+	wait_for_full_group(0);
+	stop_process(0);
+	stop_process(1);
+	wipe_process(1);
+	start_process(1, true);
+	for (int i = 0;
+	     i < WAIT_S * 20 && !has_control_failed(processes[1].control, &f);
+	     i++)
+		usleep(50000);
+	ck_assert(has_control_failed(processes[1].control, &f));
+	ck_assert_int_eq(f.kind, ERR_CONFLICT);
+	close_processes();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -323,5 +475,13 @@
 	    sizeof(plan_cases) / sizeof(plan_cases[0]));
 	tcase_add_test(t, ids_are_stored_and_redrawn_after_disk_loss);
 	tcase_add_test(t, group_bootstraps_joins_and_replaces_voters);
+	tcase_add_loop_test(
+	    t, initial_voter_restarts_when_the_others_have_a_group, 0, 2);
+	tcase_add_loop_test(t, initial_voters_restart_before_the_group_exists,
+	    0, sizeof(restart_cases) / sizeof(restart_cases[0]));
+	tcase_add_loop_test(
+	    t, initial_voter_loses_its_disk_before_the_group_exists, 0, 2);
+	tcase_add_test(
+	    t, initial_voter_without_its_disk_bootstraps_no_second_group);
 	return run_suite("membership", t);
 }
