wal: a last record that is torn at any byte is cut off

Seen: after a loss of power of all control processes, some ended at each start, for good: "log- is damaged (checksum); wipe the data directory and rejoin as a new member". Three of five at once leave the core without a quorum, and nothing acknowledged can be read any more.

Cause: a torn last record was recognized if the file ended before it or a whole sector of it read as zeros. With the file's new length durable and the record's first bytes only, the rest reads as zeros within a sector, which counted as damage.

Change: each record ends with a byte that is not zero. If it reads as zero, or all behind a broken header does, the last record is torn. Without that byte a payload that ends with zeros could not be told from a torn one, and a bit error in it would cut off a synced record; flipped_bit_before_zeros_is_detected guards that.

Ruled out: to take any checksum error in the last record for a tear, which would drop synced records with bit errors.

--- a/packages/wal/record.c
+++ b/packages/wal/record.c
@@ -1,6 +1,10 @@
 /*
  * Encoding and decoding of records: a header and a payload, each with a
- * checksum of its own.
+ * checksum of its own. The payload is followed by an end byte, which is not
+ * zero: after a power cut the file may have its new length, but only the first
+ * bytes of a record, and zeros from any byte on. Without the end byte, a payload
+ * that ends with zeros could not be told from that. Earlier versions wrote
+ * records without it; the type says which.
  */
 #include <string.h>
 
@@ -9,9 +13,12 @@
 #include "wal_core.h"
 
 #define HEADER_CHECKSUM_OFFSET 12 /* in the header */
+#define HAS_END_BYTE 0x80000000u /* in the type */
+#define END_BYTE ((char)0xa5) /* a flipped bit does not make it zero */
 
 static uint32_t checksum_header(const char *header, uint64_t segment);
 static bool has_unwritten_sector(const char *p, size_t at, size_t end);
+static bool has_only_zeros(const char *p, size_t len);
 static bool has_later_record(
     struct str file, size_t at, uint64_t segment, uint64_t seq);
 
@@ -60,26 +67,36 @@
 append_record(struct buf *b, enum record_type type, uint64_t seq,
     uint64_t segment, struct str payload)
 {
-	char header[RECORD_HEADER_BYTES];
+	static const char end = END_BYTE;
+	size_t at = b->len, len = payload.len + 1;
+	char header[RECORD_HEADER_BYTES] = {0};
 	int rc;
 
+	rc = append_buf(b, header, sizeof(header));
+	if (rc == 0)
+		rc = append_buf(b, payload.data, payload.len);
+	if (rc == 0)
+		rc = append_buf(b, &end, 1);
+	if (rc != 0)
+		return rc;
 	put_u32(header, RECORD_MAGIC);
-	put_u32(header + 4, (uint32_t)type);
-	put_u32(header + 8, (uint32_t)payload.len);
+	put_u32(header + 4, (uint32_t)type | HAS_END_BYTE);
+	put_u32(header + 8, (uint32_t)len);
 	put_u64(header + 16, seq);
-	put_u64(header + 24, hash_bytes(payload.data, payload.len, segment));
+	put_u64(header + 24,
+	    hash_bytes(b->data + at + sizeof(header), len, segment));
 	put_u32(
 	    header + HEADER_CHECKSUM_OFFSET, checksum_header(header, segment));
-	rc = append_buf(b, header, sizeof(header));
-	return rc != 0 ? rc : append_buf(b, payload.data, payload.len);
+	memcpy(b->data + at, header, sizeof(header));
+	return 0;
 }
 
 /*
  * Decodes the record at offset at of a segment's bytes; seq is its expected
  * sequence number. Only the last record of the file can be torn: the file ends
- * before the record does, or a sector of the record was never written and reads
- * as zeros. Any other checksum mismatch is corruption. The payload points into
- * file.
+ * before the record does, or a sector of the record, or all from some byte on,
+ * was never written and reads as zeros. Any other checksum mismatch is
+ * corruption. The payload points into file.
  */
 enum record_result
 decode_record(struct str file, size_t at, uint64_t segment, uint64_t seq,
@@ -87,6 +104,7 @@
 {
 	const char *header = file.data + at;
 	size_t available = file.len - at, len;
+	bool has_end;
 
 	if (available == 0)
 		return RECORD_END;
@@ -95,24 +113,31 @@
 	if (get_u32(header) != RECORD_MAGIC ||
 	    get_u32(header + HEADER_CHECKSUM_OFFSET) !=
 		checksum_header(header, segment)) {
-		if (has_unwritten_sector(file.data, at, file.len) &&
+		if ((has_unwritten_sector(file.data, at, file.len) ||
+			has_only_zeros(header + RECORD_HEADER_BYTES,
+			    available - RECORD_HEADER_BYTES)) &&
 		    !has_later_record(file, at + 1, segment, seq))
 			return RECORD_TORN;
 		return RECORD_CORRUPT;
 	}
 	len = get_u32(header + 8);
-	if (len > WAL_RECORD_MAX || get_u64(header + 16) != seq)
+	has_end = (get_u32(header + 4) & HAS_END_BYTE) != 0;
+	if (len > WAL_RECORD_MAX + 1 || (has_end && len == 0) ||
+	    get_u64(header + 16) != seq)
 		return RECORD_CORRUPT;
 	if (available - RECORD_HEADER_BYTES < len)
 		return RECORD_TORN;
-	out->type = (enum record_type)get_u32(header + 4);
+	out->type = (enum record_type)(get_u32(header + 4) & ~HAS_END_BYTE);
 	out->seq = seq;
-	out->payload = make_str_n(header + RECORD_HEADER_BYTES, len);
+	out->payload =
+	    make_str_n(header + RECORD_HEADER_BYTES, has_end ? len - 1 : len);
 	out->size = RECORD_HEADER_BYTES + len;
 	if (get_u64(header + 24) == hash_bytes(out->payload.data, len, segment))
 		return RECORD_OK;
 	if (available == out->size &&
-	    has_unwritten_sector(file.data, at + RECORD_HEADER_BYTES, file.len))
+	    ((has_end && file.data[file.len - 1] == 0) ||
+		has_unwritten_sector(
+		    file.data, at + RECORD_HEADER_BYTES, file.len)))
 		return RECORD_TORN;
 	return RECORD_CORRUPT;
 }
@@ -151,6 +176,16 @@
 	return false;
 }
 
+static bool
+has_only_zeros(const char *p, size_t len)
+{
+	for (size_t i = 0; i < len; i++) {
+		if (p[i] != 0)
+			return false;
+	}
+	return true;
+}
+
 /*
  * Returns whether a valid header with a sequence number above seq follows.
  * Records are synced one at a time, so the record before such a header was
--- a/packages/wal/tests/test_wal.c
+++ b/packages/wal/tests/test_wal.c
@@ -268,6 +268,111 @@
 }
 END_TEST
 
+/*
+ * Guards against a member that never starts again after a power cut: the file
+ * had its new length, but only the first bytes of the last record, whose rest
+ * reads as zeros from any byte on.
+ */
+START_TEST(last_record_with_zeros_from_any_byte_is_truncated)
+{
+	struct mem_disk *d = calloc(1, sizeof(*d));
+	struct fault f = {0};
+	size_t size = 0, cut = 1;
+	struct wal *w;
+
+	do {
+		struct mem_file *m;
+
+		unload_mem_disk(d);
+		ck_assert_int_eq(open_mem_wal(d, &w, NULL), 0);
+		ck_assert_int_eq(store_hard(w, 1, 7, NULL), 0);
+		ck_assert_int_eq(store_entries_at(w, 1, 1, 5, NULL), 0);
+		size = find_last_segment(d)->now.len;
+		if (_i == 0)
+			ck_assert_int_eq(store_entries_at(w, 6, 1, 8, NULL), 0);
+		else /* its payload ends with zeros */
+			ck_assert_int_eq(write_reset(w, 5, 1, &f), 0);
+		close_wal(w);
+		m = find_last_segment(d);
+		size = m->now.len - size;
+		memset(m->now.data + m->now.len - cut, 0, cut);
+		ck_assert_msg(open_mem_wal(d, &w, &f) == 0,
+		    "%d of %d bytes: %s", (int)cut, (int)size, f.text);
+		check_entries(w, 1, 5, 1);
+		ck_assert_uint_eq(get_wal_counters(w).torn_records, 1);
+		ck_assert_int_eq(store_entries_at(w, 6, 2, 1, NULL), 0);
+		close_wal(w);
+		ck_assert_int_eq(open_mem_wal(d, &w, NULL), 0);
+		ck_assert_uint_eq(get_wal_stored(w)->entry_count, 6);
+		close_wal(w);
+	} while (cut++ < size);
+	ck_assert_uint_gt(size, RECORD_HEADER_BYTES);
+	unload_mem_disk(d);
+	free(d);
+}
+END_TEST
+
+/*
+ * Guards against a bit error in a last record whose payload ends with zeros that
+ * is mistaken for a torn record and cut off.
+ */
+START_TEST(flipped_bit_before_zeros_is_detected)
+{
+	struct mem_disk *d = calloc(1, sizeof(*d));
+	struct mem_file *m;
+	struct wal *w;
+	size_t start;
+
+	ck_assert_int_eq(open_mem_wal(d, &w, NULL), 0);
+	ck_assert_int_eq(store_hard(w, 1, 7, NULL), 0);
+	ck_assert_int_eq(store_entries_at(w, 1, 1, 5, NULL), 0);
+	start = find_last_segment(d)->now.len;
+	ck_assert_int_eq(write_reset(w, 5, 1, NULL), 0);
+	close_wal(w);
+	m = find_last_segment(d);
+	for (size_t bit = 8 * start; bit < 8 * m->now.len; bit++) {
+		m->now.data[bit / 8] ^= (char)(1 << bit % 8);
+		ck_assert_msg(open_mem_wal(d, &w, NULL) == ERR_CORRUPT,
+		    "bit %d", (int)(bit - 8 * start));
+		m->now.data[bit / 8] ^= (char)(1 << bit % 8);
+	}
+	unload_mem_disk(d);
+	free(d);
+}
+END_TEST
+
+/*
+ * Guards against a log of an earlier version, without end bytes, that cannot be
+ * read any more.
+ */
+START_TEST(records_without_an_end_byte_are_read)
+{
+	static const char payload[] = "payload";
+	char bytes[RECORD_HEADER_BYTES + sizeof(payload)] = {0};
+	struct record rec;
+
+	put_u32(bytes, RECORD_MAGIC);
+	put_u32(bytes + 4, RECORD_BATCH);
+	put_u32(bytes + 8, sizeof(payload));
+	put_u64(bytes + 16, 9);
+	put_u64(bytes + 24, hash_bytes(payload, sizeof(payload), 3));
+	put_u32(
+	    bytes + 12, (uint32_t)hash_bytes(bytes, RECORD_HEADER_BYTES, 3));
+	memcpy(bytes + RECORD_HEADER_BYTES, payload, sizeof(payload));
+	ck_assert_int_eq(
+	    decode_record(make_str_n(bytes, sizeof(bytes)), 0, 3, 9, &rec),
+	    RECORD_OK);
+	ck_assert_int_eq(rec.type, RECORD_BATCH);
+	ck_assert_uint_eq(rec.size, sizeof(bytes));
+	ck_assert(
+	    is_str_equal(rec.payload, make_str_n(payload, sizeof(payload))));
+	bytes[RECORD_HEADER_BYTES] ^= 1;
+	ck_assert_int_eq(
+	    decode_record(make_str_n(bytes, sizeof(bytes)), 0, 3, 9, &rec),
+	    RECORD_CORRUPT);
+}
+END_TEST
+
 /*
  * Guards against bit errors in any file that go undetected or are mistaken for
  * a torn record and cut off.
@@ -984,6 +1089,10 @@
 	tcase_add_test(t, snapshot_keeps_the_entries_after_it);
 	tcase_add_test(t, installed_snapshot_replaces_the_log);
 	tcase_add_test(t, last_record_torn_at_any_byte_is_truncated);
+	tcase_add_loop_test(
+	    t, last_record_with_zeros_from_any_byte_is_truncated, 0, 2);
+	tcase_add_test(t, flipped_bit_before_zeros_is_detected);
+	tcase_add_test(t, records_without_an_end_byte_are_read);
 	tcase_add_test(t, any_flipped_byte_is_detected);
 	tcase_add_test(t, missing_state_or_segment_is_refused);
 	tcase_add_test(t, empty_log_of_another_member_is_taken_over);
--- a/packages/wal/wal_core.h
+++ b/packages/wal/wal_core.h
@@ -35,7 +35,7 @@
 	enum record_type type;
 	uint64_t seq; /* sequence number, consecutive across segments */
 	struct str payload; /* points into the segment's bytes */
-	size_t size; /* bytes of header and payload */
+	size_t size; /* bytes of header, payload and end byte */
 };
 
 struct segment {
