--- a/apps/greengagespurd/tests/power_loss.c
+++ b/apps/greengagespurd/tests/power_loss.c
@@ -10,9 +10,10 @@
  * GGS_POWER_JOURNAL: an existing folder on the same file system, with
  *   journal: changes that are not synced
  *   ino-N: hard links that keep files alive whose name may come back
- *   lost: written by the test after a loss of power; a seed. It is removed
- *     once the changes have been taken back, so that a start that is killed
- *     meanwhile does it again, with the same result.
+ *   lost: written by the test after a loss of power; a seed, and the word
+ *     torn if all writes are to be torn. It is removed once the changes have
+ *     been taken back, so that a start that is killed meanwhile does it again,
+ *     with the same result.
  *
  * GGS_POWER_SYNC_MS: how long a sync takes; the longer, the more is not synced
  *   at a loss of power. SYNC_MS without it.
@@ -39,7 +40,8 @@
 #define NAME_BYTES 64 /* longest file name in the data folder, with NUL */
 #define PATH_BYTES 600
 #define SYNC_MS 1 /* a sync takes 1 ms, as on the platform's disks */
-#define SECTOR_BYTES 512 /* a torn write ends at a multiple of it */
+#define SECTOR_BYTES 512 /* a long torn write ends at a multiple of it */
+#define MODE_TORN 4 /* of choose_kept() */
 
 enum change_type {
 	CHANGE_WRITE,
@@ -341,7 +343,7 @@
 	(void)syscall(SYS_read, fd, text, sizeof(text) - 1);
 	(void)syscall(SYS_close, fd);
 	random_state = strtoull(text, NULL, 10) + 88172645463325252u;
-	mode = (unsigned int)draw(4);
+	mode = strstr(text, "torn") != NULL ? MODE_TORN : (unsigned int)draw(4);
 	choose_kept(mode);
 	take_back_writes(mode);
 	take_back_names();
@@ -358,8 +360,8 @@
 }
 
 /*
- * mode 0: all changes are gone; 1: all stay; otherwise at random. Writes that
- * overlap share their fate.
+ * mode 0: all changes are gone; 1: all stay; MODE_TORN: all writes are torn;
+ * otherwise at random. Writes that overlap share their fate.
  */
 static void
 choose_kept(unsigned int mode)
@@ -368,6 +370,8 @@
 		struct pending *p = &changes[i];
 
 		p->kept = mode == 1 || (mode > 1 && draw(2) == 0);
+		if (mode == MODE_TORN)
+			p->kept = p->c.type != CHANGE_WRITE;
 		for (size_t k = 0; k < i && p->c.type == CHANGE_WRITE; k++) {
 			const struct pending *q = &changes[k];
 
@@ -395,7 +399,8 @@
 		fd = open_inode(p->c.ino);
 		if (fd < 0)
 			continue; /* removed for good */
-		if (mode > 1 && p->c.len > 1 && draw(2) == 0)
+		if (mode > 1 && p->c.len > 1 &&
+		    (draw(2) == 0 || mode == MODE_TORN))
 			tear_write(fd, p);
 		else
 			restore_bytes(fd, p, 0);
--- a/scenarios/member_faults.lua
+++ b/scenarios/member_faults.lua
@@ -317,6 +317,7 @@
 
 -- Ends processes at the same moment; each starts again after a delay below
 -- up_to_ms. With power, what they had not synced is lost.
+local torn -- all writes that are not synced are torn
 local function take_down(list, power, up_to_ms)
 	for _, m in ipairs(list) do
 		if m.running then
@@ -332,7 +333,7 @@
 		m.paused = nil
 		if m.core and power then
 			sys.write(m.journal .. "/lost",
-				tostring(math.random(1 << 40)))
+				math.random(1 << 40) .. (torn and " torn" or ""))
 		end
 		m.start_at = sys.now_ms() + math.random(0, up_to_ms)
 	end
@@ -659,7 +660,8 @@
 
 local final_faults = {"power_all", "power_core", "kill_all", "two_disks",
 	"two_disks_power_core", "two_disks_power_all"}
-local preludes = {"none", "storm", "partial", "leader_paused", "big", "many"}
+local preludes = {"none", "storm", "partial", "leader_paused", "big", "many",
+	"torn"}
 
 -- One fault. lost_disks: how many disks may be lost.
 local function strike(fault, lost_disks)
@@ -686,6 +688,7 @@
 		local prelude = detail or pick(preludes)
 		local fault = pick(final_faults)
 		local lost_disks, removed = 2, nil
+		torn = prelude == "torn"
 		if prelude == "storm" then
 			for _ = 1, math.random(10, 40) do
 				operate()
@@ -723,12 +726,12 @@
 			end
 		end
 		-- Right after an acknowledgement, or after the sending.
-		local in_flight = math.random(2) == 1
+		local in_flight = torn or math.random(2) == 1
 		local limit = sys.now_ms() + 4000
 		repeat
 			local order = open_order or new_order(newest)
 			order.limit_ms = in_flight and math.random(1,
-				pick{20, 100, 400}) or nil
+				torn and 40 or pick{20, 100, 400}) or nil
 			local status = send(order, p:pick_core())
 			order.limit_ms = nil
 		until status == 200 or in_flight or sys.now_ms() > limit
