control: let a process with damaged data join again as a new member

Operators saw a control process that ended at every start, for good, after its disk had returned damaged data: a flipped bit in the log, the hard state or the id, or one of these files gone. The platform counts such ends, and with two disks a third loss is the loss of the quorum. Reads that fail (EIO) when the id is read ended the process at every start as well.

Cause: open_wal() and load_identity() report damage, rightly, but the process only told the operator to wipe the folder.

Change: with automatic membership the process then runs without a replica, so it does not vote, and asks the known processes for a group that confirms a read. Such a group has a quorum without it. Only then it renames its files to damaged.*, the id last, and ends; the next start finds an empty folder and joins under a new id, as after the loss of a disk. Without a quorum the files stay: if more members are damaged than the group bears, an operator needs them. While the id cannot be read, the process waits under a temporary id and ends once it can.

Not covered: a log that is cut at or zeroed in its last record looks like a torn write and is cut there, as before.

--- a/packages/control/bootstrap.c
+++ b/packages/control/bootstrap.c
@@ -10,10 +10,12 @@
  */
 #include <stdlib.h>
 
+#include "identity.h"
 #include "log.h"
 #include "service.h"
 
 #define QUERY_INTERVAL_NS (200 * NSEC_PER_MSEC) /* between group queries */
+#define DAMAGED_TIMEOUT_MS 1000 /* of a query of a process with damaged data */
 /* Between tries to open the data folder; doubles up to the second one. */
 #define OPEN_DELAY_NS (250 * NSEC_PER_MSEC)
 #define OPEN_DELAY_MAX_NS NSEC_PER_SEC
@@ -28,6 +30,10 @@
 static int open_storage(struct control *c, struct fault *f);
 static void retry_open(struct control *c, int64_t now);
 static void delay_open(struct control *c, int64_t now);
+static int check_identity(struct control *c, struct fault *f);
+static void begin_replacement(struct control *c, const struct fault *f);
+static void run_replacement(struct control *c, int64_t now);
+static void finish_group_query(void *arg, const struct rpc_result *r);
 static int start_joining(struct control *c, struct fault *f);
 static void query_peers(struct control *c, int64_t now);
 static void finish_query(void *arg, const struct rpc_result *r);
@@ -70,15 +76,22 @@
 {
 	struct raft_members initial_voters = {0};
 	struct bootstrap *s = &c->bootstrap;
-	int rc = store_identity(c, f);
+	int rc = check_identity(c, f);
 
-	if (rc != 0)
-		return rc;
-	s->founder = find_initial_voters(c, &initial_voters);
-	rc = start_replication(c, !s->founder || initial_voters.count > 1, f);
+	if (rc == 0)
+		rc = store_identity(c, f);
+	if (rc == 0) {
+		s->founder = find_initial_voters(c, &initial_voters);
+		rc = start_replication(
+		    c, !s->founder || initial_voters.count > 1, f);
+	}
 	if (rc == 0)
 		discard_initial_voters(c);
-	if (rc != ERR_NOT_FOUND)
+	if ((rc == ERR_CORRUPT || rc == ERR_INVALID) && c->cfg.auto_members) {
+		begin_replacement(c, f);
+		return 0;
+	}
+	if (rc != ERR_NOT_FOUND || c->membership.id_error != 0)
 		return rc;
 	if (c->cfg.auto_members && !s->founder)
 		return start_joining(c, f);
@@ -94,6 +107,112 @@
 	return 0;
 }
 
+/*
+ * Returns 0, ERR_CORRUPT when the stored id is damaged, or ERR_IO while it
+ * cannot be read. Once it can, other threads use the temporary one, so only a
+ * new process can take it: ERR_NOT_FOUND.
+ */
+static int
+check_identity(struct control *c, struct fault *f)
+{
+	struct voter_list list;
+	uint64_t id = 0;
+	int rc;
+
+	if (c->membership.id_error == 0)
+		return 0;
+	rc = load_identity(c->cfg.data_dir, &id, f);
+	if (rc != ERR_IO && rc != ERR_CORRUPT &&
+	    load_voter_list(c->cfg.data_dir, &list, f) == ERR_IO)
+		rc = ERR_IO;
+	if (rc == ERR_IO || rc == ERR_CORRUPT)
+		return rc;
+	return set_fault(f, ERR_NOT_FOUND,
+	    "the id of this process can be read again; the process has to "
+	    "start again, to use it");
+}
+
+/*
+ * The data is damaged, or its id and its log are those of two members. It is
+ * left as it is until a group is known to have a quorum without this process,
+ * which does not vote meanwhile: if more members have lost their data than the
+ * group bears, an operator may need these files.
+ */
+static void
+begin_replacement(struct control *c, const struct fault *f)
+{
+	struct bootstrap *s = &c->bootstrap;
+
+	WRITE_EVENT(LOG_LEVEL_ERR, "storage.damaged", LOG_INT("member", c->id),
+	    LOG_TEXT("reason", f->text));
+	pthread_mutex_lock(&c->lock);
+	s->damaged = true;
+	s->damage = *f;
+	pthread_mutex_unlock(&c->lock);
+}
+
+/*
+ * Asks the known processes in turn for a group that confirms a read. Then sets
+ * the files aside and ends the process; the next one joins under a new id.
+ */
+static void
+run_replacement(struct control *c, int64_t now)
+{
+	struct wire_group_args a = {
+	    .stamp = make_message_stamp(c),
+	    .sender = c->id,
+	};
+	struct bootstrap *s = &c->bootstrap;
+	struct rpc_peer *target;
+	struct fault f = {0};
+	struct buf b = {0};
+	bool may_replace;
+
+	if (!s->damaged || s->failed || now < s->next_query_ns)
+		return;
+	s->next_query_ns = now + QUERY_INTERVAL_NS;
+	pthread_mutex_lock(&c->lock);
+	may_replace = s->may_replace;
+	pthread_mutex_unlock(&c->lock);
+	if (may_replace && set_data_aside(c->cfg.data_dir, &f) == 0) {
+		pthread_mutex_lock(&c->lock);
+		s->failed = true;
+		(void)set_fault(&s->fault, ERR_CORRUPT,
+		    "%s; the files are kept as damaged.*, and the process has "
+		    "to start again, to join under a new id",
+		    s->damage.text);
+		pthread_mutex_unlock(&c->lock);
+		return;
+	}
+	target = choose_target(c);
+	if (target != NULL &&
+	    encode_wire((xdrproc_t)xdr_wire_group_args, &a, &b) == 0)
+		(void)call_rpc(target, GGS_GROUP, view_buf(&b),
+		    DAMAGED_TIMEOUT_MS, finish_group_query, c);
+	unload_buf(&b);
+}
+
+/*
+ * A reply without an error comes after a read that a quorum has confirmed.
+ */
+static void
+finish_group_query(void *arg, const struct rpc_result *r)
+{
+	struct wire_group_reply reply = {0};
+	struct control *c = arg;
+
+	if (r->status != 0 ||
+	    decode_wire((xdrproc_t)xdr_wire_group_reply, r->body, &reply) != 0)
+		return;
+	merge_message_stamp(c, &reply.stamp);
+	if (reply.status == WIRE_OK && reply.exists) {
+		pthread_mutex_lock(&c->lock);
+		c->bootstrap.may_replace = true;
+		pthread_mutex_unlock(&c->lock);
+	}
+	unload_wire((xdrproc_t)xdr_wire_group_reply, &reply);
+}
+
 /*
  * Tries to open the data folder again when that is due. Another error than
  * ERR_IO ends the process. Runs on the service thread.
@@ -113,7 +232,7 @@
 		delay_open(c, now);
 		return;
 	}
-	if (rc == 0)
+	if (rc == 0 && !s->damaged)
 		WRITE_EVENT(LOG_LEVEL_NOTICE, "storage.opened",
 		    LOG_INT("member", c->id));
 	pthread_mutex_lock(&c->lock);
@@ -172,6 +291,7 @@
 	bool start = false;
 
 	retry_open(c, now);
+	run_replacement(c, now);
 	pthread_mutex_lock(&c->lock);
 	if (s->pending && !s->failed && !c->stopping) {
 		start = is_start_safe(c);
--- a/packages/control/identity.c
+++ b/packages/control/identity.c
@@ -2,6 +2,7 @@
  * The files with the id of a control process and with the initial voters, and
  * how ids are chosen.
  */
+#include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <stdio.h>
@@ -15,9 +16,13 @@
 #define VOTERS_FILE_NAME "initial-voters"
 #define PATH_BYTES 512
 #define RANDOM_BIT (1ULL << 62) /* set in random ids, clear in derived ones */
+#define ASIDE_PREFIX "damaged." /* of files that are kept for an operator */
+#define LOCK_NAME "lock" /* of the log */
 
 static int replace_text(
     const char *dir, const char *name, const char *text, struct fault *f);
+static int move_files(const char *dir, bool kept_before);
+static int move_file(const char *dir, const char *name, bool kept_before);
 static int sync_dir(const char *dir);
 static int write_file(const char *path, const char *text);
 
@@ -38,8 +43,13 @@
 		    "cannot read %s: %s; check the disk", path,
 		    strerror(errno));
 	n = read(fd, text, sizeof(text) - 1);
+	if (n < 0)
+		set_fault(f, ERR_IO, "cannot read %s: %s; check the disk", path,
+		    strerror(errno));
 	close(fd);
-	if (n <= 0 || text[n - 1] != '\n' ||
+	if (n < 0)
+		return ERR_IO;
+	if (n == 0 || text[n - 1] != '\n' ||
 	    parse_i64(make_str_n(text, (size_t)n - 1), 1, INT64_MAX, &v) != 0)
 		return set_fault(f, ERR_CORRUPT,
 		    "%s contains no id; delete the data folder, and the "
@@ -108,6 +118,31 @@
 	(void)unlink(path);
 }
 
+/*
+ * Renames the files of a damaged folder, and removes those that an earlier call
+ * renamed. The id is the last one: until it is gone, a start finds a damaged
+ * folder or one without a log, and does not take the rest for another member's.
+ */
+int
+set_data_aside(const char *dir, struct fault *f)
+{
+	int rc = move_files(dir, true);
+
+	if (rc == 0)
+		rc = move_files(dir, false);
+	if (rc == 0)
+		rc = sync_dir(dir);
+	if (rc == 0)
+		rc = move_file(dir, FILE_NAME, false);
+	if (rc == 0)
+		rc = sync_dir(dir);
+	if (rc != 0)
+		return set_fault(f, ERR_IO,
+		    "cannot rename the files of %s: %s; check the disk", dir,
+		    strerror(-rc));
+	return 0;
+}
+
 /*
  * Packs an IPv4 address and its port into 48 bits; hashes any other address.
  */
@@ -165,6 +200,50 @@
 	return 0;
 }
 
+/*
+ * Removes the files that were set aside before, or renames all others but the
+ * id and the lock. Returns a negative errno.
+ */
+static int
+move_files(const char *dir, bool kept_before)
+{
+	DIR *d = opendir(dir);
+	struct dirent *e;
+	int rc = 0;
+
+	if (d == NULL)
+		return -errno;
+	while (rc == 0 && (e = readdir(d)) != NULL) {
+		bool kept = strncmp(e->d_name, ASIDE_PREFIX,
+				sizeof(ASIDE_PREFIX) - 1) == 0;
+
+		if (kept == kept_before && e->d_name[0] != '.' &&
+		    strcmp(e->d_name, FILE_NAME) != 0 &&
+		    strcmp(e->d_name, LOCK_NAME) != 0)
+			rc = move_file(dir, e->d_name, kept_before);
+	}
+	closedir(d);
+	return rc;
+}
+
+/*
+ * A missing file is no error. Returns a negative errno.
+ */
+static int
+move_file(const char *dir, const char *name, bool kept_before)
+{
+	char from[PATH_BYTES], to[PATH_BYTES];
+	int rc;
+
+	if (snprintf(from, sizeof(from), "%s/%s", dir, name) >=
+		(int)sizeof(from) ||
+	    snprintf(to, sizeof(to), "%s/" ASIDE_PREFIX "%s", dir, name) >=
+		(int)sizeof(to))
+		return -ENAMETOOLONG;
+	rc = kept_before ? unlink(from) : rename(from, to);
+	return rc == 0 || errno == ENOENT ? 0 : -errno;
+}
+
 static int
 sync_dir(const char *dir)
 {
--- a/packages/control/identity.h
+++ b/packages/control/identity.h
@@ -20,6 +20,9 @@
 int load_identity(const char *dir, uint64_t *out, struct fault *f);
 /* Durable on return. ERR_DENIED: the folder cannot be created; ERR_IO. */
 int save_identity(const char *dir, uint64_t id, struct fault *f);
+/* Keeps the files of a damaged folder under other names, so that a start finds
+ * it empty. ERR_IO. */
+int set_data_aside(const char *dir, struct fault *f);
 /* The id of an initial voter, derived from its "IP:port" so that all initial
  * voters know each other's ids; never 0. */
 uint64_t derive_identity(const char *address);
--- a/packages/control/membership.c
+++ b/packages/control/membership.c
@@ -18,7 +18,6 @@
 
 static bool lists_itself(const struct control *c);
 static bool is_join_due(struct control *c, int64_t now);
-static struct rpc_peer *choose_target(struct control *c);
 static void send_join(struct control *c, int64_t now);
 static void finish_join(void *arg, const struct rpc_result *r);
 static void apply_join_reply(
@@ -31,8 +30,9 @@
 
 /*
  * Loads the id of this process, or chooses one if the data folder is empty; the
- * bootstrap stores it. Returns ERR_CORRUPT or ERR_IO when the stored id cannot
- * be read. Does nothing without automatic membership.
+ * bootstrap stores it. While the stored id cannot be read, or when it is
+ * damaged, the process runs without a replica under a temporary one. Does
+ * nothing without automatic membership.
  *
  * If the folder has the list of initial voters, an earlier process was ended
  * before the group existed for it. This one goes on with that list, since the
@@ -43,21 +43,24 @@
 {
 	struct membership *m = &c->membership;
 	struct fault ignored = {0};
-	int rc;
+	int rc, list_rc = ERR_NOT_FOUND;
 
 	if (!c->cfg.auto_members)
 		return 0;
 	m->voters_wanted = c->cfg.voters_wanted;
 	rc = load_identity(c->cfg.data_dir, &c->id, f);
-	if (rc == ERR_CORRUPT || rc == ERR_IO)
-		return rc;
 	m->id_loaded = rc == 0;
-	rc = load_voter_list(c->cfg.data_dir, &m->initial, f);
-	if (rc == ERR_IO)
-		return rc;
+	if (rc == 0 || rc == ERR_NOT_FOUND)
+		list_rc = load_voter_list(c->cfg.data_dir, &m->initial, f);
 	*f = ignored;
+	if (rc == ERR_CORRUPT || rc == ERR_IO || list_rc == ERR_IO) {
+		m->id_loaded = false;
+		m->id_error = list_rc == ERR_IO ? list_rc : rc;
+		c->id = draw_identity();
+		return 0;
+	}
 	m->resumes =
-	    rc == 0 && lists_itself(c) &&
+	    list_rc == 0 && lists_itself(c) &&
 	    (!m->id_loaded || c->id == derive_identity(c->cfg.rpc_listen));
 	m->bootstraps = m->resumes;
 	if (m->resumes)
@@ -277,7 +280,7 @@
  * Returns the leader if the last reply named one, else the next of the seeds
  * and known peers, round robin. NULL: no address is known.
  */
-static struct rpc_peer *
+struct rpc_peer *
 choose_target(struct control *c)
 {
 	struct membership *m = &c->membership;
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -71,6 +71,7 @@
 struct membership {
 	size_t voters_wanted;
 	bool id_loaded; /* the data folder contains an id */
+	int id_error; /* ERR_IO or ERR_CORRUPT: the id is a temporary one */
 	bool bootstraps; /* this process bootstraps the group */
 	bool resumes; /* an earlier process was about to, with this disk */
 	struct voter_list initial; /* the voters, if it bootstraps */
@@ -142,6 +143,9 @@
 	struct fault fault;
 	int64_t next_query_ns; /* next GROUP request to the peers */
 	bool waits_for_disk; /* the data folder could not be opened */
+	bool damaged; /* its data cannot be used; reason in damage */
+	bool may_replace; /* a group has a quorum without this process */
+	struct fault damage;
 	int64_t next_open_ns;
 	int64_t open_delay_ns;
 	/* Initial voters that reported no group since this start. */
@@ -292,6 +296,7 @@
 /* membership.c */
 int open_membership(struct control *c, struct fault *f); /* sets c->id */
 void choose_identity(struct control *c); /* sets a new id */
+struct rpc_peer *choose_target(struct control *c);
 int store_identity(struct control *c, struct fault *f); /* ERR_IO */
 void check_resumption(struct control *c); /* clears membership.resumes */
 void discard_initial_voters(struct control *c);
--- a/packages/control/tests/test_membership.c
+++ b/packages/control/tests/test_membership.c
@@ -465,6 +465,87 @@
 }
 END_TEST
 
+/* Flips one bit of a file, or removes it. */
+static void
+damage_file(int i, const char *name, bool remove)
+{
+	char path[128];
+	FILE *file;
+	int c;
+
+	snprintf(path, sizeof(path), "%s/%s", processes[i].dir, name);
+	if (remove) {
+		ck_assert_int_eq(unlink(path), 0);
+		return;
+	}
+	file = fopen(path, "r+");
+	ck_assert_ptr_nonnull(file);
+	c = fgetc(file);
+	ck_assert_int_ne(c, EOF);
+	rewind(file);
+	ck_assert_int_eq(fputc(c ^ 1, file), c ^ 1);
+	ck_assert_int_eq(fclose(file), 0);
+}
+
+/* Files of a process that are damaged before it starts again. */
+struct damage_case {
+	const char *name;
+	bool removed;
+};
+
+static const struct damage_case damage_cases[] = {
+    {"log-0000000000000001", false},
+    {"log-0000000000000001", true},
+    {"state", false},
+    {"state", true},
+    {"identity", false},
+    {"identity", true},
+};
+
+/*
+ * Guards against a process that ends at each start, and counts with the platform
+ * each time, because its data is damaged: it ends once and joins as a new member
+ * when the others have a quorum. Without one it keeps its files and waits.
+ */
+START_TEST(damaged_process_joins_again_when_the_others_have_a_quorum)
+{
+	const struct damage_case *d = &damage_cases[_i];
+	struct fault f = {0};
+	char path[128];
+	uint64_t old;
+
+	open_processes();
+	for (int i = 4; i >= 0; i--)
+		start_process(i, true);
+	wait_for_full_group(0);
+	old = processes[1].control->id;
+	for (int i = 1; i < 4; i++)
+		stop_process(i);
+	damage_file(1, d->name, d->removed);
+	start_process(1, false);
+	usleep(1500000);
+	ck_assert(!has_control_failed(processes[1].control, &f));
+	snprintf(path, sizeof(path), "%s/damaged.lock", processes[1].dir);
+	ck_assert_int_ne(access(path, F_OK), 0);
+	snprintf(path, sizeof(path), "%s/damaged.state", processes[1].dir);
+	ck_assert_int_ne(access(path, F_OK), 0);
+	start_process(2, false);
+	start_process(3, false);
+	for (int i = 0;
+	     i < WAIT_S * 20 && !has_control_failed(processes[1].control, &f);
+	     i++)
+		usleep(50000);
+	ck_assert(has_control_failed(processes[1].control, &f));
+	ck_assert_msg(
+	    strstr(f.text, "join under a new id") != NULL, "%s", f.text);
+	stop_process(1);
+	start_process(1, false);
+	wait_for_full_group(old);
+	ck_assert_uint_ne(processes[1].control->id, old);
+	close_processes();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -483,5 +564,8 @@
 	    t, initial_voter_loses_its_disk_before_the_group_exists, 0, 2);
 	tcase_add_test(
 	    t, initial_voter_without_its_disk_bootstraps_no_second_group);
+	tcase_add_loop_test(t,
+	    damaged_process_joins_again_when_the_others_have_a_quorum, 0,
+	    sizeof(damage_cases) / sizeof(damage_cases[0]));
 	return run_suite("membership", t);
 }
