--- a/scenarios/large_changes.lua
+++ b/scenarios/large_changes.lua
@@ -66,11 +66,11 @@
 			most = math.max(most, folder_bytes(m))
 		end
 	end
-	if room > 0 and i == changes // 4 then
+	if room > 0 and i == changes * 9 // 20 then
 		for _, m in ipairs(tight) do
 			fleet.set_disk(m, "room=" .. room)
 		end
-	elseif room > 0 and i == changes // 2 then
+	elseif room > 0 and i == changes * 4 // 5 then
 		for _, m in ipairs(tight) do
 			fleet.set_disk(m, "")
 		end
