agent, control: announce an endpoint above that of an earlier run

Cause: the incarnation of a node is its start time, and control processes keep the record with the highest one. The new run's records were refused as older than the GONE record of the last run, without a word to the node. After a kill the old READY record stayed in use, and changes of the new run's state, such as a drain, were refused.

Change: a control process that knows a higher incarnation answers the watch at once and marks the reply (retry_ms of an OK reply, which older builds ignore; its stamp is not below the known incarnation). The node takes the next incarnation above the stamp and announces itself again. Such replies are never shared or cached. A delayed message of an earlier run cannot do this, because nobody is left to read the reply.

What remains: a control process that has been restarted, too, and has not yet got the records of its peers accepts the lower incarnation; the others refuse it until that node's next start.

--- a/packages/agent/agent_core.h
+++ b/packages/agent/agent_core.h
@@ -56,6 +56,7 @@
 	int control; /* slot of the control process */
 	uint64_t held_version; /* table version reported in it; 0: none */
 	uint64_t self_seq; /* of the node's record sent; 0: none */
+	uint64_t incarnation; /* of that record */
 	uint64_t interest_digest; /* of the interest, sent or omitted */
 	bool packed; /* the reply is a wire_packed */
 };
@@ -99,7 +100,11 @@
 	uint64_t seed_mask; /* bit i: control i is a configured seed */
 	uint64_t member_mask; /* bit i: control i is a member of the group */
 	uint64_t plain_mask; /* bit i: control i cannot pack its replies */
-	uint64_t incarnation; /* start time, wall clock ns */
+	/*
+	 * Start time, wall clock ns. Later if a control process knows a later
+	 * one, from before the time of day was set back.
+	 */
+	uint64_t incarnation;
 	struct rpc_client *client;
 	struct rpc_peer *peers[AGENT_KNOWN_CONTROLS_MAX];
 	bool discovers; /* also uses the members of the group */
--- a/packages/agent/agent_watch.c
+++ b/packages/agent/agent_watch.c
@@ -39,6 +39,8 @@
 static bool apply_sets(
     struct agent *a, const struct wire_watch_reply *r, int64_t now);
 static void confirm_self(struct agent *a, uint64_t seq);
+static void raise_incarnation(struct agent *a, const struct agent_watch *w,
+    const struct wire_watch_reply *r, int64_t now);
 static uint64_t digest_interest(
     uint64_t registry_id, const struct wire_interest *list, int count);
 static void publish_watch_status(struct agent *a);
@@ -160,6 +162,7 @@
 	args.wait_ms = a->heartbeat_ms;
 	args.controls_digest = a->discovers ? a->controls_digest : 0;
 	w->self_seq = fill_self(a, &self, &copy, &args.wait_ms);
+	w->incarnation = a->incarnation;
 	args.self = w->self_seq != 0 ? &self : NULL;
 	advance_retry(a, now);
 	rc = encode_wire((xdrproc_t)xdr_wire_watch_args, &args, &body);
@@ -355,7 +358,9 @@
 		a->on_change(a->on_change_arg);
 	if (a->discovers)
 		update_controls(a, r);
-	if (current && w->self_seq != 0)
+	if (current && w->self_seq != 0 && r->retry_ms == WIRE_RETRY_ANNOUNCE)
+		raise_incarnation(a, w, r, now);
+	else if (current && w->self_seq != 0)
 		confirm_self(a, w->self_seq);
 	if (effect == REPLY_NO_NEWS && !news && should_move_on(a, w->control))
 		effect = REPLY_FAILED;
@@ -497,6 +502,26 @@
 	pthread_mutex_unlock(&a->lock);
 }
 
+/*
+ * Announces the endpoint again, above the record of an earlier run: the time of
+ * day was set back since, and a control process would refuse it for that long.
+ */
+static void
+raise_incarnation(struct agent *a, const struct agent_watch *w,
+    const struct wire_watch_reply *r, int64_t now)
+{
+	if (w->incarnation != a->incarnation || r->stamp.wall_ns < 0 ||
+	    r->stamp.wall_ns == INT64_MAX ||
+	    (uint64_t)r->stamp.wall_ns < a->incarnation)
+		return;
+	WRITE_EVENT(LOG_LEVEL_NOTICE, "endpoint.outdated",
+	    LOG_INT("incarnation", a->incarnation),
+	    LOG_INT("known", r->stamp.wall_ns));
+	a->incarnation = (uint64_t)r->stamp.wall_ns + 1;
+	a->confirmed_seq = 0;
+	record_node_change(&a->watch_plan, now);
+}
+
 /*
  * Copies the state for render_agent_status() and is_agent_attached().
  */
--- a/packages/agent/tests/agent_fixture.h
+++ b/packages/agent/tests/agent_fixture.h
@@ -102,6 +102,7 @@
 	int weight; /* of the only row; it differs between versions */
 	uint64_t version; /* at the control processes; 0: none */
 	uint64_t set_version; /* of the only service */
+	uint64_t known_incarnation; /* of the node's record; 0: none */
 	struct agent *agent;
 	int overdue_ms; /* of the agent's watches; 0: its default */
 	_Atomic enum rpc_fault_kind reply_fault;
@@ -280,6 +281,12 @@
 		w.sets.sets_val = &set;
 		news = true;
 	}
+	if (args->self != NULL &&
+	    args->self->incarnation < c->fixture->known_incarnation) {
+		w.retry_ms = WIRE_RETRY_ANNOUNCE;
+		w.stamp.wall_ns = (int64_t)c->fixture->known_incarnation;
+		news = true;
+	}
 	if (news || args->wait_ms == 0)
 		send_watch_reply(c, reply, &w);
 	else
--- a/packages/agent/tests/test_agent_watch.c
+++ b/packages/agent/tests/test_agent_watch.c
@@ -303,6 +303,31 @@
 }
 END_TEST
 
+/*
+ * Pattern: the time of day of a machine is set back, and its node is started
+ * again. Guards against an endpoint that control processes refuse, as older than
+ * its last run, until the time of day has caught up.
+ */
+START_TEST(endpoint_outdated_by_an_earlier_run_is_announced_above_it)
+{
+	struct fixture fx;
+
+	open_fixture(&fx, 1);
+	fx.known_incarnation =
+	    (uint64_t)atomic_load(&fx.now) + 3600 * (uint64_t)NSEC_PER_SEC;
+	start_fixture_agent(&fx, NULL);
+	WAIT_UNTIL(get_last_watch(&fx, 0).table_version == 5);
+	ck_assert_int_eq(announce_endpoint(fx.agent, &node_endpoint), 0);
+	ADVANCE_UNTIL(
+	    &fx, get_last_watch(&fx, 0).incarnation > fx.known_incarnation);
+	/* accepted, so it is neither sent nor raised again */
+	publish_next_version(&fx, 0, 20);
+	ADVANCE_UNTIL(&fx, get_last_watch(&fx, 0).table_version == 6);
+	ck_assert(!get_last_watch(&fx, 0).has_self);
+	close_fixture(&fx);
+}
+END_TEST
+
 static bool
 has_set(struct fixture *fx)
 {
@@ -526,6 +551,8 @@
 	tcase_add_test(t, table_is_kept_while_all_controls_are_down);
 	tcase_add_test(t, duplicate_and_reordered_replies_are_harmless);
 	tcase_add_test(t, own_endpoint_is_sent_on_change_and_on_attachment);
+	tcase_add_test(
+	    t, endpoint_outdated_by_an_earlier_run_is_announced_above_it);
 	tcase_add_test(t, first_use_subscribes_to_the_service);
 	tcase_add_loop_test(t, claim_fails_over_and_is_closed_as_not_run, 0,
 	    COUNT(claim_cases));
--- a/packages/control/registry.c
+++ b/packages/control/registry.c
@@ -160,6 +160,21 @@
 	}
 }
 
+/*
+ * The incarnation is the start time of a node, so that of its next run is lower
+ * when the time of day was set back in between, and all its records are refused.
+ */
+uint64_t
+get_newer_incarnation(const struct registry *g, const struct wire_endpoint *e)
+{
+	const struct record *r = find_record(g, make_str(e->id));
+
+	return r != NULL && r->e.incarnation > e->incarnation &&
+		       r->e.incarnation < INT64_MAX ?
+		   r->e.incarnation :
+		   0;
+}
+
 uint64_t
 get_registry_id(const struct registry *g)
 {
--- a/packages/control/tests/test_watch.c
+++ b/packages/control/tests/test_watch.c
@@ -373,6 +373,80 @@
 }
 END_TEST
 
+struct outdated_case {
+	uint64_t incarnation; /* announced; that of the known record is 10 */
+	int retry_ms;
+	enum watch_verdict verdict;
+};
+
+static const struct outdated_case outdated_cases[] = {
+    {9, WIRE_RETRY_ANNOUNCE, WATCH_REPLY},
+    {10, 0, WATCH_PENDING},
+    {11, 0, WATCH_PENDING},
+};
+
+/*
+ * Pattern: the time of day of a machine is set back, and its node is started
+ * again. Guards against a control process that refuses the endpoint of the new
+ * run without a word, and against the same reply for other nodes.
+ */
+START_TEST(node_outdated_by_an_earlier_run_learns_it_at_once)
+{
+	const struct outdated_case *c = &outdated_cases[_i];
+	struct state *s = open_sample();
+	struct watch_cache *cache = calloc(1, sizeof(*cache));
+	struct registry *g = NULL;
+	struct wire_endpoint self = {.id = (char *)(uintptr_t) "n1",
+	    .incarnation = 10,
+	    .seq = 1,
+	    .service = (char *)(uintptr_t) "svc",
+	    .address = (char *)(uintptr_t) "127.0.0.1:1",
+	    .zone = (char *)(uintptr_t) "z",
+	    .instance = (char *)(uintptr_t) "",
+	    .backend = (char *)(uintptr_t) "",
+	    .slots = 4,
+	    .state = WIRE_ENDPOINT_READY};
+	struct wire_watch_args a = {.held_version = s->table->version,
+	    .held_digest = s->table->digest,
+	    .registry_id = 77,
+	    .self = &self};
+	struct watch_view v = {.version = s->table->version, .confirmed = true};
+	struct wire_hlc stamp = {1, 2};
+
+	ck_assert_int_eq(open_registry(1, 77, &g), 0);
+	ck_assert_int_eq(
+	    announce_endpoint_record(g, 1, &self), REGISTRY_CHANGED);
+	self.incarnation = c->incarnation;
+	v.registry = g;
+	ck_assert_int_eq(decide_watch(&v, &a), c->verdict);
+	for (int packed = 0; packed < 2; packed++) {
+		struct wire_watch_reply r = {0};
+		struct buf b = {0}, plain = {0};
+
+		ck_assert_int_eq(packed ? encode_packed_reply(cache, s, g,
+					      &no_controls, &a, &stamp, &b) :
+					  encode_watch_reply(cache, s, g,
+					      &no_controls, &a, &stamp, &plain),
+		    0);
+		if (packed)
+			ck_assert_int_eq(unpack_wire(view_buf(&b), &plain), 0);
+		ck_assert_int_eq(decode_wire((xdrproc_t)xdr_wire_watch_reply,
+				     view_buf(&plain), &r),
+		    0);
+		ck_assert_int_eq(r.status, WIRE_OK);
+		ck_assert_int_eq(r.retry_ms, c->retry_ms);
+		ck_assert_int_ge(r.stamp.wall_ns, c->retry_ms != 0 ? 10 : 1);
+		unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
+		unload_buf(&plain);
+		unload_buf(&b);
+	}
+	clear_cache(cache);
+	free(cache);
+	close_registry(g);
+	close_state(s);
+}
+END_TEST
+
 /*
  * Guards against a delta that is longer than the table, or that needs a version
  * no longer in the history.
@@ -692,6 +766,9 @@
 	    sizeof(interval_cases) / sizeof(interval_cases[0]));
 	tcase_add_test(t, updates_produce_the_current_table);
 	tcase_add_test(t, packed_replies_equal_plain_ones);
+	tcase_add_loop_test(t,
+	    node_outdated_by_an_earlier_run_learns_it_at_once, 0,
+	    sizeof(outdated_cases) / sizeof(outdated_cases[0]));
 	tcase_add_test(t, full_table_when_it_is_shorter_or_history_is_removed);
 	tcase_add_test(t, replies_carry_the_newer_sets_only);
 	tcase_add_test(t, oversized_sets_follow_in_later_replies);
--- a/packages/control/watch.c
+++ b/packages/control/watch.c
@@ -17,6 +17,8 @@
     const struct registry *g, const struct wire_watch_args *a);
 static bool has_newer_set(
     const struct registry *g, const struct wire_watch_args *a);
+static uint64_t get_outdating_incarnation(
+    const struct registry *g, const struct wire_watch_args *a);
 static uint64_t digest_reply_inputs(const struct state *s,
     const struct registry *g, const struct watch_controls *controls,
     const struct wire_watch_args *a);
@@ -48,7 +50,8 @@
 		return WATCH_STALE;
 	if (a->held_version == 0 && !v->confirmed)
 		return WATCH_NEEDS_READ;
-	if (v->timed_out || needs_table(v->version, a))
+	if (v->timed_out || needs_table(v->version, a) ||
+	    get_outdating_incarnation(v->registry, a) != 0)
 		return WATCH_REPLY;
 	switch (find_set_news(v->registry, a)) {
 	case SETS_MISSING:
@@ -174,7 +177,8 @@
 /*
  * A reply with neither sets nor control processes is the same for all nodes
  * with one base version (shareable): it is encoded once and cached, with the
- * stamp of the first one.
+ * stamp of the first one. A reply to a node that has to announce itself again
+ * is never shared.
  */
 int
 encode_watch_reply(struct watch_cache *c, const struct state *s,
@@ -187,9 +191,15 @@
 	bool sends_controls = controls->digest != 0 &&
 			      a->controls_digest != 0 &&
 			      controls->digest != a->controls_digest;
-	bool shareable = !sends_controls && !has_newer_set(g, a);
+	uint64_t newer = get_outdating_incarnation(g, a);
+	bool shareable = !sends_controls && !has_newer_set(g, a) && newer == 0;
 	int rc = 0;
 
+	if (newer != 0) {
+		r.retry_ms = WIRE_RETRY_ANNOUNCE;
+		if (r.stamp.wall_ns < (int64_t)newer)
+			r.stamp = (struct wire_hlc){(int64_t)newer, 0};
+	}
 	r.registry_id = get_registry_id(g);
 	r.table.table_version = s->table->version;
 	r.table.digest = s->table->digest;
@@ -237,6 +247,13 @@
 	struct buf plain = {0};
 	int rc;
 
+	if (get_outdating_incarnation(g, a) != 0) {
+		rc = encode_watch_reply(c, s, g, controls, a, stamp, &plain);
+		if (rc == 0)
+			rc = pack_wire(view_buf(&plain), out);
+		unload_buf(&plain);
+		return rc;
+	}
 	for (size_t i = 0; i < WATCH_PACKED_MAX; i++) {
 		if (c->packed[i].key == key)
 			return append_buf_str(
@@ -306,6 +323,16 @@
 	return find_set_news(g, a) != SETS_SAME;
 }
 
+/*
+ * Returns the incarnation of a record that outdates the announced one; 0: none.
+ */
+static uint64_t
+get_outdating_incarnation(
+    const struct registry *g, const struct wire_watch_args *a)
+{
+	return a->self != NULL ? get_newer_incarnation(g, a->self) : 0;
+}
+
 /*
  * Returns a digest, never 0, of everything that a reply depends on but its
  * stamp: the table and the base of its update, the sets and the versions of
--- a/packages/wire/wire.x
+++ b/packages/wire/wire.x
@@ -232,7 +232,7 @@
 	/* STALE: try another control process; LIMIT: retry later */
 	wire_status status;
 	wire_hlc stamp;
-	int retry_ms;
+	int retry_ms;              /* with OK: 0 or WIRE_RETRY_ANNOUNCE */
 	wire_table_update table;
 	unsigned hyper registry_id;
 	wire_endpoint_set sets<WIRE_INTEREST_MAX>;
