daemon: map little address space where memory is limited

What callers saw: with the memory of a deployment (256 MB) as RLIMIT_AS, a control process accepted connections and closed them without an answer, so that reads of the configuration did not come, for good; with RLIMIT_DATA the same as soon as 40 callers kept their connections. The process itself went on, with 9 MB resident, and so did the nodes. Operators met this at any control process, on every build.

Cause: each connection to the HTTP API has a thread, with a stack of 8 MiB by default (ulimit -s), and the C library reserves 64 MiB of heap for a thread, 128 MiB while it does. A control process of 9 MB had mapped 852 MB. When the next thread cannot be created, libmicrohttpd closes the connection.

Change: stacks of 1 MiB for all threads, those of libraries included, and one heap.

Ruled out: threads without stacks of their own (an event loop for the API), since a change waits in its thread for the quorum.

--- a/apps/greengagespurd/main.c
+++ b/apps/greengagespurd/main.c
@@ -2,6 +2,7 @@
  * greengagespurd: runs one process of the system, a control process or a node.
  */
 #include <errno.h>
+#include <malloc.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
@@ -12,10 +13,20 @@
 #include "log.h"
 
 #define STOP_POLL_NS (200 * NSEC_PER_MSEC) /* of is_stop_requested() */
+/*
+ * Address space counts where a machine limits memory by RLIMIT_AS or RLIMIT_DATA.
+ * By default, stacks of 8 MiB and 64 MiB of heap for each thread let a control
+ * process that uses 9 MiB map 850 MiB. 1 MiB is 16 times the largest frame and
+ * enough for JSON at jansson's greatest depth. A further heap takes 128 MiB while
+ * it is created.
+ */
+#define THREAD_STACK_BYTES (1024 * 1024)
+#define HEAPS_MAX 1
 
 static const struct role *get_role(const struct settings *s);
 static int check_settings(
     const struct settings *s, const struct role **role, struct fault *f);
+static void limit_address_space(void);
 static int run_role(const struct settings *s, const struct role *role);
 static void wait_for_stop(const struct role *role);
 static enum log_level parse_log_level(const char *name);
@@ -29,6 +40,7 @@
 	struct fault f = {0};
 	int first_arg = 0, status;
 
+	limit_address_space();
 	if (load_settings(
 		get_daemon_program(), argc, argv, &s, &first_arg, &f) != 0 ||
 	    check_settings(s, &role, &f) != 0) {
@@ -95,6 +107,23 @@
 	return rc;
 }
 
+/*
+ * Sets the stack size of all threads, those of libraries included, and the number
+ * of heaps. The defaults stay where the C library refuses.
+ */
+static void
+limit_address_space(void)
+{
+	pthread_attr_t attr;
+
+	(void)mallopt(M_ARENA_MAX, HEAPS_MAX);
+	if (pthread_attr_init(&attr) != 0)
+		return;
+	if (pthread_attr_setstacksize(&attr, THREAD_STACK_BYTES) == 0)
+		(void)pthread_setattr_default_np(&attr);
+	pthread_attr_destroy(&attr);
+}
+
 /*
  * Runs the role until a stop is requested and returns the exit status. Signals
  * are blocked in all threads; only the main thread waits for them.
