node: accept a backend server born earlier once the known one is silent

What callers saw: a backend server crashed and was started again after the time of day of its machine had been set back by an hour, while its node went on. Each call for it was answered 503, without an end, although the server ran and its reports were answered 200.

Cause: reports name the birth of the server by the time of day, and a node ignored every report with an earlier birth than the known one, as delayed. It went on naming the instance that had ended, so that the server refused each call as meant for another one.

Change: a server that reports as born earlier is accepted once the known one has been silent for 3 s (three reports) and it has itself reported for 1.5 s with rising sequences. Delayed reports come while the known server reports, or all at once. If one were accepted all the same, calls would be refused as misdirected and not run, and the next report of a later birth takes over at once. The order of reports moved into a file without sockets, so that a table of cases tests it.

--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -11,8 +11,6 @@
 #define CONNECT_FAILURES_MAX 3 /* in a row, then the server counts as down */
 #define DOWN_NS (1 * NSEC_PER_SEC) /* then it is tried again */
 
-static bool is_stale_report(
-    const struct backend *b, const struct backend_report *r);
 static void start_instance(struct node *n, const struct backend_report *r);
 static void update_state(struct node *n);
 static void announce_state(struct node *n);
@@ -68,12 +66,13 @@
 void
 apply_backend_report(struct node *n, const struct backend_report *r)
 {
+	int64_t now = get_reactor_now(n->reactor);
 	struct admission_changes changes = {0};
 	struct backend *b = n->backend;
 
 	if (b == NULL)
 		return;
-	if (is_stale_report(b, r)) {
+	if (is_stale_report(b, r, now)) {
 		WRITE_EVENT(LOG_LEVEL_NOTICE, "report.stale",
 		    LOG_TEXT("instance", r->id), LOG_INT("seq", r->seq),
 		    LOG_INT("born_ms", r->start_ms),
@@ -86,10 +85,11 @@
 	    (r->start_ms != 0 && r->start_ms != b->start_ms))
 		start_instance(n, r);
 	b->seq = r->seq != 0 ? r->seq : b->seq;
+	b->reported_at = now;
+	b->earlier = (struct earlier_birth){0};
 	if (r->slots > 0 && r->slots != b->slots) {
 		b->slots = r->slots;
-		set_admission_slots(n->admission, r->slots,
-		    get_reactor_now(n->reactor), &changes);
+		set_admission_slots(n->admission, r->slots, now, &changes);
 	}
 	/* A leaving server does not become ready again without a restart. */
 	if (r->state > b->state)
@@ -139,24 +139,6 @@
 	return n->backend != NULL ? n->backend->rate_per_s : NO_RATE_LIMIT;
 }
 
-/*
- * Says whether a report belongs to an earlier incarnation of the backend server
- * or was overtaken by a newer one. A report that makes the state worse is
- * accepted even when it was overtaken.
- */
-static bool
-is_stale_report(const struct backend *b, const struct backend_report *r)
-{
-	if (!b->reported)
-		return false;
-	if (r->start_ms != 0 && b->start_ms != 0 && r->start_ms != b->start_ms)
-		return r->start_ms < b->start_ms;
-	/* The first report of a new instance is never REPORT_GONE. */
-	if (strcmp(b->instance, r->id) != 0)
-		return r->state == REPORT_GONE;
-	return r->seq != 0 && r->seq <= b->seq && r->state <= b->state;
-}
-
 /*
  * The backend server has restarted: resets what is known of the previous
  * instance and stops reusing the connections to it.
--- a/packages/node/backend_state.h
+++ b/packages/node/backend_state.h
@@ -1,6 +1,6 @@
 /*
  * State of the node's backend server and of the connections to it; included by
- * backend.c, backend_conn.c and notice.c only.
+ * backend.c, backend_conn.c, notice.c and report_order.c only.
  */
 #ifndef BACKEND_STATE_H
 #define BACKEND_STATE_H
@@ -46,6 +46,12 @@
 	char address[NODE_ADDRESS_BYTES];
 	int64_t start_ms;
 	uint64_t seq;
+	int64_t reported_at; /* mono ns; last accepted report */
+	struct earlier_birth {
+		int64_t start_ms; /* 0: none */
+		uint64_t seq; /* of the first report */
+		int64_t reported_at; /* mono ns; first report */
+	} earlier; /* that has reported since the last accepted report */
 	enum report_state state;
 	int slots;
 	bool announced; /* to the control processes */
@@ -75,6 +81,10 @@
 void record_backend_connect_failure(struct node *n);
 void mark_backend_leaving(struct node *n); /* it said so in an answer */
 
+/* report_order.c */
+bool is_stale_report(
+    struct backend *b, const struct backend_report *r, int64_t now);
+
 /* notice.c */
 void apply_answer_notices(
     struct node *n, const struct http_head *h, bool sealed);
