--- a/bench/scenario_process.c
+++ b/bench/scenario_process.c
@@ -190,7 +190,7 @@
 /*
  * process.start{args={...}, env={"NAME=value", ...}, log=path,
  * file_limit=bytes} returns an id;
- * process.kill(id, "KILL"|"TERM"|"STOP"|"CONT"|"HUP"),
+ * process.kill(id, "KILL"|"TERM"|"STOP"|"CONT"|"HUP"|"PIPE"),
  * process.wait(id, ms), process.usage(id), process.pid(id).
  */
 void
@@ -357,9 +357,9 @@
 lua_signal(lua_State *l)
 {
 	static const char *const names[] = {
-	    "KILL", "TERM", "STOP", "CONT", "HUP", NULL};
+	    "KILL", "TERM", "STOP", "CONT", "HUP", "PIPE", NULL};
 	static const int signals[] = {
-	    SIGKILL, SIGTERM, SIGSTOP, SIGCONT, SIGHUP};
+	    SIGKILL, SIGTERM, SIGSTOP, SIGCONT, SIGHUP, SIGPIPE};
 	int id = (int)luaL_checkinteger(l, 1);
 
 	lua_pushboolean(
--- a/scenarios/member_faults.lua
+++ b/scenarios/member_faults.lua
@@ -24,8 +24,7 @@
 local title = string.format("seed %d, %s %s", seed, case, detail or "")
 
 local p = deployment.new("member-" .. seed .. "-" .. case, CORES, 3)
-p.daemon = os.getenv("DAEMON") or BUILD ..
-	"/apps/greengagespurd/greengagespurd_power_loss"
+p.daemon = "greengagespurd_power_loss"
 p.first_start = false
 local started_at = sys.now_ms()
 
