replica: read the status from other threads while the group commits

threads_commit_and_stop did not read a status while the threads work, so it met neither a race of the status nor the negative age of a contact that fixes. Eight threads read now, as the listeners' threads do.

--- a/packages/replica/tests/test_replica.c
+++ b/packages/replica/tests/test_replica.c
@@ -4,6 +4,7 @@
  */
 #include <check.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <unistd.h>
 
 #include "group.h"
@@ -1076,9 +1077,35 @@
 	}
 }
 
+#define STATUS_READERS 8
+
+/* Reads the status of a replica all the time, as the listeners' threads do. */
+struct status_reader {
+	struct replica *r;
+	pthread_t thread;
+	atomic_bool stop;
+	bool had_contact;
+	int lost; /* times that the contact was "never" after there was one */
+};
+
+static void *
+read_statuses(void *arg)
+{
+	struct status_reader *s = arg;
+
+	while (!atomic_load(&s->stop)) {
+		bool has = get_replica_status(s->r).contact_ns >= 0;
+
+		s->lost += s->had_contact && !has;
+		s->had_contact = s->had_contact || has;
+	}
+	return NULL;
+}
+
 /* Guards against data races and lost wake-ups of the threads. */
 START_TEST(threads_commit_and_stop)
 {
+	struct status_reader readers[STATUS_READERS] = {0};
 	struct thread_group t = {.lock = PTHREAD_MUTEX_INITIALIZER,
 	    .changed = PTHREAD_COND_INITIALIZER};
 	struct thread_member x[4];
@@ -1106,8 +1133,20 @@
 	pthread_mutex_lock(&t.lock);
 	memcpy(t.r, started, sizeof(t.r));
 	pthread_mutex_unlock(&t.lock);
+	for (int i = 0; i < STATUS_READERS; i++) {
+		readers[i].r = started[1 + i % 3];
+		ck_assert_int_eq(pthread_create(&readers[i].thread, NULL,
+				     read_statuses, &readers[i]),
+		    0);
+	}
 	propose_until_applied(&t);
 	ck_assert_int_eq(t.applied, THREAD_VALUES);
+	for (int i = 0; i < STATUS_READERS; i++) {
+		atomic_store(&readers[i].stop, true);
+		pthread_join(readers[i].thread, NULL);
+		ck_assert_msg(
+		    readers[i].lost == 0, "reader %d: %d", i, readers[i].lost);
+	}
 	/* No message may reach a replica that stops. */
 	pthread_mutex_lock(&t.lock);
 	memset(t.r, 0, sizeof(t.r));
