control: read the state of joining under the service lock

Cause: the service thread read last_join_ns, leader and the number of seeds without the lock under which replies and a reload write them, and cleared leader without it: the leader that a reply had just named could be lost, so that the next request went to another process after 100 ms instead. With fewer seeds after a reload, the index could also name an entry that no peer has. thread_started was set after the start of the thread that reads it.

Change: both functions take the lock; thread_started is set before.

--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -369,11 +369,14 @@
 		rc = start_server(c, f);
 	if (rc == 0)
 		rc = start_http(c, f);
-	if (rc == 0 && pthread_create(&c->thread, NULL, run_service, c) != 0)
-		rc = set_fault(f, ERR_LIMIT,
-		    "cannot start a thread; raise the process limit");
-	c->thread_started = rc == 0;
-	return rc;
+	if (rc != 0)
+		return rc;
+	c->thread_started = true; /* the thread reads it */
+	if (pthread_create(&c->thread, NULL, run_service, c) == 0)
+		return 0;
+	c->thread_started = false;
+	return set_fault(
+	    f, ERR_LIMIT, "cannot start a thread; raise the process limit");
 }
 
 static int
--- a/packages/control/membership.c
+++ b/packages/control/membership.c
@@ -268,8 +268,12 @@
 is_join_due(struct control *c, int64_t now)
 {
 	struct replica_status st;
+	int64_t last;
 
-	if (now - c->membership.last_join_ns < JOIN_INTERVAL_NS)
+	pthread_mutex_lock(&c->lock);
+	last = c->membership.last_join_ns;
+	pthread_mutex_unlock(&c->lock);
+	if (now - last < JOIN_INTERVAL_NS)
 		return false;
 	return get_replication_status(c, &st) && !st.failed &&
 	       (!st.voter || st.contact_ns < 0 ||
@@ -284,22 +288,25 @@
 choose_target(struct control *c)
 {
 	struct membership *m = &c->membership;
-	struct peer *leader =
-	    m->leader != 0 ? find_control_peer(c, m->leader) : NULL;
-	size_t n = m->seed_count + c->peer_count, at;
-	struct rpc_peer *target;
+	struct rpc_peer *target = NULL;
+	struct peer *leader;
+	size_t n, at;
 
-	m->leader = 0;
-	if (leader != NULL && leader->id != c->id)
-		return leader->rpc;
-	if (n == 0)
-		return NULL;
 	pthread_mutex_lock(&c->lock);
-	at = m->next_target++ % n;
-	target = at < m->seed_count ? m->seeds[at] : NULL;
-	at -= m->seed_count;
+	leader = m->leader != 0 && m->leader != c->id ?
+		     find_control_peer(c, m->leader) :
+		     NULL;
+	m->leader = 0;
+	n = m->seed_count + c->peer_count;
+	if (leader != NULL) {
+		target = leader->rpc;
+	} else if (n > 0) {
+		at = m->next_target++ % n;
+		target = at < m->seed_count ? m->seeds[at] :
+					      c->peers[at - m->seed_count].rpc;
+	}
 	pthread_mutex_unlock(&c->lock);
-	return target != NULL ? target : c->peers[at % CONTROL_PEER_MAX].rpc;
+	return target;
 }
 
 static void
@@ -313,7 +320,9 @@
 	struct rpc_peer *target = choose_target(c);
 	struct buf b = {0};
 
+	pthread_mutex_lock(&c->lock);
 	c->membership.last_join_ns = now;
+	pthread_mutex_unlock(&c->lock);
 	if (target != NULL &&
 	    encode_wire((xdrproc_t)xdr_wire_join_args, &a, &b) == 0)
 		(void)call_rpc(target, GGS_JOIN, view_buf(&b), JOIN_TIMEOUT_MS,
