agent: the same news twice does not pause the watches

Seen: in a deployment without any fault (five control processes, five nodes, changes one after the other, heartbeats), one node had a change in force 760 ms after it was accepted; the control process logged node.late for it, lag 1000 ms, transfer 994 ms: the node sent its next watch only then. 2 s are allowed (config-apply-s), so half of the time is gone before a slow link or a lost control process adds its part.

Cause: a change of the node itself (its endpoint, a new service of the table) sends a watch that replaces the pending one. Both stay pending at the control process, and the next change answers both. The first reply puts the table in force; the second has nothing newer, counted as an early reply without news, and the next watch waited until a second after the last one (WATCH_EMPTY_SPACING_MS). A change in that second reached the node late. A changed set of endpoints does the same.

Change: a watch that was sent before the latest news is followed at once, because the next one asks for something else. Each reply with news allows at most one more watch for each pending one, so the pause still ends loops.

--- a/packages/agent/agent_core.h
+++ b/packages/agent/agent_core.h
@@ -55,6 +55,7 @@
 	uint64_t number; /* counts the agent's watches from 1 */
 	int control; /* slot of the control process */
 	uint64_t held_version; /* table version reported in it; 0: none */
+	uint64_t news_count; /* of the agent when it was sent */
 	uint64_t self_seq; /* of the node's record sent; 0: none */
 	uint64_t incarnation; /* of that record */
 	uint64_t interest_digest; /* of the interest, sent or omitted */
@@ -121,6 +122,7 @@
 	struct watch_plan watch_plan;
 	struct rng rng;
 	uint64_t last_watch; /* number of the newest watch */
+	uint64_t news_count; /* replies that brought something */
 	uint64_t registry_id; /* that the set versions belong to */
 	uint64_t interest_digest; /* of the interest list last accepted */
 	int interest_control; /* slot of the control that has it; -1: none */
--- a/packages/agent/agent_watch.c
+++ b/packages/agent/agent_watch.c
@@ -136,6 +136,7 @@
 	w->control = control;
 	w->packed = (a->plain_mask & 1ULL << control) == 0;
 	w->held_version = current != NULL ? current->version : 0;
+	w->news_count = a->news_count;
 	n = list_interest(a->sets, interest, WIRE_INTEREST_MAX);
 	if (a->events != NULL) {
 		struct hlc stamp = stamp_hlc(a->events);
@@ -319,7 +320,9 @@
 
 /*
  * Applies a decoded reply. A table is accepted from any control process; sets
- * and the confirmation of the endpoint count only from the current one.
+ * and the confirmation of the endpoint count only from the current one. A watch
+ * that was sent before the latest news may be answered with the same again; the
+ * next one follows at once, as it asks for something else.
  */
 static void
 handle_reply(struct agent *a, const struct agent_watch *w,
@@ -327,8 +330,8 @@
 {
 	bool newest = w->number == a->last_watch && a->watch_plan.watching;
 	bool current = w->control == get_watch_control(&a->watch_plan);
+	bool outdated = w->news_count != a->news_count, news;
 	enum reply_effect effect;
-	bool news;
 
 	if (r->status == WIRE_LIMIT && newest) {
 		count_metric(a->metrics.limits, 1);
@@ -354,6 +357,7 @@
 	/* Endpoints first, so that a new route finds its set. */
 	news = current && apply_sets(a, r, now);
 	effect = apply_table_update(a, w, &r->table, received_at);
+	a->news_count += news || effect == REPLY_NEWS;
 	if ((news || effect == REPLY_NEWS) && a->on_change != NULL)
 		a->on_change(a->on_change_arg);
 	if (a->discovers)
@@ -367,8 +371,8 @@
 	if (effect == REPLY_FAILED && newest)
 		fail_watch(a, w->control, now);
 	else if (current)
-		handle_watch_reply(
-		    &a->watch_plan, newest, news || effect == REPLY_NEWS, now);
+		handle_watch_reply(&a->watch_plan, newest,
+		    news || effect == REPLY_NEWS || outdated, now);
 }
 
 /*
--- a/packages/agent/tests/agent_fixture.h
+++ b/packages/agent/tests/agent_fixture.h
@@ -506,6 +506,27 @@
 	pthread_mutex_unlock(&fx->lock);
 }
 
+/* Publishes the next set and sends it to the pending watches of control i. */
+static inline void
+publish_next_set(struct fixture *fx, int i, const char *service)
+{
+	struct fake_control *c = &fx->controls[i];
+	struct wire_endpoint_set set = {
+	    .service = (char *)(uintptr_t)service, .whole = true};
+
+	pthread_mutex_lock(&fx->lock);
+	set.set_version = ++fx->set_version;
+	for (int k = 0; k < c->pending_count; k++) {
+		struct wire_watch_reply w = {.registry_id = c->registry};
+
+		w.sets.sets_len = 1;
+		w.sets.sets_val = &set;
+		send_watch_reply(c, c->pending[k], &w);
+	}
+	c->pending_count = 0;
+	pthread_mutex_unlock(&fx->lock);
+}
+
 /* Answers the pending watches of control i without news. */
 static inline void
 send_heartbeats(struct fixture *fx, int i)
--- a/packages/agent/tests/test_agent_watch.c
+++ b/packages/agent/tests/test_agent_watch.c
@@ -263,6 +263,49 @@
 }
 END_TEST
 
+/* What two pending watches are answered with at the same time. */
+static const struct twice_case {
+	const char *name;
+	bool table; /* else a set */
+} twice_cases[] = {{"table", true}, {"endpoint set", false}};
+
+/*
+ * Guards against a pause before the next watch because the newest one is
+ * answered with what the reply to a replaced one has just brought: a change
+ * that is accepted meanwhile is late by the pause, up to a second. The clock
+ * stands still, so that a pause would never end.
+ */
+START_TEST(news_that_came_twice_delays_no_watch)
+{
+	const struct twice_case *c = &twice_cases[_i];
+	struct fixture fx;
+	int before;
+
+	open_fixture(&fx, 1);
+	start_fixture_agent(&fx, "svc");
+	WAIT_UNTIL(get_agent_version(&fx) == 5);
+	WAIT_UNTIL(get_last_watch(&fx, 0).set_version == 3);
+	ck_assert_int_eq(announce_endpoint(fx.agent, &node_endpoint), 0);
+	ADVANCE_UNTIL(&fx, get_last_watch(&fx, 0).has_self);
+	WAIT_UNTIL(fx.controls[0].pending_count == 2);
+	before = count_watches(&fx, 0);
+	if (c->table)
+		publish_next_version(&fx, 0, 20);
+	else
+		publish_next_set(&fx, 0, "svc");
+	WAIT_UNTIL(count_watches(&fx, 0) > before);
+	if (c->table)
+		ck_assert_uint_eq(get_last_watch(&fx, 0).table_version, 6);
+	else
+		ck_assert_uint_eq(get_last_watch(&fx, 0).set_version, 4);
+	publish_next_version(&fx, 0, 30);
+	WAIT_UNTIL(get_agent_version(&fx) == fx.version);
+	/* It sends one more, not a loop of them. */
+	WAIT_UNTIL(count_watches(&fx, 0) == before + 2);
+	close_fixture(&fx);
+}
+END_TEST
+
 /* Guards against an endpoint that a control process never receives. */
 START_TEST(own_endpoint_is_sent_on_change_and_on_attachment)
 {
@@ -550,6 +593,8 @@
 	tcase_add_test(t, unresponsive_control_is_left_when_overdue);
 	tcase_add_test(t, table_is_kept_while_all_controls_are_down);
 	tcase_add_test(t, duplicate_and_reordered_replies_are_harmless);
+	tcase_add_loop_test(t, news_that_came_twice_delays_no_watch, 0,
+	    (int)(sizeof(twice_cases) / sizeof(twice_cases[0])));
 	tcase_add_test(t, own_endpoint_is_sent_on_change_and_on_attachment);
 	tcase_add_test(
 	    t, endpoint_outdated_by_an_earlier_run_is_announced_above_it);
