--- a/packages/control/tests/test_fleet.c
+++ b/packages/control/tests/test_fleet.c
@@ -486,7 +486,7 @@
 			snprintf(address, sizeof(address), "127.9.%d.%d:7401",
 			    round, 1 + i);
 			pthread_barrier_wait(n->barrier);
-			update_peer(n->control, (uint64_t)(100 + i), address);
+			update_peer(n->control, 100 + (uint64_t)i, address);
 		}
 	}
 	return NULL;
--- a/packages/reactor/tests/test_reactor.c
+++ b/packages/reactor/tests/test_reactor.c
@@ -221,7 +221,7 @@
 START_TEST(tasks_are_posted_while_they_run)
 {
 	const struct post_case *c = &post_cases[_i];
-	pthread_t threads[3];
+	pthread_t threads[3] = {0};
 
 	memset(repeated, 0, sizeof(repeated));
 	seen_count = 0;
