control: no negative lag of a version

A watch is handled with a time read before the service lock, under which another thread may have put the next version in force since then. The lag came out negative, and the histogram of lags got its value as an unsigned number, about 18e15 us, which spoils sum and maximum for good.

Change: such a lag is 0.

--- a/packages/control/lag.c
+++ b/packages/control/lag.c
@@ -21,7 +21,8 @@
 }
 
 /*
- * Returns how long a table of version held has been outdated, in ns. When the
+ * Returns how long a table of version held has been outdated, in ns; 0 if the
+ * version came into force after now was read, on another thread. When the
  * version after it is forgotten, the time since the oldest known one is
  * returned, which is too short.
  */
@@ -39,7 +40,7 @@
 		    &t->list[(oldest + i) % LAG_VERSIONS_MAX];
 
 		if (v->version > held)
-			return now - v->at;
+			return now > v->at ? now - v->at : 0;
 	}
 	return 0;
 }
--- a/packages/control/tests/test_lag.c
+++ b/packages/control/tests/test_lag.c
@@ -12,20 +12,26 @@
 struct lag_case {
 	const char *name;
 	uint64_t held;
-	int64_t lag; /* at 20 s */
+	int64_t now;
+	int64_t lag;
 };
 
 /* Versions 5, 7 and 9 came into force at 10 s, 12 s and 14 s. */
 static const struct lag_case lag_cases[] = {
-    {"newest version", 9, 0},
-    {"newer than this process", 10, 0},
-    {"one version behind", 7, 6 * S},
-    {"version between two", 8, 6 * S},
-    {"first missing version counts, not the newest", 5, 8 * S},
-    {"older than all known", 1, 10 * S},
+    {"newest version", 9, 20 * S, 0},
+    {"newer than this process", 10, 20 * S, 0},
+    {"one version behind", 7, 20 * S, 6 * S},
+    {"version between two", 8, 20 * S, 6 * S},
+    {"first missing version counts, not the newest", 5, 20 * S, 8 * S},
+    {"older than all known", 1, 20 * S, 10 * S},
+    /* A thread reads the clock, then waits for the lock meanwhile. */
+    {"version that came after the clock was read", 7, 14 * S - 1, 0},
 };
 
-/* Guards against a lag that starts anew with every version. */
+/*
+ * Guards against a lag that starts anew with every version, and against a
+ * negative one, which a histogram takes for centuries.
+ */
 START_TEST(lag_counts_from_the_first_missing_version)
 {
 	const struct lag_case *c = &lag_cases[_i];
@@ -37,7 +43,7 @@
 	record_version_time(&t, 9, 14 * S);
 	record_version_time(&t, 7, 15 * S); /* a snapshot that is older */
 	ck_assert_msg(
-	    get_version_lag(&t, c->held, 20 * S) == c->lag, "%s", c->name);
+	    get_version_lag(&t, c->held, c->now) == c->lag, "%s", c->name);
 }
 END_TEST
 
