control: leave refusals of replacements to the log

Cause: a process whose table is above the base of a replacement computes no difference, because the state machine refuses such a command, or finds that it was accepted before. The leader looks at a command before it appends it, with its own table. So the leader saw the base as the version in force, applied the empty difference and refused the result as invalid. A change that had been accepted and was sent again within that time would be refused in the same way and stay in force.

Change: answer_early() leaves refusals of replacements to the log, and those of edits of a version that this process has not applied. In the log the command comes behind every version that its sender had applied, so it conflicts or is found as accepted.

Evidence: control.test_replace, leader_behind_the_sender_does_not_refuse_a_replacement, and control.test_state, leader_behind_the_base_does_not_refuse_an_edit, failed before (answer_early() returned true) and pass now.

--- a/packages/control/state.c
+++ b/packages/control/state.c
@@ -105,14 +105,17 @@
 }
 
 /*
- * Conflicts are not answered early; they go through the log.
+ * Conflicts are not answered early; they go through the log. So does what this
+ * leader may refuse only because it has not applied yet what another process
+ * had when it made the command: a replacement, which holds no difference then,
+ * and an edit of a later version. It may have been accepted already.
  */
 bool
 answer_early(const struct state *s, struct str bytes, struct buf *result)
 {
 	struct edit_outcome o;
 	struct command c;
-	bool early;
+	bool early, refusable;
 	int rc;
 
 	if (decode_command(bytes, &c) != 0)
@@ -127,8 +130,11 @@
 	if (rc == ERR_NOT_FOUND) {
 		decide_edit(
 		    &s->history, s->table, view_buf(&s->source), &c, &o);
-		early = (o.status == ERR_INVALID || o.status == ERR_NOT_FOUND ||
-			    o.status == ERR_LIMIT ||
+		refusable = c.body.type != COMMAND_REPLACE &&
+			    c.base <= s->table->version;
+		early = ((refusable && (o.status == ERR_INVALID ||
+					   o.status == ERR_NOT_FOUND ||
+					   o.status == ERR_LIMIT)) ||
 			    (c.body.type == COMMAND_REPLACE && o.unchanged)) &&
 			encode_outcome(&o, result) == 0;
 		unload_outcome(&o);
--- a/packages/control/tests/test_replace.c
+++ b/packages/control/tests/test_replace.c
@@ -418,6 +418,62 @@
 }
 END_TEST
 
+/*
+ * Guards against refusing a valid or an accepted replacement as invalid on a
+ * leader that has not applied yet what the process that made the command had.
+ * scenarios/link_faults.lua 107 any 2000 8 100 got status 400 for it.
+ */
+START_TEST(leader_behind_the_sender_does_not_refuse_a_replacement)
+{
+	static const struct {
+		uint64_t number;
+		const char *csv, *text;
+		int want; /* in the log */
+	} cases[] = {
+	    {9, TABLE_B, TEXT_B, 0}, /* resent */
+	    {11, TABLE_A, TEXT_A, ERR_CONFLICT}, /* lost the race */
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct state *sender = open_sample(), *leader = open_sample();
+		struct command_result r = {0};
+		struct buf bytes = {0}, result = {0};
+		struct str text = make_str(cases[i].text);
+		struct replacement change;
+		struct table *t = NULL;
+
+		r = replace(sender, 0, 5, TABLE_A, TEXT_A);
+		unload_command_result(&r);
+		r = replace(leader, 0, 5, TABLE_A, TEXT_A);
+		unload_command_result(&r);
+		r = replace(sender, 5, 9, TABLE_B, TEXT_B);
+		unload_command_result(&r);
+		ck_assert_int_eq(load_table_csv(make_str(cases[i].csv),
+				     cases[i].number, &t, NULL),
+		    0);
+		ck_assert_int_eq(
+		    make_replacement(sender, 5, t, text, &change), 0);
+		ck_assert_int_eq(encode_replacement(&change, text, &bytes), 0);
+		unload_replacement(&change);
+		ck_assert(!answer_early(leader, view_buf(&bytes), &result));
+		r = replace(leader, 5, 9, TABLE_B, TEXT_B);
+		unload_command_result(&r);
+		result.len = 0;
+		apply_state(leader, T0, T0, view_buf(&bytes), &result);
+		ck_assert_int_eq(
+		    decode_command_result(view_buf(&result), &r), 0);
+		ck_assert_int_eq(r.status, cases[i].want);
+		ck_assert_uint_eq(leader->table->version, 9);
+		unload_command_result(&r);
+		unload_buf(&bytes);
+		unload_buf(&result);
+		unload_table(t);
+		close_state(sender);
+		close_state(leader);
+	}
+}
+END_TEST
+
 int
 main(void)
 {
@@ -436,5 +492,7 @@
 	tcase_add_test(t, source_delta_of_one_row_is_short);
 	tcase_add_test(t, deflated_sources_round_trip);
 	tcase_add_test(t, damaged_source_deltas_are_refused);
+	tcase_add_test(
+	    t, leader_behind_the_sender_does_not_refuse_a_replacement);
 	return run_suite("replace", t);
 }
--- a/packages/control/tests/test_state.c
+++ b/packages/control/tests/test_state.c
@@ -474,6 +474,35 @@
 }
 END_TEST
 
+/*
+ * Guards against refusing an edit as invalid on a leader that has not applied
+ * yet the version that another process named to the operator.
+ */
+START_TEST(leader_behind_the_base_does_not_refuse_an_edit)
+{
+	struct state *s = open_sample();
+	struct command_cell cell = {
+	    (char *)(uintptr_t) "a", COL_RANK, (char *)(uintptr_t) "8"};
+	struct command c = make_command("anna", "k", 2);
+	struct command_result r = apply_import(s, "anna", "i", 0, SAMPLE);
+	struct buf bytes = {0}, result = {0};
+
+	unload_command_result(&r);
+	c.body.type = COMMAND_EDIT;
+	c.body.command_body_u.edit.cells.cells_len = 1;
+	c.body.command_body_u.edit.cells.cells_val = &cell;
+	ck_assert_uint_eq(s->table->version, 1);
+	ck_assert_int_eq(encode_command(&c, &bytes), 0);
+	ck_assert(!answer_early(s, view_buf(&bytes), &result));
+	r = apply_at(s, T0, &c);
+	ck_assert_int_eq(r.status, ERR_INVALID);
+	unload_command_result(&r);
+	unload_buf(&bytes);
+	unload_buf(&result);
+	close_state(s);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -489,5 +518,6 @@
 	tcase_add_test(t, decoders_survive_damaged_bytes);
 	tcase_add_test(t, incomplete_snapshots_are_refused);
 	tcase_add_test(t, invalid_and_resent_changes_are_answered_early);
+	tcase_add_test(t, leader_behind_the_base_does_not_refuse_an_edit);
 	return run_suite("state", t);
 }
