agent: take the incarnation above the stamps of control processes

What callers saw: nodes were stopped and started again an hour earlier by their clocks, while four of the five control processes were killed. The backend server of one node got no requests of the other nodes any more.

Change: the endpoint is announced from the first reply of a control process on, with an incarnation above the stamps received so far. Those are above the last run's incarnation, unless the process that answers has neither a later clock nor had a message of one that knows that run. A node that is ready before its first reply sends one watch more at its start.

--- a/packages/agent/agent_core.h
+++ b/packages/agent/agent_core.h
@@ -102,10 +102,14 @@
 	uint64_t member_mask; /* bit i: control i is a member of the group */
 	uint64_t plain_mask; /* bit i: control i cannot pack its replies */
 	/*
-	 * Start time, wall clock ns. Later if a control process knows a later
-	 * one, from before the time of day was set back.
+	 * Time of the first announcement, wall clock ns, or a later one that
+	 * control processes know of: the time of day may be set back before a
+	 * restart.
 	 */
 	uint64_t incarnation;
+	bool
+	    replied; /* a control process has; the endpoint is sent from then */
+	bool announced_once; /* incarnation is fixed unless it is outdated */
 	struct rpc_client *client;
 	struct rpc_peer *peers[AGENT_KNOWN_CONTROLS_MAX];
 	bool discovers; /* also uses the members of the group */
--- a/packages/agent/agent_watch.c
+++ b/packages/agent/agent_watch.c
@@ -22,6 +22,7 @@
 static bool is_retry_exhausted(const struct agent *a);
 static bool should_move_on(const struct agent *a, int control);
 static void advance_retry(struct agent *a, int64_t now);
+static void fix_incarnation(struct agent *a);
 static uint64_t fill_self(struct agent *a, struct wire_endpoint *out,
     struct own_endpoint *copy, int *wait_ms);
 static int decode_reply(
@@ -102,6 +103,7 @@
 		if (a->events != NULL)
 			merge_hlc(a->events,
 			    (struct hlc){r.stamp.wall_ns, r.stamp.count});
+		a->replied = true;
 		handle_reply(a, w, &r, o->received_at, now);
 		unload_wire((xdrproc_t)xdr_wire_watch_reply, &r);
 	} else if (newest) {
@@ -127,6 +129,7 @@
 	int n, rc = ERR_MEMORY;
 
 	record_watch_sent(&a->watch_plan, now);
+	fix_incarnation(a);
 	if (a->refused_by & 1u << control)
 		a->retry = AGENT_RETRY_NONE;
 	if (w == NULL)
@@ -225,6 +228,32 @@
 	}
 }
 
+/*
+ * Fixes the incarnation when the endpoint is announced for the first time, above
+ * the stamps of the replies so far: the last run may have been started by a later
+ * time of day, and a control process without its record accepts any. The stamp
+ * of the watch is above the incarnation, and so are those of all who learn of it.
+ */
+static void
+fix_incarnation(struct agent *a)
+{
+	struct hlc h;
+	bool announced;
+
+	pthread_mutex_lock(&a->lock);
+	announced = a->self.announced;
+	pthread_mutex_unlock(&a->lock);
+	if (!announced || !a->replied || a->announced_once)
+		return;
+	a->announced_once = true;
+	h = stamp_hlc(a->events);
+	if (h.wall_ns < 0 || h.wall_ns == INT64_MAX ||
+	    (uint64_t)h.wall_ns < a->incarnation)
+		return;
+	a->incarnation = (uint64_t)h.wall_ns + 1;
+	merge_hlc(a->events, (struct hlc){h.wall_ns + 1, 0});
+}
+
 /*
  * Fills out with the node's endpoint when the control process has not
  * confirmed it; copy backs the strings. Returns its seq, or 0 when there is
@@ -239,7 +268,7 @@
 	if (a->leaving)
 		*wait_ms = 0;
 	pthread_mutex_unlock(&a->lock);
-	if (!copy->announced || copy->seq == a->confirmed_seq)
+	if (!copy->announced || !a->replied || copy->seq == a->confirmed_seq)
 		return 0;
 	*out = (struct wire_endpoint){
 	    .id = copy->id,
@@ -522,6 +551,7 @@
 	    LOG_INT("incarnation", a->incarnation),
 	    LOG_INT("known", r->stamp.wall_ns));
 	a->incarnation = (uint64_t)r->stamp.wall_ns + 1;
+	merge_hlc(a->events, (struct hlc){r->stamp.wall_ns + 1, 0});
 	a->confirmed_seq = 0;
 	record_node_change(&a->watch_plan, now);
 }
--- a/packages/agent/tests/agent_fixture.h
+++ b/packages/agent/tests/agent_fixture.h
@@ -103,6 +103,8 @@
 	uint64_t version; /* at the control processes; 0: none */
 	uint64_t set_version; /* of the only service */
 	uint64_t known_incarnation; /* of the node's record; 0: none */
+	int64_t stamp_ns; /* of the replies */
+	struct event_log *events; /* of the agent; NULL: it has no such clock */
 	struct agent *agent;
 	int overdue_ms; /* of the agent's watches; 0: its default */
 	_Atomic enum rpc_fault_kind reply_fault;
@@ -253,6 +255,7 @@
 		   mode == WATCH_MODE_LIMIT ? WIRE_LIMIT :
 					      WIRE_OK;
 	w.retry_ms = 200;
+	w.stamp.wall_ns = c->fixture->stamp_ns;
 	if (w.status != WIRE_OK) {
 		send_watch_reply(c, reply, &w);
 		return;
@@ -454,6 +457,7 @@
 start_fixture_agent(struct fixture *fx, const char *interest)
 {
 	struct agent_config cfg = {.clock = get_fixture_clock(fx),
+	    .events = fx->events,
 	    .node = "node-1",
 	    .zone = "near",
 	    .control_count = (size_t)fx->control_count,
--- a/packages/agent/tests/test_agent_watch.c
+++ b/packages/agent/tests/test_agent_watch.c
@@ -371,6 +371,34 @@
 }
 END_TEST
 
+/*
+ * The same, and the control process has been started again, too, and lacks the
+ * record of the last run, which others have. Guards against an endpoint that it
+ * accepts and the others refuse.
+ */
+START_TEST(endpoint_is_announced_above_the_stamps_of_control_processes)
+{
+	struct fixture fx;
+
+	open_fixture(&fx, 1);
+	fx.stamp_ns = atomic_load(&fx.now) + 3600 * NSEC_PER_SEC;
+	fx.events = open_event_log(get_fixture_clock(&fx), "node-1", 64);
+	start_fixture_agent(&fx, NULL);
+	ck_assert_int_eq(announce_endpoint(fx.agent, &node_endpoint), 0);
+	ADVANCE_UNTIL(&fx, get_last_watch(&fx, 0).has_self);
+	ck_assert_uint_gt(
+	    get_last_watch(&fx, 0).incarnation, (uint64_t)fx.stamp_ns);
+	pthread_mutex_lock(&fx.lock);
+	for (int i = 0; i < fx.controls[0].watch_count; i++)
+		ck_assert(!fx.controls[0].watches[i].has_self ||
+			  fx.controls[0].watches[i].incarnation >
+			      (uint64_t)fx.stamp_ns);
+	pthread_mutex_unlock(&fx.lock);
+	close_fixture(&fx);
+	close_event_log(fx.events);
+}
+END_TEST
+
 static bool
 has_set(struct fixture *fx)
 {
@@ -598,6 +626,8 @@
 	tcase_add_test(t, own_endpoint_is_sent_on_change_and_on_attachment);
 	tcase_add_test(
 	    t, endpoint_outdated_by_an_earlier_run_is_announced_above_it);
+	tcase_add_test(
+	    t, endpoint_is_announced_above_the_stamps_of_control_processes);
 	tcase_add_test(t, first_use_subscribes_to_the_service);
 	tcase_add_loop_test(t, claim_fails_over_and_is_closed_as_not_run, 0,
 	    COUNT(claim_cases));
--- a/packages/control/registry.c
+++ b/packages/control/registry.c
@@ -161,8 +161,8 @@
 }
 
 /*
- * The incarnation is the start time of a node, so that of its next run is lower
- * when the time of day was set back in between, and all its records are refused.
+ * The incarnation is a time of day, so that of the next run is lower when it was
+ * set back in between, and all records of that run are refused.
  */
 uint64_t
 get_newer_incarnation(const struct registry *g, const struct wire_endpoint *e)
--- a/packages/control/registry.h
+++ b/packages/control/registry.h
@@ -65,7 +65,7 @@
 
 /* Queries */
 bool is_plain_name(const char *s); /* not empty; ASCII, no space or control */
-/* Incarnation of a record that outdates e for good; 0: none. */
+/* Incarnation of a record of a later run than e's; 0: none. */
 uint64_t get_newer_incarnation(
     const struct registry *g, const struct wire_endpoint *e);
 uint64_t get_registry_id(const struct registry *g);
--- a/scenarios/machine_faults.lua
+++ b/scenarios/machine_faults.lua
@@ -271,6 +271,28 @@
 	end
 end
 
+-- The same, while control processes come back without the records of the nodes'
+-- last run, which another one has.
+function kinds.nodes_and_cores_back()
+	return nil, function()
+		for _, n in ipairs(p.nodes) do
+			step_clock(n, -HOUR)
+		end
+		restart(p.nodes, "TERM")
+		fleet.wait_until("the end of the nodes", 10000, function()
+			p:watch()
+			for _, n in ipairs(p.nodes) do
+				if n.running then
+					return false
+				end
+			end
+			return true
+		end)
+		restart({table.unpack(p.cores, 2)}, "KILL")
+		check_calm("nodes started an hour earlier", 2 * CONTACT_MS)
+	end
+end
+
 -- Backend servers crash and are started again by a clock that has been set back;
 -- their nodes go on.
 function kinds.upstreams_back()
