--- a/scenarios/machine_faults.lua
+++ b/scenarios/machine_faults.lua
@@ -50,10 +50,18 @@
 	return list
 end
 
+local further_routes = 0
+
 -- Each configuration has a route of its own, which the next one drops.
 local function routes(version)
-	return {{"r-" .. version, HOST, "/v" .. version .. "/", "safe", 2, 0.5,
-		0, APP_SERVICE, 2}}
+	local list = {{"r-" .. version, HOST, "/v" .. version .. "/", "safe", 2,
+		0.5, 0, APP_SERVICE, 2}}
+	for i = 1, further_routes do
+		list[#list + 1] = {"f-" .. i, "further" .. i // 10 .. ".example",
+			"/f" .. i .. "/", "safe", 1 + (version + i) % 50, 0.5, 0,
+			APP_SERVICE, 2}
+	end
+	return list
 end
 
 local function set_clock(m)
@@ -545,6 +553,10 @@
 
 function kinds.memory_as() return limit_memory("-v") end
 function kinds.memory_data() return limit_memory("-d") end
+function kinds.memory_large()
+	further_routes = 2500
+	return limit_memory("-v")
+end
 
 local function few_descriptors(limit)
 	return function()
