wal: no memmove of an empty list of segments

No effect is known: no byte is moved, but a compiler may conclude that the list is not null.

Change: nothing is done for none. The disk in memory of the tests copies nothing from an empty file either.

--- a/packages/wal/replay.c
+++ b/packages/wal/replay.c
@@ -121,6 +121,8 @@
 	char name[WAL_PATH_BYTES];
 	int rc = 0;
 
+	if (count == 0)
+		return 0; /* the list may be empty, and without memory */
 	for (size_t i = 0; i < count && rc == 0; i++) {
 		format_segment_name(w->segments[i].number, name);
 		rc = remove_wal_file(w, name, f);
--- a/packages/wal/tests/mem_io.h
+++ b/packages/wal/tests/mem_io.h
@@ -471,8 +471,10 @@
 		if (rng != NULL && draw_below(rng, 2) == 0) {
 			size_t n = draw_below(rng, len + 1);
 
-			memcpy(survived.data, f->now.data,
-			    n < f->now.len ? n : f->now.len);
+			if (n > f->now.len)
+				n = f->now.len;
+			if (n > 0)
+				memcpy(survived.data, f->now.data, n);
 			at_sectors = false;
 		}
 		for (size_t at = 0; at_sectors && at < len; at += 512) {
