replica, control: end the recovery of a member whose data stays damaged

Operators saw a control process stay away for good after its disk had refused writes and then returned damaged data, without an end and without a restart: one member of five lost until somebody restarts it. Its log showed replica.failed four times a second (105 lines in 24 s), each with a read of the whole log and synced writes.

Cause: fail_replica() reset the delay between the tries whenever the last recovery was more than 10 s ago, so it never grew beyond 0.25 s, and nothing ended the tries.

Change: the delay is reset only by the first failure after a member was well. When the data is still damaged after four tries within 4 s, recovery ends; with automatic membership the process then waits until the others have a quorum, sets the files aside and ends, as at a start, and the next one joins.

Evidence: replica.test_replica, "damaged log after refused writes", fails before and passes after.

--- a/packages/control/bootstrap.c
+++ b/packages/control/bootstrap.c
@@ -32,6 +32,7 @@
 static void delay_open(struct control *c, int64_t now);
 static int check_identity(struct control *c, struct fault *f);
 static void begin_replacement(struct control *c, const struct fault *f);
+static void check_replica_data(struct control *c);
 static void run_replacement(struct control *c, int64_t now);
 static void finish_group_query(void *arg, const struct rpc_result *r);
 static int start_joining(struct control *c, struct fault *f);
@@ -87,7 +88,7 @@
 	}
 	if (rc == 0)
 		discard_initial_voters(c);
-	if ((rc == ERR_CORRUPT || rc == ERR_INVALID) && c->cfg.auto_members) {
+	if (rc != 0 && is_replaceable(c, f)) {
 		begin_replacement(c, f);
 		return 0;
 	}
@@ -133,10 +134,9 @@
 }
 
 /*
- * The data is damaged, or its id and its log are those of two members. It is
- * left as it is until a group is known to have a quorum without this process,
- * which does not vote meanwhile: if more members have lost their data than the
- * group bears, an operator may need these files.
+ * The data cannot be used. It is left as it is until a group is known to have a
+ * quorum without this process, which does not vote meanwhile: if more members
+ * have lost their data than the group bears, an operator may need these files.
  */
 static void
 begin_replacement(struct control *c, const struct fault *f)
@@ -151,6 +151,37 @@
 	pthread_mutex_unlock(&c->lock);
 }
 
+/*
+ * Tells whether a process that cannot go on for this reason joins as a new
+ * member: its data is damaged, or its id and its log are those of two members.
+ */
+bool
+is_replaceable(const struct control *c, const struct fault *f)
+{
+	return c->cfg.auto_members &&
+	       (f->kind == ERR_CORRUPT || f->kind == ERR_INVALID);
+}
+
+/*
+ * The data may also be damaged when a disk works again, without a restart.
+ */
+static void
+check_replica_data(struct control *c)
+{
+	struct fault f = {0};
+	bool damaged = false;
+
+	if (c->bootstrap.damaged)
+		return;
+	pthread_rwlock_rdlock(&c->replica_guard);
+	if (c->replica != NULL)
+		damaged = is_replica_unrecoverable(c->replica, &f) &&
+			  is_replaceable(c, &f);
+	pthread_rwlock_unlock(&c->replica_guard);
+	if (damaged)
+		begin_replacement(c, &f);
+}
+
 /*
  * Asks the known processes in turn for a group that confirms a read. Then sets
  * the files aside and ends the process; the next one joins under a new id.
@@ -291,6 +322,7 @@
 	bool start = false;
 
 	retry_open(c, now);
+	check_replica_data(c);
 	run_replacement(c, now);
 	pthread_mutex_lock(&c->lock);
 	if (s->pending && !s->failed && !c->stopping) {
--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -123,7 +123,8 @@
 
 	pthread_rwlock_rdlock(&c->replica_guard);
 	if (c->replica != NULL)
-		failed = is_replica_unrecoverable(c->replica, f);
+		failed = is_replica_unrecoverable(c->replica, f) &&
+			 !is_replaceable(c, f);
 	pthread_rwlock_unlock(&c->replica_guard);
 	if (failed)
 		return true;
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -296,6 +296,7 @@
 /* membership.c */
 int open_membership(struct control *c, struct fault *f); /* sets c->id */
 void choose_identity(struct control *c); /* sets a new id */
+bool is_replaceable(const struct control *c, const struct fault *f);
 struct rpc_peer *choose_target(struct control *c);
 int store_identity(struct control *c, struct fault *f); /* ERR_IO */
 void check_resumption(struct control *c); /* clears membership.resumes */
--- a/packages/replica/recover.c
+++ b/packages/replica/recover.c
@@ -12,6 +12,8 @@
 #define RECOVER_DELAY_MAX_NS (1 * NSEC_PER_SEC)
 /* For what the next try hardly changes, such as damaged data. */
 #define RECOVER_DELAY_DAMAGED_NS (30 * NSEC_PER_SEC)
+/* The data stays damaged if it is after tries until this delay, about 4 s. */
+#define RECOVER_DELAY_LOST_NS (2 * NSEC_PER_SEC)
 #define RECOVER_RESET_NS \
 	(10 * NSEC_PER_SEC) /* a failure after it is a new one */
 
@@ -37,15 +39,17 @@
 	    LOG_INT("member", r->cfg.id), LOG_TEXT("kind", get_err_name(kind)),
 	    LOG_TEXT("reason", text));
 	fail_requests(r);
-	if (now - r->recovered_at > RECOVER_RESET_NS)
+	if (!r->recovering && now - r->recovered_at > RECOVER_RESET_NS)
 		r->recover_delay = 0;
+	r->recovering = true;
 	delay_recovery(r, kind, now);
 }
 
 /*
  * Opens the log again when that is due, as a restart of the process would: the
  * member goes on with what is on its disk. A disk that has become empty, or has
- * another member's data, ends that: the member may have voted.
+ * another member's data, ends that: the member may have voted. So does damaged
+ * data that stays damaged.
  */
 void
 recover_replica(struct replica *r, int64_t now)
@@ -65,9 +69,12 @@
 	rc = reopen_replica(r, &f);
 	if (rc == 0) {
 		r->recovered_at = now;
+		r->recovering = false;
 		WRITE_EVENT(LOG_LEVEL_NOTICE, "replica.recovered",
 		    LOG_INT("member", r->cfg.id));
-	} else if (rc == ERR_NOT_FOUND || rc == ERR_INVALID) {
+	} else if (rc == ERR_NOT_FOUND || rc == ERR_INVALID ||
+		   (rc == ERR_CORRUPT &&
+		       r->recover_delay >= RECOVER_DELAY_LOST_NS)) {
 		abandon_recovery(r, &f);
 	} else if (!r->failed) {
 		fail_replica(r, (enum err)rc, f.text);
@@ -119,7 +126,7 @@
 {
 	r->failed = true;
 	r->recover_at = 0;
-	write_log(LOG_LEVEL_ERR, "the member has lost its data: %s", f->text);
+	write_log(LOG_LEVEL_ERR, "the member cannot use its data: %s", f->text);
 	pthread_mutex_lock(&r->lock);
 	r->unrecoverable = true;
 	r->unrecoverable_fault = *f;
--- a/packages/replica/replica_core.h
+++ b/packages/replica/replica_core.h
@@ -86,6 +86,7 @@
 	int64_t recover_at; /* monotonic clock; 0: not, or unrecoverable */
 	int64_t recover_delay; /* ns, before the next try */
 	int64_t recovered_at;
+	bool recovering; /* failed, and not yet recovered since */
 	struct fault failure; /* why it failed last */
 	int64_t last_tick_ns; /* monotonic clock */
 	uint64_t quorum_contacts; /* of the core, when last published */
--- a/packages/replica/tests/test_replica.c
+++ b/packages/replica/tests/test_replica.c
@@ -427,6 +427,38 @@
 	commit_values(g, 1);
 }
 
+/*
+ * Guards against a member that stays away for good, and reads and writes its
+ * files four times a second, because its data is damaged when its disk works
+ * again: it tries some times, at growing intervals, and then ends.
+ */
+static void
+damage_log_while_refused(struct group *g, uint64_t lead)
+{
+	uint64_t id = find_other_member(lead, 0);
+	struct fault f = {0};
+
+	run_group(g, 11000);
+	commit_values(g, 5);
+	set_disk_fault(g, id, MEM_FAULT_FULL);
+	commit_values(g, 1);
+	run_group(g, 500);
+	ck_assert(is_replica_failed(g->member[id].r));
+	for (int i = 0; i < MEM_FILES; i++) {
+		struct mem_file *x = &g->member[id].disk.file[i];
+
+		if (x->used && strncmp(x->name, "log-", 4) == 0)
+			x->now.data[x->now.len / 4] ^= 1;
+	}
+	set_disk_fault(g, id, MEM_FAULT_NONE);
+	run_group(g, 2000);
+	ck_assert(!is_replica_unrecoverable(g->member[id].r, &f));
+	run_group(g, 4000);
+	ck_assert(is_replica_unrecoverable(g->member[id].r, &f));
+	ck_assert_ptr_nonnull(strstr(f.text, "damaged"));
+	commit_values(g, 1);
+}
+
 /* All members lose power at once; what was acknowledged must survive. */
 static void
 cut_power_of_all(struct group *g, uint64_t lead)
@@ -756,6 +788,7 @@
     {"power cut after failed syncs", cut_power_after_failed_syncs},
     {"state that did not load once", recover_from_failed_load},
     {"empty disk after refused writes", lose_disk_while_refused},
+    {"damaged log after refused writes", damage_log_while_refused},
     {"failed sync of the leader", fail_leader_sync},
     {"failed sync of a follower", fail_follower_sync},
     {"power cut of all members", cut_power_of_all},
--- a/scenarios/damaged_disks.lua
+++ b/scenarios/damaged_disks.lua
@@ -5,7 +5,9 @@
 -- damaged, and they are started again as the platform does it. With three, which
 -- the group does not bear, the files must stay for an operator, who puts sound
 -- ones in their place.
--- usage: damaged_disks.lua SEED [DAMAGE [VICTIMS [ROUNDS]]]
+-- With "running", they are not killed: their disks refuse writes, and the files
+-- are damaged before they are opened again.
+-- usage: damaged_disks.lua SEED [DAMAGE [VICTIMS [ROUNDS [running]]]]
 -- Without further arguments, SEED draws them.
 local fleet = require "fleet"
 local operator = require "operator"
@@ -119,6 +121,7 @@
 local damage = arg[2] or pick(names)
 local victims = tonumber(arg[3]) or math.random(2)
 local rounds = tonumber(arg[4] or "2")
+local running = arg[5] == "running"
 local title = string.format("damaged_disks seed %d %s %d", seed, damage, victims)
 
 local p = deployment.new("damaged-" .. seed .. "-" .. damage, 5, 3)
@@ -181,20 +184,30 @@
 	end
 	op:disturb()
 	for i = 1, victims do
-		p:signal(list[i], "KILL")
+		if running then
+			fleet.set_disk(list[i], "write name")
+		else
+			p:signal(list[i], "KILL")
+		end
+	end
+	if running then
+		go_on(sys.now_ms() + 600)
 	end
 	p:watch()
 	for i = 1, victims do
 		local m = list[i]
 		fleet.wait_until("an end", 2000, function()
 			p:watch()
-			return not m.running
+			return running or not m.running
 		end)
 		if victims == 3 then
 			keep(m)
 		end
 		local found = damages[damage](m)
 		done = done + (found and 1 or 0)
+		if running and damage ~= "read" then
+			fleet.set_disk(m, "")
+		end
 		print(string.format("round %d: %s, %s", round, m.name,
 			found and damage or "nothing to damage"))
 	end
