--- a/scenarios/soak.sh
+++ b/scenarios/soak.sh
@@ -1,30 +1,44 @@
 #!/bin/sh
-# Runs the randomized soak test and the faults of disks with many seeds and
-# counts the results.
+# Runs the randomized soak test and the seeded faults of disks, members and
+# machines with many seeds and counts the results.
 # usage: soak.sh quick|full [FIRST LAST [SECONDS]]
 # quick: the seeds that failed once (soak_seeds.txt) and seeds 1 and 2, for 6
-# seconds each, the faults of disks in disk_seeds.txt, and hung_disk.lua; full:
-# seeds FIRST to LAST of the first two. Three seeds run in parallel.
+# seconds each, the runs in KIND_seeds.txt of KIND_faults.lua, and those of slow
+# and hung disks below; full: seeds FIRST to LAST of soak.lua and of each
+# KIND_faults.lua. Three runs at a time.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 mode=${1:-quick} first=${2:-1} last=${3:-50} seconds=${4:-10}
+kinds="disk machine member"
 logs=build/runs/soak-logs
 mkdir -p "$logs"
+
+# Prints the runs of a file of seeds, without the lines on their causes.
+list_seeds() {
+	sed -n 's/^seed: //p' "$1"
+}
+
 if [ "$mode" = quick ]; then
 	seconds=6
-	seeds="1 2 $(sed -n 's/^seed: \([0-9]*\).*/\1/p' scenarios/soak_seeds.txt)"
-	disks=$(sed -n 's/^seed: //p' scenarios/disk_seeds.txt)
+	seeds="1 2 $(list_seeds scenarios/soak_seeds.txt)"
 else
 	seeds=$(seq "$first" "$last")
-	disks=$seeds
 fi
 count=$({
 	for s in $seeds; do
 		echo "scenarios/soak.lua $s $seconds"
 	done
-	echo "$disks" | sed 's,^,scenarios/disk_faults.lua ,'
+	for k in $kinds; do
+		if [ "$mode" = quick ]; then
+			list_seeds "scenarios/${k}_seeds.txt"
+		else
+			echo "$seeds"
+		fi | sed "s,^,scenarios/${k}_faults.lua ,"
+	done
 	if [ "$mode" = quick ]; then
 		echo "scenarios/hung_disk.lua 1"
+		echo "scenarios/slow_disks.lua 1 150 4 kill"
+		echo "scenarios/slow_disks.lua 4 300 2 pause"
 	fi
 } | tee "$logs/list-$$" | wc -l)
 xargs -P 3 -I{} sh -c "log=$logs/\$(echo {} | tr -c 'a-z0-9\n' -).txt
