--- a/scenarios/damaged_disks.lua
+++ b/scenarios/damaged_disks.lua
@@ -10,7 +10,7 @@
 -- usage: damaged_disks.lua SEED [DAMAGE [VICTIMS [ROUNDS [running]]]]
 -- Without further arguments, SEED draws them.
 local fleet = require "fleet"
-local operator = require "operator"
+local operator = dofile(ROOT .. "/platform/tests/operator.lua")
 local deployment = dofile(ROOT .. "/platform/tests/deployment.lua")
 
 local BACK_MS = 20000 -- a damaged member is back, or replaced, within it
--- a/scenarios/disk_day.lua
+++ b/scenarios/disk_day.lua
@@ -3,7 +3,7 @@
 -- and requests in between; prints what breaks rule CONFIG, by its words.
 -- usage: disk_day.lua SEED [NODES [FAULT [FOR_MS [GAP_MS [IDLE_ROUTES]]]]]
 local fleet = require "fleet"
-local operator = require "operator"
+local operator = dofile(ROOT .. "/platform/tests/operator.lua")
 local deployment = dofile(ROOT .. "/platform/tests/deployment.lua")
 
 local seed = math.tointeger(tonumber(arg[1] or "1"))
--- a/scenarios/large_changes.lua
+++ b/scenarios/large_changes.lua
@@ -4,7 +4,7 @@
 -- of two control processes have little room for a while.
 -- usage: large_changes.lua SEED [CHANGES [ROUTES [NODES [ROOM_BYTES]]]]
 local fleet = require "fleet"
-local operator = require "operator"
+local operator = dofile(ROOT .. "/platform/tests/operator.lua")
 local deployment = dofile(ROOT .. "/platform/tests/deployment.lua")
 
 local DISK_BYTES = 256 * 1024 * 1024 -- disk-mb
--- a/scenarios/mixed_builds.lua
+++ b/scenarios/mixed_builds.lua
@@ -4,7 +4,7 @@
 -- going on, and back again.
 -- usage: BEFORE=PATH mixed_builds.lua SEED [ROUTES]
 local fleet = require "fleet"
-local operator = require "operator"
+local operator = dofile(ROOT .. "/platform/tests/operator.lua")
 local deployment = dofile(ROOT .. "/platform/tests/deployment.lua")
 
 local CATCH_UP_MS = 4000 -- catch-up-s
