--- a/scenarios/soak.sh
+++ b/scenarios/soak.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Runs the randomized soak test and the seeded faults of disks, members and
-# machines with many seeds and counts the results.
+# Runs the randomized soak test and the seeded faults of disks, links, members
+# and machines with many seeds and counts the results.
 # usage: soak.sh quick|full [FIRST LAST [SECONDS]]
 # quick: the seeds that failed once (soak_seeds.txt) and seeds 1 and 2, for 6
 # seconds each, the runs in KIND_seeds.txt of KIND_faults.lua, and those of slow
@@ -9,7 +9,7 @@
 set -u
 cd "$(dirname "$0")/.." || exit 1
 mode=${1:-quick} first=${2:-1} last=${3:-50} seconds=${4:-10}
-kinds="disk machine member"
+kinds="disk link machine member"
 logs=build/runs/soak-logs
 mkdir -p "$logs"
 
