bench: links with bandwidth, loss, cuts and resets; requests under way

Links between processes were stalled, delayed, silenced, refused or broken. Scenarios of thin and bad links need more:

- link.pipe() and link.through(): bandwidths of machines that all their links share, with small reads and buffers, so that a sender feels them;
- link.loss(): a share of the bytes comes after 200 ms and more, and nothing overtakes it, as after retransmissions;
- link.cut(): new connections get no answer, as behind a partition; before, they were accepted and silent;
- link.set() with late: connections go on some time after a cut, as after the growing pauses between retransmissions;
- link.reset(): open connections end by a TCP reset;
- http.send() and http.step(): a script keeps many requests under way, so that one without an answer doesn't hold up the others.

--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -45,11 +45,16 @@
 int start_links(void);
 void stop_links(void);
 int open_link(const char *listen, const char *target); /* id or error */
-void set_link(
-    int id, enum link_mode forward, enum link_mode back, int delay_ms);
+void set_link(int id, enum link_mode forward, enum link_mode back, int delay_ms,
+    bool late);
+int add_link_pipe(int64_t bits_per_s); /* a shared bandwidth: id or error */
+void set_link_pipe(int id, int64_t bits_per_s);
+void set_link_pipes(int id, const int forward[2], const int back[2]);
+void set_link_loss(int id, int permille); /* of chunks: they come late */
 void set_link_refuse(int id, bool refuse); /* close new connections */
+void cut_link(int id, bool cut); /* no answer to new connections */
 void blackhole_link(int id); /* forward nothing more on open connections */
-void close_link_connections(int id); /* close open connections */
+void close_link_connections(int id, bool reset);
 struct link_bytes get_link_bytes(int id);
 
 /* Lua libraries; each adds one global table */
--- a/bench/scenario_http.c
+++ b/bench/scenario_http.c
@@ -11,6 +11,7 @@
 #include "scenario.h"
 
 #define PARALLEL_MAX 1024 /* requests sent at once */
+#define SENT_MAX 512 /* requests of http.send without an answer */
 
 /* One request, with the answer as far as it has been received. */
 struct transfer {
@@ -20,6 +21,9 @@
 	struct buf head; /* header lines of the answer */
 };
 
+static struct transfer sent[SENT_MAX]; /* free without a handle */
+static CURLM *sent_multi;
+
 static size_t append_bytes(char *data, size_t size, size_t count, void *arg);
 static void load_transfer(lua_State *l, int at, struct transfer *t);
 static void push_answer(lua_State *l, struct transfer *t, CURLcode rc);
@@ -27,6 +31,8 @@
 static void unload_transfer(struct transfer *t);
 static int lua_request(lua_State *l);
 static int lua_parallel(lua_State *l);
+static int lua_send(lua_State *l);
+static int lua_step(lua_State *l);
 static void perform_all(struct transfer *list, int count, CURLcode *codes);
 static int lua_decode(lua_State *l);
 static int lua_encode(lua_State *l);
@@ -37,7 +43,9 @@
  * http.request{url=, method=, body=, headers={...}, timeout_ms=} returns
  * {status=, body=, headers=, ms=, error=}; the status is 0 if no answer came.
  * http.parallel{request, ...} sends all requests at once and returns the list
- * of their answers. json.decode(text) returns nil for invalid JSON;
+ * of their answers. http.send(request) returns the id of a request under way,
+ * http.step(ms) waits up to that long for answers and returns them as {id =
+ * answer}. json.decode(text) returns nil for invalid JSON;
  * json.encode(value) returns a text.
  */
 void
@@ -46,6 +54,8 @@
 	static const luaL_Reg functions[] = {
 	    {"request", lua_request},
 	    {"parallel", lua_parallel},
+	    {"send", lua_send},
+	    {"step", lua_step},
 	    {NULL, NULL},
 	};
 	static const luaL_Reg json_functions[] = {
@@ -222,6 +232,54 @@
 	return 1;
 }
 
+static int
+lua_send(lua_State *l)
+{
+	int at = 0, running;
+
+	luaL_checktype(l, 1, LUA_TTABLE);
+	while (at < SENT_MAX && sent[at].handle != NULL)
+		at++;
+	if (at == SENT_MAX)
+		return luaL_error(
+		    l, "http.send: at most %d requests at once", SENT_MAX);
+	if (sent_multi == NULL)
+		sent_multi = curl_multi_init();
+	load_transfer(l, 1, &sent[at]);
+	curl_multi_add_handle(sent_multi, sent[at].handle);
+	curl_multi_perform(sent_multi, &running);
+	lua_pushinteger(l, at);
+	return 1;
+}
+
+static int
+lua_step(lua_State *l)
+{
+	int running, left;
+	CURLMsg *msg;
+
+	lua_newtable(l);
+	if (sent_multi == NULL)
+		return 1;
+	curl_multi_poll(
+	    sent_multi, NULL, 0, (int)luaL_checkinteger(l, 1), NULL);
+	curl_multi_perform(sent_multi, &running);
+	while ((msg = curl_multi_info_read(sent_multi, &left)) != NULL) {
+		CURL *handle = msg->easy_handle;
+		CURLcode rc = msg->data.result;
+		int at = 0;
+
+		while (sent[at].handle != handle)
+			at++;
+		curl_multi_remove_handle(sent_multi, handle);
+		push_answer(l, &sent[at], rc);
+		lua_seti(l, -2, at);
+		unload_transfer(&sent[at]);
+		memset(&sent[at], 0, sizeof(sent[at]));
+	}
+	return 1;
+}
+
 /*
  * Runs the transfers at the same time and stores their results in codes.
  */
