--- a/scenarios/member_faults.lua
+++ b/scenarios/member_faults.lua
@@ -459,6 +459,25 @@
 
 -- Cases ----------------------------------------------------------------------
 
+-- One fault. lost_disks: how many disks may be lost.
+local function strike(fault, lost_disks)
+	local wiped = {}
+	if fault:match("disks") then
+		wiped = some(p.cores, lost_disks)
+		take_down(wiped, true, 1000)
+	end
+	if fault:match("power_all") then
+		take_down(all_machines(), true, 1000)
+	elseif fault:match("power_core") then
+		take_down(p.cores, true, 1000)
+	elseif fault == "kill_all" then
+		take_down(all_machines(), false, 1000)
+	end
+	for _, m in ipairs(wiped) do
+		wipe(m)
+	end
+end
+
 -- The first start: all within 0.3 s, with trouble in the first second.
 local first_details = {"none", "kill_all", "kill_some", "stop_some", "wipe_one",
 	"wipe_two", "late", "late_empty", "power_all"}
@@ -549,6 +568,10 @@
 	end
 	take_down(all_machines(), true, 1000)
 	check_back("power loss of all", true)
+	wait_five_voters()
+	change()
+	strike("two_disks_power_core", 2)
+	check_back("two disks lost", true)
 end
 
 local function live_seeds(except)
@@ -663,25 +686,6 @@
 local preludes = {"none", "storm", "partial", "leader_paused", "big", "many",
 	"torn"}
 
--- One fault. lost_disks: how many disks may be lost.
-local function strike(fault, lost_disks)
-	local wiped = {}
-	if fault:match("disks") then
-		wiped = some(p.cores, lost_disks)
-		take_down(wiped, true, 1000)
-	end
-	if fault:match("power_all") then
-		take_down(all_machines(), true, 1000)
-	elseif fault:match("power_core") then
-		take_down(p.cores, true, 1000)
-	elseif fault == "kill_all" then
-		take_down(all_machines(), false, 1000)
-	end
-	for _, m in ipairs(wiped) do
-		wipe(m)
-	end
-end
-
 local function play_final()
 	start_plainly()
 	for round = 1, rounds do
