--- a/packages/control/tests/test_replace.c
+++ b/packages/control/tests/test_replace.c
@@ -421,7 +421,7 @@
 /*
  * Guards against refusing a valid or an accepted replacement as invalid on a
  * leader that has not applied yet what the process that made the command had.
- * scenarios/link_faults.lua 107 any 2000 8 100 got status 400 for it.
+ * platform/tests/link_faults.lua 107 any 2000 8 100 got status 400 for it.
  */
 START_TEST(leader_behind_the_sender_does_not_refuse_a_replacement)
 {
--- a/scenarios/soak.sh
+++ b/scenarios/soak.sh
@@ -9,7 +9,8 @@
 set -u
 cd "$(dirname "$0")/.." || exit 1
 mode=${1:-quick} first=${2:-1} last=${3:-50} seconds=${4:-10}
-kinds="disk link machine member"
+kinds="scenarios/disk platform/tests/link platform/tests/machine
+    platform/tests/member"
 logs=build/runs/soak-logs
 mkdir -p "$logs"
 
@@ -30,10 +31,10 @@
 	done
 	for k in $kinds; do
 		if [ "$mode" = quick ]; then
-			list_seeds "scenarios/${k}_seeds.txt"
+			list_seeds "${k}_seeds.txt"
 		else
 			echo "$seeds"
-		fi | sed "s,^,scenarios/${k}_faults.lua ,"
+		fi | sed "s,^,${k}_faults.lua ,"
 	done
 	if [ "$mode" = quick ]; then
 		echo "scenarios/hung_disk.lua 1"
