--- a/packages/replica/tests/group.h
+++ b/packages/replica/tests/group.h
@@ -31,7 +31,7 @@
 	int64_t mono_offset, wall_offset; /* ns, to the group's clock */
 	bool stalled; /* its thread does not run */
 	struct raft_members members; /* as last reported to the transport */
-	bool load_fails; /* load_values() returns an error */
+	enum err load_error; /* of load_values(); 0: it loads */
 	bool save_fails; /* save_values() returns an error */
 	/* Runs once, in the next read of the clock, after the time is taken. */
 	void (*on_clock)(struct member *m);
@@ -136,7 +136,9 @@
 	uint64_t len;
 
 	(void)index;
-	if (data.len < sizeof(len) + sizeof(m->log_ns) || m->load_fails)
+	if (m->load_error != 0)
+		return (int)m->load_error;
+	if (data.len < sizeof(len) + sizeof(m->log_ns))
 		return ERR_CORRUPT;
 	memcpy(&len, data.data, sizeof(len));
 	memcpy(&m->log_ns, data.data + sizeof(len), sizeof(m->log_ns));
--- a/packages/replica/tests/test_replica.c
+++ b/packages/replica/tests/test_replica.c
@@ -391,10 +391,45 @@
 	}
 	ck_assert_uint_gt(get_status(g, lead).snapshot, 0);
 	ck_assert_int_eq(start_member(g, id, NULL), 0);
-	g->member[id].load_fails = true;
+	g->member[id].load_error = ERR_CORRUPT;
 	run_group(g, 500);
 	ck_assert(is_replica_failed(g->member[id].r));
-	g->member[id].load_fails = false;
+	g->member[id].load_error = 0;
+	run_group(g, 3000);
+	ck_assert(!is_replica_failed(g->member[id].r));
+	commit_values(g, 1);
+	run_group(g, 200);
+	ck_assert_uint_eq(
+	    get_status(g, id).applied, get_status(g, lead).applied);
+}
+
+/*
+ * Guards against sound data that counts as damaged because memory was short
+ * while the snapshot was loaded: the member would be given up.
+ */
+static void
+recover_from_lack_of_memory(struct group *g, uint64_t lead)
+{
+	uint64_t id = find_other_member(lead, 0);
+	struct outcome o = {.g = g};
+	static char big[700 * 1024];
+	struct fault f = {0};
+
+	stop_member(g, id, false);
+	for (int k = 0; k < 3; k++) {
+		ck_assert_int_eq(propose_replica(g->member[lead].r,
+				     make_str_n(big, sizeof(big)), 2000,
+				     record_proposal_outcome, &o),
+		    0);
+		settle_group(g);
+	}
+	ck_assert_uint_gt(get_status(g, lead).snapshot, 0);
+	ck_assert_int_eq(start_member(g, id, NULL), 0);
+	g->member[id].load_error = ERR_MEMORY;
+	run_group(g, 8000);
+	ck_assert(is_replica_failed(g->member[id].r));
+	ck_assert(!is_replica_unrecoverable(g->member[id].r, &f));
+	g->member[id].load_error = 0;
 	run_group(g, 3000);
 	ck_assert(!is_replica_failed(g->member[id].r));
 	commit_values(g, 1);
@@ -614,7 +649,7 @@
 	}
 	ck_assert_uint_gt(get_status(g, lead).snapshot, 0);
 	stop_member(g, lead, false);
-	g->member[lead].load_fails = true;
+	g->member[lead].load_error = ERR_CORRUPT;
 	ck_assert_int_eq(start_member(g, lead, NULL), ERR_CORRUPT);
 	run_group(g, 1000);
 	commit_values(g, 1);
@@ -787,6 +822,7 @@
     {"disks that refuse syncs in turn", refuse_syncs_in_turn},
     {"power cut after failed syncs", cut_power_after_failed_syncs},
     {"state that did not load once", recover_from_failed_load},
+    {"memory short while a snapshot loads", recover_from_lack_of_memory},
     {"empty disk after refused writes", lose_disk_while_refused},
     {"damaged log after refused writes", damage_log_while_refused},
     {"failed sync of the leader", fail_leader_sync},
--- a/packages/replica/work.c
+++ b/packages/replica/work.c
@@ -255,17 +255,21 @@
 apply_committed(struct replica *r)
 {
 	struct raft_apply a;
+	int rc;
 
 	while (!r->failed && pop_raft_apply(r->raft, &a)) {
 		if (a.snapshot == NULL) {
 			apply_entry(r, &a);
 			continue;
 		}
-		if (r->cfg.machine.load(
-			r->cfg.machine.arg, a.index, a.snapshot->data) != 0) {
-			fail_replica(r, ERR_CORRUPT,
-			    "the snapshot cannot be loaded; wipe the data "
-			    "directory and rejoin as a new member");
+		rc = r->cfg.machine.load(
+		    r->cfg.machine.arg, a.index, a.snapshot->data);
+		if (rc != 0) {
+			fail_replica(r, (enum err)rc,
+			    rc == ERR_MEMORY ?
+				"out of memory; give the process more memory" :
+				"the snapshot cannot be loaded; wipe the data "
+				"directory and rejoin as a new member");
 			return;
 		}
 		fail_skipped_proposals(r, a.index);
