control: keep the list of initial voters and damaged files through refused operations

What operators would see, found by a reviewer: an initial voter that got one read error (EIO) on its list of the others forgot them for good; and the files that a damaged process keeps for an operator were removed if one of its renames was refused and tried again 200 ms later.

Cause: load_voter_list() took a failed read for the end of the list, and set_data_aside() began with the removal of what earlier calls had renamed. It also renamed in the order of the folder, so that a kill could leave the list beside an empty log: the next start would vote again under an id that has voted.

Change: a failed read is ERR_IO. Kept files are removed only if their id is among them, which is renamed last; the list is renamed first, durably.

--- a/packages/control/identity.c
+++ b/packages/control/identity.c
@@ -21,6 +21,7 @@
 
 static int replace_text(
     const char *dir, const char *name, const char *text, struct fault *f);
+static int remove_kept_files(const char *dir);
 static int move_files(const char *dir, bool kept_before);
 static int move_file(const char *dir, const char *name, bool kept_before);
 static int sync_dir(const char *dir);
@@ -75,6 +76,7 @@
 load_voter_list(const char *dir, struct voter_list *out, struct fault *f)
 {
 	char path[PATH_BYTES], line[RPC_ADDRESS_BYTES + 1];
+	bool failed;
 	FILE *in;
 
 	memset(out, 0, sizeof(*out));
@@ -93,8 +95,11 @@
 		    make_str(line));
 		out->count++;
 	}
+	failed = ferror(in) != 0;
 	fclose(in);
-	return 0;
+	return failed ? set_fault(f, ERR_IO,
+			    "cannot read all of %s; check the disk", path) :
+			0;
 }
 
 int
@@ -119,15 +124,22 @@
 }
 
 /*
- * Renames the files of a damaged folder, and removes those that an earlier call
- * renamed. The id is the last one: until it is gone, a start finds a damaged
- * folder or one without a log, and does not take the rest for another member's.
+ * Renames the files of a damaged folder. The list of initial voters is the first
+ * one: with it, a start that finds no log would bootstrap and vote anew under an
+ * id that has voted. The id is the last one: until it is gone, a start finds a
+ * damaged folder or one without a log, and does not take the rest for another
+ * member's. The files of an earlier time are removed if that was completed, which
+ * its id shows, so that a call after a failed one keeps what that has renamed.
  */
 int
 set_data_aside(const char *dir, struct fault *f)
 {
-	int rc = move_files(dir, true);
+	int rc = remove_kept_files(dir);
 
+	if (rc == 0)
+		rc = move_file(dir, VOTERS_FILE_NAME, false);
+	if (rc == 0)
+		rc = sync_dir(dir);
 	if (rc == 0)
 		rc = move_files(dir, false);
 	if (rc == 0)
@@ -200,6 +212,24 @@
 	return 0;
 }
 
+/*
+ * Removes the files that were set aside before, if their id is among them; it is
+ * the first one, so that an interrupted removal is not taken for a new time.
+ * Returns a negative errno.
+ */
+static int
+remove_kept_files(const char *dir)
+{
+	char path[PATH_BYTES];
+	int rc = 0;
+
+	snprintf(path, sizeof(path), "%s/" ASIDE_PREFIX FILE_NAME, dir);
+	if (unlink(path) != 0)
+		return errno == ENOENT ? 0 : -errno;
+	rc = sync_dir(dir);
+	return rc == 0 ? move_files(dir, true) : rc;
+}
+
 /*
  * Removes the files that were set aside before, or renames all others but the
  * id and the lock. Returns a negative errno.
--- a/packages/control/tests/test_membership.c
+++ b/packages/control/tests/test_membership.c
@@ -487,6 +487,77 @@
 	ck_assert_int_eq(fclose(file), 0);
 }
 
+/* Whether a call that fails comes before the one that renames all files. */
+static const bool aside_cases[] = {false, true};
+
+/*
+ * Guards against damaged files that are not kept: the call that sets them aside
+ * is tried again after a refused rename and removes what it has renamed, or
+ * those of an earlier time stay for good.
+ */
+START_TEST(files_set_aside_are_kept)
+{
+	static const char *const names[] = {
+	    "log-1", "log-2", "snapshot-1", "state", "initial-voters"};
+	char dir[] = "/tmp/ggs-aside-XXXXXX", path[128], text[8];
+	struct fault f = {0};
+	FILE *file;
+
+	ck_assert_ptr_nonnull(mkdtemp(dir));
+	for (int round = 1; round <= 2; round++) {
+		for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+			snprintf(path, sizeof(path), "%s/%s", dir, names[i]);
+			file = fopen(path, "w");
+			ck_assert_ptr_nonnull(file);
+			fprintf(file, "%d", round);
+			ck_assert_int_eq(fclose(file), 0);
+		}
+		ck_assert_int_eq(save_identity(dir, 7, &f), 0);
+		snprintf(path, sizeof(path), "%s/damaged.log-2", dir);
+		if (aside_cases[_i]) {
+			(void)unlink(path);
+			ck_assert_int_eq(mkdir(path, 0700), 0);
+			ck_assert_int_eq(set_data_aside(dir, &f), ERR_IO);
+			ck_assert_int_eq(rmdir(path), 0);
+		}
+		ck_assert_int_eq(set_data_aside(dir, &f), 0);
+		for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+			snprintf(path, sizeof(path), "%s/%s", dir, names[i]);
+			ck_assert_int_ne(access(path, F_OK), 0);
+			snprintf(
+			    path, sizeof(path), "%s/damaged.%s", dir, names[i]);
+			file = fopen(path, "r");
+			ck_assert_msg(file != NULL, "%s", path);
+			ck_assert_ptr_nonnull(fgets(text, sizeof(text), file));
+			ck_assert_int_eq(atoi(text), round);
+			fclose(file);
+		}
+	}
+	ck_assert_int_eq(nftw(dir, remove_entry, 8, FTW_DEPTH | FTW_PHYS), 0);
+}
+END_TEST
+
+/*
+ * Guards against an initial voter that forgets the others for good because its
+ * list of them could not be read once.
+ */
+START_TEST(voter_list_that_cannot_be_read_is_no_empty_one)
+{
+	char dir[] = "/tmp/ggs-voters-XXXXXX", path[128];
+	struct voter_list list;
+	struct fault f = {0};
+
+	ck_assert_ptr_nonnull(mkdtemp(dir));
+	ck_assert_int_eq(load_voter_list(dir, &list, &f), ERR_NOT_FOUND);
+	/* A folder opens like a file, and reading it fails. */
+	snprintf(path, sizeof(path), "%s/initial-voters", dir);
+	ck_assert_int_eq(mkdir(path, 0700), 0);
+	ck_assert_int_eq(load_voter_list(dir, &list, &f), ERR_IO);
+	ck_assert_int_eq(rmdir(path), 0);
+	ck_assert_int_eq(rmdir(dir), 0);
+}
+END_TEST
+
 /* Files of a process that are damaged before it starts again. */
 struct damage_case {
 	const char *name;
@@ -564,6 +635,8 @@
 	    t, initial_voter_loses_its_disk_before_the_group_exists, 0, 2);
 	tcase_add_test(
 	    t, initial_voter_without_its_disk_bootstraps_no_second_group);
+	tcase_add_loop_test(t, files_set_aside_are_kept, 0, 2);
+	tcase_add_test(t, voter_list_that_cannot_be_read_is_no_empty_one);
 	tcase_add_loop_test(t,
 	    damaged_process_joins_again_when_the_others_have_a_quorum, 0,
 	    sizeof(damage_cases) / sizeof(damage_cases[0]));
