raft: test that votes are asked for with a durable log, and who leads has voted

Now votes_are_asked_for_with_a_durable_log and leader_has_stored_its_own_vote fail for one of them each, and the simulated group refuses a node that leads a term again after a restart.

--- a/packages/raft/tests/sim.h
+++ b/packages/raft/tests/sim.h
@@ -41,6 +41,7 @@
 	uint64_t applied;
 	uint64_t hash; /* over all applied entries */
 	uint64_t checked_commit; /* see check_commit() */
+	int starts; /* of the node, so far */
 };
 
 struct sim_read {
@@ -55,6 +56,7 @@
 	size_t net_count, net_cap;
 	bool blocked[SIM_NODES][SIM_NODES]; /* messages from, to are lost */
 	uint64_t leader_of[SIM_TERMS_MAX]; /* by term; 0: none yet */
+	int leader_start[SIM_TERMS_MAX]; /* which start of that node */
 	uint64_t committed; /* highest commit index of any node */
 	uint64_t commit_term[SIM_LOG_MAX]; /* of the entry; 0: unknown */
 	uint64_t commit_leader_term[SIM_LOG_MAX]; /* that committed it */
@@ -167,6 +169,7 @@
 	x->applied = 0;
 	x->hash = 0;
 	x->checked_commit = 0;
+	x->starts++;
 	if (open_raft(&cfg, &st, &x->core, NULL) != 0)
 		fail_sim(s, "node %d does not start", (int)n);
 	else
@@ -330,7 +333,8 @@
 }
 
 /*
- * Checks that a term has one leader, and that a leader has all entries that
+ * Checks that a term has one leader, which does not lead it again after a
+ * restart, with other entries, and that a leader has all entries that
  * leaders of lower terms have committed. One that is elected late, when there
  * is a higher term already, cannot have what that term commits, and commits
  * nothing itself.
@@ -342,12 +346,18 @@
 
 	if (st.role != RAFT_LEADER)
 		return;
-	if (s->leader_of[st.term % SIM_TERMS_MAX] == n)
+	if (s->leader_of[st.term % SIM_TERMS_MAX] == n) {
+		if (s->leader_start[st.term % SIM_TERMS_MAX] !=
+		    s->node[n].starts)
+			fail_sim(s, "node %d leads term %llu again", (int)n,
+			    (unsigned long long)st.term);
 		return;
+	}
 	if (s->leader_of[st.term % SIM_TERMS_MAX] != 0)
 		fail_sim(
 		    s, "two leaders in term %llu", (unsigned long long)st.term);
 	s->leader_of[st.term % SIM_TERMS_MAX] = n;
+	s->leader_start[st.term % SIM_TERMS_MAX] = s->node[n].starts;
 	s->elections++;
 	for (uint64_t i = st.snapshot + 1; i <= s->committed; i++) {
 		if (s->commit_leader_term[i] == 0 ||
--- a/packages/raft/tests/test_raft.c
+++ b/packages/raft/tests/test_raft.c
@@ -881,6 +881,97 @@
 }
 END_TEST
 
+static bool
+has_vote_request(const struct sim *s, uint64_t from)
+{
+	for (size_t i = 0; i < s->net_count; i++) {
+		if (s->net[i].type == RAFT_VOTE && s->net[i].from == from)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Ticks the nodes n and other (0: none) until n is a candidate and the others have
+ * answered its pre-vote. Their storage work stays pending.
+ */
+static void
+make_candidate(struct sim *s, uint64_t n, uint64_t other)
+{
+	for (int i = 0; i < 8 * SIM_ELECTION_TICKS &&
+			get_status(s, n).role != RAFT_CANDIDATE;
+	     i++) {
+		tick_node(s, n);
+		if (i < SIM_ELECTION_TICKS) /* so that its lease ends */
+			tick_node(s, other);
+		for (size_t at = 0; at < s->net_count;) {
+			if (s->net[at].type == RAFT_PREVOTE ||
+			    s->net[at].type == RAFT_PREVOTE_REPLY)
+				deliver_message(s, at, false);
+			else
+				at++;
+		}
+	}
+	ck_assert_int_eq(get_status(s, n).role, RAFT_CANDIDATE);
+}
+
+/*
+ * Guards against votes for entries that a restart loses: a candidate whose log
+ * is not durable asks for votes only once it is.
+ */
+START_TEST(votes_are_asked_for_with_a_durable_log)
+{
+	struct sim *s = open_sim_with_leader(3);
+	uint64_t index;
+
+	if (_i == 1) { /* an entry that node 2 has not stored */
+		ck_assert_int_eq(propose_node(s, 1, &index), 0);
+		for (size_t at = 0; at < s->net_count;) {
+			if (s->net[at].to == 2)
+				deliver_message(s, at, false);
+			else
+				at++;
+		}
+		ck_assert(s->node[2].pending.used);
+	}
+	crash_node(s, 1, 3);
+	while (s->net_count > 0)
+		drop_message(s, 0);
+	make_candidate(s, 2, 3);
+	ck_assert_int_eq(has_vote_request(s, 2), _i == 0);
+	for (int i = 0; i < 3 && !has_vote_request(s, 2); i++)
+		finish_store(s, 2);
+	ck_assert(has_vote_request(s, 2));
+	ck_assert_msg(s->failure[0] == '\0', "%s", s->failure);
+	close_sim(s);
+}
+END_TEST
+
+/*
+ * Guards against a leader whose term a restart would forget, so that it could
+ * lead the same term again with other entries: with the votes of the others, a
+ * candidate leads only once its own vote is durable.
+ */
+START_TEST(leader_has_stored_its_own_vote)
+{
+	struct sim *s = open_sim(5, 3);
+
+	make_candidate(s, 1, 0);
+	ck_assert(s->node[1].pending.used);
+	for (int i = 0; i < 20; i++) {
+		finish_store(s, 2);
+		finish_store(s, 3);
+		if (s->net_count > 0)
+			deliver_message(s, 0, false);
+	}
+	ck_assert_int_eq(get_status(s, 1).role, RAFT_CANDIDATE);
+	finish_store(s, 1);
+	ck_assert_int_eq(get_status(s, 1).role, RAFT_LEADER);
+	ck_assert_msg(s->failure[0] == '\0', "%s", s->failure);
+	close_sim(s);
+}
+END_TEST
+
 /* Guards against a read that fewer than a majority confirm. */
 START_TEST(read_needs_a_majority)
 {
@@ -1057,6 +1148,8 @@
 	tcase_add_test(t, own_vote_counts_once_stored);
 	tcase_add_test(t, read_needs_a_majority);
 	tcase_add_test(t, restarted_group_elects_soon);
+	tcase_add_loop_test(t, votes_are_asked_for_with_a_durable_log, 0, 2);
+	tcase_add_test(t, leader_has_stored_its_own_vote);
 	tcase_add_loop_test(t, slow_disks_do_not_prevent_a_leader, 0,
 	    sizeof(slow_cases) / sizeof(slow_cases[0]));
 	tcase_add_test(t, damaged_membership_is_refused);
