--- a/packages/replica/tests/test_replica.c
+++ b/packages/replica/tests/test_replica.c
@@ -371,15 +371,15 @@
 }
 
 /*
- * Guards against a member that stays out because its state machine could not
- * load a snapshot once, for example without memory.
+ * Lets a snapshot not load at a member for some ms; it comes back after that.
  */
 static void
-recover_from_failed_load(struct group *g, uint64_t lead)
+recover_from_load_error(struct group *g, uint64_t lead, enum err error, int ms)
 {
 	static char big[700 * 1024];
 	uint64_t id = find_other_member(lead, 0);
 	struct outcome o = {.g = g};
+	struct fault f = {0};
 
 	stop_member(g, id, false);
 	for (int k = 0; k < 3; k++) {
@@ -391,9 +391,10 @@
 	}
 	ck_assert_uint_gt(get_status(g, lead).snapshot, 0);
 	ck_assert_int_eq(start_member(g, id, NULL), 0);
-	g->member[id].load_error = ERR_CORRUPT;
-	run_group(g, 500);
+	g->member[id].load_error = error;
+	run_group(g, ms);
 	ck_assert(is_replica_failed(g->member[id].r));
+	ck_assert(!is_replica_unrecoverable(g->member[id].r, &f));
 	g->member[id].load_error = 0;
 	run_group(g, 3000);
 	ck_assert(!is_replica_failed(g->member[id].r));
@@ -403,6 +404,15 @@
 	    get_status(g, id).applied, get_status(g, lead).applied);
 }
 
+/*
+ * Guards against a member that stays away after its snapshot did not load once.
+ */
+static void
+recover_from_failed_load(struct group *g, uint64_t lead)
+{
+	recover_from_load_error(g, lead, ERR_CORRUPT, 500);
+}
+
 /*
  * Guards against sound data that counts as damaged because memory was short
  * while the snapshot was loaded: the member would be given up.
@@ -410,32 +420,7 @@
 static void
 recover_from_lack_of_memory(struct group *g, uint64_t lead)
 {
-	uint64_t id = find_other_member(lead, 0);
-	struct outcome o = {.g = g};
-	static char big[700 * 1024];
-	struct fault f = {0};
-
-	stop_member(g, id, false);
-	for (int k = 0; k < 3; k++) {
-		ck_assert_int_eq(propose_replica(g->member[lead].r,
-				     make_str_n(big, sizeof(big)), 2000,
-				     record_proposal_outcome, &o),
-		    0);
-		settle_group(g);
-	}
-	ck_assert_uint_gt(get_status(g, lead).snapshot, 0);
-	ck_assert_int_eq(start_member(g, id, NULL), 0);
-	g->member[id].load_error = ERR_MEMORY;
-	run_group(g, 8000);
-	ck_assert(is_replica_failed(g->member[id].r));
-	ck_assert(!is_replica_unrecoverable(g->member[id].r, &f));
-	g->member[id].load_error = 0;
-	run_group(g, 3000);
-	ck_assert(!is_replica_failed(g->member[id].r));
-	commit_values(g, 1);
-	run_group(g, 200);
-	ck_assert_uint_eq(
-	    get_status(g, id).applied, get_status(g, lead).applied);
+	recover_from_load_error(g, lead, ERR_MEMORY, 8000);
 }
 
 /*
--- a/scenarios/disk_day.lua
+++ b/scenarios/disk_day.lua
@@ -20,15 +20,7 @@
 	return op:change(limit_ms) and 200 or 503
 end
 p:start_all()
-fleet.wait_until("five voters", 30000, function()
-	local r = http.request{url = p.cores[1].control .. "/v1/status"}
-	local s = r.status == 200 and json.decode(r.body)
-	local voters = 0
-	for _, m in ipairs(s and s.group and s.group.members or {}) do
-		voters = voters + (m.voter and 1 or 0)
-	end
-	return voters == 5
-end)
+p:wait_voters()
 
 -- The changes of the day, its reads and requests, until a moment.
 local next_change = 0
--- a/scenarios/disk_faults.lua
+++ b/scenarios/disk_faults.lua
@@ -218,16 +218,7 @@
 	strike{p.cores[3], p.cores[5]}
 else
 	p:start_all()
-	-- Two join after the start; they count once they are voters.
-	fleet.wait_until("five voters", 20000, function()
-		local r = http.request{url = p.cores[1].control .. "/v1/status"}
-		local s = r.status == 200 and json.decode(r.body)
-		local voters = 0
-		for _, m in ipairs(s and s.group and s.group.members or {}) do
-			voters = voters + (m.voter and 1 or 0)
-		end
-		return voters == 5
-	end)
+	p:wait_voters()
 	for _, victims in ipairs(choose_victims()) do
 		strike(#victims > 0 and victims or {wait_leader()})
 	end
--- a/scenarios/slow_disks.lua
+++ b/scenarios/slow_disks.lua
@@ -22,15 +22,7 @@
 
 local p = deployment.new("slow-" .. seed .. "-" .. slow .. "-" .. how, 5, 3)
 p:start_all()
-fleet.wait_until("five voters", 20000, function()
-	local r = http.request{url = p.cores[1].control .. "/v1/status"}
-	local s = r.status == 200 and json.decode(r.body)
-	local voters = 0
-	for _, m in ipairs(s and s.group and s.group.members or {}) do
-		voters = voters + (m.voter and 1 or 0)
-	end
-	return voters == 5
-end)
+p:wait_voters()
 
 local function wait_leader()
 	return (fleet.wait_until("a leader", ACK_MS, function()
