--- a/packages/hop/gen/hop_xdr.c
+++ b/packages/hop/gen/hop_xdr.c
@@ -165,6 +165,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hop_terms (XDR *xdrs, hop_terms *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->account, HOP_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->share))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->carried_rank))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->carried_us))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hop_grant (XDR *xdrs, hop_grant *objp)
 {
--- a/packages/hop/gen/hop_xdr.h
+++ b/packages/hop/gen/hop_xdr.h
@@ -75,6 +75,14 @@
 };
 typedef struct hop_offer hop_offer;
 
+struct hop_terms {
+	char *account;
+	u_int share;
+	int carried_rank;
+	quad_t carried_us;
+};
+typedef struct hop_terms hop_terms;
+
 struct hop_grant {
 	hop_load load;
 };
@@ -115,6 +123,7 @@
 extern  bool_t xdr_hop_hello (XDR *, hop_hello*);
 extern  bool_t xdr_hop_welcome (XDR *, hop_welcome*);
 extern  bool_t xdr_hop_offer (XDR *, hop_offer*);
+extern  bool_t xdr_hop_terms (XDR *, hop_terms*);
 extern  bool_t xdr_hop_grant (XDR *, hop_grant*);
 extern  bool_t xdr_hop_answer (XDR *, hop_answer*);
 extern  bool_t xdr_hop_refuse (XDR *, hop_refuse*);
@@ -126,6 +135,7 @@
 extern bool_t xdr_hop_hello ();
 extern bool_t xdr_hop_welcome ();
 extern bool_t xdr_hop_offer ();
+extern bool_t xdr_hop_terms ();
 extern bool_t xdr_hop_grant ();
 extern bool_t xdr_hop_answer ();
 extern bool_t xdr_hop_refuse ();
--- a/packages/hop/hop.c
+++ b/packages/hop/hop.c
@@ -441,7 +441,7 @@
 		    .payload = make_str_n(p + FRAME_HEAD_BYTES, len)};
 
 		if (len > HOP_PAYLOAD_MAX || f.type < HOP_HELLO ||
-		    f.type > HOP_PONG)
+		    f.type >= HOP_TYPE_END)
 			return SIZE_MAX;
 		if (in.len - at - FRAME_HEAD_BYTES < len)
 			break;
--- a/packages/hop/hop.h
+++ b/packages/hop/hop.h
@@ -39,6 +39,8 @@
 	HOP_LOAD, /* struct hop_load */
 	HOP_PING, /* empty */
 	HOP_PONG, /* empty */
+	HOP_TERMS, /* struct hop_terms, of the offer that follows */
+	HOP_TYPE_END
 };
 
 /* State of the backend server beside a serving node. */
--- a/packages/hop/tests/test_hop.c
+++ b/packages/hop/tests/test_hop.c
@@ -151,7 +151,7 @@
 
 static const struct invalid_head_case invalid_head_cases[] = {
     {{0, 0, 1}, "damaged frame"},
-    {{0, HOP_PONG + 1, 1}, "damaged frame"},
+    {{0, HOP_TYPE_END, 1}, "damaged frame"},
     {{0, 0x48545450, 1}, "damaged frame"},
     {{HOP_PAYLOAD_MAX + 1, HOP_BODY, 1}, "damaged frame"},
     {{UINT32_MAX, HOP_BODY, 1}, "damaged frame"},
--- a/packages/node/inbound.c
+++ b/packages/node/inbound.c
@@ -19,6 +19,7 @@
 	uint32_t stream;
 	struct job *job;
 	struct hop_offer offer; /* owns the strings of the job */
+	struct hop_terms terms; /* likewise */
 	struct buf body; /* received so far */
 };
 
@@ -29,11 +30,16 @@
 	struct hop_link *hop;
 	struct remote_call *calls[REMOTE_SLOTS];
 	bool handshake_done; /* HELLO has arrived: load may be sent */
+	struct hop_terms terms; /* of the next offer */
+	uint32_t terms_stream; /* of that offer; 0: none */
 };
 
 static void open_inbound(struct node *n, int fd);
 static void handle_frame(void *arg, const struct hop_frame *f);
 static void handle_hello(struct inbound_link *l, struct str payload);
+static void handle_terms(
+    struct inbound_link *l, uint32_t stream, struct str payload);
+static void clear_terms(struct inbound_link *l);
 static void handle_offer(
     struct inbound_link *l, uint32_t stream, struct str payload);
 static int start_remote_job(struct remote_call *c, struct str body);
@@ -139,6 +145,9 @@
 	case HOP_HELLO:
 		handle_hello(l, f->payload);
 		break;
+	case HOP_TERMS:
+		handle_terms(l, f->stream, f->payload);
+		break;
 	case HOP_OFFER:
 		handle_offer(l, f->stream, f->payload);
 		break;
@@ -180,6 +189,36 @@
 	    get_own_notice(l->node));
 }
 
+/*
+ * Keeps the terms of the offer that follows.
+ */
+static void
+handle_terms(struct inbound_link *l, uint32_t stream, struct str payload)
+{
+	struct str rest;
+
+	clear_terms(l);
+	if (decode_hop_message(
+		payload, (xdrproc_t)xdr_hop_terms, &l->terms, &rest) == 0)
+		l->terms_stream = stream;
+	else
+		write_log(LOG_LEVEL_WARNING,
+		    "the terms of a call cannot be read; it is served without "
+		    "them");
+}
+
+/*
+ * Drops the terms of an offer that did not follow.
+ */
+static void
+clear_terms(struct inbound_link *l)
+{
+	if (l->terms_stream != 0)
+		unload_hop_message((xdrproc_t)xdr_hop_terms, &l->terms);
+	l->terms = (struct hop_terms){0};
+	l->terms_stream = 0;
+}
+
 /*
  * Starts a job for an offered call. A call for another service than this node's
  * is refused, since the entry node's endpoint set is outdated.
@@ -200,11 +239,16 @@
 	}
 	c->link = l;
 	c->stream = stream;
+	if (l->terms_stream == stream) {
+		c->terms = l->terms;
+		l->terms_stream = 0;
+	}
 	if (n->cfg.service != NULL &&
 	    strcmp(c->offer.service, n->cfg.service) == 0)
 		rc = start_remote_job(c, body);
 	if (rc != 0) {
 		unload_hop_message((xdrproc_t)xdr_hop_offer, &c->offer);
+		unload_hop_message((xdrproc_t)xdr_hop_terms, &c->terms);
 		unload_buf(&c->body);
 		free(c);
 		send_refusal(l, stream,
@@ -234,6 +278,11 @@
 	    .target = make_str_n(o->target.target_val, o->target.target_len),
 	    .head = make_str_n(o->head.head_val, o->head.head_len),
 	    .caller_service = make_str(o->caller_service),
+	    .account =
+		make_str(c->terms.account != NULL ? c->terms.account : ""),
+	    .share = (int)c->terms.share,
+	    .carried_rank = c->terms.carried_rank,
+	    .carried_ns = c->terms.carried_us * NSEC_PER_USEC,
 	    .rank = o->rank,
 	    .repeatable = o->repeatable,
 	    .may_wait = o->may_wait,
@@ -309,6 +358,7 @@
 		while (l->calls[i] != NULL)
 			handle_cancel(l, l->calls[i]->stream);
 	}
+	clear_terms(l);
 	close_hop(l->hop);
 	free(l);
 }
@@ -365,6 +415,7 @@
 		at = &(*at)->next;
 	*at = c->next;
 	unload_hop_message((xdrproc_t)xdr_hop_offer, &c->offer);
+	unload_hop_message((xdrproc_t)xdr_hop_terms, &c->terms);
 	unload_buf(&c->body);
 	free(c);
 }
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -15,6 +15,7 @@
 #define UPLOAD_UNSENT_BYTES (32 * 1024)
 
 static void send_offer(struct request *q);
+static void send_terms(struct request *q);
 static struct peer_link *get_link(struct peer *p);
 static struct peer_link *open_peer_link(struct peer *p);
 static void time_out_connect(struct timer *t);
@@ -105,10 +106,30 @@
 	o.may_wait = !q->attempt.immediate;
 	o.body_here = q->policy.repeatable && body.len <= HOP_BODY_CHUNK_BYTES;
 	a->body_sent = o.body_here;
+	send_terms(q);
 	send_hop(a->link->hop, HOP_OFFER, a->stream, (xdrproc_t)xdr_hop_offer,
 	    &o, o.body_here ? body : make_str_n(NULL, 0));
 }
 
+/*
+ * Sends what the offer does not hold, if there is any of it.
+ */
+static void
+send_terms(struct request *q)
+{
+	struct hop_terms t = {
+	    .account = q->policy.account,
+	    .share = (unsigned int)q->policy.share,
+	    .carried_rank = q->carried_rank,
+	    .carried_us = q->carried_ns / NSEC_PER_USEC,
+	};
+
+	if (q->policy.account[0] == '\0' && q->carried_rank == 0)
+		return;
+	send_hop(q->attempt.link->hop, HOP_TERMS, q->attempt.stream,
+	    (xdrproc_t)xdr_hop_terms, &t, make_str_n(NULL, 0));
+}
+
 /*
  * Notifies the serving node that the answer is no longer wanted.
  */
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -69,6 +69,8 @@
 	int64_t target_ns; /* after the arrival */
 	int64_t deadline_ns; /* after the arrival */
 	uint64_t version; /* of the table */
+	char account[TABLE_NAME_BYTES]; /* of the client; empty: none */
+	int share; /* weight of the account among others; 0: none */
 };
 
 /* An offer of a call to one serving node. */
@@ -112,6 +114,12 @@
 	struct buf head; /* header lines that are passed on */
 	int64_t target_at; /* mono ns; a later answer counts as late */
 	int64_t deadline; /* mono ns */
+	/*
+	 * Of a call that a backend server makes: most urgent rank of the work
+	 * that waits for it (0: unknown), and the time already spent on that.
+	 */
+	int carried_rank;
+	int64_t carried_ns;
 	struct timer timer; /* deadline */
 	struct attempt attempt; /* the current or the last one */
 	const struct peer *tried[REQUEST_TRIED_MAX];
@@ -165,6 +173,10 @@
 	struct str target;
 	struct str head;
 	struct str caller_service;
+	struct str account; /* of the client; empty: none */
+	int share; /* weight of the account among others; 0: none */
+	int carried_rank; /* of the work that waits for the call; 0: unknown */
+	int64_t carried_ns; /* time already spent on that work */
 	int rank;
 	bool repeatable;
 	bool may_wait; /* false: refused as busy instead of queued */
--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -164,6 +164,7 @@
 	j->spec.kind = j->spec.id = make_str("");
 	j->spec.method = j->spec.target = j->spec.head = make_str("");
 	j->spec.caller_service = j->spec.body = make_str("");
+	j->spec.account = make_str("");
 }
 
 bool
--- a/packages/policy/outcome.c
+++ b/packages/policy/outcome.c
@@ -29,6 +29,8 @@
     [REFUSE_UNKNOWN_KIND] = "unknown-kind",
     [REFUSE_BUSY] = "busy",
     [REFUSE_BODY_MEMORY] = "body-memory",
+    [REFUSE_KEY] = "key",
+    [REFUSE_ALLOTMENT] = "allotment",
 };
 
 static struct attempt_verdict make_not_run(const char *why, bool close);
--- a/packages/policy/outcome.h
+++ b/packages/policy/outcome.h
@@ -29,6 +29,9 @@
 	REFUSE_REASON_COUNT, /* number of reasons that can end a call */
 	/* Of an immediate offer: no slot is free. */
 	REFUSE_BUSY = REFUSE_REASON_COUNT,
+	/* Of a client account, at the entry node */
+	REFUSE_KEY, /* no account has the key */
+	REFUSE_ALLOTMENT, /* the account is beyond its rate */
 };
 
 /* How far the connection of an attempt got. */
