table: client accounts, a second sheet of the table

Decisions by client account need to know who holds a key. The table gets a second sheet: name, fingerprints of keys, rank, rate and burst. Keys are kept only as keyed hashes of 16 bytes and looked up by them. Column key of a row says whether its calls need one. Edits, differences and the CSV form cover both sheets; without accounts, digest and CSV are the same as before.

--- a/packages/table/builder.c
+++ b/packages/table/builder.c
@@ -13,6 +13,8 @@
 	const struct row **rows; /* finished rows */
 	size_t count;
 	size_t cap;
+	struct account_sheet accounts;
+	char account[TABLE_NAME_BYTES]; /* started last */
 };
 
 static int finish_row(struct table_builder *b, struct fault *f);
@@ -33,6 +35,7 @@
 	for (size_t i = 0; i < b->count; i++)
 		unref_row(b->rows[i]);
 	free(b->rows);
+	unload_accounts(&b->accounts);
 	free(b);
 }
 
@@ -73,6 +76,40 @@
 	return set_cell(&b->draft, c, make_str(text), f);
 }
 
+/*
+ * Starts a new account. Returns ERR_INVALID when the name is no name or another
+ * account has it, and ERR_MEMORY.
+ */
+int
+start_table_account(struct table_builder *b, struct str name, struct fault *f)
+{
+	int rc = add_account(&b->accounts, name, f);
+
+	return rc == 0 ? copy_str(b->account, sizeof(b->account), name) : rc;
+}
+
+/*
+ * Sets a cell of the account started last. Returns ERR_INVALID when the column
+ * does not accept the value.
+ */
+int
+set_account_cell(
+    struct table_builder *b, enum column c, struct str value, struct fault *f)
+{
+	return set_cell_of_account(
+	    &b->accounts, make_str(b->account), c, value, f);
+}
+
+/*
+ * Adds the fingerprint of a key to the account started last. Returns
+ * ERR_INVALID with a fault that does not show the key.
+ */
+int
+add_account_key(struct table_builder *b, struct str key, struct fault *f)
+{
+	return add_key_to_account(&b->accounts, make_str(b->account), key, f);
+}
+
 /*
  * Finishes the last row, sorts the rows and makes the table. Afterwards the
  * builder is empty, unless the last row was invalid. Returns ERR_INVALID,
@@ -88,7 +125,7 @@
 		return rc;
 	if (b->count > 0)
 		qsort(b->rows, b->count, sizeof(b->rows[0]), compare_rows);
-	rc = make_table(b->rows, b->count, version, out, f);
+	rc = make_table(b->rows, b->count, &b->accounts, version, out, f);
 	b->count = 0;
 	return rc;
 }
--- a/packages/table/cells.c
+++ b/packages/table/cells.c
@@ -18,6 +18,7 @@
 struct table_draft {
 	struct draft_entry *rows;
 	size_t count;
+	struct account_sheet accounts;
 };
 
 /* State of decode_cells(). */
@@ -53,8 +54,8 @@
 apply_cells(const struct table *base, const struct cell_list *cells,
     uint64_t version, struct table **out, struct fault *f)
 {
-	struct table_draft draft = {NULL, base->row_count};
-	int rc = 0;
+	struct table_draft draft = {.count = base->row_count};
+	int rc;
 
 	draft.rows =
 	    calloc(base->row_count + cells->count + 1, sizeof(*draft.rows));
@@ -62,6 +63,7 @@
 		return set_fault(f, ERR_MEMORY, "out of memory for an edit");
 	for (size_t i = 0; i < base->row_count; i++)
 		draft.rows[i].row = ref_row(base->rows[i]);
+	rc = copy_accounts(base, &draft.accounts, f);
 	for (size_t i = 0; i < cells->count && rc == 0; i++)
 		rc = apply_cell(&draft, &cells->cells[i], f);
 	if (rc == 0)
@@ -71,13 +73,15 @@
 		free(draft.rows[i].draft);
 	}
 	free(draft.rows);
+	unload_accounts(&draft.accounts);
 	return rc;
 }
 
 /*
  * Appends the edits that turn from into to. Removed rows come first, so that
  * their floors do not count when others are raised. Both tables are sorted by
- * kind; rows that they share by reference are equal without a comparison.
+ * kind; rows that they share by reference are equal without a comparison. The
+ * edits of accounts follow.
  */
 int
 diff_tables(
@@ -111,7 +115,7 @@
 		else if (old != r && old->digest != r->digest)
 			rc = diff_rows(old, r, out);
 	}
-	return rc;
+	return rc == 0 ? diff_accounts(from, to, out) : rc;
 }
 
 /*
@@ -229,6 +233,8 @@
 	bool found = find_draft_entry(draft, make_str(e->row), &at);
 	int rc;
 
+	if (is_account_column(e->column))
+		return apply_account_cell(&draft->accounts, e, f);
 	if (e->column == COL_KIND)
 		return apply_row_cell(draft, e, at, found, f);
 	if (!found)
@@ -328,7 +334,7 @@
 		rows[i] = draft->rows[i].row;
 		draft->rows[i].row = NULL;
 	}
-	rc = make_table(rows, count, version, out, f);
+	rc = make_table(rows, count, &draft->accounts, version, out, f);
 	free(rows);
 	return rc;
 }
--- a/packages/table/schema.c
+++ b/packages/table/schema.c
@@ -39,13 +39,13 @@
     [COL_HEAD_MAX_KB] = {"head_max_kb", CELL_NUMBER, 1, 1024, 32, NULL, true},
     [COL_HEAD_MS] = {"head_ms", CELL_NUMBER, 1, 600000, 10000, NULL, true},
     [COL_IDLE_MS] = {"idle_ms", CELL_NUMBER, 1, 3600000, 60000, NULL, true},
+    [COL_KEY] = {"key", CELL_YES_NO, 0, 0, 1, NULL, true},
 };
 
 static int set_number(
     struct row_draft *r, enum column c, struct str value, struct fault *f);
 static int set_text(
     struct row_draft *r, enum column c, struct str value, struct fault *f);
-static bool is_name(struct str s);
 static bool is_host(struct str s);
 static bool is_path(struct str s, bool is_prefix);
 static bool is_split(struct str s);
@@ -72,6 +72,8 @@
 const char *
 get_column_name(enum column c)
 {
+	if (is_account_column(c))
+		return get_account_column_name(c);
 	return (unsigned int)c < COLUMN_COUNT ? specs[c].name : "";
 }
 
@@ -85,7 +87,13 @@
 		if (is_str_equal(name, make_str(specs[c].name)))
 			return c;
 	}
-	return ERR_NOT_FOUND;
+	return find_account_column(name);
+}
+
+bool
+is_account_column(enum column c)
+{
+	return c >= ACCOUNT_NAME && c < ACCOUNT_COLUMN_END;
 }
 
 /*
@@ -101,7 +109,7 @@
 	if (is_text_column(c))
 		return set_text(r, c, value, f);
 	if (s->type == CELL_NAME) {
-		if (!is_name(value))
+		if (!is_table_name(value))
 			return set_fault(f, ERR_INVALID,
 			    "row '%s', column %s: '%.*s' is not a name; use 1 "
 			    "to %d of a-z, 0-9 and -",
@@ -111,8 +119,13 @@
 		    TABLE_NAME_BYTES, value);
 	}
 	if (s->type == CELL_YES_NO) {
-		r->repeatable = is_str_equal(value, make_str("yes"));
-		if (!r->repeatable && !is_str_equal(value, make_str("no")))
+		bool yes = is_str_equal(value, make_str("yes"));
+
+		if (c == COL_REPEAT)
+			r->repeatable = yes;
+		else
+			r->values[c] = yes;
+		if (!yes && !is_str_equal(value, make_str("no")))
 			return set_fault(f, ERR_INVALID,
 			    "row '%s', column %s: '%.*s' is neither yes nor no",
 			    r->kind, s->name, shown_len, value.data);
@@ -185,7 +198,7 @@
 	}
 	rc = check_row(r, f);
 	if (rc == 0)
-		rc = render_row_csv(r, &line);
+		rc = render_row_csv(r, r->values[COL_KEY] == 0, &line);
 	if (rc == 0)
 		r->digest = XXH3_64bits(line.data, line.len);
 	unload_buf(&line);
@@ -216,14 +229,16 @@
 }
 
 int
-make_table(const struct row **rows, size_t count, uint64_t version,
-    struct table **out, struct fault *f)
+make_table(const struct row **rows, size_t count,
+    struct account_sheet *accounts, uint64_t version, struct table **out,
+    struct fault *f)
 {
 	struct table *t;
 	int rc = check_rows(rows, count, f);
 
 	t = rc == 0 ? calloc(1, sizeof(*t) + count * sizeof(t->rows[0])) : NULL;
 	if (t == NULL) {
+		unload_accounts(accounts);
 		for (size_t i = 0; i < count; i++)
 			unref_row(rows[i]);
 		return rc != 0 ? rc :
@@ -236,7 +251,9 @@
 		t->rows[i] = rows[i];
 		t->digest += rows[i]->digest;
 	}
-	rc = check_size(t, f);
+	rc = set_table_accounts(t, accounts, f);
+	if (rc == 0)
+		rc = check_size(t, f);
 	if (rc == 0)
 		rc = index_routes(t, f);
 	if (rc != 0) {
@@ -293,8 +310,8 @@
 	return copy_str(r->texts[c - COL_HOST], TABLE_CELL_BYTES, value);
 }
 
-static bool
-is_name(struct str s)
+bool
+is_table_name(struct str s)
 {
 	if (s.len == 0 || s.len > NAME_MAX_LEN)
 		return false;
@@ -387,7 +404,8 @@
 static int
 check_row(const struct row *r, struct fault *f)
 {
-	if (!is_name(make_str(r->kind)) || !is_name(make_str(r->service)))
+	if (!is_table_name(make_str(r->kind)) ||
+	    !is_table_name(make_str(r->service)))
 		return set_fault(f, ERR_INVALID,
 		    "row '%s', column service: '%s' is not a name; set the "
 		    "service that the row is routed to",
@@ -490,7 +508,7 @@
 check_size(const struct table *t, struct fault *f)
 {
 	struct buf csv = {0};
-	size_t max_bytes = 0;
+	size_t max_bytes = get_accounts_csv_max(t);
 	int rc = 0;
 
 	for (size_t i = 0; i < t->row_count; i++) {
--- a/packages/table/table.c
+++ b/packages/table/table.c
@@ -13,10 +13,12 @@
 struct table_parser {
 	struct table_builder *builder;
 	enum column columns[COLUMN_COUNT]; /* of each field of a line */
+	bool in_accounts; /* behind the header of the second sheet */
 	size_t field_count; /* fields of the header line */
 	size_t line_fields; /* fields read of the current line */
 	long lines_read; /* lines before the current one */
 	bool seen[COLUMN_COUNT]; /* columns in the header line */
+	bool in_header; /* the current line names columns */
 	int rc;
 	struct fault *f;
 };
@@ -24,6 +26,8 @@
 static void handle_field(void *data, size_t len, void *arg);
 static void handle_line_end(int c, void *arg);
 static void read_header_field(struct table_parser *parser, struct str name);
+static void read_account_header_field(
+    struct table_parser *parser, struct str name);
 static void check_header(struct table_parser *parser);
 static const char *get_cell_text(
     const struct row *r, enum column c, char *number, size_t size);
@@ -79,7 +83,9 @@
 {
 	struct table *t = NULL;
 
-	(void)make_table(NULL, 0, 0, &t, NULL);
+	struct account_sheet none = {0};
+
+	(void)make_table(NULL, 0, &none, 0, &t, NULL);
 	return t;
 }
 
@@ -90,6 +96,7 @@
 		return;
 	for (size_t i = 0; i < t->row_count; i++)
 		unref_row(t->rows[i]);
+	unset_table_accounts(t);
 	free(t->routes);
 	free(t);
 }
@@ -166,21 +173,39 @@
 
 /*
  * Appends the canonical CSV: columns in schema order, rows by kind, "\n" line
- * ends, quotes only around cells that contain a comma or a quote.
+ * ends, quotes only around cells that contain a comma or a quote. Column key
+ * and the sheet of accounts are left out where they say nothing, so that tables
+ * without them keep their bytes.
  */
 int
 render_table_csv(const struct table *t, struct buf *out)
 {
+	bool with_key = has_open_rows(t);
 	int rc = 0;
 
-	for (int c = 0; c < COLUMN_COUNT && rc == 0; c++)
-		rc = append_buf_fmt(
-		    out, "%s%s", c > 0 ? "," : "", get_column_name(c));
+	for (int c = 0; c < COLUMN_COUNT && rc == 0; c++) {
+		if (c != COL_KEY || with_key)
+			rc = append_buf_fmt(
+			    out, "%s%s", c > 0 ? "," : "", get_column_name(c));
+	}
 	if (rc == 0)
 		rc = append_buf(out, "\n", 1);
 	for (size_t i = 0; i < t->row_count && rc == 0; i++)
-		rc = render_row_csv(t->rows[i], out);
-	return rc;
+		rc = render_row_csv(t->rows[i], with_key, out);
+	return rc == 0 ? render_accounts_csv(t, out) : rc;
+}
+
+/*
+ * Says whether a row differs from the default of column key.
+ */
+bool
+has_open_rows(const struct table *t)
+{
+	for (size_t i = 0; i < t->row_count; i++) {
+		if (t->rows[i]->values[COL_KEY] == 0)
+			return true;
+	}
+	return false;
 }
 
 /*
@@ -189,7 +214,7 @@
 size_t
 get_csv_length_min(const struct table *t)
 {
-	size_t line = COLUMN_COUNT + (COLUMN_COUNT - TABLE_TEXT_COUNT);
+	size_t line = COL_KEY + (COL_KEY - TABLE_TEXT_COUNT);
 
 	return (t->row_count + 1) * line;
 }
@@ -198,17 +223,18 @@
  * Appends the row's line of the canonical CSV, with its line end.
  */
 int
-render_row_csv(const struct row *r, struct buf *out)
+render_row_csv(const struct row *r, bool with_key, struct buf *out)
 {
+	int column_end = with_key ? COLUMN_COUNT : COL_KEY;
 	char number[24];
 	int rc = 0;
 
-	for (int c = 0; c < COLUMN_COUNT && rc == 0; c++) {
+	for (int c = 0; c < column_end && rc == 0; c++) {
 		rc = append_csv_field(
 		    out, get_cell_text(r, c, number, sizeof(number)));
 		if (rc == 0)
-			rc = append_buf(
-			    out, c + 1 < COLUMN_COUNT ? "," : "\n", 1);
+			rc =
+			    append_buf(out, c + 1 < column_end ? "," : "\n", 1);
 	}
 	return rc;
 }
@@ -258,7 +284,9 @@
 	case CELL_NAME:
 		return c == COL_KIND ? r->kind : r->service;
 	case CELL_YES_NO:
-		return r->repeatable ? "yes" : "no";
+		return (c == COL_REPEAT ? r->repeatable : r->values[c] != 0) ?
+			   "yes" :
+			   "no";
 	default:
 		return format_number(r->values[c], number, size);
 	}
@@ -297,21 +325,40 @@
 
 	if (parser->rc != 0)
 		return;
+	if (parser->line_fields == 0 && !parser->in_accounts &&
+	    parser->lines_read > 0 &&
+	    is_str_equal(value, make_str(get_column_name(ACCOUNT_NAME)))) {
+		parser->in_accounts = parser->in_header = true;
+		parser->field_count = 0;
+	}
 	if (parser->lines_read == 0) {
 		read_header_field(parser, value);
 		return;
 	}
+	if (parser->in_header) {
+		read_account_header_field(parser, value);
+		return;
+	}
 	if (parser->line_fields == parser->field_count) {
 		parser->rc = set_fault(parser->f, ERR_INVALID,
 		    "line %ld has more than %zu fields; remove the rest",
 		    parser->lines_read + 1, parser->field_count);
 		return;
 	}
-	parser->rc =
-	    parser->line_fields == 0 ?
-		start_table_row(parser->builder, value, parser->f) :
-		set_row_cell(parser->builder,
-		    parser->columns[parser->line_fields], value, parser->f);
+	if (parser->in_accounts)
+		parser->rc =
+		    parser->line_fields == 0 ?
+			start_table_account(parser->builder, value, parser->f) :
+			set_account_cell(parser->builder,
+			    parser->columns[parser->line_fields], value,
+			    parser->f);
+	else
+		parser->rc =
+		    parser->line_fields == 0 ?
+			start_table_row(parser->builder, value, parser->f) :
+			set_row_cell(parser->builder,
+			    parser->columns[parser->line_fields], value,
+			    parser->f);
 	parser->line_fields++;
 }
 
@@ -327,7 +374,8 @@
 	if (parser->rc == 0) {
 		if (parser->lines_read == 0)
 			check_header(parser);
-		else if (parser->line_fields != parser->field_count)
+		else if (!parser->in_header &&
+			 parser->line_fields != parser->field_count)
 			parser->rc = set_fault(parser->f, ERR_INVALID,
 			    "line %ld has %zu fields; fill in all %zu columns",
 			    parser->lines_read + 1, parser->line_fields,
@@ -335,6 +383,7 @@
 	}
 	parser->lines_read++;
 	parser->line_fields = 0;
+	parser->in_header = false;
 }
 
 /*
@@ -357,6 +406,31 @@
 	parser->columns[parser->field_count++] = (enum column)c;
 }
 
+/*
+ * Assigns the next field of each line of the second sheet to the named column.
+ */
+static void
+read_account_header_field(struct table_parser *parser, struct str name)
+{
+	int c = find_account_column(name);
+	int shown_len = name.len > 40 ? 40 : (int)name.len;
+
+	for (size_t i = 0; i < parser->field_count; i++) {
+		if (c == (int)parser->columns[i])
+			c = ERR_INVALID;
+	}
+	parser->line_fields = 1;
+	if (c < 0) {
+		parser->rc = set_fault(parser->f, ERR_INVALID,
+		    "header of the accounts: column '%.*s' is %s; the columns "
+		    "are those of 'greengagespurctl table export'",
+		    shown_len, name.data,
+		    c == ERR_INVALID ? "named twice" : "unknown");
+		return;
+	}
+	parser->columns[parser->field_count++] = (enum column)c;
+}
+
 /*
  * Checks that kind comes first, because the faults of all other cells name the
  * row by it, and that no required column is missing.
--- a/packages/table/table.h
+++ b/packages/table/table.h
@@ -1,7 +1,7 @@
 /*
- * The operators' table, one row for each kind of work: columns, CSV form,
- * validation, edits, diffs and the digest that control processes and nodes
- * compare.
+ * The operators' table: one row for each kind of work, and a second sheet with
+ * one entry for each client account. Columns, CSV form, validation, edits, diffs
+ * and the digest that control processes and nodes compare.
  */
 #ifndef TABLE_H
 #define TABLE_H
@@ -14,6 +14,11 @@
 #define TABLE_MAX_CSV (1024 * 1024) /* bytes of a table as CSV */
 #define TABLE_SPLIT_MAX 16 /* services in one COL_SPLIT cell */
 #define TABLE_FLOOR_SUM_PCT 90 /* largest sum of a service's floors */
+#define TABLE_MAX_ACCOUNTS 8192
+#define TABLE_ACCOUNT_KEYS_MAX 15 /* their fingerprints fit into one cell */
+#define TABLE_KEY_BYTES_MAX 256 /* longest key of an account */
+#define KEY_PRINT_BYTES 16 /* a keyed 128-bit hash; not reversible */
+#define KEY_PRINT_TEXT_BYTES 33 /* in hexadecimal, with NUL */
 
 /* Columns in file order. */
 enum column {
@@ -41,7 +46,18 @@
 	COL_HEAD_MAX_KB, /* longest request head */
 	COL_HEAD_MS, /* time limit for receiving a request head */
 	COL_IDLE_MS, /* idle time-out of callers' connections */
-	COLUMN_COUNT
+	COL_KEY, /* yes: calls need a key if the table has accounts */
+	COLUMN_COUNT,
+	/*
+	 * Of the sheet of accounts. Column numbers are stored in commands, so
+	 * they leave room for further columns of rows.
+	 */
+	ACCOUNT_NAME = 64,
+	ACCOUNT_KEYS, /* fingerprints in hexadecimal, separated by spaces */
+	ACCOUNT_RANK, /* replaces the rank of the row; 0: the row's */
+	ACCOUNT_RATE, /* calls per second over all nodes; 0: no limit */
+	ACCOUNT_BURST, /* calls above the rate */
+	ACCOUNT_COLUMN_END
 };
 
 #define TABLE_TEXT_COUNT 4 /* COL_HOST .. COL_HEALTH_PATH */
@@ -57,6 +73,23 @@
 	int refs; /* reference count, atomic */
 };
 
+/* Fingerprint of an account's key. */
+struct key_print {
+	unsigned char bytes[KEY_PRINT_BYTES];
+};
+
+/* An immutable client account; tables share equal ones by reference. */
+struct account {
+	char name[TABLE_NAME_BYTES];
+	int rank; /* 1..9, replaces the row's; 0: the row's */
+	double rate_per_s; /* over all nodes; 0: no limit */
+	double burst; /* calls above the rate */
+	uint64_t digest; /* xxh3 of the canonical CSV line */
+	int refs; /* reference count, atomic */
+	int key_count;
+	struct key_print keys[]; /* key_count of them, sorted */
+};
+
 /* One service of a COL_SPLIT cell. */
 struct split_part {
 	char service[TABLE_NAME_BYTES];
@@ -65,7 +98,8 @@
 
 /*
  * An edit of one cell. In column kind, the row's own name adds the row and an
- * empty value removes it.
+ * empty value removes it; likewise in column account.name. The column says
+ * whether row names a row or an account.
  */
 struct cell_edit {
 	char row[TABLE_NAME_BYTES];
@@ -83,8 +117,12 @@
 /* An immutable, validated table. Rows are sorted by kind. */
 struct table {
 	uint64_t version;
-	uint64_t digest; /* sum of the rows' digests */
+	uint64_t digest; /* sum of the rows' and accounts' digests */
 	size_t row_count;
+	size_t account_count;
+	const struct account **accounts; /* sorted by name; NULL: none */
+	size_t key_capacity; /* length of key_slots, a power of two */
+	uint32_t *key_slots; /* hash table by fingerprint: account + 1, or 0 */
 	size_t route_capacity; /* length of routes, a power of two */
 	uint32_t *routes; /* hash table by host and path: row + 1, or 0 */
 	const struct row *rows[];
@@ -104,6 +142,7 @@
 int render_cell(const struct row *r, enum column c, char *out, size_t size);
 int find_column(struct str name); /* ERR_NOT_FOUND */
 const char *get_column_name(enum column c);
+bool is_account_column(enum column c);
 bool has_service(const struct table *t, struct str service);
 /* The row of that host with the longest prefix of path, or NULL. */
 const struct row *find_route(
@@ -111,6 +150,18 @@
 const char *get_row_text(const struct row *r, enum column c); /* text columns */
 int parse_split(const struct row *r, struct split_part *out); /* count */
 
+/* Queries of accounts */
+bool has_accounts(const struct table *t);
+const struct account *find_account(const struct table *t, struct str name);
+/* The account that holds the key, or NULL. The key is compared by its hash. */
+const struct account *find_key_account(const struct table *t, struct str key);
+bool needs_key(const struct table *t, const struct row *r); /* to be called */
+int render_account_cell(
+    const struct account *a, enum column c, char *out, size_t size);
+int check_account_key(struct str key, struct fault *f); /* never shows it */
+struct key_print make_key_print(struct str key);
+void format_key_print(const struct key_print *p, char *out); /* hexadecimal */
+
 /* Edits and diffs; apply_cells() makes a new table of the given version */
 int apply_cells(const struct table *base, const struct cell_list *cells,
     uint64_t version, struct table **out, struct fault *f);
@@ -131,6 +182,12 @@
     struct fault *f); /* of the row started last */
 int set_row_number(
     struct table_builder *b, enum column c, int64_t value, struct fault *f);
+/* An account; start_table_account() finishes the previous one */
+int start_table_account(
+    struct table_builder *b, struct str name, struct fault *f);
+int set_account_cell(struct table_builder *b, enum column c, struct str value,
+    struct fault *f); /* of the account started last */
+int add_account_key(struct table_builder *b, struct str key, struct fault *f);
 int build_table(struct table_builder *b, uint64_t version, struct table **out,
     struct fault *f); /* empties the builder */
 
