node, policy: long answers are sent in pieces at the pace of the link

Callers saw pledges fail after 1.4 s of work: the calls that their servers make had no answer in time. A download of 90 KB was handed to a link of 18 Mbit/s in one piece, and every refusal and small answer of that node waited behind it, 70 to 150 ms each; new links between nodes timed out.

Answers above 32 KB now follow in pieces of 16 KB when the link has carried what was sent before, oldest answer first. The slot is free when the backend server has finished. A gap or a wrong sum fails the attempt. Entry nodes count the wait for the link and the cost of bytes between zones for kinds with long answers.

--- a/packages/hop/gen/hop_xdr.c
+++ b/packages/hop/gen/hop_xdr.c
@@ -209,6 +209,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hop_answer_part (XDR *xdrs, hop_answer_part *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->offset))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->total))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hop_refuse (XDR *xdrs, hop_refuse *objp)
 {
--- a/packages/hop/gen/hop_xdr.h
+++ b/packages/hop/gen/hop_xdr.h
@@ -100,6 +100,12 @@
 };
 typedef struct hop_answer hop_answer;
 
+struct hop_answer_part {
+	u_quad_t offset;
+	u_quad_t total;
+};
+typedef struct hop_answer_part hop_answer_part;
+
 struct hop_refuse {
 	int reason;
 	u_int retry_ms;
@@ -126,6 +132,7 @@
 extern  bool_t xdr_hop_terms (XDR *, hop_terms*);
 extern  bool_t xdr_hop_grant (XDR *, hop_grant*);
 extern  bool_t xdr_hop_answer (XDR *, hop_answer*);
+extern  bool_t xdr_hop_answer_part (XDR *, hop_answer_part*);
 extern  bool_t xdr_hop_refuse (XDR *, hop_refuse*);
 extern  bool_t xdr_hop_fail (XDR *, hop_fail*);
 
@@ -138,6 +145,7 @@
 extern bool_t xdr_hop_terms ();
 extern bool_t xdr_hop_grant ();
 extern bool_t xdr_hop_answer ();
+extern bool_t xdr_hop_answer_part ();
 extern bool_t xdr_hop_refuse ();
 extern bool_t xdr_hop_fail ();
 
--- a/packages/hop/hop.h
+++ b/packages/hop/hop.h
@@ -40,6 +40,7 @@
 	HOP_PING, /* empty */
 	HOP_PONG, /* empty */
 	HOP_TERMS, /* struct hop_terms, of the offer that follows */
+	HOP_ANSWER_PART, /* struct hop_answer_part and the piece */
 	HOP_TYPE_END
 };
 
--- a/packages/hop/hop.x
+++ b/packages/hop/hop.x
@@ -92,6 +92,15 @@
 	hop_load load;
 };
 
+/*
+ * A piece of the body of a long answer. HOP_ANSWER with the last piece ends it;
+ * the pieces sent before it begin at offset 0 and leave no gap.
+ */
+struct hop_answer_part {
+	unsigned hyper offset;     /* of the piece that follows in the frame */
+	unsigned hyper total;      /* bytes of the complete body */
+};
+
 /* The call has not run at this node and will not. */
 struct hop_refuse {
 	int reason;                /* enum refuse_reason */
--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -27,6 +27,9 @@
 };
 
 static void update_service_time(struct kind_stats *k, int64_t service_ns);
+static void update_answer_len(struct kind_stats *k, size_t len);
+static size_t get_long_answer_len(
+    const struct node *n, const struct kind_stats *k);
 static struct peer *choose_next_peer(struct request *q, bool *immediate);
 static struct peer *choose_peer(struct request *q, enum peer_choice choice);
 static size_t list_candidates(
@@ -178,8 +181,10 @@
 	    (int)(a->service_ns / NSEC_PER_USEC), 0);
 	close_attempt(q);
 	q->arrivals++;
-	if (a->status < 500)
+	if (a->status < 500) {
 		update_service_time(q->stats, a->service_ns);
+		update_answer_len(q->stats, a->body.len);
+	}
 	if (!has_caller(q)) {
 		log_request(q, 0, "left");
 		free_request(q);
@@ -309,6 +314,27 @@
 		      (double)(service_ns - k->kind_service_ns));
 }
 
+/* Updates the moving average of the length of a kind's answers. */
+static void
+update_answer_len(struct kind_stats *k, size_t len)
+{
+	if (k->answer_bytes <= 0)
+		k->answer_bytes = (double)len;
+	k->answer_bytes += SERVICE_TIME_GAIN * ((double)len - k->answer_bytes);
+}
+
+/*
+ * Returns the mean length of a kind's answers if the links of serving nodes
+ * carry them in pieces, else 0.
+ */
+static size_t
+get_long_answer_len(const struct node *n, const struct kind_stats *k)
+{
+	size_t len = (size_t)k->answer_bytes;
+
+	return is_paced(&n->outflow, len) ? len : 0;
+}
+
 /*
  * Returns the serving node for the next attempt, and whether the offer must be
  * an immediate one; NULL when none is left.
@@ -339,7 +365,8 @@
 	struct placement_call call = {.target_left = q->target_at - now,
 	    .deadline_left = q->deadline - now,
 	    .kind_service_ns = q->stats->kind_service_ns,
-	    .body_len = q->reader.body.len};
+	    .body_len = q->reader.body.len,
+	    .answer_len = get_long_answer_len(q->node, q->stats)};
 	size_t count;
 	int best;
 
@@ -485,6 +512,8 @@
 
 	q->offers++;
 	q->tried[q->tried_count++] = p;
+	unload_buf(&q->parts);
+	q->parts_total = 0;
 	*a = (struct attempt){.active = true,
 	    .immediate = immediate,
 	    .peer = p,
@@ -613,6 +642,7 @@
 	observe_metric(n->metrics.latency_us,
 	    (uint64_t)((now - q->arrived) / NSEC_PER_USEC));
 	log_request(q, a->status, "answered");
+	add_outflow(&n->outflow, a->head.len + a->body.len, now);
 	send_answer(q, a->status, a->head, a->body);
 }
 
--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -30,6 +30,7 @@
 	int rc;
 
 	n->state = HOP_STATE_DOWN;
+	n->outflow.rate = n->cfg.link_rate;
 	if (n->cfg.service == NULL || n->cfg.backend == NULL)
 		return 0;
 	n->backend = calloc(1, sizeof(*n->backend));
--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -168,6 +168,7 @@
 		q->node->requests--;
 	close_http_reader(&q->reader);
 	unload_buf(&q->head);
+	unload_buf(&q->parts);
 	unload_buf(&q->answer);
 	free(q->fallback);
 	free(q);
--- a/packages/node/inbound.c
+++ b/packages/node/inbound.c
@@ -17,7 +17,8 @@
 	struct inbound_link *link;
 	struct remote_call *next; /* in the link's hash table */
 	uint32_t stream;
-	struct job *job;
+	struct job *job; /* NULL: answered */
+	struct long_answer *answer; /* that is being sent; NULL: none */
 	struct hop_offer offer; /* owns the strings of the job */
 	struct hop_terms terms; /* likewise */
 	struct buf body; /* received so far */
@@ -48,20 +49,21 @@
 static void handle_cancel(struct inbound_link *l, uint32_t stream);
 static void handle_inbound_lost(void *arg, const char *why);
 static void ignore_unresponsive(void *arg);
-static void ignore_drained(void *arg);
+static void continue_long_answers(void *arg);
 static void send_refusal(struct inbound_link *l, uint32_t stream,
     enum refuse_reason reason, int64_t retry_after, bool arrived);
 static struct remote_call *find_remote(struct inbound_link *l, uint32_t stream);
 static void free_remote(struct remote_call *c);
 static void send_remote_grant(void *owner);
 static void send_remote_answer(void *owner, const struct job_answer *a);
+static void free_answered_remote(void *owner);
 static void send_remote_refusal(
     void *owner, enum refuse_reason reason, int64_t retry_after, bool arrived);
 static void send_remote_failure(
     void *owner, enum attempt_end cause, bool not_sent);
 
-static const struct hop_events link_events = {
-    handle_frame, handle_inbound_lost, ignore_unresponsive, ignore_drained};
+static const struct hop_events link_events = {handle_frame, handle_inbound_lost,
+    ignore_unresponsive, continue_long_answers};
 static const struct job_events remote_events = {send_remote_grant,
     send_remote_answer, send_remote_refusal, send_remote_failure};
 
@@ -99,6 +101,8 @@
 bool
 has_unsent_inbound(const struct node *n)
 {
+	if (n->long_answers != NULL)
+		return true;
 	for (const struct inbound_link *l = n->inbound; l != NULL;
 	     l = l->next) {
 		if (get_hop_unsent(l->hop) > 0)
@@ -312,7 +316,7 @@
 	struct remote_call *c = find_remote(l, stream);
 	struct job *j;
 
-	if (c == NULL)
+	if (c == NULL || c->job == NULL)
 		return;
 	j = c->job;
 	if (c->body.len + bytes.len > c->offer.body_len ||
@@ -333,12 +337,13 @@
 handle_cancel(struct inbound_link *l, uint32_t stream)
 {
 	struct remote_call *c = find_remote(l, stream);
-	struct job *j;
 
 	if (c == NULL)
 		return;
-	j = c->job;
-	cancel_job(j); /* before its strings are freed with c */
+	if (c->answer != NULL)
+		cancel_long_answer(c->answer);
+	else
+		cancel_job(c->job); /* before its strings are freed with c */
 	free_remote(c);
 }
 
@@ -369,10 +374,13 @@
 	(void)arg; /* only entry nodes check the links that they opened */
 }
 
+/* The link has sent its backlog and takes further pieces. */
 static void
-ignore_drained(void *arg)
+continue_long_answers(void *arg)
 {
-	(void)arg; /* answers are sent in one piece */
+	struct inbound_link *l = arg;
+
+	send_long_answers(l->node);
 }
 
 /*
@@ -434,20 +442,36 @@
 send_remote_answer(void *owner, const struct job_answer *a)
 {
 	struct remote_call *c = owner;
+	struct node *n = c->link->node;
 	struct hop_answer m = {.status = a->status,
 	    .sealed = a->sealed,
 	    .service_us = (unsigned int)(a->service_ns / NSEC_PER_USEC),
 	    .load = get_own_load(c->link->node)};
 
+	if (is_paced(&n->outflow, a->body.len) &&
+	    start_long_answer(n, c->link->hop, c->stream, a,
+		free_answered_remote, c, &c->answer) == 0) {
+		c->job = NULL;
+		return;
+	}
 	m.head.head_val = (char *)(uintptr_t)a->head.data;
 	m.head.head_len = (unsigned int)a->head.len;
 	if (m.load.in_flight > 0)
 		m.load.in_flight--; /* this call still occupies its slot */
 	send_hop(c->link->hop, HOP_ANSWER, c->stream, (xdrproc_t)xdr_hop_answer,
 	    &m, a->body);
+	add_outflow(&n->outflow, a->head.len + a->body.len,
+	    get_reactor_now(n->reactor));
 	free_remote(c);
 }
 
+/* The last piece of a long answer has been sent. */
+static void
+free_answered_remote(void *owner)
+{
+	free_remote(owner);
+}
+
 static void
 send_remote_refusal(
     void *owner, enum refuse_reason reason, int64_t retry_after, bool arrived)
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -24,6 +24,8 @@
 static void mark_address_reused(struct peer *p, const char *by);
 static void handle_load_frame(struct peer_link *l, struct str payload);
 static void handle_answer_frame(struct request *q, struct str payload);
+static void handle_part_frame(struct request *q, struct str payload);
+static int complete_parts(struct request *q, struct str last, struct str *body);
 static void handle_refuse_frame(struct request *q, struct str payload);
 static void handle_fail_frame(struct request *q, struct str payload);
 static void handle_grant_frame(struct request *q, struct str payload);
@@ -264,6 +266,9 @@
 	case HOP_ANSWER:
 		handle_answer_frame(q, f->payload);
 		break;
+	case HOP_ANSWER_PART:
+		handle_part_frame(q, f->payload);
+		break;
 	case HOP_REFUSE:
 		handle_refuse_frame(q, f->payload);
 		break;
@@ -347,7 +352,8 @@
 	struct peer *p = q->attempt.peer;
 	struct hop_answer m = {0};
 	struct job_answer a;
-	struct str rest;
+	struct buf parts;
+	struct str rest, body;
 
 	if (decode_hop_message(payload, (xdrproc_t)xdr_hop_answer, &m, &rest) !=
 	    0) {
@@ -355,15 +361,65 @@
 		handle_attempt_failure(q, ATTEMPT_BROKEN, false);
 		return;
 	}
+	if (complete_parts(q, rest, &body) != 0) {
+		unload_hop_message((xdrproc_t)xdr_hop_answer, &m);
+		end_remote(q);
+		handle_attempt_failure(q, ATTEMPT_BROKEN, false);
+		return;
+	}
+	parts = q->parts;
+	q->parts = (struct buf){0};
 	a = (struct job_answer){.status = m.status,
 	    .head = make_str_n(m.head.head_val, m.head.head_len),
-	    .body = rest,
+	    .body = body,
 	    .sealed = m.sealed,
 	    .service_ns = m.service_us * NSEC_PER_USEC};
 	end_remote(q);
 	update_peer_load(p, &m.load);
 	handle_attempt_answer(q, &a);
 	unload_hop_message((xdrproc_t)xdr_hop_answer, &m);
+	unload_buf(&parts);
+}
+
+/*
+ * Appends a piece of a long answer. A piece that does not follow the last one
+ * ends the attempt, since the answer can no longer become complete.
+ */
+static void
+handle_part_frame(struct request *q, struct str payload)
+{
+	struct hop_answer_part m = {0};
+	struct str piece;
+
+	if (decode_hop_message(
+		payload, (xdrproc_t)xdr_hop_answer_part, &m, &piece) == 0 &&
+	    m.offset == q->parts.len && m.total <= HOP_PAYLOAD_MAX &&
+	    q->parts.len + piece.len <= m.total &&
+	    append_buf_str(&q->parts, piece) == 0) {
+		q->parts_total = m.total;
+		return;
+	}
+	cancel_remote(q);
+	handle_attempt_failure(q, ATTEMPT_BROKEN, false);
+}
+
+/*
+ * Sets the body of an answer: the pieces that came before and the last one.
+ * Returns ERR_CORRUPT when bytes are missing, ERR_MEMORY.
+ */
+static int
+complete_parts(struct request *q, struct str last, struct str *body)
+{
+	if (q->parts_total == 0) {
+		*body = last;
+		return 0;
+	}
+	if (q->parts.len + last.len != q->parts_total)
+		return ERR_CORRUPT;
+	if (append_buf_str(&q->parts, last) != 0)
+		return ERR_MEMORY;
+	*body = view_buf(&q->parts);
+	return 0;
 }
 
 static void
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -277,6 +277,7 @@
 		close_listeners(n);
 		close_callers(n);
 		close_inbound(n);
+		clear_long_answers(n);
 		close_links(n);
 		free_jobs(n);
 		close_backend(n);
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -71,6 +71,10 @@
 	"Bytes of answers that wait for earlier ones of their connection."),
     SPEC(rate_limit_milli, METRIC_GAUGE,
 	"Calls that the backend server accepts in 1,000 s; -1: no limit."),
+    SPEC(long_answers_total, METRIC_COUNTER,
+	"Long answers sent to other nodes in pieces."),
+    SPEC(long_answer_bytes, METRIC_GAUGE,
+	"Bytes of long answers that wait for the link."),
     SPEC(log_dropped_lines, METRIC_GAUGE,
 	"Log lines that found no room since the start."),
 };
@@ -157,6 +161,7 @@
 	set_metric(m->rate_limit_milli,
 	    get_backend_rate(n) < 0 ? -1 :
 				      (int64_t)(get_backend_rate(n) * 1e3));
+	set_metric(m->long_answer_bytes, (int64_t)n->long_answer_bytes);
 	set_metric(m->peers, peers);
 	set_metric(m->peers_usable, usable);
 	set_metric(m->peers_avoided, avoided);
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -11,6 +11,7 @@
 #include "metric.h"
 #include "node.h"
 #include "origins.h"
+#include "outflow.h"
 #include "placement.h"
 #include "policy.h"
 #include "reactor.h"
@@ -25,6 +26,7 @@
 struct caller;
 struct request;
 struct job;
+struct long_answer; /* long_answers.c */
 struct peer;
 struct peer_link;
 struct service;
@@ -112,6 +114,8 @@
 	struct kind_stats *stats;
 	char id[CALL_ID_BYTES];
 	struct buf head; /* header lines that are passed on */
+	struct buf parts; /* of a long answer, as far as it has arrived */
+	uint64_t parts_total; /* bytes of its complete body; 0: no part yet */
 	int64_t target_at; /* mono ns; a later answer counts as late */
 	int64_t deadline; /* mono ns */
 	/*
@@ -281,6 +285,7 @@
 	int64_t caller_timeout_ns; /* longest one seen */
 	int64_t longest_deadline_ns; /* after the arrival; longest one seen */
 	int64_t kind_service_ns; /* recent mean service time; 0: unknown */
+	double answer_bytes; /* recent mean length of answers */
 	struct split_share {
 		char service[TABLE_NAME_BYTES];
 		double credit; /* of the weighted round robin */
@@ -308,6 +313,7 @@
 	metric_id peers, peers_usable, peers_avoided, body_bytes;
 	metric_id pipelined_total, unread_closes_total, kept_bytes;
 	metric_id log_dropped_lines, rate_limit_milli;
+	metric_id long_answers_total, long_answer_bytes;
 };
 
 struct node {
@@ -346,6 +352,10 @@
 	int job_count;
 	struct backend *backend;
 	struct inbound_link *inbound;
+	struct outflow outflow; /* of this machine's link */
+	struct long_answer *long_answers; /* being sent, oldest first */
+	size_t long_answer_bytes; /* of their bodies, not sent yet */
+	struct timer outflow_timer;
 	struct known_notice *known_notices; /* of other nodes' servers */
 	size_t known_notice_count;
 	enum hop_state state; /* as a serving node */
@@ -478,6 +488,14 @@
 void close_inbound(struct node *n);
 bool has_unsent_inbound(const struct node *n);
 
+/* long_answers.c */
+int start_long_answer(struct node *n, struct hop_link *hop, uint32_t stream,
+    const struct job_answer *from, void (*ended)(void *owner), void *owner,
+    struct long_answer **out);
+void cancel_long_answer(struct long_answer *a);
+void send_long_answers(struct node *n);
+void clear_long_answers(struct node *n);
+
 /* local_api.c */
 void answer_ready(struct node *n, struct request *q);
 void answer_report(struct node *n, struct request *q);
--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -258,18 +258,24 @@
 {
 	struct hop_load l = {.state = (int)n->state};
 	struct admission_load a;
+	int64_t now = get_reactor_now(n->reactor);
 
 	if (n->serving_ended && n->state == HOP_STATE_READY)
 		l.state = HOP_STATE_LEAVING;
+	if (n->long_answer_bytes > 0)
+		l.body_wait_us = (unsigned int)(get_outflow_wait_ns(&n->outflow,
+						    n->long_answer_bytes, now) /
+						NSEC_PER_USEC);
 	if (n->admission == NULL)
 		return l;
-	a = get_admission_load(n->admission, get_reactor_now(n->reactor));
+	a = get_admission_load(n->admission, now);
 	l.in_flight = a.in_flight;
 	l.queued = a.queued;
 	l.limit = a.limit;
 	l.service_us = (unsigned int)(n->service_ns / NSEC_PER_USEC);
 	l.failed_ppm = (unsigned int)(n->failed_share * 1e6);
-	l.body_wait_us = (unsigned int)(a.body_wait_ns / NSEC_PER_USEC);
+	if (a.body_wait_ns / NSEC_PER_USEC > l.body_wait_us)
+		l.body_wait_us = (unsigned int)(a.body_wait_ns / NSEC_PER_USEC);
 	if (a.rate_per_s > 0)
 		apply_rate_to_load(&a, n->service_ns, &l);
 	return l;
--- a/packages/node/tests/fake_server.c
+++ b/packages/node/tests/fake_server.c
@@ -454,21 +454,30 @@
 	    c->id, s->instance, s->notices);
 }
 
+char
+get_fake_large_byte(size_t at)
+{
+	return (char)(at % 64000 % 251);
+}
+
 static void
 answer_large(struct fake_server *s, struct fake_conn *c)
 {
-	static const char part[64 * 1000];
+	char part[64 * 1000];
 	ssize_t n = 0;
 
+	for (size_t i = 0; i < sizeof(part); i++)
+		part[i] = get_fake_large_byte(i);
 	send_text(c,
 	    "HTTP/1.1 200 OK\r\nCall-Id: %s\r\nSeal: %s\r\n"
 	    "Content-Length: %d\r\n\r\n",
 	    c->id, s->instance, FAKE_LARGE_BYTES);
 	for (size_t sent = 0; sent < FAKE_LARGE_BYTES; sent += (size_t)n) {
 		size_t left = FAKE_LARGE_BYTES - sent;
+		size_t at = sent % sizeof(part), len = sizeof(part) - at;
 
-		n = send(c->fd, part, left < sizeof(part) ? left : sizeof(part),
-		    MSG_NOSIGNAL);
+		n = send(
+		    c->fd, part + at, left < len ? left : len, MSG_NOSIGNAL);
 		if (n <= 0) {
 			close_fake_conn(c, false);
 			return;
--- a/packages/node/tests/node_fixture.c
+++ b/packages/node/tests/node_fixture.c
@@ -31,6 +31,7 @@
 static int read_report(const struct http_head *head, struct str body,
     struct backend_report *out, struct fault *f);
 static bool is_readiness_check(const struct http_head *head);
+static void start_fixture(struct fixture *r, int nodes);
 static void wait_ready(struct fixture *r, int i);
 static bool is_reply_complete(const struct test_reply *r, size_t head);
 static void send_all(int fd, const void *data, size_t len);
@@ -48,14 +49,29 @@
 void
 open_fixture_with_stop(struct fixture *r, int nodes, int64_t stop_ns)
 {
-	unsigned int net = (unsigned int)getpid();
+	memset(r, 0, sizeof(*r));
+	r->stop_ns = stop_ns;
+	start_fixture(r, nodes);
+}
 
+void
+open_fixture_with_link(struct fixture *r, int nodes, int64_t link_rate)
+{
 	memset(r, 0, sizeof(*r));
+	r->stop_ns = 3 * NSEC_PER_SEC;
+	r->link_rate = link_rate;
+	start_fixture(r, nodes);
+}
+
+static void
+start_fixture(struct fixture *r, int nodes)
+{
+	unsigned int net = (unsigned int)getpid();
+
 	sem_init(&held, 0, 0);
 	sem_init(&released, 0, 0);
 	r->agent = open_fake_agent();
 	r->count = nodes;
-	r->stop_ns = stop_ns;
 	set_fixture_table(r, 1, "");
 	clear_fake_endpoints(r->agent, "svc");
 	clear_fake_endpoints(r->agent, "other");
@@ -118,6 +134,7 @@
 	    .drain_ns = 200 * NSEC_PER_MSEC,
 	    .leave_ns = 300 * NSEC_PER_MSEC,
 	    .stop_ns = r->stop_ns,
+	    .link_rate = r->link_rate,
 	    .names = {.call_id = "Call-Id",
 		.deadline_ms = "Deadline-Ms",
 		.expect_instance = "Expect",
--- a/packages/policy/placement.c
+++ b/packages/policy/placement.c
@@ -99,7 +99,8 @@
 	    call->deadline_left > 0 ? (double)call->deadline_left : 1;
 	double late, loss;
 
-	if (call->body_len > 0 && o->report_age < REPORT_LIFETIME_NS)
+	if (call->body_len + call->answer_len > 0 &&
+	    o->report_age < REPORT_LIFETIME_NS)
 		wait += (double)o->body_wait_ns;
 	/*
 	 * Once the target cannot be met, what counts is an answer before the
@@ -115,7 +116,8 @@
 	if (o->same_zone)
 		return loss;
 	return loss + CROSS_ZONE_COST +
-	       CROSS_ZONE_BODY_COST * (double)call->body_len /
+	       CROSS_ZONE_BODY_COST *
+		   (double)(call->body_len + call->answer_len) /
 		   CROSS_ZONE_BODY_BYTES;
 }
 
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -23,7 +23,7 @@
 	int own_at_report; /* calls of this node among them */
 	int64_t service_ns; /* mean service time; 0: unknown */
 	double failed_share; /* recent share of failed calls, 0..1 */
-	int64_t body_wait_ns; /* until the transfer of a body could begin */
+	int64_t body_wait_ns; /* until a body or a long answer could be sent */
 };
 
 struct placement_call {
@@ -32,6 +32,11 @@
 	int64_t
 	    kind_service_ns; /* mean service time of this kind; 0: unknown */
 	size_t body_len;
+	/*
+	 * Expected length of a long answer; 0: a short one. It uses the same
+	 * link as a body, in the other direction.
+	 */
+	size_t answer_len;
 };
 
 /*
--- a/packages/policy/tests/test_placement.c
+++ b/packages/policy/tests/test_placement.c
@@ -16,9 +16,9 @@
 	int want; /* ERR_NOT_FOUND: none */
 };
 
-#define CALL                                     \
-	{                                        \
-		400 * MS, 1000 * MS, 100 * MS, 0 \
+#define CALL                                        \
+	{                                           \
+		400 * MS, 1000 * MS, 100 * MS, 0, 0 \
 	}
 /* usable, tried, avoided, same_zone, slots, own, reported, age, in_flight,
  * queued, own_at_report, service_ns, failed, body_wait_ns */
@@ -43,9 +43,9 @@
     {"a long body stays in the zone behind a queue",
 	{CROSS_ZONE_IDLE, {true, false, false, true, 10, 0, true, 0, 10, 10, 0,
 			      100 * MS, 0, 0}},
-	{400 * MS, 1000 * MS, 100 * MS, 60000}, 1},
+	{400 * MS, 1000 * MS, 100 * MS, 60000, 0}, 1},
     {"a long body leaves the zone when no server is there", {CROSS_ZONE_IDLE},
-	{400 * MS, 1000 * MS, 100 * MS, 60000}, 0},
+	{400 * MS, 1000 * MS, 100 * MS, 60000, 0}, 0},
     {"a fast server elsewhere beats a slow one in the zone",
 	{CROSS_ZONE_IDLE, {true, false, false, true, 10, 0, true, 0, 0, 0, 0,
 			      900 * MS, 0, 0}},
@@ -80,16 +80,24 @@
     {"a body leaves the zone when the server's link is busy",
 	{CROSS_ZONE_IDLE, {true, false, false, true, 10, 0, true, 0, 0, 0, 0,
 			      100 * MS, 0, 900 * MS}},
-	{400 * MS, 1000 * MS, 100 * MS, 1000}, 0},
+	{400 * MS, 1000 * MS, 100 * MS, 1000, 0}, 0},
     {"a call without a body stays despite a busy link",
 	{CROSS_ZONE_IDLE, {true, false, false, true, 10, 0, true, 0, 0, 0, 0,
 			      100 * MS, 0, 900 * MS}},
 	CALL, 1},
+    {"a long answer leaves the zone when the server's link is busy",
+	{CROSS_ZONE_IDLE, {true, false, false, true, 10, 0, true, 0, 0, 0, 0,
+			      100 * MS, 0, 900 * MS}},
+	{400 * MS, 1000 * MS, 100 * MS, 0, 1000}, 0},
+    {"a long answer stays in the zone behind a queue",
+	{CROSS_ZONE_IDLE, {true, false, false, true, 10, 0, true, 0, 10, 10, 0,
+			      100 * MS, 0, 0}},
+	{400 * MS, 1000 * MS, 100 * MS, 0, 60000}, 1},
     {"once late, the shorter wait decides",
 	{{true, false, false, true, 10, 0, true, 0, 10, 40, 0, 100 * MS, 0, 0},
 	    {true, false, false, true, 10, 0, true, 0, 10, 5, 0, 100 * MS, 0,
 		0}},
-	{-10 * MS, 500 * MS, 100 * MS, 0}, 1},
+	{-10 * MS, 500 * MS, 100 * MS, 0, 0}, 1},
 };
 
 /*
