node: calls need the key of an account where the table has accounts

Keys were passed on to backend servers, and calls with unknown or withdrawn keys ran. The entry node now looks the key up by its fingerprint when the call starts, refuses a call without a valid one with 401, before its body where one follows, and sets the account's name for the backend server. A node without control answers an unknown key with 503, since a newer version may hold it.

--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -30,6 +30,7 @@
 static void parse_request(struct caller *c, struct str *in);
 static struct request *open_request(struct caller *c);
 static void refuse_input(struct request *q, enum http_event e);
+static bool refuse_by_head(struct request *q);
 static void continue_upload(struct request *q);
 static void write_caller(struct caller *c);
 static void wait_for_caller(struct caller *c);
@@ -330,6 +331,8 @@
 	before = q->reader.body.len;
 	do {
 		e = read_http(&q->reader, in);
+		if (e == READ_HEAD && refuse_by_head(q))
+			return;
 		if (e == READ_HEAD)
 			continue_upload(q);
 	} while (e == READ_HEAD);
@@ -392,6 +395,24 @@
 	send_answer(q, status, make_str(""), make_str(""));
 }
 
+/*
+ * Says whether the call was refused before its body, which is then not read:
+ * the connection ends with the answer.
+ */
+static bool
+refuse_by_head(struct request *q)
+{
+	struct caller *c = q->caller;
+
+	if (c->handle != route_call)
+		return false;
+	q->complete = get_reactor_now(c->node->reactor);
+	if (!refuse_head(c->node, q))
+		return false;
+	c->input_ended = true;
+	return true;
+}
+
 /*
  * Sends 100 Continue to a caller that expects it before it sends the body.
  * Behind unanswered requests it would be taken for a part of their answers; the
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -27,6 +27,9 @@
 	const char *not_executed; /* in an answer: the call has not run */
 	const char *seal; /* in an answer: the backend server's signature */
 	const char *caller_service; /* service whose node sends the call */
+	const char *key; /* of the client's account, as "SCHEME KEY" */
+	const char *key_scheme; /* such as Bearer */
+	const char *account; /* its name, for the backend server */
 	const char *rate_limit; /* in an answer: calls per second it accepts */
 	const char *leaving; /* in an answer: "1" while the server leaves */
 };
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -69,6 +69,8 @@
 	"Connections closed with requests behind the last answer."),
     SPEC(kept_bytes, METRIC_GAUGE,
 	"Bytes of answers that wait for earlier ones of their connection."),
+    SPEC(key_refusals_total, METRIC_COUNTER,
+	"Calls refused because no account holds their key."),
     SPEC(rate_limit_milli, METRIC_GAUGE,
 	"Calls that the backend server accepts in 1,000 s; -1: no limit."),
     SPEC(log_dropped_lines, METRIC_GAUGE,
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -307,7 +307,7 @@
 	metric_id backend_connections, backend_state, mean_run_us, failed_ppm;
 	metric_id peers, peers_usable, peers_avoided, body_bytes;
 	metric_id pipelined_total, unread_closes_total, kept_bytes;
-	metric_id log_dropped_lines, rate_limit_milli;
+	metric_id log_dropped_lines, rate_limit_milli, key_refusals_total;
 };
 
 struct node {
@@ -392,12 +392,22 @@
 
 /* request.c */
 void route_call(struct node *n, struct request *q); /* complete request */
+void begin_call(struct node *n, struct request *q); /* counts it */
+const struct row *find_call_row(
+    struct node *n, struct request *q); /* or NULL */
 /* Whether the request may start before earlier ones are answered. */
 bool may_run_ahead(struct node *n, struct request *q);
 void handle_caller_hangup(struct request *q);
 void refuse_request(struct request *q, int status, enum refuse_reason reason,
     int64_t retry_after);
 
+/* client_key.c */
+bool identify_account(struct request *q, const struct row *r,
+    const struct account **out); /* false: refuse_key() */
+void refuse_key(struct request *q);
+bool refuse_head(struct node *n, struct request *q); /* true: answered */
+void set_call_account(struct request *q, const struct account *a); /* or NULL */
+
 /* attempt.c */
 void start_next_attempt(struct request *q);
 void cancel_request_attempt(struct request *q);
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -15,13 +15,12 @@
 /* A starting control group has a leader and endpoints within this time. */
 #define RETRY_AFTER_UNREADY_NS (500 * NSEC_PER_MSEC)
 
-static const struct row *find_call_row(struct node *n, struct request *q);
 static struct str get_host(struct request *q, char *text, size_t size);
 static int copy_policy(struct request *q, const struct row *r);
 static void set_deadlines(struct request *q);
 static int64_t parse_caller_timeout(struct request *q);
 static int copy_head(struct request *q);
-static bool is_own_header(const struct call_names *names, struct str name);
+static bool is_own_header(const struct node *n, struct str name);
 static int append_retry_after(struct buf *b, int64_t ns);
 
 /*
@@ -31,16 +30,10 @@
 void
 route_call(struct node *n, struct request *q)
 {
+	const struct account *account;
 	const struct row *r;
 
-	q->counted = true;
-	n->requests++;
-	n->last_call_at = get_reactor_now(n->reactor);
-	count_metric(n->metrics.calls_total, 1);
-	(void)copy_str(q->id, sizeof(q->id),
-	    n->cfg.names.call_id != NULL ?
-		find_http_header(&q->reader.head, n->cfg.names.call_id) :
-		make_str(""));
+	begin_call(n, q);
 	if (n->table == NULL) {
 		refuse_request(q, 503, REFUSE_NO_TABLE, 0);
 		return;
@@ -50,7 +43,17 @@
 		refuse_request(q, 404, REFUSE_UNKNOWN_KIND, 0);
 		return;
 	}
-	if (copy_policy(q, r) != 0 || copy_head(q) != 0) {
+	if (!identify_account(q, r, &account)) {
+		refuse_key(q);
+		return;
+	}
+	if (copy_policy(q, r) != 0) {
+		write_log(LOG_LEVEL_ERR, "out of memory for a call");
+		refuse_request(q, 503, REFUSE_OVERLOAD, 0);
+		return;
+	}
+	set_call_account(q, account);
+	if (copy_head(q) != 0) {
 		write_log(LOG_LEVEL_ERR, "out of memory for a call");
 		refuse_request(q, 503, REFUSE_OVERLOAD, 0);
 		return;
@@ -64,6 +67,22 @@
 	start_next_attempt(q);
 }
 
+/*
+ * Counts a call whose head is complete and sets its id.
+ */
+void
+begin_call(struct node *n, struct request *q)
+{
+	q->counted = true;
+	n->requests++;
+	n->last_call_at = get_reactor_now(n->reactor);
+	count_metric(n->metrics.calls_total, 1);
+	(void)copy_str(q->id, sizeof(q->id),
+	    n->cfg.names.call_id != NULL ?
+		find_http_header(&q->reader.head, n->cfg.names.call_id) :
+		make_str(""));
+}
+
 /*
  * A call that must not repeat may not run ahead: a caller sends all requests
  * behind an answer that closes the connection again, of whatever kind.
@@ -125,6 +144,9 @@
 		    reason == REFUSE_NO_TABLE || reason == REFUSE_NO_ENDPOINT ?
 			RETRY_AFTER_UNREADY_NS :
 			retry_after);
+	if (rc == 0 && status == 401 && q->node->cfg.names.key_scheme != NULL)
+		rc = append_http_header(&head, "WWW-Authenticate",
+		    make_str(q->node->cfg.names.key_scheme));
 	if (rc != 0)
 		head.len = 0;
 	log_request(q, status, get_refuse_name(reason));
@@ -136,7 +158,7 @@
  * Returns the row for the request's host and path (without the query); NULL
  * when there is none.
  */
-static const struct row *
+const struct row *
 find_call_row(struct node *n, struct request *q)
 {
 	struct str target = q->reader.head.target;
@@ -248,8 +270,9 @@
 }
 
 /*
- * Collects the header lines that are passed on. Left out are hop-by-hop headers
- * and those that the node sets itself, so that a caller cannot forge them.
+ * Collects the header lines that are passed on, and names the account. Left out
+ * are hop-by-hop headers, the key, and headers that the node sets itself, so
+ * that a caller cannot forge them.
  */
 static int
 copy_head(struct request *q)
@@ -263,7 +286,7 @@
 		if (is_hop_by_hop_header(h, name) ||
 		    is_http_name_equal(name, "content-length") ||
 		    is_http_name_equal(name, "expect") ||
-		    is_own_header(&q->node->cfg.names, name))
+		    is_own_header(q->node, name))
 			continue;
 		rc = append_buf_str(&q->head, name);
 		if (rc == 0)
@@ -273,17 +296,25 @@
 		if (rc == 0)
 			rc = append_buf(&q->head, "\r\n", 2);
 	}
+	if (rc == 0 && q->policy.account[0] != '\0' &&
+	    q->node->cfg.names.account != NULL)
+		rc = append_http_header(&q->head, q->node->cfg.names.account,
+		    make_str(q->policy.account));
 	return rc;
 }
 
 /*
- * Says whether the node sets this header of a forwarded request itself.
+ * Says whether the node keeps this header of a request or sets it itself. The
+ * header of keys is the client's and the backend server's own matter in a table
+ * without accounts.
  */
 static bool
-is_own_header(const struct call_names *names, struct str name)
+is_own_header(const struct node *n, struct str name)
 {
-	const char *const own[] = {
-	    names->deadline_ms, names->expect_instance, names->caller_service};
+	const struct call_names *names = &n->cfg.names;
+	const char *const own[] = {names->deadline_ms, names->expect_instance,
+	    names->caller_service, names->account,
+	    has_accounts(n->table) ? names->key : NULL};
 
 	for (size_t i = 0; i < sizeof(own) / sizeof(own[0]); i++) {
 		if (own[i] != NULL && is_http_name_equal(name, own[i]))
--- a/packages/proxy/tests/fake_agent.c
+++ b/packages/proxy/tests/fake_agent.c
@@ -51,6 +51,7 @@
 	struct table *tables[FAKE_TABLES];
 	int table_count;
 	int table_refs; /* acquired and not released */
+	bool detached; /* no control process answers */
 	bool has_table; /* false: the last table is cleared */
 	struct fake_set *sets[FAKE_SETS];
 	int set_count;
@@ -131,6 +132,25 @@
 	pthread_mutex_unlock(&a->lock);
 }
 
+void
+set_fake_attached(struct agent *a, bool attached)
+{
+	pthread_mutex_lock(&a->lock);
+	a->detached = !attached;
+	pthread_mutex_unlock(&a->lock);
+}
+
+bool
+is_agent_attached(struct agent *a)
+{
+	bool attached;
+
+	pthread_mutex_lock(&a->lock);
+	attached = !a->detached;
+	pthread_mutex_unlock(&a->lock);
+	return attached;
+}
+
 void
 clear_fake_endpoints(struct agent *a, const char *service)
 {
--- a/packages/proxy/tests/fake_agent.h
+++ b/packages/proxy/tests/fake_agent.h
@@ -19,6 +19,7 @@
 void close_fake_agent(struct agent *a);
 void set_fake_table(struct agent *a, const char *csv, uint64_t version);
 void clear_fake_table(struct agent *a);
+void set_fake_attached(struct agent *a, bool attached); /* at first: it is */
 void clear_fake_endpoints(struct agent *a, const char *service);
 void add_fake_endpoint(struct agent *a, const char *service, const char *id,
     const char *address, int slots, enum wire_endpoint_state state);
--- a/packages/table/account.c
+++ b/packages/table/account.c
@@ -13,6 +13,7 @@
 
 #define NUMBER_BYTES 32 /* a rate or burst as text */
 #define LIMIT_MAX 1e9 /* largest rate or burst, calls */
+#define SHARE_MAX 1000000 /* weight among accounts */
 #define RANK_MAX 9 /* as in column rank */
 #define KEY_SLOTS_PER_KEY 2 /* keeps probe sequences short */
 
@@ -91,6 +92,20 @@
 					 NULL;
 }
 
+/*
+ * Returns 1 to SHARE_MAX. An account without a rate counts like the mean of
+ * those that have one: a weight of 1 beside rates of hundreds would starve it.
+ */
+int
+get_account_share(const struct table *t, const struct account *a)
+{
+	double share = a->rate_per_s > 0 ? a->rate_per_s : t->mean_rate_per_s;
+
+	if (share < 1)
+		return 1;
+	return share > SHARE_MAX ? SHARE_MAX : (int)share;
+}
+
 /*
  * Says whether calls of the row need the key of an account.
  */
@@ -306,6 +321,8 @@
 int
 set_table_accounts(struct table *t, struct account_sheet *s, struct fault *f)
 {
+	size_t rated = 0;
+
 	t->accounts = s->accounts;
 	t->account_count = s->count;
 	*s = (struct account_sheet){0};
@@ -316,7 +333,11 @@
 	for (size_t i = 0; i < t->account_count; i++) {
 		t->accounts[i] = finish_draft(t->accounts[i]);
 		t->digest += t->accounts[i]->digest;
+		t->mean_rate_per_s += t->accounts[i]->rate_per_s;
+		rated += t->accounts[i]->rate_per_s > 0;
 	}
+	if (rated > 0)
+		t->mean_rate_per_s /= (double)rated;
 	return index_keys(t, f);
 }
 
--- a/packages/table/table.h
+++ b/packages/table/table.h
@@ -121,6 +121,7 @@
 	size_t row_count;
 	size_t account_count;
 	const struct account **accounts; /* sorted by name; NULL: none */
+	double mean_rate_per_s; /* of the accounts with a rate; 0: none has */
 	size_t key_capacity; /* length of key_slots, a power of two */
 	uint32_t *key_slots; /* hash table by fingerprint: account + 1, or 0 */
 	size_t route_capacity; /* length of routes, a power of two */
@@ -155,6 +156,8 @@
 const struct account *find_account(const struct table *t, struct str name);
 /* The account that holds the key, or NULL. The key is compared by its hash. */
 const struct account *find_key_account(const struct table *t, struct str key);
+/* Weight among accounts: the rate, or the mean rate of the others without one. */
+int get_account_share(const struct table *t, const struct account *a);
 bool needs_key(const struct table *t, const struct row *r); /* to be called */
 int render_account_cell(
     const struct account *a, enum column c, char *out, size_t size);
