table: several keys of one account may share a probe; tests of accounts

A configuration with two keys an account was refused: "accounts 'jeba170' and 'jeba170' hold the same key". The index compared a slot's account, not the key, while it was built.

--- a/packages/table/account.c
+++ b/packages/table/account.c
@@ -684,7 +684,9 @@
 		for (int k = 0; k < a->key_count; k++) {
 			uint32_t slot = find_key_slot(t, &a->keys[k]);
 
-			if (t->key_slots[slot] != 0)
+			/* The probe may end at another key of the account. */
+			if (t->key_slots[slot] != 0 &&
+			    t->key_slots[slot] != i + 1)
 				return set_fault(f, ERR_INVALID,
 				    "accounts '%s' and '%s' hold the same key; "
 				    "take it from one of them",
