control: edits, conflicts and JSON of accounts

Columns of accounts were refused as unknown to edits of the replicated table. An edit conflicts with changes of the same account only, not with those of a row of the same name. GET /v1/table lists the accounts, with fingerprints for keys; its answer for a table without accounts is the same as before.

--- a/packages/control/api.c
+++ b/packages/control/api.c
@@ -27,6 +27,7 @@
 static void serve_metrics(
     struct control *c, const struct api_request *q, struct api_answer *a);
 static json_t *make_table_json(const struct table *t);
+static json_t *make_accounts_json(const struct table *t);
 static json_t *make_version_json(const struct stored_version *v);
 static int get_version_argument(
     const struct api_request *q, const char *name, uint64_t *out);
@@ -279,13 +280,15 @@
 static json_t *
 make_table_json(const struct table *t)
 {
-	json_t *rows = json_array();
+	json_t *rows = json_array(), *o;
 	char digest[20], cell[TABLE_CELL_BYTES];
 
 	for (size_t i = 0; i < t->row_count; i++) {
 		json_t *row = json_object();
 
 		for (int k = 0; k < COLUMN_COUNT; k++) {
+			if (k == COL_KEY && !has_accounts(t))
+				continue;
 			(void)render_cell(
 			    t->rows[i], (enum column)k, cell, sizeof(cell));
 			json_object_set_new(row,
@@ -295,8 +298,34 @@
 	}
 	snprintf(
 	    digest, sizeof(digest), "%016llx", (unsigned long long)t->digest);
-	return json_pack("{s:I,s:s,s:o}", "version", (json_int_t)t->version,
+	o = json_pack("{s:I,s:s,s:o}", "version", (json_int_t)t->version,
 	    "digest", digest, "rows", rows);
+	if (has_accounts(t))
+		json_object_set_new(o, "accounts", make_accounts_json(t));
+	return o;
+}
+
+/*
+ * Returns the accounts by column; keys are their fingerprints.
+ */
+static json_t *
+make_accounts_json(const struct table *t)
+{
+	char cell[TABLE_CELL_BYTES];
+	json_t *list = json_array();
+
+	for (size_t i = 0; i < t->account_count; i++) {
+		json_t *o = json_object();
+
+		for (int k = ACCOUNT_NAME; k < ACCOUNT_COLUMN_END; k++) {
+			(void)render_account_cell(
+			    t->accounts[i], (enum column)k, cell, sizeof(cell));
+			json_object_set_new(o, get_column_name((enum column)k),
+			    json_string(cell));
+		}
+		json_array_append_new(list, o);
+	}
+	return list;
 }
 
 static json_t *
--- a/packages/control/edits.c
+++ b/packages/control/edits.c
@@ -83,7 +83,9 @@
 	for (unsigned int i = 0; i < e->cells.cells_len && rc == 0; i++) {
 		const struct command_cell *cell = &e->cells.cells_val[i];
 
-		if (cell->column < 0 || cell->column >= COLUMN_COUNT)
+		if (cell->column < 0 ||
+		    (cell->column >= COLUMN_COUNT &&
+			!is_account_column((enum column)cell->column)))
 			rc = set_fault(&f, ERR_INVALID,
 			    "column number %d does not exist; upgrade the "
 			    "control processes to one release",
@@ -251,18 +253,22 @@
 
 /*
  * Returns false, with the conflict in out, when the cell changed since base.
- * Adding or removing a row counts as a change of all its cells.
+ * Adding or removing a row or an account counts as a change of all its cells.
  */
 static bool
 check_cell(const struct history *h, const struct table *current, uint64_t base,
     const struct command_cell *e, struct edit_outcome *out)
 {
 	struct str row = make_str(e->row);
-	int column = e->column == COL_KIND ? COLUMN_COUNT : e->column;
+	int whole =
+	    is_account_column((enum column)e->column) ? ACCOUNT_NAME : COL_KIND;
+	int column = e->column != whole ? e->column :
+		     whole == COL_KIND	? COLUMN_COUNT :
+					  ACCOUNT_COLUMN_END;
 	const struct stored_version *v = find_change(h, base, row, column);
 
-	if (v == NULL && e->column != COL_KIND)
-		v = find_change(h, base, row, COL_KIND);
+	if (v == NULL && e->column != whole)
+		v = find_change(h, base, row, whole);
 	if (v == NULL)
 		return true;
 	refuse_edit(out, ERR_CONFLICT,
@@ -288,16 +294,24 @@
 
 /*
  * Stores the current cell and the change that made it in out; for a removed row
- * the kind column, empty.
+ * or account the column of its name, empty.
  */
 static void
 set_winner(const struct table *current, struct str row, int column,
     const struct stored_version *v, struct edit_outcome *out)
 {
-	const struct row *r = find_row(current, row);
+	bool of_account = is_account_column((enum column)column);
+	const struct account *a =
+	    of_account ? find_account(current, row) : NULL;
+	const struct row *r = of_account ? NULL : find_row(current, row);
 
 	(void)copy_str(out->winner.row, sizeof(out->winner.row), row);
-	out->winner.column = r != NULL ? (enum column)column : COL_KIND;
+	out->winner.column = r != NULL || a != NULL ? (enum column)column :
+			     of_account		    ? ACCOUNT_NAME :
+						      COL_KIND;
+	if (a != NULL)
+		(void)render_account_cell(a, out->winner.column,
+		    out->winner.value, sizeof(out->winner.value));
 	if (r != NULL)
 		(void)render_cell(r, out->winner.column, out->winner.value,
 		    sizeof(out->winner.value));
--- a/packages/control/history.c
+++ b/packages/control/history.c
@@ -252,14 +252,16 @@
 }
 
 /*
- * Searches encoded cells for a "row,column,value" line; column COLUMN_COUNT
- * matches any column.
+ * Searches encoded cells for a "row,column,value" line. COLUMN_COUNT matches any
+ * column of a row, ACCOUNT_COLUMN_END any column of an account.
  */
 static bool
 has_cell(struct str cells, struct str row, int column)
 {
-	struct str name = make_str(
-	    column < COLUMN_COUNT ? get_column_name((enum column)column) : "");
+	bool any = column == COLUMN_COUNT || column == ACCOUNT_COLUMN_END;
+	struct str prefix = make_str(ACCOUNT_COLUMN_PREFIX);
+	struct str name =
+	    make_str(any ? "" : get_column_name((enum column)column));
 	size_t need = row.len + 1 + (name.len > 0 ? name.len + 1 : 0);
 
 	for (size_t at = 0; at < cells.len;) {
@@ -272,8 +274,15 @@
 		if (len < need || memcmp(line, row.data, row.len) != 0 ||
 		    line[row.len] != ',')
 			continue;
-		if (name.len == 0)
-			return true;
+		if (any) {
+			bool of_account =
+			    len >= need + prefix.len &&
+			    memcmp(line + need, prefix.data, prefix.len) == 0;
+
+			if (of_account == (column == ACCOUNT_COLUMN_END))
+				return true;
+			continue;
+		}
 		if (memcmp(line + row.len + 1, name.data, name.len) == 0 &&
 		    line[need - 1] == ',')
 			return true;
--- a/packages/control/history.h
+++ b/packages/control/history.h
@@ -38,7 +38,8 @@
 
 /*
  * Returns the newest version above base that changed the cell, or any cell of
- * the row for column COLUMN_COUNT; NULL: none.
+ * the row for column COLUMN_COUNT, or of the account for column
+ * ACCOUNT_COLUMN_END; NULL: none.
  */
 const struct stored_version *find_change(
     const struct history *h, uint64_t base, struct str row, int column);
--- a/packages/table/account.c
+++ b/packages/table/account.c
@@ -26,8 +26,9 @@
 static const unsigned char print_key[crypto_generichash_KEYBYTES] =
     "greengagespur account key 1";
 
-static const char *const column_names[] = {"account.name", "account.keys",
-    "account.rank", "account.rate_per_s", "account.burst"};
+static const char *const column_names[] = {ACCOUNT_COLUMN_PREFIX "name",
+    ACCOUNT_COLUMN_PREFIX "keys", ACCOUNT_COLUMN_PREFIX "rank",
+    ACCOUNT_COLUMN_PREFIX "rate_per_s", ACCOUNT_COLUMN_PREFIX "burst"};
 
 static size_t find_position(
     const struct account_sheet *s, struct str name, bool *found);
--- a/packages/table/table.h
+++ b/packages/table/table.h
@@ -17,6 +17,7 @@
 #define TABLE_MAX_ACCOUNTS 8192
 #define TABLE_ACCOUNT_KEYS_MAX 15 /* their fingerprints fit into one cell */
 #define TABLE_KEY_BYTES_MAX 256 /* longest key of an account */
+#define ACCOUNT_COLUMN_PREFIX "account." /* of the names of its columns */
 #define KEY_PRINT_BYTES 16 /* a keyed 128-bit hash; not reversible */
 #define KEY_PRINT_TEXT_BYTES 33 /* in hexadecimal, with NUL */
 
