--- a/packages/proxy/call.h
+++ b/packages/proxy/call.h
@@ -163,6 +163,7 @@
 	int bodies_waiting; /* of these, calls that wait for body memory */
 	int claims_open; /* claim requests in flight */
 	uint64_t body_checked_version; /* by check_body_memory() */
+	uint64_t accounts_version; /* last one logged by refuse_accounts() */
 	bool body_memory_short; /* for some row of that version */
 	uint64_t id_count;
 	uint64_t id_seed;
--- a/packages/proxy/request.c
+++ b/packages/proxy/request.c
@@ -10,6 +10,7 @@
 #include <ck_pr.h>
 
 #include "call.h"
+#include "log.h"
 
 #define CALL_PATH "/call/"
 
@@ -19,6 +20,7 @@
 static enum MHD_Result copy_header(
     void *cls, enum MHD_ValueKind kind, const char *name, const char *value);
 static void check_request(struct call *c);
+static void refuse_accounts(struct call *c);
 static void check_body(struct call *c);
 static void check_key(struct call *c);
 static const char *get_header(const struct call *c, const char *name);
@@ -158,6 +160,8 @@
 		refuse_early(c, 503, REFUSE_DRAINING, NULL);
 	} else if (c->table == NULL) {
 		refuse_early(c, 503, REFUSE_NO_TABLE, NULL);
+	} else if (has_accounts(c->table)) {
+		refuse_accounts(c);
 	} else if (c->row == NULL) {
 		refuse_early(c, 404, REFUSE_UNKNOWN_KIND, NULL);
 	} else if (c->depth > CALL_DEPTH_MAX) {
@@ -173,6 +177,24 @@
 	}
 }
 
+/*
+ * This data path does not read keys, so it refuses every call of a table with
+ * accounts. One log line a table version tells the operator.
+ */
+static void
+refuse_accounts(struct call *c)
+{
+	uint64_t version = c->table->version;
+
+	if (ck_pr_fas_64(&c->proxy->accounts_version, version) != version)
+		write_log(LOG_LEVEL_ERR,
+		    "table version %llu has accounts, which --role=node does "
+		    "not enforce: all calls are refused; remove the accounts "
+		    "or use the platform role",
+		    (unsigned long long)version);
+	refuse_early(c, 503, REFUSE_KEY, "accounts");
+}
+
 /*
  * Sets how many body bytes are accepted: the declared length, or the smaller
  * of the row's limit and the memory budget when no length is declared. A body
