--- a/apps/greengagespurctl/ctl.h
+++ b/apps/greengagespurctl/ctl.h
@@ -63,8 +63,12 @@
 int print_answer(const struct ctl *c, const struct answer *a);
 int fetch_and_print(struct ctl *c, const char *path); /* GET */
 
+/* Sends a change of the table; takes over body. Returns an exit status. */
+int send_change(struct ctl *c, const char *path, json_t *body);
+
 /* Commands; lists end with a NULL name; run_*() return an exit status */
 const struct command *get_table_commands(void);
+const struct command *get_account_commands(void);
 const struct command *get_fleet_commands(void);
 int run_status(struct ctl *c, char **args, int count);
 int run_timeline(struct ctl *c, char **args, int count);
--- a/apps/greengagespurctl/main.c
+++ b/apps/greengagespurctl/main.c
@@ -43,6 +43,11 @@
     "table history\n"
     "table diff FROM TO\n"
     "table revert VERSION\n"
+    "account list\n"
+    "account add|remove NAME\n"
+    "account set NAME rank|rate_per_s|burst VALUE\n"
+    "account add-key NAME [FILE]\n"
+    "account take-key NAME FINGERPRINT\n"
     "status\n"
     "member add|promote|remove ID [ADDRESS]\n"
     "endpoints\n"
@@ -110,7 +115,7 @@
 }
 
 /*
- * args[0] is the command, or "table" before the command.
+ * args[0] is the command, or "table" or "account" before the command.
  */
 static int
 run_command(struct ctl *c, char **args, int count)
@@ -118,6 +123,9 @@
 	if (count >= 2 && strcmp(args[0], "table") == 0)
 		return run_listed_command(
 		    get_table_commands(), c, args + 1, count - 1);
+	if (count >= 2 && strcmp(args[0], "account") == 0)
+		return run_listed_command(
+		    get_account_commands(), c, args + 1, count - 1);
 	if (count >= 1)
 		return run_listed_command(get_fleet_commands(), c, args, count);
 	fprintf(stderr, "greengagespurctl: no command; see --help\n");
--- a/apps/greengagespurctl/table_commands.c
+++ b/apps/greengagespurctl/table_commands.c
@@ -22,7 +22,6 @@
 static int run_history(struct ctl *c, char **args, int count);
 static int run_diff(struct ctl *c, char **args, int count);
 static int run_revert(struct ctl *c, char **args, int count);
-static int send_change(struct ctl *c, const char *path, json_t *body);
 static int add_base(struct ctl *c, json_t *body);
 static void add_key(struct ctl *c, json_t *body);
 static int read_file(const char *path, struct buf *out);
@@ -174,7 +173,7 @@
  * to RESENDS_MAX times while the outcome is unknown. Takes over body (NULL if
  * it could not be built). Returns an exit status.
  */
-static int
+int
 send_change(struct ctl *c, const char *path, json_t *body)
 {
 	struct answer a = {0};
@@ -206,8 +205,8 @@
 }
 
 /*
- * Sets the base version to --base, or to the current version of the table.
- * Returns an exit status.
+ * Sets the base version to --base, or to the current version of the table; a
+ * base that the body has stays. Returns an exit status.
  */
 static int
 add_base(struct ctl *c, json_t *body)
@@ -216,6 +215,8 @@
 	json_t *table, *version;
 	int status = CTL_OK;
 
+	if (json_object_get(body, "base") != NULL)
+		return CTL_OK;
 	if (has_setting(c->settings, "base")) {
 		json_object_set_new(body, "base",
 		    json_integer(get_setting_number(c->settings, "base")));
