--- a/apps/greengagespurctl/fleet_commands.c
+++ b/apps/greengagespurctl/fleet_commands.c
@@ -4,11 +4,13 @@
  */
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "ctl.h"
 
 static int run_endpoints(struct ctl *c, char **args, int count);
 static int run_drain(struct ctl *c, char **args, int count);
+static int run_rollout(struct ctl *c, char **args, int count);
 static int run_metrics(struct ctl *c, char **args, int count);
 static int run_member(struct ctl *c, char **args, int count);
 
@@ -24,6 +26,8 @@
 	"Tell from log lines why a call ended as it did", 1, 1024, run_explain},
     {"metrics", "[ADDRESS]", "Print metrics of a control process or node", 0, 1,
 	run_metrics},
+    {"rollout", "start SERVICE VERSION SECONDS | status SERVICE",
+	"Move a service to another version of its servers", 2, 4, run_rollout},
     {"member", "add|promote|remove ID [ADDRESS]",
 	"Change the group of voters; a new one counts once promoted", 2, 3,
 	run_member},
@@ -44,6 +48,46 @@
 	return fetch_and_print(c, "/v1/endpoints");
 }
 
+/*
+ * Starts a roll-out or shows the newest one of a service.
+ */
+static int
+run_rollout(struct ctl *c, char **args, int count)
+{
+	bool start = strcmp(args[0], "start") == 0;
+	struct answer a = {0};
+	char path[256], *body, *end = NULL;
+	double seconds = 0;
+	json_t *o;
+	int status;
+
+	if (start && count == 4)
+		seconds = strtod(args[3], &end);
+	if (start ? count != 4 || *args[3] == '\0' || *end != '\0' :
+		    count != 2 || strcmp(args[0], "status") != 0) {
+		fprintf(stderr,
+		    "usage: rollout start SERVICE VERSION SECONDS | "
+		    "rollout status SERVICE\n");
+		return CTL_USAGE;
+	}
+	if (!start) {
+		snprintf(path, sizeof(path), "/v1/rollouts?service=%s",
+		    args[1]);
+		return fetch_and_print(c, path);
+	}
+	o = json_pack("{s:s,s:s,s:f}", "service", args[1], "version", args[2],
+	    "duration_s", seconds);
+	body = o != NULL ? json_dumps(o, JSON_COMPACT) : NULL;
+	json_decref(o);
+	if (body == NULL)
+		return CTL_FAILED;
+	(void)request_control(c, "POST", "/v1/rollouts", body, &a);
+	status = print_answer(c, &a);
+	free(body);
+	unload_answer(&a);
+	return status;
+}
+
 static int
 run_drain(struct ctl *c, char **args, int count)
 {
--- a/apps/greengagespurctl/main.c
+++ b/apps/greengagespurctl/main.c
@@ -44,6 +44,8 @@
     "table diff FROM TO\n"
     "table revert VERSION\n"
     "status\n"
+    "rollout start SERVICE VERSION SECONDS\n"
+    "rollout status SERVICE\n"
     "member add|promote|remove ID [ADDRESS]\n"
     "endpoints\n"
     "drain ADDRESS\n"
--- a/apps/greengagespurd/platform_role.c
+++ b/apps/greengagespurd/platform_role.c
@@ -163,6 +163,7 @@
 	    .allow_unauthenticated = true,
 	    .tcp_connect_ms = TCP_CONNECT_TIMEOUT_MS,
 	    .api = handle_platform_request,
+	    .rollouts = settings.trial_share > 0,
 	    .clock = get_real_clock(),
 	    .events = events,
 	    .seed = seed,
@@ -194,6 +195,7 @@
 	    .reconnect_ms = RECONNECT_DELAY_MS,
 	    .reconnect_max_ms = RECONNECT_DELAY_MAX_MS,
 	    .on_change = handle_agent_change,
+	    .rollouts = settings.trial_share > 0,
 	};
 	struct node_config n = {
 	    .clock = get_real_clock(),
@@ -215,6 +217,8 @@
 	    .drain_ns = (int64_t)(settings.drain_s * NSEC_PER_SEC),
 	    .leave_ns = STOP_NOTICE_NS,
 	    .stop_ns = get_stop_ns(),
+	    .trial_share = settings.trial_share,
+	    .rollback_ns = (int64_t)(settings.rollback_s * NSEC_PER_SEC),
 	    .names = get_platform_call_names(),
 	    .reports = get_platform_report_reader(),
 	    .seed = seed,
--- a/packages/agent/agent.c
+++ b/packages/agent/agent.c
@@ -327,6 +327,7 @@
 		return set_fault(f, ERR_INVALID,
 		    "control processes: name 1 to %d", AGENT_CONTROL_MAX);
 	a->discovers = cfg->discover_controls;
+	a->rollouts.enabled = cfg->rollouts;
 	a->controls_digest = 1;
 	a->heartbeat_ms =
 	    cfg->heartbeat_ms != 0 ? cfg->heartbeat_ms : AGENT_HEARTBEAT_MS;
@@ -449,6 +450,7 @@
 		unload_buf(&o->body);
 		free(o);
 	}
+	unload_buf(&a->rollouts.report);
 	close_table_pins(a->table_pins);
 	close_set_store(a->sets);
 	pthread_cond_destroy(&a->work_ready);
@@ -482,6 +484,7 @@
 		}
 		step_agent_watch(a, now, &until);
 		step_agent_claims(a, now, &until);
+		step_agent_rollouts(a, now, &until);
 		wait_for_work(a, until - now);
 		pthread_mutex_lock(&a->lock);
 		stopping = a->stopping;
--- a/packages/agent/agent.h
+++ b/packages/agent/agent.h
@@ -14,6 +14,8 @@
 #define AGENT_KNOWN_CONTROLS_MAX 32 /* with the group's members */
 #define AGENT_HEARTBEAT_MS 10000 /* longest wait of a watch */
 #define AGENT_OVERDUE_MS 12000 /* then an unanswered watch is overdue */
+#define AGENT_ROLLOUTS_MAX WIRE_ROLLOUTS_MAX
+#define AGENT_VERSION_BYTES 33 /* of a backend server, with NUL */
 #define AGENT_STALE_MS 2000 /* no leader contact: control is stale */
 
 struct agent;
@@ -39,7 +41,8 @@
 	int overdue_ms; /* longest wait for a reply; 0: AGENT_OVERDUE_MS */
 	int reconnect_ms; /* first delay, full jitter; 0: default */
 	int reconnect_max_ms; /* the delay doubles up to this; 0: default */
-	/* Runs on the agent's thread after a change of table or endpoints. */
+	bool rollouts; /* ask for roll-outs and report what is seen of them */
+	/* Runs on the agent's thread after a change of what it holds. */
 	void (*on_change)(void *arg);
 	void *on_change_arg;
 	const struct rpc_fault_hooks *hooks; /* tests; may be NULL */
@@ -102,6 +105,27 @@
     struct agent *a, struct str service);
 void release_endpoints(struct agent *a, const struct endpoint_set *s);
 
+/* The newest roll-out of a service. */
+struct agent_rollout {
+	char service[TABLE_NAME_BYTES];
+	char target[AGENT_VERSION_BYTES]; /* version that it moves to */
+	uint64_t number; /* of the order */
+	int phase; /* enum rollout_phase */
+};
+
+/* The list of roll-outs, one a service. */
+struct rollout_view {
+	uint64_t change; /* counts the changes of the list */
+	int64_t received_at; /* mono ns; last answer; 0: none yet */
+	struct agent_rollout items[AGENT_ROLLOUTS_MAX];
+	size_t count;
+};
+
+void get_agent_rollouts(struct agent *a, struct rollout_view *out);
+int64_t get_rollout_contact(struct agent *a); /* received_at of the list */
+/* Sends an encoded wire_rollouts_args once; takes over the bytes. */
+void report_rollouts(struct agent *a, struct buf *report);
+
 /* Announces this node's endpoint; the agent sets incarnation and seq. */
 int announce_endpoint(struct agent *a, const struct wire_endpoint *self);
 
--- a/packages/agent/agent_core.h
+++ b/packages/agent/agent_core.h
@@ -86,6 +86,17 @@
 	enum wire_endpoint_state state;
 };
 
+/* The list of roll-outs; see agent_rollouts.c. */
+struct agent_rollouts {
+	bool enabled;
+	/* Under the agent's lock */
+	struct rollout_view view;
+	struct buf report; /* to be sent; empty: none */
+	bool polling; /* a poll is in flight */
+	bool changed; /* the view has, and on_change was not called yet */
+	int64_t next_poll_ns;
+};
+
 struct agent_metrics {
 	metric_id switches, refused, ignored, failures, overdue, limits;
 	metric_id claims, claim_failures, closing, version;
@@ -148,6 +159,7 @@
 	struct agent_claim **new_claims_tail;
 	int claim_count; /* new and started ones */
 	struct own_endpoint self;
+	struct agent_rollouts rollouts;
 	bool changed; /* interest or own endpoint */
 	char new_controls[AGENT_CONTROL_MAX][RPC_ADDRESS_BYTES];
 	size_t new_control_count; /* addresses to add; 0: none */
@@ -176,6 +188,9 @@
 void update_controls(struct agent *a, const struct wire_watch_reply *r);
 void add_new_controls(struct agent *a);
 
+/* agent_rollouts.c: on the agent's thread */
+void step_agent_rollouts(struct agent *a, int64_t now, int64_t *until);
+
 /* agent_claims.c: on the agent's thread */
 void start_agent_claim(struct agent *a, struct agent_claim *c, int64_t now);
 void step_agent_claims(struct agent *a, int64_t now, int64_t *until);
--- a/packages/control/api.c
+++ b/packages/control/api.c
@@ -40,6 +40,8 @@
     {"POST", "/v1/revert", serve_revert},
     {"POST", "/v1/check", serve_check},
     {"POST", "/v1/members", serve_members},
+    {"POST", "/v1/rollouts", serve_rollout_start},
+    {"GET", "/v1/rollouts", serve_rollout_status},
     {"GET", "/v1/status", serve_status},
     {"GET", "/v1/endpoints", serve_endpoints},
     {"GET", "/v1/timeline", serve_timeline},
--- a/packages/control/api.h
+++ b/packages/control/api.h
@@ -44,6 +44,11 @@
     struct control *c, const struct api_request *q, struct api_answer *a);
 void serve_members(
     struct control *c, const struct api_request *q, struct api_answer *a);
+/* api_rollouts.c */
+void serve_rollout_start(
+    struct control *c, const struct api_request *q, struct api_answer *a);
+void serve_rollout_status(
+    struct control *c, const struct api_request *q, struct api_answer *a);
 
 /* Both take the service lock; the caller frees the value. */
 json_t *make_status_json(struct control *c);
--- a/packages/control/command.x
+++ b/packages/control/command.x
@@ -23,7 +23,9 @@
 	COMMAND_IMPORT = 2,
 	COMMAND_REVERT = 3,
 	COMMAND_CLAIM = 4,
-	COMMAND_REPLACE = 5
+	COMMAND_REPLACE = 5,
+	COMMAND_ROLLOUT = 6,
+	COMMAND_ROLLOUT_STEP = 7
 };
 
 /* Column kind with the row's name adds a row, with no value removes it. */
@@ -72,6 +74,20 @@
 	unsigned hyper source_digest; /* of the whole text */
 };
 
+/* Order of an operator: move a service to another version of its servers. */
+struct command_rollout {
+	string service<COMMAND_NAME_MAX>;
+	string target<COMMAND_NAME_MAX>; /* version */
+	unsigned int duration_ms;
+};
+
+/* A decision of the leader about a roll-out. */
+struct command_rollout_step {
+	unsigned hyper number;     /* of the order */
+	int phase;                 /* enum rollout_phase that begins */
+	string reason<COMMAND_TEXT_MAX>;
+};
+
 union command_body switch (command_type type) {
 case COMMAND_EDIT:
 	command_edit edit;
@@ -83,6 +99,10 @@
 	command_claim claim;
 case COMMAND_REPLACE:
 	command_replace replace;
+case COMMAND_ROLLOUT:
+	command_rollout rollout;
+case COMMAND_ROLLOUT_STEP:
+	command_rollout_step rollout_step;
 };
 
 struct command {
@@ -115,7 +135,8 @@
 	STORED_VERSION = 2,
 	STORED_ANSWER = 3,
 	STORED_CLAIM = 4,
-	STORED_END = 5
+	STORED_END = 5,
+	STORED_ROLLOUT = 6
 };
 
 struct stored_head {
@@ -169,3 +190,14 @@
 	bool answer_whole;
 	stored_claim_id retired<COMMAND_RETIRED_MAX>;
 };
+
+struct stored_rollout {
+	string service<COMMAND_NAME_MAX>;
+	string target<COMMAND_NAME_MAX>;
+	unsigned hyper number;
+	unsigned hyper change;     /* that began the phase */
+	int phase;
+	unsigned int duration_ms;
+	hyper started_ns;          /* log time of the order */
+	string reason<COMMAND_TEXT_MAX>;
+};
--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -354,6 +354,8 @@
 
 	if (rc == 0)
 		rc = open_registry(c->id, (uint64_t)wall, &c->registry);
+	if (rc == 0)
+		rc = open_rollouts(c);
 	if (rc != 0)
 		return set_fault(f, rc, "out of memory");
 	open_bucket(&c->bucket, c->cfg.snapshot_rate, read_mono(&c->cfg.clock));
@@ -447,6 +449,10 @@
 	case GGS_JOIN:
 		handle_join(c, q, reply);
 		break;
+	case GGS_ROLLOUTS:
+	case GGS_ROLLOUT_REPORT:
+		handle_rollouts(c, q, reply);
+		break;
 	default:
 		complete_rpc(reply, ERR_NOT_FOUND, make_str(""));
 	}
@@ -465,6 +471,7 @@
 	clear_cache(&c->cache);
 	clear_nodes(&c->nodes);
 	close_registry(c->registry);
+	close_rollouts(c);
 	close_state(c->state);
 	for (size_t i = 0; i < c->owned_string_count; i++)
 		free(c->owned_strings[i]);
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -9,6 +9,8 @@
 #include "event.h"
 
 #define CONTROL_PEER_MAX 17 /* control processes of one fleet */
+#define CONTROL_VERSION_BYTES 33 /* of a backend server, with NUL */
+#define CONTROL_REASON_BYTES 321 /* of a roll-out, with NUL */
 
 struct control;
 struct rpc_fault_hooks;
@@ -77,6 +79,7 @@
 	struct event_log *events; /* may be NULL */
 	uint64_t seed; /* of jitter and election timeouts */
 	const struct rpc_fault_hooks *hooks; /* fault injection; tests only */
+	bool rollouts; /* operators may start roll-outs */
 	uint32_t snapshot_rate; /* full tables of 16 KB per second; 0: 1000 */
 };
 
@@ -109,6 +112,27 @@
  */
 int read_control_source(struct control *c, struct buf *out, uint64_t *version);
 
+/* The newest roll-out of a service. */
+struct control_rollout {
+	const char *state; /* "running", "completed", "rolled_back" */
+	char target[CONTROL_VERSION_BYTES]; /* version that it moves to */
+	double duration_s; /* that the operator gave */
+	char reason[CONTROL_REASON_BYTES]; /* of the state; may be empty */
+};
+
+/*
+ * Orders to move a service to another version of its backend servers within
+ * duration_s. Waits for the quorum. Returns 0, also for an order that is in
+ * force; ERR_INVALID, ERR_NOT_FOUND (no such service), ERR_CONFLICT (another
+ * roll-out of it runs), ERR_LIMIT, ERR_UNAVAILABLE (not applied) or ERR_UNKNOWN
+ * (may still be applied). f names the remedy.
+ */
+int start_control_rollout(struct control *c, const char *service,
+    const char *target, double duration_s, struct fault *f);
+/* After a confirmed read. ERR_UNAVAILABLE; ERR_NOT_FOUND: there was none. */
+int read_control_rollout(
+    struct control *c, const char *service, struct control_rollout *out);
+
 uint64_t get_control_version(struct control *c); /* local table; 0: none */
 bool is_control_leader(struct control *c);
 /* True when the process must end; f then gives the reason. */
--- a/packages/control/control_metrics.c
+++ b/packages/control/control_metrics.c
@@ -44,6 +44,8 @@
 	"Time from a version at this process to its use by a node, us."),
     SPEC(nodes_behind, METRIC_GAUGE, "control_nodes_behind",
 	"Attached nodes whose table has been outdated for over 1 s."),
+    SPEC(rollouts, METRIC_GAUGE, "control_rollout_running",
+	"1 while a roll-out of any service runs."),
     SPEC(role, METRIC_GAUGE, "replica_role",
 	"0 follower, 1 asks for votes, 2 candidate, 3 leader."),
     SPEC(has_leader, METRIC_GAUGE, "replica_has_leader",
--- a/packages/control/gen/command_xdr.c
+++ b/packages/control/gen/command_xdr.c
@@ -167,6 +167,34 @@
 	return TRUE;
 }
 
+bool_t
+xdr_command_rollout (XDR *xdrs, command_rollout *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, COMMAND_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->target, COMMAND_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->duration_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_command_rollout_step (XDR *xdrs, command_rollout_step *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->phase))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->reason, COMMAND_TEXT_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_command_body (XDR *xdrs, command_body *objp)
 {
@@ -195,6 +223,14 @@
 		 if (!xdr_command_replace (xdrs, &objp->command_body_u.replace))
 			 return FALSE;
 		break;
+	case COMMAND_ROLLOUT:
+		 if (!xdr_command_rollout (xdrs, &objp->command_body_u.rollout))
+			 return FALSE;
+		break;
+	case COMMAND_ROLLOUT_STEP:
+		 if (!xdr_command_rollout_step (xdrs, &objp->command_body_u.rollout_step))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -373,3 +409,27 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_stored_rollout (XDR *xdrs, stored_rollout *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, COMMAND_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->target, COMMAND_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->change))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->phase))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->duration_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->started_ns))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->reason, COMMAND_TEXT_MAX))
+		 return FALSE;
+	return TRUE;
+}
--- a/packages/control/gen/command_xdr.h
+++ b/packages/control/gen/command_xdr.h
@@ -33,6 +33,8 @@
 	COMMAND_REVERT = 3,
 	COMMAND_CLAIM = 4,
 	COMMAND_REPLACE = 5,
+	COMMAND_ROLLOUT = 6,
+	COMMAND_ROLLOUT_STEP = 7,
 };
 typedef enum command_type command_type;
 
@@ -96,6 +98,20 @@
 };
 typedef struct command_replace command_replace;
 
+struct command_rollout {
+	char *service;
+	char *target;
+	u_int duration_ms;
+};
+typedef struct command_rollout command_rollout;
+
+struct command_rollout_step {
+	u_quad_t number;
+	int phase;
+	char *reason;
+};
+typedef struct command_rollout_step command_rollout_step;
+
 struct command_body {
 	command_type type;
 	union {
@@ -104,6 +120,8 @@
 		command_revert revert;
 		command_claim claim;
 		command_replace replace;
+		command_rollout rollout;
+		command_rollout_step rollout_step;
 	} command_body_u;
 };
 typedef struct command_body command_body;
@@ -141,6 +159,7 @@
 	STORED_ANSWER = 3,
 	STORED_CLAIM = 4,
 	STORED_END = 5,
+	STORED_ROLLOUT = 6,
 };
 typedef enum stored_type stored_type;
 
@@ -221,6 +240,18 @@
 };
 typedef struct stored_claim stored_claim;
 
+struct stored_rollout {
+	char *service;
+	char *target;
+	u_quad_t number;
+	u_quad_t change;
+	int phase;
+	u_int duration_ms;
+	quad_t started_ns;
+	char *reason;
+};
+typedef struct stored_rollout stored_rollout;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -231,6 +262,8 @@
 extern  bool_t xdr_command_revert (XDR *, command_revert*);
 extern  bool_t xdr_command_claim (XDR *, command_claim*);
 extern  bool_t xdr_command_replace (XDR *, command_replace*);
+extern  bool_t xdr_command_rollout (XDR *, command_rollout*);
+extern  bool_t xdr_command_rollout_step (XDR *, command_rollout_step*);
 extern  bool_t xdr_command_body (XDR *, command_body*);
 extern  bool_t xdr_command (XDR *, command*);
 extern  bool_t xdr_command_result (XDR *, command_result*);
@@ -240,6 +273,7 @@
 extern  bool_t xdr_stored_answer (XDR *, stored_answer*);
 extern  bool_t xdr_stored_claim_id (XDR *, stored_claim_id*);
 extern  bool_t xdr_stored_claim (XDR *, stored_claim*);
+extern  bool_t xdr_stored_rollout (XDR *, stored_rollout*);
 
 #else /* K&R C */
 extern bool_t xdr_command_type ();
@@ -249,6 +283,8 @@
 extern bool_t xdr_command_revert ();
 extern bool_t xdr_command_claim ();
 extern bool_t xdr_command_replace ();
+extern bool_t xdr_command_rollout ();
+extern bool_t xdr_command_rollout_step ();
 extern bool_t xdr_command_body ();
 extern bool_t xdr_command ();
 extern bool_t xdr_command_result ();
@@ -258,6 +294,7 @@
 extern bool_t xdr_stored_answer ();
 extern bool_t xdr_stored_claim_id ();
 extern bool_t xdr_stored_claim ();
+extern bool_t xdr_stored_rollout ();
 
 #endif /* K&R C */
 
--- a/packages/control/replication.c
+++ b/packages/control/replication.c
@@ -355,6 +355,7 @@
 	before = c->state->table->version;
 	apply_state(c->state, at.log_ns, at.wall_ns, bytes, result);
 	publish_version(c, before);
+	publish_rollouts(c);
 	pthread_mutex_unlock(&c->lock);
 }
 
@@ -384,6 +385,7 @@
 	rc = load_state(c->state, data, &f);
 	if (rc == 0) {
 		publish_version(c, before);
+		publish_rollouts(c);
 	} else {
 		reset_control_state(c);
 		write_log(LOG_LEVEL_ERR, "%s", f.text);
--- a/packages/control/service.c
+++ b/packages/control/service.c
@@ -25,17 +25,20 @@
 		if (!c->stopping) {
 			run_tick(c, now);
 			serve_watches(c, now);
+			serve_rollouts(c, now);
 			wait_tick(c);
 		}
 		stopping = c->stopping;
 		pthread_mutex_unlock(&c->lock);
 		log_quorum(c);
+		run_rollouts(c, read_mono(&c->cfg.clock));
 		run_submissions(c, read_mono(&c->cfg.clock));
 		run_bootstrap(c, read_mono(&c->cfg.clock));
 		run_membership(c, read_mono(&c->cfg.clock));
 	}
 	pthread_mutex_lock(&c->lock);
 	drop_watches(c);
+	serve_rollouts(c, read_mono(&c->cfg.clock));
 	pthread_mutex_unlock(&c->lock);
 	return NULL;
 }
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -187,6 +187,7 @@
 	metric_id resends;
 	metric_id lag_us; /* histogram */
 	metric_id nodes_behind;
+	metric_id rollouts;
 	/* Gauges of the replica and its log, set on each scrape */
 	metric_id role, has_leader, term, commit, applied, last, snapshot;
 	metric_id snapshot_errors;
@@ -195,6 +196,7 @@
 };
 
 struct operator_tokens;
+struct rollout_desk; /* rollout_service.c */
 
 struct control {
 	struct control_config cfg; /* strings used after the start are copies */
@@ -219,6 +221,7 @@
 	int64_t next_sets_ns; /* when it does so next */
 	struct read_rounds reads;
 	struct submission *submissions;
+	struct rollout_desk *rollouts;
 	struct upstream upstream;
 	struct bootstrap bootstrap;
 	struct membership membership;
@@ -341,6 +344,15 @@
 void drop_watches(struct control *c); /* lock held; answers all */
 int64_t count_late_nodes(struct control *c, int64_t now); /* lock held */
 
+/* rollout_service.c */
+int open_rollouts(struct control *c); /* ERR_MEMORY */
+void close_rollouts(struct control *c);
+void handle_rollouts(
+    struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
+void serve_rollouts(struct control *c, int64_t now); /* lock held */
+void publish_rollouts(struct control *c); /* lock held; after a command */
+void run_rollouts(struct control *c, int64_t now); /* takes the lock */
+
 /* relay.c */
 void run_relay(struct control *c, int64_t now); /* lock held */
 bool start_confirmed_pull(struct control *c); /* lock held */
--- a/packages/control/state.c
+++ b/packages/control/state.c
@@ -70,6 +70,7 @@
 	clear_answers(&s->answers);
 	clear_claims(&s->claims);
 	unload_buf(&s->source);
+	s->rollouts = (struct rollout_list){0};
 	s->log_ns = 0;
 	if (t == NULL)
 		return;
@@ -82,6 +83,7 @@
     struct buf *result)
 {
 	struct command_result r = {.table_version = s->table->version};
+	const char *text = "";
 	struct command c;
 
 	if (log_ns > s->log_ns)
@@ -98,6 +100,15 @@
 		apply_claim(&s->claims, s->log_ns, &c, &r);
 		abort_on_error(r.status == ERR_MEMORY ? ERR_MEMORY : 0);
 		abort_on_error(encode_command_result(&r, result));
+	} else if (c.body.type == COMMAND_ROLLOUT) {
+		int rc = apply_rollout(&s->rollouts, s->table, s->log_ns,
+		    &c.body.command_body_u.rollout, &text);
+
+		abort_on_error(encode_status(s, rc, text, result));
+	} else if (c.body.type == COMMAND_ROLLOUT_STEP) {
+		apply_rollout_step(
+		    &s->rollouts, &c.body.command_body_u.rollout_step);
+		abort_on_error(encode_status(s, 0, "", result));
 	} else {
 		apply_change(s, wall_ns, &c, result);
 	}
@@ -123,7 +134,8 @@
 	if (decode_command(bytes, &c) != 0)
 		return encode_status(s, ERR_INVALID, "the command is malformed",
 			   result) == 0;
-	if (c.body.type == COMMAND_CLAIM) {
+	if (c.body.type == COMMAND_CLAIM || c.body.type == COMMAND_ROLLOUT ||
+	    c.body.type == COMMAND_ROLLOUT_STEP) {
 		unload_command(&c);
 		return false;
 	}
@@ -162,6 +174,8 @@
 		    (xdrproc_t)xdr_stored_answer, &a->stored);
 	if (rc == 0)
 		rc = save_claims(&s->claims, out);
+	if (rc == 0)
+		rc = save_rollouts(&s->rollouts, out);
 	if (rc == 0)
 		rc = append_stored(out, STORED_END, NULL, NULL);
 	return rc;
@@ -382,6 +396,8 @@
 		return load_stored_answer(s, body);
 	case STORED_CLAIM:
 		return load_stored_claim(s, body);
+	case STORED_ROLLOUT:
+		return load_rollout(&s->rollouts, body);
 	case STORED_END:
 		return body.len == 0 ? 0 : ERR_CORRUPT;
 	}
--- a/packages/control/state.h
+++ b/packages/control/state.h
@@ -10,6 +10,7 @@
 #include "answers.h"
 #include "claims.h"
 #include "edits.h"
+#include "rollouts.h"
 
 #define STATE_FORMAT 2 /* of snapshots */
 
@@ -19,6 +20,7 @@
 	struct history history;
 	struct answers answers;
 	struct claims claims;
+	struct rollout_list rollouts;
 	int64_t log_ns; /* log time */
 };
 
--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -67,13 +67,17 @@
 		end_request(q);
 		return;
 	}
+	choose_call_version(q);
 	while (q->offers < OFFERS_MAX && q->tried_count < REQUEST_TRIED_MAX) {
 		bool immediate = false;
 		struct peer *p = choose_next_peer(q, &immediate);
 		int rc;
 
+		if (p == NULL && relax_call_version(q))
+			continue;
 		if (p == NULL)
 			break;
+		count_version_offer(q, p);
 		begin_attempt(q, p, immediate);
 		rc = p->local ? offer_local(q) : offer_remote(q, p);
 		if (rc == 0)
@@ -176,6 +180,7 @@
 {
 	add_trace(q, TRACE_ANSWERED, q->attempt.peer->id, a->status,
 	    (int)(a->service_ns / NSEC_PER_USEC), 0);
+	record_version_answer(q, a->status >= 500, a->service_ns);
 	close_attempt(q);
 	q->arrivals++;
 	if (a->status < 500)
@@ -203,6 +208,8 @@
 {
 	add_trace(
 	    q, TRACE_FAILED, q->attempt.peer->id, (int)cause, not_sent, 0);
+	if (!not_sent)
+		record_version_answer(q, true, 0);
 	close_attempt(q);
 	if (!has_caller(q)) {
 		log_request(q, 0, "left");
@@ -268,8 +275,10 @@
 	    (int)((get_reactor_now(q->node->reactor) - q->arrived) /
 		  NSEC_PER_MSEC),
 	    0, 0);
-	if (may_be_running(q))
+	if (may_be_running(q)) {
 		q->may_have_run = true;
+		record_version_answer(q, true, 0);
+	}
 	if (!has_caller(q)) {
 		/* Was left to finish after its caller disconnected. */
 		cancel_request_attempt(q);
@@ -398,6 +407,7 @@
 	}
 	*out = (struct placement_option){
 	    .usable = p->usable && !p->address_reused &&
+		      is_version_allowed(q, p) &&
 		      (!known || load.state == HOP_STATE_READY),
 	    .avoided = p->failures > 0,
 	    .same_zone = p->same_zone,
--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -133,6 +133,12 @@
 	return n->backend != NULL ? n->backend->instance : "";
 }
 
+const char *
+get_backend_version(const struct node *n)
+{
+	return n->backend != NULL ? n->backend->version : "";
+}
+
 double
 get_backend_rate(const struct node *n)
 {
@@ -156,6 +162,7 @@
 		c->close_after_use = true;
 	b->reported = true;
 	(void)copy_str(b->instance, sizeof(b->instance), make_str(r->id));
+	(void)copy_str(b->version, sizeof(b->version), make_str(r->version));
 	if (r->address[0] != '\0')
 		(void)copy_str(
 		    b->address, sizeof(b->address), make_str(r->address));
@@ -212,6 +219,7 @@
 	enum wire_endpoint_state state = b->state == REPORT_READY ?
 					     WIRE_ENDPOINT_READY :
 					     WIRE_ENDPOINT_DRAINING;
+	char run[WIRE_NAME_MAX + 1];
 	struct wire_endpoint self = {
 	    .id = (char *)(uintptr_t)n->cfg.name,
 	    .service = (char *)(uintptr_t)n->cfg.service,
@@ -225,6 +233,12 @@
 
 	if (!b->reported || (b->announced && b->announced_state == state))
 		return;
+	/* Other nodes choose by version only where there are roll-outs. */
+	if (n->cfg.trial_share > 0 && b->version[0] != '\0' &&
+	    snprintf(run, sizeof(run), "%.*s %s",
+		WIRE_NAME_MAX - 1 - (int)strlen(b->version), b->instance,
+		b->version) > 0)
+		self.instance = run;
 	if (announce_endpoint(n->cfg.agent, &self) != 0) {
 		write_log(LOG_LEVEL_WARNING,
 		    "cannot announce instance %s; retrying with its next "
--- a/packages/node/backend_state.h
+++ b/packages/node/backend_state.h
@@ -43,6 +43,7 @@
 	struct node *node;
 	bool reported; /* at least one report has been accepted */
 	char instance[NODE_ID_BYTES];
+	char version[NODE_VERSION_BYTES];
 	char address[NODE_ADDRESS_BYTES];
 	int64_t start_ms;
 	uint64_t seq;
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -11,6 +11,7 @@
 
 #define BODY_MEMORY_DEFAULT (64LL * 1024 * 1024)
 #define RETRY_RATIO_DEFAULT 0.2
+#define ROLLBACK_DEFAULT (5 * NSEC_PER_SEC)
 #define RETRY_WINDOW_DEFAULT (10 * NSEC_PER_SEC)
 #define DRAIN_DEFAULT (2 * NSEC_PER_SEC)
 #define LEAVE_DEFAULT (2 * NSEC_PER_SEC)
@@ -144,6 +145,7 @@
 	if (rc != 0)
 		return set_fault(f, ERR_MEMORY, "out of memory");
 	set_defaults(c);
+	n->rollout_run = (uint64_t)read_wall(&c->clock);
 	seed_rng(&n->rng, cfg->seed);
 	return 0;
 }
@@ -178,6 +180,8 @@
 		c->leave_ns = LEAVE_DEFAULT;
 	if (c->stop_ns == 0)
 		c->stop_ns = STOP_DEFAULT;
+	if (c->rollback_ns == 0)
+		c->rollback_ns = ROLLBACK_DEFAULT;
 	if (c->connections == 0)
 		c->connections = 100;
 }
@@ -228,6 +232,8 @@
 		release_table(n->cfg.agent, fresh);
 	}
 	refresh_services(n);
+	if (n->cfg.trial_share > 0)
+		apply_rollouts(n);
 }
 
 /*
@@ -283,6 +289,7 @@
 		clear_services(n);
 		clear_known_notices(n);
 		cancel_timer(n->reactor, &n->leave_timer);
+		cancel_timer(n->reactor, &n->rollout_timer);
 	}
 	if (n->table != NULL)
 		release_table(n->cfg.agent, n->table);
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -11,6 +11,7 @@
 #include "http.h"
 
 #define NODE_ADDRESS_BYTES 64 /* "IP:port" with NUL */
+#define NODE_VERSION_BYTES 33 /* of a backend server, with NUL */
 #define NODE_ID_BYTES 65 /* ids of nodes and backend servers, with NUL */
 
 struct node;
@@ -42,6 +43,7 @@
 	char id[NODE_ID_BYTES]; /* instance id */
 	char service[TABLE_NAME_BYTES]; /* empty: not reported */
 	char address[NODE_ADDRESS_BYTES]; /* empty: not reported */
+	char version[NODE_VERSION_BYTES]; /* empty: not reported */
 	enum report_state state;
 	int slots; /* concurrent calls; 0: not reported */
 	int64_t start_ms; /* start time, Unix ms; 0: not reported */
@@ -95,6 +97,12 @@
 	int64_t drain_ns;
 	int64_t leave_ns; /* callers notice a stop within it; 0: 2 s */
 	int64_t stop_ns; /* longest stop, from request to exit; 0: 30 s */
+	/*
+	 * Of the calls to a service, the share that a bad new version may get
+	 * during a roll-out; 0: roll-outs are ignored, and so are versions.
+	 */
+	double trial_share;
+	int64_t rollback_ns; /* to end the calls to a bad version; 0: 5 s */
 	struct call_names names;
 	struct report_reader reports;
 	uint64_t seed;
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -14,6 +14,7 @@
 #include "placement.h"
 #include "policy.h"
 #include "reactor.h"
+#include "rollout.h"
 
 #define NODE_LISTENERS_MAX 5
 #define NODE_STREAM_SLOTS 64 /* buckets of a link's hash table of calls */
@@ -109,6 +110,8 @@
 
 	struct call_policy policy;
 	struct service *service;
+	enum rollout_side side; /* version that it may use now */
+	bool trial_counted; /* in the service's credit */
 	struct kind_stats *stats;
 	char id[CALL_ID_BYTES];
 	struct buf head; /* header lines that are passed on */
@@ -237,6 +240,8 @@
 	int in_flight; /* calls of this node */
 	bool address_reused; /* another node answers at its address */
 	int failures; /* since the last load report; above 0: avoided */
+	char version[NODE_VERSION_BYTES]; /* of its server; empty: unknown */
+	int64_t version_at; /* mono ns; first listed with it */
 	struct timer probe; /* opens a link without a call after failures */
 };
 
@@ -265,6 +270,23 @@
 	double tokens; /* retry budget: retries that are left */
 	int64_t tokens_at; /* mono ns; last refill */
 	bool in_table; /* named by the current table */
+	/* Version of the server that started first; used without a roll-out */
+	char base_version[NODE_VERSION_BYTES];
+	struct service_rollout {
+		uint64_t number; /* of the order; 0: none */
+		char target[NODE_VERSION_BYTES];
+		enum rollout_phase phase;
+		int64_t learned_at; /* mono ns */
+		double credit; /* calls that may go to the target version */
+		struct row_counts *rows; /* what was seen since then */
+	} rollout;
+};
+
+/* Answers to calls of one kind, by version, during a roll-out. */
+struct row_counts {
+	struct row_counts *next;
+	char kind[TABLE_NAME_BYTES];
+	struct rollout_counts before, after;
 };
 
 /* Limits the calls that are logged per time window. */
@@ -307,6 +329,7 @@
 	metric_id backend_connections, backend_state, mean_run_us, failed_ppm;
 	metric_id peers, peers_usable, peers_avoided, body_bytes;
 	metric_id pipelined_total, unread_closes_total, kept_bytes;
+	metric_id rollout_offers_total, rollout_failed_total;
 	metric_id log_dropped_lines, rate_limit_milli;
 };
 
@@ -355,6 +378,13 @@
 	struct log_budget failed_lines, late_lines; /* of callers' calls */
 	struct log_budget failed_job_lines, ok_job_lines; /* of served calls */
 
+	/* Roll-outs */
+	struct timer rollout_timer; /* next report */
+	bool rollout_reports; /* the timer is set */
+	uint64_t rollout_change; /* of the list in force; 0: none */
+	uint64_t rollout_seq; /* of the last report */
+	uint64_t rollout_run; /* start of this process, wall ns */
+
 	/* Stop */
 	struct task drain; /* posted by drain_node() */
 	struct timer leave_timer;
@@ -423,6 +453,20 @@
 bool spend_retry_token(struct node *n, struct service *s);
 void add_retry_tokens(struct node *n, struct service *s); /* per new call */
 
+/* rollouts.c */
+void apply_rollouts(struct node *n); /* the agent's list, after services */
+void clear_rollout(struct service *s);
+/* The node's server has a version that gets no calls (any more). */
+bool is_server_closed(struct node *n);
+/* Sets the version that the call's next attempt may use. */
+void choose_call_version(struct request *q);
+/* The call may use the other version after all; false: it may not. */
+bool relax_call_version(struct request *q);
+bool is_version_allowed(const struct request *q, const struct peer *p);
+void count_version_offer(struct request *q, const struct peer *p);
+/* Of the current attempt. service_ns: 0 without an answer */
+void record_version_answer(struct request *q, bool failed, int64_t service_ns);
+
 /* links.c */
 int offer_remote(struct request *q, struct peer *p);
 void cancel_remote(struct request *q);
@@ -459,6 +503,7 @@
 int get_backend_slots(const struct node *n);
 int count_backend_connections(const struct node *n);
 const char *get_backend_instance(const struct node *n);
+const char *get_backend_version(const struct node *n); /* "": unknown */
 double get_backend_rate(const struct node *n); /* negative: unlimited */
 
 /* notice.c */
--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -54,7 +54,8 @@
 	bool internal;
 	int queue_index;
 
-	if (n->admission == NULL || n->state != HOP_STATE_READY)
+	if (n->admission == NULL || n->state != HOP_STATE_READY ||
+	    is_server_closed(n))
 		return ERR_UNAVAILABLE;
 	internal = is_internal_call(n, spec);
 	queue_index = find_row_queue_index(n, spec, internal);
--- a/packages/node/services.c
+++ b/packages/node/services.c
@@ -24,6 +24,8 @@
 static struct peer *update_peer_record(
     struct node *n, struct service *s, const struct wire_endpoint *e);
 static struct peer *find_peer_record(struct node *n, const char *id);
+static void update_peer_version(
+    struct node *n, struct peer *p, const char *instance);
 static int add_service_peer(struct service *s, struct peer *p);
 static void remove_unlisted_peers(struct node *n);
 static void reset_split(
@@ -67,6 +69,7 @@
 	while ((s = n->services) != NULL) {
 		n->services = s->next;
 		free(s->peers);
+		clear_rollout(s);
 		free(s);
 	}
 	while ((p = n->peers) != NULL) {
@@ -205,8 +208,10 @@
 refresh_peers(struct node *n, struct service *s)
 {
 	const struct endpoint_set *set;
+	uint64_t first = UINT64_MAX;
 
 	s->peer_count = 0;
+	s->base_version[0] = '\0';
 	if (!s->in_table)
 		return;
 	set = acquire_endpoints(n->cfg.agent, make_str(s->name));
@@ -218,6 +223,12 @@
 		if (p != NULL && add_service_peer(s, p) != 0)
 			write_log(LOG_LEVEL_ERR,
 			    "out of memory: node %s gets no calls", p->id);
+		if (p == NULL || p->version[0] == '\0' ||
+		    p->incarnation >= first)
+			continue;
+		first = p->incarnation;
+		(void)copy_str(s->base_version, sizeof(s->base_version),
+		    make_str(p->version));
 	}
 	release_endpoints(n->cfg.agent, set);
 }
@@ -263,6 +274,8 @@
 		    LOG_INT("incarnation", e->incarnation),
 		    LOG_INT("seq", e->seq), LOG_INT("slots", e->slots),
 		    LOG_BOOL("usable", ready));
+	if (n->cfg.trial_share > 0)
+		update_peer_version(n, p, e->instance);
 	p->incarnation = e->incarnation;
 	(void)copy_str(p->address, sizeof(p->address), make_str(e->address));
 	(void)copy_str(p->service, sizeof(p->service), make_str(s->name));
@@ -274,6 +287,22 @@
 	return p;
 }
 
+/*
+ * Takes the version from the instance, which is followed by a space and it. A
+ * server that was listed anew or with another version starts cold.
+ */
+static void
+update_peer_version(struct node *n, struct peer *p, const char *instance)
+{
+	const char *space = strchr(instance, ' ');
+	const char *version = space != NULL ? space + 1 : "";
+
+	if (p->version_at != 0 && strcmp(p->version, version) == 0)
+		return;
+	(void)copy_str(p->version, sizeof(p->version), make_str(version));
+	p->version_at = get_reactor_now(n->reactor);
+}
+
 static struct peer *
 find_peer_record(struct node *n, const char *id)
 {
--- a/packages/wire/gen/wire_xdr.c
+++ b/packages/wire/gen/wire_xdr.c
@@ -504,3 +504,152 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_wire_rollout (XDR *xdrs, wire_rollout *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->phase))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->change))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_rollout_counts (XDR *xdrs, wire_rollout_counts *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->number))
+			 return FALSE;
+		 if (!xdr_wire_name (xdrs, &objp->row))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->answers))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failed))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->target);
+		IXDR_PUT_U_LONG(buf, objp->answers);
+		IXDR_PUT_U_LONG(buf, objp->failed);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->latency.latency_val, (u_int *) &objp->latency.latency_len, WIRE_ROLLOUT_BUCKETS,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->number))
+			 return FALSE;
+		 if (!xdr_wire_name (xdrs, &objp->row))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->answers))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failed))
+				 return FALSE;
+
+		} else {
+		objp->target = IXDR_GET_BOOL(buf);
+		objp->answers = IXDR_GET_U_LONG(buf);
+		objp->failed = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->latency.latency_val, (u_int *) &objp->latency.latency_len, WIRE_ROLLOUT_BUCKETS,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->row))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->answers))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failed))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->latency.latency_val, (u_int *) &objp->latency.latency_len, WIRE_ROLLOUT_BUCKETS,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_rollout_age (XDR *xdrs, wire_rollout_age *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_rollouts_args (XDR *xdrs, wire_rollouts_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_hlc (xdrs, &objp->stamp))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->node))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->server_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->ages.ages_val, (u_int *) &objp->ages.ages_len, WIRE_ROLLOUTS_MAX,
+		sizeof (wire_rollout_age), (xdrproc_t) xdr_wire_rollout_age))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->counts.counts_val, (u_int *) &objp->counts.counts_len, WIRE_ROLLOUT_COUNTS_MAX,
+		sizeof (wire_rollout_counts), (xdrproc_t) xdr_wire_rollout_counts))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_rollouts_reply (XDR *xdrs, wire_rollouts_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_status (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_wire_hlc (xdrs, &objp->stamp))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->change))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rollouts.rollouts_val, (u_int *) &objp->rollouts.rollouts_len, WIRE_ROLLOUTS_MAX,
+		sizeof (wire_rollout), (xdrproc_t) xdr_wire_rollout))
+		 return FALSE;
+	return TRUE;
+}
--- a/packages/wire/gen/wire_xdr.h
+++ b/packages/wire/gen/wire_xdr.h
@@ -343,6 +343,69 @@
 	bool_t answer_whole;
 };
 typedef struct wire_claim_reply wire_claim_reply;
+#define WIRE_ROLLOUTS_MAX 64
+#define WIRE_ROLLOUT_COUNTS_MAX 256
+#define WIRE_ROLLOUT_BUCKETS 24
+
+struct wire_rollout {
+	wire_name service;
+	wire_name target;
+	u_quad_t number;
+	int phase;
+	u_quad_t change;
+};
+typedef struct wire_rollout wire_rollout;
+
+struct wire_rollout_counts {
+	u_quad_t number;
+	wire_name row;
+	bool_t target;
+	u_int answers;
+	u_int failed;
+	struct {
+		u_int latency_len;
+		u_int *latency_val;
+	} latency;
+};
+typedef struct wire_rollout_counts wire_rollout_counts;
+
+struct wire_rollout_age {
+	u_quad_t number;
+	u_int age_ms;
+};
+typedef struct wire_rollout_age wire_rollout_age;
+
+struct wire_rollouts_args {
+	wire_hlc stamp;
+	wire_name node;
+	u_quad_t incarnation;
+	u_quad_t seq;
+	u_quad_t held;
+	int wait_ms;
+	wire_name service;
+	wire_name server_version;
+	u_int running;
+	struct {
+		u_int ages_len;
+		wire_rollout_age *ages_val;
+	} ages;
+	struct {
+		u_int counts_len;
+		wire_rollout_counts *counts_val;
+	} counts;
+};
+typedef struct wire_rollouts_args wire_rollouts_args;
+
+struct wire_rollouts_reply {
+	wire_status status;
+	wire_hlc stamp;
+	u_quad_t change;
+	struct {
+		u_int rollouts_len;
+		wire_rollout *rollouts_val;
+	} rollouts;
+};
+typedef struct wire_rollouts_reply wire_rollouts_reply;
 
 #define GGS_PROGRAM 0x20474753
 #define GGS_V1 1
@@ -381,6 +444,12 @@
 #define GGS_WATCH_PACKED 10
 extern  wire_packed * ggs_watch_packed_1(wire_watch_args , CLIENT *);
 extern  wire_packed * ggs_watch_packed_1_svc(wire_watch_args , struct svc_req *);
+#define GGS_ROLLOUTS 11
+extern  wire_rollouts_reply * ggs_rollouts_1(wire_rollouts_args , CLIENT *);
+extern  wire_rollouts_reply * ggs_rollouts_1_svc(wire_rollouts_args , struct svc_req *);
+#define GGS_ROLLOUT_REPORT 12
+extern  wire_rollouts_reply * ggs_rollout_report_1(wire_rollouts_args , CLIENT *);
+extern  wire_rollouts_reply * ggs_rollout_report_1_svc(wire_rollouts_args , struct svc_req *);
 extern int ggs_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -417,6 +486,12 @@
 #define GGS_WATCH_PACKED 10
 extern  wire_packed * ggs_watch_packed_1();
 extern  wire_packed * ggs_watch_packed_1_svc();
+#define GGS_ROLLOUTS 11
+extern  wire_rollouts_reply * ggs_rollouts_1();
+extern  wire_rollouts_reply * ggs_rollouts_1_svc();
+#define GGS_ROLLOUT_REPORT 12
+extern  wire_rollouts_reply * ggs_rollout_report_1();
+extern  wire_rollouts_reply * ggs_rollout_report_1_svc();
 extern int ggs_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -452,6 +527,11 @@
 extern  bool_t xdr_wire_claim_state (XDR *, wire_claim_state*);
 extern  bool_t xdr_wire_claim_args (XDR *, wire_claim_args*);
 extern  bool_t xdr_wire_claim_reply (XDR *, wire_claim_reply*);
+extern  bool_t xdr_wire_rollout (XDR *, wire_rollout*);
+extern  bool_t xdr_wire_rollout_counts (XDR *, wire_rollout_counts*);
+extern  bool_t xdr_wire_rollout_age (XDR *, wire_rollout_age*);
+extern  bool_t xdr_wire_rollouts_args (XDR *, wire_rollouts_args*);
+extern  bool_t xdr_wire_rollouts_reply (XDR *, wire_rollouts_reply*);
 
 #else /* K&R C */
 extern bool_t xdr_wire_name ();
@@ -483,6 +563,11 @@
 extern bool_t xdr_wire_claim_state ();
 extern bool_t xdr_wire_claim_args ();
 extern bool_t xdr_wire_claim_reply ();
+extern bool_t xdr_wire_rollout ();
+extern bool_t xdr_wire_rollout_counts ();
+extern bool_t xdr_wire_rollout_age ();
+extern bool_t xdr_wire_rollouts_args ();
+extern bool_t xdr_wire_rollouts_reply ();
 
 #endif /* K&R C */
 
--- a/packages/wire/wire.x
+++ b/packages/wire/wire.x
@@ -281,6 +281,62 @@
 	bool answer_whole;
 };
 
+/* Roll-outs of services to another version of their backend servers */
+
+const WIRE_ROLLOUTS_MAX = 64;      /* roll-outs in one message */
+const WIRE_ROLLOUT_COUNTS_MAX = 256; /* counters in one message */
+const WIRE_ROLLOUT_BUCKETS = 24;   /* of a latency histogram */
+
+struct wire_rollout {
+	wire_name service;
+	wire_name target;          /* version that it moves to */
+	unsigned hyper number;     /* of the order; never reused */
+	int phase;                 /* enum rollout_phase */
+	unsigned hyper change;     /* of the list, that began the phase */
+};
+
+/*
+ * What a node has seen of a service's calls of one row at the target version or
+ * at all others, since it learned of the roll-out. A later message replaces an
+ * earlier one, so that one sent again does not count twice.
+ */
+struct wire_rollout_counts {
+	unsigned hyper number;     /* of the order */
+	wire_name row;
+	bool target;
+	unsigned int answers;
+	unsigned int failed;       /* among answers */
+	unsigned int latency<WIRE_ROLLOUT_BUCKETS>; /* see rollout.h */
+};
+
+/* A roll-out that a node knows of. */
+struct wire_rollout_age {
+	unsigned hyper number;
+	unsigned int age_ms;       /* since the node learned of it */
+};
+
+struct wire_rollouts_args {
+	wire_hlc stamp;
+	wire_name node;
+	unsigned hyper incarnation; /* start of the node, ns */
+	unsigned hyper seq;        /* of the report; 0: no report */
+	unsigned hyper held;       /* change of the list in force; 0: none */
+	int wait_ms;               /* longest wait for another list */
+	/* A report */
+	wire_name service;         /* of the node's backend server, or "" */
+	wire_name server_version;  /* of it, or "" */
+	unsigned int running;      /* calls queued for it or running at it */
+	wire_rollout_age ages<WIRE_ROLLOUTS_MAX>;
+	wire_rollout_counts counts<WIRE_ROLLOUT_COUNTS_MAX>;
+};
+
+struct wire_rollouts_reply {
+	wire_status status;        /* STALE: the list may be an old one */
+	wire_hlc stamp;
+	unsigned hyper change;     /* counts the changes of the list */
+	wire_rollout rollouts<WIRE_ROLLOUTS_MAX>;
+};
+
 program GGS_PROGRAM {
 	version GGS_V1 {
 		void GGS_PING(void) = 0;
@@ -295,5 +351,8 @@
 		wire_join_reply GGS_JOIN(wire_join_args) = 9;
 		/* GGS_WATCH whose reply is a packed wire_watch_reply */
 		wire_packed GGS_WATCH_PACKED(wire_watch_args) = 10;
+		wire_rollouts_reply GGS_ROLLOUTS(wire_rollouts_args) = 11;
+		/* A node's report, passed on to the leader */
+		wire_rollouts_reply GGS_ROLLOUT_REPORT(wire_rollouts_args) = 12;
 	} = 1;
 } = 0x20474753;
