--- a/apps/greengagespurctl/fleet_commands.c
+++ b/apps/greengagespurctl/fleet_commands.c
@@ -71,8 +71,8 @@
 		return CTL_USAGE;
 	}
 	if (!start) {
-		snprintf(path, sizeof(path), "/v1/rollouts?service=%s",
-		    args[1]);
+		snprintf(
+		    path, sizeof(path), "/v1/rollouts?service=%s", args[1]);
 		return fetch_and_print(c, path);
 	}
 	o = json_pack("{s:s,s:s,s:f}", "service", args[1], "version", args[2],
--- a/packages/agent/agent_rollouts.c
+++ b/packages/agent/agent_rollouts.c
@@ -163,12 +163,12 @@
 	int rc = result->status;
 
 	if (rc == 0)
-		rc = decode_wire((xdrproc_t)xdr_wire_rollouts_reply,
-		    result->body, &reply);
+		rc = decode_wire(
+		    (xdrproc_t)xdr_wire_rollouts_reply, result->body, &reply);
 	pthread_mutex_lock(&a->lock);
-	if (rc == 0 && (reply.status != WIRE_OK ||
-			   reply.change < r->view.change ||
-			   reply.rollouts.rollouts_len > AGENT_ROLLOUTS_MAX)) {
+	if (rc == 0 &&
+	    (reply.status != WIRE_OK || reply.change < r->view.change ||
+		reply.rollouts.rollouts_len > AGENT_ROLLOUTS_MAX)) {
 		unload_wire((xdrproc_t)xdr_wire_rollouts_reply, &reply);
 		rc = ERR_STALE;
 	}
--- a/packages/control/rollout_service.c
+++ b/packages/control/rollout_service.c
@@ -82,8 +82,8 @@
 static void forward_report(struct control *c, struct str args);
 static void ignore_reply(void *arg, const struct rpc_result *r);
 static void ignore_result(void *arg, int status, struct str result);
-static bool serve_poll(struct control *c, const struct pending_poll *p,
-    bool stale, int64_t now);
+static bool serve_poll(
+    struct control *c, const struct pending_poll *p, bool stale, int64_t now);
 static void send_list(
     struct control *c, struct rpc_reply *reply, wire_status status);
 static bool judge_rollout(struct control *c, const struct rollout *r,
@@ -156,9 +156,9 @@
 	poll.deadline_ns = now;
 	if (!report && a.wait_ms > 0)
 		poll.deadline_ns +=
-		    NSEC_PER_MSEC *
-		    (a.wait_ms < POLL_WAIT_MAX_MS ? a.wait_ms :
-						    POLL_WAIT_MAX_MS);
+		    NSEC_PER_MSEC * (a.wait_ms < POLL_WAIT_MAX_MS ?
+					    a.wait_ms :
+					    POLL_WAIT_MAX_MS);
 	if (report && !leads && q->proc == GGS_ROLLOUTS)
 		forward_report(c, q->args);
 	stale = is_control_stale(c) || is_relay(c);
@@ -230,10 +230,9 @@
 		WRITE_EVENT(LOG_LEVEL_NOTICE, "rollout.phase",
 		    LOG_TEXT("service", r->service),
 		    LOG_TEXT("target", r->target), LOG_INT("number", r->number),
-		    LOG_TEXT("phase",
-			r->phase == ROLLOUT_MOVED ?
-			    "moved" :
-			    get_rollout_phase_name(r->phase)),
+		    LOG_TEXT("phase", r->phase == ROLLOUT_MOVED ?
+					  "moved" :
+					  get_rollout_phase_name(r->phase)),
 		    LOG_TEXT("reason", r->reason));
 		record_event(c->cfg.events, "rollout", r->service, r->number,
 		    "%s: %s %s", r->target, get_rollout_phase_name(r->phase),
@@ -283,8 +282,8 @@
 start_control_rollout(struct control *c, const char *service,
     const char *target, double duration_s, struct fault *f)
 {
-	struct command m = {.author = (char *)(uintptr_t)"",
-	    .key = (char *)(uintptr_t)""};
+	struct command m = {
+	    .author = (char *)(uintptr_t) "", .key = (char *)(uintptr_t) ""};
 	struct command_rollout *o = &m.body.command_body_u.rollout;
 	struct buf bytes = {0}, result = {0};
 	int rc;
@@ -294,9 +293,8 @@
 		    "roll-outs are not configured; set the share of calls that "
 		    "a new version may get");
 	if (strlen(service) > COMMAND_NAME_MAX || service[0] == '\0' ||
-	    strlen(target) >= ROLLOUT_VERSION_BYTES ||
-	    !is_plain_name(target) || !(duration_s >= 0) ||
-	    duration_s * 1000 < ROLLOUT_DURATION_MIN_MS ||
+	    strlen(target) >= ROLLOUT_VERSION_BYTES || !is_plain_name(target) ||
+	    !(duration_s >= 0) || duration_s * 1000 < ROLLOUT_DURATION_MIN_MS ||
 	    duration_s * 1000 > ROLLOUT_DURATION_MAX_MS)
 		return set_fault(f, ERR_INVALID,
 		    "name a service, a version of 1 to %d bytes without "
@@ -416,8 +414,8 @@
  * Answers a poll if it is time to. Lock held.
  */
 static bool
-serve_poll(struct control *c, const struct pending_poll *p, bool stale,
-    int64_t now)
+serve_poll(
+    struct control *c, const struct pending_poll *p, bool stale, int64_t now)
 {
 	if (stale || (p->read_round > c->reads.confirmed &&
 			 c->reads.failed >= p->read_round)) {
@@ -594,8 +592,8 @@
 		for (unsigned int i = 0; i < a->ages.ages_len; i++) {
 			const struct wire_rollout_age *age =
 			    &a->ages.ages_val[i];
-			int64_t ns = (int64_t)age->age_ms * NSEC_PER_MSEC + now -
-				     n->received_ns;
+			int64_t ns = (int64_t)age->age_ms * NSEC_PER_MSEC +
+				     now - n->received_ns;
 
 			if (age->number == r->number && ns > f->elapsed_ns)
 				f->elapsed_ns = ns;
@@ -659,8 +657,8 @@
 static void
 submit_step(struct control *c, const struct due_step *s)
 {
-	struct command m = {.author = (char *)(uintptr_t)"",
-	    .key = (char *)(uintptr_t)""};
+	struct command m = {
+	    .author = (char *)(uintptr_t) "", .key = (char *)(uintptr_t) ""};
 	struct command_rollout_step *o = &m.body.command_body_u.rollout_step;
 	struct buf bytes = {0};
 
@@ -669,8 +667,8 @@
 	o->phase = (int)s->phase;
 	o->reason = (char *)(uintptr_t)s->reason;
 	if (encode_command(&m, &bytes) == 0)
-		(void)submit_command(c, view_buf(&bytes), ORDER_TIMEOUT_MS,
-		    ignore_result, NULL);
+		(void)submit_command(
+		    c, view_buf(&bytes), ORDER_TIMEOUT_MS, ignore_result, NULL);
 	unload_buf(&bytes);
 }
 
--- a/packages/control/rollouts.c
+++ b/packages/control/rollouts.c
@@ -9,8 +9,8 @@
 
 static bool is_service_named(const struct table *t, const char *service);
 static struct rollout *add_rollout(struct rollout_list *l);
-static bool is_same_order(const struct rollout *r,
-    const struct command_rollout *c, int64_t log_ns);
+static bool is_same_order(
+    const struct rollout *r, const struct command_rollout *c, int64_t log_ns);
 
 int
 apply_rollout(struct rollout_list *l, const struct table *t, int64_t log_ns,
@@ -60,8 +60,7 @@
  * successor.
  */
 void
-apply_rollout_step(
-    struct rollout_list *l, const struct command_rollout_step *c)
+apply_rollout_step(struct rollout_list *l, const struct command_rollout_step *c)
 {
 	for (size_t i = 0; i < l->count; i++) {
 		struct rollout *r = &l->items[i];
@@ -152,8 +151,8 @@
 			make_str(s.service)) != 0 ||
 		    copy_str(r->target, sizeof(r->target),
 			make_str(s.target)) != 0 ||
-		    copy_str(r->reason, sizeof(r->reason),
-			make_str(s.reason)) != 0)
+		    copy_str(
+			r->reason, sizeof(r->reason), make_str(s.reason)) != 0)
 			rc = ERR_CORRUPT;
 		if (r->change > l->change)
 			l->change = r->change;
--- a/packages/control/rollouts.h
+++ b/packages/control/rollouts.h
@@ -33,8 +33,8 @@
  * ERR_CONFLICT: another roll-out of the service runs; ERR_NOT_FOUND: the table
  * has no such service; ERR_INVALID; ERR_LIMIT. text is static.
  */
-int apply_rollout(struct rollout_list *l, const struct table *t,
-    int64_t log_ns, const struct command_rollout *c, const char **text);
+int apply_rollout(struct rollout_list *l, const struct table *t, int64_t log_ns,
+    const struct command_rollout *c, const char **text);
 /* Applies a decision; one that is outdated has no effect. */
 void apply_rollout_step(
     struct rollout_list *l, const struct command_rollout_step *c);
--- a/packages/control/tests/fleet_fixture.h
+++ b/packages/control/tests/fleet_fixture.h
@@ -154,6 +154,7 @@
 	    .events = m->events,
 	    .seed = 7,
 	    .hooks = &m->hooks,
+	    .rollouts = true,
 	};
 
 	for (size_t k = 0; k < fleet.voters; k++)
--- a/packages/node/rollouts.c
+++ b/packages/node/rollouts.c
@@ -220,10 +220,9 @@
 	WRITE_EVENT(LOG_LEVEL_INFO, "rollout.applied",
 	    LOG_TEXT("service", s->name), LOG_TEXT("target", now->target),
 	    LOG_INT("number", now->number),
-	    LOG_TEXT("phase",
-		now->phase == ROLLOUT_MOVED ?
-		    "moved" :
-		    get_rollout_phase_name(now->phase)));
+	    LOG_TEXT("phase", now->phase == ROLLOUT_MOVED ?
+				  "moved" :
+				  get_rollout_phase_name(now->phase)));
 }
 
 /*
@@ -250,12 +249,12 @@
 	};
 	struct buf report = {0};
 
-	set_timer(n->reactor, t, get_reactor_now(n->reactor) + REPORT_INTERVAL_NS,
-	    run_report);
+	set_timer(n->reactor, t,
+	    get_reactor_now(n->reactor) + REPORT_INTERVAL_NS, run_report);
 	a.ages.ages_val = ages;
 	a.ages.ages_len = (unsigned int)fill_ages(n, ages, AGENT_ROLLOUTS_MAX);
-	a.counts.counts_val = calloc(
-	    WIRE_ROLLOUT_COUNTS_MAX, sizeof(struct wire_rollout_counts));
+	a.counts.counts_val =
+	    calloc(WIRE_ROLLOUT_COUNTS_MAX, sizeof(struct wire_rollout_counts));
 	if (a.counts.counts_val == NULL)
 		return;
 	a.counts.counts_len = (unsigned int)fill_counts(
--- a/packages/wire/gen/wire_xdr.h
+++ b/packages/wire/gen/wire_xdr.h
@@ -447,7 +447,7 @@
 #define GGS_ROLLOUTS 11
 extern  wire_rollouts_reply * ggs_rollouts_1(wire_rollouts_args , CLIENT *);
 extern  wire_rollouts_reply * ggs_rollouts_1_svc(wire_rollouts_args , struct svc_req *);
-#define GGS_ROLLOUT_REPORT 12
+#define GGS_ROLLOUT_REPORT 13
 extern  wire_rollouts_reply * ggs_rollout_report_1(wire_rollouts_args , CLIENT *);
 extern  wire_rollouts_reply * ggs_rollout_report_1_svc(wire_rollouts_args , struct svc_req *);
 extern int ggs_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
@@ -489,7 +489,7 @@
 #define GGS_ROLLOUTS 11
 extern  wire_rollouts_reply * ggs_rollouts_1();
 extern  wire_rollouts_reply * ggs_rollouts_1_svc();
-#define GGS_ROLLOUT_REPORT 12
+#define GGS_ROLLOUT_REPORT 13
 extern  wire_rollouts_reply * ggs_rollout_report_1();
 extern  wire_rollouts_reply * ggs_rollout_report_1_svc();
 extern int ggs_program_1_freeresult ();
--- a/packages/wire/wire.x
+++ b/packages/wire/wire.x
@@ -353,6 +353,6 @@
 		wire_packed GGS_WATCH_PACKED(wire_watch_args) = 10;
 		wire_rollouts_reply GGS_ROLLOUTS(wire_rollouts_args) = 11;
 		/* A node's report, passed on to the leader */
-		wire_rollouts_reply GGS_ROLLOUT_REPORT(wire_rollouts_args) = 12;
+		wire_rollouts_reply GGS_ROLLOUT_REPORT(wire_rollouts_args) = 13;
 	} = 1;
 } = 0x20474753;
