--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -100,6 +100,8 @@
 
 /* Time */
 struct clock_source get_real_clock(void);
+/* Its read_mono counts suspensions of the VM, unlike the real clock's. */
+struct clock_source get_boot_clock(void);
 struct clock_source get_paused_clock(struct paused_clock *pc);
 void advance_clock(struct paused_clock *pc, int64_t ns);
 int64_t read_mono(const struct clock_source *c); /* ns */
--- a/packages/base/clock.c
+++ b/packages/base/clock.c
@@ -7,6 +7,7 @@
 
 static int64_t read_system(clockid_t id);
 static int64_t read_real_mono(void *arg);
+static int64_t read_real_boot(void *arg);
 static int64_t read_real_wall(void *arg);
 static int64_t read_paused_mono(void *arg);
 static int64_t read_paused_wall(void *arg);
@@ -17,6 +18,12 @@
 	return (struct clock_source){read_real_mono, read_real_wall, NULL};
 }
 
+struct clock_source
+get_boot_clock(void)
+{
+	return (struct clock_source){read_real_boot, read_real_wall, NULL};
+}
+
 /*
  * Returns a source that reads pc, which must outlive it.
  */
@@ -67,6 +74,13 @@
 	return read_system(CLOCK_MONOTONIC);
 }
 
+static int64_t
+read_real_boot(void *arg)
+{
+	(void)arg;
+	return read_system(CLOCK_BOOTTIME);
+}
+
 static int64_t
 read_real_wall(void *arg)
 {
