--- a/packages/policy/allotment_ledger.c
+++ b/packages/policy/allotment_ledger.c
@@ -362,12 +362,13 @@
 static void
 expire_leases(struct ledger *l, struct account_state *a, int64_t now)
 {
-	struct lease *s;
+	struct lease *s, *next;
 
-	while ((s = a->oldest) != NULL && s->expires_at <= now) {
-		unlist_lease(s);
+	for (s = a->oldest; s != NULL && s->expires_at <= now; s = next) {
+		next = s->newer;
 		a->outstanding -= s->outstanding;
 		a->demand -= s->demand;
+		unlist_lease(s);
 		free_lease(l, s);
 	}
 	if (a->oldest == NULL) {
