control, agent: lease allotments to nodes

The leader of the control group keeps the ledger of accounts' rates in memory and answers asks of nodes by the new procedure 14; any other process names the leader. The agent sends one ask at a time and follows that name.

--- a/packages/agent/agent.c
+++ b/packages/agent/agent.c
@@ -47,6 +47,8 @@
 		return set_fault(f, ERR_MEMORY,
 		    "out of memory; give the process more memory");
 	pthread_mutex_init(&a->lock, NULL);
+	pthread_mutex_init(&a->ask_lock, NULL);
+	a->leader = -1;
 	pthread_condattr_init(&attr);
 	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
 	pthread_cond_init(&a->work_ready, &attr);
@@ -449,11 +451,13 @@
 		unload_buf(&o->body);
 		free(o);
 	}
+	free_agent_ask(a);
 	close_table_pins(a->table_pins);
 	close_set_store(a->sets);
 	pthread_cond_destroy(&a->work_ready);
 	pthread_cond_destroy(&a->stop_progress);
 	pthread_mutex_destroy(&a->lock);
+	pthread_mutex_destroy(&a->ask_lock);
 	free(a);
 }
 
@@ -542,6 +546,8 @@
 		next = o->next;
 		if (o->watch != NULL)
 			handle_watch_outcome(a, o, now);
+		else if (o->ask != NULL)
+			handle_ask_outcome(a, o, now);
 		else
 			handle_claim_outcome(a, o, now);
 		unload_buf(&o->body);
@@ -551,6 +557,7 @@
 		next_claim = c->next;
 		start_agent_claim(a, c, now);
 	}
+	start_agent_ask(a, now);
 }
 
 static void
@@ -570,7 +577,7 @@
 
 	pthread_mutex_lock(&a->lock);
 	while (a->outcomes == NULL && a->new_claims == NULL && !a->changed &&
-	       !a->woken && !a->stopping) {
+	       !a->ask_is_new && !a->woken && !a->stopping) {
 		if (pthread_cond_timedwait(&a->work_ready, &a->lock, &ts) != 0)
 			break;
 	}
--- a/packages/agent/agent.h
+++ b/packages/agent/agent.h
@@ -117,6 +117,24 @@
 int request_claim(
     struct agent *a, const struct claim_request *req, claim_fn fn, void *arg);
 
+/*
+ * The answer to an ask for allotments, on the agent's thread. reply is NULL
+ * unless status is 0.
+ */
+typedef void (*allotment_fn)(
+    void *arg, int status, const struct wire_allotment_reply *reply);
+
+/*
+ * Sends an ask to the leader of the control group, without blocking; the agent
+ * sets args->node. fn runs at most once, after timeout_ms at the latest, with 0
+ * or ERR_UNAVAILABLE. Returns ERR_LIMIT while another ask is under way, ERR_CLOSED,
+ * or the errors of encode_wire(), without running fn.
+ */
+int request_allotment(struct agent *a, const struct wire_allotment_args *args,
+    int timeout_ms, allotment_fn fn, void *arg);
+/* fn of an ask under way does not run after it returns. */
+void cancel_allotment(struct agent *a);
+
 /* Replaces the fleet keys; see rpc.h. ERR_INVALID for a bad key. */
 int set_agent_keys(struct agent *a, struct str key, struct str next_key);
 
--- a/packages/agent/agent_core.h
+++ b/packages/agent/agent_core.h
@@ -3,7 +3,7 @@
  * package.
  *
  * One thread owns the watch, the claims and the table; other threads reach it
- * through the members under lock. Lock order: agent, RPC, then metrics and
+ * through the members under lock. Lock order: ask, agent, RPC, then metrics and
  * events.
  */
 #ifndef AGENT_CORE_H
@@ -62,11 +62,23 @@
 	bool packed; /* the reply is a wire_packed */
 };
 
+/* An ask for allotments that is under way. */
+struct agent_ask {
+	struct agent *agent;
+	struct buf body;
+	int64_t deadline; /* mono ns */
+	int attempts; /* sent */
+	int control; /* slot that it was sent to */
+	allotment_fn fn; /* under ask_lock; NULL: cancelled */
+	void *arg;
+};
+
 /* The outcome of an RPC, queued for the agent's thread. */
 struct agent_outcome {
 	struct agent_outcome *next;
-	struct agent_watch *watch; /* NULL for a claim */
-	struct agent_claim *claim; /* NULL for a watch */
+	struct agent_watch *watch; /* of the three, the others are NULL */
+	struct agent_claim *claim;
+	struct agent_ask *ask;
 	int status; /* of struct rpc_result */
 	struct buf body;
 	int64_t received_at; /* monotonic ns; of a watch */
@@ -138,6 +150,9 @@
 	uint64_t confirmed_seq; /* endpoint record that this control has */
 	struct agent_claim *claims;
 	int64_t next_expiry; /* of interest, monotonic ns */
+	int leader; /* slot of the leader that answers asks; -1: unknown */
+
+	pthread_mutex_t ask_lock; /* taken first; held while fn runs */
 
 	pthread_mutex_t lock; /* protects the members below */
 	pthread_cond_t work_ready; /* wakes the agent's thread */
@@ -147,6 +162,8 @@
 	struct agent_claim *new_claims; /* not started yet */
 	struct agent_claim **new_claims_tail;
 	int claim_count; /* new and started ones */
+	struct agent_ask *ask; /* under way; NULL: none */
+	bool ask_is_new; /* not sent yet */
 	struct own_endpoint self;
 	bool changed; /* interest or own endpoint */
 	char new_controls[AGENT_CONTROL_MAX][RPC_ADDRESS_BYTES];
@@ -183,4 +200,9 @@
     struct agent *a, struct agent_outcome *o, int64_t now);
 void end_agent_claims(struct agent *a, int64_t now); /* reports the rest */
 
+/* agent_allotments.c: on the agent's thread */
+void start_agent_ask(struct agent *a, int64_t now); /* a new one, if any */
+void handle_ask_outcome(struct agent *a, struct agent_outcome *o, int64_t now);
+void free_agent_ask(struct agent *a); /* without running its function */
+
 #endif
--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -444,6 +444,9 @@
 	case GGS_GROUP:
 		handle_group(c, q, reply);
 		break;
+	case GGS_ALLOTMENT:
+		handle_allotment(c, q, reply);
+		break;
 	case GGS_JOIN:
 		handle_join(c, q, reply);
 		break;
@@ -464,6 +467,7 @@
 	unload_tokens(c->tokens);
 	clear_cache(&c->cache);
 	clear_nodes(&c->nodes);
+	close_ledger(c->allotments.ledger);
 	close_registry(c->registry);
 	close_state(c->state);
 	for (size_t i = 0; i < c->owned_string_count; i++)
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -5,6 +5,7 @@
 #ifndef CONTROL_H
 #define CONTROL_H
 
+#include "allotment_ledger.h"
 #include "base.h"
 #include "event.h"
 
@@ -77,6 +78,7 @@
 	struct event_log *events; /* may be NULL */
 	uint64_t seed; /* of jitter and election timeouts */
 	const struct rpc_fault_hooks *hooks; /* fault injection; tests only */
+	struct ledger_tolerance tolerance; /* beyond rates of accounts */
 	uint32_t snapshot_rate; /* full tables of 16 KB per second; 0: 1000 */
 };
 
--- a/packages/control/service.c
+++ b/packages/control/service.c
@@ -77,6 +77,7 @@
 		return;
 	c->last_tick_ns = now;
 	sync_peers(c, now);
+	run_allotments(c, now);
 	if (now - c->last_lease_ns < SERVICE_LEASE_TICK_NS)
 		return;
 	c->last_lease_ns = now;
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -11,6 +11,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
+#include "allotment_ledger.h"
 #include "control.h"
 #include "identity.h"
 #include "lag.h"
@@ -168,6 +169,15 @@
 	size_t set_count;
 };
 
+/* The leases of the accounts' rates to nodes. */
+struct allotments {
+	struct ledger *ledger; /* of the leader, if an account has a rate */
+	uint64_t term; /* of the group, in which it was opened */
+	uint64_t table_version; /* that has_rates is of */
+	bool has_rates; /* an account has a rate */
+	int64_t counted_ns; /* last count of the fleet's nodes; 0: none */
+};
+
 /* The ids of the metrics that control_metrics.c registers. */
 struct control_metrics {
 	metric_id version;
@@ -185,6 +195,9 @@
 	metric_id no_quorum;
 	metric_id claims;
 	metric_id resends;
+	metric_id allotment_asks;
+	metric_id allotment_tokens;
+	metric_id allotment_silent;
 	metric_id lag_us; /* histogram */
 	metric_id nodes_behind;
 	/* Gauges of the replica and its log, set on each scrape */
@@ -213,6 +226,7 @@
 	struct version_times version_times;
 	struct watch_cache cache;
 	struct token_bucket bucket;
+	struct allotments allotments;
 	struct pending_watch *pending_watches;
 	size_t pending_watch_count;
 	bool sets_due; /* serve_watches() sends changes of sets */
@@ -341,6 +355,11 @@
 void drop_watches(struct control *c); /* lock held; answers all */
 int64_t count_late_nodes(struct control *c, int64_t now); /* lock held */
 
+/* allotments.c */
+void run_allotments(struct control *c, int64_t now); /* lock held */
+void handle_allotment(
+    struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
+
 /* relay.c */
 void run_relay(struct control *c, int64_t now); /* lock held */
 bool start_confirmed_pull(struct control *c); /* lock held */
--- a/packages/proxy/tests/fake_agent.c
+++ b/packages/proxy/tests/fake_agent.c
@@ -58,6 +58,8 @@
 	struct fake_claim claims[FAKE_CLAIMS];
 	int claim_count;
 	uint64_t opens; /* claim open requests */
+	unsigned int calls_left; /* that asks for allotments get */
+	uint64_t asks;
 	enum fake_claim_mode mode;
 	bool release_delayed;
 	struct fake_answer *answers;
@@ -305,6 +307,63 @@
 	return append_buf_str(out, make_str("{\"fake\":true}"));
 }
 
+/*
+ * Grants up to the calls that a test has set with grant_fake_calls(), over all
+ * nodes of this agent.
+ */
+int
+request_allotment(struct agent *a, const struct wire_allotment_args *args,
+    int timeout_ms, allotment_fn fn, void *arg)
+{
+	wire_allotment_grant grants[WIRE_ALLOTMENTS_MAX] = {0};
+	struct wire_allotment_reply r = {.leader = "", .nodes = 2};
+	unsigned int left;
+
+	(void)timeout_ms;
+	pthread_mutex_lock(&a->lock);
+	left = a->calls_left;
+	r.grants.grants_len = args->asks.asks_len;
+	r.grants.grants_val = grants;
+	for (unsigned int i = 0; i < args->asks.asks_len; i++) {
+		unsigned int want = args->asks.asks_val[i].want;
+
+		grants[i].tokens = want < left ? want : left;
+		grants[i].room_ms = want > left ? 500 : 0;
+		left =
+		    left - grants[i].tokens + args->asks.asks_val[i].returned;
+	}
+	a->calls_left = left;
+	a->asks++;
+	pthread_mutex_unlock(&a->lock);
+	fn(arg, 0, &r);
+	return 0;
+}
+
+void
+cancel_allotment(struct agent *a)
+{
+	(void)a;
+}
+
+void
+grant_fake_calls(struct agent *a, unsigned int calls)
+{
+	pthread_mutex_lock(&a->lock);
+	a->calls_left = calls;
+	pthread_mutex_unlock(&a->lock);
+}
+
+uint64_t
+count_fake_asks(struct agent *a)
+{
+	uint64_t n;
+
+	pthread_mutex_lock(&a->lock);
+	n = a->asks;
+	pthread_mutex_unlock(&a->lock);
+	return n;
+}
+
 int
 request_claim(
     struct agent *a, const struct claim_request *req, claim_fn fn, void *arg)
--- a/packages/proxy/tests/fake_agent.h
+++ b/packages/proxy/tests/fake_agent.h
@@ -30,5 +30,7 @@
     struct agent *a); /* table references not yet released */
 int get_fake_state(struct agent *a); /* announced endpoint state; -1: none */
 uint64_t count_fake_opens(struct agent *a); /* claim open requests */
+void grant_fake_calls(struct agent *a, unsigned int calls);
+uint64_t count_fake_asks(struct agent *a); /* for allotments */
 
 #endif
--- a/packages/wire/gen/wire_xdr.c
+++ b/packages/wire/gen/wire_xdr.c
@@ -504,3 +504,114 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_wire_allotment_ask (XDR *xdrs, wire_allotment_ask *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_wire_name (xdrs, &objp->account))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->held))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->returned))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->want))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->demand_milli))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->held);
+			IXDR_PUT_U_LONG(buf, objp->returned);
+			IXDR_PUT_U_LONG(buf, objp->want);
+			IXDR_PUT_U_LONG(buf, objp->demand_milli);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_wire_name (xdrs, &objp->account))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->held))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->returned))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->want))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->demand_milli))
+				 return FALSE;
+		} else {
+			objp->held = IXDR_GET_U_LONG(buf);
+			objp->returned = IXDR_GET_U_LONG(buf);
+			objp->want = IXDR_GET_U_LONG(buf);
+			objp->demand_milli = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_wire_name (xdrs, &objp->account))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->held))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->returned))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->want))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->demand_milli))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_allotment_args (XDR *xdrs, wire_allotment_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->node))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->run))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->answered))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->asks.asks_val, (u_int *) &objp->asks.asks_len, WIRE_ALLOTMENTS_MAX,
+		sizeof (wire_allotment_ask), (xdrproc_t) xdr_wire_allotment_ask))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_allotment_grant (XDR *xdrs, wire_allotment_grant *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->tokens))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->room_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_allotment_reply (XDR *xdrs, wire_allotment_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_status (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->leader))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->nodes))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, WIRE_ALLOTMENTS_MAX,
+		sizeof (wire_allotment_grant), (xdrproc_t) xdr_wire_allotment_grant))
+		 return FALSE;
+	return TRUE;
+}
--- a/packages/wire/gen/wire_xdr.h
+++ b/packages/wire/gen/wire_xdr.h
@@ -343,6 +343,46 @@
 	bool_t answer_whole;
 };
 typedef struct wire_claim_reply wire_claim_reply;
+#define WIRE_ALLOTMENTS_MAX 512
+
+struct wire_allotment_ask {
+	wire_name account;
+	u_int held;
+	u_int returned;
+	u_int want;
+	u_int demand_milli;
+};
+typedef struct wire_allotment_ask wire_allotment_ask;
+
+struct wire_allotment_args {
+	wire_name node;
+	u_quad_t run;
+	u_quad_t seq;
+	u_quad_t answered;
+	bool_t leaving;
+	struct {
+		u_int asks_len;
+		wire_allotment_ask *asks_val;
+	} asks;
+};
+typedef struct wire_allotment_args wire_allotment_args;
+
+struct wire_allotment_grant {
+	u_int tokens;
+	u_int room_ms;
+};
+typedef struct wire_allotment_grant wire_allotment_grant;
+
+struct wire_allotment_reply {
+	wire_status status;
+	wire_name leader;
+	u_int nodes;
+	struct {
+		u_int grants_len;
+		wire_allotment_grant *grants_val;
+	} grants;
+};
+typedef struct wire_allotment_reply wire_allotment_reply;
 
 #define GGS_PROGRAM 0x20474753
 #define GGS_V1 1
@@ -381,6 +421,9 @@
 #define GGS_WATCH_PACKED 10
 extern  wire_packed * ggs_watch_packed_1(wire_watch_args , CLIENT *);
 extern  wire_packed * ggs_watch_packed_1_svc(wire_watch_args , struct svc_req *);
+#define GGS_ALLOTMENT 14
+extern  wire_allotment_reply * ggs_allotment_1(wire_allotment_args , CLIENT *);
+extern  wire_allotment_reply * ggs_allotment_1_svc(wire_allotment_args , struct svc_req *);
 extern int ggs_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -417,6 +460,9 @@
 #define GGS_WATCH_PACKED 10
 extern  wire_packed * ggs_watch_packed_1();
 extern  wire_packed * ggs_watch_packed_1_svc();
+#define GGS_ALLOTMENT 14
+extern  wire_allotment_reply * ggs_allotment_1();
+extern  wire_allotment_reply * ggs_allotment_1_svc();
 extern int ggs_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -452,6 +498,10 @@
 extern  bool_t xdr_wire_claim_state (XDR *, wire_claim_state*);
 extern  bool_t xdr_wire_claim_args (XDR *, wire_claim_args*);
 extern  bool_t xdr_wire_claim_reply (XDR *, wire_claim_reply*);
+extern  bool_t xdr_wire_allotment_ask (XDR *, wire_allotment_ask*);
+extern  bool_t xdr_wire_allotment_args (XDR *, wire_allotment_args*);
+extern  bool_t xdr_wire_allotment_grant (XDR *, wire_allotment_grant*);
+extern  bool_t xdr_wire_allotment_reply (XDR *, wire_allotment_reply*);
 
 #else /* K&R C */
 extern bool_t xdr_wire_name ();
@@ -483,6 +533,10 @@
 extern bool_t xdr_wire_claim_state ();
 extern bool_t xdr_wire_claim_args ();
 extern bool_t xdr_wire_claim_reply ();
+extern bool_t xdr_wire_allotment_ask ();
+extern bool_t xdr_wire_allotment_args ();
+extern bool_t xdr_wire_allotment_grant ();
+extern bool_t xdr_wire_allotment_reply ();
 
 #endif /* K&R C */
 
--- a/packages/wire/wire.x
+++ b/packages/wire/wire.x
@@ -281,6 +281,40 @@
 	bool answer_whole;
 };
 
+/* Allotments: leases of an account's tokens, see allotment_ledger.h */
+
+const WIRE_ALLOTMENTS_MAX = 512;   /* accounts in one message */
+
+struct wire_allotment_ask {
+	wire_name account;
+	unsigned int held;         /* unspent tokens that the node keeps */
+	unsigned int returned;     /* unspent tokens that it gives back */
+	unsigned int want;         /* further tokens */
+	unsigned int demand_milli; /* calls in 1,000 s at the node */
+};
+
+struct wire_allotment_args {
+	wire_name node;
+	unsigned hyper run;        /* start time of the node, ns */
+	unsigned hyper seq;        /* of the ask, in the run */
+	unsigned hyper answered;   /* last ask whose answer the node uses */
+	bool leaving;              /* the node asks no more */
+	wire_allotment_ask asks<WIRE_ALLOTMENTS_MAX>;
+};
+
+struct wire_allotment_grant {
+	unsigned int tokens;
+	unsigned int room_ms;      /* until there is room for more; 0: now */
+};
+
+struct wire_allotment_reply {
+	/* UNAVAILABLE: ask the leader; STALE: the ask was overtaken */
+	wire_status status;
+	wire_name leader;          /* its RPC address; "": unknown */
+	unsigned int nodes;        /* of the fleet */
+	wire_allotment_grant grants<WIRE_ALLOTMENTS_MAX>; /* as in asks */
+};
+
 program GGS_PROGRAM {
 	version GGS_V1 {
 		void GGS_PING(void) = 0;
@@ -295,5 +329,7 @@
 		wire_join_reply GGS_JOIN(wire_join_args) = 9;
 		/* GGS_WATCH whose reply is a packed wire_watch_reply */
 		wire_packed GGS_WATCH_PACKED(wire_watch_args) = 10;
+		/* 11 to 13 are reserved for roll-outs */
+		wire_allotment_reply GGS_ALLOTMENT(wire_allotment_args) = 14;
 	} = 1;
 } = 0x20474753;
