node: calls of accounts with a rate draw tokens

Until now a flood of one account took all servers: nothing bounded what an account sends over all nodes.

--- a/apps/greengagespurd/platform_role.c
+++ b/apps/greengagespurd/platform_role.c
@@ -163,6 +163,13 @@
 	    .allow_unauthenticated = true,
 	    .tcp_connect_ms = TCP_CONNECT_TIMEOUT_MS,
 	    .api = handle_platform_request,
+	    .tolerance =
+		{
+		    .window_ns =
+			(int64_t)(settings.allotment_window_s * NSEC_PER_SEC),
+		    .overshoot = settings.allotment_overshoot,
+		    .slack = settings.allotment_slack,
+		},
 	    .clock = get_real_clock(),
 	    .events = events,
 	    .seed = seed,
@@ -197,6 +204,7 @@
 	};
 	struct node_config n = {
 	    .clock = get_real_clock(),
+	    .boot_clock = get_boot_clock(),
 	    .events = events,
 	    .name = settings.name,
 	    .zone = settings.zone,
--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -237,7 +237,8 @@
 	       q->tried_count < REQUEST_TRIED_MAX &&
 	       q->arrivals + 1 < q->policy.attempts_max &&
 	       choose_peer(q, CHOICE_UNTRIED) != NULL &&
-	       spend_retry_token(q->node, q->service);
+	       spend_retry_token(q->node, q->service) &&
+	       draw_retry_allotment(q);
 }
 
 /*
@@ -550,8 +551,11 @@
 		why = "may-not-repeat";
 	else if (q->arrivals >= q->policy.attempts_max)
 		why = "attempts";
-	else if (spend_retry_token(q->node, q->service))
-		return true;
+	else if (spend_retry_token(q->node, q->service)) {
+		if (draw_retry_allotment(q))
+			return true;
+		why = "allotment";
+	}
 	add_trace(q, TRACE_NO_RETRY, why, q->arrivals, 0, 0);
 	return false;
 }
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -51,6 +51,7 @@
 		rc = set_fault(f, ERR_IO,
 		    "cannot open an event loop; raise the limit of descriptors");
 	if (rc == 0) {
+		open_allotments(n);
 		open_node_metrics(&n->metrics);
 		rc = open_backend(n);
 	}
@@ -166,6 +167,8 @@
 static void
 set_defaults(struct node_config *c)
 {
+	if (c->boot_clock.read_mono == NULL)
+		c->boot_clock = c->clock;
 	if (c->body_memory == 0)
 		c->body_memory = BODY_MEMORY_DEFAULT;
 	if (c->retry_ratio <= 0)
@@ -265,6 +268,7 @@
 	n->table = t;
 	set_metric(n->metrics.table_version, (int64_t)t->version);
 	refresh_admission(n);
+	refresh_allotments(n);
 }
 
 /*
@@ -281,6 +285,7 @@
 		free_jobs(n);
 		close_backend(n);
 		clear_services(n);
+		close_allotments(n);
 		clear_known_notices(n);
 		cancel_timer(n->reactor, &n->leave_timer);
 	}
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -70,6 +70,8 @@
 /* start_node() copies the strings. */
 struct node_config {
 	struct clock_source clock;
+	/* Counts suspensions, see get_boot_clock(); zeroed: clock */
+	struct clock_source boot_clock;
 	struct event_log *events; /* may be NULL */
 	/* Outlives the node; its on_change callback is refresh_node(). */
 	struct agent *agent;
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -71,6 +71,10 @@
 	"Bytes of answers that wait for earlier ones of their connection."),
     SPEC(rate_limit_milli, METRIC_GAUGE,
 	"Calls that the backend server accepts in 1,000 s; -1: no limit."),
+    SPEC(allotment_asks_total, METRIC_COUNTER,
+	"Asks to the leader for allotments of accounts."),
+    SPEC(allotment_lost_total, METRIC_COUNTER,
+	"Asks for allotments without an answer in time."),
     SPEC(log_dropped_lines, METRIC_GAUGE,
 	"Log lines that found no room since the start."),
 };
@@ -101,7 +105,7 @@
 	int64_t now = get_reactor_now(q->node->reactor);
 	char name[METRIC_NAME_BYTES];
 
-	if (status == 503)
+	if (status == 503 || q->reason == REFUSE_ALLOTMENT)
 		count_labelled("ggs_node_refusals_total", "reason",
 		    get_refuse_name(q->reason));
 	if (q->stats == NULL)
@@ -181,7 +185,7 @@
 {
 	if (status == 0)
 		return "left";
-	if (status == 503)
+	if (status == 503 || q->reason == REFUSE_ALLOTMENT)
 		return "refused";
 	if (q->may_have_run && status >= 500)
 		return "unknown";
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -7,6 +7,7 @@
 
 #include <pthread.h>
 
+#include "allotment_wallet.h"
 #include "hop.h"
 #include "metric.h"
 #include "node.h"
@@ -21,6 +22,7 @@
 #define REQUEST_BUSY_MAX 5 /* serving nodes found without a free slot */
 #define REQUEST_TRACE_MAX 24 /* trace events kept for a call */
 #define CALL_ID_BYTES 129 /* with NUL */
+#define NODE_ASKS_MAX 256 /* accounts in one ask for allotments */
 
 struct caller;
 struct request;
@@ -29,6 +31,7 @@
 struct peer_link;
 struct service;
 struct kind_stats;
+struct node_wallet; /* allotment.c */
 
 /* Handles a complete request that arrived on a listener. */
 typedef void (*request_fn)(struct node *n, struct request *q);
@@ -127,6 +130,12 @@
 	const struct peer *busy_peers[REQUEST_BUSY_MAX];
 	int busy_count;
 	int offers; /* to serving nodes, those that count for OFFERS_MAX */
+	/* Of an account with a rate */
+	struct node_wallet *wallet; /* that its token is of; NULL: none */
+	struct node_wallet *wanted; /* that it waits for a token of */
+	struct request *next_waiting;
+	int64_t wait_until; /* mono ns */
+	bool waits_for_token;
 	int arrivals; /* attempts that reached a backend server, or may have */
 	bool may_have_run; /* an attempt ended with an unknown outcome */
 	enum refuse_reason reason; /* of the last refusal */
@@ -297,6 +306,30 @@
 struct known_notice; /* notice_memory.c */
 struct inbound_link; /* inbound.c */
 
+/* Wallets of the accounts with a rate, and asks for their tokens. */
+struct node_allotments {
+	struct node_wallet *wallets;
+	struct wallet_ledger known;
+	uint64_t run; /* tells this run's asks from an earlier one's */
+	uint64_t seq, answered; /* of the last ask, of the last answered one */
+	bool asking; /* an ask is under way */
+	bool asking_to_leave;
+	bool leaving; /* the node is stopping */
+	int64_t asked_at; /* boot ns */
+	struct node_wallet *asked[NODE_ASKS_MAX]; /* by the ask under way */
+	size_t asked_count;
+	struct timer ask_timer;
+	struct request *waiting, **waiting_tail; /* by their time of arrival */
+	struct timer wait_timer;
+	struct task answer_task; /* posted by the agent */
+
+	pthread_mutex_t lock; /* protects the answer */
+	int answer_status;
+	size_t answer_nodes; /* of the fleet */
+	size_t answer_count;
+	struct ledger_grant answer[NODE_ASKS_MAX];
+};
+
 struct node_metrics {
 	metric_id calls_total, answers_total, refused_total, failed_total;
 	metric_id retries_total, cancelled_total, served_total, shed_total;
@@ -308,6 +341,7 @@
 	metric_id peers, peers_usable, peers_avoided, body_bytes;
 	metric_id pipelined_total, unread_closes_total, kept_bytes;
 	metric_id log_dropped_lines, rate_limit_milli;
+	metric_id allotment_asks_total, allotment_lost_total;
 };
 
 struct node {
@@ -338,6 +372,7 @@
 	struct peer *peers;
 	struct peer_link *links;
 	struct kind_stats *kinds;
+	struct node_allotments allotments;
 
 	struct admission *admission; /* NULL: no backend server */
 	struct timer admission_timer;
@@ -413,6 +448,16 @@
 void expire_request(struct timer *t);
 void end_stopped_request(struct request *q); /* the node is stopping */
 
+/* allotment.c */
+void open_allotments(struct node *n);
+void close_allotments(struct node *n);
+void refresh_allotments(struct node *n); /* a new table */
+bool admit_by_allotment(struct request *q); /* false: waits or was refused */
+bool draw_retry_allotment(struct request *q); /* for another server */
+void leave_allotment_queue(struct request *q);
+void return_allotment(struct request *q); /* the call ends */
+void leave_allotments(struct node *n); /* the node is stopping */
+
 /* services.c */
 void refresh_services(struct node *n);
 void clear_services(struct node *n);
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -61,7 +61,8 @@
 	    (int)((q->target_at - q->arrived) / NSEC_PER_MSEC));
 	add_retry_tokens(n, q->service);
 	set_timer(n->reactor, &q->timer, q->deadline, expire_request);
-	start_next_attempt(q);
+	if (admit_by_allotment(q))
+		start_next_attempt(q);
 }
 
 /*
@@ -92,6 +93,8 @@
 	count_metric(n->metrics.cancelled_total, 1);
 	if (!q->policy.repeatable && may_be_running(q))
 		return;
+	if (may_be_running(q))
+		q->may_have_run = true;
 	if (q->attempt.active)
 		cancel_request_attempt(q);
 	log_request(q, 0, "left");
@@ -100,7 +103,7 @@
 
 /*
  * Answers with an error status of the node itself and frees the request. 503
- * promises that the call has not run and never will; its Retry-After is
+ * and 429 promise that the call has not run and never will; their Retry-After is
  * retry_after ns, or RETRY_AFTER_UNREADY_NS when the table or the endpoints are
  * missing.
  */
@@ -111,16 +114,18 @@
 	struct buf head = {0};
 	int rc = 0;
 
+	leave_allotment_queue(q);
 	q->state = REQUEST_DONE;
 	q->reason = reason;
 	cancel_timer(q->node->reactor, &q->timer);
-	count_metric(status == 503 ? q->node->metrics.refused_total :
-				     q->node->metrics.failed_total,
+	count_metric(status == 503 || status == 429 ?
+			 q->node->metrics.refused_total :
+			 q->node->metrics.failed_total,
 	    1);
 	if (q->id[0] != '\0' && q->node->cfg.names.call_id != NULL)
 		rc = append_http_header(
 		    &head, q->node->cfg.names.call_id, make_str(q->id));
-	if (rc == 0 && status == 503)
+	if (rc == 0 && (status == 503 || status == 429))
 		rc = append_retry_after(&head,
 		    reason == REFUSE_NO_TABLE || reason == REFUSE_NO_ENDPOINT ?
 			RETRY_AFTER_UNREADY_NS :
--- a/packages/node/stop.c
+++ b/packages/node/stop.c
@@ -100,6 +100,7 @@
 	WRITE_EVENT(over ? LOG_LEVEL_WARNING : LOG_LEVEL_NOTICE, "node.drained",
 	    LOG_INT("after_ms", since / NSEC_PER_MSEC),
 	    LOG_INT("calls_left", calls_left), LOG_INT("runs_left", runs_left));
+	leave_allotments(n);
 	pthread_mutex_lock(&n->lock);
 	n->drained = true;
 	pthread_cond_signal(&n->drained_cond);
