--- a/packages/node/allotment.c
+++ b/packages/node/allotment.c
@@ -12,8 +12,11 @@
 #define ASK_TIMEOUT_MS 400
 #define ASK_AGAIN_NS (100 * NSEC_PER_MSEC) /* after an ask without an answer */
 #define ASK_GAP_NS (5 * NSEC_PER_MSEC) /* between two asks; gathers calls */
-/* An answer takes a few ms; a call refused later than this has lost much. */
-#define WAIT_NS (60 * NSEC_PER_MSEC)
+/*
+ * An answer takes a few ms, up to 80 ms where a VM has used up its share of the
+ * processor. A call refused later than this has lost much.
+ */
+#define WAIT_NS (150 * NSEC_PER_MSEC)
 #define RETRY_AFTER_NS (200 * NSEC_PER_MSEC) /* without an answer in time */
 
 /* The wallet of an account. */
