--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -81,6 +81,10 @@
 	"Long answers sent to other nodes in pieces."),
     SPEC(long_answer_bytes, METRIC_GAUGE,
 	"Bytes of long answers that wait for the link."),
+    SPEC(allotment_asks_total, METRIC_COUNTER,
+	"Asks to the leader for allotments of accounts."),
+    SPEC(allotment_lost_total, METRIC_COUNTER,
+	"Asks for allotments without an answer in time."),
     SPEC(log_dropped_lines, METRIC_GAUGE,
 	"Log lines that found no room since the start."),
 };
@@ -111,7 +115,7 @@
 	int64_t now = get_reactor_now(q->node->reactor);
 	char name[METRIC_NAME_BYTES];
 
-	if (status == 503)
+	if (status == 503 || q->reason == REFUSE_ALLOTMENT)
 		count_labelled("ggs_node_refusals_total", "reason",
 		    get_refuse_name(q->reason));
 	if (q->stats == NULL)
@@ -192,7 +196,7 @@
 {
 	if (status == 0)
 		return "left";
-	if (status == 503)
+	if (status == 503 || q->reason == REFUSE_ALLOTMENT)
 		return "refused";
 	if (q->may_have_run && status >= 500)
 		return "unknown";
--- a/packages/rpc/rpc_procs.c
+++ b/packages/rpc/rpc_procs.c
@@ -29,6 +29,7 @@
     [GGS_ROLLOUTS] = {"rollouts", NODE_MESSAGE_MAX, NODE_MESSAGE_MAX},
     [GGS_ROLLOUT_REPORT] = {"rollout-report", NODE_MESSAGE_MAX,
 	NODE_MESSAGE_MAX},
+    [GGS_ALLOTMENT] = {"allotment", NODE_MESSAGE_MAX, NODE_MESSAGE_MAX},
     [GGS_GROUP] = {"group", SMALL_MESSAGE_MAX, SMALL_MESSAGE_MAX},
 };
 
