node: the old version accepts calls for 0.3 s after the move; tests and design note

Entry nodes learn of the move some ms after serving nodes may have; their calls were refused by all old servers at once.

--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -276,7 +276,8 @@
 		uint64_t number; /* of the order; 0: none */
 		char target[NODE_VERSION_BYTES];
 		enum rollout_phase phase;
-		int64_t learned_at; /* mono ns */
+		int64_t learned_at; /* mono ns; of the order */
+		int64_t phase_at; /* mono ns; of the phase */
 		double credit; /* calls that may go to the target version */
 		struct row_counts *rows; /* what was seen since then */
 	} rollout;
--- a/packages/node/rollouts.c
+++ b/packages/node/rollouts.c
@@ -14,6 +14,11 @@
  * unnoticed: several reports in a row were lost.
  */
 #define TOUCH_NS (1500 * NSEC_PER_MSEC)
+/*
+ * The old version still accepts calls for this long after all have moved, from
+ * entry nodes that learn of it a little later.
+ */
+#define CLOSE_NS (300 * NSEC_PER_MSEC)
 /*
  * Servers that have just started are slow for some seconds, which is no fault.
  * A slow version must still be found within the time to end the calls to it.
@@ -29,6 +34,7 @@
     struct node *n, struct wire_rollout_counts *out, size_t max);
 static void fill_count(const struct service *s, const struct row_counts *r,
     bool target, struct wire_rollout_counts *out);
+static bool is_close_pending(struct node *n);
 static bool is_running(const struct service *s);
 static bool is_target(const struct service *s, const char *version);
 static struct row_counts *get_row_counts(struct service *s, const char *kind);
@@ -92,7 +98,9 @@
 	if (s == NULL || s->rollout.number == 0)
 		return false;
 	if (s->rollout.phase == ROLLOUT_MOVED)
-		return !is_target(s, version);
+		return !is_target(s, version) &&
+		       get_reactor_now(n->reactor) - s->rollout.phase_at >=
+			   CLOSE_NS;
 	return s->rollout.phase == ROLLOUT_ROLLED_BACK && is_target(s, version);
 }
 
@@ -217,6 +225,7 @@
 		    now->target, sizeof(now->target), make_str(r->target));
 	}
 	now->phase = (enum rollout_phase)r->phase;
+	now->phase_at = get_reactor_now(n->reactor);
 	WRITE_EVENT(LOG_LEVEL_INFO, "rollout.applied",
 	    LOG_TEXT("service", s->name), LOG_TEXT("target", now->target),
 	    LOG_INT("number", now->number),
@@ -240,7 +249,7 @@
 	    .node = (char *)(uintptr_t)n->cfg.name,
 	    .incarnation = n->rollout_run,
 	    .seq = ++n->rollout_seq,
-	    .held = n->rollout_change,
+	    .held = is_close_pending(n) ? 0 : n->rollout_change,
 	    .service = n->cfg.service != NULL ?
 			   (char *)(uintptr_t)n->cfg.service :
 			   empty,
@@ -326,6 +335,21 @@
 	out->latency.latency_len = ROLLOUT_BUCKETS;
 }
 
+/*
+ * Calls have moved, but this node's server of the old version still accepts
+ * some: the leader must not take it for idle.
+ */
+static bool
+is_close_pending(struct node *n)
+{
+	const struct service *s = n->cfg.service != NULL ?
+				      find_node_service(n, n->cfg.service) :
+				      NULL;
+
+	return s != NULL && s->rollout.phase == ROLLOUT_MOVED &&
+	       !is_target(s, get_backend_version(n)) && !is_server_closed(n);
+}
+
 static bool
 is_running(const struct service *s)
 {
--- a/packages/node/services.c
+++ b/packages/node/services.c
@@ -294,7 +294,7 @@
 static void
 update_peer_version(struct node *n, struct peer *p, const char *instance)
 {
-	const char *space = strchr(instance, ' ');
+	const char *space = instance != NULL ? strchr(instance, ' ') : NULL;
 	const char *version = space != NULL ? space + 1 : "";
 
 	if (p->version_at != 0 && strcmp(p->version, version) == 0)
--- a/packages/node/tests/node_fixture.c
+++ b/packages/node/tests/node_fixture.c
@@ -28,6 +28,7 @@
 
 static sem_t held, released; /* by a report of HOLD_INSTANCE */
 
+static void open_nodes(struct fixture *r, int nodes);
 static int read_report(const struct http_head *head, struct str body,
     struct backend_report *out, struct fault *f);
 static bool is_readiness_check(const struct http_head *head);
@@ -48,14 +49,29 @@
 void
 open_fixture_with_stop(struct fixture *r, int nodes, int64_t stop_ns)
 {
-	unsigned int net = (unsigned int)getpid();
+	memset(r, 0, sizeof(*r));
+	r->stop_ns = stop_ns;
+	open_nodes(r, nodes);
+}
 
+void
+open_fixture_with_trial(struct fixture *r, int nodes, double share)
+{
 	memset(r, 0, sizeof(*r));
+	r->stop_ns = 3 * NSEC_PER_SEC;
+	r->trial_share = share;
+	open_nodes(r, nodes);
+}
+
+static void
+open_nodes(struct fixture *r, int nodes)
+{
+	unsigned int net = (unsigned int)getpid();
+
 	sem_init(&held, 0, 0);
 	sem_init(&released, 0, 0);
 	r->agent = open_fake_agent();
 	r->count = nodes;
-	r->stop_ns = stop_ns;
 	set_fixture_table(r, 1, "");
 	clear_fake_endpoints(r->agent, "svc");
 	clear_fake_endpoints(r->agent, "other");
@@ -118,6 +134,7 @@
 	    .drain_ns = 200 * NSEC_PER_MSEC,
 	    .leave_ns = 300 * NSEC_PER_MSEC,
 	    .stop_ns = r->stop_ns,
+	    .trial_share = r->trial_share,
 	    .names = {.call_id = "Call-Id",
 		.deadline_ms = "Deadline-Ms",
 		.expect_instance = "Expect",
@@ -360,6 +377,10 @@
 		sem_wait(&released);
 		return set_fault(f, ERR_INVALID, "held");
 	}
+	/* An instance such as "i-1.v2" has a version. */
+	if (strchr(out->id, '.') != NULL)
+		(void)copy_str(out->version, sizeof(out->version),
+		    make_str(strchr(out->id, '.') + 1));
 	out->slots = 4;
 	out->seq = seq;
 	out->start_ms = start_ms;
--- a/packages/proxy/tests/fake_agent.c
+++ b/packages/proxy/tests/fake_agent.c
@@ -39,6 +39,7 @@
 	struct endpoint_set set;
 	struct wire_endpoint endpoints[FAKE_ENDPOINTS];
 	char ids[FAKE_ENDPOINTS][WIRE_NAME_MAX + 1];
+	char instances[FAKE_ENDPOINTS][WIRE_NAME_MAX + 1];
 	char addresses[FAKE_ENDPOINTS][WIRE_NAME_MAX + 1];
 	struct fake_set *older; /* kept, because readers may reference it */
 };
@@ -62,6 +63,8 @@
 	bool release_delayed;
 	struct fake_answer *answers;
 	int state; /* announced endpoint state; -1: none */
+	struct rollout_view rollouts;
+	struct buf report; /* the last one of any node */
 };
 
 static void *answer_claims(void *arg);
@@ -104,6 +107,7 @@
 			free(s);
 		}
 	}
+	unload_buf(&a->report);
 	free(a);
 }
 
@@ -165,6 +169,86 @@
 	pthread_mutex_unlock(&a->lock);
 }
 
+void
+set_fake_instance(
+    struct agent *a, const char *service, const char *id, const char *instance)
+{
+	struct fake_set *s;
+
+	pthread_mutex_lock(&a->lock);
+	replace_set(a, find_set(a, service), service, &s);
+	for (size_t i = 0; i < s->set.count; i++) {
+		if (strcmp(s->ids[i], id) != 0)
+			continue;
+		snprintf(
+		    s->instances[i], sizeof(s->instances[i]), "%s", instance);
+		s->endpoints[i].instance = s->instances[i];
+	}
+	pthread_mutex_unlock(&a->lock);
+}
+
+void
+set_fake_rollout(struct agent *a, const char *service, const char *target,
+    uint64_t number, int phase)
+{
+	struct agent_rollout *r = &a->rollouts.items[0];
+
+	pthread_mutex_lock(&a->lock);
+	snprintf(r->service, sizeof(r->service), "%s", service);
+	snprintf(r->target, sizeof(r->target), "%s", target);
+	r->number = number;
+	r->phase = phase;
+	a->rollouts.count = number != 0;
+	a->rollouts.change++;
+	pthread_mutex_unlock(&a->lock);
+}
+
+void
+set_fake_contact(struct agent *a, int64_t contact)
+{
+	pthread_mutex_lock(&a->lock);
+	a->rollouts.received_at = contact;
+	pthread_mutex_unlock(&a->lock);
+}
+
+void
+take_fake_report(struct agent *a, struct buf *out)
+{
+	pthread_mutex_lock(&a->lock);
+	*out = a->report;
+	a->report = (struct buf){0};
+	pthread_mutex_unlock(&a->lock);
+}
+
+void
+get_agent_rollouts(struct agent *a, struct rollout_view *out)
+{
+	pthread_mutex_lock(&a->lock);
+	*out = a->rollouts;
+	pthread_mutex_unlock(&a->lock);
+}
+
+int64_t
+get_rollout_contact(struct agent *a)
+{
+	int64_t at;
+
+	pthread_mutex_lock(&a->lock);
+	at = a->rollouts.received_at;
+	pthread_mutex_unlock(&a->lock);
+	return at;
+}
+
+void
+report_rollouts(struct agent *a, struct buf *report)
+{
+	pthread_mutex_lock(&a->lock);
+	unload_buf(&a->report);
+	a->report = *report;
+	pthread_mutex_unlock(&a->lock);
+	*report = (struct buf){0};
+}
+
 void
 set_fake_claims(struct agent *a, enum fake_claim_mode mode)
 {
@@ -476,11 +560,14 @@
 	if (old != NULL) {
 		memcpy(s->ids, old->ids, sizeof(s->ids));
 		memcpy(s->addresses, old->addresses, sizeof(s->addresses));
+		memcpy(s->instances, old->instances, sizeof(s->instances));
 		memcpy(s->endpoints, old->endpoints, sizeof(s->endpoints));
 		s->set.count = old->set.count;
 		for (i = 0; i < FAKE_ENDPOINTS; i++) {
 			s->endpoints[i].id = s->ids[i];
 			s->endpoints[i].address = s->addresses[i];
+			if (s->endpoints[i].instance != NULL)
+				s->endpoints[i].instance = s->instances[i];
 			s->endpoints[i].service = s->set.service;
 		}
 	}
--- a/packages/proxy/tests/fake_agent.h
+++ b/packages/proxy/tests/fake_agent.h
@@ -29,6 +29,14 @@
 int count_fake_table_refs(
     struct agent *a); /* table references not yet released */
 int get_fake_state(struct agent *a); /* announced endpoint state; -1: none */
+/* The endpoint's instance, with its version after a space. */
+void set_fake_instance(
+    struct agent *a, const char *service, const char *id, const char *instance);
+/* The only roll-out; number 0: none. contact: mono ns of the last answer. */
+void set_fake_rollout(struct agent *a, const char *service, const char *target,
+    uint64_t number, int phase);
+void set_fake_contact(struct agent *a, int64_t contact);
+void take_fake_report(struct agent *a, struct buf *out); /* the last one */
 uint64_t count_fake_opens(struct agent *a); /* claim open requests */
 
 #endif
