node, agent: callers that leave count for latency; new versions ask for the list

A version whose answers come after their callers have left was not compared. A node polls every 5 s instead of 2 s without a roll-out and asks at once when a server with another version comes up. After completed, servers that are listed later are used whatever their version, so that later replacements are not left out.

--- a/packages/agent/agent_rollouts.c
+++ b/packages/agent/agent_rollouts.c
@@ -9,8 +9,8 @@
 
 #include "agent_core.h"
 
-#define POLL_WAIT_MS 2000
-#define POLL_TIMEOUT_MS 3500
+#define POLL_WAIT_MS 5000
+#define POLL_TIMEOUT_MS 6500
 #define REPORT_TIMEOUT_MS 1000
 #define RETRY_NS (200 * NSEC_PER_MSEC) /* after a poll without an answer */
 
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -457,6 +457,7 @@
 /* rollouts.c */
 void apply_rollouts(struct node *n); /* the agent's list, after services */
 void clear_rollout(struct service *s);
+void confirm_rollouts(struct node *n); /* a server with a new version */
 /* The node's server has a version that gets no calls (any more). */
 bool is_server_closed(struct node *n);
 /* Sets the version that the call's next attempt may use. */
@@ -467,6 +468,8 @@
 void count_version_offer(struct request *q, const struct peer *p);
 /* Of the current attempt. service_ns: 0 without an answer */
 void record_version_answer(struct request *q, bool failed, int64_t service_ns);
+/* The caller left while the attempt may run. */
+void record_version_leave(struct request *q);
 
 /* links.c */
 int offer_remote(struct request *q, struct peer *p);
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -92,6 +92,8 @@
 	count_metric(n->metrics.cancelled_total, 1);
 	if (!q->policy.repeatable && may_be_running(q))
 		return;
+	if (may_be_running(q))
+		record_version_leave(q);
 	if (q->attempt.active)
 		cancel_request_attempt(q);
 	log_request(q, 0, "left");
--- a/packages/node/rollouts.c
+++ b/packages/node/rollouts.c
@@ -63,8 +63,6 @@
 		    get_reactor_now(n->reactor), run_report);
 	n->rollout_change = v.change;
 	n->rollout_reports = runs;
-	if (!runs)
-		cancel_timer(n->reactor, &n->rollout_timer);
 }
 
 /*
@@ -104,6 +102,16 @@
 	return s->rollout.phase == ROLLOUT_ROLLED_BACK && is_target(s, version);
 }
 
+/*
+ * Asks for the list, as a version came up that the last one may not know.
+ */
+void
+confirm_rollouts(struct node *n)
+{
+	set_timer(n->reactor, &n->rollout_timer, get_reactor_now(n->reactor),
+	    run_report);
+}
+
 void
 choose_call_version(struct request *q)
 {
@@ -157,8 +165,11 @@
 	case ROLLOUT_OLD:
 		return !is_target(s, p->version);
 	case ROLLOUT_NEW:
-	case ROLLOUT_PREFER_NEW:
 		return is_target(s, p->version);
+	case ROLLOUT_PREFER_NEW:
+		/* Later servers of any version are no longer the old ones. */
+		return is_target(s, p->version) ||
+		       p->version_at > s->rollout.phase_at;
 	}
 	return false;
 }
@@ -205,6 +216,18 @@
 		count_metric(q->node->metrics.rollout_failed_total, 1);
 }
 
+/*
+ * The answer would have taken at least as long as the caller has waited. A
+ * version whose answers come after their callers have left would otherwise
+ * leave no trace.
+ */
+void
+record_version_leave(struct request *q)
+{
+	record_version_answer(q, false,
+	    get_reactor_now(q->node->reactor) - q->attempt.started_at);
+}
+
 /*
  * Puts a phase in force. An order that is new to the node begins without
  * evidence.
@@ -258,8 +281,10 @@
 	};
 	struct buf report = {0};
 
-	set_timer(n->reactor, t,
-	    get_reactor_now(n->reactor) + REPORT_INTERVAL_NS, run_report);
+	if (n->rollout_reports)
+		set_timer(n->reactor, t,
+		    get_reactor_now(n->reactor) + REPORT_INTERVAL_NS,
+		    run_report);
 	a.ages.ages_val = ages;
 	a.ages.ages_len = (unsigned int)fill_ages(n, ages, AGENT_ROLLOUTS_MAX);
 	a.counts.counts_val =
--- a/packages/node/services.c
+++ b/packages/node/services.c
@@ -301,6 +301,7 @@
 		return;
 	(void)copy_str(p->version, sizeof(p->version), make_str(version));
 	p->version_at = get_reactor_now(n->reactor);
+	confirm_rollouts(n);
 }
 
 static struct peer *
