--- a/packages/node/tests/node_fixture.c
+++ b/packages/node/tests/node_fixture.c
@@ -28,10 +28,10 @@
 
 static sem_t held, released; /* by a report of HOLD_INSTANCE */
 
-static void open_nodes(struct fixture *r, int nodes);
 static int read_report(const struct http_head *head, struct str body,
     struct backend_report *out, struct fault *f);
 static bool is_readiness_check(const struct http_head *head);
+static void start_fixture(struct fixture *r, int nodes);
 static void wait_ready(struct fixture *r, int i);
 static bool is_reply_complete(const struct test_reply *r, size_t head);
 static void send_all(int fd, const void *data, size_t len);
@@ -51,7 +51,7 @@
 {
 	memset(r, 0, sizeof(*r));
 	r->stop_ns = stop_ns;
-	open_nodes(r, nodes);
+	start_fixture(r, nodes);
 }
 
 void
@@ -60,11 +60,20 @@
 	memset(r, 0, sizeof(*r));
 	r->stop_ns = 3 * NSEC_PER_SEC;
 	r->trial_share = share;
-	open_nodes(r, nodes);
+	start_fixture(r, nodes);
+}
+
+void
+open_fixture_with_link(struct fixture *r, int nodes, int64_t link_rate)
+{
+	memset(r, 0, sizeof(*r));
+	r->stop_ns = 3 * NSEC_PER_SEC;
+	r->link_rate = link_rate;
+	start_fixture(r, nodes);
 }
 
 static void
-open_nodes(struct fixture *r, int nodes)
+start_fixture(struct fixture *r, int nodes)
 {
 	unsigned int net = (unsigned int)getpid();
 
@@ -135,6 +144,7 @@
 	    .leave_ns = 300 * NSEC_PER_MSEC,
 	    .stop_ns = r->stop_ns,
 	    .trial_share = r->trial_share,
+	    .link_rate = r->link_rate,
 	    .names = {.call_id = "Call-Id",
 		.deadline_ms = "Deadline-Ms",
 		.expect_instance = "Expect",
