--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -289,7 +289,8 @@
 		uint64_t number; /* of the order; 0: none */
 		char target[NODE_VERSION_BYTES];
 		enum rollout_phase phase;
-		int64_t learned_at; /* mono ns */
+		int64_t learned_at; /* mono ns; of the order */
+		int64_t phase_at; /* mono ns; of the phase */
 		double credit; /* calls that may go to the target version */
 		struct row_counts *rows; /* what was seen since then */
 	} rollout;
@@ -522,6 +523,7 @@
 /* rollouts.c */
 void apply_rollouts(struct node *n); /* the agent's list, after services */
 void clear_rollout(struct service *s);
+void confirm_rollouts(struct node *n); /* a server with a new version */
 /* The node's server has a version that gets no calls (any more). */
 bool is_server_closed(struct node *n);
 /* Sets the version that the call's next attempt may use. */
@@ -532,6 +534,8 @@
 void count_version_offer(struct request *q, const struct peer *p);
 /* Of the current attempt. service_ns: 0 without an answer */
 void record_version_answer(struct request *q, bool failed, int64_t service_ns);
+/* The caller left while the attempt may run. */
+void record_version_leave(struct request *q);
 
 /* links.c */
 int offer_remote(struct request *q, struct peer *p);
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -114,6 +114,7 @@
 		return;
 	if (may_be_running(q))
 		q->may_have_run = true;
+		record_version_leave(q);
 	if (q->attempt.active)
 		cancel_request_attempt(q);
 	log_request(q, 0, "left");
--- a/packages/node/rollouts.c
+++ b/packages/node/rollouts.c
@@ -14,6 +14,11 @@
  * unnoticed: several reports in a row were lost.
  */
 #define TOUCH_NS (1500 * NSEC_PER_MSEC)
+/*
+ * The old version still accepts calls for this long after all have moved, from
+ * entry nodes that learn of it a little later.
+ */
+#define CLOSE_NS (300 * NSEC_PER_MSEC)
 /*
  * Servers that have just started are slow for some seconds, which is no fault.
  * A slow version must still be found within the time to end the calls to it.
@@ -29,6 +34,7 @@
     struct node *n, struct wire_rollout_counts *out, size_t max);
 static void fill_count(const struct service *s, const struct row_counts *r,
     bool target, struct wire_rollout_counts *out);
+static bool is_close_pending(struct node *n);
 static bool is_running(const struct service *s);
 static bool is_target(const struct service *s, const char *version);
 static struct row_counts *get_row_counts(struct service *s, const char *kind);
@@ -57,8 +63,6 @@
 		    get_reactor_now(n->reactor), run_report);
 	n->rollout_change = v.change;
 	n->rollout_reports = runs;
-	if (!runs)
-		cancel_timer(n->reactor, &n->rollout_timer);
 }
 
 /*
@@ -92,10 +96,22 @@
 	if (s == NULL || s->rollout.number == 0)
 		return false;
 	if (s->rollout.phase == ROLLOUT_MOVED)
-		return !is_target(s, version);
+		return !is_target(s, version) &&
+		       get_reactor_now(n->reactor) - s->rollout.phase_at >=
+			   CLOSE_NS;
 	return s->rollout.phase == ROLLOUT_ROLLED_BACK && is_target(s, version);
 }
 
+/*
+ * Asks for the list, as a version came up that the last one may not know.
+ */
+void
+confirm_rollouts(struct node *n)
+{
+	set_timer(n->reactor, &n->rollout_timer, get_reactor_now(n->reactor),
+	    run_report);
+}
+
 void
 choose_call_version(struct request *q)
 {
@@ -149,8 +165,11 @@
 	case ROLLOUT_OLD:
 		return !is_target(s, p->version);
 	case ROLLOUT_NEW:
-	case ROLLOUT_PREFER_NEW:
 		return is_target(s, p->version);
+	case ROLLOUT_PREFER_NEW:
+		/* Later servers of any version are no longer the old ones. */
+		return is_target(s, p->version) ||
+		       p->version_at > s->rollout.phase_at;
 	}
 	return false;
 }
@@ -197,6 +216,18 @@
 		count_metric(q->node->metrics.rollout_failed_total, 1);
 }
 
+/*
+ * The answer would have taken at least as long as the caller has waited. A
+ * version whose answers come after their callers have left would otherwise
+ * leave no trace.
+ */
+void
+record_version_leave(struct request *q)
+{
+	record_version_answer(q, false,
+	    get_reactor_now(q->node->reactor) - q->attempt.started_at);
+}
+
 /*
  * Puts a phase in force. An order that is new to the node begins without
  * evidence.
@@ -217,6 +248,7 @@
 		    now->target, sizeof(now->target), make_str(r->target));
 	}
 	now->phase = (enum rollout_phase)r->phase;
+	now->phase_at = get_reactor_now(n->reactor);
 	WRITE_EVENT(LOG_LEVEL_INFO, "rollout.applied",
 	    LOG_TEXT("service", s->name), LOG_TEXT("target", now->target),
 	    LOG_INT("number", now->number),
@@ -240,7 +272,7 @@
 	    .node = (char *)(uintptr_t)n->cfg.name,
 	    .incarnation = n->rollout_run,
 	    .seq = ++n->rollout_seq,
-	    .held = n->rollout_change,
+	    .held = is_close_pending(n) ? 0 : n->rollout_change,
 	    .service = n->cfg.service != NULL ?
 			   (char *)(uintptr_t)n->cfg.service :
 			   empty,
@@ -249,8 +281,10 @@
 	};
 	struct buf report = {0};
 
-	set_timer(n->reactor, t,
-	    get_reactor_now(n->reactor) + REPORT_INTERVAL_NS, run_report);
+	if (n->rollout_reports)
+		set_timer(n->reactor, t,
+		    get_reactor_now(n->reactor) + REPORT_INTERVAL_NS,
+		    run_report);
 	a.ages.ages_val = ages;
 	a.ages.ages_len = (unsigned int)fill_ages(n, ages, AGENT_ROLLOUTS_MAX);
 	a.counts.counts_val =
@@ -326,6 +360,21 @@
 	out->latency.latency_len = ROLLOUT_BUCKETS;
 }
 
+/*
+ * Calls have moved, but this node's server of the old version still accepts
+ * some: the leader must not take it for idle.
+ */
+static bool
+is_close_pending(struct node *n)
+{
+	const struct service *s = n->cfg.service != NULL ?
+				      find_node_service(n, n->cfg.service) :
+				      NULL;
+
+	return s != NULL && s->rollout.phase == ROLLOUT_MOVED &&
+	       !is_target(s, get_backend_version(n)) && !is_server_closed(n);
+}
+
 static bool
 is_running(const struct service *s)
 {
