policy, node: hedged sends of calls that may repeat

Callers waited for the slowest answers while servers had room: a slow server, or one of the few calls that take many times as long, held the call until its deadline.

A call that took a free slot at once and is still unanswered is sent to a second node, at a delay taken from the recent answers of its row: the quantile that the share leaves, or the last moment that serves the target. The first good answer goes to the caller, the other send is cancelled; a failed answer waits for the other send.

Evidence: tables of test_hedge (pure) and test_hedges (three nodes on loopback) pass; without a share no hedge is planned.

--- a/apps/greengagespurd/platform_role.c
+++ b/apps/greengagespurd/platform_role.c
@@ -210,6 +210,7 @@
 	    .link_rate = settings.link_rate,
 	    .retry_ratio = settings.retry_ratio,
 	    .retry_slack = (int)settings.retry_slack,
+	    .hedge_share = settings.hedge_share,
 	    .retry_window_ns =
 		(int64_t)(settings.retry_window_s * NSEC_PER_SEC),
 	    .drain_ns = (int64_t)(settings.drain_s * NSEC_PER_SEC),
--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -70,20 +70,36 @@
 	while (q->offers < OFFERS_MAX && q->tried_count < REQUEST_TRIED_MAX) {
 		bool immediate = false;
 		struct peer *p = choose_next_peer(q, &immediate);
-		int rc;
 
 		if (p == NULL)
 			break;
-		begin_attempt(q, p, immediate);
-		rc = p->local ? offer_local(q) : offer_remote(q, p);
-		if (rc == 0)
+		q->offers++;
+		q->tried[q->tried_count++] = p;
+		if (offer_attempt(q, p, immediate) == 0) {
+			plan_request_hedge(q);
 			return;
-		q->attempt.active = false;
-		add_trace(q, TRACE_FAILED, p->id, ATTEMPT_NOT_CONNECTED, 1, 0);
+		}
 	}
 	end_request(q);
 }
 
+/*
+ * Offers the call to a serving node. Returns ERR_UNAVAILABLE or ERR_MEMORY.
+ */
+int
+offer_attempt(struct request *q, struct peer *p, bool immediate)
+{
+	int rc;
+
+	begin_attempt(q, p, immediate);
+	rc = p->local ? offer_local(q) : offer_remote(q, p);
+	if (rc == 0)
+		return 0;
+	q->attempt.active = false;
+	add_trace(q, TRACE_FAILED, p->id, ATTEMPT_NOT_CONNECTED, 1, 0);
+	return rc;
+}
+
 /*
  * Says whether the call may be running at a backend server.
  */
@@ -129,6 +145,11 @@
 	add_trace(q, TRACE_REFUSED, q->attempt.peer->id, (int)reason,
 	    (int)(retry_after / NSEC_PER_MSEC), arrived);
 	close_attempt(q);
+	if (q->primary != NULL) {
+		handle_hedge_end(q, arrived, false);
+		return;
+	}
+	cancel_timer(q->node->reactor, &q->hedge_timer);
 	if (reason == REFUSE_BUSY) {
 		/* An immediate offer does not count as a try. */
 		q->offers--;
@@ -151,6 +172,10 @@
 		free_request(q);
 		return;
 	}
+	if (q->hedge != NULL) {
+		q->arrivals += arrived ? 1 : 0;
+		return; /* the hedge goes on alone */
+	}
 	if (arrived) {
 		q->arrivals++;
 		if (q->arrivals >= q->policy.attempts_max ||
@@ -177,14 +202,24 @@
 	add_trace(q, TRACE_ANSWERED, q->attempt.peer->id, a->status,
 	    (int)(a->service_ns / NSEC_PER_USEC), 0);
 	close_attempt(q);
-	q->arrivals++;
-	if (a->status < 500)
+	if (a->status < 500) {
 		update_service_time(q->stats, a->service_ns);
+		add_answer_time(&q->stats->answer_times,
+		    get_reactor_now(q->node->reactor) - q->attempt.started_at);
+	}
+	if (q->primary != NULL) {
+		handle_hedge_answer(q, a);
+		return;
+	}
+	cancel_timer(q->node->reactor, &q->hedge_timer);
+	q->arrivals++;
 	if (!has_caller(q)) {
 		log_request(q, 0, "left");
 		free_request(q);
 		return;
 	}
+	if (q->hedge != NULL && a->status >= 500 && keep_fallback(q, a) == 0)
+		return; /* the hedge may still bring a good answer */
 	if (is_final_answer(q, a) || keep_fallback(q, a) != 0) {
 		deliver_answer(q, a);
 		return;
@@ -193,6 +228,30 @@
 	start_next_attempt(q);
 }
 
+/*
+ * A hedge ended without a good answer. The first send, if it is still under
+ * way, is waited for; else the call is retried or ended.
+ */
+void
+end_hedge_failure(struct request *q, const struct job_answer *a)
+{
+	if (a != NULL && q->fallback == NULL && keep_fallback(q, a) != 0)
+		q->may_have_run = true;
+	if (q->attempt.active)
+		return;
+	if ((q->fallback != NULL || q->may_have_run) && !reserve_retry(q)) {
+		end_request(q);
+		return;
+	}
+	start_next_attempt(q);
+}
+
+void
+finish_request(struct request *q, const struct job_answer *a)
+{
+	deliver_answer(q, a);
+}
+
 /*
  * Handles an attempt that ended without an answer. A call that was not sent is
  * offered to another node; one that may have run is retried only if it may
@@ -204,6 +263,11 @@
 	add_trace(
 	    q, TRACE_FAILED, q->attempt.peer->id, (int)cause, not_sent, 0);
 	close_attempt(q);
+	if (q->primary != NULL) {
+		handle_hedge_end(q, !not_sent, !not_sent);
+		return;
+	}
+	cancel_timer(q->node->reactor, &q->hedge_timer);
 	if (!has_caller(q)) {
 		log_request(q, 0, "left");
 		free_request(q);
@@ -211,11 +275,14 @@
 	}
 	if (not_sent) {
 		q->reason = REFUSE_NO_ENDPOINT;
-		start_next_attempt(q);
+		if (q->hedge == NULL)
+			start_next_attempt(q);
 		return;
 	}
 	q->may_have_run = true;
 	q->arrivals++;
+	if (q->hedge != NULL)
+		return; /* it goes on alone */
 	if (!reserve_retry(q)) {
 		end_request(q);
 		return;
@@ -233,8 +300,8 @@
 bool
 reserve_request_move(struct request *q)
 {
-	return q->policy.repeatable && q->offers < OFFERS_MAX &&
-	       q->tried_count < REQUEST_TRIED_MAX &&
+	return q->policy.repeatable && q->hedge == NULL &&
+	       q->offers < OFFERS_MAX && q->tried_count < REQUEST_TRIED_MAX &&
 	       q->arrivals + 1 < q->policy.attempts_max &&
 	       choose_peer(q, CHOICE_UNTRIED) != NULL &&
 	       spend_retry_token(q->node, q->service);
@@ -248,6 +315,7 @@
 move_request(struct request *q)
 {
 	add_trace(q, TRACE_FAILED, q->attempt.peer->id, ATTEMPT_TIMEOUT, 0, 0);
+	cancel_timer(q->node->reactor, &q->hedge_timer);
 	close_attempt(q);
 	q->may_have_run = true;
 	q->arrivals++;
@@ -270,6 +338,7 @@
 	    0, 0);
 	if (may_be_running(q))
 		q->may_have_run = true;
+	cancel_hedge(q);
 	if (!has_caller(q)) {
 		/* Was left to finish after its caller disconnected. */
 		cancel_request_attempt(q);
@@ -291,6 +360,7 @@
 {
 	if (may_be_running(q))
 		q->may_have_run = true;
+	cancel_hedge(q);
 	cancel_request_attempt(q);
 	q->reason = REFUSE_DRAINING;
 	end_request(q);
@@ -354,6 +424,38 @@
 	return best >= 0 ? peers[best] : NULL;
 }
 
+/*
+ * A hedge must not delay a call that needs the slot: of the nodes that have not
+ * been tried, those with a recent report of a free slot are considered.
+ */
+struct peer *
+choose_hedge_peer(struct request *q)
+{
+	struct placement_option options[CANDIDATES_MAX];
+	struct peer *peers[CANDIDATES_MAX];
+	int64_t now = get_reactor_now(q->node->reactor);
+	struct placement_call call = {.target_left = q->target_at - now,
+	    .deadline_left = q->deadline - now,
+	    .kind_service_ns = q->stats->kind_service_ns,
+	    .body_len = q->reader.body.len};
+	size_t count = list_candidates(q->service, &q->node->rng, peers);
+	int best;
+
+	if (q->tried_count == REQUEST_TRIED_MAX)
+		return NULL;
+	for (size_t i = 0; i < count; i++) {
+		struct placement_option *o = &options[i];
+
+		fill_option(q, peers[i], now, o);
+		o->tried = !is_candidate(q, peers[i], CHOICE_UNTRIED);
+		o->usable = o->usable && o->reported && !o->avoided &&
+			    o->report_age < NSEC_PER_SEC &&
+			    o->in_flight + o->queued + 1 < o->slots;
+	}
+	best = choose_placement(options, count, &call, &q->node->rng);
+	return best >= 0 ? peers[best] : NULL;
+}
+
 /*
  * Lists the service's nodes; of more than CANDIDATES_MAX that many usable ones,
  * from a random place on, so that each of them gets calls.
@@ -483,8 +585,6 @@
 	struct attempt *a = &q->attempt;
 	int64_t now = get_reactor_now(q->node->reactor);
 
-	q->offers++;
-	q->tried[q->tried_count++] = p;
 	*a = (struct attempt){.active = true,
 	    .immediate = immediate,
 	    .peer = p,
@@ -609,6 +709,7 @@
 	q->state = REQUEST_DONE;
 	q->reason = REFUSE_NONE;
 	cancel_timer(n->reactor, &q->timer);
+	cancel_hedge(q);
 	count_metric(n->metrics.answers_total, 1);
 	observe_metric(n->metrics.latency_us,
 	    (uint64_t)((now - q->arrived) / NSEC_PER_USEC));
--- a/packages/node/call_log.c
+++ b/packages/node/call_log.c
@@ -34,6 +34,8 @@
 {
 	struct trace_event *e;
 
+	if (q->primary != NULL)
+		q = q->primary;
 	if (q->trace_count == REQUEST_TRACE_MAX)
 		return;
 	e = &q->trace[q->trace_count++];
@@ -195,6 +197,11 @@
 		event = "call.silent";
 		f[n++] = LOG_TEXT("node", e->text);
 		break;
+	case TRACE_HEDGED:
+		event = "call.hedged";
+		f[n++] = LOG_TEXT("node", e->text);
+		f[n++] = LOG_INT("waited_ms", e->a);
+		break;
 	case TRACE_NO_RETRY:
 		event = "call.not-retried";
 		f[n++] = LOG_TEXT("reason", e->text);
--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -160,6 +160,7 @@
 	if (q == NULL)
 		return;
 	cancel_timer(q->node->reactor, &q->timer);
+	cancel_hedge(q);
 	if (q->caller != NULL)
 		remove_pipeline(q->caller, q);
 	q->node->body_bytes -= q->reader.body.len;
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -87,6 +87,7 @@
 	int64_t link_rate; /* of the VM's link, bytes/s; 0: unlimited */
 	double retry_ratio; /* retries per call of a service; 0: 0.2 */
 	int retry_slack; /* additional retries of all nodes together */
+	double hedge_share; /* hedged sends per repeatable call; 0: none */
 	int64_t retry_window_ns; /* window of both limits; 0: 10 s */
 	/*
 	 * Time for which a backend server still accepts calls after it
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -33,6 +33,12 @@
 	"Calls that ended without an answer and may have run."),
     SPEC(retries_total, METRIC_COUNTER,
 	"Calls sent to another backend server after one had them."),
+    SPEC(hedges_total, METRIC_COUNTER,
+	"Second sends of calls whose answer was slow."),
+    SPEC(hedges_won_total, METRIC_COUNTER,
+	"Second sends whose answer went to the caller."),
+    SPEC(hedges_cancelled_total, METRIC_COUNTER,
+	"Second sends that ended because of the first one's answer."),
     SPEC(cancelled_total, METRIC_COUNTER, "Calls whose caller hung up."),
     SPEC(served_total, METRIC_COUNTER, "Calls that the backend server ran."),
     SPEC(shed_total, METRIC_COUNTER, "Calls that admission refused."),
@@ -78,7 +84,7 @@
 static const char *get_end_label(
     const struct request *q, int status, bool late);
 static void count_labelled(
-    const char *name, const char *label, const char *value);
+    const char *name, const char *label, const char *value, const char *help);
 
 /*
  * Registers the metrics with the process.
@@ -103,7 +109,8 @@
 
 	if (status == 503)
 		count_labelled("ggs_node_refusals_total", "reason",
-		    get_refuse_name(q->reason));
+		    get_refuse_name(q->reason),
+		    "Calls refused as not run, by reason.");
 	if (q->stats == NULL)
 		return;
 	if (snprintf(name, sizeof(name),
@@ -128,6 +135,17 @@
 		    (uint64_t)((now - q->arrived) / NSEC_PER_USEC));
 }
 
+/*
+ * Counts a planned hedge that was not sent, by its reason.
+ */
+void
+count_kept_hedge(enum hedge_refusal r)
+{
+	count_labelled("ggs_node_hedges_kept_total", "reason",
+	    get_hedge_refusal_name(r),
+	    "Second sends that were planned and not made, by reason.");
+}
+
 /*
  * Sets the gauges from the current state.
  */
@@ -191,13 +209,12 @@
 }
 
 static void
-count_labelled(const char *name, const char *label, const char *value)
+count_labelled(
+    const char *name, const char *label, const char *value, const char *help)
 {
 	char full[METRIC_NAME_BYTES];
 
 	if (snprintf(full, sizeof(full), "%s{%s=\"%s\"}", name, label, value) <
 	    (int)sizeof(full))
-		count_metric(register_metric(METRIC_COUNTER, full,
-				 "Calls refused as not run, by reason."),
-		    1);
+		count_metric(register_metric(METRIC_COUNTER, full, help), 1);
 }
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -7,6 +7,7 @@
 
 #include <pthread.h>
 
+#include "hedge.h"
 #include "hop.h"
 #include "metric.h"
 #include "node.h"
@@ -48,6 +49,7 @@
 	TRACE_FAILED, /* text: peer, a: cause, b: not sent */
 	TRACE_ANSWERED, /* text: peer, a: status, b: service time us */
 	TRACE_UNRESPONSIVE, /* text: peer */
+	TRACE_HEDGED, /* text: peer, a: ms since the first send */
 	TRACE_NO_RETRY, /* text: reason, a: arrivals */
 	TRACE_DISCONNECTED, /* a: ms since arrival */
 	TRACE_EXPIRED, /* a: ms since arrival */
@@ -71,6 +73,7 @@
 	uint64_t version; /* of the table */
 	char account[TABLE_NAME_BYTES]; /* of the client; empty: none */
 	int share; /* weight of the account among others; 0: none */
+	double hedge_share; /* most hedged sends per call; 0: none */
 };
 
 /* An offer of a call to one serving node. */
@@ -132,6 +135,10 @@
 	enum refuse_reason reason; /* of the last refusal */
 	int64_t retry_after; /* ns; longest that a refusal asked for */
 	struct job_answer *fallback; /* owned; failed answer during a retry */
+	struct request *hedge; /* owned; second send under way; NULL: none */
+	struct request *primary; /* of a hedge: the caller's request */
+	struct timer hedge_timer; /* planned time of the hedge */
+	int64_t hedge_at; /* mono ns; the same */
 	bool counted; /* in node.requests */
 	struct buf answer; /* until it is sent: head without its end, body */
 	size_t answer_head_len; /* bytes of answer */
@@ -288,6 +295,8 @@
 	size_t share_count;
 	uint64_t split_hash; /* of the split cell; 0: none */
 	struct origin_counts origin; /* of calls that this node serves */
+	struct answer_times answer_times; /* of calls that it sent */
+	struct hedge_budget hedge_budget;
 	struct log_budget ok_lines;
 	uint64_t calls; /* of callers, ended */
 	metric_id latency_us; /* histogram; 0: none */
@@ -308,6 +317,7 @@
 	metric_id peers, peers_usable, peers_avoided, body_bytes;
 	metric_id pipelined_total, unread_closes_total, kept_bytes;
 	metric_id log_dropped_lines, rate_limit_milli;
+	metric_id hedges_total, hedges_won_total, hedges_cancelled_total;
 };
 
 struct node {
@@ -410,9 +420,22 @@
 void move_request(struct request *q);
 void handle_attempt_failure(
     struct request *q, enum attempt_end cause, bool not_sent);
+int offer_attempt(struct request *q, struct peer *p, bool immediate);
+/* Returns the best untried serving node with a free slot, or NULL. */
+struct peer *choose_hedge_peer(struct request *q);
+/* Delivers the answer; the request is freed. */
+void finish_request(struct request *q, const struct job_answer *a);
+/* A hedge ended without a good answer; a: its failed answer, or NULL. */
+void end_hedge_failure(struct request *q, const struct job_answer *a);
 void expire_request(struct timer *t);
 void end_stopped_request(struct request *q); /* the node is stopping */
 
+/* hedge.c */
+void plan_request_hedge(struct request *q); /* its first send has begun */
+void cancel_hedge(struct request *q);
+void handle_hedge_answer(struct request *h, const struct job_answer *a);
+void handle_hedge_end(struct request *h, bool arrived, bool may_have_run);
+
 /* services.c */
 void refresh_services(struct node *n);
 void clear_services(struct node *n);
@@ -486,6 +509,7 @@
 /* node_metrics.c */
 void open_node_metrics(struct node_metrics *m);
 void count_call_end(struct request *q, int status);
+void count_kept_hedge(enum hedge_refusal r);
 void refresh_node_metrics(struct node *n); /* gauges */
 
 /* call_log.c */
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -60,6 +60,7 @@
 	    (int)((q->deadline - q->arrived) / NSEC_PER_MSEC),
 	    (int)((q->target_at - q->arrived) / NSEC_PER_MSEC));
 	add_retry_tokens(n, q->service);
+	add_hedge_tokens(&q->stats->hedge_budget, q->policy.hedge_share);
 	set_timer(n->reactor, &q->timer, q->deadline, expire_request);
 	start_next_attempt(q);
 }
@@ -92,6 +93,7 @@
 	count_metric(n->metrics.cancelled_total, 1);
 	if (!q->policy.repeatable && may_be_running(q))
 		return;
+	cancel_hedge(q);
 	if (q->attempt.active)
 		cancel_request_attempt(q);
 	log_request(q, 0, "left");
@@ -114,6 +116,7 @@
 	q->state = REQUEST_DONE;
 	q->reason = reason;
 	cancel_timer(q->node->reactor, &q->timer);
+	cancel_hedge(q);
 	count_metric(status == 503 ? q->node->metrics.refused_total :
 				     q->node->metrics.failed_total,
 	    1);
@@ -189,6 +192,7 @@
 	p->target_ns = r->values[COL_TARGET_MS] * NSEC_PER_MSEC;
 	p->deadline_ns = r->values[COL_DEADLINE_MS] * NSEC_PER_MSEC;
 	p->version = n->table->version;
+	p->hedge_share = r->repeatable ? n->cfg.hedge_share : 0;
 	q->stats = get_kind_stats(n, r->kind);
 	if (q->stats == NULL)
 		return ERR_MEMORY;
--- a/packages/node/tests/fake_server.c
+++ b/packages/node/tests/fake_server.c
@@ -16,6 +16,7 @@
 
 #define CONNECTIONS_MAX 64
 #define RUNS_MAX 4096
+#define UNEVEN_NS (800 * NSEC_PER_MSEC)
 #define SLOW_NS (150 * NSEC_PER_MSEC)
 
 struct fake_conn {
@@ -29,6 +30,7 @@
 };
 
 struct fake_server {
+	bool slow; /* set_fake_slow() */
 	pthread_t thread;
 	pthread_mutex_t lock;
 	bool stop;
@@ -65,6 +67,8 @@
 static int64_t read_now(void);
 static void answer_large(struct fake_server *s, struct fake_conn *c);
 static void answer_slow(struct fake_server *s, struct fake_conn *c);
+static void answer_uneven(struct fake_server *s, struct fake_conn *c);
+static void fail_uneven(struct fake_server *s, struct fake_conn *c);
 static void answer_failed(struct fake_server *s, struct fake_conn *c);
 static void answer_full(struct fake_server *s, struct fake_conn *c);
 static void answer_wrong_instance(struct fake_server *s, struct fake_conn *c);
@@ -95,6 +99,8 @@
     {"ok", true, send_ok}, /* signed 200 */
     {"large", true, answer_large}, /* signed 200, FAKE_LARGE_BYTES */
     {"slow", true, answer_slow}, /* the same after 150 ms */
+    {"uneven", true, answer_uneven}, /* 200; late if named set_fake_slow() */
+    {"uneven-failed", true, fail_uneven}, /* the same, and 500 by the others */
     {"failed", true, answer_failed}, /* a signed 500 */
     {"full", false, answer_full}, /* 503, marked as not run */
     {"other", false, answer_wrong_instance}, /* 421: not this instance */
@@ -213,6 +219,14 @@
 	return n;
 }
 
+void
+set_fake_slow(struct fake_server *s, bool slow)
+{
+	pthread_mutex_lock(&s->lock);
+	s->slow = slow;
+	pthread_mutex_unlock(&s->lock);
+}
+
 void
 set_fake_notices(struct fake_server *s, const char *lines)
 {
@@ -502,6 +516,24 @@
 	c->answer_at = read_now() + SLOW_NS;
 }
 
+static void
+answer_uneven(struct fake_server *s, struct fake_conn *c)
+{
+	if (s->slow)
+		c->answer_at = read_now() + UNEVEN_NS;
+	else
+		send_ok(s, c);
+}
+
+static void
+fail_uneven(struct fake_server *s, struct fake_conn *c)
+{
+	if (s->slow)
+		c->answer_at = read_now() + UNEVEN_NS;
+	else
+		answer_failed(s, c);
+}
+
 static void
 answer_failed(struct fake_server *s, struct fake_conn *c)
 {
--- a/packages/node/tests/fake_server.h
+++ b/packages/node/tests/fake_server.h
@@ -17,6 +17,8 @@
 int count_fake_connections(struct fake_server *s); /* accepted so far */
 int count_fake_open(struct fake_server *s); /* open now */
 #define FAKE_LARGE_BYTES (24 * 1000 * 1000) /* body of a "large" answer */
+/* Whether its "uneven" answers are late; other servers' are not. */
+void set_fake_slow(struct fake_server *s, bool slow);
 /* Header lines of all following 200 answers, each with its line end. */
 void set_fake_notices(struct fake_server *s, const char *lines);
 /* Copies a header of the last request; "" when it had none. */
--- a/packages/node/tests/node_fixture.c
+++ b/packages/node/tests/node_fixture.c
@@ -28,6 +28,7 @@
 
 static sem_t held, released; /* by a report of HOLD_INSTANCE */
 
+static void open_nodes(struct fixture *r, int nodes);
 static int read_report(const struct http_head *head, struct str body,
     struct backend_report *out, struct fault *f);
 static bool is_readiness_check(const struct http_head *head);
@@ -48,14 +49,29 @@
 void
 open_fixture_with_stop(struct fixture *r, int nodes, int64_t stop_ns)
 {
-	unsigned int net = (unsigned int)getpid();
+	memset(r, 0, sizeof(*r));
+	r->stop_ns = stop_ns;
+	open_nodes(r, nodes);
+}
 
+void
+open_fixture_with_hedges(struct fixture *r, int nodes, double share)
+{
 	memset(r, 0, sizeof(*r));
+	r->stop_ns = 3 * NSEC_PER_SEC;
+	r->hedge_share = share;
+	open_nodes(r, nodes);
+}
+
+static void
+open_nodes(struct fixture *r, int nodes)
+{
+	unsigned int net = (unsigned int)getpid();
+
 	sem_init(&held, 0, 0);
 	sem_init(&released, 0, 0);
 	r->agent = open_fake_agent();
 	r->count = nodes;
-	r->stop_ns = stop_ns;
 	set_fixture_table(r, 1, "");
 	clear_fake_endpoints(r->agent, "svc");
 	clear_fake_endpoints(r->agent, "other");
@@ -115,6 +131,7 @@
 	    .backend = get_fake_address(r->servers[i]),
 	    .retry_ratio = 10,
 	    .retry_slack = 1000,
+	    .hedge_share = r->hedge_share,
 	    .drain_ns = 200 * NSEC_PER_MSEC,
 	    .leave_ns = 300 * NSEC_PER_MSEC,
 	    .stop_ns = r->stop_ns,
--- a/packages/node/tests/node_fixture.h
+++ b/packages/node/tests/node_fixture.h
@@ -29,6 +29,7 @@
 	char metrics[FIXTURE_NODES][32];
 	int count;
 	int64_t stop_ns;
+	double hedge_share; /* of nodes that are started */
 };
 
 struct test_reply {
@@ -41,6 +42,8 @@
 void open_fixture(struct fixture *r, int nodes); /* ready for calls */
 /* The same with nodes that may take stop_ns to stop, else 3 s. */
 void open_fixture_with_stop(struct fixture *r, int nodes, int64_t stop_ns);
+/* The same with hedged sends. */
+void open_fixture_with_hedges(struct fixture *r, int nodes, double share);
 void close_fixture(struct fixture *r);
 void start_fixture_node(struct fixture *r, int i);
 void stop_fixture_node(struct fixture *r, int i);
