table: column hedge_pct, the share of hedged sends of a row

One share for all rows would double the dear calls as well as the cheap ones. The column is optional, -1 takes the share of the settings. Columns that came after idle_ms are rendered up to the last one in use, so that tables which do not set them keep bytes and digests.

--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -18,6 +18,7 @@
 static const struct row *find_call_row(struct node *n, struct request *q);
 static struct str get_host(struct request *q, char *text, size_t size);
 static int copy_policy(struct request *q, const struct row *r);
+static double get_hedge_share(const struct node *n, const struct row *r);
 static void set_deadlines(struct request *q);
 static int64_t parse_caller_timeout(struct request *q);
 static int copy_head(struct request *q);
@@ -192,7 +193,7 @@
 	p->target_ns = r->values[COL_TARGET_MS] * NSEC_PER_MSEC;
 	p->deadline_ns = r->values[COL_DEADLINE_MS] * NSEC_PER_MSEC;
 	p->version = n->table->version;
-	p->hedge_share = r->repeatable ? n->cfg.hedge_share : 0;
+	p->hedge_share = get_hedge_share(n, r);
 	q->stats = get_kind_stats(n, r->kind);
 	if (q->stats == NULL)
 		return ERR_MEMORY;
@@ -200,6 +201,20 @@
 	return q->service != NULL ? 0 : ERR_MEMORY;
 }
 
+/*
+ * Returns the most hedged sends per call of a row: its own share, or else that
+ * of the settings.
+ */
+static double
+get_hedge_share(const struct node *n, const struct row *r)
+{
+	if (!r->repeatable)
+		return 0;
+	return r->values[COL_HEDGE_PCT] >= 0 ?
+		   r->values[COL_HEDGE_PCT] / 100.0 :
+		   n->cfg.hedge_share;
+}
+
 /*
  * Sets the deadline and the target time. A caller that comes back after a
  * refusal sends a shorter time-out than on its first try. The difference to the
--- a/packages/table/schema.c
+++ b/packages/table/schema.c
@@ -40,6 +40,7 @@
     [COL_HEAD_MS] = {"head_ms", CELL_NUMBER, 1, 600000, 10000, NULL, true},
     [COL_IDLE_MS] = {"idle_ms", CELL_NUMBER, 1, 3600000, 60000, NULL, true},
     [COL_KEY] = {"key", CELL_YES_NO, 0, 0, 1, NULL, true},
+    [COL_HEDGE_PCT] = {"hedge_pct", CELL_NUMBER, -1, 20, -1, NULL, true},
 };
 
 static int set_number(
@@ -198,7 +199,7 @@
 	}
 	rc = check_row(r, f);
 	if (rc == 0)
-		rc = render_row_csv(r, r->values[COL_KEY] == 0, &line);
+		rc = render_row_csv(r, get_row_column_end(r), &line);
 	if (rc == 0)
 		r->digest = XXH3_64bits(line.data, line.len);
 	unload_buf(&line);
--- a/packages/table/schema.h
+++ b/packages/table/schema.h
@@ -69,8 +69,10 @@
 
 /* CSV: a field, quoted if necessary, and the line of a row */
 int append_csv_field(struct buf *out, const char *value);
-int render_row_csv(const struct row *r, bool with_key, struct buf *out);
-bool has_open_rows(const struct table *t); /* column key is rendered */
+int render_row_csv(const struct row *r, int column_end, struct buf *out);
+/* Columns behind COL_IDLE_MS are rendered up to the last one in use. */
+int get_row_column_end(const struct row *r);
+int get_table_column_end(const struct table *t);
 
 /* account.c: the sheet of accounts */
 int copy_accounts(
--- a/packages/table/table.c
+++ b/packages/table/table.c
@@ -173,39 +173,53 @@
 
 /*
  * Appends the canonical CSV: columns in schema order, rows by kind, "\n" line
- * ends, quotes only around cells that contain a comma or a quote. Column key
- * and the sheet of accounts are left out where they say nothing, so that tables
- * without them keep their bytes.
+ * ends, quotes only around cells that contain a comma or a quote. The last
+ * columns and the sheet of accounts are left out where they say nothing, so that
+ * tables without them keep their bytes.
  */
 int
 render_table_csv(const struct table *t, struct buf *out)
 {
-	bool with_key = has_open_rows(t);
-	int rc = 0;
+	int column_end = get_table_column_end(t), rc = 0;
 
-	for (int c = 0; c < COLUMN_COUNT && rc == 0; c++) {
-		if (c != COL_KEY || with_key)
-			rc = append_buf_fmt(
-			    out, "%s%s", c > 0 ? "," : "", get_column_name(c));
-	}
+	for (int c = 0; c < column_end && rc == 0; c++)
+		rc = append_buf_fmt(
+		    out, "%s%s", c > 0 ? "," : "", get_column_name(c));
 	if (rc == 0)
 		rc = append_buf(out, "\n", 1);
 	for (size_t i = 0; i < t->row_count && rc == 0; i++)
-		rc = render_row_csv(t->rows[i], with_key, out);
+		rc = render_row_csv(t->rows[i], column_end, out);
 	return rc == 0 ? render_accounts_csv(t, out) : rc;
 }
 
 /*
- * Says whether a row differs from the default of column key.
+ * Returns the end of the columns that the row's line needs: those behind
+ * COL_IDLE_MS came later, and rows that do not use them keep the bytes and the
+ * digest that they had before.
  */
-bool
-has_open_rows(const struct table *t)
+int
+get_row_column_end(const struct row *r)
 {
+	int end = COLUMN_COUNT;
+
+	while (end > COL_IDLE_MS + 1 &&
+	       r->values[end - 1] == get_column_spec(end - 1)->initial)
+		end--;
+	return end;
+}
+
+int
+get_table_column_end(const struct table *t)
+{
+	int end = COL_IDLE_MS + 1;
+
 	for (size_t i = 0; i < t->row_count; i++) {
-		if (t->rows[i]->values[COL_KEY] == 0)
-			return true;
+		int row_end = get_row_column_end(t->rows[i]);
+
+		if (row_end > end)
+			end = row_end;
 	}
-	return false;
+	return end;
 }
 
 /*
@@ -223,9 +237,8 @@
  * Appends the row's line of the canonical CSV, with its line end.
  */
 int
-render_row_csv(const struct row *r, bool with_key, struct buf *out)
+render_row_csv(const struct row *r, int column_end, struct buf *out)
 {
-	int column_end = with_key ? COLUMN_COUNT : COL_KEY;
 	char number[24];
 	int rc = 0;
 
--- a/packages/table/table.h
+++ b/packages/table/table.h
@@ -47,6 +47,7 @@
 	COL_HEAD_MS, /* time limit for receiving a request head */
 	COL_IDLE_MS, /* idle time-out of callers' connections */
 	COL_KEY, /* yes: calls need a key if the table has accounts */
+	COL_HEDGE_PCT, /* most hedged sends, % of calls; -1: the settings' */
 	COLUMN_COUNT,
 	/*
 	 * Of the sheet of accounts. Column numbers are stored in commands, so
--- a/packages/table/tests/test_table.c
+++ b/packages/table/tests/test_table.c
@@ -353,6 +353,52 @@
 }
 END_TEST
 
+struct late_column_case {
+	const char *cells; /* edits of row a */
+	const char *want; /* end of the header line */
+};
+
+static const struct late_column_case late_column_cases[] = {
+    {"", "head_ms,idle_ms\n"},
+    {"a,hedge_pct,-1\na,key,yes\n", "head_ms,idle_ms\n"},
+    {"a,key,no\n", "idle_ms,key\n"},
+    {"a,hedge_pct,5\n", "idle_ms,key,hedge_pct\n"},
+    {"a,hedge_pct,0\n", "idle_ms,key,hedge_pct\n"},
+};
+
+/*
+ * Guards against columns that change the bytes of tables which do not use them,
+ * and against a canonical form that loads to another table.
+ */
+START_TEST(late_columns_are_rendered_where_used)
+{
+	const struct late_column_case *c = &late_column_cases[_i];
+	struct table *base, *t, *again;
+	struct cell_list cells = {0};
+	struct buf csv = {0};
+	struct fault f;
+
+	ck_assert_int_eq(
+	    load_table_csv(make_str(HEADER ROW_A ROW_B), 1, &base, &f), 0);
+	ck_assert_int_eq(decode_cells(make_str(c->cells), &cells, &f), 0);
+	ck_assert_int_eq(apply_cells(base, &cells, 2, &t, &f), 0);
+	ck_assert_int_eq(render_table_csv(t, &csv), 0);
+	ck_assert_int_eq(append_buf(&csv, "", 1), 0);
+	ck_assert_msg(strstr(csv.data, c->want) != NULL, "%s", csv.data);
+	ck_assert_int_eq(
+	    load_table_csv(make_str_n(csv.data, csv.len - 1), 2, &again, &f),
+	    0);
+	ck_assert_uint_eq(again->digest, t->digest);
+	ck_assert((t->digest == base->digest) ==
+		  (strcmp(c->want, "head_ms,idle_ms\n") == 0));
+	unload_buf(&csv);
+	unload_cells(&cells);
+	unload_table(base);
+	unload_table(t);
+	unload_table(again);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -371,6 +417,8 @@
 	tcase_add_loop_test(t, routes_match_the_longest_path_of_the_host, 0,
 	    sizeof(route_cases) / sizeof(route_cases[0]));
 	tcase_add_loop_test(t, csv_length_has_a_lower_bound, 0, 3);
+	tcase_add_loop_test(t, late_columns_are_rendered_where_used, 0,
+	    (int)(sizeof(late_column_cases) / sizeof(late_column_cases[0])));
 	tcase_add_test(t, split_lists_services_and_shares);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
