--- a/packages/node/hedge.c
+++ b/packages/node/hedge.c
@@ -202,6 +202,7 @@
 	struct request *q = h->primary;
 
 	q->hedge = NULL;
+	unload_buf(&h->parts);
 	free(h);
 	return q;
 }
