--- a/packages/node/hedge.c
+++ b/packages/node/hedge.c
@@ -18,7 +18,8 @@
 /*
  * Plans a hedge of a call whose first send has just begun. Only a send that
  * takes a free slot at once is hedged: one that waits for a slot shows that
- * there is no room.
+ * there is no room. During a roll-out the slow answers of the new version are
+ * evidence, which a cancelled send would hide.
  */
 void
 plan_request_hedge(struct request *q)
@@ -27,7 +28,8 @@
 
 	if (q->policy.hedge_share <= 0 || !q->policy.repeatable ||
 	    q->primary != NULL || q->hedge != NULL || !q->attempt.immediate ||
-	    q->arrivals > 0 || q->reader.body.len > HOP_BODY_CHUNK_BYTES)
+	    q->arrivals > 0 || is_service_rolling_out(q->service) ||
+	    q->reader.body.len > HOP_BODY_CHUNK_BYTES)
 		return;
 	q->hedge_at = plan_hedge(&q->stats->answer_times, q->policy.hedge_share,
 	    q->attempt.started_at, q->target_at, q->deadline);
