--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -162,6 +162,7 @@
 		return;
 	cancel_timer(q->node->reactor, &q->timer);
 	return_allotment(q);
+	cancel_hedge(q);
 	if (q->caller != NULL)
 		remove_pipeline(q->caller, q);
 	q->node->body_bytes -= q->reader.body.len;
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -8,6 +8,7 @@
 #include <pthread.h>
 
 #include "allotment_wallet.h"
+#include "hedge.h"
 #include "hop.h"
 #include "metric.h"
 #include "node.h"
@@ -54,6 +55,7 @@
 	TRACE_FAILED, /* text: peer, a: cause, b: not sent */
 	TRACE_ANSWERED, /* text: peer, a: status, b: service time us */
 	TRACE_UNRESPONSIVE, /* text: peer */
+	TRACE_HEDGED, /* text: peer, a: ms since the first send */
 	TRACE_NO_RETRY, /* text: reason, a: arrivals */
 	TRACE_DISCONNECTED, /* a: ms since arrival */
 	TRACE_EXPIRED, /* a: ms since arrival */
@@ -77,6 +79,7 @@
 	uint64_t version; /* of the table */
 	char account[TABLE_NAME_BYTES]; /* of the client; empty: none */
 	int share; /* weight of the account among others; 0: none */
+	double hedge_share; /* most hedged sends per call; 0: none */
 };
 
 /* An offer of a call to one serving node. */
@@ -148,6 +151,10 @@
 	enum refuse_reason reason; /* of the last refusal */
 	int64_t retry_after; /* ns; longest that a refusal asked for */
 	struct job_answer *fallback; /* owned; failed answer during a retry */
+	struct request *hedge; /* owned; second send under way; NULL: none */
+	struct request *primary; /* of a hedge: the caller's request */
+	struct timer hedge_timer; /* planned time of the hedge */
+	int64_t hedge_at; /* mono ns; the same */
 	bool counted; /* in node.requests */
 	struct buf answer; /* until it is sent: head without its end, body */
 	size_t answer_head_len; /* bytes of answer */
@@ -325,6 +332,8 @@
 	size_t share_count;
 	uint64_t split_hash; /* of the split cell; 0: none */
 	struct origin_counts origin; /* of calls that this node serves */
+	struct answer_times answer_times; /* of calls that it sent */
+	struct hedge_budget hedge_budget;
 	struct log_budget ok_lines;
 	uint64_t calls; /* of callers, ended */
 	metric_id latency_us; /* histogram; 0: none */
@@ -370,6 +379,7 @@
 	metric_id pipelined_total, unread_closes_total, kept_bytes;
 	metric_id rollout_offers_total, rollout_failed_total;
 	metric_id log_dropped_lines, rate_limit_milli;
+	metric_id hedges_total, hedges_won_total, hedges_cancelled_total;
 	metric_id long_answers_total, long_answer_bytes;
 	metric_id key_refusals_total;
 	metric_id allotment_asks_total, allotment_lost_total;
@@ -497,6 +507,13 @@
 void move_request(struct request *q);
 void handle_attempt_failure(
     struct request *q, enum attempt_end cause, bool not_sent);
+int offer_attempt(struct request *q, struct peer *p, bool immediate);
+/* Returns the best untried serving node with a free slot, or NULL. */
+struct peer *choose_hedge_peer(struct request *q);
+/* Delivers the answer; the request is freed. */
+void finish_request(struct request *q, const struct job_answer *a);
+/* A hedge ended without a good answer; a: its failed answer, or NULL. */
+void end_hedge_failure(struct request *q, const struct job_answer *a);
 void expire_request(struct timer *t);
 void end_stopped_request(struct request *q); /* the node is stopping */
 
@@ -509,6 +526,11 @@
 void leave_allotment_queue(struct request *q);
 void return_allotment(struct request *q); /* the call ends */
 void leave_allotments(struct node *n); /* the node is stopping */
+/* hedge.c */
+void plan_request_hedge(struct request *q); /* its first send has begun */
+void cancel_hedge(struct request *q);
+void handle_hedge_answer(struct request *h, const struct job_answer *a);
+void handle_hedge_end(struct request *h, bool arrived, bool may_have_run);
 
 /* services.c */
 void refresh_services(struct node *n);
@@ -527,6 +549,7 @@
 /* The node's server has a version that gets no calls (any more). */
 bool is_server_closed(struct node *n);
 /* Sets the version that the call's next attempt may use. */
+bool is_service_rolling_out(const struct service *s);
 void choose_call_version(struct request *q);
 /* The call may use the other version after all; false: it may not. */
 bool relax_call_version(struct request *q);
@@ -609,6 +632,7 @@
 /* node_metrics.c */
 void open_node_metrics(struct node_metrics *m);
 void count_call_end(struct request *q, int status);
+void count_kept_hedge(enum hedge_refusal r);
 void refresh_node_metrics(struct node *n); /* gauges */
 
 /* call_log.c */
--- a/packages/node/tests/node_fixture.h
+++ b/packages/node/tests/node_fixture.h
@@ -30,6 +30,7 @@
 	int count;
 	int64_t stop_ns;
 	double trial_share; /* of roll-outs; 0: none */
+	double hedge_share; /* of nodes that are started */
 	int64_t link_rate; /* bytes per second; 0: unlimited */
 };
 
@@ -45,6 +46,8 @@
 void open_fixture_with_stop(struct fixture *r, int nodes, int64_t stop_ns);
 /* The same with roll-outs. */
 void open_fixture_with_trial(struct fixture *r, int nodes, double share);
+/* The same with hedged sends. */
+void open_fixture_with_hedges(struct fixture *r, int nodes, double share);
 /* The same with nodes on links of this speed, bytes per second. */
 void open_fixture_with_link(struct fixture *r, int nodes, int64_t link_rate);
 void close_fixture(struct fixture *r);
