node: load reports tell a server's speed whatever kinds it serves

Callers saw refusals by servers with a queue of 90 short calls while others had free slots. The plain mean of service times made a server of short calls look fast, which drew more of them.

--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -166,6 +166,7 @@
 	b->announced = false;
 	b->run++;
 	n->service_ns = 0;
+	n->slowness = 0;
 	n->failed_share = 0;
 	start_notices(n);
 }
--- a/packages/node/call_log.c
+++ b/packages/node/call_log.c
@@ -105,7 +105,7 @@
 	    LOG_BOOL("sent", j->sent), LOG_BOOL("resent", j->resent),
 	    LOG_INT("in_flight", load.in_flight),
 	    LOG_INT("queued", load.queued), LOG_INT("limit", load.limit),
-	    LOG_INT("mean_run_us", load.service_us),
+	    LOG_INT("mean_run_us", j->node->service_ns / NSEC_PER_USEC),
 	    LOG_REAL("rate_per_s", get_backend_rate(n)));
 }
 
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -155,7 +155,7 @@
 	set_metric(m->slots, l.limit);
 	set_metric(m->backend_connections, count_backend_connections(n));
 	set_metric(m->backend_state, (int64_t)l.state);
-	set_metric(m->mean_run_us, l.service_us);
+	set_metric(m->mean_run_us, n->service_ns / NSEC_PER_USEC);
 	set_metric(m->failed_ppm, l.failed_ppm);
 	set_metric(m->body_wait_us, l.body_wait_us);
 	set_metric(m->rate_limit_milli,
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -360,6 +360,8 @@
 	size_t known_notice_count;
 	enum hop_state state; /* as a serving node */
 	int64_t service_ns; /* recent mean service time; 0: unknown */
+	/* Recent service times over those of all servers; 0: unknown */
+	double slowness;
 	double failed_share; /* recent share of failed calls, 0 to 1 */
 	struct origins origins; /* of the calls that it serves */
 	struct log_budget failed_lines, late_lines; /* of callers' calls */
--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -16,6 +16,15 @@
 #define BODY_WAIT_NS (1 * NSEC_PER_SEC) /* time-out of a granted call's body */
 #define FAILED_SHARE_GAIN 0.05 /* of the recent share of failed calls */
 #define SERVICE_GAIN 0.1 /* of the recent mean service time */
+/*
+ * Load reports tell the speed of the backend server as the time that it takes
+ * for a call that takes this time on average over all servers. The plain mean of
+ * its service times would depend on the kinds that it happens to serve, so that
+ * servers of short calls looked fast and drew long ones.
+ */
+#define LOAD_SERVICE_US 100000
+/* Longest sample of the slowness; a few calls take many times the mean. */
+#define SLOWNESS_SAMPLE_MAX 3.0
 
 static void apply_rate_to_load(
     const struct admission_load *a, int64_t service_ns, struct hop_load *l);
@@ -36,6 +45,7 @@
 static void free_job(struct job *j);
 static void clear_spec(struct job *j);
 static void update_load_means(struct node *n, bool failed, int64_t service_ns);
+static void update_slowness(const struct job *j, int64_t service_ns);
 
 /*
  * Offers a call to admission; *out is valid until its last event or
@@ -272,7 +282,7 @@
 	l.in_flight = a.in_flight;
 	l.queued = a.queued;
 	l.limit = a.limit;
-	l.service_us = (unsigned int)(n->service_ns / NSEC_PER_USEC);
+	l.service_us = (unsigned int)(n->slowness * LOAD_SERVICE_US);
 	l.failed_ppm = (unsigned int)(n->failed_share * 1e6);
 	if (a.body_wait_ns / NSEC_PER_USEC > l.body_wait_us)
 		l.body_wait_us = (unsigned int)(a.body_wait_ns / NSEC_PER_USEC);
@@ -313,6 +323,8 @@
 
 	count_metric(n->metrics.served_total, 1);
 	update_load_means(n, failed, service);
+	if (!failed)
+		update_slowness(j, service);
 	observe_metric(n->metrics.run_us, (uint64_t)(service / NSEC_PER_USEC));
 	log_job(j, "answered", "", a->status, service);
 	if (events != NULL)
@@ -602,3 +614,29 @@
 	n->service_ns +=
 	    (int64_t)(SERVICE_GAIN * (double)(service_ns - n->service_ns));
 }
+
+/*
+ * Updates how slow the backend server is lately: its service times over the mean
+ * that this node has seen, as an entry node, for the same kind at all servers.
+ * Kinds that it has not seen do not count.
+ */
+static void
+update_slowness(const struct job *j, int64_t service_ns)
+{
+	struct node *n = j->node;
+	char kind[TABLE_NAME_BYTES];
+	struct kind_stats *k;
+	double ratio;
+
+	if (copy_str(kind, sizeof(kind), j->spec.kind) != 0)
+		return;
+	k = get_kind_stats(n, kind);
+	if (k == NULL || k->kind_service_ns <= 0)
+		return;
+	ratio = (double)service_ns / (double)k->kind_service_ns;
+	if (ratio > SLOWNESS_SAMPLE_MAX)
+		ratio = SLOWNESS_SAMPLE_MAX;
+	if (n->slowness <= 0)
+		n->slowness = 1;
+	n->slowness += SERVICE_GAIN * (ratio - n->slowness);
+}
