policy: late calls of patient callers return after the wave, and wait then

Callers saw one call in 16 refused in waves of load that swing by half within seconds: what could not be in time came back within 20 ms into the same wave, twice, and was refused for good, while slots were free a second later.

In rows whose deadline is three targets away or more such a call is told a third of its time left as Retry-After, and one that has come back late may wait.

--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -16,6 +16,10 @@
 /* Wake-up interval while late calls wait. */
 #define LATE_POLL_NS (25 * NSEC_PER_MSEC)
 #define LATE_WAIT_SHARE 0.25 /* longest wait of a late call, of the target */
+/* The same in a patient row, of the time that is left to the call. */
+#define LATE_PATIENCE_SHARE 0.5
+/* Share of the slots that late calls get over a wave of load, at least. */
+#define LATE_SLOT_SHARE 0.1
 #define BODY_GAIN 0.02 /* weight of a new body in the row's mean size */
 
 static void accrue_queues(struct admission *a, int64_t now);
@@ -44,6 +48,10 @@
     struct row_queue *q, const struct admission_call *c);
 static void refuse_beyond_rate(struct admission *a, struct row_queue *q,
     int64_t now, struct admission_changes *out);
+static bool fits_late_queue(const struct admission *a,
+    const struct row_queue *q, const struct admission_call *c, int64_t now);
+static int64_t get_late_wait_max(
+    const struct row_queue *q, const struct admission_call *c);
 static void demote_call(struct admission *a, struct row_queue *q,
     struct admission_call *c, int64_t now, struct admission_changes *out);
 static struct admit_verdict refuse_late_offer(
@@ -227,10 +235,7 @@
 		return refuse_offer(a, c, REFUSE_DEADLINE);
 	c->sort_key = c->target != 0 ? c->target : c->deadline;
 	if (c->target != 0 && misses_target(a, q, c, now)) {
-		if (!may_queue_late(a, now) ||
-		    estimate_wait(a, &a->view.queues[q->late_queue]) +
-			    estimate_body_wait(a, q, c) >
-			LATE_WAIT_SHARE * (double)q->target_ns)
+		if (!fits_late_queue(a, q, c, now))
 			return refuse_late_offer(a, c, now);
 		c->sort_key = c->deadline;
 		c->queue = q->late_queue;
@@ -695,14 +700,19 @@
 expire_late_calls(struct admission *a, struct row_queue *q, int64_t now,
     struct admission_changes *out)
 {
-	int64_t max_wait = (int64_t)(LATE_WAIT_SHARE * (double)q->target_ns);
-	bool refuse_all = !may_queue_late(a, now);
+	const struct row_queue *base = get_base_queue(a, q);
+	bool refuse_all = !base->patient && !may_queue_late(a, now);
 
 	for (size_t i = q->waiting; i > 0; i--) {
 		struct admission_call *c = q->heap[i - 1];
 
-		if (refuse_all || now - c->late_since >= max_wait)
+		if (refuse_all ||
+		    now - c->late_since >= get_late_wait_max(base, c)) {
 			refuse_queued_call(a, q, c, REFUSE_OVERLOAD, out);
+			if (base->patient)
+				c->retry_after_ns =
+				    get_late_retry_after(a, base, c, now);
+		}
 		if (i > q->waiting + 1)
 			i = q->waiting + 1;
 	}
@@ -821,6 +831,47 @@
 	}
 }
 
+/*
+ * Says whether a call that will be late may wait. In a patient row a call that
+ * comes back after a refusal and is late already may, while the late calls before
+ * it will probably have started in half of the time that is left to it: at the
+ * pace of the last second, or at a small share of the slots, which come free when
+ * the load falls again. A call that has its tries left is refused instead.
+ */
+static bool
+fits_late_queue(const struct admission *a, const struct row_queue *q,
+    const struct admission_call *c, int64_t now)
+{
+	const struct row_queue *late = &a->view.queues[q->late_queue];
+	double per_s, wait_s;
+
+	if (may_queue_late(a, now) &&
+	    estimate_wait(a, late) + estimate_body_wait(a, q, c) <=
+		LATE_WAIT_SHARE * (double)q->target_ns)
+		return true;
+	if (!q->patient || c->target > now || q->service_ns <= 0)
+		return false;
+	per_s = late->started_per_s + LATE_SLOT_SHARE * a->view.limit *
+					  (double)NSEC_PER_SEC / q->service_ns;
+	wait_s = (double)(late->waiting + 1) / per_s;
+	return wait_s * (double)NSEC_PER_SEC +
+		   TARGET_SERVICE_FACTOR * q->service_ns <
+	       LATE_PATIENCE_SHARE * (double)(c->deadline - now);
+}
+
+/*
+ * Returns how long a late call waits before it is refused, ns. q is the base
+ * queue.
+ */
+static int64_t
+get_late_wait_max(const struct row_queue *q, const struct admission_call *c)
+{
+	if (!q->patient)
+		return (int64_t)(LATE_WAIT_SHARE * (double)q->target_ns);
+	return (int64_t)(LATE_PATIENCE_SHARE *
+			 (double)(c->deadline - c->late_since));
+}
+
 /*
  * Moves a waiting call to the late queue, behind all calls that can still meet
  * their target. In an overload it is refused.
@@ -831,8 +882,10 @@
 {
 	struct row_queue *late = &a->view.queues[q->late_queue];
 
-	if (!may_queue_late(a, now)) {
+	if (!may_queue_late(a, now) && !fits_late_queue(a, q, c, now)) {
 		refuse_queued_call(a, q, c, REFUSE_OVERLOAD, out);
+		if (q->patient)
+			c->retry_after_ns = get_late_retry_after(a, q, c, now);
 		return;
 	}
 	remove_call(q, c);
--- a/packages/policy/estimate.c
+++ b/packages/policy/estimate.c
@@ -164,6 +164,12 @@
 	double wait = estimate_wait_ahead(a, q, c) / 2;
 	double spare = (double)(c->target - now) - 2 * q->service_ns;
 
+	/*
+	 * It will be late in any case, so it returns when the wave of load that
+	 * refuses it now may have passed, and with time for a last try.
+	 */
+	if (q->patient && spare < (double)LATE_RETRY_MIN_NS)
+		return (c->deadline - now) / 3;
 	if (wait > spare)
 		wait = spare;
 	return wait > (double)LATE_RETRY_MIN_NS ? (int64_t)wait :
--- a/packages/policy/lane.c
+++ b/packages/policy/lane.c
@@ -32,6 +32,8 @@
 /* Bound of a row's credit: this many slow calls on each slot. */
 #define CREDIT_CALLS_MAX 4.0
 #define HEAP_FIRST_CAP 16
+/* A row is patient if its deadline is this many targets away or more. */
+#define PATIENT_TARGETS 3
 
 static bool is_before(const struct row_queue *q, const struct admission_call *a,
     const struct admission_call *b);
@@ -54,6 +56,9 @@
 	q->limit_pct = r->values[COL_LIMIT_PCT];
 	q->queue_max = r->values[COL_QUEUE_MAX];
 	q->target_ns = r->values[COL_TARGET_MS] * NSEC_PER_MSEC;
+	q->patient = r->values[COL_TARGET_MS] > 0 &&
+		     r->values[COL_DEADLINE_MS] >=
+			 PATIENT_TARGETS * r->values[COL_TARGET_MS];
 	q->by_deadline = by_deadline;
 }
 
--- a/packages/policy/lane.h
+++ b/packages/policy/lane.h
@@ -25,6 +25,10 @@
 	int limit_pct;
 	int queue_max;
 	int64_t target_ns;
+	/*
+	 * Callers wait for several targets, so a late answer still has a use.
+	 */
+	bool patient;
 
 	struct admission_call **heap; /* waiting calls, next one first */
 	size_t waiting;
--- a/packages/policy/tests/test_targets.c
+++ b/packages/policy/tests/test_targets.c
@@ -106,6 +106,73 @@
 }
 END_TEST
 
+struct late_case {
+	const char *what;
+	int row_deadline; /* ms; the target is 400 */
+	int target, deadline; /* of the call, ms from now */
+	int waiting; /* late calls that wait already */
+	enum admit_action want;
+	int retry_after; /* ms; 0: any */
+};
+
+static const struct late_case late_cases[] = {
+    {"a late call that came back waits in a patient row", 2000, -100, 2000, 0,
+	ADMIT_QUEUED, 0},
+    {"not in a row whose callers leave soon", 1000, -100, 2000, 0,
+	ADMIT_REFUSED, 0},
+    {"a first try that would be late is refused until the wave is over", 2000,
+	50, 1500, 0, ADMIT_REFUSED, 500},
+    {"a call that can be in time waits as ever", 2000, 400, 2000, 0,
+	ADMIT_QUEUED, 0},
+    {"no more late calls wait than will run in their time", 2000, -100, 2000, 1,
+	ADMIT_REFUSED, 666},
+    {"a call that is nearly out of time is refused", 2000, -100, 900, 0,
+	ADMIT_REFUSED, 300},
+};
+
+/*
+ * In an overload of some seconds: guards against calls of patient callers that
+ * are refused again and again within it, and against ones that are held in vain.
+ */
+START_TEST(patient_calls_return_after_the_wave_and_wait_then)
+{
+	const struct late_case *c = &late_cases[_i];
+	int64_t now = START + 1000 * MS;
+	int i = 2;
+
+	rows[0].values[COL_DEADLINE_MS] = c->row_deadline;
+	record_service_times(0, 100 * MS, 20);
+	(void)offer(0, 0, 5000, 9000, START);
+	(void)offer(1, 0, 5000, 9000, START);
+	for (; i < 2 + c->waiting; i++)
+		ck_assert_int_eq(offer(i, 0, -100, 2000, now), ADMIT_QUEUED);
+	ck_assert_msg(
+	    offer(i, 0, c->target, c->deadline, now) == c->want, "%s", c->what);
+	if (c->retry_after > 0)
+		ck_assert_msg(calls[i].retry_after_ns / MS == c->retry_after,
+		    "%s: %lld", c->what, (long long)calls[i].retry_after_ns);
+}
+END_TEST
+
+/* Guards against a patient call that is held until it is too late to return. */
+START_TEST(patient_calls_are_refused_at_half_of_their_time)
+{
+	int64_t now = START + 1000 * MS;
+	struct admission_changes out = {0};
+
+	rows[0].values[COL_DEADLINE_MS] = 2000;
+	record_service_times(0, 100 * MS, 20);
+	(void)offer(0, 0, 5000, 9000, START);
+	(void)offer(1, 0, 5000, 9000, START);
+	ck_assert_int_eq(offer(2, 0, -100, 2000, now), ADMIT_QUEUED);
+	expire_calls(a, now + 999 * MS, &out);
+	ck_assert_ptr_null(out.refused);
+	expire_calls(a, now + 1000 * MS, &out);
+	ck_assert_ptr_eq(out.refused, &calls[2]);
+	ck_assert_int_eq(calls[2].retry_after_ns / MS, 333);
+}
+END_TEST
+
 /* Guards against calls that wait for long and are refused in the end. */
 START_TEST(late_calls_are_refused_after_a_share_of_the_target)
 {
@@ -221,6 +288,10 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, free_slot_is_used_despite_a_long_estimate);
 	tcase_add_test(t, late_calls_wait_behind_calls_on_time);
+	tcase_add_loop_test(t,
+	    patient_calls_return_after_the_wave_and_wait_then, 0,
+	    sizeof(late_cases) / sizeof(late_cases[0]));
+	tcase_add_test(t, patient_calls_are_refused_at_half_of_their_time);
 	tcase_add_test(t, late_calls_are_refused_after_a_share_of_the_target);
 	tcase_add_test(t, refusal_in_an_overload_has_a_useful_retry_delay);
 	tcase_add_test(t, urgent_rows_go_before_all_ranks);
