base, http, hop: count the bytes of all buffers; long ones grow by a quarter

The sum of all buffers of a process was not known, and doubling gave a body of 64 MiB up to 128. get_buf_bytes() sums the capacities of all buffers, of all threads. Above 1 MiB a buffer grows by a quarter, and a body never beyond the length that its head announces; 256 KiB instead of 1 MiB are reserved before a body arrives. Empty buffers of links and of kept connections return what exceeds 128 and 64 KiB.

Evidence: base.test_base (buffers_are_counted).

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -86,12 +86,15 @@
 
 /* Buffers */
 int reserve_buf(struct buf *b, size_t more); /* grow by more free bytes */
+int reserve_buf_within(struct buf *b, size_t more, size_t max); /* of len */
 int append_buf(struct buf *b, const void *data, size_t len);
 int append_buf_str(struct buf *b, struct str s);
 int append_buf_fmt(struct buf *b, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
 struct str view_buf(const struct buf *b); /* valid until b changes */
 void unload_buf(struct buf *b); /* free and reset */
+void trim_buf(struct buf *b, size_t max); /* free if empty and larger */
+size_t get_buf_bytes(void); /* capacities of all buffers; any thread */
 
 /* Errors */
 int set_fault(struct fault *f, enum err kind, const char *fmt, ...)
--- a/packages/base/str.c
+++ b/packages/base/str.c
@@ -1,6 +1,7 @@
 /*
  * Length-counted strings and growing buffers.
  */
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,6 +9,15 @@
 #include "base.h"
 
 #define BUF_MIN_BYTES 64 /* first allocation of a buffer */
+/*
+ * Buffers double up to this size. Longer ones grow by a quarter of their size,
+ * so that a long body does not take twice its length.
+ */
+#define BUF_DOUBLE_MAX_BYTES (1024 * 1024)
+
+static atomic_size_t all_buf_bytes; /* capacities of all buffers */
+
+static size_t choose_cap(size_t cap, size_t need);
 
 struct str
 make_str(const char *s)
@@ -159,31 +169,77 @@
 void
 unload_buf(struct buf *b)
 {
+	atomic_fetch_sub_explicit(&all_buf_bytes, b->cap, memory_order_relaxed);
 	free(b->data);
 	*b = (struct buf){0};
 }
 
 /*
- * Makes room for more bytes and a NUL; doubles the capacity. Returns ERR_MEMORY
- * with the buffer unchanged.
+ * Frees the memory of an empty buffer that holds more than max bytes.
+ */
+void
+trim_buf(struct buf *b, size_t max)
+{
+	if (b->len == 0 && b->cap > max)
+		unload_buf(b);
+}
+
+size_t
+get_buf_bytes(void)
+{
+	return atomic_load_explicit(&all_buf_bytes, memory_order_relaxed);
+}
+
+/*
+ * Makes room for more bytes and a NUL. Returns ERR_MEMORY with the buffer
+ * unchanged.
  */
 int
 reserve_buf(struct buf *b, size_t more)
 {
-	size_t need = b->len + more + 1;
-	size_t cap = b->cap != 0 ? b->cap : BUF_MIN_BYTES;
+	return reserve_buf_within(b, more, SIZE_MAX - 1);
+}
+
+/*
+ * As reserve_buf(), for a buffer that will hold max bytes at most: no capacity
+ * beyond that is reserved, unless it is needed now.
+ */
+int
+reserve_buf_within(struct buf *b, size_t more, size_t max)
+{
+	size_t need = b->len + more + 1, cap;
 	char *p;
 
 	if (need < more)
 		return ERR_MEMORY;
 	if (need <= b->cap)
 		return 0;
-	while (cap < need)
-		cap *= 2;
+	cap = choose_cap(b->cap, need);
+	if (cap > max + 1)
+		cap = need > max + 1 ? need : max + 1;
 	p = realloc(b->data, cap);
 	if (p == NULL)
 		return ERR_MEMORY;
+	atomic_fetch_add_explicit(
+	    &all_buf_bytes, cap - b->cap, memory_order_relaxed);
 	b->data = p;
 	b->cap = cap;
 	return 0;
 }
+
+static size_t
+choose_cap(size_t cap, size_t need)
+{
+	if (cap == 0)
+		cap = BUF_MIN_BYTES;
+	while (cap < need && cap < BUF_DOUBLE_MAX_BYTES)
+		cap *= 2;
+	while (cap < need) {
+		size_t more = cap / 4 > BUF_DOUBLE_MAX_BYTES ?
+				  cap / 4 :
+				  BUF_DOUBLE_MAX_BYTES;
+
+		cap = cap + more > cap ? cap + more : need;
+	}
+	return cap;
+}
--- a/packages/base/tests/test_base.c
+++ b/packages/base/tests/test_base.c
@@ -64,6 +64,33 @@
 }
 END_TEST
 
+/*
+ * Guards against memory that is not counted, against long buffers of twice
+ * their length, and against buffers that keep it when they are empty.
+ */
+START_TEST(buffers_are_counted)
+{
+	size_t before = get_buf_bytes(), len = 20 * 1024 * 1024;
+	struct buf b = {0}, exact = {0};
+
+	ck_assert_int_eq(reserve_buf_within(&exact, 10, 5000), 0);
+	ck_assert_int_eq(reserve_buf_within(&exact, 4900, 5000), 0);
+	ck_assert_uint_eq(exact.cap, 5001);
+	ck_assert_int_eq(reserve_buf_within(&exact, 6000, 5000), 0);
+	ck_assert_uint_eq(exact.cap, 6001);
+	while (b.len < len)
+		ck_assert_int_eq(append_buf(&b, "0123456789abcdef", 16), 0);
+	ck_assert_uint_le(b.cap, len + len / 4);
+	ck_assert_uint_eq(get_buf_bytes(), before + b.cap + exact.cap);
+	trim_buf(&b, 100);
+	ck_assert_uint_gt(b.cap, 0); /* it has bytes */
+	b.len = 0;
+	trim_buf(&b, 100);
+	unload_buf(&exact);
+	ck_assert_uint_eq(get_buf_bytes(), before);
+}
+END_TEST
+
 /* Guards against a paused clock that follows real time. */
 START_TEST(paused_clock_moves_only_when_advanced)
 {
@@ -105,6 +132,7 @@
 	    sizeof(parse_cases) / sizeof(parse_cases[0]));
 	tcase_add_test(t, copy_str_rejects_long_strings);
 	tcase_add_test(t, buffer_grows_and_keeps_content);
+	tcase_add_test(t, buffers_are_counted);
 	tcase_add_test(t, paused_clock_moves_only_when_advanced);
 	tcase_add_test(t, equal_seeds_give_equal_sequences);
 	suite_add_tcase(s, t);
--- a/packages/hop/hop.c
+++ b/packages/hop/hop.c
@@ -14,6 +14,7 @@
 
 #define FRAME_HEAD_BYTES 12
 #define READS_PER_EVENT_MAX 4 /* so that no link starves others */
+#define IDLE_BUF_BYTES (128 * 1024) /* kept of a buffer without bytes */
 #define LOW_WATER_BYTES (32 * 1024) /* above it, on_drained follows */
 #define CHECK_INTERVAL_NS (100 * NSEC_PER_MSEC) /* of liveness checks */
 /*
@@ -422,6 +423,7 @@
 		return used != SIZE_MAX;
 	memmove(l->in.data, l->in.data + used, l->in.len - used);
 	l->in.len -= used;
+	trim_buf(&l->in, IDLE_BUF_BYTES);
 	return true;
 }
 
@@ -510,6 +512,7 @@
 		l->out_sent += (size_t)n;
 	}
 	l->out.len = l->out_sent = 0;
+	trim_buf(&l->out, IDLE_BUF_BYTES);
 	change_watch(l->reactor, &l->watch, EPOLLIN);
 	if (l->above_low_water) {
 		l->above_low_water = false;
--- a/packages/http/http.c
+++ b/packages/http/http.c
@@ -8,7 +8,9 @@
 
 #include "http.h"
 
-#define BODY_RESERVE_MAX_BYTES (1024 * 1024) /* before a body arrives */
+/* Before a body arrives; a client may announce one and never send it. */
+#define BODY_RESERVE_MAX_BYTES (256 * 1024)
+#define IDLE_BODY_MAX_BYTES (64 * 1024) /* kept for the next message */
 #define RESPONSE_START_BYTES 7 /* of "HTTP/1." */
 /*
  * The parser's own bound on heads, chunk sizes and trailers, 80 KB by default.
@@ -77,6 +79,7 @@
 	r->head.keep_alive = false;
 	r->head_bytes.len = 0;
 	r->body.len = 0;
+	trim_buf(&r->body, IDLE_BODY_MAX_BYTES);
 	r->scanned = 0;
 	r->head_done = false;
 	r->ended = false;
@@ -435,7 +438,7 @@
 			       (size_t)r->head.content_length :
 			       BODY_RESERVE_MAX_BYTES;
 
-		if (reserve_buf(&r->body, n) != 0) {
+		if (reserve_buf_within(&r->body, n, n) != 0) {
 			r->error = ERR_MEMORY;
 			return -1;
 		}
@@ -447,10 +450,14 @@
 append_body(http_parser *p, const char *at, size_t len)
 {
 	struct http_reader *r = p->data;
+	size_t most = r->head.content_length >= 0 ?
+			  (size_t)r->head.content_length :
+			  r->body_max;
 
 	if (r->body.len + len > r->body_max)
 		r->error = ERR_LIMIT;
-	else if (append_buf(&r->body, at, len) != 0)
+	else if (reserve_buf_within(&r->body, len, most) != 0 ||
+		 append_buf(&r->body, at, len) != 0)
 		r->error = ERR_MEMORY;
 	return r->error != 0 ? -1 : 0;
 }
