control: operators' bodies share a budget, connections give way

64 bodies of 4 MiB took 279.5 MB of a control process with 64 MB. From 56 connections of a listener on, a new one ends the one that needs its own least, so that held connections do not shut operators out.

--- a/apps/greengagespurd/control_role.c
+++ b/apps/greengagespurd/control_role.c
@@ -75,6 +75,7 @@
 	c.events = events;
 	c.seed = get_seed(s);
 	c.snapshot_rate = (uint32_t)get_setting_number(s, "snapshot-rate");
+	c.memory = get_setting_number(s, "memory");
 	return start_control(&c, &control, f);
 }
 
--- a/apps/greengagespurd/options.c
+++ b/apps/greengagespurd/options.c
@@ -46,6 +46,9 @@
 	"control: key of the certificate (PEM, mode 0600)"},
     {"snapshot-rate", SETTING_NUMBER, "0", 0, 100000, NULL,
 	"control: whole tables sent a second; 0: built-in rate"},
+    {"memory", SETTING_SIZE, "0MB", 0, 1LL << 40, NULL,
+	"control: memory of the VM, half of it for operators' bodies; 0MB: no "
+	"bound"},
 
     {"controls", SETTING_LIST, NULL, 0, 0, NULL,
 	"node: control processes as IP:port,..."},
--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -332,6 +332,7 @@
 
 	if (pthread_mutex_init(&c->lock, NULL) != 0 ||
 	    pthread_mutex_init(&c->peers_lock, NULL) != 0 ||
+	    pthread_mutex_init(&c->http_lock, NULL) != 0 ||
 	    pthread_rwlock_init(&c->replica_guard, NULL) != 0 ||
 	    pthread_condattr_init(&attr) != 0)
 		return ERR_MEMORY;
@@ -476,6 +477,7 @@
 		free((char *)(uintptr_t)c->cfg.seeds[i]);
 	pthread_mutex_destroy(&c->lock);
 	pthread_mutex_destroy(&c->peers_lock);
+	pthread_mutex_destroy(&c->http_lock);
 	pthread_rwlock_destroy(&c->replica_guard);
 	pthread_cond_destroy(&c->wake);
 	free(c);
--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -73,6 +73,8 @@
 	control_api_fn api; /* tried before the built-in API; may be NULL */
 	const char *tls_cert_file; /* PEM; NULL: plain HTTP */
 	const char *tls_key_file; /* PEM, mode 0600 or stricter */
+	int64_t memory; /* of the VM, bytes; 0: unlimited */
+	int64_t descriptors; /* of the process; 0: unlimited */
 	struct clock_source clock;
 	struct event_log *events; /* may be NULL */
 	uint64_t seed; /* of jitter and election timeouts */
--- a/packages/control/control_metrics.c
+++ b/packages/control/control_metrics.c
@@ -35,6 +35,8 @@
 	"Commands submitted to the log."),
     SPEC(retries, METRIC_COUNTER, "control_retries_total",
 	"Commands sent again."),
+    SPEC(http_ended, METRIC_COUNTER, "control_http_ended_total",
+	"Operators' connections ended for others."),
     SPEC(no_quorum, METRIC_COUNTER, "control_no_quorum_total",
 	"Reads and commands refused or ended without a quorum."),
     SPEC(claims, METRIC_COUNTER, "control_claims_total", "CLAIM calls."),
--- a/packages/control/http.c
+++ b/packages/control/http.c
@@ -15,6 +15,11 @@
 #include "api.h"
 
 #define HTTP_CONNECTIONS_MAX 64
+/*
+ * From so many connections on, each further one ends the one that needs its
+ * own least, so that clients that hold connections do not shut operators out.
+ */
+#define HTTP_CONNECTIONS_FULL 56
 #define HTTP_HEADER_MAX_BYTES (32 * 1024)
 #define HTTP_IDLE_TIMEOUT_S 15
 #define HTTP_REQUEST_TIMEOUT_NS (30 * NSEC_PER_SEC) /* headers to last byte */
@@ -25,12 +30,27 @@
 
 /* A request whose body is being received. */
 struct http_request {
-	struct buf body;
+	struct http_request *next, **prev; /* in control.http_requests */
+	struct http_peer *peer;
+	struct buf body; /* control.http_lock, until serving */
 	int64_t started_ns; /* receipt of the headers */
 	bool too_large; /* the body was discarded */
+	bool yielded; /* likewise, since memory was short */
 	bool serving; /* complete; counted in control.http_serving */
 };
 
+/* A connection of the operators' listener; control.http_lock */
+struct http_peer {
+	struct http_peer *next, **prev; /* in control.http_peers */
+	const struct MHD_Daemon *listener;
+	int fd;
+	int64_t started_ns; /* of the connection */
+	int64_t progress_ns; /* its client last sent bytes of a request */
+	int requests; /* whose headers have arrived */
+	bool serving; /* a request is being served */
+	bool ended; /* was shut down for another connection */
+};
+
 /* PEM contents, needed only until libmicrohttpd has started. */
 struct tls_files {
 	struct buf cert;
@@ -56,6 +76,16 @@
     size_t *size, void **state);
 static enum MHD_Result receive_body(
     struct control *c, struct http_request *r, const char *data, size_t *size);
+static bool make_body_room(
+    struct control *c, struct http_request *r, size_t more, int64_t now);
+static void drop_body(struct control *c, struct http_request *r);
+static struct memory_holder describe_request(const struct http_request *r);
+static void watch_connection(void *arg, struct MHD_Connection *conn,
+    void **state, enum MHD_ConnectionNotificationCode code);
+static void end_least_needed_peer(
+    struct control *c, const struct MHD_Daemon *listener, int64_t now);
+static struct memory_holder describe_peer(const struct http_peer *p);
+static struct http_peer *get_peer(struct MHD_Connection *conn);
 static enum MHD_Result serve_request(struct control *c,
     struct MHD_Connection *conn, const char *url, const char *method,
     struct http_request *r);
@@ -81,6 +111,8 @@
 	struct tls_files t = {0};
 	int rc = parse_listen_address(c->cfg.http_listen, &sa, f);
 
+	/* Half of the memory is left to the table, the log and the nodes. */
+	c->http_budget = plan_memory(c->cfg.memory / 2, c->cfg.descriptors);
 	if (rc == 0 && c->tokens == NULL && !c->cfg.allow_unauthenticated &&
 	    !is_loopback((const struct sockaddr *)&sa))
 		rc = set_fault(f, ERR_DENIED,
@@ -262,8 +294,9 @@
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HTTP_HEADER_MAX_BYTES,
 	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)HTTP_IDLE_TIMEOUT_S,
 	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_NOTIFY_COMPLETED,
-	    finish_request, c, MHD_OPTION_ARRAY,
-	    t->cert.len > 0 ? tls : tls + 2, MHD_OPTION_END);
+	    finish_request, c, MHD_OPTION_NOTIFY_CONNECTION, watch_connection,
+	    c, MHD_OPTION_ARRAY, t->cert.len > 0 ? tls : tls + 2,
+	    MHD_OPTION_END);
 }
 
 /*
@@ -284,12 +317,28 @@
 		if (r == NULL)
 			return MHD_NO;
 		r->started_ns = read_mono(&c->cfg.clock);
+		r->peer = get_peer(conn);
+		pthread_mutex_lock(&c->http_lock);
+		r->next = c->http_requests;
+		r->prev = &c->http_requests;
+		if (r->next != NULL)
+			r->next->prev = &r->next;
+		c->http_requests = r;
+		if (r->peer != NULL) {
+			r->peer->requests++;
+			r->peer->progress_ns = r->started_ns;
+		}
+		pthread_mutex_unlock(&c->http_lock);
 		*state = r;
 		return MHD_YES;
 	}
 	if (*size > 0)
 		return receive_body(c, r, data, size);
+	pthread_mutex_lock(&c->http_lock);
 	r->serving = true;
+	if (r->peer != NULL)
+		r->peer->serving = true;
+	pthread_mutex_unlock(&c->http_lock);
 	atomic_fetch_add(&c->http_serving, 1);
 	return serve_request(c, conn, url, method, r);
 }
@@ -330,14 +379,183 @@
 receive_body(
     struct control *c, struct http_request *r, const char *data, size_t *size)
 {
-	if (read_mono(&c->cfg.clock) - r->started_ns > HTTP_REQUEST_TIMEOUT_NS)
+	int64_t now = read_mono(&c->cfg.clock);
+	size_t before;
+	int rc = 0;
+
+	if (now - r->started_ns > HTTP_REQUEST_TIMEOUT_NS)
 		return MHD_NO;
-	if (r->body.len + *size > API_BODY_MAX)
+	pthread_mutex_lock(&c->http_lock);
+	if (r->peer != NULL)
+		r->peer->progress_ns = now;
+	if (r->body.len + *size > API_BODY_MAX) {
 		r->too_large = true;
-	if (!r->too_large && append_buf(&r->body, data, *size) != 0)
-		return MHD_NO;
+		drop_body(c, r);
+	}
+	if (!r->too_large && !r->yielded && !make_body_room(c, r, *size, now)) {
+		r->yielded = true;
+		drop_body(c, r);
+	}
+	if (!r->too_large && !r->yielded) {
+		before = r->body.cap;
+		rc = reserve_buf_within(&r->body, *size, API_BODY_MAX);
+		c->http_bytes += r->body.cap - before;
+		if (rc == 0)
+			rc = append_buf(&r->body, data, *size);
+	}
+	pthread_mutex_unlock(&c->http_lock);
 	*size = 0;
-	return MHD_YES;
+	return rc == 0 ? MHD_YES : MHD_NO;
+}
+
+/*
+ * Drops the bodies of requests that give way before r, until r may grow by more
+ * bytes. Returns false when r itself has to give way.
+ */
+static bool
+make_body_room(
+    struct control *c, struct http_request *r, size_t more, int64_t now)
+{
+	struct memory_holder own = describe_request(r);
+
+	while (
+	    c->http_budget.limit != 0 &&
+	    c->http_bytes + more > get_memory_level(&c->http_budget,
+				       own.bytes + more, MEMORY_RANK_UNKNOWN)) {
+		struct memory_holder first = own, h;
+		struct http_request *v = r;
+
+		for (struct http_request *o = c->http_requests; o != NULL;
+		     o = o->next) {
+			h = describe_request(o);
+			if (o == r || h.waits || h.bytes == 0 ||
+			    !yields_memory_before(&h, &first, now))
+				continue;
+			v = o;
+			first = h;
+		}
+		if (v == r)
+			return false;
+		v->yielded = true;
+		drop_body(c, v);
+	}
+	return true;
+}
+
+static void
+drop_body(struct control *c, struct http_request *r)
+{
+	c->http_bytes -= r->body.cap;
+	unload_buf(&r->body);
+}
+
+static struct memory_holder
+describe_request(const struct http_request *r)
+{
+	return (struct memory_holder){
+	    .bytes = r->body.cap,
+	    .progress_at =
+		r->peer != NULL ? r->peer->progress_ns : r->started_ns,
+	    .since = r->started_ns,
+	    .rank = MEMORY_RANK_UNKNOWN,
+	    .waits = r->serving,
+	};
+}
+
+/*
+ * Called by libmicrohttpd when a connection begins and before it is closed.
+ */
+static void
+watch_connection(void *arg, struct MHD_Connection *conn, void **state,
+    enum MHD_ConnectionNotificationCode code)
+{
+	const union MHD_ConnectionInfo *info;
+	struct control *c = arg;
+	struct http_peer *p = *state;
+
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		p = calloc(1, sizeof(*p));
+		info = MHD_get_connection_info(
+		    conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+		*state = p;
+		if (p == NULL || info == NULL)
+			return;
+		p->fd = info->connect_fd;
+		info =
+		    MHD_get_connection_info(conn, MHD_CONNECTION_INFO_DAEMON);
+		p->listener = info != NULL ? info->daemon : NULL;
+		p->started_ns = p->progress_ns = read_mono(&c->cfg.clock);
+		pthread_mutex_lock(&c->http_lock);
+		end_least_needed_peer(c, p->listener, p->started_ns);
+		p->next = c->http_peers;
+		p->prev = &c->http_peers;
+		if (p->next != NULL)
+			p->next->prev = &p->next;
+		c->http_peers = p;
+		pthread_mutex_unlock(&c->http_lock);
+		return;
+	}
+	if (p == NULL)
+		return;
+	pthread_mutex_lock(&c->http_lock);
+	if (p->prev != NULL) {
+		*p->prev = p->next;
+		if (p->next != NULL)
+			p->next->prev = p->prev;
+	}
+	pthread_mutex_unlock(&c->http_lock);
+	free(p);
+	*state = NULL;
+}
+
+/*
+ * At HTTP_CONNECTIONS_FULL, shuts down one connection of the listener. Its thread then closes
+ * it.
+ */
+static void
+end_least_needed_peer(
+    struct control *c, const struct MHD_Daemon *listener, int64_t now)
+{
+	struct http_peer *v = NULL;
+	struct memory_holder first, h;
+	int open = 0;
+
+	for (struct http_peer *p = c->http_peers; p != NULL; p = p->next) {
+		if (p->ended || p->listener != listener)
+			continue;
+		open++;
+		h = describe_peer(p);
+		if (h.waits ||
+		    (v != NULL && !yields_descriptor_before(&h, &first, now)))
+			continue;
+		v = p;
+		first = h;
+	}
+	if (open < HTTP_CONNECTIONS_FULL || v == NULL)
+		return;
+	v->ended = true;
+	(void)shutdown(v->fd, SHUT_RDWR);
+	count_metric(c->metrics.http_ended, 1);
+}
+
+static struct memory_holder
+describe_peer(const struct http_peer *p)
+{
+	return (struct memory_holder){
+	    .bytes = (size_t)(p->requests > 0),
+	    .progress_at = p->progress_ns,
+	    .since = p->started_ns,
+	    .waits = p->serving,
+	};
+}
+
+static struct http_peer *
+get_peer(struct MHD_Connection *conn)
+{
+	const union MHD_ConnectionInfo *info =
+	    MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+	return info != NULL ? info->socket_context : NULL;
 }
 
 /*
@@ -364,6 +582,10 @@
 		    false);
 	else if (r->too_large)
 		answer_error(&a, 413, "limit", "the body exceeds 4 MiB", false);
+	else if (r->yielded)
+		answer_error(&a, 503, "memory",
+		    "memory is short; the request has not run, send it again",
+		    true);
 	else if (!serve_custom_api(c, &q, &a))
 		serve_api(c, &q, &a);
 	return send_answer(conn, &a);
@@ -468,7 +690,16 @@
 		return;
 	if (r->serving)
 		atomic_fetch_sub(&c->http_serving, 1);
-	unload_buf(&r->body);
+	pthread_mutex_lock(&c->http_lock);
+	*r->prev = r->next;
+	if (r->next != NULL)
+		r->next->prev = r->prev;
+	if (r->peer != NULL) {
+		r->peer->requests--;
+		r->peer->serving = false;
+	}
+	drop_body(c, r);
+	pthread_mutex_unlock(&c->http_lock);
 	free(r);
 	*state = NULL;
 }
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -15,6 +15,7 @@
 #include "identity.h"
 #include "lag.h"
 #include "membership_plan.h"
+#include "memory_budget.h"
 #include "metric.h"
 #include "nodes.h"
 #include "replica.h"
@@ -183,6 +184,7 @@
 	metric_id commands;
 	metric_id retries;
 	metric_id no_quorum;
+	metric_id http_ended;
 	metric_id claims;
 	metric_id resends;
 	metric_id lag_us; /* histogram */
@@ -245,6 +247,11 @@
 	struct MHD_Daemon *http;
 	struct MHD_Daemon *metrics_http; /* NULL: none */
 	atomic_size_t http_serving; /* requests read and not answered */
+	struct memory_budget http_budget; /* of operators' bodies */
+	pthread_mutex_t http_lock; /* innermost; protects the next three */
+	struct http_request *http_requests;
+	struct http_peer *http_peers; /* connections of operators */
+	size_t http_bytes; /* capacities of bodies */
 	pthread_t thread;
 	bool thread_started;
 };
