node, platform: connections share a budget of memory and descriptors

Clients outside the limits ended a node: each of their messages was legal, but nothing bounded the sum of bodies, of answers that were not read, and of connections. A node now draws on the budget of the VM (limits.memory-mb) before a message grows. When it is used up, clients that make no progress give way first, then long messages, the least urgent and newest first: a request being read is refused with 503, which is true, a connection with unread answers is closed. Reading of further pipelined requests stops before. limits.max-fds bounds the accepted connections of each listener; without a descriptor a listener pauses instead of spinning.

A body above 64 KiB is sent to the backend server from where it arrived; it was copied before. A head has to be complete within its time limit; each byte began the limit again. One caller with a time-out of 60 s for a row of 1 s made all others of the kind count as late, so that an idle node refused them until it started again; time-outs over 8 deadlines no longer count.

--- a/apps/greengagespurd/platform_role.c
+++ b/apps/greengagespurd/platform_role.c
@@ -2,6 +2,7 @@
  * The role of a process on the users' platform: a node beside a backend server
  * or a control process, as the platform's settings file says.
  */
+#include <malloc.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -44,6 +45,8 @@
  */
 #define STOP_MARGIN_MAX_S 1.0
 #define STOP_MARGIN_SHARE (1.0 / 6)
+#define HEAP_MAX_BYTES (256 * 1024) /* of a buffer in the heap */
+#define HEAP_SPARE_BYTES (1024 * 1024) /* free memory at the end of the heap */
 
 static struct platform_settings settings;
 static struct agent *agent;
@@ -64,6 +67,7 @@
 static void handle_agent_change(void *arg);
 static int64_t get_stop_ns(void);
 static void fill_seed_addresses(const char **out);
+static void limit_heap(void);
 static void reload_settings(void);
 
 static const struct role role = {
@@ -96,6 +100,8 @@
 
 	(void)keys;
 	set_log_name(settings.name);
+	if (settings.memory > 0)
+		limit_heap();
 	if (stat(getenv(CONFIG_VARIABLE), &st) == 0)
 		settings_mtime = st.st_mtim;
 	return settings.serves_backend ?
@@ -152,6 +158,8 @@
 	struct control_config c = {
 	    .auto_members = true,
 	    .first_start = settings.first_start,
+	    .memory = settings.memory,
+	    .descriptors = settings.descriptors,
 	    .voters_wanted = 2 * (size_t)settings.machine_losses_max + 1,
 	    .seed_count = settings.seed_count,
 	    .zone = settings.zone,
@@ -208,6 +216,8 @@
 	    .service = settings.service,
 	    .backend = settings.backend,
 	    .link_rate = settings.link_rate,
+	    .memory = settings.memory,
+	    .descriptors = settings.descriptors,
 	    .retry_ratio = settings.retry_ratio,
 	    .retry_slack = (int)settings.retry_slack,
 	    .retry_window_ns =
@@ -261,6 +271,18 @@
 	return (int64_t)((settings.stop_grace_s - margin) * NSEC_PER_SEC);
 }
 
+/*
+ * Long buffers get pages of their own, which return to the system when they
+ * are freed. By default the allocator raises this bound with each long buffer
+ * up to 32 MiB, and keeps them.
+ */
+static void
+limit_heap(void)
+{
+	(void)mallopt(M_MMAP_THRESHOLD, HEAP_MAX_BYTES);
+	(void)mallopt(M_TRIM_THRESHOLD, HEAP_SPARE_BYTES);
+}
+
 /*
  * The addresses in out refer to settings.seeds.
  */
--- a/packages/node/backend_conn.c
+++ b/packages/node/backend_conn.c
@@ -17,6 +17,8 @@
 /* A longer frame would close the link, with all calls on it. */
 _Static_assert(ANSWER_HEAD_MAX + ANSWER_BODY_MAX < HOP_PAYLOAD_MAX,
     "every answer fits into a frame");
+#define SHORT_BODY_BYTES (64 * 1024) /* of a call, sent with its head */
+#define IDLE_OUT_BYTES (16 * 1024) /* kept by an idle connection */
 #define CONNECT_NS (500 * NSEC_PER_MSEC) /* connect time-out */
 #define UNEXPECTED_ANSWERS_MAX 3 /* discarded while a call is running */
 #define INTERIM_ANSWERS_MAX 16 /* discarded while a call is running */
@@ -39,6 +41,8 @@
 static struct backend_conn *open_conn(struct node *n);
 static int encode_call(struct backend_conn *c, const struct job *j);
 static int encode_call_head(struct backend_conn *c, const struct job *j);
+static int encode_call_body(struct backend_conn *c, const struct job *j);
+static bool has_unsent_call(const struct backend_conn *c);
 static void serve_conn(struct watch *w, uint32_t events);
 static bool finish_opening(struct backend_conn *c);
 static void send_call(struct backend_conn *c);
@@ -181,10 +185,45 @@
 	(void)copy_str(c->id, sizeof(c->id), j->spec.id);
 	rc = encode_call_head(c, j);
 	if (rc == 0)
-		rc = append_buf_str(&c->out, j->spec.body);
+		rc = encode_call_body(c, j);
 	return rc;
 }
 
+/*
+ * A short body leaves with the head. A long one is sent from the job's memory,
+ * so that it is not held twice.
+ */
+static int
+encode_call_body(struct backend_conn *c, const struct job *j)
+{
+	c->body = make_str_n(NULL, 0);
+	if (j->spec.body.len <= SHORT_BODY_BYTES)
+		return append_buf_str(&c->out, j->spec.body);
+	c->body = j->spec.body;
+	return 0;
+}
+
+/*
+ * Copies what is left of a call's body, whose owner frees it. Returns
+ * ERR_MEMORY.
+ */
+int
+keep_call_body(struct job *j)
+{
+	struct backend_conn *c = j->conn;
+	int rc = c != NULL ? append_buf_str(&c->out, c->body) : 0;
+
+	if (rc == 0 && c != NULL)
+		c->body = make_str_n(NULL, 0);
+	return rc;
+}
+
+static bool
+has_unsent_call(const struct backend_conn *c)
+{
+	return c->out_sent < c->out.len || c->body.len > 0;
+}
+
 /*
  * Appends the request line and the headers. The deadline header has the time
  * that is left now.
@@ -277,9 +316,12 @@
 		c->job->sent = true;
 	if (c->sent_at == 0)
 		c->sent_at = get_reactor_now(r);
-	while (c->out_sent < c->out.len) {
-		ssize_t n = send(c->watch.fd, c->out.data + c->out_sent,
-		    c->out.len - c->out_sent, MSG_NOSIGNAL);
+	while (has_unsent_call(c)) {
+		bool head = c->out_sent < c->out.len;
+		ssize_t n = send(c->watch.fd,
+		    head ? c->out.data + c->out_sent : c->body.data,
+		    head ? c->out.len - c->out_sent : c->body.len,
+		    MSG_NOSIGNAL);
 
 		if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
 			change_watch(r, &c->watch, EPOLLIN | EPOLLOUT);
@@ -288,10 +330,16 @@
 		if (n < 0) {
 			/* The server may have answered before it closed. */
 			c->out_sent = c->out.len;
+			c->body = make_str_n(NULL, 0);
 			c->close_after_use = true;
 			break;
 		}
-		c->out_sent += (size_t)n;
+		if (head) {
+			c->out_sent += (size_t)n;
+			continue;
+		}
+		c->body.data += n;
+		c->body.len -= (size_t)n;
 	}
 	change_watch(r, &c->watch, EPOLLIN);
 }
@@ -388,7 +436,9 @@
 	for (const struct backend_conn *b = c->node->backend->busy; b != NULL;
 	     b = b->next)
 		sum += b->reader.body.len;
-	return sum > ANSWERS_MEMORY_MAX;
+	return sum > (c->node->budget.limit != 0 ? c->node->budget.answers :
+						   ANSWERS_MEMORY_MAX) ||
+	       !has_memory(c->node, 0, c->node->budget.urgent);
 }
 
 /*
@@ -415,8 +465,9 @@
 {
 	struct job *j = c->job;
 
-	if (surplus || !c->reader.head.keep_alive || c->out_sent < c->out.len)
+	if (surplus || !c->reader.head.keep_alive || has_unsent_call(c))
 		c->close_after_use = true;
+	c->body = make_str_n(NULL, 0); /* its owner frees it */
 	c->job = NULL;
 	if (j != NULL) {
 		j->conn = NULL;
@@ -578,6 +629,9 @@
 		return;
 	}
 	unlink_conn(&n->backend->busy, c);
+	c->out.len = c->out_sent = 0;
+	trim_buf(&c->out, IDLE_OUT_BYTES);
+	reset_http_reader(&c->reader);
 	c->state = CONN_IDLE;
 	c->idle_since = now;
 	c->next = n->backend->idle;
--- a/packages/node/backend_state.h
+++ b/packages/node/backend_state.h
@@ -25,9 +25,9 @@
 	struct http_reader reader;
 	struct job *job; /* whose call is being sent or run; NULL: none */
 	char id[CALL_ID_BYTES]; /* call id */
-	struct buf out;
+	struct buf out; /* head, and a short body */
 	size_t out_sent;
-	size_t sent_body_at; /* unused */
+	struct str body; /* of the job: what is left to send of a long body */
 	bool reused; /* has carried earlier calls */
 	uint64_t run; /* of the backend server when the call was sent */
 	bool close_after_use; /* not reusable after the current call */
--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -20,8 +20,14 @@
 #define DEFAULT_HEAD_NS (5 * NSEC_PER_SEC)
 #define DEFAULT_HEAD_BYTES (32 * 1024)
 #define DEFAULT_BODY_BYTES (64 * 1024 * 1024)
-
-static void start_caller(struct node *n, int fd, request_fn handle);
+#define SMALL_ANSWER_BYTES 4096 /* kept without drawing on the budget */
+#define IDLE_OUT_BYTES (16 * 1024) /* of a buffer without output */
+/* Of a request that was refused to free memory. */
+#define MEMORY_RETRY_AFTER "Retry-After: 1.000\r\n"
+
+static void start_caller(struct listener *l, int fd);
+static bool draw_input(struct caller *c, size_t len);
+static void refuse_unread(struct request *q);
 static void serve_caller(struct watch *w, uint32_t events);
 static void read_caller(struct caller *c);
 static void resume_caller(struct caller *c);
@@ -40,6 +46,7 @@
 static void close_caller(struct caller *c);
 static void end_closed_callers(struct task *t);
 static void time_out_caller(struct timer *t);
+static void arm_reading_timer(struct caller *c, const struct request *q);
 static void arm_timer(struct caller *c, int64_t timeout);
 static int64_t choose_timeout(int64_t value, int64_t fallback);
 
@@ -51,13 +58,40 @@
 
 	(void)events;
 	for (int i = 0; i < ACCEPTS_PER_EVENT; i++) {
-		int fd =
-		    accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		int fd = accept_connection(l);
 
 		if (fd < 0)
 			return;
-		start_caller(l->node, fd, l->handle);
+		start_caller(l, fd);
+	}
+}
+
+/*
+ * Returns false when no connection can give way.
+ */
+bool
+free_caller_descriptor(struct node *n, const struct listener *l)
+{
+	int64_t now = get_reactor_now(n->reactor);
+	struct memory_holder first, h;
+	struct caller *v = NULL;
+
+	for (struct caller *c = n->callers; c != NULL; c = c->next) {
+		if (c->busy || (l != NULL && c->listener != l))
+			continue;
+		h = describe_holder(c);
+		if (h.waits ||
+		    (v != NULL && !yields_descriptor_before(&h, &first, now)))
+			continue;
+		v = c;
+		first = h;
 	}
+	count_metric(n->metrics.accept_closes_total, 1);
+	if (v == NULL)
+		return false;
+	discard_all_input(v);
+	close_caller(v);
+	return true;
 }
 
 /*
@@ -134,6 +168,12 @@
 		free_request(q);
 		return;
 	}
+	if (head.len + body.len > SMALL_ANSWER_BYTES &&
+	    !make_room(c, 2 * (head.len + body.len), c->node->budget.limit)) {
+		q->state = REQUEST_DONE; /* without its answer */
+		close_caller(c);
+		return;
+	}
 	if (keep_answer(q, status, head, body) != 0) {
 		write_log(LOG_LEVEL_ERR,
 		    "out of memory for an answer; a caller's connection is "
@@ -164,6 +204,7 @@
 		remove_pipeline(q->caller, q);
 	q->node->body_bytes -= q->reader.body.len;
 	q->node->kept_bytes -= q->answer.len;
+	q->node->object_bytes -= sizeof(*q);
 	if (q->counted)
 		q->node->requests--;
 	close_http_reader(&q->reader);
@@ -174,14 +215,22 @@
 }
 
 /*
- * Takes over an accepted connection; closes it when out of memory.
+ * Takes over an accepted connection; closes it when out of memory, or when its
+ * listener has all its connections and none can give way.
  */
 static void
-start_caller(struct node *n, int fd, request_fn handle)
+start_caller(struct listener *l, int fd)
 {
-	struct caller *c = calloc(1, sizeof(*c));
-	int one = 1;
+	struct node *n = l->node;
+	struct caller *c;
+	int one = 1, window;
 
+	if (l->open_max > 0 && l->open >= l->open_max &&
+	    !free_caller_descriptor(n, l)) {
+		close(fd);
+		return;
+	}
+	c = calloc(1, sizeof(*c));
 	if (c == NULL || start_watch(n->reactor, &c->watch, fd,
 			     EPOLLIN | EPOLLRDHUP, serve_caller) != 0) {
 		write_log(LOG_LEVEL_ERR,
@@ -191,8 +240,15 @@
 		return;
 	}
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	window = choose_receive_bytes(&n->budget, ++l->open);
+	if (window > 0)
+		(void)setsockopt(
+		    fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
 	c->node = n;
-	c->handle = handle;
+	c->listener = l;
+	c->handle = l->handle;
+	c->progress_at = get_reactor_now(n->reactor);
+	n->object_bytes += sizeof(*c);
 	c->tail = &c->first;
 	c->next = n->callers;
 	c->prev = &n->callers;
@@ -246,12 +302,74 @@
 	if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR)) {
 		close_caller(c);
 	} else if (n > 0) {
-		c->input_at = get_reactor_now(r);
-		progress_caller(c, make_str_n(bytes, (size_t)n));
+		c->input_at = c->progress_at = get_reactor_now(r);
+		if (draw_input(c, (size_t)n))
+			progress_caller(c, make_str_n(bytes, (size_t)n));
 	}
 	release_scratch(r);
 }
 
+/*
+ * Draws memory for len bytes that were read. Returns false if there is none:
+ * the bytes are dropped with their request, which is refused.
+ */
+static bool
+draw_input(struct caller *c, size_t len)
+{
+	size_t more = get_input_growth(c, len);
+	struct request *q;
+
+	if (more == 0 || make_input_room(c, more))
+		return true;
+	c->busy = true;
+	q = open_request(c);
+	c->busy = false;
+	if (q == NULL)
+		close_caller(c);
+	else
+		refuse_unread(q);
+	return false;
+}
+
+/*
+ * Refuses a request that is being read and frees its memory. It has not run.
+ * What follows on the connection is not read any more.
+ */
+static void
+refuse_unread(struct request *q)
+{
+	struct node *n = q->node;
+
+	count_metric(n->metrics.yields_total, 1);
+	count_metric(n->metrics.refused_total, 1);
+	n->body_bytes -= q->reader.body.len;
+	unload_buf(&q->reader.body);
+	q->reason = REFUSE_BODY_MEMORY;
+	q->caller->input_ended = true;
+	q->state = REQUEST_DONE;
+	unload_buf(&q->caller->input);
+	send_answer(q, 503, make_str(MEMORY_RETRY_AFTER), make_str(""));
+}
+
+/*
+ * A request that is being read is refused. A connection whose client does not
+ * read its answers is closed.
+ */
+void
+yield_caller(struct caller *c)
+{
+	struct request *q = get_reading(c);
+
+	if (q != NULL && c->out.len == c->out_sent && !c->closing) {
+		refuse_unread(q);
+		return;
+	}
+	count_metric(c->node->metrics.yields_total, 1);
+	discard_all_input(c);
+	close_caller(c);
+	free_caller_buffers(c);
+}
+
 /*
  * Goes on with the input that was kept, and with output that was not accepted
  * by the socket.
@@ -337,6 +455,10 @@
 	if (e == READ_MORE) {
 		if (!is_http_reading(&q->reader))
 			free_request(q); /* only empty lines so far */
+		else if (q->reader.head_done && c->handle == route_call &&
+			 c->rank == MEMORY_RANK_UNKNOWN &&
+			 c->node->budget.limit != 0)
+			c->rank = get_request_rank(q);
 		return;
 	}
 	if (e != READ_END) {
@@ -363,6 +485,8 @@
 	q = calloc(1, sizeof(*q));
 	if (q == NULL)
 		return NULL;
+	n->object_bytes += sizeof(*q);
+	c->rank = MEMORY_RANK_UNKNOWN;
 	q->node = n;
 	q->caller = c;
 	q->arrived = c->input_at;
@@ -430,8 +554,10 @@
 			return;
 		}
 		c->out_sent += (size_t)n;
+		c->progress_at = get_reactor_now(c->node->reactor);
 	}
 	c->out.len = c->out_sent = 0;
+	trim_buf(&c->out, IDLE_OUT_BYTES);
 }
 
 /*
@@ -444,6 +570,7 @@
 	struct node *n = c->node;
 
 	if (c->out.len > c->out_sent) {
+		set_caller_stopped(c, true);
 		change_watch(n->reactor, &c->watch, EPOLLOUT);
 		arm_timer(c, choose_timeout(n->idle_ns, DEFAULT_IDLE_NS));
 		return;
@@ -454,10 +581,11 @@
 		linger_caller(c);
 		return;
 	}
+	set_caller_stopped(c, !may_read_request(c));
 	change_watch(n->reactor, &c->watch,
-	    may_read_request(c) ? EPOLLIN | EPOLLRDHUP : EPOLLRDHUP);
+	    c->stopped ? EPOLLRDHUP : EPOLLIN | EPOLLRDHUP);
 	if (get_reading(c) != NULL)
-		arm_timer(c, choose_timeout(n->head_ns, DEFAULT_HEAD_NS));
+		arm_reading_timer(c, get_reading(c));
 	else if (c->first == NULL)
 		arm_timer(c, choose_timeout(n->idle_ns, DEFAULT_IDLE_NS));
 	else
@@ -473,6 +601,7 @@
 linger_caller(struct caller *c)
 {
 	c->lingering = true;
+	set_caller_stopped(c, false);
 	(void)shutdown(c->watch.fd, SHUT_WR);
 	arm_timer(c, LINGER_NS);
 	change_watch(c->node->reactor, &c->watch, EPOLLIN | EPOLLRDHUP);
@@ -521,6 +650,8 @@
 	if (c->closed)
 		return;
 	c->closed = true;
+	c->listener->open--;
+	set_caller_stopped(c, false);
 	*c->prev = c->next;
 	if (c->next != NULL)
 		c->next->prev = c->prev;
@@ -556,6 +687,7 @@
 		}
 		unload_buf(&c->input);
 		unload_buf(&c->out);
+		n->object_bytes -= sizeof(*c);
 		free(c);
 	}
 }
@@ -579,6 +711,22 @@
 	resume_caller(c);
 }
 
+/*
+ * A head has to be complete within its limit; the bytes of a body have to
+ * follow each other within it.
+ */
+static void
+arm_reading_timer(struct caller *c, const struct request *q)
+{
+	int64_t limit = choose_timeout(c->node->head_ns, DEFAULT_HEAD_NS);
+	int64_t now = get_reactor_now(c->node->reactor);
+
+	if (!q->reader.head_done && q->arrived + limit > now)
+		arm_timer(c, q->arrived + limit - now);
+	else
+		arm_timer(c, q->reader.head_done ? limit : 0);
+}
+
 static void
 arm_timer(struct caller *c, int64_t timeout)
 {
--- a/packages/node/caller_state.h
+++ b/packages/node/caller_state.h
@@ -10,6 +10,7 @@
 /* A connection of a caller. */
 struct caller {
 	struct node *node;
+	struct listener *listener;
 	struct caller *next, **prev; /* in the node's list */
 	request_fn handle;
 	struct watch watch;
@@ -25,8 +26,26 @@
 	bool lingering; /* answered; discards input until the caller closes */
 	bool busy; /* progress_caller() is running */
 	bool closed; /* its requests are ended at the end of the round */
+	bool stopped; /* not read now; counted in node.stopped_callers */
+	int rank; /* of the request being read; MEMORY_RANK_UNKNOWN */
+	int64_t progress_at; /* mono ns; bytes were last received or sent */
 };
 
+/* caller_memory.c */
+/*
+ * Makes others give way until the connection may take more bytes within level,
+ * a share of the budget; false: it has to give way itself.
+ */
+bool make_room(struct caller *c, size_t more, size_t level);
+bool make_input_room(struct caller *c, size_t more); /* by its request */
+size_t get_input_growth(const struct caller *c, size_t len);
+struct memory_holder describe_holder(const struct caller *c);
+void set_caller_stopped(struct caller *c, bool stopped);
+void free_caller_buffers(struct caller *c); /* of a closed connection */
+
+/* caller.c */
+void yield_caller(struct caller *c); /* refuses its request or closes it */
+
 /* pipeline.c */
 void append_pipeline(struct caller *c, struct request *q);
 void remove_pipeline(struct caller *c, struct request *q);
--- a/packages/node/inbound.c
+++ b/packages/node/inbound.c
@@ -11,6 +11,7 @@
 #include "node_state.h"
 
 #define REMOTE_SLOTS 64 /* buckets of a link's hash table of calls */
+#define LONG_ANSWER_BYTES 4096 /* given up when memory is short */
 
 /* A call that an entry node has offered. */
 struct remote_call {
@@ -34,6 +35,7 @@
 	uint32_t terms_stream; /* of that offer; 0: none */
 };
 
+static void limit_new_links(const struct listener *l);
 static void open_inbound(struct node *n, int fd);
 static void handle_frame(void *arg, const struct hop_frame *f);
 static void handle_hello(struct inbound_link *l, struct str payload);
@@ -73,9 +75,31 @@
 	int fd;
 
 	(void)events;
-	while ((fd = accept4(
-		    w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+	while ((fd = accept_connection(l)) >= 0) {
+		limit_new_links(l);
 		open_inbound(l->node, fd);
+	}
+}
+
+/*
+ * Closes the oldest link without a handshake when there are too many of them:
+ * a node sends its own at once.
+ */
+static void
+limit_new_links(const struct listener *l)
+{
+	struct inbound_link *oldest = NULL;
+	int count = 0;
+
+	for (struct inbound_link *i = l->node->inbound; i != NULL;
+	     i = i->next) {
+		if (i->handshake_done)
+			continue;
+		oldest = i;
+		count++;
+	}
+	if (l->open_max > 0 && count >= l->open_max)
+		handle_inbound_lost(oldest, "no handshake");
 }
 
 /*
@@ -316,6 +340,8 @@
 		return;
 	j = c->job;
 	if (c->body.len + bytes.len > c->offer.body_len ||
+	    !has_memory(l->node, bytes.len, l->node->budget.limit) ||
+	    reserve_buf_within(&c->body, bytes.len, c->offer.body_len) != 0 ||
 	    append_buf_str(&c->body, bytes) != 0) {
 		handle_cancel(l, stream);
 		send_refusal(l, stream, REFUSE_BODY_MEMORY, 0, false);
@@ -439,6 +465,12 @@
 	    .service_us = (unsigned int)(a->service_ns / NSEC_PER_USEC),
 	    .load = get_own_load(c->link->node)};
 
+	if (a->body.len > LONG_ANSWER_BYTES &&
+	    !has_memory(
+		c->link->node, a->body.len, c->link->node->budget.limit)) {
+		send_remote_failure(c, ATTEMPT_BROKEN, false);
+		return;
+	}
 	m.head.head_val = (char *)(uintptr_t)a->head.data;
 	m.head.head_len = (unsigned int)a->head.len;
 	if (m.load.in_flight > 0)
--- a/packages/node/listen.c
+++ b/packages/node/listen.c
@@ -9,6 +9,10 @@
 #include "node_state.h"
 
 #define LISTEN_BACKLOG 1024
+/* Before the next accept, when no descriptor is left and none can be freed. */
+#define ACCEPT_PAUSE_NS (100 * NSEC_PER_MSEC)
+
+static void resume_listener(struct timer *t);
 
 /*
  * Listens on an address and serves requests with handle; links of other nodes
@@ -29,6 +33,8 @@
 		return rc;
 	l->node = n;
 	l->handle = handle;
+	l->open_max =
+	    handle == route_call ? n->budget.callers : n->budget.others;
 	if (start_watch(n->reactor, &l->watch, fd, EPOLLIN,
 		handle != NULL ? accept_callers : accept_links) != 0) {
 		close(fd);
@@ -83,10 +89,46 @@
 	}
 }
 
+/*
+ * Without a descriptor the connection that needs its own least is closed. If
+ * there is none, the listener pauses: its socket stays readable, and the node
+ * would do nothing else.
+ */
+int
+accept_connection(struct listener *l)
+{
+	struct node *n = l->node;
+	int fd = accept4(l->watch.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	if (fd >= 0 || (errno != EMFILE && errno != ENFILE && errno != ENOMEM &&
+			   errno != ENOBUFS))
+		return fd;
+	if (free_caller_descriptor(n, NULL))
+		fd = accept4(
+		    l->watch.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	if (fd < 0) {
+		change_watch(n->reactor, &l->watch, 0);
+		set_timer(n->reactor, &l->pause,
+		    get_reactor_now(n->reactor) + ACCEPT_PAUSE_NS,
+		    resume_listener);
+	}
+	return fd;
+}
+
+static void
+resume_listener(struct timer *t)
+{
+	struct listener *l =
+	    (struct listener *)((char *)t - offsetof(struct listener, pause));
+
+	change_watch(l->node->reactor, &l->watch, EPOLLIN);
+}
+
 void
 close_listeners(struct node *n)
 {
 	for (size_t i = 0; i < n->listener_count; i++) {
+		cancel_timer(n->reactor, &n->listeners[i].pause);
 		stop_watch(n->reactor, &n->listeners[i].watch);
 		close(n->listeners[i].watch.fd);
 	}
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -9,7 +9,6 @@
 #include "log.h"
 #include "node_state.h"
 
-#define BODY_MEMORY_DEFAULT (64LL * 1024 * 1024)
 #define RETRY_RATIO_DEFAULT 0.2
 #define RETRY_WINDOW_DEFAULT (10 * NSEC_PER_SEC)
 #define DRAIN_DEFAULT (2 * NSEC_PER_SEC)
@@ -46,6 +45,7 @@
 	n->late_lines.scope = "calls that were late or offered again";
 	n->failed_job_lines.scope = "runs that failed";
 	n->ok_job_lines.scope = "runs that went well";
+	n->budget = plan_memory(cfg->memory, cfg->descriptors);
 	rc = copy_strings(n, cfg, f);
 	if (rc == 0 && open_reactor(&n->cfg.clock, &n->reactor) != 0)
 		rc = set_fault(f, ERR_IO,
@@ -166,8 +166,6 @@
 static void
 set_defaults(struct node_config *c)
 {
-	if (c->body_memory == 0)
-		c->body_memory = BODY_MEMORY_DEFAULT;
 	if (c->retry_ratio <= 0)
 		c->retry_ratio = RETRY_RATIO_DEFAULT;
 	if (c->retry_window_ns == 0)
@@ -283,6 +281,7 @@
 		clear_services(n);
 		clear_known_notices(n);
 		cancel_timer(n->reactor, &n->leave_timer);
+		cancel_timer(n->reactor, &n->memory_timer);
 	}
 	if (n->table != NULL)
 		release_table(n->cfg.agent, n->table);
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -83,7 +83,8 @@
 	const char *service; /* of the backend server; NULL: entry node only */
 	const char *backend; /* its address */
 	int connections; /* maximum to the backend server; 0: 100 */
-	int64_t body_memory; /* for request bodies, bytes; 0: 64 MiB */
+	int64_t memory; /* of the VM, bytes; 0: unlimited */
+	int64_t descriptors; /* of the process; 0: unlimited */
 	int64_t link_rate; /* of the VM's link, bytes/s; 0: unlimited */
 	double retry_ratio; /* retries per call of a service; 0: 0.2 */
 	int retry_slack; /* additional retries of all nodes together */
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -67,6 +67,15 @@
 	"Calls read before earlier ones of their connection were answered."),
     SPEC(unread_closes_total, METRIC_COUNTER,
 	"Connections closed with requests behind the last answer."),
+    SPEC(memory_bytes, METRIC_GAUGE,
+	"Bytes of all buffers and connections, with their unused capacity."),
+    SPEC(memory_limit, METRIC_GAUGE,
+	"Most bytes that they may take; 0: unlimited."),
+    SPEC(yields_total, METRIC_COUNTER,
+	"Callers' connections refused or closed to free memory."),
+    SPEC(accept_closes_total, METRIC_COUNTER,
+	"Callers' connections closed or not accepted for lack of "
+	"descriptors."),
     SPEC(kept_bytes, METRIC_GAUGE,
 	"Bytes of answers that wait for earlier ones of their connection."),
     SPEC(rate_limit_milli, METRIC_GAUGE,
@@ -161,6 +170,8 @@
 	set_metric(m->peers_usable, usable);
 	set_metric(m->peers_avoided, avoided);
 	set_metric(m->kept_bytes, (int64_t)n->kept_bytes);
+	set_metric(m->memory_bytes, (int64_t)get_used_memory(n));
+	set_metric(m->memory_limit, (int64_t)n->budget.limit);
 	set_metric(m->body_bytes, (int64_t)n->body_bytes);
 	set_metric(m->log_dropped_lines, (int64_t)count_dropped_lines());
 	for (const struct service *s = n->services; s != NULL; s = s->next) {
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -8,6 +8,7 @@
 #include <pthread.h>
 
 #include "hop.h"
+#include "memory_budget.h"
 #include "metric.h"
 #include "node.h"
 #include "origins.h"
@@ -37,6 +38,9 @@
 	struct node *node;
 	struct watch watch;
 	request_fn handle; /* NULL: links of other nodes */
+	int open; /* callers' connections */
+	int open_max; /* links: those without a handshake; 0: unlimited */
+	struct timer pause; /* while no descriptor is left */
 };
 
 /* Trace events of a call, for its log lines. */
@@ -308,6 +312,8 @@
 	metric_id peers, peers_usable, peers_avoided, body_bytes;
 	metric_id pipelined_total, unread_closes_total, kept_bytes;
 	metric_id log_dropped_lines, rate_limit_milli;
+	metric_id memory_bytes, memory_limit, yields_total;
+	metric_id accept_closes_total;
 };
 
 struct node {
@@ -327,6 +333,11 @@
 	int64_t head_ns;
 	size_t head_max, body_max;
 
+	struct memory_budget budget;
+	size_t object_bytes; /* of requests and connections, without buffers */
+	int stopped_callers; /* connections that are not read now */
+	bool memory_short; /* trimmed when little memory is in use again */
+	struct timer memory_timer;
 	struct caller *callers;
 	struct caller *closed_callers; /* their calls are ended next */
 	struct task end_callers;
@@ -375,9 +386,19 @@
 int bind_listener(const char *address, int *fd, struct fault *f);
 void accept_pending_callers(struct node *n);
 void close_listeners(struct node *n);
+/* Returns the next connection, or -1; finds a descriptor if none is left. */
+int accept_connection(struct listener *l);
+
+/* caller_memory.c */
+size_t get_used_memory(const struct node *n); /* bytes of all connections */
+/* Whether level, a share of the budget, has room; nothing gives way. */
+bool has_memory(const struct node *n, size_t more, size_t level);
+void watch_memory(struct node *n); /* after memory was drawn */
 
 /* caller.c */
 void accept_callers(struct watch *w, uint32_t events);
+/* Closes the connection that needs its descriptor least; l NULL: of all. */
+bool free_caller_descriptor(struct node *n, const struct listener *l);
 void close_callers(struct node *n);
 void close_idle_callers(struct node *n); /* those without a request */
 bool has_busy_callers(const struct node *n);
@@ -394,6 +415,8 @@
 void route_call(struct node *n, struct request *q); /* complete request */
 /* Whether the request may start before earlier ones are answered. */
 bool may_run_ahead(struct node *n, struct request *q);
+/* Rank of the row of a request whose head is complete. */
+int get_request_rank(struct request *q);
 void handle_caller_hangup(struct request *q);
 void refuse_request(struct request *q, int status, enum refuse_reason reason,
     int64_t retry_after);
@@ -455,6 +478,8 @@
 void close_backend(struct node *n);
 int start_backend_call(struct node *n, struct job *j);
 void abort_backend_call(struct node *n, struct job *j);
+/* Before the owner of the job's body frees it; ERR_MEMORY. */
+int keep_call_body(struct job *j);
 void apply_backend_report(struct node *n, const struct backend_report *r);
 int get_backend_slots(const struct node *n);
 int count_backend_connections(const struct node *n);
--- a/packages/node/pipeline.c
+++ b/packages/node/pipeline.c
@@ -74,7 +74,8 @@
 		return true;
 	if (c->handle != route_call || n->leaving_at != 0 ||
 	    c->depth >= PIPELINE_DEPTH_MAX || c->out.len > c->out_sent ||
-	    n->kept_bytes > PIPELINE_PROCESS_BYTES_MAX)
+	    n->kept_bytes > PIPELINE_PROCESS_BYTES_MAX ||
+	    !has_memory(n, 0, n->budget.common))
 		return false;
 	for (const struct request *q = c->first; q != NULL;
 	     q = q->next_request) {
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -11,6 +11,12 @@
 #include "node_state.h"
 
 #define CALLER_TIMEOUT_MAX_NS (600 * NSEC_PER_SEC) /* longer: invalid */
+/*
+ * A longer time-out than this many times the row's deadline is not of a caller
+ * that retries. Were it taken for the longest of its kind, all other callers
+ * would count as late.
+ */
+#define CALLER_TIMEOUT_FACTOR 8
 #define RETRY_AFTER_MIN_NS (20 * NSEC_PER_MSEC)
 /* A starting control group has a leader and endpoints within this time. */
 #define RETRY_AFTER_UNREADY_NS (500 * NSEC_PER_MSEC)
@@ -76,6 +82,15 @@
 	return r == NULL || r->repeatable;
 }
 
+int
+get_request_rank(struct request *q)
+{
+	struct node *n = q->node;
+	const struct row *r = n->table != NULL ? find_call_row(n, q) : NULL;
+
+	return r != NULL ? r->values[COL_RANK] : MEMORY_RANK_UNKNOWN;
+}
+
 /*
  * Cancels and frees a call whose caller has disconnected. A call that may not
  * repeat and may be running is left to finish, so that its work is not cut off
@@ -209,9 +224,11 @@
 	int64_t deadline = q->policy.deadline_ns;
 
 	if (timeout > 0) {
-		if (timeout > q->stats->caller_timeout_ns)
+		if (timeout > q->stats->caller_timeout_ns &&
+		    timeout <= CALLER_TIMEOUT_FACTOR * deadline)
 			q->stats->caller_timeout_ns = timeout;
-		elapsed = q->stats->caller_timeout_ns - timeout;
+		if (timeout < q->stats->caller_timeout_ns)
+			elapsed = q->stats->caller_timeout_ns - timeout;
 		if (timeout < deadline)
 			deadline = timeout;
 	}
--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -134,7 +134,8 @@
 
 	j->events = NULL;
 	j->owner = NULL;
-	if (j->state == JOB_RUNNING && j->sent && !j->spec.repeatable) {
+	if (j->state == JOB_RUNNING && j->sent && !j->spec.repeatable &&
+	    keep_call_body(j) == 0) {
 		log_job(j, "left-running", "", 0, 0);
 		clear_spec(j); /* the connection has copied the call */
 		return;
