--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -43,6 +43,10 @@
     SPEC(links_total, METRIC_COUNTER, "Connections opened to other nodes."),
     SPEC(avoided_total, METRIC_COUNTER,
 	"Failures after which a serving node was avoided for a while."),
+    SPEC(rollout_offers_total, METRIC_COUNTER,
+	"Offers to servers of the new version in the trial of a roll-out."),
+    SPEC(rollout_failed_total, METRIC_COUNTER,
+	"Failed answers of servers of the new version in roll-outs."),
     SPEC(latency_us, METRIC_HISTOGRAM, "Time from request to answer, us."),
     SPEC(queue_us, METRIC_HISTOGRAM, "Time that calls waited for a slot, us."),
     SPEC(run_us, METRIC_HISTOGRAM, "Time that runs took, us."),
@@ -78,8 +82,14 @@
 	"descriptors."),
     SPEC(kept_bytes, METRIC_GAUGE,
 	"Bytes of answers that wait for earlier ones of their connection."),
+    SPEC(key_refusals_total, METRIC_COUNTER,
+	"Calls refused because no account holds their key."),
     SPEC(rate_limit_milli, METRIC_GAUGE,
 	"Calls that the backend server accepts in 1,000 s; -1: no limit."),
+    SPEC(long_answers_total, METRIC_COUNTER,
+	"Long answers sent to other nodes in pieces."),
+    SPEC(long_answer_bytes, METRIC_GAUGE,
+	"Bytes of long answers that wait for the link."),
     SPEC(log_dropped_lines, METRIC_GAUGE,
 	"Log lines that found no room since the start."),
 };
@@ -166,6 +176,7 @@
 	set_metric(m->rate_limit_milli,
 	    get_backend_rate(n) < 0 ? -1 :
 				      (int64_t)(get_backend_rate(n) * 1e3));
+	set_metric(m->long_answer_bytes, (int64_t)n->long_answer_bytes);
 	set_metric(m->peers, peers);
 	set_metric(m->peers_usable, usable);
 	set_metric(m->peers_avoided, avoided);
