node: pieces of long answers draw on the budget

An entry node collects the pieces of an answer before it passes it on; a crowd that does not read could fill its memory with them. A piece without room ends the attempt, as of unknown outcome.

Evidence: node.test_long_answers; crowds.lua remote-unread and legal pass.

--- a/packages/node/caller_memory.c
+++ b/packages/node/caller_memory.c
@@ -120,7 +120,7 @@
 	for (const struct request *q = c->first; q != NULL;
 	     q = q->next_request) {
 		h.bytes += sizeof(*q) + q->reader.head_bytes.cap +
-			   q->reader.body.cap + q->answer.cap;
+			   q->reader.body.cap + q->answer.cap + q->parts.cap;
 	}
 	if (c->stopped)
 		h.bytes += STOPPED_BYTES;
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -395,6 +395,8 @@
 		payload, (xdrproc_t)xdr_hop_answer_part, &m, &piece) == 0 &&
 	    m.offset == q->parts.len && m.total <= HOP_PAYLOAD_MAX &&
 	    q->parts.len + piece.len <= m.total &&
+	    has_memory(q->node, piece.len, q->node->budget.limit) &&
+	    reserve_buf_within(&q->parts, piece.len, m.total) == 0 &&
 	    append_buf_str(&q->parts, piece) == 0) {
 		q->parts_total = m.total;
 		return;
