--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -73,6 +73,10 @@
 	"Calls refused because no account holds their key."),
     SPEC(rate_limit_milli, METRIC_GAUGE,
 	"Calls that the backend server accepts in 1,000 s; -1: no limit."),
+    SPEC(long_answers_total, METRIC_COUNTER,
+	"Long answers sent to other nodes in pieces."),
+    SPEC(long_answer_bytes, METRIC_GAUGE,
+	"Bytes of long answers that wait for the link."),
     SPEC(log_dropped_lines, METRIC_GAUGE,
 	"Log lines that found no room since the start."),
 };
@@ -159,6 +163,7 @@
 	set_metric(m->rate_limit_milli,
 	    get_backend_rate(n) < 0 ? -1 :
 				      (int64_t)(get_backend_rate(n) * 1e3));
+	set_metric(m->long_answer_bytes, (int64_t)n->long_answer_bytes);
 	set_metric(m->peers, peers);
 	set_metric(m->peers_usable, usable);
 	set_metric(m->peers_avoided, avoided);
