policy: order between client accounts in a row's queue

A call of an account that used more than its share of a row's starts recently is now ordered as if it had come when its share covers it, so the others' calls go first and those that become late are its own. Only started and waiting calls count as use. A full queue refuses the last call beyond a share. An account's rank has a queue of its own in the row.

--- a/packages/node/serve.c
+++ b/packages/node/serve.c
@@ -69,6 +69,10 @@
 	j->admission.token = j;
 	j->admission.deadline = spec->deadline;
 	j->admission.no_wait = !spec->may_wait;
+	if (spec->account.len > 0) {
+		j->admission.account = hash_str(spec->account, 0) | 1;
+		j->admission.share = spec->share;
+	}
 	j->admission.body_bytes =
 	    spec->body.data == NULL ? (int64_t)spec->body_len : 0;
 	j->admission.target = internal		  ? spec->deadline :
@@ -365,9 +369,13 @@
 	const struct row *r =
 	    n->table != NULL ? find_row(n->table, spec->kind) : NULL;
 	struct row fallback = {0};
+	int rank = 0; /* of the account; 0: the row's */
 
+	if (r != NULL && spec->account.len > 0 && spec->rank > 0 &&
+	    spec->rank != r->values[COL_RANK])
+		rank = spec->rank;
 	if (r != NULL)
-		return open_admission_row(n->admission, r, internal);
+		return open_account_row(n->admission, r, rank, internal);
 	(void)copy_str(fallback.kind, sizeof(fallback.kind), spec->kind);
 	fallback.repeatable = spec->repeatable;
 	fallback.values[COL_RANK] = spec->rank;
--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -48,7 +48,21 @@
     struct admission_call *c, int64_t now, struct admission_changes *out);
 static struct admit_verdict refuse_late_offer(
     struct admission *a, struct admission_call *c, int64_t now);
-static int find_queue(const struct admission *a, struct str kind);
+static int find_queue(const struct admission *a, struct str kind, int own_rank);
+static struct account_shares *get_shares(
+    struct admission *a, const struct row_queue *q);
+static int queue_call(struct admission *a, struct row_queue *q,
+    struct admission_call *c, int64_t now);
+static void unqueue_call(
+    struct admission *a, struct row_queue *q, struct admission_call *c);
+static struct admission_call *find_overflow_call(
+    const struct row_queue *q, struct admission_call *c);
+static void expire_delayed_calls(struct admission *a, struct row_queue *q,
+    int64_t now, struct admission_changes *out);
+static bool would_be_late(
+    const struct row_queue *q, const struct admission_call *c, int64_t now);
+static int64_t get_expiry(const struct admission *a, const struct row_queue *q,
+    const struct admission_call *c);
 static int add_queue(struct admission *a, int *out);
 static void reap_queue(struct admission *a, struct row_queue *q);
 static void append_call(struct admission_call **list, struct admission_call *c);
@@ -107,7 +121,7 @@
 	accrue_queues(a, now);
 	for (size_t n = 0; n < t->row_count; n++) {
 		if (is_str_equal(make_str(t->rows[n]->service), service) &&
-		    find_queue(a, make_str(t->rows[n]->kind)) < 0) {
+		    find_queue(a, make_str(t->rows[n]->kind), 0) < 0) {
 			if (add_queue(a, &i) != 0)
 				return ERR_MEMORY;
 			queues = a->view.queues;
@@ -121,7 +135,7 @@
 	for (size_t n = 0; n < t->row_count; n++) {
 		if (!is_str_equal(make_str(t->rows[n]->service), service))
 			continue;
-		i = find_queue(a, make_str(t->rows[n]->kind));
+		i = find_queue(a, make_str(t->rows[n]->kind), 0);
 		set_queue_row(&queues[i], t->rows[n], a->policy->by_deadline);
 	}
 	for (size_t n = 0; n < a->view.queue_count; n++)
@@ -137,7 +151,18 @@
 int
 open_admission_row(struct admission *a, const struct row *r, bool urgent)
 {
-	int i = find_queue(a, make_str(r->kind));
+	return open_account_row(a, r, 0, urgent);
+}
+
+/*
+ * Calls of accounts whose rank differs from the row's have a queue of their
+ * own, at most one for each rank.
+ */
+int
+open_account_row(
+    struct admission *a, const struct row *r, int rank, bool urgent)
+{
+	int i = find_queue(a, make_str(r->kind), rank);
 
 	if (i >= 0 && !a->view.queues[i].retired &&
 	    a->view.queues[i].urgent == urgent)
@@ -145,6 +170,7 @@
 	if (i < 0 && add_queue(a, &i) != 0)
 		return ERR_MEMORY;
 	a->view.queues[i].urgent = urgent;
+	a->view.queues[i].own_rank = rank;
 	set_queue_row(&a->view.queues[i], r, a->policy->by_deadline);
 	if (a->view.queues[i].late_queue < 0 && create_late_queue(a, i) != 0)
 		return ERR_MEMORY;
@@ -183,7 +209,7 @@
 int
 find_admission_row(const struct admission *a, struct str kind)
 {
-	int i = find_queue(a, kind);
+	int i = find_queue(a, kind, 0);
 
 	if (i < 0 || a->view.queues[i].retired)
 		return ERR_NOT_FOUND;
@@ -225,19 +251,22 @@
 		return refuse_offer(a, c, REFUSE_OVERLOAD);
 	if (c->target != 0 && now >= c->deadline)
 		return refuse_offer(a, c, REFUSE_DEADLINE);
-	c->sort_key = c->target != 0 ? c->target : c->deadline;
+	c->share_delay_ns =
+	    get_share_delay(&q->shares, c->account, c->share, now);
+	c->sort_key =
+	    (c->target != 0 ? c->target : c->deadline) + c->share_delay_ns;
 	if (c->target != 0 && misses_target(a, q, c, now)) {
 		if (!may_queue_late(a, now) ||
 		    estimate_wait(a, &a->view.queues[q->late_queue]) +
 			    estimate_body_wait(a, q, c) >
 			LATE_WAIT_SHARE * (double)q->target_ns)
 			return refuse_late_offer(a, c, now);
-		c->sort_key = c->deadline;
+		c->sort_key = c->deadline + c->share_delay_ns;
 		c->queue = q->late_queue;
 		c->late_since = now;
 		q = &a->view.queues[q->late_queue];
 	}
-	if (push_call(q, c) != 0)
+	if (queue_call(a, q, c, now) != 0)
 		return refuse_offer(a, c, REFUSE_OVERLOAD);
 	c->state = CALL_WAITING;
 	a->view.waiting++;
@@ -250,7 +279,8 @@
 		refuse_queued_call(a, q, c, REFUSE_BUSY, out);
 	if (c->state == CALL_WAITING && a->policy->bounded &&
 	    q->waiting > (size_t)q->queue_max) {
-		refuse_queued_call(a, q, c, REFUSE_OVERLOAD, out);
+		refuse_queued_call(
+		    a, q, find_overflow_call(q, c), REFUSE_OVERLOAD, out);
 		q->overflowed = q->waiting != 0;
 	}
 	if (c->state == CALL_ENDED) {
@@ -360,7 +390,7 @@
 		return ERR_INVALID;
 	q = &a->view.queues[c->queue];
 	accrue_queues(a, now);
-	remove_call(q, c);
+	unqueue_call(a, q, c);
 	a->view.waiting--;
 	c->state = CALL_ENDED;
 	reap_queue(a, q);
@@ -530,20 +560,35 @@
 		return at;
 	for (size_t i = 0; i < a->view.queue_count; i++) {
 		const struct row_queue *q = &a->view.queues[i];
-		const struct admission_call *c = get_first_call(q);
-		int64_t need = get_start_need_ns(a, q);
-
-		/* The first ns at which the call is too late to start. */
-		if (c != NULL && c->deadline - need + 1 < at)
-			at = c->deadline - need + 1;
-		need = (int64_t)(TARGET_SERVICE_FACTOR * q->service_ns);
-		if (c != NULL && c->target != 0 && q->late_queue >= 0 &&
-		    c->target - need + 1 < at)
-			at = c->target - need + 1;
+		size_t checked = q->delayed > 0 ? q->waiting :
+				 q->waiting > 0 ? 1 :
+						  0;
+
+		for (size_t k = 0; k < checked; k++) {
+			int64_t expiry = get_expiry(a, q, q->heap[k]);
+
+			at = expiry < at ? expiry : at;
+		}
 	}
 	return at < now ? now : at;
 }
 
+/*
+ * Returns the first ns at which a waiting call is too late to start or, in a
+ * base queue, belongs to the late calls.
+ */
+static int64_t
+get_expiry(const struct admission *a, const struct row_queue *q,
+    const struct admission_call *c)
+{
+	int64_t at = c->deadline - get_start_need_ns(a, q) + 1;
+	int64_t need = (int64_t)(TARGET_SERVICE_FACTOR * q->service_ns);
+
+	if (c->target != 0 && q->late_queue >= 0 && c->target - need + 1 < at)
+		at = c->target - need + 1;
+	return at;
+}
+
 /* Returns the name of a policy for settings and reports. */
 const char *
 get_policy_name(enum admission_policy_id id)
@@ -627,13 +672,12 @@
 		refuse_queued_call(a, q, c, REFUSE_DEADLINE, out);
 		return;
 	}
-	if (q->late_queue >= 0 && c->target != 0 &&
-	    now + (int64_t)(TARGET_SERVICE_FACTOR * q->service_ns) >
-		c->target) {
+	if (would_be_late(q, c, now)) {
 		demote_call(a, q, c, now, out);
 		return;
 	}
-	remove_call(q, c);
+	unqueue_call(a, q, c);
+	add_started_use(get_shares(a, q), c->account, now);
 	a->view.waiting--;
 	q->in_flight++;
 	a->view.in_flight++;
@@ -646,6 +690,16 @@
 	append_call(&out->run, c);
 }
 
+/* Says whether a call of a base queue would probably miss its target. */
+static bool
+would_be_late(
+    const struct row_queue *q, const struct admission_call *c, int64_t now)
+{
+	return q->late_queue >= 0 && c->target != 0 &&
+	       now + (int64_t)(TARGET_SERVICE_FACTOR * q->service_ns) >
+		   c->target;
+}
+
 /*
  * Says whether a call may run although it will probably miss its deadline: it
  * has a target and no other call waits for the free slot. Otherwise a service
@@ -665,7 +719,7 @@
     struct admission_call *c, enum refuse_reason reason,
     struct admission_changes *out)
 {
-	remove_call(q, c);
+	unqueue_call(a, q, c);
 	a->view.waiting--;
 	list_refused_call(a, q, c, reason, out);
 }
@@ -726,20 +780,22 @@
 		       is_too_late_to_start(a, q, q->heap[0], now))
 			refuse_queued_call(
 			    a, q, q->heap[0], REFUSE_DEADLINE, out);
-		while (q->waiting != 0 && q->late_queue >= 0 &&
-		       q->heap[0]->target != 0 &&
-		       now + (int64_t)(TARGET_SERVICE_FACTOR * q->service_ns) >
-			   q->heap[0]->target)
+		while (q->waiting != 0 && would_be_late(q, q->heap[0], now))
 			demote_call(a, q, q->heap[0], now, out);
+		if (q->delayed > 0 && q->base_queue < 0)
+			expire_delayed_calls(a, q, now, out);
 		return;
 	}
 	for (size_t i = 0; i < count; i++) {
 		struct admission_call *c = q->heap[i];
 
-		if (is_too_late_to_start(a, q, c, now))
-			list_refused_call(a, q, c, REFUSE_DEADLINE, out);
-		else
+		if (!is_too_late_to_start(a, q, c, now)) {
 			q->heap[kept++] = c;
+			continue;
+		}
+		remove_waiting_use(get_shares(a, q), c->account);
+		q->delayed -= c->share_delay_ns > 0;
+		list_refused_call(a, q, c, REFUSE_DEADLINE, out);
 	}
 	a->view.waiting -= count - kept;
 	q->waiting = kept;
@@ -747,6 +803,76 @@
 		rebuild_heap(q);
 }
 
+/*
+ * Does the same for the calls beyond the share of their account, which need not
+ * be on top of the heap when they expire.
+ */
+static void
+expire_delayed_calls(struct admission *a, struct row_queue *q, int64_t now,
+    struct admission_changes *out)
+{
+	for (size_t i = q->waiting; i > 0; i--) {
+		struct admission_call *c = q->heap[i - 1];
+
+		if (c->share_delay_ns == 0)
+			continue;
+		if (is_too_late_to_start(a, q, c, now))
+			refuse_queued_call(a, q, c, REFUSE_DEADLINE, out);
+		else if (would_be_late(q, c, now))
+			demote_call(a, q, c, now, out);
+		if (i > q->waiting + 1)
+			i = q->waiting + 1;
+	}
+}
+
+/*
+ * Returns the call to refuse in a full queue: the last one of those beyond the
+ * share of their account, else the new one.
+ */
+static struct admission_call *
+find_overflow_call(const struct row_queue *q, struct admission_call *c)
+{
+	struct admission_call *last = c;
+
+	for (size_t i = 0; i < q->waiting && q->delayed > 0; i++) {
+		struct admission_call *o = q->heap[i];
+
+		if (o->share_delay_ns > 0 &&
+		    (last->share_delay_ns == 0 || o->sort_key > last->sort_key))
+			last = o;
+	}
+	return last;
+}
+
+/* Returns the use by account of the row to which the queue belongs. */
+static struct account_shares *
+get_shares(struct admission *a, const struct row_queue *q)
+{
+	size_t base = q->base_queue >= 0 ? (size_t)q->base_queue :
+					   (size_t)(q - a->view.queues);
+
+	return &a->view.queues[base].shares;
+}
+
+/* Adds a call to a queue and to the use of its account. */
+static int
+queue_call(struct admission *a, struct row_queue *q, struct admission_call *c,
+    int64_t now)
+{
+	int rc = push_call(q, c);
+
+	if (rc == 0)
+		add_waiting_use(get_shares(a, q), c->account, c->share, now);
+	return rc;
+}
+
+static void
+unqueue_call(struct admission *a, struct row_queue *q, struct admission_call *c)
+{
+	remove_call(q, c);
+	remove_waiting_use(get_shares(a, q), c->account);
+}
+
 /* Ends an offered call as refused and returns the verdict. */
 static struct admit_verdict
 refuse_offer(
@@ -835,11 +961,11 @@
 		refuse_queued_call(a, q, c, REFUSE_OVERLOAD, out);
 		return;
 	}
-	remove_call(q, c);
-	c->sort_key = c->deadline;
+	unqueue_call(a, q, c);
+	c->sort_key = c->deadline + c->share_delay_ns;
 	c->queue = q->late_queue;
 	c->late_since = now;
-	if (push_call(late, c) == 0)
+	if (queue_call(a, late, c, now) == 0)
 		return;
 	a->view.waiting--;
 	list_refused_call(a, late, c, REFUSE_OVERLOAD, out);
@@ -860,14 +986,15 @@
 	return v;
 }
 
-/* Returns the queue of a kind, current or retired, or -1. */
+/* Returns the queue of a kind and rank, current or retired, or -1. */
 static int
-find_queue(const struct admission *a, struct str kind)
+find_queue(const struct admission *a, struct str kind, int own_rank)
 {
 	for (size_t i = 0; i < a->view.queue_count; i++) {
 		const struct row_queue *q = &a->view.queues[i];
 
-		if (q->used && is_str_equal(make_str(q->kind), kind))
+		if (q->used && q->own_rank == own_rank &&
+		    is_str_equal(make_str(q->kind), kind))
 			return (int)i;
 	}
 	return -1;
--- a/packages/policy/admission.h
+++ b/packages/policy/admission.h
@@ -43,6 +43,13 @@
 	 */
 	int64_t target;
 	bool no_wait; /* refused as busy instead of waiting */
+	/*
+	 * Client account, a hash of its name, and its weight among the
+	 * accounts; 0: none. Calls beyond the account's share wait behind those
+	 * of other accounts in the same row.
+	 */
+	uint64_t account;
+	int share;
 	int64_t body_bytes; /* requested when the call starts; 0: no body */
 	/* This and all following fields are owned by the module. */
 	enum call_state state;
@@ -53,6 +60,7 @@
 	uint64_t seq; /* order of arrival */
 	int64_t
 	    sort_key; /* sort key in its queue, mono ns: target or deadline */
+	int64_t share_delay_ns; /* in sort_key; beyond the account's share */
 	int64_t late_since; /* mono ns; when it joined the late queue */
 	int queue;
 	size_t heap_index;
@@ -115,6 +123,9 @@
  * others.
  */
 int open_admission_row(struct admission *a, const struct row *r, bool urgent);
+/* The same for calls of accounts with a rank of their own; rank 0: the row's. */
+int open_account_row(
+    struct admission *a, const struct row *r, int rank, bool urgent);
 void refresh_admission_rows(struct admission *a, const struct table *t,
     int64_t now, struct admission_changes *out);
 /*
--- a/packages/policy/lane.c
+++ b/packages/policy/lane.c
@@ -48,9 +48,12 @@
 	q->used = true;
 	q->retired = false;
 	(void)copy_str(q->kind, sizeof(q->kind), make_str(r->kind));
-	q->rank = q->urgent ? 0 : r->values[COL_RANK];
+	q->rank = q->urgent	   ? 0 :
+		  q->own_rank != 0 ? q->own_rank :
+				     r->values[COL_RANK];
 	q->weight = r->values[COL_WEIGHT];
-	q->floor_pct = r->values[COL_FLOOR_PCT];
+	/* The floor belongs to the calls of the row's own rank. */
+	q->floor_pct = q->own_rank != 0 ? 0 : r->values[COL_FLOOR_PCT];
 	q->limit_pct = r->values[COL_LIMIT_PCT];
 	q->queue_max = r->values[COL_QUEUE_MAX];
 	q->target_ns = r->values[COL_TARGET_MS] * NSEC_PER_MSEC;
@@ -62,6 +65,7 @@
 clear_queue(struct row_queue *q)
 {
 	free(q->heap);
+	unload_account_shares(&q->shares);
 	memset(q, 0, sizeof(*q));
 }
 
@@ -85,6 +89,7 @@
 	}
 	if (c->sort_key == 0)
 		c->sort_key = c->deadline;
+	q->delayed += c->share_delay_ns > 0;
 	place_call(q, c, q->waiting++);
 	sift_up(q, c->heap_index);
 	return 0;
@@ -97,6 +102,7 @@
 	size_t i = c->heap_index;
 	struct admission_call *last = q->heap[--q->waiting];
 
+	q->delayed -= c->share_delay_ns > 0;
 	if (q->waiting == 0)
 		q->overflowed = false;
 	if (last == c)
--- a/packages/policy/lane.h
+++ b/packages/policy/lane.h
@@ -6,6 +6,7 @@
 #ifndef LANE_H
 #define LANE_H
 
+#include "account_share.h"
 #include "admission.h"
 
 /*
@@ -20,6 +21,9 @@
 	char kind[TABLE_NAME_BYTES];
 	int rank;
 	bool urgent; /* served before all ranks */
+	int own_rank; /* of its accounts, replaces the row's; 0: none */
+	struct account_shares shares; /* of a base queue */
+	size_t delayed; /* waiting calls beyond the share of their account */
 	int weight;
 	int floor_pct;
 	int limit_pct;
