--- a/packages/control/tests/test_state.c
+++ b/packages/control/tests/test_state.c
@@ -71,17 +71,46 @@
 	return apply_revert(s, p->author, key, p->base, p->target);
 }
 
+#define PRINT "000102030405060708090a0b0c0d0e0f"
+
 /*
- * Guards against lost updates when operators edit the same version, and against
- * refusing edits of different cells.
+ * Accounts: the first one has the name of a row, whose cells must not conflict
+ * with its own.
  */
-START_TEST(concurrent_edits_have_one_winner_per_cell)
+static const struct step account_steps[] = {
+    {IMPORT, "anna", 0, SAMPLE, 0, 0, 0, 0, 1, 0, 0, 0},
+    {EDIT, "anna", 1, "a", ACCOUNT_NAME, "a", 0, 0, 2, 0, 0, 0},
+    {EDIT, "bert", 1, "a", COL_RANK, "5", 0, 0, 3, 0, 0, 0},
+    {EDIT, "bert", 1, "a", ACCOUNT_NAME, "a", 0, ERR_CONFLICT, 3, "a", "anna",
+	2},
+    {EDIT, "bert", 2, "a", ACCOUNT_KEYS, PRINT, 0, 0, 4, 0, 0, 0},
+    {EDIT, "carl", 3, "a", ACCOUNT_KEYS, "", 0, ERR_CONFLICT, 4, PRINT, "bert",
+	4},
+    {EDIT, "carl", 4, "a", ACCOUNT_KEYS, "secret", 0, ERR_INVALID, 4, 0, 0, 0},
+    {EDIT, "carl", 4, "a", ACCOUNT_RATE, "640", 0, 0, 5, 0, 0, 0},
+    {EDIT, "carl", 5, "a", COL_KIND, "", 0, 0, 6, 0, 0, 0},
+    {EDIT, "anna", 5, "a", ACCOUNT_RANK, "2", 0, 0, 7, 0, 0, 0},
+    {EDIT, "anna", 4, "a", ACCOUNT_NAME, "", 0, ERR_CONFLICT, 7, "a", "anna",
+	7},
+    {EDIT, "anna", 7, "a", ACCOUNT_NAME, "", 0, 0, 8, 0, 0, 0},
+    {EDIT, "bert", 7, "a", ACCOUNT_RANK, "3", 0, ERR_CONFLICT, 8, "", "anna",
+	8},
+    {REVERT, "bert", 8, 0, 0, 0, 5, 0, 9, 0, 0, 0},
+    {EDIT, "bert", 9, "a", ACCOUNT_KEYS, PRINT, 0, 0, 9, 0, 0, 0},
+    {REVERT, "bert", 9, 0, 0, 0, 1, 0, 10, 0, 0, 0},
+};
+
+/*
+ * Applies the steps; the table of the last one is that of the first.
+ */
+static void
+check_steps(const struct step *list, size_t count)
 {
 	struct state *s = open_sample();
 	uint64_t first = 0;
 
-	for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
-		const struct step *p = &steps[i];
+	for (size_t i = 0; i < count; i++) {
+		const struct step *p = &list[i];
 		struct command_result r = apply_step(s, p, "");
 
 		ck_assert_msg(r.status == p->status, "step %zu: %d (%s)", i,
@@ -103,6 +132,26 @@
 	ck_assert_uint_eq(s->table->digest, first);
 	close_state(s);
 }
+
+/*
+ * Guards against lost updates when operators edit the same version, and against
+ * refusing edits of different cells.
+ */
+START_TEST(concurrent_edits_have_one_winner_per_cell)
+{
+	check_steps(steps, sizeof(steps) / sizeof(steps[0]));
+}
+END_TEST
+
+/*
+ * Guards against an account whose edits conflict with those of a row of the same
+ * name, or are lost by a revert.
+ */
+START_TEST(accounts_are_edited_beside_rows)
+{
+	check_steps(
+	    account_steps, sizeof(account_steps) / sizeof(account_steps[0]));
+}
 END_TEST
 
 /* Guards against applying a change twice when its reply was lost. */
@@ -510,6 +559,7 @@
 
 	tcase_set_timeout(t, 60);
 	tcase_add_test(t, concurrent_edits_have_one_winner_per_cell);
+	tcase_add_test(t, accounts_are_edited_beside_rows);
 	tcase_add_test(t, resend_returns_first_answer);
 	tcase_add_test(t, answers_are_kept_by_count_and_log_time);
 	tcase_add_test(t, log_time_never_goes_back);
--- a/packages/proxy/request.c
+++ b/packages/proxy/request.c
@@ -192,7 +192,7 @@
 		    "not enforce: all calls are refused; remove the accounts "
 		    "or use the platform role",
 		    (unsigned long long)version);
-	refuse_early(c, 503, REFUSE_KEY, "accounts");
+	refuse_early(c, 503, REFUSE_NONE, "accounts");
 }
 
 /*
--- a/packages/proxy/tests/test_calls.c
+++ b/packages/proxy/tests/test_calls.c
@@ -130,6 +130,31 @@
 }
 END_TEST
 
+/*
+ * Guards against a table whose accounts this data path ignores: it reads no
+ * keys, so no call of the table may run.
+ */
+START_TEST(table_with_accounts_is_refused)
+{
+	struct proxy_fixture_config cfg = {.nodes = 1,
+	    .table = "kind,service,rank,weight,floor_pct,limit_pct,target_ms,"
+		     "deadline_ms,queue_max,retries,retry_pct,hedge_ms,repeat,"
+		     "keep_s,body_max_kb,drain_s\n"
+		     "read,svc,1,10,0,100,500,2000,100,1,10,0,yes,0,16,10\n"
+		     "account.name\nacme\n"};
+	struct fake_reply r;
+	struct proxy_fixture fx;
+
+	open_proxy_fixture(&fx, &cfg);
+	call_proxy_fixture(&fx, "read", "", &r);
+	ck_assert_int_eq(r.status, 503);
+	ck_assert_str_eq(r.outcome, "not-run");
+	ck_assert_str_eq(r.reason, "accounts");
+	ck_assert_int_eq(count_fake_arrivals(fx.backends[0]), 0);
+	close_proxy_fixture(&fx);
+}
+END_TEST
+
 /* Guards against a call that runs although its upload passed the deadline. */
 START_TEST(deadline_in_the_upload_is_not_run)
 {
@@ -705,6 +730,7 @@
 	tcase_add_test(t, caller_disconnect_while_queued_does_not_run);
 	tcase_add_loop_test(t, deadline_in_the_queue_is_not_run, 0, 2);
 	tcase_add_test(t, deadline_in_the_upload_is_not_run);
+	tcase_add_test(t, table_with_accounts_is_refused);
 	tcase_add_test(t, table_switch_keeps_the_version_of_a_call);
 	tcase_add_test(t, drain_interrupts_no_call);
 	tcase_add_test(t, drain_ends_calls_at_their_rows_limit);
