--- a/scenarios/run_all.sh
+++ b/scenarios/run_all.sh
@@ -23,7 +23,8 @@
 	    herd \
 	    drain \
 	    zone \
-	    once
+	    once \
+	    accounts
 fi
 passed=0 failed=0 known=0
 for name in "$@"; do
