--- a/packages/table/account.c
+++ b/packages/table/account.c
@@ -654,7 +654,9 @@
 	unload_buf(&line);
 	trimmed = realloc(draft,
 	    sizeof(*a) + (size_t)a->key_count * sizeof(struct key_print));
-	return trimmed != NULL ? trimmed : draft;
+	if (trimmed == NULL)
+		return draft;
+	return trimmed;
 }
 
 /*
