--- a/apps/greengagespurctl/main.c
+++ b/apps/greengagespurctl/main.c
@@ -49,6 +49,8 @@
     "account add-key NAME [FILE]\n"
     "account take-key NAME FINGERPRINT\n"
     "status\n"
+    "rollout start SERVICE VERSION SECONDS\n"
+    "rollout status SERVICE\n"
     "member add|promote|remove ID [ADDRESS]\n"
     "endpoints\n"
     "drain ADDRESS\n"
--- a/apps/greengagespurd/platform_role.c
+++ b/apps/greengagespurd/platform_role.c
@@ -163,6 +163,14 @@
 	    .allow_unauthenticated = true,
 	    .tcp_connect_ms = TCP_CONNECT_TIMEOUT_MS,
 	    .api = handle_platform_request,
+	    .rollouts = settings.trial_share > 0,
+	    .tolerance =
+		{
+		    .window_ns =
+			(int64_t)(settings.allotment_window_s * NSEC_PER_SEC),
+		    .overshoot = settings.allotment_overshoot,
+		    .slack = settings.allotment_slack,
+		},
 	    .clock = get_real_clock(),
 	    .events = events,
 	    .seed = seed,
@@ -194,9 +202,11 @@
 	    .reconnect_ms = RECONNECT_DELAY_MS,
 	    .reconnect_max_ms = RECONNECT_DELAY_MAX_MS,
 	    .on_change = handle_agent_change,
+	    .rollouts = settings.trial_share > 0,
 	};
 	struct node_config n = {
 	    .clock = get_real_clock(),
+	    .boot_clock = get_boot_clock(),
 	    .events = events,
 	    .name = settings.name,
 	    .zone = settings.zone,
@@ -210,11 +220,14 @@
 	    .link_rate = settings.link_rate,
 	    .retry_ratio = settings.retry_ratio,
 	    .retry_slack = (int)settings.retry_slack,
+	    .hedge_share = settings.hedge_share,
 	    .retry_window_ns =
 		(int64_t)(settings.retry_window_s * NSEC_PER_SEC),
 	    .drain_ns = (int64_t)(settings.drain_s * NSEC_PER_SEC),
 	    .leave_ns = STOP_NOTICE_NS,
 	    .stop_ns = get_stop_ns(),
+	    .trial_share = settings.trial_share,
+	    .rollback_ns = (int64_t)(settings.rollback_s * NSEC_PER_SEC),
 	    .names = get_platform_call_names(),
 	    .reports = get_platform_report_reader(),
 	    .seed = seed,
--- a/packages/agent/agent.c
+++ b/packages/agent/agent.c
@@ -47,6 +47,8 @@
 		return set_fault(f, ERR_MEMORY,
 		    "out of memory; give the process more memory");
 	pthread_mutex_init(&a->lock, NULL);
+	pthread_mutex_init(&a->ask_lock, NULL);
+	a->leader = -1;
 	pthread_condattr_init(&attr);
 	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
 	pthread_cond_init(&a->work_ready, &attr);
@@ -327,6 +329,7 @@
 		return set_fault(f, ERR_INVALID,
 		    "control processes: name 1 to %d", AGENT_CONTROL_MAX);
 	a->discovers = cfg->discover_controls;
+	a->rollouts.enabled = cfg->rollouts;
 	a->controls_digest = 1;
 	a->heartbeat_ms =
 	    cfg->heartbeat_ms != 0 ? cfg->heartbeat_ms : AGENT_HEARTBEAT_MS;
@@ -449,11 +452,14 @@
 		unload_buf(&o->body);
 		free(o);
 	}
+	unload_buf(&a->rollouts.report);
+	free_agent_ask(a);
 	close_table_pins(a->table_pins);
 	close_set_store(a->sets);
 	pthread_cond_destroy(&a->work_ready);
 	pthread_cond_destroy(&a->stop_progress);
 	pthread_mutex_destroy(&a->lock);
+	pthread_mutex_destroy(&a->ask_lock);
 	free(a);
 }
 
@@ -482,6 +488,7 @@
 		}
 		step_agent_watch(a, now, &until);
 		step_agent_claims(a, now, &until);
+		step_agent_rollouts(a, now, &until);
 		wait_for_work(a, until - now);
 		pthread_mutex_lock(&a->lock);
 		stopping = a->stopping;
@@ -542,6 +549,8 @@
 		next = o->next;
 		if (o->watch != NULL)
 			handle_watch_outcome(a, o, now);
+		else if (o->ask != NULL)
+			handle_ask_outcome(a, o, now);
 		else
 			handle_claim_outcome(a, o, now);
 		unload_buf(&o->body);
@@ -551,6 +560,7 @@
 		next_claim = c->next;
 		start_agent_claim(a, c, now);
 	}
+	start_agent_ask(a, now);
 }
 
 static void
@@ -570,7 +580,7 @@
 
 	pthread_mutex_lock(&a->lock);
 	while (a->outcomes == NULL && a->new_claims == NULL && !a->changed &&
-	       !a->woken && !a->stopping) {
+	       !a->ask_is_new && !a->woken && !a->stopping) {
 		if (pthread_cond_timedwait(&a->work_ready, &a->lock, &ts) != 0)
 			break;
 	}
--- a/packages/agent/agent_core.h
+++ b/packages/agent/agent_core.h
@@ -3,7 +3,7 @@
  * package.
  *
  * One thread owns the watch, the claims and the table; other threads reach it
- * through the members under lock. Lock order: agent, RPC, then metrics and
+ * through the members under lock. Lock order: ask, agent, RPC, then metrics and
  * events.
  */
 #ifndef AGENT_CORE_H
@@ -62,11 +62,23 @@
 	bool packed; /* the reply is a wire_packed */
 };
 
+/* An ask for allotments that is under way. */
+struct agent_ask {
+	struct agent *agent;
+	struct buf body;
+	int64_t deadline; /* mono ns */
+	int attempts; /* sent */
+	int control; /* slot that it was sent to */
+	allotment_fn fn; /* under ask_lock; NULL: cancelled */
+	void *arg;
+};
+
 /* The outcome of an RPC, queued for the agent's thread. */
 struct agent_outcome {
 	struct agent_outcome *next;
-	struct agent_watch *watch; /* NULL for a claim */
-	struct agent_claim *claim; /* NULL for a watch */
+	struct agent_watch *watch; /* of the three, the others are NULL */
+	struct agent_claim *claim;
+	struct agent_ask *ask;
 	int status; /* of struct rpc_result */
 	struct buf body;
 	int64_t received_at; /* monotonic ns; of a watch */
@@ -86,6 +98,17 @@
 	enum wire_endpoint_state state;
 };
 
+/* The list of roll-outs; see agent_rollouts.c. */
+struct agent_rollouts {
+	bool enabled;
+	/* Under the agent's lock */
+	struct rollout_view view;
+	struct buf report; /* to be sent; empty: none */
+	bool polling; /* a poll is in flight */
+	bool changed; /* the view has, and on_change was not called yet */
+	int64_t next_poll_ns;
+};
+
 struct agent_metrics {
 	metric_id switches, refused, ignored, failures, overdue, limits;
 	metric_id claims, claim_failures, closing, version;
@@ -138,6 +161,9 @@
 	uint64_t confirmed_seq; /* endpoint record that this control has */
 	struct agent_claim *claims;
 	int64_t next_expiry; /* of interest, monotonic ns */
+	int leader; /* slot of the leader that answers asks; -1: unknown */
+
+	pthread_mutex_t ask_lock; /* taken first; held while fn runs */
 
 	pthread_mutex_t lock; /* protects the members below */
 	pthread_cond_t work_ready; /* wakes the agent's thread */
@@ -147,7 +173,10 @@
 	struct agent_claim *new_claims; /* not started yet */
 	struct agent_claim **new_claims_tail;
 	int claim_count; /* new and started ones */
+	struct agent_ask *ask; /* under way; NULL: none */
+	bool ask_is_new; /* not sent yet */
 	struct own_endpoint self;
+	struct agent_rollouts rollouts;
 	bool changed; /* interest or own endpoint */
 	char new_controls[AGENT_CONTROL_MAX][RPC_ADDRESS_BYTES];
 	size_t new_control_count; /* addresses to add; 0: none */
@@ -176,6 +205,9 @@
 void update_controls(struct agent *a, const struct wire_watch_reply *r);
 void add_new_controls(struct agent *a);
 
+/* agent_rollouts.c: on the agent's thread */
+void step_agent_rollouts(struct agent *a, int64_t now, int64_t *until);
+
 /* agent_claims.c: on the agent's thread */
 void start_agent_claim(struct agent *a, struct agent_claim *c, int64_t now);
 void step_agent_claims(struct agent *a, int64_t now, int64_t *until);
@@ -183,4 +215,9 @@
     struct agent *a, struct agent_outcome *o, int64_t now);
 void end_agent_claims(struct agent *a, int64_t now); /* reports the rest */
 
+/* agent_allotments.c: on the agent's thread */
+void start_agent_ask(struct agent *a, int64_t now); /* a new one, if any */
+void handle_ask_outcome(struct agent *a, struct agent_outcome *o, int64_t now);
+void free_agent_ask(struct agent *a); /* without running its function */
+
 #endif
--- a/packages/control/service.c
+++ b/packages/control/service.c
@@ -25,17 +25,20 @@
 		if (!c->stopping) {
 			run_tick(c, now);
 			serve_watches(c, now);
+			serve_rollouts(c, now);
 			wait_tick(c);
 		}
 		stopping = c->stopping;
 		pthread_mutex_unlock(&c->lock);
 		log_quorum(c);
+		run_rollouts(c, read_mono(&c->cfg.clock));
 		run_submissions(c, read_mono(&c->cfg.clock));
 		run_bootstrap(c, read_mono(&c->cfg.clock));
 		run_membership(c, read_mono(&c->cfg.clock));
 	}
 	pthread_mutex_lock(&c->lock);
 	drop_watches(c);
+	serve_rollouts(c, read_mono(&c->cfg.clock));
 	pthread_mutex_unlock(&c->lock);
 	return NULL;
 }
@@ -77,6 +80,7 @@
 		return;
 	c->last_tick_ns = now;
 	sync_peers(c, now);
+	run_allotments(c, now);
 	if (now - c->last_lease_ns < SERVICE_LEASE_TICK_NS)
 		return;
 	c->last_lease_ns = now;
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -33,6 +33,12 @@
 	"Calls that ended without an answer and may have run."),
     SPEC(retries_total, METRIC_COUNTER,
 	"Calls sent to another backend server after one had them."),
+    SPEC(hedges_total, METRIC_COUNTER,
+	"Second sends of calls whose answer was slow."),
+    SPEC(hedges_won_total, METRIC_COUNTER,
+	"Second sends whose answer went to the caller."),
+    SPEC(hedges_cancelled_total, METRIC_COUNTER,
+	"Second sends that ended because of the first one's answer."),
     SPEC(cancelled_total, METRIC_COUNTER, "Calls whose caller hung up."),
     SPEC(served_total, METRIC_COUNTER, "Calls that the backend server ran."),
     SPEC(shed_total, METRIC_COUNTER, "Calls that admission refused."),
@@ -43,6 +49,10 @@
     SPEC(links_total, METRIC_COUNTER, "Connections opened to other nodes."),
     SPEC(avoided_total, METRIC_COUNTER,
 	"Failures after which a serving node was avoided for a while."),
+    SPEC(rollout_offers_total, METRIC_COUNTER,
+	"Offers to servers of the new version in the trial of a roll-out."),
+    SPEC(rollout_failed_total, METRIC_COUNTER,
+	"Failed answers of servers of the new version in roll-outs."),
     SPEC(latency_us, METRIC_HISTOGRAM, "Time from request to answer, us."),
     SPEC(queue_us, METRIC_HISTOGRAM, "Time that calls waited for a slot, us."),
     SPEC(run_us, METRIC_HISTOGRAM, "Time that runs took, us."),
@@ -77,6 +87,10 @@
 	"Long answers sent to other nodes in pieces."),
     SPEC(long_answer_bytes, METRIC_GAUGE,
 	"Bytes of long answers that wait for the link."),
+    SPEC(allotment_asks_total, METRIC_COUNTER,
+	"Asks to the leader for allotments of accounts."),
+    SPEC(allotment_lost_total, METRIC_COUNTER,
+	"Asks for allotments without an answer in time."),
     SPEC(log_dropped_lines, METRIC_GAUGE,
 	"Log lines that found no room since the start."),
 };
@@ -84,7 +98,7 @@
 static const char *get_end_label(
     const struct request *q, int status, bool late);
 static void count_labelled(
-    const char *name, const char *label, const char *value);
+    const char *name, const char *label, const char *value, const char *help);
 
 /*
  * Registers the metrics with the process.
@@ -107,9 +121,10 @@
 	int64_t now = get_reactor_now(q->node->reactor);
 	char name[METRIC_NAME_BYTES];
 
-	if (status == 503)
+	if (status == 503 || q->reason == REFUSE_ALLOTMENT)
 		count_labelled("ggs_node_refusals_total", "reason",
-		    get_refuse_name(q->reason));
+		    get_refuse_name(q->reason),
+		    "Calls refused as not run, by reason.");
 	if (q->stats == NULL)
 		return;
 	if (snprintf(name, sizeof(name),
@@ -134,6 +149,17 @@
 		    (uint64_t)((now - q->arrived) / NSEC_PER_USEC));
 }
 
+/*
+ * Counts a planned hedge that was not sent, by its reason.
+ */
+void
+count_kept_hedge(enum hedge_refusal r)
+{
+	count_labelled("ggs_node_hedges_kept_total", "reason",
+	    get_hedge_refusal_name(r),
+	    "Second sends that were planned and not made, by reason.");
+}
+
 /*
  * Sets the gauges from the current state.
  */
@@ -157,7 +183,7 @@
 	set_metric(m->slots, l.limit);
 	set_metric(m->backend_connections, count_backend_connections(n));
 	set_metric(m->backend_state, (int64_t)l.state);
-	set_metric(m->mean_run_us, l.service_us);
+	set_metric(m->mean_run_us, n->service_ns / NSEC_PER_USEC);
 	set_metric(m->failed_ppm, l.failed_ppm);
 	set_metric(m->body_wait_us, l.body_wait_us);
 	set_metric(m->rate_limit_milli,
@@ -188,7 +214,7 @@
 {
 	if (status == 0)
 		return "left";
-	if (status == 503)
+	if (status == 503 || q->reason == REFUSE_ALLOTMENT)
 		return "refused";
 	if (q->may_have_run && status >= 500)
 		return "unknown";
@@ -198,13 +224,12 @@
 }
 
 static void
-count_labelled(const char *name, const char *label, const char *value)
+count_labelled(
+    const char *name, const char *label, const char *value, const char *help)
 {
 	char full[METRIC_NAME_BYTES];
 
 	if (snprintf(full, sizeof(full), "%s{%s=\"%s\"}", name, label, value) <
 	    (int)sizeof(full))
-		count_metric(register_metric(METRIC_COUNTER, full,
-				 "Calls refused as not run, by reason."),
-		    1);
+		count_metric(register_metric(METRIC_COUNTER, full, help), 1);
 }
