policy: a full queue refuses the newest call beyond a share

Calls with the longest delay have the same place in the order, and the first of them was refused. Tests of the full queue and of an account's rank.

--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -847,8 +847,10 @@
 	for (size_t i = 0; i < q->waiting && q->delayed > 0; i++) {
 		struct admission_call *o = q->heap[i];
 
-		if (o->share_delay_ns > 0 &&
-		    (last->share_delay_ns == 0 || o->sort_key > last->sort_key))
+		if (o->share_delay_ns == 0)
+			continue;
+		if (last->share_delay_ns == 0 || o->sort_key > last->sort_key ||
+		    (o->sort_key == last->sort_key && o->seq > last->seq))
 			last = o;
 	}
 	return last;
--- a/packages/policy/tests/test_account_share.c
+++ b/packages/policy/tests/test_account_share.c
@@ -11,11 +11,12 @@
 #include "admission.h"
 
 #define MS NSEC_PER_MSEC
-#define TABLE                                                      \
+#define TABLE ROWS_OF("1")
+#define ROWS_OF(rank)                                              \
 	"kind,service,rank,weight,floor_pct,limit_pct,target_ms,"  \
 	"deadline_ms,queue_max,retries,retry_pct,hedge_ms,repeat," \
 	"keep_s,body_max_kb,drain_s\n"                             \
-	"read,svc,1,10,0,100,500,2000,100,1,10,0,yes,0,16,10\n"
+	"read,svc," rank ",10,0,100,500,2000,100,1,10,0,yes,0,16,10\n"
 #define ACCOUNTS_MAX 40
 #define SLOTS 9
 #define WORK_MS 150 /* 60 calls per second in all slots */
@@ -229,6 +230,60 @@
 }
 END_TEST
 
+/*
+ * Guards against an account's rank that changes nothing, and against a full
+ * queue that refuses a quiet account for a loud one: one slot, a queue of 100.
+ */
+START_TEST(ranks_and_full_queues_follow_the_account)
+{
+	struct admission_config cfg = {
+	    .policy = ADMISSION_FLOORS, .slots = 1, .fixed_limit = true};
+	struct admission_changes out = {0};
+	struct admission *a = NULL;
+	struct table *t = NULL;
+	struct admission_call *quiet = &calls[200].c, *urgent = &calls[201].c;
+	int64_t now = 1000 * NSEC_PER_SEC;
+	int row, urgent_row;
+
+	memset(calls, 0, sizeof(calls));
+	ck_assert_int_eq(
+	    load_table_csv(make_str(ROWS_OF("2")), 1, &t, NULL), 0);
+	ck_assert_int_eq(create_admission(&cfg, now, &a), 0);
+	row = open_account_row(a, t->rows[0], 0, false);
+	urgent_row = open_account_row(a, t->rows[0], 1, false);
+	ck_assert_int_ne(row, urgent_row);
+	ck_assert_int_eq(open_account_row(a, t->rows[0], 0, false), row);
+	for (int i = 0; i < 101; i++) {
+		calls[i].c =
+		    (struct admission_call){.deadline = now + 60 * NSEC_PER_SEC,
+			.target = now + 50 * NSEC_PER_SEC,
+			.account = i == 0 ? 2 : 1,
+			.share = 1};
+		ck_assert_int_ne(
+		    offer_call(a, &calls[i].c, row, now, &out).action,
+		    ADMIT_REFUSED);
+	}
+	*quiet = (struct admission_call){.deadline = now + 60 * NSEC_PER_SEC,
+	    .target = now + 50 * NSEC_PER_SEC,
+	    .account = 2,
+	    .share = 1};
+	ck_assert_int_eq(
+	    offer_call(a, quiet, row, now, &out).action, ADMIT_QUEUED);
+	ck_assert_ptr_eq(out.refused, &calls[100].c);
+	*urgent = (struct admission_call){.deadline = now + 60 * NSEC_PER_SEC,
+	    .target = now + 50 * NSEC_PER_SEC,
+	    .account = 3,
+	    .share = 1};
+	ck_assert_int_eq(
+	    offer_call(a, urgent, urgent_row, now, &out).action, ADMIT_QUEUED);
+	out = (struct admission_changes){0};
+	finish_call(a, &calls[0].c, OUTCOME_RAN, MS, now + MS, &out);
+	ck_assert_ptr_eq(out.run, urgent);
+	destroy_admission(a);
+	unload_table(t);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -241,6 +296,7 @@
 	    sizeof(cases) / sizeof(cases[0]));
 	tcase_add_loop_test(t, only_use_beyond_the_share_is_delayed, 0,
 	    sizeof(delay_cases) / sizeof(delay_cases[0]));
+	tcase_add_test(t, ranks_and_full_queues_follow_the_account);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
