--- a/packages/node/long_answers.c
+++ b/packages/node/long_answers.c
@@ -17,6 +17,7 @@
 	struct long_answer *next; /* in the node's queue, oldest first */
 	struct hop_link *hop;
 	uint32_t stream;
+	int64_t target_at; /* mono ns */
 	void (*ended)(void *owner);
 	void *owner;
 	struct hop_answer message; /* head points into bytes */
@@ -26,7 +27,7 @@
 };
 
 static void run_outflow_timer(struct timer *t);
-static struct long_answer *get_sendable(const struct node *n);
+static struct long_answer *get_sendable(const struct node *n, int64_t now);
 static void send_piece(struct node *n, struct long_answer *a);
 static void remove_long_answer(struct node *n, struct long_answer *a);
 
@@ -36,8 +37,8 @@
  */
 int
 start_long_answer(struct node *n, struct hop_link *hop, uint32_t stream,
-    const struct job_answer *from, void (*ended)(void *owner), void *owner,
-    struct long_answer **out)
+    const struct job_answer *from, int64_t target_at,
+    void (*ended)(void *owner), void *owner, struct long_answer **out)
 {
 	struct long_answer *a = calloc(1, sizeof(*a)), **at = &n->long_answers;
 
@@ -51,6 +52,7 @@
 	a->node = n;
 	a->hop = hop;
 	a->stream = stream;
+	a->target_at = target_at;
 	a->ended = ended;
 	a->owner = owner;
 	a->body_at = from->head.len;
@@ -78,8 +80,7 @@
 }
 
 /*
- * Sends pieces of the oldest answers whose links take them while this machine's
- * link has room, and continues by a timer.
+ * Sends pieces while this machine's link has room, and continues by a timer.
  */
 void
 send_long_answers(struct node *n)
@@ -87,8 +88,8 @@
 	int64_t now = get_reactor_now(n->reactor);
 	struct long_answer *a;
 
-	while (
-	    (a = get_sendable(n)) != NULL && has_outflow_room(&n->outflow, now))
+	while ((a = get_sendable(n, now)) != NULL &&
+	       has_outflow_room(&n->outflow, now))
 		send_piece(n, a);
 	if (a != NULL)
 		set_timer(n->reactor, &n->outflow_timer,
@@ -112,15 +113,26 @@
 	    (struct node *)((char *)t - offsetof(struct node, outflow_timer)));
 }
 
-/* Returns the oldest answer whose link takes a piece, or NULL. */
+/*
+ * Returns the oldest answer that can still be in time, else the oldest one, among
+ * those whose link takes a piece; NULL when there is none.
+ */
 static struct long_answer *
-get_sendable(const struct node *n)
+get_sendable(const struct node *n, int64_t now)
 {
-	struct long_answer *a = n->long_answers;
+	struct long_answer *late = NULL;
 
-	while (a != NULL && get_hop_unsent(a->hop) >= LINK_UNSENT_BYTES)
-		a = a->next;
-	return a;
+	for (struct long_answer *a = n->long_answers; a != NULL; a = a->next) {
+		size_t left = a->bytes.len - a->body_at - a->sent;
+
+		if (get_hop_unsent(a->hop) >= LINK_UNSENT_BYTES)
+			continue;
+		if (can_leave_in_time(&n->outflow, left, a->target_at, now))
+			return a;
+		if (late == NULL)
+			late = a;
+	}
+	return late;
 }
 
 /* Sends the next piece; the last one goes with the answer, which then ends. */
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -492,8 +492,8 @@
 
 /* long_answers.c */
 int start_long_answer(struct node *n, struct hop_link *hop, uint32_t stream,
-    const struct job_answer *from, void (*ended)(void *owner), void *owner,
-    struct long_answer **out);
+    const struct job_answer *from, int64_t target_at,
+    void (*ended)(void *owner), void *owner, struct long_answer **out);
 void cancel_long_answer(struct long_answer *a);
 void send_long_answers(struct node *n);
 void clear_long_answers(struct node *n);
--- a/packages/policy/outflow.c
+++ b/packages/policy/outflow.c
@@ -48,6 +48,13 @@
 	return wait > 0 ? now + wait : now;
 }
 
+bool
+can_leave_in_time(
+    const struct outflow *f, size_t bytes, int64_t target_at, int64_t now)
+{
+	return now + get_outflow_wait_ns(f, bytes, now) <= target_at;
+}
+
 int64_t
 get_outflow_wait_ns(const struct outflow *f, size_t bytes, int64_t now)
 {
