node, policy: first tries whose time-outs differ are not taken for returning calls

Callers whose time-out is up to 15% shorter than the longest of their kind looked as if they had waited for that time already.

Time-outs that are seen while no call of the kind has failed for longer than the longest one are those of first tries.

--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -647,6 +647,8 @@
 
 	q->state = REQUEST_DONE;
 	q->reason = REFUSE_NONE;
+	if (a->status >= 500)
+		record_failed_try(&q->stats->tries, now);
 	cancel_timer(n->reactor, &q->timer);
 	count_metric(n->metrics.answers_total, 1);
 	observe_metric(n->metrics.latency_us,
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -7,6 +7,7 @@
 
 #include <pthread.h>
 
+#include "first_tries.h"
 #include "hop.h"
 #include "metric.h"
 #include "node.h"
@@ -304,7 +305,7 @@
 struct kind_stats {
 	struct kind_stats *next;
 	char kind[TABLE_NAME_BYTES];
-	int64_t caller_timeout_ns; /* longest one seen */
+	struct first_tries tries; /* time-outs of callers */
 	int64_t longest_deadline_ns; /* after the arrival; longest one seen */
 	int64_t kind_service_ns; /* recent mean service time; 0: unknown */
 	double answer_bytes; /* recent mean length of answers */
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -132,6 +132,9 @@
 
 	q->state = REQUEST_DONE;
 	q->reason = reason;
+	if (q->stats != NULL)
+		record_failed_try(
+		    &q->stats->tries, get_reactor_now(q->node->reactor));
 	cancel_timer(q->node->reactor, &q->timer);
 	count_metric(status == 503 ? q->node->metrics.refused_total :
 				     q->node->metrics.failed_total,
@@ -220,9 +223,8 @@
 
 /*
  * Sets the deadline and the target time. A caller that comes back after a
- * refusal sends a shorter time-out than on its first try. The difference to the
- * longest time-out of its kind is time that it has already waited, so the
- * target is that much earlier.
+ * refusal sends a shorter time-out than on its first try. The difference is time
+ * that it has already waited, so the target is that much earlier.
  */
 static void
 set_deadlines(struct request *q)
@@ -231,9 +233,8 @@
 	int64_t deadline = q->policy.deadline_ns;
 
 	if (timeout > 0) {
-		if (timeout > q->stats->caller_timeout_ns)
-			q->stats->caller_timeout_ns = timeout;
-		elapsed = q->stats->caller_timeout_ns - timeout;
+		add_caller_timeout(&q->stats->tries, timeout, q->arrived);
+		elapsed = estimate_elapsed(&q->stats->tries, timeout);
 		if (timeout < deadline)
 			deadline = timeout;
 	}
