policy, node: patient callers return after the wave; late long answers are not lost

What a patient row refuses came back within 100 ms while it could still be in time, into the same wave, and was refused for good. It is now told a third of its time left each time.

--- a/packages/node/inbound.c
+++ b/packages/node/inbound.c
@@ -449,9 +449,8 @@
 	    .load = get_own_load(c->link->node)};
 
 	if (is_paced(&n->outflow, a->body.len) &&
-	    start_long_answer(n, c->link->hop, c->stream, a,
-		c->job->spec.target_at, free_answered_remote, c,
-		&c->answer) == 0) {
+	    start_long_answer(n, c->link->hop, c->stream, a, &c->job->spec,
+		free_answered_remote, c, &c->answer) == 0) {
 		c->job = NULL;
 		return;
 	}
--- a/packages/node/long_answers.c
+++ b/packages/node/long_answers.c
@@ -17,7 +17,7 @@
 	struct long_answer *next; /* in the node's queue, oldest first */
 	struct hop_link *hop;
 	uint32_t stream;
-	int64_t target_at; /* mono ns */
+	int64_t target_at, deadline; /* mono ns */
 	void (*ended)(void *owner);
 	void *owner;
 	struct hop_answer message; /* head points into bytes */
@@ -37,7 +37,7 @@
  */
 int
 start_long_answer(struct node *n, struct hop_link *hop, uint32_t stream,
-    const struct job_answer *from, int64_t target_at,
+    const struct job_answer *from, const struct job_spec *spec,
     void (*ended)(void *owner), void *owner, struct long_answer **out)
 {
 	struct long_answer *a = calloc(1, sizeof(*a)), **at = &n->long_answers;
@@ -52,7 +52,8 @@
 	a->node = n;
 	a->hop = hop;
 	a->stream = stream;
-	a->target_at = target_at;
+	a->target_at = spec->target_at;
+	a->deadline = spec->deadline;
 	a->ended = ended;
 	a->owner = owner;
 	a->body_at = from->head.len;
@@ -114,25 +115,29 @@
 }
 
 /*
- * Returns the oldest answer that can still be in time, else the oldest one, among
- * those whose link takes a piece; NULL when there is none.
+ * Returns the first answer in the order of get_outflow_order(), the oldest of
+ * equal ones, among those whose link takes a piece; NULL when there is none.
  */
 static struct long_answer *
 get_sendable(const struct node *n, int64_t now)
 {
-	struct long_answer *late = NULL;
+	struct long_answer *best = NULL;
+	int least = 0;
 
 	for (struct long_answer *a = n->long_answers; a != NULL; a = a->next) {
 		size_t left = a->bytes.len - a->body_at - a->sent;
+		int order;
 
 		if (get_hop_unsent(a->hop) >= LINK_UNSENT_BYTES)
 			continue;
-		if (can_leave_in_time(&n->outflow, left, a->target_at, now))
-			return a;
-		if (late == NULL)
-			late = a;
+		order = get_outflow_order(
+		    &n->outflow, left, a->target_at, a->deadline, now);
+		if (best != NULL && order >= least)
+			continue;
+		best = a;
+		least = order;
 	}
-	return late;
+	return best;
 }
 
 /* Sends the next piece; the last one goes with the answer, which then ends. */
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -549,7 +549,7 @@
 
 /* long_answers.c */
 int start_long_answer(struct node *n, struct hop_link *hop, uint32_t stream,
-    const struct job_answer *from, int64_t target_at,
+    const struct job_answer *from, const struct job_spec *spec,
     void (*ended)(void *owner), void *owner, struct long_answer **out);
 void cancel_long_answer(struct long_answer *a);
 void send_long_answers(struct node *n);
--- a/packages/policy/estimate.c
+++ b/packages/policy/estimate.c
@@ -165,10 +165,10 @@
 	double spare = (double)(c->target - now) - 2 * q->service_ns;
 
 	/*
-	 * It will be late in any case, so it returns when the wave of load that
-	 * refuses it now may have passed, and with time for a last try.
+	 * Soon after, it would meet the same wave of load, and be refused for
+	 * good after its last try. So it returns when the wave may have passed.
 	 */
-	if (q->patient && spare < (double)LATE_RETRY_MIN_NS)
+	if (q->patient)
 		return (c->deadline - now) / 3;
 	if (wait > spare)
 		wait = spare;
--- a/packages/policy/outflow.c
+++ b/packages/policy/outflow.c
@@ -48,11 +48,13 @@
 	return wait > 0 ? now + wait : now;
 }
 
-bool
-can_leave_in_time(
-    const struct outflow *f, size_t bytes, int64_t target_at, int64_t now)
+int
+get_outflow_order(const struct outflow *f, size_t left, int64_t target_at,
+    int64_t deadline, int64_t now)
 {
-	return now + get_outflow_wait_ns(f, bytes, now) <= target_at;
+	if (now >= target_at + (deadline - target_at) / 2)
+		return 0;
+	return now + get_outflow_wait_ns(f, left, now) <= target_at ? 1 : 2;
 }
 
 int64_t
--- a/packages/policy/outflow.h
+++ b/packages/policy/outflow.h
@@ -27,11 +27,12 @@
 /* Mono ns at which has_outflow_room() becomes true. */
 int64_t get_outflow_wakeup(const struct outflow *f, int64_t now);
 /*
- * Whether the link can have carried bytes by target_at if they go next. What
- * cannot be in time is sent behind what can.
+ * Order of a long answer with bytes left among others, least first: those that
+ * have been late for half of the time until their deadline, so that they are not
+ * lost; those that can be in time if they go next; all others.
  */
-bool can_leave_in_time(
-    const struct outflow *f, size_t bytes, int64_t target_at, int64_t now);
+int get_outflow_order(const struct outflow *f, size_t left, int64_t target_at,
+    int64_t deadline, int64_t now);
 /* Time in ns until the link has carried bytes more. */
 int64_t get_outflow_wait_ns(const struct outflow *f, size_t bytes, int64_t now);
 
--- a/packages/policy/tests/test_outflow.c
+++ b/packages/policy/tests/test_outflow.c
@@ -60,8 +60,11 @@
 }
 END_TEST
 
-/* Guards against answers that are all late in turn on a link that is too small. */
-START_TEST(answer_leaves_in_time_until_its_target)
+/*
+ * Guards against answers that are all late in turn on a link that is too small,
+ * and against late ones that wait until their callers have left.
+ */
+START_TEST(answers_in_time_go_before_late_ones)
 {
 	struct outflow f = {.rate = RATE};
 	int64_t took;
@@ -69,9 +72,11 @@
 	add_outflow(&f, 16384, 0);
 	took = get_outflow_wait_ns(&f, 90000, 0);
 	ck_assert_int_gt(took, 50 * MS);
-	ck_assert(can_leave_in_time(&f, 90000, took, 0));
-	ck_assert(!can_leave_in_time(&f, 90000, took - 1, 0));
-	ck_assert(!can_leave_in_time(&f, 1, -1, 0));
+	ck_assert_int_eq(get_outflow_order(&f, 90000, took, 900 * MS, 0), 1);
+	ck_assert_int_eq(
+	    get_outflow_order(&f, 90000, took - 1, 900 * MS, 0), 2);
+	ck_assert_int_eq(get_outflow_order(&f, 1, -100 * MS, 101 * MS, 0), 2);
+	ck_assert_int_eq(get_outflow_order(&f, 1, -100 * MS, 100 * MS, 0), 0);
 }
 END_TEST
 
@@ -96,7 +101,7 @@
 	tcase_add_loop_test(t, piece_follows_in_time, 0,
 	    (int)(sizeof(cases) / sizeof(cases[0])));
 	tcase_add_test(t, link_carries_nine_tenths_of_its_speed_in_a_second);
-	tcase_add_test(t, answer_leaves_in_time_until_its_target);
+	tcase_add_test(t, answers_in_time_go_before_late_ones);
 	tcase_add_test(t, only_long_bodies_on_known_links_are_paced);
 	suite_add_tcase(s, t);
 	sr = srunner_create(s);
