policy: more late calls that came back may wait in patient rows

Callers saw calls refused at their last try while slots came free soon after. Late calls now wait for 0.7 of their time left, and a quarter of the slots is counted on for them instead of a tenth.

--- a/packages/policy/admission.c
+++ b/packages/policy/admission.c
@@ -17,9 +17,9 @@
 #define LATE_POLL_NS (25 * NSEC_PER_MSEC)
 #define LATE_WAIT_SHARE 0.25 /* longest wait of a late call, of the target */
 /* The same in a patient row, of the time that is left to the call. */
-#define LATE_PATIENCE_SHARE 0.5
+#define LATE_PATIENCE_SHARE 0.7
 /* Share of the slots that late calls get over a wave of load, at least. */
-#define LATE_SLOT_SHARE 0.1
+#define LATE_SLOT_SHARE 0.25
 #define BODY_GAIN 0.02 /* weight of a new body in the row's mean size */
 
 static void accrue_queues(struct admission *a, int64_t now);
@@ -834,7 +834,7 @@
 /*
  * Says whether a call that will be late may wait. In a patient row a call that
  * comes back after a refusal and is late already may, while the late calls before
- * it will probably have started in half of the time that is left to it: at the
+ * it will probably have started in most of the time that is left to it: at the
  * pace of the last second, or at a small share of the slots, which come free when
  * the load falls again. A call that has its tries left is refused instead.
  */
