--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -5,6 +5,7 @@
 #ifndef CONTROL_H
 #define CONTROL_H
 
+#include "allotment_ledger.h"
 #include "base.h"
 #include "event.h"
 
@@ -75,11 +76,14 @@
 	control_api_fn api; /* tried before the built-in API; may be NULL */
 	const char *tls_cert_file; /* PEM; NULL: plain HTTP */
 	const char *tls_key_file; /* PEM, mode 0600 or stricter */
+	int64_t memory; /* of the VM, bytes; 0: unlimited */
+	int64_t descriptors; /* of the process; 0: unlimited */
 	struct clock_source clock;
 	struct event_log *events; /* may be NULL */
 	uint64_t seed; /* of jitter and election timeouts */
 	const struct rpc_fault_hooks *hooks; /* fault injection; tests only */
 	bool rollouts; /* operators may start roll-outs */
+	struct ledger_tolerance tolerance; /* beyond rates of accounts */
 	uint32_t snapshot_rate; /* full tables of 16 KB per second; 0: 1000 */
 };
 
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -33,6 +33,12 @@
 	"Calls that ended without an answer and may have run."),
     SPEC(retries_total, METRIC_COUNTER,
 	"Calls sent to another backend server after one had them."),
+    SPEC(hedges_total, METRIC_COUNTER,
+	"Second sends of calls whose answer was slow."),
+    SPEC(hedges_won_total, METRIC_COUNTER,
+	"Second sends whose answer went to the caller."),
+    SPEC(hedges_cancelled_total, METRIC_COUNTER,
+	"Second sends that ended because of the first one's answer."),
     SPEC(cancelled_total, METRIC_COUNTER, "Calls whose caller hung up."),
     SPEC(served_total, METRIC_COUNTER, "Calls that the backend server ran."),
     SPEC(shed_total, METRIC_COUNTER, "Calls that admission refused."),
@@ -71,6 +77,15 @@
 	"Calls read before earlier ones of their connection were answered."),
     SPEC(unread_closes_total, METRIC_COUNTER,
 	"Connections closed with requests behind the last answer."),
+    SPEC(memory_bytes, METRIC_GAUGE,
+	"Bytes of all buffers and connections, with their unused capacity."),
+    SPEC(memory_limit, METRIC_GAUGE,
+	"Most bytes that they may take; 0: unlimited."),
+    SPEC(yields_total, METRIC_COUNTER,
+	"Callers' connections refused or closed to free memory."),
+    SPEC(accept_closes_total, METRIC_COUNTER,
+	"Callers' connections closed or not accepted for lack of "
+	"descriptors."),
     SPEC(kept_bytes, METRIC_GAUGE,
 	"Bytes of answers that wait for earlier ones of their connection."),
     SPEC(key_refusals_total, METRIC_COUNTER,
@@ -81,6 +96,10 @@
 	"Long answers sent to other nodes in pieces."),
     SPEC(long_answer_bytes, METRIC_GAUGE,
 	"Bytes of long answers that wait for the link."),
+    SPEC(allotment_asks_total, METRIC_COUNTER,
+	"Asks to the leader for allotments of accounts."),
+    SPEC(allotment_lost_total, METRIC_COUNTER,
+	"Asks for allotments without an answer in time."),
     SPEC(log_dropped_lines, METRIC_GAUGE,
 	"Log lines that found no room since the start."),
 };
@@ -88,7 +107,7 @@
 static const char *get_end_label(
     const struct request *q, int status, bool late);
 static void count_labelled(
-    const char *name, const char *label, const char *value);
+    const char *name, const char *label, const char *value, const char *help);
 
 /*
  * Registers the metrics with the process.
@@ -111,9 +130,10 @@
 	int64_t now = get_reactor_now(q->node->reactor);
 	char name[METRIC_NAME_BYTES];
 
-	if (status == 503)
+	if (status == 503 || q->reason == REFUSE_ALLOTMENT)
 		count_labelled("ggs_node_refusals_total", "reason",
-		    get_refuse_name(q->reason));
+		    get_refuse_name(q->reason),
+		    "Calls refused as not run, by reason.");
 	if (q->stats == NULL)
 		return;
 	if (snprintf(name, sizeof(name),
@@ -138,6 +158,17 @@
 		    (uint64_t)((now - q->arrived) / NSEC_PER_USEC));
 }
 
+/*
+ * Counts a planned hedge that was not sent, by its reason.
+ */
+void
+count_kept_hedge(enum hedge_refusal r)
+{
+	count_labelled("ggs_node_hedges_kept_total", "reason",
+	    get_hedge_refusal_name(r),
+	    "Second sends that were planned and not made, by reason.");
+}
+
 /*
  * Sets the gauges from the current state.
  */
@@ -172,6 +203,8 @@
 	set_metric(m->peers_usable, usable);
 	set_metric(m->peers_avoided, avoided);
 	set_metric(m->kept_bytes, (int64_t)n->kept_bytes);
+	set_metric(m->memory_bytes, (int64_t)get_used_memory(n));
+	set_metric(m->memory_limit, (int64_t)n->budget.limit);
 	set_metric(m->body_bytes, (int64_t)n->body_bytes);
 	set_metric(m->log_dropped_lines, (int64_t)count_dropped_lines());
 	for (const struct service *s = n->services; s != NULL; s = s->next) {
@@ -192,7 +225,7 @@
 {
 	if (status == 0)
 		return "left";
-	if (status == 503)
+	if (status == 503 || q->reason == REFUSE_ALLOTMENT)
 		return "refused";
 	if (q->may_have_run && status >= 500)
 		return "unknown";
@@ -202,13 +235,12 @@
 }
 
 static void
-count_labelled(const char *name, const char *label, const char *value)
+count_labelled(
+    const char *name, const char *label, const char *value, const char *help)
 {
 	char full[METRIC_NAME_BYTES];
 
 	if (snprintf(full, sizeof(full), "%s{%s=\"%s\"}", name, label, value) <
 	    (int)sizeof(full))
-		count_metric(register_metric(METRIC_COUNTER, full,
-				 "Calls refused as not run, by reason."),
-		    1);
+		count_metric(register_metric(METRIC_COUNTER, full, help), 1);
 }
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -7,8 +7,11 @@
 
 #include <pthread.h>
 
+#include "allotment_wallet.h"
 #include "first_tries.h"
+#include "hedge.h"
 #include "hop.h"
+#include "memory_budget.h"
 #include "metric.h"
 #include "node.h"
 #include "origins.h"
@@ -24,6 +27,7 @@
 #define REQUEST_BUSY_MAX 5 /* serving nodes found without a free slot */
 #define REQUEST_TRACE_MAX 24 /* trace events kept for a call */
 #define CALL_ID_BYTES 129 /* with NUL */
+#define NODE_ASKS_MAX 256 /* accounts in one ask for allotments */
 
 struct caller;
 struct request;
@@ -33,6 +37,7 @@
 struct peer_link;
 struct service;
 struct kind_stats;
+struct node_wallet; /* allotment.c */
 
 /* Handles a complete request that arrived on a listener. */
 typedef void (*request_fn)(struct node *n, struct request *q);
@@ -41,6 +46,9 @@
 	struct node *node;
 	struct watch watch;
 	request_fn handle; /* NULL: links of other nodes */
+	int open; /* callers' connections */
+	int open_max; /* links: those without a handshake; 0: unlimited */
+	struct timer pause; /* while no descriptor is left */
 };
 
 /* Trace events of a call, for its log lines. */
@@ -52,6 +60,7 @@
 	TRACE_FAILED, /* text: peer, a: cause, b: not sent */
 	TRACE_ANSWERED, /* text: peer, a: status, b: service time us */
 	TRACE_UNRESPONSIVE, /* text: peer */
+	TRACE_HEDGED, /* text: peer, a: ms since the first send */
 	TRACE_NO_RETRY, /* text: reason, a: arrivals */
 	TRACE_DISCONNECTED, /* a: ms since arrival */
 	TRACE_EXPIRED, /* a: ms since arrival */
@@ -75,6 +84,7 @@
 	uint64_t version; /* of the table */
 	char account[TABLE_NAME_BYTES]; /* of the client; empty: none */
 	int share; /* weight of the account among others; 0: none */
+	double hedge_share; /* most hedged sends per call; 0: none */
 };
 
 /* An offer of a call to one serving node. */
@@ -135,11 +145,21 @@
 	const struct peer *busy_peers[REQUEST_BUSY_MAX];
 	int busy_count;
 	int offers; /* to serving nodes, those that count for OFFERS_MAX */
+	/* Of an account with a rate */
+	struct node_wallet *wallet; /* that its token is of; NULL: none */
+	struct node_wallet *wanted; /* that it waits for a token of */
+	struct request *next_waiting;
+	int64_t wait_until; /* mono ns */
+	bool waits_for_token;
 	int arrivals; /* attempts that reached a backend server, or may have */
 	bool may_have_run; /* an attempt ended with an unknown outcome */
 	enum refuse_reason reason; /* of the last refusal */
 	int64_t retry_after; /* ns; longest that a refusal asked for */
 	struct job_answer *fallback; /* owned; failed answer during a retry */
+	struct request *hedge; /* owned; second send under way; NULL: none */
+	struct request *primary; /* of a hedge: the caller's request */
+	struct timer hedge_timer; /* planned time of the hedge */
+	int64_t hedge_at; /* mono ns; the same */
 	bool counted; /* in node.requests */
 	struct buf answer; /* until it is sent: head without its end, body */
 	size_t answer_head_len; /* bytes of answer */
@@ -281,7 +301,8 @@
 		uint64_t number; /* of the order; 0: none */
 		char target[NODE_VERSION_BYTES];
 		enum rollout_phase phase;
-		int64_t learned_at; /* mono ns */
+		int64_t learned_at; /* mono ns; of the order */
+		int64_t phase_at; /* mono ns; of the phase */
 		double credit; /* calls that may go to the target version */
 		struct row_counts *rows; /* what was seen since then */
 	} rollout;
@@ -316,6 +337,8 @@
 	size_t share_count;
 	uint64_t split_hash; /* of the split cell; 0: none */
 	struct origin_counts origin; /* of calls that this node serves */
+	struct answer_times answer_times; /* of calls that it sent */
+	struct hedge_budget hedge_budget;
 	struct log_budget ok_lines;
 	uint64_t calls; /* of callers, ended */
 	metric_id latency_us; /* histogram; 0: none */
@@ -325,6 +348,30 @@
 struct known_notice; /* notice_memory.c */
 struct inbound_link; /* inbound.c */
 
+/* Wallets of the accounts with a rate, and asks for their tokens. */
+struct node_allotments {
+	struct node_wallet *wallets;
+	struct wallet_ledger known;
+	uint64_t run; /* tells this run's asks from an earlier one's */
+	uint64_t seq, answered; /* of the last ask, of the last answered one */
+	bool asking; /* an ask is under way */
+	bool asking_to_leave;
+	bool leaving; /* the node is stopping */
+	int64_t asked_at; /* boot ns */
+	struct node_wallet *asked[NODE_ASKS_MAX]; /* by the ask under way */
+	size_t asked_count;
+	struct timer ask_timer;
+	struct request *waiting, **waiting_tail; /* by their time of arrival */
+	struct timer wait_timer;
+	struct task answer_task; /* posted by the agent */
+
+	pthread_mutex_t lock; /* protects the answer */
+	int answer_status;
+	size_t answer_nodes; /* of the fleet */
+	size_t answer_count;
+	struct ledger_grant answer[NODE_ASKS_MAX];
+};
+
 struct node_metrics {
 	metric_id calls_total, answers_total, refused_total, failed_total;
 	metric_id retries_total, cancelled_total, served_total, shed_total;
@@ -337,8 +384,12 @@
 	metric_id pipelined_total, unread_closes_total, kept_bytes;
 	metric_id rollout_offers_total, rollout_failed_total;
 	metric_id log_dropped_lines, rate_limit_milli;
+	metric_id hedges_total, hedges_won_total, hedges_cancelled_total;
+	metric_id memory_bytes, memory_limit, yields_total;
+	metric_id accept_closes_total;
 	metric_id long_answers_total, long_answer_bytes;
 	metric_id key_refusals_total;
+	metric_id allotment_asks_total, allotment_lost_total;
 };
 
 struct node {
@@ -358,6 +409,11 @@
 	int64_t head_ns;
 	size_t head_max, body_max;
 
+	struct memory_budget budget;
+	size_t object_bytes; /* of requests and connections, without buffers */
+	int stopped_callers; /* connections that are not read now */
+	bool memory_short; /* trimmed when little memory is in use again */
+	struct timer memory_timer;
 	struct caller *callers;
 	struct caller *closed_callers; /* their calls are ended next */
 	struct task end_callers;
@@ -369,6 +425,7 @@
 	struct peer *peers;
 	struct peer_link *links;
 	struct kind_stats *kinds;
+	struct node_allotments allotments;
 
 	struct admission *admission; /* NULL: no backend server */
 	struct timer admission_timer;
@@ -419,9 +476,19 @@
 int bind_listener(const char *address, int *fd, struct fault *f);
 void accept_pending_callers(struct node *n);
 void close_listeners(struct node *n);
+/* Returns the next connection, or -1; finds a descriptor if none is left. */
+int accept_connection(struct listener *l);
+
+/* caller_memory.c */
+size_t get_used_memory(const struct node *n); /* bytes of all connections */
+/* Whether level, a share of the budget, has room; nothing gives way. */
+bool has_memory(const struct node *n, size_t more, size_t level);
+void watch_memory(struct node *n); /* after memory was drawn */
 
 /* caller.c */
 void accept_callers(struct watch *w, uint32_t events);
+/* Closes the connection that needs its descriptor least; l NULL: of all. */
+bool free_caller_descriptor(struct node *n, const struct listener *l);
 void close_callers(struct node *n);
 void close_idle_callers(struct node *n); /* those without a request */
 bool has_busy_callers(const struct node *n);
@@ -441,6 +508,8 @@
     struct node *n, struct request *q); /* or NULL */
 /* Whether the request may start before earlier ones are answered. */
 bool may_run_ahead(struct node *n, struct request *q);
+/* Rank of the row of a request whose head is complete. */
+int get_request_rank(struct request *q);
 void handle_caller_hangup(struct request *q);
 void refuse_request(struct request *q, int status, enum refuse_reason reason,
     int64_t retry_after);
@@ -464,9 +533,31 @@
 void move_request(struct request *q);
 void handle_attempt_failure(
     struct request *q, enum attempt_end cause, bool not_sent);
+int offer_attempt(struct request *q, struct peer *p, bool immediate);
+/* Returns the best untried serving node with a free slot, or NULL. */
+struct peer *choose_hedge_peer(struct request *q);
+/* Delivers the answer; the request is freed. */
+void finish_request(struct request *q, const struct job_answer *a);
+/* A hedge ended without a good answer; a: its failed answer, or NULL. */
+void end_hedge_failure(struct request *q, const struct job_answer *a);
 void expire_request(struct timer *t);
 void end_stopped_request(struct request *q); /* the node is stopping */
 
+/* allotment.c */
+void open_allotments(struct node *n);
+void close_allotments(struct node *n);
+void refresh_allotments(struct node *n); /* a new table */
+bool admit_by_allotment(struct request *q); /* false: waits or was refused */
+bool draw_retry_allotment(struct request *q); /* for another server */
+void leave_allotment_queue(struct request *q);
+void return_allotment(struct request *q); /* the call ends */
+void leave_allotments(struct node *n); /* the node is stopping */
+/* hedge.c */
+void plan_request_hedge(struct request *q); /* its first send has begun */
+void cancel_hedge(struct request *q);
+void handle_hedge_answer(struct request *h, const struct job_answer *a);
+void handle_hedge_end(struct request *h, bool arrived, bool may_have_run);
+
 /* services.c */
 void refresh_services(struct node *n);
 void clear_services(struct node *n);
@@ -480,9 +571,11 @@
 /* rollouts.c */
 void apply_rollouts(struct node *n); /* the agent's list, after services */
 void clear_rollout(struct service *s);
+void confirm_rollouts(struct node *n); /* a server with a new version */
 /* The node's server has a version that gets no calls (any more). */
 bool is_server_closed(struct node *n);
 /* Sets the version that the call's next attempt may use. */
+bool is_service_rolling_out(const struct service *s);
 void choose_call_version(struct request *q);
 /* The call may use the other version after all; false: it may not. */
 bool relax_call_version(struct request *q);
@@ -490,6 +583,8 @@
 void count_version_offer(struct request *q, const struct peer *p);
 /* Of the current attempt. service_ns: 0 without an answer */
 void record_version_answer(struct request *q, bool failed, int64_t service_ns);
+/* The caller left while the attempt may run. */
+void record_version_leave(struct request *q);
 
 /* links.c */
 int offer_remote(struct request *q, struct peer *p);
@@ -523,6 +618,8 @@
 void close_backend(struct node *n);
 int start_backend_call(struct node *n, struct job *j);
 void abort_backend_call(struct node *n, struct job *j);
+/* Before the owner of the job's body frees it; ERR_MEMORY. */
+int keep_call_body(struct job *j);
 void apply_backend_report(struct node *n, const struct backend_report *r);
 int get_backend_slots(const struct node *n);
 int count_backend_connections(const struct node *n);
@@ -563,6 +660,7 @@
 /* node_metrics.c */
 void open_node_metrics(struct node_metrics *m);
 void count_call_end(struct request *q, int status);
+void count_kept_hedge(enum hedge_refusal r);
 void refresh_node_metrics(struct node *n); /* gauges */
 
 /* call_log.c */
--- a/packages/node/tests/node_fixture.c
+++ b/packages/node/tests/node_fixture.c
@@ -54,6 +54,24 @@
 	start_fixture(r, nodes);
 }
 
+void
+open_fixture_with_trial(struct fixture *r, int nodes, double share)
+{
+	memset(r, 0, sizeof(*r));
+	r->stop_ns = 3 * NSEC_PER_SEC;
+	r->trial_share = share;
+	start_fixture(r, nodes);
+}
+
+void
+open_fixture_with_hedges(struct fixture *r, int nodes, double share)
+{
+	memset(r, 0, sizeof(*r));
+	r->stop_ns = 3 * NSEC_PER_SEC;
+	r->hedge_share = share;
+	start_fixture(r, nodes);
+}
+
 void
 open_fixture_with_link(struct fixture *r, int nodes, int64_t link_rate)
 {
@@ -131,9 +149,11 @@
 	    .backend = get_fake_address(r->servers[i]),
 	    .retry_ratio = 10,
 	    .retry_slack = 1000,
+	    .hedge_share = r->hedge_share,
 	    .drain_ns = 200 * NSEC_PER_MSEC,
 	    .leave_ns = 300 * NSEC_PER_MSEC,
 	    .stop_ns = r->stop_ns,
+	    .trial_share = r->trial_share,
 	    .link_rate = r->link_rate,
 	    .names = {.call_id = "Call-Id",
 		.deadline_ms = "Deadline-Ms",
@@ -380,6 +400,10 @@
 		sem_wait(&released);
 		return set_fault(f, ERR_INVALID, "held");
 	}
+	/* An instance such as "i-1.v2" has a version. */
+	if (strchr(out->id, '.') != NULL)
+		(void)copy_str(out->version, sizeof(out->version),
+		    make_str(strchr(out->id, '.') + 1));
 	out->slots = 4;
 	out->seq = seq;
 	out->start_ms = start_ms;
