--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -11,6 +11,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
+#include "allotment_ledger.h"
 #include "control.h"
 #include "identity.h"
 #include "lag.h"
@@ -169,6 +170,15 @@
 	size_t set_count;
 };
 
+/* The leases of the accounts' rates to nodes. */
+struct allotments {
+	struct ledger *ledger; /* of the leader, if an account has a rate */
+	uint64_t term; /* of the group, in which it was opened */
+	uint64_t table_version; /* that has_rates is of */
+	bool has_rates; /* an account has a rate */
+	int64_t counted_ns; /* last count of the fleet's nodes; 0: none */
+};
+
 /* The ids of the metrics that control_metrics.c registers. */
 struct control_metrics {
 	metric_id version;
@@ -187,6 +197,9 @@
 	metric_id http_ended;
 	metric_id claims;
 	metric_id resends;
+	metric_id allotment_asks;
+	metric_id allotment_tokens;
+	metric_id allotment_silent;
 	metric_id lag_us; /* histogram */
 	metric_id nodes_behind;
 	metric_id rollouts;
@@ -217,6 +230,7 @@
 	struct version_times version_times;
 	struct watch_cache cache;
 	struct token_bucket bucket;
+	struct allotments allotments;
 	struct pending_watch *pending_watches;
 	size_t pending_watch_count;
 	bool sets_due; /* serve_watches() sends changes of sets */
@@ -359,6 +373,10 @@
 void serve_rollouts(struct control *c, int64_t now); /* lock held */
 void publish_rollouts(struct control *c); /* lock held; after a command */
 void run_rollouts(struct control *c, int64_t now); /* takes the lock */
+/* allotments.c */
+void run_allotments(struct control *c, int64_t now); /* lock held */
+void handle_allotment(
+    struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
 
 /* relay.c */
 void run_relay(struct control *c, int64_t now); /* lock held */
--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -201,6 +201,8 @@
 	if (q == NULL)
 		return;
 	cancel_timer(q->node->reactor, &q->timer);
+	return_allotment(q);
+	cancel_hedge(q);
 	if (q->caller != NULL)
 		remove_pipeline(q->caller, q);
 	q->node->body_bytes -= q->reader.body.len;
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -75,6 +75,8 @@
 /* start_node() copies the strings. */
 struct node_config {
 	struct clock_source clock;
+	/* Counts suspensions, see get_boot_clock(); zeroed: clock */
+	struct clock_source boot_clock;
 	struct event_log *events; /* may be NULL */
 	/* Outlives the node; its on_change callback is refresh_node(). */
 	struct agent *agent;
@@ -93,6 +95,7 @@
 	int64_t link_rate; /* of the VM's link, bytes/s; 0: unlimited */
 	double retry_ratio; /* retries per call of a service; 0: 0.2 */
 	int retry_slack; /* additional retries of all nodes together */
+	double hedge_share; /* hedged sends per repeatable call; 0: none */
 	int64_t retry_window_ns; /* window of both limits; 0: 10 s */
 	/*
 	 * Time for which a backend server still accepts calls after it
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -23,6 +23,7 @@
 
 static struct str get_host(struct request *q, char *text, size_t size);
 static int copy_policy(struct request *q, const struct row *r);
+static double get_hedge_share(const struct node *n, const struct row *r);
 static void set_deadlines(struct request *q);
 static int64_t parse_caller_timeout(struct request *q);
 static int copy_head(struct request *q);
@@ -69,8 +70,10 @@
 	    (int)((q->deadline - q->arrived) / NSEC_PER_MSEC),
 	    (int)((q->target_at - q->arrived) / NSEC_PER_MSEC));
 	add_retry_tokens(n, q->service);
+	add_hedge_tokens(&q->stats->hedge_budget, q->policy.hedge_share);
 	set_timer(n->reactor, &q->timer, q->deadline, expire_request);
-	start_next_attempt(q);
+	if (admit_by_allotment(q))
+		start_next_attempt(q);
 }
 
 /*
@@ -126,6 +129,11 @@
 	count_metric(n->metrics.cancelled_total, 1);
 	if (!q->policy.repeatable && may_be_running(q))
 		return;
+	if (may_be_running(q)) {
+		q->may_have_run = true;
+		record_version_leave(q);
+	}
+	cancel_hedge(q);
 	if (q->attempt.active)
 		cancel_request_attempt(q);
 	log_request(q, 0, "left");
@@ -134,7 +142,7 @@
 
 /*
  * Answers with an error status of the node itself and frees the request. 503
- * promises that the call has not run and never will; its Retry-After is
+ * and 429 promise that the call has not run and never will; their Retry-After is
  * retry_after ns, or RETRY_AFTER_UNREADY_NS when the table or the endpoints are
  * missing.
  */
@@ -145,16 +153,19 @@
 	struct buf head = {0};
 	int rc = 0;
 
+	leave_allotment_queue(q);
 	q->state = REQUEST_DONE;
 	q->reason = reason;
 	cancel_timer(q->node->reactor, &q->timer);
-	count_metric(status == 503 ? q->node->metrics.refused_total :
-				     q->node->metrics.failed_total,
+	cancel_hedge(q);
+	count_metric(status == 503 || status == 429 ?
+			 q->node->metrics.refused_total :
+			 q->node->metrics.failed_total,
 	    1);
 	if (q->id[0] != '\0' && q->node->cfg.names.call_id != NULL)
 		rc = append_http_header(
 		    &head, q->node->cfg.names.call_id, make_str(q->id));
-	if (rc == 0 && status == 503)
+	if (rc == 0 && (status == 503 || status == 429))
 		rc = append_retry_after(&head,
 		    reason == REFUSE_NO_TABLE || reason == REFUSE_NO_ENDPOINT ?
 			RETRY_AFTER_UNREADY_NS :
@@ -226,6 +237,7 @@
 	p->target_ns = r->values[COL_TARGET_MS] * NSEC_PER_MSEC;
 	p->deadline_ns = r->values[COL_DEADLINE_MS] * NSEC_PER_MSEC;
 	p->version = n->table->version;
+	p->hedge_share = get_hedge_share(n, r);
 	q->stats = get_kind_stats(n, r->kind);
 	if (q->stats == NULL)
 		return ERR_MEMORY;
@@ -233,6 +245,20 @@
 	return q->service != NULL ? 0 : ERR_MEMORY;
 }
 
+/*
+ * Returns the most hedged sends per call of a row: its own share, or else that
+ * of the settings.
+ */
+static double
+get_hedge_share(const struct node *n, const struct row *r)
+{
+	if (!r->repeatable)
+		return 0;
+	return r->values[COL_HEDGE_PCT] >= 0 ?
+		   r->values[COL_HEDGE_PCT] / 100.0 :
+		   n->cfg.hedge_share;
+}
+
 /*
  * Sets the deadline and the target time. A caller that comes back after a
  * refusal sends a shorter time-out than on its first try. The difference to the
--- a/packages/node/services.c
+++ b/packages/node/services.c
@@ -294,13 +294,14 @@
 static void
 update_peer_version(struct node *n, struct peer *p, const char *instance)
 {
-	const char *space = strchr(instance, ' ');
+	const char *space = instance != NULL ? strchr(instance, ' ') : NULL;
 	const char *version = space != NULL ? space + 1 : "";
 
 	if (p->version_at != 0 && strcmp(p->version, version) == 0)
 		return;
 	(void)copy_str(p->version, sizeof(p->version), make_str(version));
 	p->version_at = get_reactor_now(n->reactor);
+	confirm_rollouts(n);
 }
 
 static struct peer *
--- a/packages/wire/gen/wire_xdr.h
+++ b/packages/wire/gen/wire_xdr.h
@@ -406,6 +406,46 @@
 	} rollouts;
 };
 typedef struct wire_rollouts_reply wire_rollouts_reply;
+#define WIRE_ALLOTMENTS_MAX 512
+
+struct wire_allotment_ask {
+	wire_name account;
+	u_int held;
+	u_int returned;
+	u_int want;
+	u_int demand_milli;
+};
+typedef struct wire_allotment_ask wire_allotment_ask;
+
+struct wire_allotment_args {
+	wire_name node;
+	u_quad_t run;
+	u_quad_t seq;
+	u_quad_t answered;
+	bool_t leaving;
+	struct {
+		u_int asks_len;
+		wire_allotment_ask *asks_val;
+	} asks;
+};
+typedef struct wire_allotment_args wire_allotment_args;
+
+struct wire_allotment_grant {
+	u_int tokens;
+	u_int room_ms;
+};
+typedef struct wire_allotment_grant wire_allotment_grant;
+
+struct wire_allotment_reply {
+	wire_status status;
+	wire_name leader;
+	u_int nodes;
+	struct {
+		u_int grants_len;
+		wire_allotment_grant *grants_val;
+	} grants;
+};
+typedef struct wire_allotment_reply wire_allotment_reply;
 
 #define GGS_PROGRAM 0x20474753
 #define GGS_V1 1
@@ -450,6 +490,9 @@
 #define GGS_ROLLOUT_REPORT 13
 extern  wire_rollouts_reply * ggs_rollout_report_1(wire_rollouts_args , CLIENT *);
 extern  wire_rollouts_reply * ggs_rollout_report_1_svc(wire_rollouts_args , struct svc_req *);
+#define GGS_ALLOTMENT 14
+extern  wire_allotment_reply * ggs_allotment_1(wire_allotment_args , CLIENT *);
+extern  wire_allotment_reply * ggs_allotment_1_svc(wire_allotment_args , struct svc_req *);
 extern int ggs_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -492,6 +535,9 @@
 #define GGS_ROLLOUT_REPORT 13
 extern  wire_rollouts_reply * ggs_rollout_report_1();
 extern  wire_rollouts_reply * ggs_rollout_report_1_svc();
+#define GGS_ALLOTMENT 14
+extern  wire_allotment_reply * ggs_allotment_1();
+extern  wire_allotment_reply * ggs_allotment_1_svc();
 extern int ggs_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -532,6 +578,10 @@
 extern  bool_t xdr_wire_rollout_age (XDR *, wire_rollout_age*);
 extern  bool_t xdr_wire_rollouts_args (XDR *, wire_rollouts_args*);
 extern  bool_t xdr_wire_rollouts_reply (XDR *, wire_rollouts_reply*);
+extern  bool_t xdr_wire_allotment_ask (XDR *, wire_allotment_ask*);
+extern  bool_t xdr_wire_allotment_args (XDR *, wire_allotment_args*);
+extern  bool_t xdr_wire_allotment_grant (XDR *, wire_allotment_grant*);
+extern  bool_t xdr_wire_allotment_reply (XDR *, wire_allotment_reply*);
 
 #else /* K&R C */
 extern bool_t xdr_wire_name ();
@@ -568,6 +618,10 @@
 extern bool_t xdr_wire_rollout_age ();
 extern bool_t xdr_wire_rollouts_args ();
 extern bool_t xdr_wire_rollouts_reply ();
+extern bool_t xdr_wire_allotment_ask ();
+extern bool_t xdr_wire_allotment_args ();
+extern bool_t xdr_wire_allotment_grant ();
+extern bool_t xdr_wire_allotment_reply ();
 
 #endif /* K&R C */
 
