node, policy: bytes that were not read have a part of the memory

Under a load of 24, two cases took more than the VM's memory together with unread bytes (half-close 49.9 MB, leave 56.4 MB of 48): connections that wait to be accepted held up to 18 MB. They now get a small receive buffer, accepted ones a part of a quarter of the budget, and the budget leaves room for both.

--- a/packages/node/listen.c
+++ b/packages/node/listen.c
@@ -12,6 +12,9 @@
 /* Before the next accept, when no descriptor is left and none can be freed. */
 #define ACCEPT_PAUSE_NS (100 * NSEC_PER_MSEC)
 
+/* Receive buffer of a connection until it is accepted; the system doubles it. */
+static const int waiting_bytes = 16 * 1024;
+
 static void resume_listener(struct timer *t);
 
 /*
@@ -31,6 +34,10 @@
 	rc = bind_listener(address, &fd, f);
 	if (rc != 0)
 		return rc;
+	/* Connections that wait to be accepted also hold bytes. */
+	if (handle != NULL && n->budget.limit != 0)
+		(void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &waiting_bytes,
+		    sizeof(waiting_bytes));
 	l->node = n;
 	l->handle = handle;
 	l->open_max =
--- a/packages/policy/memory_budget.c
+++ b/packages/policy/memory_budget.c
@@ -5,14 +5,17 @@
 
 /* Of a process without connections: code, table, stacks and endpoint sets. */
 #define PROCESS_BYTES (16LL * 1024 * 1024)
-/* Share of the rest that buffers take; the others are the allocator's gaps. */
-#define BUFFER_SHARE 0.875
+/*
+ * Share of the rest that buffers take. The others are the allocator's gaps and
+ * bytes that have arrived and were not read.
+ */
+#define BUFFER_SHARE 0.7
 /*
  * Of the budget. One body of the longest legal size, 64 MiB, fits into the
  * common share on the smallest VM of the pages, 160 MB.
  */
-#define COMMON_SHARE 0.625
-#define URGENT_SHARE 0.75
+#define COMMON_SHARE 0.7
+#define URGENT_SHARE 0.8
 #define ANSWERS_SHARE 0.25
 #define ANSWERS_MAX_BYTES (32 * 1024 * 1024)
 /* Of a VM so small that nothing would be left. */
@@ -33,7 +36,7 @@
 /* Share of the budget for bytes that have arrived and were not read. */
 #define UNREAD_SHARE 0.25
 #define RECEIVE_MIN_BYTES (8 * 1024)
-#define RECEIVE_DEFAULT_BYTES (256 * 1024)
+#define RECEIVE_MAX_BYTES (128 * 1024)
 
 static int compare_time(int64_t a, int64_t b);
 
@@ -138,7 +141,7 @@
 
 /*
  * Bytes that arrive before they are read count as the process's memory, so that
- * many connections share a part of the budget.
+ * many connections share a part of it.
  */
 int
 choose_receive_bytes(const struct memory_budget *b, int connections)
@@ -147,9 +150,10 @@
 
 	if (b->limit == 0 || connections < 1)
 		return 0;
-	each = (double)b->limit * UNREAD_SHARE / connections;
-	if (each >= RECEIVE_DEFAULT_BYTES)
-		return 0;
+	/* The system doubles the size that it is given. */
+	each = (double)b->limit * UNREAD_SHARE / connections / 2;
+	if (each > RECEIVE_MAX_BYTES)
+		return RECEIVE_MAX_BYTES;
 	return each < RECEIVE_MIN_BYTES ? RECEIVE_MIN_BYTES : (int)each;
 }
 
