node: a long answer becomes the output without a copy

An answer was held by the connection to the server, kept for its turn and copied to the output: three times its length.

Evidence: node.test_pipeline, test_calls_by_node, test_long_answers.

--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -170,7 +170,7 @@
 		return;
 	}
 	if (head.len + body.len > SMALL_ANSWER_BYTES &&
-	    !make_room(c, 2 * (head.len + body.len), c->node->budget.limit)) {
+	    !make_room(c, head.len + body.len, c->node->budget.limit)) {
 		q->state = REQUEST_DONE; /* without its answer */
 		close_caller(c);
 		return;
--- a/packages/node/pipeline.c
+++ b/packages/node/pipeline.c
@@ -3,6 +3,8 @@
  * started as soon as they have been read; their answers are kept until those of
  * the requests before them have been sent (RFC 9112, 9.3.2).
  */
+#include <string.h>
+
 #include "caller_state.h"
 
 /* Requests of one connection that are read before the first is answered. */
@@ -10,8 +12,12 @@
 /* Kept answers of one connection and of the process; above, reading stops. */
 #define PIPELINE_CONNECTION_BYTES_MAX (256 * 1024)
 #define PIPELINE_PROCESS_BYTES_MAX (8 * 1024 * 1024)
+/* Answers from this size on become the output without a copy. */
+#define LONG_ANSWER_BYTES (64 * 1024)
+#define ANSWER_END_BYTES 64 /* for the end of the head, added at last */
 
 static int append_answer(struct caller *c, struct request *q);
+static int move_answer(struct caller *c, struct request *q);
 static bool is_last_answer(const struct caller *c, const struct request *q);
 static size_t count_kept_bytes(const struct caller *c);
 
@@ -126,6 +132,9 @@
 		rc = append_buf_fmt(
 		    &q->answer, "Content-Length: %zu\r\n", body.len);
 	q->answer_head_len = q->answer.len;
+	if (rc == 0 && !bare)
+		rc = reserve_buf_within(&q->answer, body.len + ANSWER_END_BYTES,
+		    q->answer.len + body.len + ANSWER_END_BYTES);
 	if (rc == 0 && !bare)
 		rc = append_buf_str(&q->answer, body);
 	q->state = REQUEST_DONE;
@@ -160,6 +169,8 @@
 	int rc;
 
 	c->closing = is_last_answer(c, q);
+	if (c->out.len == 0 && all.len > LONG_ANSWER_BYTES)
+		return move_answer(c, q);
 	rc = append_buf(&c->out, all.data, q->answer_head_len);
 	if (rc == 0 && c->closing)
 		rc = append_buf_str(&c->out, make_str("Connection: close\r\n"));
@@ -171,6 +182,32 @@
 	return rc;
 }
 
+/*
+ * Makes an answer the output, with the end of its head put in, so that a long
+ * one is held once.
+ */
+static int
+move_answer(struct caller *c, struct request *q)
+{
+	struct str end =
+	    make_str(c->closing ? "Connection: close\r\n\r\n" : "\r\n");
+	struct buf *a = &q->answer, empty = c->out;
+	char *at;
+	int rc = reserve_buf(a, end.len);
+
+	if (rc != 0)
+		return rc;
+	q->node->kept_bytes -= a->len;
+	at = a->data + q->answer_head_len;
+	memmove(at + end.len, at, a->len - q->answer_head_len);
+	memcpy(at, end.data, end.len);
+	a->len += end.len;
+	a->data[a->len] = '\0';
+	c->out = *a;
+	*a = empty;
+	return 0;
+}
+
 /*
  * The connection ends after this answer if no more input is read or the node is
  * stopping. Complete requests behind it are answered first.
--- a/packages/policy/memory_budget.c
+++ b/packages/policy/memory_budget.c
@@ -16,7 +16,7 @@
  */
 #define COMMON_SHARE 0.7
 #define URGENT_SHARE 0.8
-#define ANSWERS_SHARE 0.25
+#define ANSWERS_SHARE 0.35
 #define ANSWERS_MAX_BYTES (32 * 1024 * 1024)
 /* Of a VM so small that nothing would be left. */
 #define LIMIT_MIN_BYTES (4 * 1024 * 1024)
