--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -5,6 +5,7 @@
 #ifndef CONTROL_H
 #define CONTROL_H
 
+#include "allotment_ledger.h"
 #include "base.h"
 #include "event.h"
 
@@ -80,6 +81,7 @@
 	uint64_t seed; /* of jitter and election timeouts */
 	const struct rpc_fault_hooks *hooks; /* fault injection; tests only */
 	bool rollouts; /* operators may start roll-outs */
+	struct ledger_tolerance tolerance; /* beyond rates of accounts */
 	uint32_t snapshot_rate; /* full tables of 16 KB per second; 0: 1000 */
 };
 
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -15,13 +15,13 @@
 /* A starting control group has a leader and endpoints within this time. */
 #define RETRY_AFTER_UNREADY_NS (500 * NSEC_PER_MSEC)
 
-static const struct row *find_call_row(struct node *n, struct request *q);
 static struct str get_host(struct request *q, char *text, size_t size);
 static int copy_policy(struct request *q, const struct row *r);
+static double get_hedge_share(const struct node *n, const struct row *r);
 static void set_deadlines(struct request *q);
 static int64_t parse_caller_timeout(struct request *q);
 static int copy_head(struct request *q);
-static bool is_own_header(const struct call_names *names, struct str name);
+static bool is_own_header(const struct node *n, struct str name);
 static int append_retry_after(struct buf *b, int64_t ns);
 
 /*
@@ -31,16 +31,10 @@
 void
 route_call(struct node *n, struct request *q)
 {
+	const struct account *account;
 	const struct row *r;
 
-	q->counted = true;
-	n->requests++;
-	n->last_call_at = get_reactor_now(n->reactor);
-	count_metric(n->metrics.calls_total, 1);
-	(void)copy_str(q->id, sizeof(q->id),
-	    n->cfg.names.call_id != NULL ?
-		find_http_header(&q->reader.head, n->cfg.names.call_id) :
-		make_str(""));
+	begin_call(n, q);
 	if (n->table == NULL) {
 		refuse_request(q, 503, REFUSE_NO_TABLE, 0);
 		return;
@@ -50,7 +44,17 @@
 		refuse_request(q, 404, REFUSE_UNKNOWN_KIND, 0);
 		return;
 	}
-	if (copy_policy(q, r) != 0 || copy_head(q) != 0) {
+	if (!identify_account(q, r, &account)) {
+		refuse_key(q);
+		return;
+	}
+	if (copy_policy(q, r) != 0) {
+		write_log(LOG_LEVEL_ERR, "out of memory for a call");
+		refuse_request(q, 503, REFUSE_OVERLOAD, 0);
+		return;
+	}
+	set_call_account(q, account);
+	if (copy_head(q) != 0) {
 		write_log(LOG_LEVEL_ERR, "out of memory for a call");
 		refuse_request(q, 503, REFUSE_OVERLOAD, 0);
 		return;
@@ -60,8 +64,26 @@
 	    (int)((q->deadline - q->arrived) / NSEC_PER_MSEC),
 	    (int)((q->target_at - q->arrived) / NSEC_PER_MSEC));
 	add_retry_tokens(n, q->service);
+	add_hedge_tokens(&q->stats->hedge_budget, q->policy.hedge_share);
 	set_timer(n->reactor, &q->timer, q->deadline, expire_request);
-	start_next_attempt(q);
+	if (admit_by_allotment(q))
+		start_next_attempt(q);
+}
+
+/*
+ * Counts a call whose head is complete and sets its id.
+ */
+void
+begin_call(struct node *n, struct request *q)
+{
+	q->counted = true;
+	n->requests++;
+	n->last_call_at = get_reactor_now(n->reactor);
+	count_metric(n->metrics.calls_total, 1);
+	(void)copy_str(q->id, sizeof(q->id),
+	    n->cfg.names.call_id != NULL ?
+		find_http_header(&q->reader.head, n->cfg.names.call_id) :
+		make_str(""));
 }
 
 /*
@@ -92,8 +114,11 @@
 	count_metric(n->metrics.cancelled_total, 1);
 	if (!q->policy.repeatable && may_be_running(q))
 		return;
-	if (may_be_running(q))
+	if (may_be_running(q)) {
+		q->may_have_run = true;
 		record_version_leave(q);
+	}
+	cancel_hedge(q);
 	if (q->attempt.active)
 		cancel_request_attempt(q);
 	log_request(q, 0, "left");
@@ -102,7 +127,7 @@
 
 /*
  * Answers with an error status of the node itself and frees the request. 503
- * promises that the call has not run and never will; its Retry-After is
+ * and 429 promise that the call has not run and never will; their Retry-After is
  * retry_after ns, or RETRY_AFTER_UNREADY_NS when the table or the endpoints are
  * missing.
  */
@@ -113,20 +138,26 @@
 	struct buf head = {0};
 	int rc = 0;
 
+	leave_allotment_queue(q);
 	q->state = REQUEST_DONE;
 	q->reason = reason;
 	cancel_timer(q->node->reactor, &q->timer);
-	count_metric(status == 503 ? q->node->metrics.refused_total :
-				     q->node->metrics.failed_total,
+	cancel_hedge(q);
+	count_metric(status == 503 || status == 429 ?
+			 q->node->metrics.refused_total :
+			 q->node->metrics.failed_total,
 	    1);
 	if (q->id[0] != '\0' && q->node->cfg.names.call_id != NULL)
 		rc = append_http_header(
 		    &head, q->node->cfg.names.call_id, make_str(q->id));
-	if (rc == 0 && status == 503)
+	if (rc == 0 && (status == 503 || status == 429))
 		rc = append_retry_after(&head,
 		    reason == REFUSE_NO_TABLE || reason == REFUSE_NO_ENDPOINT ?
 			RETRY_AFTER_UNREADY_NS :
 			retry_after);
+	if (rc == 0 && status == 401 && q->node->cfg.names.key_scheme != NULL)
+		rc = append_http_header(&head, "WWW-Authenticate",
+		    make_str(q->node->cfg.names.key_scheme));
 	if (rc != 0)
 		head.len = 0;
 	log_request(q, status, get_refuse_name(reason));
@@ -138,7 +169,7 @@
  * Returns the row for the request's host and path (without the query); NULL
  * when there is none.
  */
-static const struct row *
+const struct row *
 find_call_row(struct node *n, struct request *q)
 {
 	struct str target = q->reader.head.target;
@@ -191,6 +222,7 @@
 	p->target_ns = r->values[COL_TARGET_MS] * NSEC_PER_MSEC;
 	p->deadline_ns = r->values[COL_DEADLINE_MS] * NSEC_PER_MSEC;
 	p->version = n->table->version;
+	p->hedge_share = get_hedge_share(n, r);
 	q->stats = get_kind_stats(n, r->kind);
 	if (q->stats == NULL)
 		return ERR_MEMORY;
@@ -198,6 +230,20 @@
 	return q->service != NULL ? 0 : ERR_MEMORY;
 }
 
+/*
+ * Returns the most hedged sends per call of a row: its own share, or else that
+ * of the settings.
+ */
+static double
+get_hedge_share(const struct node *n, const struct row *r)
+{
+	if (!r->repeatable)
+		return 0;
+	return r->values[COL_HEDGE_PCT] >= 0 ?
+		   r->values[COL_HEDGE_PCT] / 100.0 :
+		   n->cfg.hedge_share;
+}
+
 /*
  * Sets the deadline and the target time. A caller that comes back after a
  * refusal sends a shorter time-out than on its first try. The difference to the
@@ -250,8 +296,9 @@
 }
 
 /*
- * Collects the header lines that are passed on. Left out are hop-by-hop headers
- * and those that the node sets itself, so that a caller cannot forge them.
+ * Collects the header lines that are passed on, and names the account. Left out
+ * are hop-by-hop headers, the key, and headers that the node sets itself, so
+ * that a caller cannot forge them.
  */
 static int
 copy_head(struct request *q)
@@ -265,7 +312,7 @@
 		if (is_hop_by_hop_header(h, name) ||
 		    is_http_name_equal(name, "content-length") ||
 		    is_http_name_equal(name, "expect") ||
-		    is_own_header(&q->node->cfg.names, name))
+		    is_own_header(q->node, name))
 			continue;
 		rc = append_buf_str(&q->head, name);
 		if (rc == 0)
@@ -275,17 +322,25 @@
 		if (rc == 0)
 			rc = append_buf(&q->head, "\r\n", 2);
 	}
+	if (rc == 0 && q->policy.account[0] != '\0' &&
+	    q->node->cfg.names.account != NULL)
+		rc = append_http_header(&q->head, q->node->cfg.names.account,
+		    make_str(q->policy.account));
 	return rc;
 }
 
 /*
- * Says whether the node sets this header of a forwarded request itself.
+ * Says whether the node keeps this header of a request or sets it itself. The
+ * header of keys is the client's and the backend server's own matter in a table
+ * without accounts.
  */
 static bool
-is_own_header(const struct call_names *names, struct str name)
+is_own_header(const struct node *n, struct str name)
 {
-	const char *const own[] = {
-	    names->deadline_ms, names->expect_instance, names->caller_service};
+	const struct call_names *names = &n->cfg.names;
+	const char *const own[] = {names->deadline_ms, names->expect_instance,
+	    names->caller_service, names->account,
+	    has_accounts(n->table) ? names->key : NULL};
 
 	for (size_t i = 0; i < sizeof(own) / sizeof(own[0]); i++) {
 		if (own[i] != NULL && is_http_name_equal(name, own[i]))
--- a/packages/node/rollouts.c
+++ b/packages/node/rollouts.c
@@ -35,7 +35,6 @@
 static void fill_count(const struct service *s, const struct row_counts *r,
     bool target, struct wire_rollout_counts *out);
 static bool is_close_pending(struct node *n);
-static bool is_running(const struct service *s);
 static bool is_target(const struct service *s, const char *version);
 static struct row_counts *get_row_counts(struct service *s, const char *kind);
 static int64_t get_warmup_ns(const struct node *n);
@@ -56,7 +55,7 @@
 		if (s == NULL)
 			continue;
 		apply_rollout(n, s, &v.items[i]);
-		runs = runs || is_running(s);
+		runs = runs || is_service_rolling_out(s);
 	}
 	if (runs && (v.change != n->rollout_change || !n->rollout_reports))
 		set_timer(n->reactor, &n->rollout_timer,
@@ -199,7 +198,7 @@
 	struct row_counts *r;
 	bool target;
 
-	if (!is_running(q->service))
+	if (!is_service_rolling_out(q->service))
 		return;
 	r = get_row_counts(q->service, q->policy.kind);
 	if (r == NULL)
@@ -309,7 +308,7 @@
 
 	for (struct service *s = n->services; s != NULL && count < max;
 	     s = s->next) {
-		if (!is_running(s))
+		if (!is_service_rolling_out(s))
 			continue;
 		out[count++] = (struct wire_rollout_age){s->rollout.number,
 		    (unsigned int)((now - s->rollout.learned_at) /
@@ -327,7 +326,7 @@
 	size_t count = 0;
 
 	for (struct service *s = n->services; s != NULL; s = s->next) {
-		if (!is_running(s))
+		if (!is_service_rolling_out(s))
 			continue;
 		for (struct row_counts *r = s->rollout.rows;
 		     r != NULL && count + 2 <= max; r = r->next) {
@@ -375,8 +374,8 @@
 	       !is_target(s, get_backend_version(n)) && !is_server_closed(n);
 }
 
-static bool
-is_running(const struct service *s)
+bool
+is_service_rolling_out(const struct service *s)
 {
 	return s->rollout.number != 0 && (s->rollout.phase == ROLLOUT_TRIAL ||
 					     s->rollout.phase == ROLLOUT_MOVED);
--- a/packages/node/tests/node_fixture.c
+++ b/packages/node/tests/node_fixture.c
@@ -63,6 +63,15 @@
 	start_fixture(r, nodes);
 }
 
+void
+open_fixture_with_hedges(struct fixture *r, int nodes, double share)
+{
+	memset(r, 0, sizeof(*r));
+	r->stop_ns = 3 * NSEC_PER_SEC;
+	r->hedge_share = share;
+	start_fixture(r, nodes);
+}
+
 void
 open_fixture_with_link(struct fixture *r, int nodes, int64_t link_rate)
 {
@@ -140,6 +149,7 @@
 	    .backend = get_fake_address(r->servers[i]),
 	    .retry_ratio = 10,
 	    .retry_slack = 1000,
+	    .hedge_share = r->hedge_share,
 	    .drain_ns = 200 * NSEC_PER_MSEC,
 	    .leave_ns = 300 * NSEC_PER_MSEC,
 	    .stop_ns = r->stop_ns,
@@ -152,6 +162,9 @@
 		.not_executed = "Not-Run",
 		.seal = "Seal",
 		.caller_service = "Caller",
+		.key = "Key",
+		.key_scheme = "Test",
+		.account = "Account",
 		.rate_limit = "Rate",
 		.leaving = "Leaving"},
 	    .reports = {read_report, is_readiness_check},
