--- a/packages/node/hedge.c
+++ b/packages/node/hedge.c
@@ -70,6 +70,8 @@
 		return;
 	}
 	count_metric(q->node->metrics.hedges_won_total, 1);
+	if (may_be_running(q))
+		record_version_leave(q);
 	cancel_request_attempt(q);
 	q->attempt.peer = p;
 	finish_request(q, a);
@@ -127,6 +129,7 @@
 	};
 	enum hedge_refusal r;
 
+	use_settled_version(q);
 	sum_service_load(q->service, in.now, &in);
 	*out = choose_hedge_peer(q);
 	in.has_server = *out != NULL;
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -555,11 +555,13 @@
 void choose_call_version(struct request *q);
 /* The call may use the other version after all; false: it may not. */
 bool relax_call_version(struct request *q);
+/* A second send of the call does not go to a version on trial. */
+void use_settled_version(struct request *q);
 bool is_version_allowed(const struct request *q, const struct peer *p);
 void count_version_offer(struct request *q, const struct peer *p);
 /* Of the current attempt. service_ns: 0 without an answer */
 void record_version_answer(struct request *q, bool failed, int64_t service_ns);
-/* The caller left while the attempt may run. */
+/* The answer is not waited for any longer, while the attempt may run. */
 void record_version_leave(struct request *q);
 
 /* links.c */
--- a/packages/node/rollouts.c
+++ b/packages/node/rollouts.c
@@ -145,6 +145,19 @@
 	return true;
 }
 
+/*
+ * The share of a trial is meant for first sends; a hedge is sent because a
+ * server is slow, which a version on trial must show and not make good.
+ */
+void
+use_settled_version(struct request *q)
+{
+	const struct service_rollout *r = &q->service->rollout;
+
+	if (r->number != 0 && r->phase == ROLLOUT_TRIAL)
+		q->side = ROLLOUT_OLD;
+}
+
 /*
  * Without a roll-out, a version beside that of the first server is used once a
  * list that is newer than the server says that there is no roll-out.
@@ -216,9 +229,9 @@
 }
 
 /*
- * The answer would have taken at least as long as the caller has waited. A
- * version whose answers come after their callers have left would otherwise
- * leave no trace.
+ * The answer would have taken at least as long as it was waited for. A version
+ * whose answers come after their callers have left, or after a hedge was
+ * answered, would otherwise leave no trace.
  */
 void
 record_version_leave(struct request *q)
