--- a/packages/node/allotment.c
+++ b/packages/node/allotment.c
@@ -32,6 +32,7 @@
 static void wait_for_token(struct request *q, struct node_wallet *w);
 static void leave_queue(struct request *q);
 static void serve_waiting(struct node *n, bool answered);
+static bool is_late(const struct request *q);
 static void refuse_call(struct request *q, int64_t retry_after);
 static void end_wait(struct timer *t);
 static void schedule_ask(struct node *n);
@@ -109,8 +110,8 @@
 	}
 	now = get_boot_time(n);
 	count_wallet_call(&w->wallet, now);
-	switch (
-	    draw_wallet(&w->wallet, &n->allotments.known, now, &retry_after)) {
+	switch (draw_wallet(
+	    &w->wallet, &n->allotments.known, now, is_late(q), &retry_after)) {
 	case WALLET_GRANTED:
 		q->wallet = w;
 		set_ask_timer(n,
@@ -138,7 +139,8 @@
 
 	return q->wallet == NULL ||
 	       draw_wallet(&q->wallet->wallet, &n->allotments.known,
-		   get_boot_time(n), &retry_after) == WALLET_GRANTED;
+		   get_boot_time(n), is_late(q),
+		   &retry_after) == WALLET_GRANTED;
 }
 
 /*
@@ -269,8 +271,8 @@
 		enum wallet_draw d = WALLET_ASK;
 
 		if (answered || now >= q->wait_until)
-			d = draw_wallet(
-			    &w->wallet, &s->known, boot, &retry_after);
+			d = draw_wallet(&w->wallet, &s->known, boot, is_late(q),
+			    &retry_after);
 		if (d == WALLET_ASK && now < q->wait_until) {
 			at = &q->next_waiting;
 			continue;
@@ -290,6 +292,16 @@
 		    end_wait);
 }
 
+/*
+ * Says whether the answer would come after the target time.
+ */
+static bool
+is_late(const struct request *q)
+{
+	return get_reactor_now(q->node->reactor) + q->stats->kind_service_ns >
+	       q->target_at;
+}
+
 static void
 refuse_call(struct request *q, int64_t retry_after)
 {
--- a/packages/policy/allotment_wallet.c
+++ b/packages/policy/allotment_wallet.c
@@ -17,6 +17,8 @@
 #define RETURN_FACTOR 2.0 /* of what is needed; more is returned */
 #define RETRY_MIN_NS (50 * NSEC_PER_MSEC)
 #define RETRY_MAX_NS (2 * NSEC_PER_SEC)
+/* Of calls in time; above it late calls are refused. */
+#define LATE_REFUSED_PER_S 0.25
 #define ROUNDING_TOKENS 1e-6
 
 static void decay_counts(struct wallet *w, int64_t now);
@@ -56,16 +58,22 @@
 
 /*
  * Without tokens a call waits for the ledger, unless that has just said that
- * there are none. Without the ledger the node has its own part of the rate, from
+ * there are none. While calls in time are refused, late ones get no token: their
+ * answers are worth less, and callers that come back after a refusal are late. Without the ledger the node has its own part of the rate, from
  * the end of its lease on, which the ledger leaves to it from then.
  */
 enum wallet_draw
 draw_wallet(struct wallet *w, const struct wallet_ledger *l, int64_t now,
-    int64_t *retry_after)
+    bool late, int64_t *retry_after)
 {
 	if (w->limit.rate <= 0)
 		return WALLET_GRANTED;
+	decay_counts(w, now);
 	expire_tokens(w, now);
+	if (late && w->refused > LATE_REFUSED_PER_S) {
+		*retry_after = get_retry_after(w, l, now);
+		return WALLET_REFUSED;
+	}
 	if (w->tokens > 0) {
 		w->tokens--;
 		return WALLET_GRANTED;
@@ -74,8 +82,8 @@
 		return WALLET_ASK;
 	if (l->lost && spend_share(w, l, now))
 		return WALLET_GRANTED;
-	decay_counts(w, now);
-	w->refused += (double)NSEC_PER_SEC / (double)COUNT_NS;
+	if (!late)
+		w->refused += (double)NSEC_PER_SEC / (double)COUNT_NS;
 	*retry_after = get_retry_after(w, l, now);
 	return WALLET_REFUSED;
 }
--- a/packages/policy/allotment_wallet.h
+++ b/packages/policy/allotment_wallet.h
@@ -49,9 +49,12 @@
 /* A lower limit cuts what the wallet holds at once. */
 void set_wallet_limit(struct wallet *w, const struct ledger_limit *limit);
 void count_wallet_call(struct wallet *w, int64_t now); /* once a call */
-/* retry_after: ns, set with WALLET_REFUSED. */
+/*
+ * late: the call's answer can't be in time any more. retry_after: ns, set with
+ * WALLET_REFUSED.
+ */
 enum wallet_draw draw_wallet(struct wallet *w, const struct wallet_ledger *l,
-    int64_t now, int64_t *retry_after);
+    int64_t now, bool late, int64_t *retry_after);
 void return_wallet_token(struct wallet *w); /* the call was not sent */
 /* Fills the ask; false: the ledger need not hear of this account. */
 bool fill_wallet_ask(struct wallet *w, int64_t now, struct ledger_ask *out);
--- a/packages/policy/tests/test_allotments.c
+++ b/packages/policy/tests/test_allotments.c
@@ -101,7 +101,7 @@
 
 	while (n->waiting > 0) {
 		enum wallet_draw d =
-		    draw_wallet(&n->wallet, &n->known, now, &retry);
+		    draw_wallet(&n->wallet, &n->known, now, false, &retry);
 
 		if (d == WALLET_ASK && now < n->wait_until)
 			return;
@@ -119,7 +119,7 @@
 
 	m->asked[step]++;
 	count_wallet_call(&n->wallet, now);
-	d = draw_wallet(&n->wallet, &n->known, now, &retry);
+	d = draw_wallet(&n->wallet, &n->known, now, false, &retry);
 	if (d == WALLET_REFUSED)
 		ck_assert_int_gt(retry, 0);
 	m->sent[step] += d == WALLET_GRANTED;
@@ -308,14 +308,14 @@
 	set_wallet_limit(&w, &(struct ledger_limit){100, 100});
 	w.asked = 50;
 	apply_wallet_grant(&w, &g, START, START + 5 * MS);
+	ck_assert_int_eq(draw_wallet(&w, &l, START + 1199 * MS, false, &retry),
+	    WALLET_GRANTED);
 	ck_assert_int_eq(
-	    draw_wallet(&w, &l, START + 1199 * MS, &retry), WALLET_GRANTED);
-	ck_assert_int_eq(
-	    draw_wallet(&w, &l, START + 1200 * MS, &retry), WALLET_ASK);
+	    draw_wallet(&w, &l, START + 1200 * MS, false, &retry), WALLET_ASK);
 	/* The answer to an ask from before a suspension brings nothing. */
 	apply_wallet_grant(&w, &g, START, START + 9000 * MS);
 	ck_assert_int_eq(
-	    draw_wallet(&w, &l, START + 9000 * MS, &retry), WALLET_ASK);
+	    draw_wallet(&w, &l, START + 9000 * MS, false, &retry), WALLET_ASK);
 }
 END_TEST
 
@@ -331,7 +331,7 @@
 	ck_assert_uint_eq(w.tokens, 5);
 	set_wallet_limit(&w, &(struct ledger_limit){0, 0});
 	ck_assert_int_eq(draw_wallet(&w, &(struct wallet_ledger){.lost = true},
-			     START, &(int64_t){0}),
+			     START, false, &(int64_t){0}),
 	    WALLET_GRANTED);
 }
 END_TEST
