--- a/packages/policy/allotment_ledger.c
+++ b/packages/policy/allotment_ledger.c
@@ -26,6 +26,7 @@
 /* Nodes that are short of tokens ask again no sooner, to spare the ledger. */
 #define ROOM_MIN_NS (100 * NSEC_PER_MSEC)
 #define ROOM_MAX_NS (1000 * NSEC_PER_MSEC)
+#define TOLERANCE_USED 0.5 /* share, see widen_limit() */
 #define DEMAND_SCARCE 0.9 /* of the rate; above it tokens are shared out */
 
 struct ledger_node {
@@ -215,20 +216,23 @@
 }
 
 /*
- * The rate stays; half of what is tolerated widens the burst, which covers the
- * unevenness between nodes. The other half is left for two ledgers that overlap
- * and for nodes that fall back to their share.
+ * Half of what is tolerated widens the limit: the overshoot both rate and burst,
+ * the slack in halves. The other half is left for two ledgers that overlap and
+ * for nodes that fall back to their share.
  */
 struct ledger_limit
 widen_limit(const struct ledger_limit *limit, const struct ledger_tolerance *t)
 {
-	double window =
-	    limit->rate * (double)t->window_ns / (double)NSEC_PER_SEC;
+	double window = (double)t->window_ns / (double)NSEC_PER_SEC;
 	struct ledger_limit w = *limit;
 
-	if (limit->rate > 0)
-		w.burst +=
-		    (t->overshoot * (window + limit->burst) + t->slack) / 2;
+	if (limit->rate <= 0)
+		return w;
+	w.rate *= 1 + TOLERANCE_USED * t->overshoot;
+	w.burst *= 1 + TOLERANCE_USED * t->overshoot;
+	w.burst += TOLERANCE_USED * t->slack / 2;
+	if (window > 0)
+		w.rate += TOLERANCE_USED * t->slack / 2 / window;
 	return w;
 }
 
@@ -402,16 +406,19 @@
 }
 
 /*
- * Leased tokens count towards the burst, as they may all be spent at once.
+ * Leased tokens count towards the burst, as they may all be spent at once. Nodes
+ * out of contact gather their part of it by themselves.
  */
 static void
 cap_bucket(const struct ledger *l, struct account_state *a, int64_t now)
 {
-	double cap = a->limit.burst > 1 ? a->limit.burst : 1;
+	double cap = a->limit.burst * get_free_share(l, now);
 	double first = a->limit.rate * WARM_UP_BURST_S;
 
 	if (now - l->opened_at < WARM_UP_NS && cap > first)
-		cap = first > 1 ? first : 1;
+		cap = first;
+	if (cap < 1)
+		cap = 1;
 	if (a->tokens > cap - a->outstanding)
 		a->tokens = cap - a->outstanding;
 }
--- a/packages/policy/allotment_ledger.h
+++ b/packages/policy/allotment_ledger.h
@@ -70,7 +70,7 @@
 
 /* Queries */
 
-/* The burst that leaves half of the tolerance to losses of leaders and nodes. */
+/* The limit that leaves half of the tolerance to losses of leaders and nodes. */
 struct ledger_limit widen_limit(
     const struct ledger_limit *limit, const struct ledger_tolerance *t);
 size_t get_ledger_nodes(const struct ledger *l); /* of the fleet */
--- a/packages/policy/allotment_wallet.c
+++ b/packages/policy/allotment_wallet.c
@@ -196,7 +196,7 @@
 
 	if (!l->member || l->nodes == 0 || now < l->leased_until)
 		return false;
-	cap = 1 + w->limit.burst / nodes;
+	cap = w->limit.burst > nodes ? w->limit.burst / nodes : 1;
 	if (w->share_at < l->leased_until) {
 		w->share_at = l->leased_until;
 		w->share = 0;
