--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -162,6 +162,7 @@
 		return;
 	cancel_timer(q->node->reactor, &q->timer);
 	return_allotment(q);
+	cancel_hedge(q);
 	if (q->caller != NULL)
 		remove_pipeline(q->caller, q);
 	q->node->body_bytes -= q->reader.body.len;
@@ -170,6 +171,7 @@
 		q->node->requests--;
 	close_http_reader(&q->reader);
 	unload_buf(&q->head);
+	unload_buf(&q->parts);
 	unload_buf(&q->answer);
 	free(q->fallback);
 	free(q);
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -8,13 +8,16 @@
 #include <pthread.h>
 
 #include "allotment_wallet.h"
+#include "hedge.h"
 #include "hop.h"
 #include "metric.h"
 #include "node.h"
 #include "origins.h"
+#include "outflow.h"
 #include "placement.h"
 #include "policy.h"
 #include "reactor.h"
+#include "rollout.h"
 
 #define NODE_LISTENERS_MAX 5
 #define NODE_STREAM_SLOTS 64 /* buckets of a link's hash table of calls */
@@ -27,6 +30,7 @@
 struct caller;
 struct request;
 struct job;
+struct long_answer; /* long_answers.c */
 struct peer;
 struct peer_link;
 struct service;
@@ -51,6 +55,7 @@
 	TRACE_FAILED, /* text: peer, a: cause, b: not sent */
 	TRACE_ANSWERED, /* text: peer, a: status, b: service time us */
 	TRACE_UNRESPONSIVE, /* text: peer */
+	TRACE_HEDGED, /* text: peer, a: ms since the first send */
 	TRACE_NO_RETRY, /* text: reason, a: arrivals */
 	TRACE_DISCONNECTED, /* a: ms since arrival */
 	TRACE_EXPIRED, /* a: ms since arrival */
@@ -74,6 +79,7 @@
 	uint64_t version; /* of the table */
 	char account[TABLE_NAME_BYTES]; /* of the client; empty: none */
 	int share; /* weight of the account among others; 0: none */
+	double hedge_share; /* most hedged sends per call; 0: none */
 };
 
 /* An offer of a call to one serving node. */
@@ -112,9 +118,13 @@
 
 	struct call_policy policy;
 	struct service *service;
+	enum rollout_side side; /* version that it may use now */
+	bool trial_counted; /* in the service's credit */
 	struct kind_stats *stats;
 	char id[CALL_ID_BYTES];
 	struct buf head; /* header lines that are passed on */
+	struct buf parts; /* of a long answer, as far as it has arrived */
+	uint64_t parts_total; /* bytes of its complete body; 0: no part yet */
 	int64_t target_at; /* mono ns; a later answer counts as late */
 	int64_t deadline; /* mono ns */
 	/*
@@ -141,6 +151,10 @@
 	enum refuse_reason reason; /* of the last refusal */
 	int64_t retry_after; /* ns; longest that a refusal asked for */
 	struct job_answer *fallback; /* owned; failed answer during a retry */
+	struct request *hedge; /* owned; second send under way; NULL: none */
+	struct request *primary; /* of a hedge: the caller's request */
+	struct timer hedge_timer; /* planned time of the hedge */
+	int64_t hedge_at; /* mono ns; the same */
 	bool counted; /* in node.requests */
 	struct buf answer; /* until it is sent: head without its end, body */
 	size_t answer_head_len; /* bytes of answer */
@@ -246,6 +260,8 @@
 	int in_flight; /* calls of this node */
 	bool address_reused; /* another node answers at its address */
 	int failures; /* since the last load report; above 0: avoided */
+	char version[NODE_VERSION_BYTES]; /* of its server; empty: unknown */
+	int64_t version_at; /* mono ns; first listed with it */
 	struct timer probe; /* opens a link without a call after failures */
 };
 
@@ -274,6 +290,24 @@
 	double tokens; /* retry budget: retries that are left */
 	int64_t tokens_at; /* mono ns; last refill */
 	bool in_table; /* named by the current table */
+	/* Version of the server that started first; used without a roll-out */
+	char base_version[NODE_VERSION_BYTES];
+	struct service_rollout {
+		uint64_t number; /* of the order; 0: none */
+		char target[NODE_VERSION_BYTES];
+		enum rollout_phase phase;
+		int64_t learned_at; /* mono ns; of the order */
+		int64_t phase_at; /* mono ns; of the phase */
+		double credit; /* calls that may go to the target version */
+		struct row_counts *rows; /* what was seen since then */
+	} rollout;
+};
+
+/* Answers to calls of one kind, by version, during a roll-out. */
+struct row_counts {
+	struct row_counts *next;
+	char kind[TABLE_NAME_BYTES];
+	struct rollout_counts before, after;
 };
 
 /* Limits the calls that are logged per time window. */
@@ -290,6 +324,7 @@
 	int64_t caller_timeout_ns; /* longest one seen */
 	int64_t longest_deadline_ns; /* after the arrival; longest one seen */
 	int64_t kind_service_ns; /* recent mean service time; 0: unknown */
+	double answer_bytes; /* recent mean length of answers */
 	struct split_share {
 		char service[TABLE_NAME_BYTES];
 		double credit; /* of the weighted round robin */
@@ -297,6 +332,8 @@
 	size_t share_count;
 	uint64_t split_hash; /* of the split cell; 0: none */
 	struct origin_counts origin; /* of calls that this node serves */
+	struct answer_times answer_times; /* of calls that it sent */
+	struct hedge_budget hedge_budget;
 	struct log_budget ok_lines;
 	uint64_t calls; /* of callers, ended */
 	metric_id latency_us; /* histogram; 0: none */
@@ -340,7 +377,11 @@
 	metric_id backend_connections, backend_state, mean_run_us, failed_ppm;
 	metric_id peers, peers_usable, peers_avoided, body_bytes;
 	metric_id pipelined_total, unread_closes_total, kept_bytes;
-	metric_id log_dropped_lines, rate_limit_milli, key_refusals_total;
+	metric_id rollout_offers_total, rollout_failed_total;
+	metric_id log_dropped_lines, rate_limit_milli;
+	metric_id hedges_total, hedges_won_total, hedges_cancelled_total;
+	metric_id long_answers_total, long_answer_bytes;
+	metric_id key_refusals_total;
 	metric_id allotment_asks_total, allotment_lost_total;
 };
 
@@ -381,15 +422,28 @@
 	int job_count;
 	struct backend *backend;
 	struct inbound_link *inbound;
+	struct outflow outflow; /* of this machine's link */
+	struct long_answer *long_answers; /* being sent, oldest first */
+	size_t long_answer_bytes; /* of their bodies, not sent yet */
+	struct timer outflow_timer;
 	struct known_notice *known_notices; /* of other nodes' servers */
 	size_t known_notice_count;
 	enum hop_state state; /* as a serving node */
 	int64_t service_ns; /* recent mean service time; 0: unknown */
+	/* Recent service times over those of all servers; 0: unknown */
+	double slowness;
 	double failed_share; /* recent share of failed calls, 0 to 1 */
 	struct origins origins; /* of the calls that it serves */
 	struct log_budget failed_lines, late_lines; /* of callers' calls */
 	struct log_budget failed_job_lines, ok_job_lines; /* of served calls */
 
+	/* Roll-outs */
+	struct timer rollout_timer; /* next report */
+	bool rollout_reports; /* the timer is set */
+	uint64_t rollout_change; /* of the list in force; 0: none */
+	uint64_t rollout_seq; /* of the last report */
+	uint64_t rollout_run; /* start of this process, wall ns */
+
 	/* Stop */
 	struct task drain; /* posted by drain_node() */
 	struct timer leave_timer;
@@ -455,6 +509,13 @@
 void move_request(struct request *q);
 void handle_attempt_failure(
     struct request *q, enum attempt_end cause, bool not_sent);
+int offer_attempt(struct request *q, struct peer *p, bool immediate);
+/* Returns the best untried serving node with a free slot, or NULL. */
+struct peer *choose_hedge_peer(struct request *q);
+/* Delivers the answer; the request is freed. */
+void finish_request(struct request *q, const struct job_answer *a);
+/* A hedge ended without a good answer; a: its failed answer, or NULL. */
+void end_hedge_failure(struct request *q, const struct job_answer *a);
 void expire_request(struct timer *t);
 void end_stopped_request(struct request *q); /* the node is stopping */
 
@@ -467,6 +528,11 @@
 void leave_allotment_queue(struct request *q);
 void return_allotment(struct request *q); /* the call ends */
 void leave_allotments(struct node *n); /* the node is stopping */
+/* hedge.c */
+void plan_request_hedge(struct request *q); /* its first send has begun */
+void cancel_hedge(struct request *q);
+void handle_hedge_answer(struct request *h, const struct job_answer *a);
+void handle_hedge_end(struct request *h, bool arrived, bool may_have_run);
 
 /* services.c */
 void refresh_services(struct node *n);
@@ -478,6 +544,24 @@
 bool spend_retry_token(struct node *n, struct service *s);
 void add_retry_tokens(struct node *n, struct service *s); /* per new call */
 
+/* rollouts.c */
+void apply_rollouts(struct node *n); /* the agent's list, after services */
+void clear_rollout(struct service *s);
+void confirm_rollouts(struct node *n); /* a server with a new version */
+/* The node's server has a version that gets no calls (any more). */
+bool is_server_closed(struct node *n);
+/* Sets the version that the call's next attempt may use. */
+bool is_service_rolling_out(const struct service *s);
+void choose_call_version(struct request *q);
+/* The call may use the other version after all; false: it may not. */
+bool relax_call_version(struct request *q);
+bool is_version_allowed(const struct request *q, const struct peer *p);
+void count_version_offer(struct request *q, const struct peer *p);
+/* Of the current attempt. service_ns: 0 without an answer */
+void record_version_answer(struct request *q, bool failed, int64_t service_ns);
+/* The caller left while the attempt may run. */
+void record_version_leave(struct request *q);
+
 /* links.c */
 int offer_remote(struct request *q, struct peer *p);
 void cancel_remote(struct request *q);
@@ -514,6 +598,7 @@
 int get_backend_slots(const struct node *n);
 int count_backend_connections(const struct node *n);
 const char *get_backend_instance(const struct node *n);
+const char *get_backend_version(const struct node *n); /* "": unknown */
 double get_backend_rate(const struct node *n); /* negative: unlimited */
 
 /* notice.c */
@@ -533,6 +618,14 @@
 void close_inbound(struct node *n);
 bool has_unsent_inbound(const struct node *n);
 
+/* long_answers.c */
+int start_long_answer(struct node *n, struct hop_link *hop, uint32_t stream,
+    const struct job_answer *from, void (*ended)(void *owner), void *owner,
+    struct long_answer **out);
+void cancel_long_answer(struct long_answer *a);
+void send_long_answers(struct node *n);
+void clear_long_answers(struct node *n);
+
 /* local_api.c */
 void answer_ready(struct node *n, struct request *q);
 void answer_report(struct node *n, struct request *q);
@@ -541,6 +634,7 @@
 /* node_metrics.c */
 void open_node_metrics(struct node_metrics *m);
 void count_call_end(struct request *q, int status);
+void count_kept_hedge(enum hedge_refusal r);
 void refresh_node_metrics(struct node *n); /* gauges */
 
 /* call_log.c */
--- a/packages/table/table.h
+++ b/packages/table/table.h
@@ -17,6 +17,7 @@
 #define TABLE_MAX_ACCOUNTS 8192
 #define TABLE_ACCOUNT_KEYS_MAX 15 /* their fingerprints fit into one cell */
 #define TABLE_KEY_BYTES_MAX 256 /* longest key of an account */
+#define ACCOUNT_COLUMN_PREFIX "account." /* of the names of its columns */
 #define KEY_PRINT_BYTES 16 /* a keyed 128-bit hash; not reversible */
 #define KEY_PRINT_TEXT_BYTES 33 /* in hexadecimal, with NUL */
 
@@ -47,6 +48,7 @@
 	COL_HEAD_MS, /* time limit for receiving a request head */
 	COL_IDLE_MS, /* idle time-out of callers' connections */
 	COL_KEY, /* yes: calls need a key if the table has accounts */
+	COL_HEDGE_PCT, /* most hedged sends, % of calls; -1: the settings' */
 	COLUMN_COUNT,
 	/*
 	 * Of the sheet of accounts. Column numbers are stored in commands, so
