--- a/packages/agent/agent_allotments.c
+++ b/packages/agent/agent_allotments.c
@@ -7,7 +7,7 @@
 
 #include "agent_core.h"
 
-#define ASK_ATTEMPTS_MAX 4 /* of one ask, at different control processes */
+#define ASK_ATTEMPTS_MAX 6 /* of one ask, at different control processes */
 #define ATTEMPT_TIME_MIN_MS 10 /* with less time left none is started */
 
 static void send_ask(struct agent_ask *k, int64_t now);
--- a/packages/policy/allotment_wallet.c
+++ b/packages/policy/allotment_wallet.c
@@ -17,6 +17,8 @@
 #define RETURN_FACTOR 2.0 /* of what is needed; more is returned */
 #define RETRY_MIN_NS (50 * NSEC_PER_MSEC)
 #define RETRY_MAX_NS (2 * NSEC_PER_SEC)
+#define RETRY_LOST_NS \
+	(400 * NSEC_PER_MSEC) /* an election takes about as long */
 /* Of calls in time; above it late calls are refused. */
 #define LATE_REFUSED_PER_S 0.25
 #define ROUNDING_TOKENS 1e-6
@@ -228,6 +230,8 @@
 	ns = (int64_t)(w->refused / supply * (double)NSEC_PER_SEC);
 	if (w->room_at > now)
 		ns += w->room_at - now;
+	if (l->lost && ns < RETRY_LOST_NS)
+		return RETRY_LOST_NS;
 	if (ns < RETRY_MIN_NS)
 		return RETRY_MIN_NS;
 	return ns < RETRY_MAX_NS ? ns : RETRY_MAX_NS;
