node: a call that a backend server rejected as not run gives its token back

node.test_allotments: with one token granted, a call that both servers reject leaves it to the next call.

--- a/packages/node/allotment.c
+++ b/packages/node/allotment.c
@@ -154,13 +154,13 @@
 }
 
 /*
- * Gives back the token of a call that reached no backend server.
+ * Gives back the token of a call that no backend server has run.
  */
 void
 return_allotment(struct request *q)
 {
 	leave_allotment_queue(q);
-	if (q->wallet != NULL && q->arrivals == 0 && !q->may_have_run)
+	if (q->wallet != NULL && !q->ran && !q->may_have_run)
 		return_wallet_token(&q->wallet->wallet);
 	q->wallet = NULL;
 }
--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -222,6 +222,7 @@
 	}
 	cancel_timer(q->node->reactor, &q->hedge_timer);
 	q->arrivals++;
+	q->ran = true;
 	if (!has_caller(q)) {
 		log_request(q, 0, "left");
 		free_request(q);
--- a/packages/node/hedge.c
+++ b/packages/node/hedge.c
@@ -65,6 +65,7 @@
 	struct request *q = take_hedge(h);
 
 	q->arrivals++;
+	q->ran = true;
 	if (a->status >= 500) {
 		end_hedge_failure(q, a);
 		return;
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -150,6 +150,7 @@
 	struct request *next_waiting;
 	int64_t wait_until; /* mono ns */
 	bool waits_for_token;
+	bool ran; /* a backend server has answered it as run */
 	int arrivals; /* attempts that reached a backend server, or may have */
 	bool may_have_run; /* an attempt ended with an unknown outcome */
 	enum refuse_reason reason; /* of the last refusal */
--- a/packages/node/tests/test_allotments.c
+++ b/packages/node/tests/test_allotments.c
@@ -111,6 +111,17 @@
 }
 END_TEST
 
+/* A call that no server has run gives its token to the next one. */
+START_TEST(call_not_run_returns_its_token)
+{
+	set_rate(2, "100");
+	grant_fake_calls(fixture.agent, 1);
+	ck_assert_int_eq(call("/read/full", "full", NULL), 503);
+	ck_assert_int_eq(call("/read/ok", "next", NULL), 200);
+	ck_assert_int_eq(call("/read/ok", "beyond", NULL), 429);
+}
+END_TEST
+
 /* Accounts without a rate cause no ask, and no refusal. */
 START_TEST(without_rate_nothing_is_asked)
 {
@@ -134,6 +145,7 @@
 	tcase_add_checked_fixture(t, open_node, close_node);
 	tcase_add_test(t, calls_beyond_grants_are_refused);
 	tcase_add_test(t, retry_draws_another_token);
+	tcase_add_test(t, call_not_run_returns_its_token);
 	tcase_add_test(t, without_rate_nothing_is_asked);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
