--- a/packages/node/inbound.c
+++ b/packages/node/inbound.c
@@ -481,7 +481,7 @@
 		return;
 	}
 	if (is_paced(&n->outflow, a->body.len) &&
-	    start_long_answer(n, c->link->hop, c->stream, a,
+	    start_long_answer(n, c->link->hop, c->stream, a, &c->job->spec,
 		free_answered_remote, c, &c->answer) == 0) {
 		c->job = NULL;
 		return;
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -8,6 +8,7 @@
 #include <pthread.h>
 
 #include "allotment_wallet.h"
+#include "first_tries.h"
 #include "hedge.h"
 #include "hop.h"
 #include "memory_budget.h"
@@ -150,6 +151,7 @@
 	struct request *next_waiting;
 	int64_t wait_until; /* mono ns */
 	bool waits_for_token;
+	bool ran; /* a backend server has answered it as run */
 	int arrivals; /* attempts that reached a backend server, or may have */
 	bool may_have_run; /* an attempt ended with an unknown outcome */
 	enum refuse_reason reason; /* of the last refusal */
@@ -325,7 +327,7 @@
 struct kind_stats {
 	struct kind_stats *next;
 	char kind[TABLE_NAME_BYTES];
-	int64_t caller_timeout_ns; /* longest one seen */
+	struct first_tries tries; /* time-outs of callers */
 	int64_t longest_deadline_ns; /* after the arrival; longest one seen */
 	int64_t kind_service_ns; /* recent mean service time; 0: unknown */
 	double answer_bytes; /* recent mean length of answers */
@@ -647,8 +649,8 @@
 
 /* long_answers.c */
 int start_long_answer(struct node *n, struct hop_link *hop, uint32_t stream,
-    const struct job_answer *from, void (*ended)(void *owner), void *owner,
-    struct long_answer **out);
+    const struct job_answer *from, const struct job_spec *spec,
+    void (*ended)(void *owner), void *owner, struct long_answer **out);
 void cancel_long_answer(struct long_answer *a);
 void send_long_answers(struct node *n);
 void clear_long_answers(struct node *n);
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -156,6 +156,9 @@
 	leave_allotment_queue(q);
 	q->state = REQUEST_DONE;
 	q->reason = reason;
+	if (q->stats != NULL)
+		record_failed_try(
+		    &q->stats->tries, get_reactor_now(q->node->reactor));
 	cancel_timer(q->node->reactor, &q->timer);
 	cancel_hedge(q);
 	count_metric(status == 503 || status == 429 ?
@@ -261,9 +264,8 @@
 
 /*
  * Sets the deadline and the target time. A caller that comes back after a
- * refusal sends a shorter time-out than on its first try. The difference to the
- * longest time-out of its kind is time that it has already waited, so the
- * target is that much earlier.
+ * refusal sends a shorter time-out than on its first try. The difference is time
+ * that it has already waited, so the target is that much earlier.
  */
 static void
 set_deadlines(struct request *q)
@@ -272,11 +274,10 @@
 	int64_t deadline = q->policy.deadline_ns;
 
 	if (timeout > 0) {
-		if (timeout > q->stats->caller_timeout_ns &&
-		    timeout <= CALLER_TIMEOUT_FACTOR * deadline)
-			q->stats->caller_timeout_ns = timeout;
-		if (timeout < q->stats->caller_timeout_ns)
-			elapsed = q->stats->caller_timeout_ns - timeout;
+		if (timeout <= CALLER_TIMEOUT_FACTOR * deadline)
+			add_caller_timeout(
+			    &q->stats->tries, timeout, q->arrived);
+		elapsed = estimate_elapsed(&q->stats->tries, timeout);
 		if (timeout < deadline)
 			deadline = timeout;
 	}
