--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -222,6 +222,7 @@
 	}
 	cancel_timer(q->node->reactor, &q->hedge_timer);
 	q->arrivals++;
+	q->ran = true;
 	if (!has_caller(q)) {
 		log_request(q, 0, "left");
 		free_request(q);
@@ -750,6 +751,8 @@
 
 	q->state = REQUEST_DONE;
 	q->reason = REFUSE_NONE;
+	if (a->status >= 500)
+		record_failed_try(&q->stats->tries, now);
 	cancel_timer(n->reactor, &q->timer);
 	cancel_hedge(q);
 	count_metric(n->metrics.answers_total, 1);
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -8,6 +8,7 @@
 #include <pthread.h>
 
 #include "allotment_wallet.h"
+#include "first_tries.h"
 #include "hedge.h"
 #include "hop.h"
 #include "memory_budget.h"
@@ -150,6 +151,7 @@
 	struct request *next_waiting;
 	int64_t wait_until; /* mono ns */
 	bool waits_for_token;
+	bool ran; /* a backend server has answered it as run */
 	int arrivals; /* attempts that reached a backend server, or may have */
 	bool may_have_run; /* an attempt ended with an unknown outcome */
 	enum refuse_reason reason; /* of the last refusal */
@@ -325,7 +327,7 @@
 struct kind_stats {
 	struct kind_stats *next;
 	char kind[TABLE_NAME_BYTES];
-	int64_t caller_timeout_ns; /* longest one seen */
+	struct first_tries tries; /* time-outs of callers */
 	int64_t longest_deadline_ns; /* after the arrival; longest one seen */
 	int64_t kind_service_ns; /* recent mean service time; 0: unknown */
 	double answer_bytes; /* recent mean length of answers */
@@ -383,9 +385,9 @@
 	metric_id pipelined_total, unread_closes_total, kept_bytes;
 	metric_id rollout_offers_total, rollout_failed_total;
 	metric_id log_dropped_lines, rate_limit_milli;
+	metric_id hedges_total, hedges_won_total, hedges_cancelled_total;
 	metric_id memory_bytes, memory_limit, yields_total;
 	metric_id accept_closes_total;
-	metric_id hedges_total, hedges_won_total, hedges_cancelled_total;
 	metric_id long_answers_total, long_answer_bytes;
 	metric_id key_refusals_total;
 	metric_id allotment_asks_total, allotment_lost_total;
@@ -578,11 +580,13 @@
 void choose_call_version(struct request *q);
 /* The call may use the other version after all; false: it may not. */
 bool relax_call_version(struct request *q);
+/* A second send of the call does not go to a version on trial. */
+void use_settled_version(struct request *q);
 bool is_version_allowed(const struct request *q, const struct peer *p);
 void count_version_offer(struct request *q, const struct peer *p);
 /* Of the current attempt. service_ns: 0 without an answer */
 void record_version_answer(struct request *q, bool failed, int64_t service_ns);
-/* The caller left while the attempt may run. */
+/* The answer is not waited for any longer, while the attempt may run. */
 void record_version_leave(struct request *q);
 
 /* links.c */
@@ -645,8 +649,8 @@
 
 /* long_answers.c */
 int start_long_answer(struct node *n, struct hop_link *hop, uint32_t stream,
-    const struct job_answer *from, void (*ended)(void *owner), void *owner,
-    struct long_answer **out);
+    const struct job_answer *from, const struct job_spec *spec,
+    void (*ended)(void *owner), void *owner, struct long_answer **out);
 void cancel_long_answer(struct long_answer *a);
 void send_long_answers(struct node *n);
 void clear_long_answers(struct node *n);
--- a/packages/policy/outflow.c
+++ b/packages/policy/outflow.c
@@ -48,6 +48,15 @@
 	return wait > 0 ? now + wait : now;
 }
 
+int
+get_outflow_order(const struct outflow *f, size_t left, int64_t target_at,
+    int64_t deadline, int64_t now)
+{
+	if (now >= target_at + (deadline - target_at) / 2)
+		return 0;
+	return now + get_outflow_wait_ns(f, left, now) <= target_at ? 1 : 2;
+}
+
 int64_t
 get_outflow_wait_ns(const struct outflow *f, size_t bytes, int64_t now)
 {
