--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 
 scenarios: build
 	sh scenarios/run_all.sh
+	$(BUILD)/bench/scenario platform/tests/crowds.lua
 
 # Randomized soak test: soak-quick runs the fixed seeds for 6 s each; soak runs
 # the seeds FIRST to LAST for SECONDS each.
