--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 LAST ?= 50
 SECONDS ?= 10
 
-.PHONY: soak soak-quick scenarios all setup build test test-asan test-tsan fmt fmt-check lint run bench \
+.PHONY: soak soak-quick scenarios crowds all setup build test test-asan test-tsan fmt fmt-check lint run bench \
     bench-quick plots capacity clean
 
 all: build
@@ -43,8 +43,12 @@
 lint: setup
 	sh tools/lint.sh $(BUILD)
 
-scenarios: build
+scenarios: build crowds
 	sh scenarios/run_all.sh
+
+# Clients that keep no limit: one process measured at a time, apart from other
+# load.
+crowds: build
 	$(BUILD)/bench/scenario platform/tests/crowds.lua
 
 # Randomized soak test: soak-quick runs the fixed seeds for 6 s each; soak runs
--- a/scenarios/soak.sh
+++ b/scenarios/soak.sh
@@ -4,7 +4,7 @@
 # usage: soak.sh quick|full [FIRST LAST [SECONDS]]
 # quick: the seeds that failed once (soak_seeds.txt) and seeds 1 and 2, for 6
 # seconds each, the runs in KIND_seeds.txt of KIND_faults.lua, and those of slow
-# and hung disks below; full: seeds FIRST to LAST of soak.lua and of each
+# and hung disks, accounts, keys and roll-outs below; full: seeds FIRST to LAST of soak.lua and of each
 # KIND_faults.lua. Three runs at a time.
 set -u
 cd "$(dirname "$0")/.." || exit 1
@@ -40,6 +40,9 @@
 		echo "scenarios/hung_disk.lua 1"
 		echo "scenarios/slow_disks.lua 1 150 4 kill"
 		echo "scenarios/slow_disks.lua 4 300 2 pause"
+		echo "scenarios/accounts.lua"
+		echo "platform/tests/client_keys.lua"
+		echo "platform/tests/rollouts.lua"
 	fi
 } | tee "$logs/list-$$" | wc -l)
 xargs -P 3 -I{} sh -c "log=$logs/\$(echo {} | tr -c 'a-z0-9\n' -).txt
