node: a single running call keeps its place when memory is short

An ordinary caller whose call ran for over a second could be closed without an answer while a crowd held the memory: its connection was not read on, counted as stalled, and gave way before the crowd's. A connection whose only request runs waits for the node and gives way no more.

--- a/packages/node/caller_memory.c
+++ b/packages/node/caller_memory.c
@@ -126,8 +126,9 @@
 		h.bytes += STOPPED_BYTES;
 	if (reading != NULL)
 		h.since = reading->arrived;
+	/* The client of a single call has nothing to do but wait for it. */
 	h.waits = c->first != NULL && reading == NULL &&
-		  c->out.len == c->out_sent && !c->stopped;
+		  c->out.len == c->out_sent && (!c->stopped || c->depth == 1);
 	return h;
 }
 
