node: no calls to the old version after a roll-out while a new server is usable

After the move a call that two full new servers had refused went to an old server, which is stopped without draining, and the old server's node accepted it again once the roll-out was completed. The old version is used only while no new server is usable, and a server that was closed at the move stays closed until it is stopped. Found by review.

--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -134,6 +134,12 @@
 	return n->backend != NULL ? n->backend->instance : "";
 }
 
+uint64_t
+get_backend_run(const struct node *n)
+{
+	return n->backend != NULL ? n->backend->run : 0;
+}
+
 const char *
 get_backend_version(const struct node *n)
 {
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -304,6 +304,8 @@
 		enum rollout_phase phase;
 		int64_t learned_at; /* mono ns; of the order */
 		int64_t phase_at; /* mono ns; of the phase */
+		/* Run of this node's server when calls moved; 0: none */
+		uint64_t closed_run;
 		double credit; /* calls that may go to the target version */
 		struct row_counts *rows; /* what was seen since then */
 	} rollout;
@@ -529,6 +531,8 @@
 void handle_attempt_refusal(struct request *q, enum refuse_reason reason,
     int64_t retry_after, bool arrived);
 void handle_attempt_answer(struct request *q, const struct job_answer *a);
+/* False: the account or the retry budget allows no other send. */
+bool spend_repeat(struct request *q);
 /* For calls on an unresponsive link */
 bool reserve_request_move(struct request *q);
 void move_request(struct request *q);
@@ -550,8 +554,11 @@
 void refresh_allotments(struct node *n); /* a new table */
 bool admit_by_allotment(struct request *q); /* false: waits or was refused */
 bool draw_retry_allotment(struct request *q); /* for another server */
+void return_retry_allotment(struct request *q); /* it is not sent */
 void leave_allotment_queue(struct request *q);
 void return_allotment(struct request *q); /* the call ends */
+/* An ask is under way, without whose end the node cannot say that it leaves. */
+bool is_asking_tokens(const struct node *n);
 void leave_allotments(struct node *n); /* the node is stopping */
 /* hedge.c */
 void plan_request_hedge(struct request *q); /* its first send has begun */
@@ -627,6 +634,7 @@
 int get_backend_slots(const struct node *n);
 int count_backend_connections(const struct node *n);
 const char *get_backend_instance(const struct node *n);
+uint64_t get_backend_run(const struct node *n); /* 0: no backend server */
 const char *get_backend_version(const struct node *n); /* "": unknown */
 double get_backend_rate(const struct node *n); /* negative: unlimited */
 
--- a/packages/node/rollouts.c
+++ b/packages/node/rollouts.c
@@ -35,6 +35,7 @@
 static void fill_count(const struct service *s, const struct row_counts *r,
     bool target, struct wire_rollout_counts *out);
 static bool is_close_pending(struct node *n);
+static bool has_usable_version(const struct request *q);
 static bool is_target(const struct service *s, const char *version);
 static struct row_counts *get_row_counts(struct service *s, const char *kind);
 static int64_t get_warmup_ns(const struct node *n);
@@ -98,6 +99,10 @@
 		return !is_target(s, version) &&
 		       get_reactor_now(n->reactor) - s->rollout.phase_at >=
 			   CLOSE_NS;
+	/* It stays closed until it is stopped; one that starts later is open. */
+	if (s->rollout.phase == ROLLOUT_COMPLETED)
+		return !is_target(s, version) && s->rollout.closed_run != 0 &&
+		       s->rollout.closed_run == get_backend_run(n);
 	return s->rollout.phase == ROLLOUT_ROLLED_BACK && is_target(s, version);
 }
 
@@ -141,10 +146,29 @@
 
 	if (!trial && q->side != ROLLOUT_PREFER_NEW)
 		return false;
+	/* After the move the old servers are stopped without draining. */
+	if (!trial && has_usable_version(q))
+		return false;
 	q->side = ROLLOUT_OLD;
 	return true;
 }
 
+/*
+ * Says whether a server of the version that the call goes to accepts calls,
+ * also one that has refused this call.
+ */
+static bool
+has_usable_version(const struct request *q)
+{
+	for (size_t i = 0; i < q->service->peer_count; i++) {
+		const struct peer *p = q->service->peers[i];
+
+		if (p->usable && is_version_allowed(q, p))
+			return true;
+	}
+	return false;
+}
+
 /*
  * The share of a trial is meant for first sends; a hedge is sent because a
  * server is slow, which a version on trial must show and not make good.
@@ -261,6 +285,8 @@
 	}
 	now->phase = (enum rollout_phase)r->phase;
 	now->phase_at = get_reactor_now(n->reactor);
+	if (now->phase == ROLLOUT_MOVED)
+		now->closed_run = get_backend_run(n);
 	WRITE_EVENT(LOG_LEVEL_INFO, "rollout.applied",
 	    LOG_TEXT("service", s->name), LOG_TEXT("target", now->target),
 	    LOG_INT("number", now->number),
