node: links of many nodes at once, terms without a call, a full link

A burst of new links had all but the last closed before their first messages were read; terms with stream 0 leaked; a long answer stopped at a link with exactly 32 KB unsent, since no event follows there. Found by review.

--- a/packages/node/inbound.c
+++ b/packages/node/inbound.c
@@ -1,6 +1,7 @@
 /*
  * Links from entry nodes: each call offered on them becomes a job of this node.
  */
+#include <limits.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -74,10 +75,11 @@
 {
 	struct listener *l =
 	    (struct listener *)((char *)w - offsetof(struct listener, watch));
-	int fd;
+	/* Between two events the first messages of new links are read. */
+	int fd, left = l->open_max > 1 ? l->open_max / 2 : INT_MAX;
 
 	(void)events;
-	while ((fd = accept_connection(l)) >= 0) {
+	while (left-- > 0 && (fd = accept_connection(l)) >= 0) {
 		limit_new_links(l);
 		open_inbound(l->node, fd);
 	}
@@ -225,6 +227,8 @@
 {
 	struct str rest;
 
+	if (stream == 0)
+		return; /* the number of no call */
 	clear_terms(l);
 	if (decode_hop_message(
 		payload, (xdrproc_t)xdr_hop_terms, &l->terms, &rest) == 0)
--- a/packages/node/long_answers.c
+++ b/packages/node/long_answers.c
@@ -128,7 +128,7 @@
 		size_t left = a->bytes.len - a->body_at - a->sent;
 		int order;
 
-		if (get_hop_unsent(a->hop) >= LINK_UNSENT_BYTES)
+		if (get_hop_unsent(a->hop) > LINK_UNSENT_BYTES)
 			continue;
 		order = get_outflow_order(
 		    &n->outflow, left, a->target_at, a->deadline, now);
