policy, agent: asks after a clock that was set back, tiny rates, slow leaders

A node that started again after its time of day was set back got no tokens until the clock had passed its old start. An ask to a frozen control process took all of its time. Rates of a billionth and the largest priority overflowed. A stopping node waits for the ask under way, so that it can say that it leaves. Found by review, the first by a trial with the ledger.

--- a/packages/agent/agent_allotments.c
+++ b/packages/agent/agent_allotments.c
@@ -9,6 +9,8 @@
 
 #define ASK_ATTEMPTS_MAX 6 /* of one ask, at different control processes */
 #define ATTEMPT_TIME_MIN_MS 10 /* with less time left none is started */
+/* A process that does not answer leaves time for another one. */
+#define ATTEMPT_TIME_MAX_MS 150
 
 static void send_ask(struct agent_ask *k, int64_t now);
 static void handle_ask_rpc(void *arg, const struct rpc_result *result);
@@ -141,7 +143,8 @@
 		a->leader :
 		a->watch_plan.order[i % (unsigned int)a->watch_plan.count];
 	if (call_rpc(a->peers[k->control], GGS_ALLOTMENT, view_buf(&k->body),
-		left_ms, handle_ask_rpc, k) != 0) {
+		left_ms < ATTEMPT_TIME_MAX_MS ? left_ms : ATTEMPT_TIME_MAX_MS,
+		handle_ask_rpc, k) != 0) {
 		a->leader = -1;
 		end_ask(k, ERR_UNAVAILABLE, NULL);
 	}
--- a/packages/node/stop.c
+++ b/packages/node/stop.c
@@ -91,7 +91,7 @@
 		stop_accepting(n);
 	while (over && (q = find_request(n, is_running_call)) != NULL)
 		end_stopped_request(q);
-	if ((n->listener_count > 0 || !is_idle(n)) &&
+	if ((n->listener_count > 0 || !is_idle(n) || is_asking_tokens(n)) &&
 	    since < n->cfg.stop_ns + LAST_ANSWERS_NS) {
 		set_timer(n->reactor, &n->leave_timer, now + LEAVE_CHECK_NS,
 		    check_leaving);
--- a/packages/policy/allotment_ledger.c
+++ b/packages/policy/allotment_ledger.c
@@ -161,7 +161,10 @@
 	if (n == NULL)
 		return l->node_count >= LEDGER_NODES_MAX ? ERR_LIMIT :
 							   ERR_MEMORY;
-	if (n->run > run || (n->run == run && seq <= n->seq))
+	if (n->run == run && seq <= n->seq)
+		return ERR_STALE;
+	/* A clock that was set back gives a new run a lower number. */
+	if (n->run > run && now - n->asked_at < LEDGER_LEASE_NS)
 		return ERR_STALE;
 	n->run = run;
 	n->seq = seq;
@@ -478,10 +481,10 @@
 estimate_room(const struct account_state *a)
 {
 	double missing = a->tokens < 1 ? 1 - a->tokens : 0;
-	int64_t ns = (int64_t)(missing / a->limit.rate * (double)NSEC_PER_SEC);
+	int64_t ns =
+	    (int64_t)fmin(missing / a->limit.rate * (double)NSEC_PER_SEC,
+		(double)ROOM_MAX_NS);
 
-	if (ns > ROOM_MAX_NS)
-		return ROOM_MAX_NS;
 	return ns > ROOM_MIN_NS ? ns : ROOM_MIN_NS;
 }
 
--- a/packages/policy/allotment_wallet.c
+++ b/packages/policy/allotment_wallet.c
@@ -227,7 +227,8 @@
 
 	if (supply < w->supply)
 		supply = w->supply;
-	ns = (int64_t)(w->refused / supply * (double)NSEC_PER_SEC);
+	ns = (int64_t)fmin(
+	    w->refused / supply * (double)NSEC_PER_SEC, (double)RETRY_MAX_NS);
 	if (w->room_at > now)
 		ns += w->room_at - now;
 	if (l->lost && ns < RETRY_LOST_NS)
