node: hedges that go on alone, and what another send spends

A call that went on by its hedge alone referred to the node of its first send, which may have left by then: a use after free when the call ended without a good answer. The test of it fails under the address sanitizer on the code before and passes now. Beyond that: a hedge that its server refuses counts against attempts and budget, a call on a silent node is moved when its hedge fails, and a busy answer removes its own node from those tried. Another send draws on the account first, so that calls beyond its rate use up no retries of the service.

--- a/packages/node/allotment.c
+++ b/packages/node/allotment.c
@@ -143,6 +143,22 @@
 		   &retry_after) == WALLET_GRANTED;
 }
 
+bool
+is_asking_tokens(const struct node *n)
+{
+	return n->allotments.asking && !n->allotments.known.lost;
+}
+
+/*
+ * Gives the token of draw_retry_allotment() back.
+ */
+void
+return_retry_allotment(struct request *q)
+{
+	if (q->wallet != NULL)
+		return_wallet_token(&q->wallet->wallet);
+}
+
 /*
  * Takes an answered or a freed call out of the queue.
  */
--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -38,11 +38,13 @@
     const struct request *q, const struct peer *p, enum peer_choice choice);
 static void fill_option(const struct request *q, const struct peer *p,
     int64_t now, struct placement_option *out);
+static void remove_tried(struct request *q, const struct peer *p);
 static bool was_tried(const struct request *q, const struct peer *p);
 static int offer_local(struct request *q);
 static void begin_attempt(struct request *q, struct peer *p, bool immediate);
 static void close_attempt(struct request *q);
 static void end_request(struct request *q);
+static void leave_call_to_hedge(struct request *q);
 static bool reserve_retry(struct request *q);
 static bool is_final_answer(struct request *q, const struct job_answer *a);
 static int keep_fallback(struct request *q, const struct job_answer *a);
@@ -160,7 +162,7 @@
 	if (reason == REFUSE_BUSY) {
 		/* An immediate offer does not count as a try. */
 		q->offers--;
-		q->tried_count--;
+		remove_tried(q, q->attempt.peer);
 		q->busy_peers[q->busy_count++] = q->attempt.peer;
 	} else {
 		q->reason = reason;
@@ -181,7 +183,8 @@
 	}
 	if (q->hedge != NULL) {
 		q->arrivals += arrived ? 1 : 0;
-		return; /* the hedge goes on alone */
+		leave_call_to_hedge(q);
+		return;
 	}
 	if (arrived) {
 		q->arrivals++;
@@ -228,8 +231,10 @@
 		free_request(q);
 		return;
 	}
-	if (q->hedge != NULL && a->status >= 500 && keep_fallback(q, a) == 0)
-		return; /* the hedge may still bring a good answer */
+	if (q->hedge != NULL && a->status >= 500 && keep_fallback(q, a) == 0) {
+		leave_call_to_hedge(q);
+		return;
+	}
 	if (is_final_answer(q, a) || keep_fallback(q, a) != 0) {
 		deliver_answer(q, a);
 		return;
@@ -238,6 +243,16 @@
 	start_next_attempt(q);
 }
 
+/*
+ * The first send has ended, and the hedge may still bring a good answer. The
+ * first one's peer may be freed meanwhile, that of the hedge may not.
+ */
+static void
+leave_call_to_hedge(struct request *q)
+{
+	q->attempt.peer = q->hedge->attempt.peer;
+}
+
 /*
  * A hedge ended without a good answer. The first send, if it is still under
  * way, is waited for; else the call is retried or ended.
@@ -247,9 +262,17 @@
 {
 	if (a != NULL && q->fallback == NULL && keep_fallback(q, a) != 0)
 		q->may_have_run = true;
-	if (q->attempt.active)
+	if (q->attempt.active) {
+		/* It was not moved while the hedge was under way. */
+		if (q->attempt.link != NULL &&
+		    is_hop_unresponsive(q->attempt.link->hop) &&
+		    reserve_request_move(q)) {
+			cancel_remote(q);
+			move_request(q);
+		}
 		return;
-	if ((q->fallback != NULL || q->may_have_run) && !reserve_retry(q)) {
+	}
+	if (q->arrivals > 0 && !reserve_retry(q)) {
 		end_request(q);
 		return;
 	}
@@ -289,12 +312,16 @@
 		q->reason = REFUSE_NO_ENDPOINT;
 		if (q->hedge == NULL)
 			start_next_attempt(q);
+		else
+			leave_call_to_hedge(q);
 		return;
 	}
 	q->may_have_run = true;
 	q->arrivals++;
-	if (q->hedge != NULL)
-		return; /* it goes on alone */
+	if (q->hedge != NULL) {
+		leave_call_to_hedge(q);
+		return;
+	}
 	if (!reserve_retry(q)) {
 		end_request(q);
 		return;
@@ -315,9 +342,7 @@
 	return q->policy.repeatable && q->hedge == NULL &&
 	       q->offers < OFFERS_MAX && q->tried_count < REQUEST_TRIED_MAX &&
 	       q->arrivals + 1 < q->policy.attempts_max &&
-	       choose_peer(q, CHOICE_UNTRIED) != NULL &&
-	       spend_retry_token(q->node, q->service) &&
-	       draw_retry_allotment(q);
+	       choose_peer(q, CHOICE_UNTRIED) != NULL && spend_repeat(q);
 }
 
 /*
@@ -568,6 +593,24 @@
 	return choice == CHOICE_UNTRIED || busy == (choice == CHOICE_BUSY);
 }
 
+/*
+ * Removes a peer from those that the call was offered to; a hedge may have
+ * added another one behind it.
+ */
+static void
+remove_tried(struct request *q, const struct peer *p)
+{
+	size_t i = 0;
+
+	while (i < q->tried_count && q->tried[i] != p)
+		i++;
+	if (i == q->tried_count)
+		return;
+	q->tried_count--;
+	for (; i < q->tried_count; i++)
+		q->tried[i] = q->tried[i + 1];
+}
+
 static bool
 was_tried(const struct request *q, const struct peer *p)
 {
@@ -690,15 +733,27 @@
 		why = "may-not-repeat";
 	else if (q->arrivals >= q->policy.attempts_max)
 		why = "attempts";
-	else if (spend_retry_token(q->node, q->service)) {
-		if (draw_retry_allotment(q))
-			return true;
-		why = "allotment";
-	}
+	else if (spend_repeat(q))
+		return true;
 	add_trace(q, TRACE_NO_RETRY, why, q->arrivals, 0, 0);
 	return false;
 }
 
+/*
+ * Spends what another send of the call takes: a token of its account, and a
+ * retry of the service, which calls beyond their account's rate must not use up.
+ */
+bool
+spend_repeat(struct request *q)
+{
+	if (!draw_retry_allotment(q))
+		return false;
+	if (spend_retry_token(q->node, q->service))
+		return true;
+	return_retry_allotment(q);
+	return false;
+}
+
 /*
  * Says whether the answer goes to the caller as it is. If not, a retry has been
  * spent for the call.
--- a/packages/node/hedge.c
+++ b/packages/node/hedge.c
@@ -135,8 +135,7 @@
 	*out = choose_hedge_peer(q);
 	in.has_server = *out != NULL;
 	r = decide_hedged_send(&in, &q->stats->hedge_budget);
-	if (r == HEDGE_ALLOWED &&
-	    (!spend_retry_token(n, q->service) || !draw_retry_allotment(q)))
+	if (r == HEDGE_ALLOWED && !spend_repeat(q))
 		r = HEDGE_BUDGET;
 	return r;
 }
--- a/packages/node/tests/test_hedges.c
+++ b/packages/node/tests/test_hedges.c
@@ -4,6 +4,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "metric.h"
 #include "node_fixture.h"
@@ -89,6 +91,41 @@
 }
 END_TEST
 
+/*
+ * Guards against a call that refers to the node of its first send after that
+ * has left, while the hedge goes on alone (a use after free).
+ */
+START_TEST(hedge_outlives_the_first_node)
+{
+	const struct hedge_case warm = {"/read/ok", 0.5, 200, false, false, 2};
+	char request[160];
+	struct test_reply reply;
+	struct fixture x;
+	int fd, other = 1 - _i;
+
+	open_fixture_with_hedges(&x, 3, 0.5);
+	send_calls(&x, &warm, warm.path, WARM_CALLS);
+	fd = connect_test_client(x.calls[2]);
+	snprintf(request, sizeof(request),
+	    "GET /read/silent HTTP/1.1\r\nHost: test.example\r\n"
+	    "Call-Id: left\r\nDeadline-Ms: 1500\r\n\r\n");
+	ck_assert_int_eq(
+	    send(fd, request, strlen(request), 0), (int)strlen(request));
+	while (count_fixture_runs(&x, "left") < 2)
+		usleep(1000);
+	stop_fixture_node(&x, _i);
+	clear_fake_endpoints(x.agent, "svc");
+	add_fake_endpoint(x.agent, "svc", other == 0 ? "node-0" : "node-1",
+	    x.links[other], 4, WIRE_ENDPOINT_READY);
+	refresh_node(x.nodes[2]);
+	read_test_reply(fd, &reply);
+	ck_assert_int_eq(reply.status, 504);
+	unload_reply(&reply);
+	close(fd);
+	close_fixture(&x);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -100,6 +137,7 @@
 	tcase_set_timeout(t, 60);
 	tcase_add_loop_test(t, slow_calls_are_sent_again, 0,
 	    (int)(sizeof(hedge_cases) / sizeof(hedge_cases[0])));
+	tcase_add_loop_test(t, hedge_outlives_the_first_node, 0, 2);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
