--- a/packages/hop/gen/hop_xdr.c
+++ b/packages/hop/gen/hop_xdr.c
@@ -174,10 +174,6 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->share))
 		 return FALSE;
-	 if (!xdr_int (xdrs, &objp->carried_rank))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->carried_us))
-		 return FALSE;
 	return TRUE;
 }
 
--- a/packages/hop/gen/hop_xdr.h
+++ b/packages/hop/gen/hop_xdr.h
@@ -78,8 +78,6 @@
 struct hop_terms {
 	char *account;
 	u_int share;
-	int carried_rank;
-	quad_t carried_us;
 };
 typedef struct hop_terms hop_terms;
 
--- a/packages/hop/hop.x
+++ b/packages/hop/hop.x
@@ -67,15 +67,13 @@
 };
 
 /*
- * What else an entry node knows of a call. Sent before the HOP_OFFER of the same
- * stream, and only if a field differs from its default, so that links of
- * deployments without accounts carry no further frames.
+ * The client account of a call. Sent before the HOP_OFFER of the same stream,
+ * and only for calls with an account, so that links of deployments without
+ * accounts carry no further frames.
  */
 struct hop_terms {
 	string account<HOP_NAME_MAX>; /* of the client; "": none */
 	unsigned int share;        /* weight among the accounts; 0: none */
-	int carried_rank;          /* of the work that waits for it; 0: unknown */
-	hyper carried_us;          /* time already spent on that work */
 };
 
 /* The call has a slot; the entry node may send the body. */
--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -636,8 +636,6 @@
 	    .caller_service = make_str(q->node->cfg.service),
 	    .account = make_str(q->policy.account),
 	    .share = q->policy.share,
-	    .carried_rank = q->carried_rank,
-	    .carried_ns = q->carried_ns,
 	    .rank = q->policy.rank,
 	    .repeatable = q->policy.repeatable,
 	    .target_at = q->target_at,
--- a/packages/node/hedge.c
+++ b/packages/node/hedge.c
@@ -181,9 +181,7 @@
 	    .stats = q->stats,
 	    .head = q->head,
 	    .target_at = q->target_at,
-	    .deadline = q->deadline,
-	    .carried_rank = q->carried_rank,
-	    .carried_ns = q->carried_ns};
+	    .deadline = q->deadline};
 	(void)copy_str(h->id, sizeof(h->id), make_str(q->id));
 	q->hedge = h;
 	q->tried[q->tried_count++] = p;
--- a/packages/node/inbound.c
+++ b/packages/node/inbound.c
@@ -313,8 +313,6 @@
 	    .account =
 		make_str(c->terms.account != NULL ? c->terms.account : ""),
 	    .share = (int)c->terms.share,
-	    .carried_rank = c->terms.carried_rank,
-	    .carried_ns = c->terms.carried_us * NSEC_PER_USEC,
 	    .rank = o->rank,
 	    .repeatable = o->repeatable,
 	    .may_wait = o->may_wait,
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -122,11 +122,9 @@
 	struct hop_terms t = {
 	    .account = q->policy.account,
 	    .share = (unsigned int)q->policy.share,
-	    .carried_rank = q->carried_rank,
-	    .carried_us = q->carried_ns / NSEC_PER_USEC,
 	};
 
-	if (q->policy.account[0] == '\0' && q->carried_rank == 0)
+	if (q->policy.account[0] == '\0')
 		return;
 	send_hop(q->attempt.link->hop, HOP_TERMS, q->attempt.stream,
 	    (xdrproc_t)xdr_hop_terms, &t, make_str_n(NULL, 0));
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -132,12 +132,6 @@
 	uint64_t parts_total; /* bytes of its complete body; 0: no part yet */
 	int64_t target_at; /* mono ns; a later answer counts as late */
 	int64_t deadline; /* mono ns */
-	/*
-	 * Of a call that a backend server makes: most urgent rank of the work
-	 * that waits for it (0: unknown), and the time already spent on that.
-	 */
-	int carried_rank;
-	int64_t carried_ns;
 	struct timer timer; /* deadline */
 	struct attempt attempt; /* the current or the last one */
 	const struct peer *tried[REQUEST_TRIED_MAX];
@@ -204,8 +198,6 @@
 	struct str caller_service;
 	struct str account; /* of the client; empty: none */
 	int share; /* weight of the account among others; 0: none */
-	int carried_rank; /* of the work that waits for the call; 0: unknown */
-	int64_t carried_ns; /* time already spent on that work */
 	int rank;
 	bool repeatable;
 	bool may_wait; /* false: refused as busy instead of queued */
