--- a/review/9/case.c
+++ b/review/9/case.c
@@ -90,9 +90,8 @@
 		intptr_t fd = accept(listener, NULL, NULL);
 		pthread_t t;
 
-		if (fd >= 0 &&
-		    pthread_create(&t, NULL, serve_connection,
-			(void *)(fd << 1 | upstream)) == 0)
+		if (fd >= 0 && pthread_create(&t, NULL, serve_connection,
+				   (void *)(fd << 1 | upstream)) == 0)
 			(void)pthread_detach(t);
 	}
 	return NULL;
@@ -173,8 +172,8 @@
 	(void)pthread_create(&t, NULL, run_pings, &born);
 	(void)pthread_create(&t, NULL, run_client, NULL);
 	for (int i = 1; i <= PINGS; i++) {
-		if (!report_upstream(&rig.side[0], ids[0], born, i, "ready",
-			SLOTS))
+		if (!report_upstream(
+			&rig.side[0], ids[0], born, i, "ready", SLOTS))
 			give_up("a ping was not acknowledged");
 		sleep_ms(HEARTBEAT_MS);
 	}
@@ -194,8 +193,8 @@
 	in_touch_ms = started + CONTACT_MS;
 	sleep_ms(LATE_MS);
 	if (has_trouble()) {
-		bool ok = report_upstream(&rig.side[0], ids[0], born,
-		    PINGS + 1, "ready", SLOTS);
+		bool ok = report_upstream(
+		    &rig.side[0], ids[0], born, PINGS + 1, "ready", SLOTS);
 
 		record("server: a ping of %s from before arrives late, %s",
 		    ids[0], ok ? "acknowledged" : "not acknowledged");
--- a/review/stand-2/rig.c
+++ b/review/stand-2/rig.c
@@ -109,7 +109,7 @@
 		if (system(command) != 0)
 			record("%s remains", rig.folder);
 	}
-	record("%s", status == 0   ? "HELD" :
+	record("%s", status == 0 ? "HELD" :
 		     status == 1 ? "BROKEN" :
 				   "COULD NOT RUN");
 	exit(status);
@@ -148,8 +148,8 @@
 		if (i >= cores)
 			snprintf(m->service, sizeof(m->service), "%s",
 			    services[i - cores]);
-		snprintf(m->settings, sizeof(m->settings), "%s/%s.json",
-		    folder, m->name);
+		snprintf(m->settings, sizeof(m->settings), "%s/%s.json", folder,
+		    m->name);
 		snprintf(m->log, sizeof(m->log), "%s/%s.log", folder, m->name);
 		snprintf(
 		    m->data, sizeof(m->data), "%s/%s.data", folder, m->name);
@@ -335,8 +335,8 @@
 	(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) != 0 ||
 	    listen(fd, 512) != 0)
-		give_up("cannot listen on %s:%d: %s", ip, port,
-		    strerror(errno));
+		give_up(
+		    "cannot listen on %s:%d: %s", ip, port, strerror(errno));
 	return fd;
 }
 
