agent: a test of endpoint sets does not depend on the fairness of a lock

Seen: interest_is_added_while_sets_change:3 (render_sets) of agent.test_agent_sets ends at check's time-out of 4 s on x86-64.

Cause: the main thread repeats its step with no pause and takes the store's mutex again before the other thread, which has been woken, gets it. A mutex promises no fairness, so that thread hardly adds services while each rendering grows longer.

Change: the adding thread counts what it has added; after each step the main thread yields until the count has changed or the thread is done. The count is relaxed, so that it orders nothing for the sanitizer. Rounds, services, steps, checks and the time-out stay.

--- a/packages/agent/tests/test_agent_sets.c
+++ b/packages/agent/tests/test_agent_sets.c
@@ -345,6 +345,7 @@
 struct race {
 	struct set_store *store;
 	atomic_bool started, done;
+	atomic_int added; /* services */
 };
 
 static void
@@ -422,12 +423,26 @@
 		    r->store, acquire_set(r->store, make_str("svc"), NOW));
 		release_set(
 		    r->store, acquire_set(r->store, make_str(name), NOW));
+		atomic_store_explicit(&r->added, i, memory_order_relaxed);
 	}
-	/* Relaxed, so that the flags order nothing for the sanitizer. */
+	/* All relaxed, so that they order nothing for the sanitizer. */
 	atomic_store_explicit(&r->done, true, memory_order_relaxed);
 	return NULL;
 }
 
+/*
+ * Lets the other thread add a service. A mutex promises no fairness: without a
+ * pause this thread may take it again before the other one, which has been woken,
+ * gets it.
+ */
+static void
+wait_for_service(struct race *r, int added)
+{
+	while (!atomic_load_explicit(&r->done, memory_order_relaxed) &&
+	       atomic_load_explicit(&r->added, memory_order_relaxed) == added)
+		sched_yield();
+}
+
 /*
  * Guards against entries that the agent's thread reads without the lock while
  * the node's thread adds a service: on a weakly ordered processor the count can
@@ -448,9 +463,13 @@
 		    "%s: no thread", c->name);
 		while (!atomic_load_explicit(&r.started, memory_order_relaxed))
 			sched_yield();
-		do
+		do {
+			int added = atomic_load_explicit(
+			    &r.added, memory_order_relaxed);
+
 			c->step(r.store);
-		while (!atomic_load_explicit(&r.done, memory_order_relaxed));
+			wait_for_service(&r, added);
+		} while (!atomic_load_explicit(&r.done, memory_order_relaxed));
 		pthread_join(thread, NULL);
 		close_set_store(r.store);
 	}
