node: a reset while an upload is written does not end an answer

What callers saw: a backend server answered a long upload at once without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: send() in send_call() returns ECONNRESET, and the system reports an error of a socket once only. recv() then returns the bytes that are left and after them 0, as after an orderly close, so handle_eof() took the part for a whole answer. Calls that fit into the socket buffers are not affected: recv() reports their reset.

Change: the connection keeps that its sending failed, and no end of file then completes an answer. EPIPE is the exception: Linux reports it when the server had closed its side before the reset (tcp_reset() in the state CLOSE_WAIT), so the answer has come to its end in order and is still passed on. Answers with a length or in chunks end by themselves and are not affected.

Evidence: the new test_answers plays each framing with each end to short calls and to unfinished uploads of 24 MB, at the caller's own node and through another one.

Other callers of send(): the links between nodes and between control processes drop the connection on an error and carry frames and records with a length, so none of them takes a part for the whole.

--- a/packages/node/backend_conn.c
+++ b/packages/node/backend_conn.c
@@ -178,7 +178,7 @@
 	c->out.len = c->out_sent = 0;
 	c->sent_at = 0;
 	c->unexpected_answers = c->interim_answers = 0;
-	c->close_after_use = false;
+	c->close_after_use = c->reset = false;
 	c->run = c->node->backend->run;
 	reset_http_reader(&c->reader);
 	c->reader.is_head_response = is_http_name_equal(j->spec.method, "HEAD");
@@ -328,7 +328,13 @@
 			return;
 		}
 		if (n < 0) {
-			/* The server may have answered before it closed. */
+			/*
+			 * The server may have answered before it closed. The
+			 * error is reported once only: after it, recv() returns
+			 * the rest of the answer and then 0, as after an
+			 * orderly close. EPIPE says that the close came first.
+			 */
+			c->reset = errno != EPIPE;
 			c->out_sent = c->out.len;
 			c->body = make_str_n(NULL, 0);
 			c->close_after_use = true;
@@ -361,7 +367,7 @@
 	}
 	n = recv(c->watch.fd, bytes, REACTOR_SCRATCH_BYTES, 0);
 	if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR))
-		handle_eof(c, n < 0);
+		handle_eof(c, n < 0 || c->reset);
 	else if (n > 0 && c->state == CONN_IDLE)
 		close_conn(c); /* unexpected bytes without a call */
 	else if (n > 0)
--- a/packages/node/backend_state.h
+++ b/packages/node/backend_state.h
@@ -31,6 +31,7 @@
 	bool reused; /* has carried earlier calls */
 	uint64_t run; /* of the backend server when the call was sent */
 	bool close_after_use; /* not reusable after the current call */
+	bool reset; /* while the call was sent; no close ends its answer */
 	int unexpected_answers; /* to other calls, discarded during this one */
 	int interim_answers; /* with status below 200, of this call */
 	int64_t idle_since; /* mono ns */
--- a/packages/node/tests/fake_server.c
+++ b/packages/node/tests/fake_server.c
@@ -18,6 +18,7 @@
 #define RUNS_MAX 4096
 #define UNEVEN_NS (800 * NSEC_PER_MSEC)
 #define SLOW_NS (150 * NSEC_PER_MSEC)
+#define EARLY_RESET_BYTES (8 * 1000 * 1000) /* of an upload, read before */
 
 struct fake_conn {
 	int fd; /* -1: free */
@@ -39,6 +40,7 @@
 	char address[32];
 	char instance[32];
 	char notices[128]; /* header lines of its answers */
+	struct fake_script script;
 	struct fake_conn conns[CONNECTIONS_MAX];
 	int accepted;
 	int requests;
@@ -56,6 +58,12 @@
 static void accept_one(struct fake_server *s);
 static void read_one(struct fake_server *s, struct fake_conn *c);
 static bool handle_request(struct fake_server *s, struct fake_conn *c);
+static bool run_early_script(
+    struct fake_server *s, struct fake_conn *c, const char *head);
+static void record_run(struct fake_server *s, const struct fake_conn *c);
+static void answer_script(struct fake_server *s, struct fake_conn *c);
+static void end_script(struct fake_server *s, struct fake_conn *c);
+static void read_upload(struct fake_conn *c, size_t len);
 static void run_behaviour(
     struct fake_server *s, struct fake_conn *c, const char *name);
 static void copy_header(
@@ -116,6 +124,7 @@
     {"silent", true, never_answer}, /* never answers */
     {"garbage", true, answer_garbage}, /* not an HTTP answer */
     {"encoded", true, answer_encoded}, /* 200 with Content-Encoding */
+    {"script", true, answer_script}, /* as set_fake_script() says */
     {"closing", true, answer_closing}, /* signed 200 with Connection: close */
     /* until the node closes the connection */
     {"endless-head", true, answer_endless_head}, /* header lines */
@@ -235,6 +244,14 @@
 	pthread_mutex_unlock(&s->lock);
 }
 
+void
+set_fake_script(struct fake_server *s, const struct fake_script *script)
+{
+	pthread_mutex_lock(&s->lock);
+	s->script = *script;
+	pthread_mutex_unlock(&s->lock);
+}
+
 void
 get_fake_header(struct fake_server *s, const char *name, char *out, size_t size)
 {
@@ -376,6 +393,10 @@
 		return false;
 	head = (size_t)(end - c->in.data) + 4;
 	text = strndup(c->in.data, head);
+	if (run_early_script(s, c, text)) {
+		free(text);
+		return false;
+	}
 	copy_header(text, "Content-Length", length, sizeof(length));
 	body = (size_t)strtoul(length, NULL, 10);
 	if (c->in.len < head + body) {
@@ -418,15 +439,102 @@
 	     i++) {
 		if (strcmp(name, behaviours[i].name) != 0)
 			continue;
-		if (behaviours[i].runs && s->run_count < RUNS_MAX)
-			snprintf(s->runs[s->run_count++], sizeof(s->runs[0]),
-			    "%.39s", c->id);
+		if (behaviours[i].runs)
+			record_run(s, c);
 		behaviours[i].fn(s, c);
 		return;
 	}
 	send_text(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
 }
 
+static void
+record_run(struct fake_server *s, const struct fake_conn *c)
+{
+	if (s->run_count < RUNS_MAX)
+		snprintf(s->runs[s->run_count++], sizeof(s->runs[0]), "%.39s",
+		    c->id);
+}
+
+/*
+ * Answers a scripted call whose body may still be on its way. False when the
+ * call has to be complete first. What follows is not read as a request.
+ */
+static bool
+run_early_script(struct fake_server *s, struct fake_conn *c, const char *head)
+{
+	const char *path = strstr(head, "/script ");
+
+	if (!s->script.early || path == NULL || path > strstr(head, "\r\n"))
+		return false;
+	copy_header(head, "Call-Id", c->id, sizeof(c->id));
+	record_run(s, c);
+	c->in.len = 0;
+	answer_script(s, c);
+	return true;
+}
+
+static void
+answer_script(struct fake_server *s, struct fake_conn *c)
+{
+	struct str a = s->script.answer;
+	const char *line = memchr(a.data, '\n', a.len);
+	size_t first = (size_t)(line - a.data) + 1;
+	struct buf b = {0};
+
+	(void)append_buf(&b, a.data, first);
+	(void)append_buf_fmt(
+	    &b, "Call-Id: %s\r\nSeal: %s\r\n", c->id, s->instance);
+	(void)append_buf(&b, a.data + first, a.len - first);
+	(void)send(c->fd, b.data, b.len, MSG_NOSIGNAL);
+	unload_buf(&b);
+	end_script(s, c);
+}
+
+/*
+ * Unread bytes would turn a close into a reset, so the rest of the request is
+ * read first.
+ */
+static void
+end_script(struct fake_server *s, struct fake_conn *c)
+{
+	enum fake_end end = s->script.end;
+
+	if (end == FAKE_KEEPS) {
+		if (s->script.early)
+			read_upload(c, SIZE_MAX);
+		return;
+	}
+	if (end == FAKE_CLOSES) {
+		shutdown(c->fd, SHUT_WR);
+		read_upload(c, SIZE_MAX);
+		close_fake_conn(c, false);
+		return;
+	}
+	if (s->script.early)
+		read_upload(c, EARLY_RESET_BYTES);
+	else
+		usleep(20000); /* so that the bytes arrive before the reset */
+	if (end == FAKE_CLOSES_THEN_RESETS)
+		shutdown(c->fd, SHUT_WR);
+	close_fake_conn(c, true);
+}
+
+/* Reads len bytes of a request, or what comes until the connection ends. */
+static void
+read_upload(struct fake_conn *c, size_t len)
+{
+	struct timeval wait = {5, 0};
+	char bytes[65536];
+	ssize_t n = 0;
+
+	setsockopt(c->fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+	for (size_t got = 0; got < len; got += (size_t)n) {
+		n = recv(c->fd, bytes, sizeof(bytes), 0);
+		if (n <= 0)
+			return;
+	}
+}
+
 static void
 copy_header(const char *head, const char *name, char *out, size_t size)
 {
--- a/packages/node/tests/fake_server.h
+++ b/packages/node/tests/fake_server.h
@@ -30,6 +30,27 @@
 size_t get_fake_body_len(struct fake_server *s);
 /* Bytes that an endless answer sent before the node closed it, at most. */
 size_t get_fake_endless_bytes(struct fake_server *s);
+
+/* How the connection goes on after a scripted answer. */
+enum fake_end {
+	FAKE_KEEPS, /* stays open for further requests */
+	FAKE_CLOSES, /* is closed in order */
+	FAKE_RESETS, /* is reset */
+	FAKE_CLOSES_THEN_RESETS, /* is closed in order, and reset after it */
+};
+
+/*
+ * An answer to the calls whose path ends in "/script". Header lines with the
+ * call's id and the signature follow its first line.
+ */
+struct fake_script {
+	struct str answer;
+	enum fake_end end;
+	/* Answers the head of a long upload; a reset follows after a part of it */
+	bool early;
+};
+
+void set_fake_script(struct fake_server *s, const struct fake_script *script);
 /* Resets all connections, like a server that dropped its idle ones. */
 void reset_fake_connections(struct fake_server *s);
 /* Resets each open connection when its next bytes arrive. */
--- /dev/null
+++ b/packages/node/tests/test_answers.c
@@ -0,0 +1,189 @@
+/*
+ * Answers of a backend server in each framing and with each end, read by the
+ * caller's own node and through another one, to short calls and to uploads
+ * that are still being written.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "node_fixture.h"
+
+#define SERVER 2 /* the only node of its service */
+#define UPLOAD_BYTES (24 * 1000 * 1000) /* more than the socket buffers hold */
+/* A reset meets the node while it sends in about one of two uploads. */
+#define UPLOAD_RESETS 10
+#define DEADLINE "Deadline-Ms: 5000\r\n"
+#define ROWS                                              \
+	"short,other,1,10,0,100,500,9000,100,0,10,0,no,"  \
+	"0,64,30,test.example,/short/,,4,1000,2000\n"     \
+	"upload,other,1,10,0,100,500,9000,100,0,10,0,no," \
+	"0,32768,30,test.example,/upload/,,4,9000,2000\n"
+
+#define TEXT(text)                     \
+	{                              \
+		text, sizeof(text) - 1 \
+	}
+#define OK "HTTP/1.1 200 OK\r\n"
+#define LENGTH OK "Content-Length: 4\r\n\r\n"
+#define CHUNKS OK "Transfer-Encoding: chunked\r\n\r\n"
+#define UNTIL_CLOSE OK "\r\n"
+#define FAILED "HTTP/1.1 500 Internal Server Error\r\n"
+#define FULL "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
+
+struct answer_case {
+	const char *what;
+	struct str answer;
+	enum fake_end end;
+	int want; /* status; 502: not an answer */
+	const char *body;
+};
+
+static const struct answer_case cases[] = {
+    {"length", TEXT(LENGTH "body"), FAKE_KEEPS, 200, "body"},
+    {"length, closed", TEXT(LENGTH "body"), FAKE_CLOSES, 200, "body"},
+    {"length, reset", TEXT(LENGTH "body"), FAKE_RESETS, 200, "body"},
+    {"chunks", TEXT(CHUNKS "4\r\nbody\r\n0\r\n\r\n"), FAKE_KEEPS, 200, "body"},
+    {"chunks, closed", TEXT(CHUNKS "4\r\nbody\r\n0\r\n\r\n"), FAKE_CLOSES, 200,
+	"body"},
+    {"chunks, reset", TEXT(CHUNKS "4\r\nbody\r\n0\r\n\r\n"), FAKE_RESETS, 200,
+	"body"},
+    {"until close", TEXT(UNTIL_CLOSE "body"), FAKE_CLOSES, 200, "body"},
+    {"until close, reset later", TEXT(UNTIL_CLOSE "body"),
+	FAKE_CLOSES_THEN_RESETS, 200, "body"},
+    {"failure", TEXT(FAILED "Content-Length: 4\r\n\r\nfail"), FAKE_KEEPS, 500,
+	"fail"},
+    {"failure, reset", TEXT(FAILED "Content-Length: 4\r\n\r\nfail"),
+	FAKE_RESETS, 500, "fail"},
+    {"failure until close", TEXT(FAILED "\r\nfail"), FAKE_CLOSES, 500, "fail"},
+    {"failure until close, reset later", TEXT(FAILED "\r\nfail"),
+	FAKE_CLOSES_THEN_RESETS, 500, "fail"},
+    {"length cut", TEXT(LENGTH "bo"), FAKE_CLOSES, 502, ""},
+    {"length cut by reset", TEXT(LENGTH "bo"), FAKE_RESETS, 502, ""},
+    {"length cut, reset later", TEXT(LENGTH "bo"), FAKE_CLOSES_THEN_RESETS, 502,
+	""},
+    {"chunks cut", TEXT(CHUNKS "4\r\nbody\r\n"), FAKE_CLOSES, 502, ""},
+    {"chunks cut by reset", TEXT(CHUNKS "4\r\nbody\r\n0\r\n"), FAKE_RESETS, 502,
+	""},
+    {"until close, reset", TEXT(UNTIL_CLOSE "bo"), FAKE_RESETS, 502, ""},
+    {"failure until close, reset", TEXT(FAILED "\r\nfa"), FAKE_RESETS, 502, ""},
+    {"refusal until close, reset", TEXT(FULL "\r\nfu"), FAKE_RESETS, 502, ""},
+    {"head cut", TEXT(OK "Content-Le"), FAKE_CLOSES, 502, ""},
+    {"head cut by reset", TEXT(OK "Content-Le"), FAKE_RESETS, 502, ""},
+};
+
+static const char *const ways[] = {"own node", "another node"};
+static const int entries[] = {SERVER, 0};
+
+static struct fixture fixture;
+static struct buf upload;
+
+static void
+open_nodes(void)
+{
+	open_fixture(&fixture, 3);
+	set_fixture_table(&fixture, 2, ROWS);
+	ck_assert_int_eq(reserve_buf(&upload, UPLOAD_BYTES), 0);
+	memset(upload.data, 'u', UPLOAD_BYTES);
+	upload.len = UPLOAD_BYTES;
+}
+
+static void
+close_nodes(void)
+{
+	unload_buf(&upload);
+	close_fixture(&fixture);
+}
+
+/* Waits until the node has closed its connections to the server. */
+static bool
+are_connections_closed(void)
+{
+	for (int i = 0; i < 200; i++) {
+		if (count_fake_open(fixture.servers[SERVER]) == 0)
+			return true;
+		usleep(10000);
+	}
+	return false;
+}
+
+static void
+check_answer(const struct answer_case *c, bool early, size_t way, int round)
+{
+	struct fake_script script = {
+	    .answer = c->answer, .end = c->end, .early = early};
+	struct test_reply reply;
+	char id[32];
+
+	snprintf(id, sizeof(id), "answer-%zu-%d", way, round);
+	set_fake_script(fixture.servers[SERVER], &script);
+	send_test_call(fixture.calls[entries[way]], "POST",
+	    early ? "/upload/script" : "/short/script", id, DEADLINE,
+	    early ? view_buf(&upload) : make_str("x"), &reply);
+	ck_assert_msg(
+	    !reply.closed && reply.status == c->want &&
+		is_str_equal(view_buf(&reply.body), make_str(c->body)),
+	    "%s by %s: %d with %zu bytes", c->what, ways[way], reply.status,
+	    reply.body.len);
+	ck_assert(has_header(&reply, "Seal: ") == (c->want != 502));
+	ck_assert_int_eq(count_fixture_runs(&fixture, id), 1);
+	unload_reply(&reply);
+	if (c->want == 502)
+		ck_assert_msg(are_connections_closed(),
+		    "%s: its connection is used again", c->what);
+	send_test_call(fixture.calls[entries[way]], "GET", "/short/ok", "after",
+	    "", make_str(""), &reply);
+	ck_assert_int_eq(reply.status, 200);
+	unload_reply(&reply);
+}
+
+/*
+ * Guards against an answer that is passed on although it is not whole or is no
+ * answer, is refused as not run, fails only at the call's deadline, or leaves a
+ * connection that is used again; and against a sound one that does not arrive.
+ */
+START_TEST(answers_to_short_calls)
+{
+	for (size_t way = 0; way < 2; way++)
+		check_answer(&cases[_i], false, way, 0);
+}
+END_TEST
+
+/*
+ * Guards against the same while a long upload is written. The node then learns
+ * of a reset when it sends, and reads the rest of the answer without an error.
+ */
+START_TEST(answers_to_unfinished_uploads)
+{
+	const struct answer_case *c = &cases[_i];
+	bool reset = c->end == FAKE_RESETS || c->end == FAKE_CLOSES_THEN_RESETS;
+
+	for (size_t way = 0; way < 2; way++) {
+		for (int i = 0; i < (reset ? UPLOAD_RESETS : 1); i++)
+			check_answer(c, true, way, i);
+	}
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("answers");
+	TCase *t = tcase_create("answers");
+	SRunner *r;
+	int failed;
+
+	tcase_set_timeout(t, 60);
+	tcase_add_checked_fixture(t, open_nodes, close_nodes);
+	tcase_add_loop_test(
+	    t, answers_to_short_calls, 0, sizeof(cases) / sizeof(cases[0]));
+	tcase_add_loop_test(t, answers_to_unfinished_uploads, 0,
+	    sizeof(cases) / sizeof(cases[0]));
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
