http, node: an answer without a valid status line is no answer

What callers saw: an answer with the status 000 that ended with its connection reached the caller as "HTTP/1.1 0". With a length or in chunks it was taken for an interim answer (status below 200) and discarded, and the caller got 504 at its deadline. 600 was passed on, and 0200 became 200. A 101, which no call asks for, was discarded too, and the call waited for its deadline.

Cause: http-parser accepts any number of digits up to the value 999, two blanks before them, and control bytes in the reason. parse_answers() compared the status with 200 only, and handle_eof() not at all.

Change: the reader of responses checks the status line while it arrives: "HTTP/1." with a digit, a blank and three digits from 100 to 599 (RFC 9110, section 15), then nothing or a blank and a text. The check is in the reader, so a status outside that range cannot reach any later comparison. A 101 ends the attempt. An interim answer shows that the server has read the call, so such a call is no longer sent again as if an idle connection had been closed.

Evidence: before the change 8 of 50 checks of test_http_reader and 18 of 62 of test_answers failed: "status 000 until close: 0 with 4 bytes", "status 000: 504 with 0 bytes", "status of four digits: 200 with 4 bytes". Now all pass, and test_calls_by_node does.

--- a/packages/http/http.c
+++ b/packages/http/http.c
@@ -11,7 +11,6 @@
 /* Before a body arrives; a client may announce one and never send it. */
 #define BODY_RESERVE_MAX_BYTES (256 * 1024)
 #define IDLE_BODY_MAX_BYTES (64 * 1024) /* kept for the next message */
-#define RESPONSE_START_BYTES 7 /* of "HTTP/1." */
 /*
  * The parser's own bound on heads, chunk sizes and trailers, 80 KB by default.
  * Heads are bounded by head_max, which never exceeds it.
@@ -27,6 +26,8 @@
 static bool contains_line_break(struct str value);
 static enum http_event read_body(struct http_reader *r, struct str *in);
 static bool has_invalid_start(const struct http_reader *r);
+static bool has_valid_reason(const struct http_reader *r);
+static bool is_text_byte(char c);
 static int append_url(http_parser *p, const char *at, size_t len);
 static int append_header_name(http_parser *p, const char *at, size_t len);
 static int append_header_value(http_parser *p, const char *at, size_t len);
@@ -276,16 +277,46 @@
 
 /*
  * Returns whether the bytes cannot begin a response. Such bytes need not
- * contain an end of a head, so waiting for one could take forever.
+ * contain an end of a head, so waiting for one could take forever. Statuses
+ * outside 100 to 599 are invalid (RFC 9110, section 15); http-parser accepts
+ * them, and any number of digits.
  */
 static bool
 has_invalid_start(const struct http_reader *r)
 {
-	size_t n = r->head_bytes.len < RESPONSE_START_BYTES ?
-		       r->head_bytes.len :
-		       RESPONSE_START_BYTES;
+	static const char low[] = "HTTP/1.0 100", high[] = "HTTP/1.9 599";
 
-	return !r->requests && memcmp(r->head_bytes.data, "HTTP/1.", n) != 0;
+	if (r->requests)
+		return false;
+	for (size_t i = 0; i < sizeof(low) - 1 && i < r->head_bytes.len; i++) {
+		if (r->head_bytes.data[i] < low[i] ||
+		    r->head_bytes.data[i] > high[i])
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Checks what follows the status in a response's first line, which http-parser
+ * does not check: nothing, or a blank and a text.
+ */
+static bool
+has_valid_reason(const struct http_reader *r)
+{
+	const char *p = r->head_bytes.data + sizeof("HTTP/1.1 200") - 1;
+
+	if (*p != ' ' && *p != '\r' && *p != '\n')
+		return false;
+	while (is_text_byte(*p))
+		p++;
+	return *p == '\n' || (p[0] == '\r' && p[1] == '\n');
+}
+
+/* Whether a byte may stand in a field's value or in a reason. */
+static bool
+is_text_byte(char c)
+{
+	return c == '\t' || ((unsigned char)c >= ' ' && c != 0x7f);
 }
 
 /*
@@ -302,7 +333,8 @@
 	if (r->error != 0 || !r->head_done ||
 	    (HTTP_PARSER_ERRNO(&r->parser) != HPE_OK &&
 		HTTP_PARSER_ERRNO(&r->parser) != HPE_PAUSED) ||
-	    n != r->head_bytes.len || !has_valid_headers(&r->head))
+	    n != r->head_bytes.len || !has_valid_headers(&r->head) ||
+	    (!r->requests && !has_valid_reason(r)))
 		return READ_BAD;
 	if (r->requests)
 		r->head.method = make_str(http_method_str(r->parser.method));
--- a/packages/node/backend_conn.c
+++ b/packages/node/backend_conn.c
@@ -17,6 +17,7 @@
 /* A longer frame would close the link, with all calls on it. */
 _Static_assert(ANSWER_HEAD_MAX + ANSWER_BODY_MAX < HOP_PAYLOAD_MAX,
     "every answer fits into a frame");
+#define STATUS_SWITCHING_PROTOCOLS 101
 #define SHORT_BODY_BYTES (64 * 1024) /* of a call, sent with its head */
 #define IDLE_OUT_BYTES (16 * 1024) /* kept by an idle connection */
 #define CONNECT_NS (500 * NSEC_PER_MSEC) /* connect time-out */
@@ -411,13 +412,15 @@
 
 /*
  * Discards an interim answer, or one to an earlier call. False when there are
- * too many of them.
+ * too many of them, or after a change of the protocol: what follows it is not
+ * HTTP, and no call asks for one.
  */
 static bool
 discard_answer(struct backend_conn *c)
 {
 	if (c->reader.head.status < 200) {
-		if (++c->interim_answers > INTERIM_ANSWERS_MAX)
+		if (++c->interim_answers > INTERIM_ANSWERS_MAX ||
+		    c->reader.head.status == STATUS_SWITCHING_PROTOCOLS)
 			return false;
 	} else {
 		if (++c->unexpected_answers > UNEXPECTED_ANSWERS_MAX)
@@ -585,6 +588,7 @@
 	struct job *j = c->job;
 	bool not_sent = c->state == CONN_OPENING;
 	bool idle_closed = c->reused && c->unexpected_answers == 0 &&
+			   c->interim_answers == 0 &&
 			   !is_http_reading(&c->reader);
 
 	c->job = NULL;
--- a/packages/node/tests/test_answers.c
+++ b/packages/node/tests/test_answers.c
@@ -16,7 +16,7 @@
 #define UPLOAD_RESETS 10
 #define DEADLINE "Deadline-Ms: 5000\r\n"
 #define ROWS                                              \
-	"short,other,1,10,0,100,500,9000,100,0,10,0,no,"  \
+	"short,other,1,10,0,100,500,9000,100,0,10,0,yes," \
 	"0,64,30,test.example,/short/,,4,1000,2000\n"     \
 	"upload,other,1,10,0,100,500,9000,100,0,10,0,no," \
 	"0,32768,30,test.example,/upload/,,4,9000,2000\n"
@@ -29,6 +29,7 @@
 #define LENGTH OK "Content-Length: 4\r\n\r\n"
 #define CHUNKS OK "Transfer-Encoding: chunked\r\n\r\n"
 #define UNTIL_CLOSE OK "\r\n"
+#define STATUS(status) "HTTP/1.1 " status " X\r\n"
 #define FAILED "HTTP/1.1 500 Internal Server Error\r\n"
 #define FULL "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
 
@@ -71,6 +72,28 @@
     {"refusal until close, reset", TEXT(FULL "\r\nfu"), FAKE_RESETS, 502, ""},
     {"head cut", TEXT(OK "Content-Le"), FAKE_CLOSES, 502, ""},
     {"head cut by reset", TEXT(OK "Content-Le"), FAKE_RESETS, 502, ""},
+    {"status 000", TEXT(STATUS("000") "Content-Length: 4\r\n\r\nbody"),
+	FAKE_KEEPS, 502, ""},
+    {"status 000 in chunks",
+	TEXT(STATUS("000") "Transfer-Encoding: chunked\r\n\r\n"
+			   "4\r\nbody\r\n0\r\n\r\n"),
+	FAKE_KEEPS, 502, ""},
+    {"status 000 until close", TEXT(STATUS("000") "\r\nbody"), FAKE_CLOSES, 502,
+	""},
+    {"status 000 without an end", TEXT(STATUS("000") "\r\nbody"), FAKE_KEEPS,
+	502, ""},
+    {"status 099", TEXT(STATUS("099") "Content-Length: 0\r\n\r\n"), FAKE_KEEPS,
+	502, ""},
+    {"status 600", TEXT(STATUS("600") "Content-Length: 0\r\n\r\n"), FAKE_KEEPS,
+	502, ""},
+    {"status of four digits",
+	TEXT(STATUS("0200") "Content-Length: 4\r\n\r\nbody"), FAKE_KEEPS, 502,
+	""},
+    {"status 000, marked as not run",
+	TEXT(STATUS("000") "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"),
+	FAKE_KEEPS, 502, ""},
+    {"unasked change of the protocol", TEXT(STATUS("101") "\r\n"), FAKE_KEEPS,
+	502, ""},
 };
 
 static const char *const ways[] = {"own node", "another node"};
