http: a line that begins with a blank is invalid after any value

What callers saw: a head with "A:" and then " Content-Length: 4" was taken for one field A whose value is "Content-Length: 4": the line was passed on and the body lasted until the connection was closed. "Content-Length:" with " 4" in the next line set the length. A name with a blank or a control byte was refused, but only when the head was complete: one without an end cost the call's deadline (504). A head refused in this way that announced an empty body was also taken for a closed idle connection, and a call that may repeat was sent once more.

Cause: http-parser joins a line that begins with a blank to the one before. The check looked for line breaks in values, and after an empty value the parser reports only what follows the break. Names were checked in the parsed head. The parser's "message complete" of such a head was kept although the head was refused.

Change: the reader checks the raw lines as they become complete: a name of the allowed bytes, at once a colon, and a value without control bytes. That covers joined lines in every place and needs no complete head. It replaces the check of the parsed names, for requests as well. A refused head is never complete.

Already handled before: blanks, tabs, DEL, NUL and other control bytes within complete names, and blanks before the colon; these cases are kept as tests.

--- a/packages/http/http.c
+++ b/packages/http/http.c
@@ -21,9 +21,9 @@
 static bool skip_blank_lines(struct http_reader *r, struct str *in);
 static enum http_event read_head(struct http_reader *r, struct str *in);
 static enum http_event parse_head(struct http_reader *r);
-static size_t find_head_end(const struct http_reader *r);
-static bool has_valid_headers(const struct http_head *h);
-static bool contains_line_break(struct str value);
+static enum http_event scan_head(struct http_reader *r, size_t *end);
+static bool is_valid_line(struct str line);
+static bool is_name_byte(char c);
 static enum http_event read_body(struct http_reader *r, struct str *in);
 static bool has_invalid_start(const struct http_reader *r);
 static bool has_valid_reason(const struct http_reader *r);
@@ -81,7 +81,7 @@
 	r->head_bytes.len = 0;
 	r->body.len = 0;
 	trim_buf(&r->body, IDLE_BODY_MAX_BYTES);
-	r->scanned = 0;
+	r->line_at = r->scanned = 0;
 	r->head_done = false;
 	r->ended = false;
 	r->error = 0;
@@ -208,6 +208,7 @@
 read_head(struct http_reader *r, struct str *in)
 {
 	size_t before = r->head_bytes.len, end;
+	enum http_event e;
 
 	if (r->head_bytes.len == 0 && skip_blank_lines(r, in))
 		return READ_MORE;
@@ -215,16 +216,16 @@
 		return READ_BAD;
 	if (has_invalid_start(r))
 		return READ_BAD;
-	end = find_head_end(r);
-	if (end == 0) {
-		r->scanned = r->head_bytes.len;
+	e = scan_head(r, &end);
+	if (e == READ_MORE && r->head_bytes.len <= r->head_max) {
 		in->data += in->len;
 		in->len = 0;
-		return r->head_bytes.len > r->head_max ? READ_HEAD_TOO_LARGE :
-							 READ_MORE;
+		return READ_MORE;
 	}
-	if (end > r->head_max)
+	if (e == READ_MORE || (e == READ_HEAD && end > r->head_max))
 		return READ_HEAD_TOO_LARGE;
+	if (e != READ_HEAD)
+		return e;
 	in->data += end - before;
 	in->len -= end - before;
 	r->head_bytes.len = end;
@@ -253,26 +254,63 @@
 }
 
 /*
- * Returns the length of the head with its empty line, or 0 if it is
- * incomplete. The search resumes 3 bytes before the end of the last one, as
- * the empty line may have arrived in part.
+ * Checks the lines that have become complete, so that a head with an invalid
+ * one is not waited for. Returns READ_HEAD with the length of the head and its
+ * empty line, READ_MORE if it is incomplete, or READ_BAD.
  */
-static size_t
-find_head_end(const struct http_reader *r)
+static enum http_event
+scan_head(struct http_reader *r, size_t *end)
 {
-	size_t at = r->scanned > 3 ? r->scanned - 3 : 0;
-	const char *p = r->head_bytes.data;
-
-	for (; at < r->head_bytes.len; at++) {
-		if (p[at] != '\n')
-			continue;
-		if (at + 1 < r->head_bytes.len && p[at + 1] == '\n')
-			return at + 2;
-		if (at + 2 < r->head_bytes.len && p[at + 1] == '\r' &&
-		    p[at + 2] == '\n')
-			return at + 3;
+	struct str head = view_buf(&r->head_bytes);
+	const char *lf;
+
+	while ((lf = memchr(head.data + r->scanned, '\n',
+		    head.len - r->scanned)) != NULL) {
+		struct str line = make_str_n(head.data + r->line_at,
+		    (size_t)(lf - head.data) - r->line_at);
+		bool first = r->line_at == 0;
+
+		r->scanned = r->line_at = (size_t)(lf - head.data) + 1;
+		if (line.len > 0 && line.data[line.len - 1] == '\r')
+			line.len--;
+		if (line.len == 0) {
+			*end = r->line_at;
+			return READ_HEAD;
+		}
+		if (!first && !is_valid_line(line))
+			return READ_BAD;
 	}
-	return 0;
+	r->scanned = head.len;
+	return READ_MORE;
+}
+
+/*
+ * Checks the line of a field: a name, a colon and a value. http-parser accepts
+ * blanks in names, such as "Content-Length : 3", for which the other side may
+ * assume another length (request smuggling). It also joins a line that begins
+ * with a blank to the one before, which is rejected as RFC 9112 permits.
+ */
+static bool
+is_valid_line(struct str line)
+{
+	size_t at = 0;
+
+	while (at < line.len && is_name_byte(line.data[at]))
+		at++;
+	if (at == 0 || at == line.len || line.data[at] != ':')
+		return false;
+	while (++at < line.len) {
+		if (!is_text_byte(line.data[at]))
+			return false;
+	}
+	return true;
+}
+
+/* Whether a byte may stand in a field's name (RFC 9110, section 5.6.2). */
+static bool
+is_name_byte(char c)
+{
+	return c > ' ' && c < 0x7f && strchr("\"(),/:;<=>?@[\\]{}", c) == NULL;
 }
 
 /*
@@ -333,9 +371,10 @@
 	if (r->error != 0 || !r->head_done ||
 	    (HTTP_PARSER_ERRNO(&r->parser) != HPE_OK &&
 		HTTP_PARSER_ERRNO(&r->parser) != HPE_PAUSED) ||
-	    n != r->head_bytes.len || !has_valid_headers(&r->head) ||
-	    (!r->requests && !has_valid_reason(r)))
+	    n != r->head_bytes.len || (!r->requests && !has_valid_reason(r))) {
+		r->ended = false;
 		return READ_BAD;
+	}
 	if (r->requests)
 		r->head.method = make_str(http_method_str(r->parser.method));
 	if (r->head.content_length > (int64_t)r->body_max)
@@ -343,36 +382,6 @@
 	return READ_HEAD;
 }
 
-/*
- * Debian's build of http-parser accepts blanks in names, such as
- * "Content-Length : 3", for which a backend server may assume another length
- * (request smuggling). Folded values are rejected, as RFC 9112 permits.
- */
-static bool
-has_valid_headers(const struct http_head *h)
-{
-	for (size_t i = 0; i < h->header_count; i++) {
-		struct str n = h->headers[i].name;
-
-		if (n.len == 0 || contains_line_break(h->headers[i].value))
-			return false;
-		for (size_t k = 0; k < n.len; k++) {
-			if (n.data[k] <= ' ' || n.data[k] >= 0x7f ||
-			    strchr("\"(),/:;<=>?@[\\]{}", n.data[k]) != NULL)
-				return false;
-		}
-	}
-	return true;
-}
-
-static bool
-contains_line_break(struct str value)
-{
-	return value.len > 0 &&
-	       (memchr(value.data, '\n', value.len) != NULL ||
-		   memchr(value.data, '\r', value.len) != NULL);
-}
-
 /*
  * Parses the body into r->body, up to the end of the message.
  */
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -50,7 +50,8 @@
 	/* Private */
 	http_parser parser;
 	struct buf head_bytes; /* bytes of the head */
-	size_t scanned; /* of head_bytes, without an end of the head */
+	size_t line_at; /* of head_bytes: start of the first incomplete line */
+	size_t scanned; /* of head_bytes, without an end of that line */
 	bool head_done;
 	bool ended; /* the message is complete */
 	int error; /* negative error from a parser callback */
--- a/packages/http/tests/test_http_reader.c
+++ b/packages/http/tests/test_http_reader.c
@@ -104,6 +104,64 @@
     {"control byte in a reason", false,
 	"HTTP/1.1 200 O\x01K\r\nContent-Length: 2\r\n\r\nok", READ_BAD, 0, NULL,
 	NULL, NULL},
+    {"bytes above ASCII in a value", false,
+	"HTTP/1.1 200 OK\r\nA: \xc3\xa9\tb\r\nB:\r\nContent-Length: "
+	"2\r\n\r\nok",
+	READ_END, 0, "200", "ok", ""},
+    {"lines that end with LF only", false,
+	"HTTP/1.1 200 OK\nA: b\nContent-Length: 2\n\nok", READ_END, 0, "200",
+	"ok", ""},
+    {"blank in a name", false,
+	"HTTP/1.1 200 OK\r\nA b: c\r\nContent-Length: 2\r\n\r\nok", READ_BAD, 0,
+	NULL, NULL, NULL},
+    {"blank in a name, head not complete", false,
+	"HTTP/1.1 200 OK\r\nA b: c\r\n", READ_BAD, 0, NULL, NULL, NULL},
+    {"control byte in a name", false,
+	"HTTP/1.1 200 OK\r\nA\x01: c\r\nContent-Length: 2\r\n\r\nok", READ_BAD,
+	0, NULL, NULL, NULL},
+    {"tab in a name", false,
+	"HTTP/1.1 200 OK\r\nA\tb: c\r\nContent-Length: 2\r\n\r\nok", READ_BAD,
+	0, NULL, NULL, NULL},
+    {"DEL in a name", false,
+	"HTTP/1.1 200 OK\r\nA\x7f: c\r\nContent-Length: 2\r\n\r\nok", READ_BAD,
+	0, NULL, NULL, NULL},
+    {"blank before the colon of a length", false,
+	"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok", READ_BAD, 0, NULL,
+	NULL, NULL},
+    {"blank before the colon of a coding", false,
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n"
+	"2\r\nok\r\n0\r\n\r\n",
+	READ_BAD, 0, NULL, NULL, NULL},
+    {"blank before the first name", false,
+	"HTTP/1.1 200 OK\r\n Content-Length: 2\r\n\r\nok", READ_BAD, 0, NULL,
+	NULL, NULL},
+    {"blank before a name after a value", false,
+	"HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 2\r\n\r\nok", READ_BAD, 0,
+	NULL, NULL, NULL},
+    {"blank before a name after an empty value", false,
+	"HTTP/1.1 200 OK\r\nA:\r\n Content-Length: 2\r\n\r\nok", READ_BAD, 0,
+	NULL, NULL, NULL},
+    {"tab before a name after an empty value", false,
+	"HTTP/1.1 200 OK\r\nA: \r\n\tContent-Length: 2\r\n\r\nok", READ_BAD, 0,
+	NULL, NULL, NULL},
+    {"length on the next line", false,
+	"HTTP/1.1 200 OK\r\nContent-Length:\r\n 2\r\n\r\nok", READ_BAD, 0, NULL,
+	NULL, NULL},
+    {"line of a blank", false,
+	"HTTP/1.1 200 OK\r\nA:\r\n \r\nContent-Length: 2\r\n\r\nok", READ_BAD,
+	0, NULL, NULL, NULL},
+    {"no name", false, "HTTP/1.1 200 OK\r\n: c\r\nContent-Length: 2\r\n\r\nok",
+	READ_BAD, 0, NULL, NULL, NULL},
+    {"no colon", false, "HTTP/1.1 200 OK\r\nAb\r\nContent-Length: 2\r\n\r\nok",
+	READ_BAD, 0, NULL, NULL, NULL},
+    {"control byte in a value", false,
+	"HTTP/1.1 200 OK\r\nA: b\x01\r\nContent-Length: 2\r\n\r\nok", READ_BAD,
+	0, NULL, NULL, NULL},
+    {"CR in a value", false,
+	"HTTP/1.1 200 OK\r\nA: b\rc\r\nContent-Length: 2\r\n\r\nok", READ_BAD,
+	0, NULL, NULL, NULL},
+    {"folded header after an empty value", true,
+	"GET / HTTP/1.1\r\nA:\r\n b\r\n\r\n", READ_BAD, 0, NULL, NULL, NULL},
 };
 
 /*
@@ -180,6 +238,23 @@
 }
 END_TEST
 
+/* Guards against a NUL byte that ends a check of the head too early. */
+START_TEST(nul_bytes_are_rejected)
+{
+	static const char heads[][48] = {
+	    "HTTP/1.1 200 O\0K\r\nContent-Length: 2\r\n\r\n",
+	    "HTTP/1.1 200 OK\r\nA\0b: c\r\nB: d\r\n\r\n",
+	    "HTTP/1.1 200 OK\r\nA: b\0c\r\nB: d\r\n\r\n",
+	};
+	struct str in = make_str_n(heads[_i], sizeof(heads[_i]));
+	struct http_reader r;
+
+	open_http_reader(&r, false, HEAD_MAX, BODY_MAX);
+	ck_assert_int_eq(read_http(&r, &in), READ_BAD);
+	close_http_reader(&r);
+}
+END_TEST
+
 /* Guards against unbounded memory for a head. */
 START_TEST(large_heads_are_rejected)
 {
@@ -328,6 +403,7 @@
 
 	tcase_add_loop_test(t, messages_parse_equally_from_any_read_sizes, 0,
 	    sizeof(cases) / sizeof(cases[0]));
+	tcase_add_loop_test(t, nul_bytes_are_rejected, 0, 3);
 	tcase_add_test(t, large_heads_are_rejected);
 	tcase_add_loop_test(t, long_heads_are_read, 0,
 	    sizeof(head_cases) / sizeof(head_cases[0]));
--- a/packages/node/tests/test_answers.c
+++ b/packages/node/tests/test_answers.c
@@ -94,6 +94,23 @@
 	FAKE_KEEPS, 502, ""},
     {"unasked change of the protocol", TEXT(STATUS("101") "\r\n"), FAKE_KEEPS,
 	502, ""},
+    {"blank in a name", TEXT(OK "A b: c\r\nContent-Length: 4\r\n\r\nbody"),
+	FAKE_KEEPS, 502, ""},
+    {"control byte in a name",
+	TEXT(OK "A\x01: c\r\nContent-Length: 4\r\n\r\nbody"), FAKE_KEEPS, 502,
+	""},
+    {"NUL in a name", TEXT(OK "A\0b: c\r\nContent-Length: 4\r\n\r\nbody"),
+	FAKE_KEEPS, 502, ""},
+    {"blank before a colon", TEXT(OK "Content-Length : 4\r\n\r\nbody"),
+	FAKE_CLOSES, 502, ""},
+    {"blank before a name", TEXT(OK "A: b\r\n Content-Length: 4\r\n\r\nbody"),
+	FAKE_CLOSES, 502, ""},
+    {"blank before a name after an empty value",
+	TEXT(OK "A:\r\n Content-Length: 4\r\n\r\nbody"), FAKE_CLOSES, 502, ""},
+    {"blank in a name of a refusal",
+	TEXT(FULL "A b: c\r\nContent-Length: 0\r\n\r\n"), FAKE_KEEPS, 502, ""},
+    {"blank in a name, no end of the head", TEXT(OK "A b: c\r\n"), FAKE_KEEPS,
+	502, ""},
 };
 
 static const char *const ways[] = {"own node", "another node"};
