http: chunked bodies are read strictly

What callers saw: an answer in chunks one of which was up to two bytes longer than its size arrived as complete, without these bytes; so did answers with other bytes in place of the last line end, with a line break or control bytes in an extension, or with an invalid name in the trailer. Extensions and trailers were bounded at 2 MiB only. A sound "chunked" with a tab behind it was not taken for chunks.

Cause: Debian builds http-parser without HTTP_PARSER_STRICT. Its checks of the CR and LF after a size, after a chunk and after the trailer are compiled out, and it skips everything between a size and the next CR.

Change: chunks.c decodes chunks by the grammar of RFC 9112, section 7.1, with one state a byte for framing; data is taken in one piece. Each size's line and the trailer are bounded by the limit on heads. http-parser still parses heads and bodies with a length. Requests use the same decoder.

Already handled before: a chunk shorter than its size, sizes that are missing, signed, with a base or over 64 bits, and trailers without a name or colon; kept as tests.

--- a/packages/http/http.c
+++ b/packages/http/http.c
@@ -1,6 +1,7 @@
 /*
- * HTTP messages, parsed by http-parser. The complete head is buffered before
- * it is parsed, so that its strings do not move; the body has its own buffer.
+ * HTTP messages, parsed by http-parser, but for chunks, which chunks.c decodes.
+ * The complete head is buffered before it is parsed, so that its strings do not
+ * move; the body has its own buffer.
  */
 #include <pthread.h>
 #include <string.h>
@@ -14,8 +15,8 @@
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
 /*
- * The parser's own bound on heads, chunk sizes and trailers, 80 KB by default.
- * Heads are bounded by head_max, which never exceeds it.
+ * The parser's own bound on heads, 80 KB by default. Heads are bounded by
+ * head_max, which never exceeds it.
  */
 #define PARSER_HEAD_MAX_BYTES (2 * 1024 * 1024)
 
@@ -25,13 +26,13 @@
 static enum http_event parse_head(struct http_reader *r);
 static enum http_event scan_head(struct http_reader *r, size_t *end);
 static bool is_valid_line(struct str line);
-static bool is_name_byte(char c);
+static bool is_chunked(const struct http_head *h);
 static enum http_event read_body(struct http_reader *r, struct str *in);
+static enum http_event read_chunked_body(struct http_reader *r, struct str *in);
 static bool has_invalid_start(const struct http_reader *r);
 static bool has_valid_reason(const struct http_reader *r);
 static bool has_valid_framing(const struct http_reader *r);
 static struct str trim_blanks(struct str s);
-static bool is_text_byte(char c);
 static int append_url(http_parser *p, const char *at, size_t len);
 static int append_header_name(http_parser *p, const char *at, size_t len);
 static int append_header_value(http_parser *p, const char *at, size_t len);
@@ -89,6 +90,7 @@
 	r->head_done = false;
 	r->ended = false;
 	r->error = 0;
+	open_chunk_reader(&r->chunks, r->head_max);
 }
 
 bool
@@ -114,7 +116,7 @@
 		return READ_END;
 	if (r->head_bytes.len == 0)
 		return READ_MORE;
-	if (!r->head_done)
+	if (!r->head_done || r->head.chunked)
 		return READ_BAD;
 	(void)http_parser_execute(&r->parser, &settings, NULL, 0);
 	return r->ended ? READ_END : READ_BAD;
@@ -306,13 +308,6 @@
 	return true;
 }
 
-/* Whether a byte may stand in a field's name (RFC 9110, section 5.6.2). */
-static bool
-is_name_byte(char c)
-{
-	return c > ' ' && c < 0x7f && strchr("\"(),/:;<=>?@[\\]{}", c) == NULL;
-}
-
 /*
  * Returns whether the bytes cannot begin a response. Such bytes need not
  * contain an end of a head, so waiting for one could take forever. Statuses
@@ -361,20 +356,30 @@
 has_valid_framing(const struct http_reader *r)
 {
 	const struct http_head *h = &r->head;
-	bool coded = false;
+	bool coded = find_http_header(h, "transfer-encoding").data != NULL;
+
+	if (coded && (!is_chunked(h) || r->parser.http_minor == 0))
+		return false;
+	return (h->status >= 200 && h->status != STATUS_NO_CONTENT) ||
+	       (!coded && h->content_length <= 0);
+}
+
+/* Whether chunked is the only transfer coding. */
+static bool
+is_chunked(const struct http_head *h)
+{
+	size_t codings = 0;
 
 	for (size_t i = 0; i < h->header_count; i++) {
 		if (!is_http_name_equal(
 			h->headers[i].name, "transfer-encoding"))
 			continue;
-		if (coded || !h->chunked || r->parser.http_minor == 0 ||
-		    !is_http_name_equal(
+		if (!is_http_name_equal(
 			trim_blanks(h->headers[i].value), "chunked"))
 			return false;
-		coded = true;
+		codings++;
 	}
-	return (h->status >= 200 && h->status != STATUS_NO_CONTENT) ||
-	       (!coded && h->content_length <= 0);
+	return codings == 1;
 }
 
 static struct str
@@ -390,13 +395,6 @@
 	return s;
 }
 
-/* Whether a byte may stand in a field's value or in a reason. */
-static bool
-is_text_byte(char c)
-{
-	return c == '\t' || ((unsigned char)c >= ' ' && c != 0x7f);
-}
-
 /*
  * Parses the complete head in r->head_bytes.
  */
@@ -433,6 +431,8 @@
 
 	if (in->len == 0)
 		return READ_MORE; /* 0 bytes mean end of file to the parser */
+	if (r->head.chunked)
+		return read_chunked_body(r, in);
 	http_parser_pause(&r->parser, 0);
 	n = http_parser_execute(&r->parser, &settings, in->data, in->len);
 	in->data += n;
@@ -447,6 +447,32 @@
 	return READ_MORE;
 }
 
+static enum http_event
+read_chunked_body(struct http_reader *r, struct str *in)
+{
+	struct str data;
+
+	for (;;) {
+		switch (read_chunks(&r->chunks, in, &data)) {
+		case CHUNKS_MORE:
+			return READ_MORE;
+		case CHUNKS_DATA:
+			if (append_body(&r->parser, data.data, data.len) != 0)
+				return r->error == ERR_LIMIT ?
+					   READ_BODY_TOO_LARGE :
+					   READ_BAD;
+			break;
+		case CHUNKS_END:
+			r->ended = true;
+			return READ_END;
+		case CHUNKS_BAD:
+			return READ_BAD;
+		case CHUNKS_TOO_LARGE:
+			return READ_HEAD_TOO_LARGE;
+		}
+	}
+}
+
 static int
 append_url(http_parser *p, const char *at, size_t len)
 {
@@ -467,8 +493,6 @@
 	struct http_header *last =
 	    h->header_count > 0 ? &h->headers[h->header_count - 1] : NULL;
 
-	if (r->head_done)
-		return 0; /* trailers are dropped */
 	if (last != NULL && last->value.data == NULL) {
 		extend_str(&last->name, at, len);
 		return 0;
@@ -488,7 +512,7 @@
 	struct http_reader *r = p->data;
 	struct http_head *h = &r->head;
 
-	if (r->head_done || h->header_count == 0)
+	if (h->header_count == 0)
 		return 0;
 	extend_str(&h->headers[h->header_count - 1].value, at, len);
 	return 0;
@@ -506,7 +530,7 @@
 	r->head_done = true;
 	r->head.status = (int)p->status_code;
 	r->head.keep_alive = http_should_keep_alive(p) != 0;
-	r->head.chunked = (p->flags & F_CHUNKED) != 0;
+	r->head.chunked = (p->flags & F_CHUNKED) != 0 || is_chunked(&r->head);
 	r->head.content_length = -1;
 	if ((p->flags & F_CONTENTLENGTH) != 0)
 		r->head.content_length = p->content_length <= INT64_MAX ?
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -9,6 +9,7 @@
 #include <http_parser.h>
 
 #include "base.h"
+#include "chunks.h"
 
 #define HTTP_HEADERS_MAX 96 /* of one message; more: READ_HEAD_TOO_LARGE */
 
@@ -49,6 +50,7 @@
 	struct buf body; /* without chunk framing */
 	/* Private */
 	http_parser parser;
+	struct chunk_reader chunks; /* of a chunked body */
 	struct buf head_bytes; /* bytes of the head */
 	size_t line_at; /* of head_bytes: start of the first incomplete line */
 	size_t scanned; /* of head_bytes, without an end of that line */
--- a/packages/http/tests/test_http_reader.c
+++ b/packages/http/tests/test_http_reader.c
@@ -10,6 +10,7 @@
 
 #define HEAD_MAX 512
 #define BODY_MAX 64
+#define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 struct message_case {
 	const char *what;
@@ -161,7 +162,7 @@
 	"HTTP/1.1 200 OK\r\nA: b\rc\r\nContent-Length: 2\r\n\r\nok", READ_BAD,
 	0, NULL, NULL, NULL},
     {"chunked in other letters", false,
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding: \tChunKed \r\n"
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: \tChunKed \t\r\n"
 	"\r\n2\r\nok\r\n0\r\n\r\n",
 	READ_END, 0, "200", "ok", ""},
     {"not modified, with a length", false,
@@ -284,6 +285,69 @@
 	"HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775808\r\n"
 	"\r\nok",
 	READ_BODY_TOO_LARGE, 0, NULL, NULL, NULL},
+    {"chunk with an extension", false,
+	CHUNKED "2;a=\"b\"\r\nok\r\n0;c\r\n\r\nHTTP", READ_END, 0, "200", "ok",
+	"HTTP"},
+    {"blanks after a chunk size", false, CHUNKED "2 \t\r\nok\r\n0 ;c\r\n\r\n",
+	READ_END, 0, "200", "ok", ""},
+    {"zeros before a chunk size", false,
+	CHUNKED "00000000000000000002\r\nok\r\n000\r\n\r\n", READ_END, 0, "200",
+	"ok", ""},
+    {"hexadecimal chunk size", false, CHUNKED "0A\r\n0123456789\r\n0\r\n\r\n",
+	READ_END, 0, "200", "0123456789", ""},
+    {"trailer", false, CHUNKED "2\r\nok\r\n0\r\nA: b\r\nC:\r\n\r\nX", READ_END,
+	0, "200", "ok", "X"},
+    {"chunk longer than its size", false, CHUNKED "2\r\nokXY0\r\n\r\n",
+	READ_BAD, 0, NULL, NULL, NULL},
+    {"chunk longer by a byte", false, CHUNKED "2\r\nokX\r\n0\r\n\r\n", READ_BAD,
+	0, NULL, NULL, NULL},
+    {"chunk shorter than its size", false, CHUNKED "4\r\nok\r\n0\r\n\r\n",
+	READ_BAD, 0, NULL, NULL, NULL},
+    {"CR only after a chunk", false, CHUNKED "2\r\nok\rX0\r\n\r\n", READ_BAD, 0,
+	NULL, NULL, NULL},
+    {"LF only after a chunk", false, CHUNKED "2\r\nok\n0\r\n\r\n", READ_BAD, 0,
+	NULL, NULL, NULL},
+    {"CR only after a chunk size", false, CHUNKED "2\rXok\r\n0\r\n\r\n",
+	READ_BAD, 0, NULL, NULL, NULL},
+    {"LF only after a chunk size", false, CHUNKED "2\nok\r\n0\r\n\r\n",
+	READ_BAD, 0, NULL, NULL, NULL},
+    {"text after a chunk size", false, CHUNKED "2 x\r\nok\r\n0\r\n\r\n",
+	READ_BAD, 0, NULL, NULL, NULL},
+    {"line break in an extension", false, CHUNKED "2;\nok\r\nok\r\n0\r\n\r\n",
+	READ_BAD, 0, NULL, NULL, NULL},
+    {"control byte in an extension", false,
+	CHUNKED "2;a\x01\r\nok\r\n0\r\n\r\n", READ_BAD, 0, NULL, NULL, NULL},
+    {"no chunk size", false, CHUNKED "\r\nok\r\n0\r\n\r\n", READ_BAD, 0, NULL,
+	NULL, NULL},
+    {"blank before a chunk size", false, CHUNKED " 2\r\nok\r\n0\r\n\r\n",
+	READ_BAD, 0, NULL, NULL, NULL},
+    {"negative chunk size", false, CHUNKED "-2\r\nok\r\n0\r\n\r\n", READ_BAD, 0,
+	NULL, NULL, NULL},
+    {"chunk size with a base", false, CHUNKED "0x2\r\nok\r\n0\r\n\r\n",
+	READ_BAD, 0, NULL, NULL, NULL},
+    {"chunk size over 64 bits", false,
+	CHUNKED "10000000000000002\r\nok\r\n0\r\n\r\n", READ_BAD, 0, NULL, NULL,
+	NULL},
+    {"CR only at the end", false, CHUNKED "2\r\nok\r\n0\r\n\rX", READ_BAD, 0,
+	NULL, NULL, NULL},
+    {"LF only at the end", false, CHUNKED "2\r\nok\r\n0\r\n\n", READ_BAD, 0,
+	NULL, NULL, NULL},
+    {"blank in a name of a trailer", false, CHUNKED "0\r\nA b: c\r\n\r\n",
+	READ_BAD, 0, NULL, NULL, NULL},
+    {"control byte in a name of a trailer", false,
+	CHUNKED "0\r\nA\x01: c\r\n\r\n", READ_BAD, 0, NULL, NULL, NULL},
+    {"blank before a name of a trailer", false, CHUNKED "0\r\n A: b\r\n\r\n",
+	READ_BAD, 0, NULL, NULL, NULL},
+    {"joined line in a trailer", false, CHUNKED "0\r\nA:\r\n b\r\n\r\n",
+	READ_BAD, 0, NULL, NULL, NULL},
+    {"control byte in a trailer", false, CHUNKED "0\r\nA: \x01\r\n\r\n",
+	READ_BAD, 0, NULL, NULL, NULL},
+    {"no name in a trailer", false, CHUNKED "0\r\n: b\r\n\r\n", READ_BAD, 0,
+	NULL, NULL, NULL},
+    {"no colon in a trailer", false, CHUNKED "0\r\nA\r\n\r\n", READ_BAD, 0,
+	NULL, NULL, NULL},
+    {"bytes that are no chunk", false, CHUNKED "<html>oh no</html>", READ_BAD,
+	0, NULL, NULL, NULL},
     {"folded header after an empty value", true,
 	"GET / HTTP/1.1\r\nA:\r\n b\r\n\r\n", READ_BAD, 0, NULL, NULL, NULL},
 };
@@ -464,6 +528,25 @@
 }
 END_TEST
 
+static const char *const framings[] = {"1;", "0\r\nA: "};
+
+/* Guards against unbounded extensions and trailers of chunks. */
+START_TEST(long_framing_is_rejected)
+{
+	struct http_reader r;
+	struct buf b = {0};
+	struct str in;
+
+	append_buf_fmt(&b, CHUNKED "%s%0*d", framings[_i], HEAD_MAX, 0);
+	in = view_buf(&b);
+	open_http_reader(&r, false, HEAD_MAX, BODY_MAX);
+	ck_assert_int_eq(read_http(&r, &in), READ_HEAD);
+	ck_assert_int_eq(read_http(&r, &in), READ_HEAD_TOO_LARGE);
+	close_http_reader(&r);
+	unload_buf(&b);
+}
+END_TEST
+
 /* Guards against state of one message that leaks into the next. */
 START_TEST(pipelined_messages_share_no_state)
 {
@@ -556,6 +639,7 @@
 	tcase_add_test(t, large_heads_are_rejected);
 	tcase_add_loop_test(t, long_heads_are_read, 0,
 	    sizeof(head_cases) / sizeof(head_cases[0]));
+	tcase_add_loop_test(t, long_framing_is_rejected, 0, 2);
 	tcase_add_test(t, pipelined_messages_share_no_state);
 	tcase_add_loop_test(t, hop_by_hop_headers_are_recognized, 0,
 	    sizeof(header_cases) / sizeof(header_cases[0]));
--- a/packages/node/tests/test_answers.c
+++ b/packages/node/tests/test_answers.c
@@ -146,6 +146,20 @@
     {"no content", TEXT(STATUS("204") "\r\n"), FAKE_KEEPS, 204, ""},
     {"not modified, with a length", TEXT(STATUS("304") LENGTH_LINE "\r\n"),
 	FAKE_KEEPS, 304, ""},
+    {"chunk longer than its size", TEXT(CHUNKS "4\r\nbodyXY0\r\n\r\n"),
+	FAKE_KEEPS, 502, ""},
+    {"chunk shorter than its size", TEXT(CHUNKS "6\r\nbody\r\n0\r\n\r\n"),
+	FAKE_KEEPS, 502, ""},
+    {"line break in an extension", TEXT(CHUNKS "4;\nbody\r\nbody\r\n0\r\n\r\n"),
+	FAKE_KEEPS, 502, ""},
+    {"no end of the last chunk", TEXT(CHUNKS "4\r\nbody\r\n0\r\n\rX"),
+	FAKE_KEEPS, 502, ""},
+    {"blank in a name of a trailer",
+	TEXT(CHUNKS "4\r\nbody\r\n0\r\nA b: c\r\n\r\n"), FAKE_KEEPS, 502, ""},
+    {"bytes that are no chunk", TEXT(CHUNKS "<html>oh no</html>"), FAKE_KEEPS,
+	502, ""},
+    {"trailer", TEXT(CHUNKS "4\r\nbody\r\n0\r\nA: b\r\n\r\n"), FAKE_KEEPS, 200,
+	"body"},
 };
 
 static const char *const ways[] = {"own node", "another node"};
