proxy: heads of answers are checked as the node's reader checks them

What callers of the older data path (--role=node) saw: an answer whose head had a blank or a control byte in a name or in a value reached them as a 200, with that line passed on. "HTTP/1.1 200X" was a 200, too. Answers with "chunked, chunked", with chunked in two lines, or with a length besides a coding were taken as complete. Two different lengths and a 101 cost the deadline.

Cause: receive_header() splits lines at the colon and relies on libcurl, which does not check names, values or the end of the status. The status 000 was already refused (parse_i64() from 100), as were 099, 600 and blanks before the colon of the length itself; kept as tests.

Change: is_http_status_line() and is_http_field_line() of packages/http, which the node's reader uses, check each line, trailers included. A second length or coding, a length besides a coding, a coding other than chunked and a 101 abort the transfer, which closes its connection. A broken answer is of unknown outcome as before.

--- a/packages/http/http.c
+++ b/packages/http/http.c
@@ -12,6 +12,7 @@
 /* Before a body arrives; a client may announce one and never send it. */
 #define BODY_RESERVE_MAX_BYTES (256 * 1024)
 #define IDLE_BODY_MAX_BYTES (64 * 1024) /* kept for the next message */
+#define STATUS_BYTES (sizeof("HTTP/1.1 200") - 1)
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
 /*
@@ -25,12 +26,11 @@
 static enum http_event read_head(struct http_reader *r, struct str *in);
 static enum http_event parse_head(struct http_reader *r);
 static enum http_event scan_head(struct http_reader *r, size_t *end);
-static bool is_valid_line(struct str line);
 static bool is_chunked(const struct http_head *h);
 static enum http_event read_body(struct http_reader *r, struct str *in);
 static enum http_event read_chunked_body(struct http_reader *r, struct str *in);
-static bool has_invalid_start(const struct http_reader *r);
-static bool has_valid_reason(const struct http_reader *r);
+static bool matches_status(struct str s);
+static bool is_text(struct str s);
 static bool has_valid_framing(const struct http_reader *r);
 static struct str trim_blanks(struct str s);
 static int append_url(http_parser *p, const char *at, size_t len);
@@ -185,6 +185,35 @@
 	return false;
 }
 
+/* What follows the status is nothing, or a blank and a text. */
+bool
+is_http_status_line(struct str line)
+{
+	struct str reason;
+
+	if (line.len < STATUS_BYTES || !matches_status(line))
+		return false;
+	reason = make_str_n(line.data + STATUS_BYTES, line.len - STATUS_BYTES);
+	return reason.len == 0 || (reason.data[0] == ' ' && is_text(reason));
+}
+
+/*
+ * A field is a name, a colon and a value. http-parser and libcurl accept blanks
+ * in names, such as "Content-Length : 3", for which the other side may assume
+ * another length (request smuggling). A line that begins with a blank continues
+ * the one before, and is rejected as RFC 9112 permits.
+ */
+bool
+is_http_field_line(struct str line)
+{
+	size_t at = 0;
+
+	while (at < line.len && is_name_byte(line.data[at]))
+		at++;
+	return at > 0 && at < line.len && line.data[at] == ':' &&
+	       is_text(make_str_n(line.data + at + 1, line.len - at - 1));
+}
+
 const char *
 get_http_reason(int status)
 {
@@ -216,7 +245,8 @@
 		return READ_MORE;
 	if (append_buf_str(&r->head_bytes, *in) != 0)
 		return READ_BAD;
-	if (has_invalid_start(r))
+	/* Other bytes need not contain an end of a head to wait for. */
+	if (!r->requests && !matches_status(view_buf(&r->head_bytes)))
 		return READ_BAD;
 	e = scan_head(r, &end);
 	if (e == READ_MORE && r->head_bytes.len <= r->head_max) {
@@ -279,7 +309,8 @@
 			*end = r->line_at;
 			return READ_HEAD;
 		}
-		if (!first && !is_valid_line(line))
+		if (first ? !r->requests && !is_http_status_line(line) :
+			    !is_http_field_line(line))
 			return READ_BAD;
 	}
 	r->scanned = head.len;
@@ -287,62 +318,30 @@
 }
 
 /*
- * Checks the line of a field: a name, a colon and a value. http-parser accepts
- * blanks in names, such as "Content-Length : 3", for which the other side may
- * assume another length (request smuggling). It also joins a line that begins
- * with a blank to the one before, which is rejected as RFC 9112 permits.
- */
-static bool
-is_valid_line(struct str line)
-{
-	size_t at = 0;
-
-	while (at < line.len && is_name_byte(line.data[at]))
-		at++;
-	if (at == 0 || at == line.len || line.data[at] != ':')
-		return false;
-	while (++at < line.len) {
-		if (!is_text_byte(line.data[at]))
-			return false;
-	}
-	return true;
-}
-
-/*
- * Returns whether the bytes cannot begin a response. Such bytes need not
- * contain an end of a head, so waiting for one could take forever. Statuses
+ * Whether bytes begin as "HTTP/1.1 200" does, as far as they go. Statuses
  * outside 100 to 599 are invalid (RFC 9110, section 15); http-parser accepts
  * them, and any number of digits.
  */
 static bool
-has_invalid_start(const struct http_reader *r)
+matches_status(struct str s)
 {
 	static const char low[] = "HTTP/1.0 100", high[] = "HTTP/1.9 599";
 
-	if (r->requests)
-		return false;
-	for (size_t i = 0; i < sizeof(low) - 1 && i < r->head_bytes.len; i++) {
-		if (r->head_bytes.data[i] < low[i] ||
-		    r->head_bytes.data[i] > high[i])
-			return true;
+	for (size_t i = 0; i < STATUS_BYTES && i < s.len; i++) {
+		if (s.data[i] < low[i] || s.data[i] > high[i])
+			return false;
 	}
-	return false;
+	return true;
 }
 
-/*
- * Checks what follows the status in a response's first line, which http-parser
- * does not check: nothing, or a blank and a text.
- */
 static bool
-has_valid_reason(const struct http_reader *r)
+is_text(struct str s)
 {
-	const char *p = r->head_bytes.data + sizeof("HTTP/1.1 200") - 1;
-
-	if (*p != ' ' && *p != '\r' && *p != '\n')
-		return false;
-	while (is_text_byte(*p))
-		p++;
-	return *p == '\n' || (p[0] == '\r' && p[1] == '\n');
+	for (size_t i = 0; i < s.len; i++) {
+		if (!is_text_byte(s.data[i]))
+			return false;
+	}
+	return true;
 }
 
 /*
@@ -409,8 +408,7 @@
 	if (r->error != 0 || !r->head_done ||
 	    (HTTP_PARSER_ERRNO(&r->parser) != HPE_OK &&
 		HTTP_PARSER_ERRNO(&r->parser) != HPE_PAUSED) ||
-	    n != r->head_bytes.len ||
-	    (!r->requests && (!has_valid_reason(r) || !has_valid_framing(r)))) {
+	    n != r->head_bytes.len || (!r->requests && !has_valid_framing(r))) {
 		r->ended = false;
 		return READ_BAD;
 	}
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -79,6 +79,9 @@
 bool is_http_name_equal(struct str name, const char *want); /* ignores case */
 /* Whether the header is hop-by-hop, so that a proxy does not forward it. */
 bool is_hop_by_hop_header(const struct http_head *h, struct str name);
+/* Whether a line, without its end, is a response's first one, or a field. */
+bool is_http_status_line(struct str line);
+bool is_http_field_line(struct str line);
 const char *get_http_reason(int status); /* such as "Bad Gateway" */
 
 /* Appends "Name: value\r\n". Returns ERR_MEMORY or 0. */
--- a/packages/proxy/tests/fake_backend.c
+++ b/packages/proxy/tests/fake_backend.c
@@ -33,6 +33,8 @@
 	enum fake_mode mode;
 	int times; /* calls that still get mode */
 	enum fake_mode later_mode; /* mode of the calls after these */
+	const char *text; /* of FAKE_TEXT */
+	bool text_closes;
 	char health[128];
 	int health_status;
 	int runs, arrivals, disconnects, depth;
@@ -126,6 +128,15 @@
 	pthread_mutex_unlock(&b->lock);
 }
 
+void
+set_fake_text(struct fake_backend *b, const char *text, bool closes)
+{
+	pthread_mutex_lock(&b->lock);
+	b->text = text;
+	b->text_closes = closes;
+	pthread_mutex_unlock(&b->lock);
+}
+
 void
 set_fake_health(struct fake_backend *b, const char *body, int status)
 {
@@ -370,8 +381,8 @@
 {
 	const char *ok = "HTTP/1.1 200 OK\r\nContent-Type: text/x-test\r\n"
 			 "X-Ggs-Call-Id: ";
+	int first;
 
-	(void)b;
 	switch (mode) {
 	case FAKE_OK:
 	case FAKE_BLOCKED:
@@ -431,6 +442,11 @@
 		    "%s%s\r\nContent-Length: 5\r\n\r\nlate:",
 		    ok, id, ok, id);
 		return true;
+	case FAKE_TEXT:
+		first = (int)strcspn(b->text, "\n") + 1;
+		send_fake_fmt(fd, "%.*sX-Ggs-Call-Id: %s\r\n%s", first, b->text,
+		    id, b->text + first);
+		return !b->text_closes;
 	case FAKE_CLOSE_BEFORE:
 	case FAKE_CLOSE_AFTER:
 		return false;
--- a/packages/proxy/tests/fake_backend.h
+++ b/packages/proxy/tests/fake_backend.h
@@ -23,6 +23,7 @@
 	FAKE_NOT_FOUND, /* runs the call, answers 404 */
 	FAKE_BLOCKED, /* runs and answers when the test releases it */
 	FAKE_TWICE, /* answers twice; the second belongs to no request */
+	FAKE_TEXT, /* runs the call, sends what set_fake_text() says */
 };
 
 struct fake_backend;
@@ -33,6 +34,11 @@
 void set_fake_mode(struct fake_backend *b, enum fake_mode mode, int times);
 /* The mode of all calls after those of set_fake_mode(). */
 void set_fake_later_mode(struct fake_backend *b, enum fake_mode mode);
+/*
+ * The bytes of FAKE_TEXT; a line with the call id is added after the first one.
+ * closes: the connection is closed after them.
+ */
+void set_fake_text(struct fake_backend *b, const char *text, bool closes);
 void set_fake_health(struct fake_backend *b, const char *body, int status);
 void release_fake_blocked(struct fake_backend *b);
 int count_fake_runs(struct fake_backend *b); /* calls that ran */
--- a/packages/proxy/tests/test_faults.c
+++ b/packages/proxy/tests/test_faults.c
@@ -9,6 +9,8 @@
 
 #include "proxy_fixture.h"
 
+#define DEADLINE "X-Ggs-Deadline-Ms: 15000\n"
+#define DEADLINE_NS (15 * NSEC_PER_SEC)
 #define EJECT_CALLS 60 /* three times the results needed for a rate */
 
 struct fault_case {
@@ -65,9 +67,86 @@
 	"not-run", 0},
 };
 
+struct answer_case {
+	const char *name;
+	const char *text; /* the call id is added after the first line */
+	bool closes; /* the connection after it */
+	int status;
+	const char *body;
+};
+
+#define OK "HTTP/1.1 200 OK\r\n"
+#define STATUS(status) "HTTP/1.1 " status " X\r\nContent-Length: 4\r\n\r\nbody"
+#define CODING(coding)                             \
+	OK "Transfer-Encoding: " coding "\r\n\r\n" \
+	   "4\r\nbody\r\n0\r\n\r\n"
+
+static const struct answer_case answer_cases[] = {
+    {"length", STATUS("200"), false, 200, "body"},
+    {"failure", STATUS("599"), false, 599, "body"},
+    {"chunks", CODING("chunked"), false, 200, "body"},
+    {"chunks and a trailer",
+	OK "Transfer-Encoding: chunked\r\n\r\n"
+	   "4\r\nbody\r\n0\r\nA: b\r\n\r\n",
+	false, 200, "body"},
+    {"status 000", STATUS("000"), false, 504, ""},
+    {"status 000 until close", "HTTP/1.1 000 X\r\n\r\nbody", true, 504, ""},
+    {"status 099", STATUS("099"), false, 504, ""},
+    {"status 600", STATUS("600"), false, 504, ""},
+    {"status of four digits", STATUS("2000"), false, 504, ""},
+    {"status with a letter", STATUS("200X"), false, 504, ""},
+    {"blank in a name", OK "A b: c\r\nContent-Length: 4\r\n\r\nbody", false,
+	504, ""},
+    {"control byte in a name", OK "A\x01: c\r\nContent-Length: 4\r\n\r\nbody",
+	false, 504, ""},
+    {"blank before a colon", OK "Content-Length : 4\r\n\r\nbody", true, 504,
+	""},
+    {"blank before a colon, with a length",
+	OK "A : b\r\nContent-Length: 4\r\n\r\nbody", false, 504, ""},
+    {"blank before a name", OK "A: b\r\n Content-Length: 4\r\n\r\nbody", true,
+	504, ""},
+    {"blank before a name after an empty value",
+	OK "A:\r\n Content-Length: 4\r\n\r\nbody", true, 504, ""},
+    {"joined line", OK "A: b\r\n c: d\r\nContent-Length: 4\r\n\r\nbody", false,
+	504, ""},
+    {"control byte in a value", OK "A: b\x01\r\nContent-Length: 4\r\n\r\nbody",
+	false, 504, ""},
+    {"coding before chunked", CODING("gzip, chunked"), false, 504, ""},
+    {"coding only", OK "Transfer-Encoding: identity\r\n\r\nbody", true, 504,
+	""},
+    {"chunked twice", CODING("chunked, chunked"), true, 504, ""},
+    {"chunked with a parameter", CODING("chunked;q=1"), true, 504, ""},
+    {"chunked in two lines",
+	OK "Transfer-Encoding: chunked\r\n"
+	   "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	false, 504, ""},
+    {"coding and length",
+	OK "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n"
+	   "4\r\nbody\r\n0\r\n\r\n",
+	false, 504, ""},
+    {"length and coding",
+	OK "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+	   "4\r\nbody\r\n0\r\n\r\n",
+	false, 504, ""},
+    {"two lengths", OK "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
+	false, 504, ""},
+    {"unasked change of the protocol", "HTTP/1.1 101 X\r\n\r\n", false, 504,
+	""},
+    {"chunk longer than its size",
+	OK "Transfer-Encoding: chunked\r\n\r\n4\r\nbodyXY0\r\n\r\n", false, 504,
+	""},
+    {"blank in a name of a trailer",
+	OK "Transfer-Encoding: chunked\r\n\r\n"
+	   "4\r\nbody\r\n0\r\nA b: c\r\n\r\n",
+	false, 504, ""},
+};
+
+#define ANSWER_CASES (int)(sizeof(answer_cases) / sizeof(answer_cases[0]))
+
 #define CASES (int)(sizeof(cases) / sizeof(cases[0]))
 
 static void run_case(const struct fault_case *c, bool hop);
+static void run_answer_case(const struct answer_case *c, bool hop);
 
 /*
  * Guards against answers that belong to another call or are incomplete, wrong
@@ -86,6 +165,23 @@
 }
 END_TEST
 
+/*
+ * Guards against an answer that is passed on although it cannot be one, or that
+ * fails only at the deadline; and against a sound one that does not arrive.
+ */
+START_TEST(answers_at_the_serving_node)
+{
+	run_answer_case(&answer_cases[_i], false);
+}
+END_TEST
+
+/* Guards against the same failures over the hop from an entry node. */
+START_TEST(answers_over_a_hop)
+{
+	run_answer_case(&answer_cases[_i], true);
+}
+END_TEST
+
 /* Guards against an unreachable server that is reported as unknown. */
 START_TEST(refused_connection_is_not_run)
 {
@@ -256,6 +352,33 @@
 	close_proxy_fixture(&fx);
 }
 
+static void
+run_answer_case(const struct answer_case *c, bool hop)
+{
+	struct proxy_fixture_config cfg = {.nodes = 1, .entry = hop};
+	struct clock_source clock = get_real_clock();
+	int64_t start = read_mono(&clock);
+	struct fake_reply r;
+	struct proxy_fixture fx;
+
+	open_proxy_fixture(&fx, &cfg);
+	set_fake_text(fx.backends[0], c->text, c->closes);
+	set_fake_mode(fx.backends[0], FAKE_TEXT, 1);
+	call_proxy_fixture(&fx, "read", DEADLINE, &r);
+	ck_assert_msg(r.status == c->status && r.complete, "%s: status %d (%s)",
+	    c->name, r.status, r.outcome);
+	if (c->status == 504)
+		ck_assert_str_eq(r.outcome, "unknown");
+	else
+		ck_assert_str_eq(r.body, c->body);
+	ck_assert_msg(read_mono(&clock) - start < DEADLINE_NS,
+	    "%s: not before the deadline", c->name);
+	ck_assert_int_eq(count_fake_runs(fx.backends[0]), 1);
+	call_proxy_fixture(&fx, "read", NULL, &r);
+	ck_assert_int_eq(r.status, 200);
+	close_proxy_fixture(&fx);
+}
+
 int
 main(void)
 {
@@ -267,6 +390,8 @@
 	tcase_set_timeout(t, 60);
 	tcase_add_loop_test(t, faults_at_the_serving_node, 0, CASES);
 	tcase_add_loop_test(t, faults_over_a_hop, 0, CASES);
+	tcase_add_loop_test(t, answers_at_the_serving_node, 0, ANSWER_CASES);
+	tcase_add_loop_test(t, answers_over_a_hop, 0, ANSWER_CASES);
 	tcase_add_test(t, refused_connection_is_not_run);
 	tcase_add_loop_test(
 	    t, not_run_after_an_unknown_attempt_is_unknown, 0, 2);
--- a/packages/proxy/transfer.c
+++ b/packages/proxy/transfer.c
@@ -11,6 +11,7 @@
 #include <strings.h>
 #include <sys/socket.h>
 
+#include "http.h"
 #include "transfer.h"
 
 #define POOL_HANDLES_MAX 256 /* idle easy handles for reuse */
@@ -27,6 +28,7 @@
  */
 #define UNACKED_TIMEOUT_MS 2000
 #define KEEPALIVE_S 5 /* idle time before and between keepalive probes */
+#define STATUS_SWITCHING_PROTOCOLS 101
 #define URL_BYTES 96 /* "http://IP:port/" with NUL */
 
 struct transfer {
@@ -61,11 +63,12 @@
 static int tune_socket(void *arg, curl_socket_t s, curlsocktype purpose);
 static size_t receive_header(char *data, size_t size, size_t n, void *arg);
 static bool parse_header(struct transfer *t, struct str name, struct str value);
-static void start_head(struct transfer *t, struct str line);
+static bool start_head(struct transfer *t, struct str line);
 static size_t receive_answer_body(char *data, size_t size, size_t n, void *arg);
 static void classify_transfer(struct transfer *t, CURLcode code);
 static bool has_excess_bytes(struct transfer *t);
 static struct str trim(struct str s);
+static struct str strip_line_end(struct str s);
 static bool is_equal_nocase(struct str a, const char *b);
 
 /*
@@ -318,29 +321,31 @@
 }
 
 /*
- * Curl's header callback: receives one header line. Returning less than the
- * length makes curl abort the transfer and close its connection.
+ * Curl's header callback: receives one header line, which curl does not check.
+ * Returning less than the length makes curl abort the transfer and close its
+ * connection.
  */
 static size_t
 receive_header(char *data, size_t size, size_t n, void *arg)
 {
 	struct transfer *t = arg;
-	struct str line = trim(make_str_n(data, size * n));
+	struct str line = strip_line_end(make_str_n(data, size * n));
 	const char *colon;
 	struct str name, value;
 
-	if (line.len >= 5 && memcmp(line.data, "HTTP/", 5) == 0) {
-		start_head(t, line);
-		return size * n;
-	}
-	if (t->head_complete)
-		return size * n; /* a trailer */
+	if (!t->head_complete && line.len >= 5 &&
+	    memcmp(line.data, "HTTP/", 5) == 0)
+		return start_head(t, line) ? size * n : 0;
 	if (line.len == 0) {
 		t->head_complete = t->answer.facts.status >= 200;
 		return size * n;
 	}
+	if (!is_http_field_line(line))
+		return 0;
+	if (t->head_complete)
+		return size * n; /* a trailer */
 	colon = memchr(line.data, ':', line.len);
-	if (colon == NULL || t->head.len + line.len > TRANSFER_HEAD_MAX)
+	if (t->head.len + line.len > TRANSFER_HEAD_MAX)
 		return 0;
 	name = make_str_n(line.data, (size_t)(colon - line.data));
 	value = trim(make_str_n(colon + 1, line.len - name.len - 1));
@@ -355,31 +360,33 @@
 
 /*
  * Starts a new head at a status line. An informational answer (1xx) may precede
- * the final one.
+ * the final one. Returns false if it cannot begin an answer: no call asks for a
+ * change of the protocol.
  */
-static void
+static bool
 start_head(struct transfer *t, struct str line)
 {
 	struct attempt_facts *f = &t->answer.facts;
 	int64_t status = 0;
-	const char *sp = memchr(line.data, ' ', line.len);
 
-	if (sp != NULL && line.data + line.len - sp >= 4)
-		(void)parse_i64(make_str_n(sp + 1, 3), 100, 999, &status);
+	if (is_http_status_line(line))
+		(void)parse_i64(
+		    make_str_n(line.data + 9, 3), 100, 599, &status);
 	t->head.len = 0;
-	t->head_complete = false;
 	t->chunked = false;
-	t->close_after = line.len >= 8 && memcmp(line.data, "HTTP/1.0", 8) == 0;
+	t->close_after = memcmp(line.data, "HTTP/1.0", 8) == 0;
 	t->length = -1;
 	f->status = (int)status;
 	f->has_outcome = false;
 	f->has_call_id = false;
+	return status != 0 && status != STATUS_SWITCHING_PROTOCOLS;
 }
 
 /*
  * Parses a header that the data path itself uses. Returns false, so that the
- * connection is closed at once, when the answer belongs to another call or its
- * length is invalid.
+ * connection is closed at once, when the answer belongs to another call or does
+ * not say in one way only where it ends. Curl decodes some other codings and
+ * takes the last of several lengths.
  */
 static bool
 parse_header(struct transfer *t, struct str name, struct str value)
@@ -388,10 +395,14 @@
 	int64_t n;
 
 	if (is_equal_nocase(name, "Content-Length")) {
-		if (parse_i64(value, 0, INT64_MAX, &n) != 0)
+		if (t->length >= 0 || t->chunked ||
+		    parse_i64(value, 0, INT64_MAX, &n) != 0)
 			return false;
 		t->length = n;
 	} else if (is_equal_nocase(name, "Transfer-Encoding")) {
+		if (t->length >= 0 || t->chunked ||
+		    !is_equal_nocase(value, "chunked"))
+			return false;
 		t->chunked = true;
 	} else if (is_equal_nocase(name, "Connection")) {
 		t->close_after |= is_equal_nocase(value, "close");
@@ -503,6 +514,16 @@
 	return s;
 }
 
+static struct str
+strip_line_end(struct str s)
+{
+	if (s.len > 0 && s.data[s.len - 1] == '\n')
+		s.len--;
+	if (s.len > 0 && s.data[s.len - 1] == '\r')
+		s.len--;
+	return s;
+}
+
 static bool
 is_equal_nocase(struct str a, const char *b)
 {
