node: a success marked as not run is no refusal

What callers saw: an answer 200 or 302 with the mark that the backend server has not run the call was turned into 503. That status promises that the call has not run, and a call that must not repeat is then sent again; but such an answer contradicts itself, and its server may have run the call.

Cause: check_answer() looked for the mark whatever the status was.

Change: only a status of 400 and above rejects the call; any other marked answer fails the attempt as one that may have run, and its connection is closed.

The marked 503 with a length, which stays a refusal, is a case as well.

--- a/packages/node/backend_conn.c
+++ b/packages/node/backend_conn.c
@@ -502,12 +502,13 @@
 	struct str id = names->call_id != NULL ?
 			    find_http_header(h, names->call_id) :
 			    make_str("");
-	bool rejected;
+	bool marked, rejected;
 
 	a.sealed = names->seal == NULL ||
 		   find_http_header(h, names->seal).data != NULL;
-	rejected = names->not_executed != NULL &&
-		   find_http_header(h, names->not_executed).data != NULL;
+	marked = names->not_executed != NULL &&
+		 find_http_header(h, names->not_executed).data != NULL;
+	rejected = marked && h->status >= 400;
 	if (c->run == c->node->backend->run && h->status != 421 &&
 	    (a.sealed || rejected))
 		apply_answer_notices(c->node, h, a.sealed);
@@ -519,7 +520,7 @@
 		reject_job(j);
 		return;
 	}
-	if (!a.sealed || (c->id[0] != '\0' && id.data == NULL) ||
+	if (!a.sealed || marked || (c->id[0] != '\0' && id.data == NULL) ||
 	    (h->status < 300 &&
 		find_http_header(h, "content-encoding").data != NULL) ||
 	    copy_answer_head(c, &a.head) != 0) {
--- a/packages/node/tests/test_answers.c
+++ b/packages/node/tests/test_answers.c
@@ -39,7 +39,7 @@
 	const char *what;
 	struct str answer;
 	enum fake_end end;
-	int want; /* status; 502: not an answer */
+	int want; /* status; 502: not an answer, 503: refused as not run */
 	const char *body;
 };
 
@@ -62,6 +62,12 @@
     {"failure until close", TEXT(FAILED "\r\nfail"), FAKE_CLOSES, 500, "fail"},
     {"failure until close, reset later", TEXT(FAILED "\r\nfail"),
 	FAKE_CLOSES_THEN_RESETS, 500, "fail"},
+    {"refusal", TEXT(FULL "Content-Length: 0\r\n\r\n"), FAKE_KEEPS, 503, ""},
+    {"success marked as not run",
+	TEXT(OK "Not-Run: 1\r\n" LENGTH_LINE "\r\nbody"), FAKE_KEEPS, 502, ""},
+    {"redirection marked as not run",
+	TEXT(STATUS("302") "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"),
+	FAKE_KEEPS, 502, ""},
     {"length cut", TEXT(LENGTH "bo"), FAKE_CLOSES, 502, ""},
     {"length cut by reset", TEXT(LENGTH "bo"), FAKE_RESETS, 502, ""},
     {"length cut, reset later", TEXT(LENGTH "bo"), FAKE_CLOSES_THEN_RESETS, 502,
@@ -215,7 +221,8 @@
 		is_str_equal(view_buf(&reply.body), make_str(c->body)),
 	    "%s by %s: %d with %zu bytes", c->what, ways[way], reply.status,
 	    reply.body.len);
-	ck_assert(has_header(&reply, "Seal: ") == (c->want != 502));
+	ck_assert(
+	    has_header(&reply, "Seal: ") == (c->want != 502 && c->want != 503));
 	ck_assert_int_eq(count_fixture_runs(&fixture, id), 1);
 	unload_reply(&reply);
 	if (c->want == 502)
