node: an answer is signed only if its signature is passed on

What callers saw: a 200 with "Connection: Seal" arrived without the signature (MIXED), since a field that Connection names is for one connection only and is not passed on.

Cause: check_answer() looked for the signature in the head as it came, copy_answer_head() then left it out.

Change: a signature that is not passed on does not count, so the answer fails the attempt.

Evidence: before the change 2 of 122 checks of test_answers failed ("seal that is not passed on: 200 with 4 bytes"); now 122 of 122 pass.

--- a/packages/node/backend_conn.c
+++ b/packages/node/backend_conn.c
@@ -487,9 +487,10 @@
 
 /*
  * Passes a complete answer on if it is certainly the backend server's answer to
- * this call: signed, with the call id and, below status 300, without
- * Content-Encoding; else fails the job. An answer marked as not executed, or a
- * 421 without a signature, rejects the call.
+ * this call: with a signature that is passed on, with the call id and, below
+ * status 300, without Content-Encoding; else fails the job. A failure marked as
+ * not executed, or a 421 without a signature, rejects the call. A success with
+ * that mark contradicts itself, and its call may have run.
  */
 static void
 check_answer(struct backend_conn *c, struct job *j)
@@ -505,7 +506,8 @@
 	bool marked, rejected;
 
 	a.sealed = names->seal == NULL ||
-		   find_http_header(h, names->seal).data != NULL;
+		   (find_http_header(h, names->seal).data != NULL &&
+		       !is_hop_by_hop_header(h, make_str(names->seal)));
 	marked = names->not_executed != NULL &&
 		 find_http_header(h, names->not_executed).data != NULL;
 	rejected = marked && h->status >= 400;
