proxy: a first line of five bytes is not read beyond its end

The check of the lines of heads compared eight bytes of each first line with "HTTP/1.0", and a line such as "HTTP/" is shorter. Callers saw nothing of it: the bytes are in libcurl's buffer, and the line is refused in any case.

--- a/packages/proxy/transfer.c
+++ b/packages/proxy/transfer.c
@@ -374,7 +374,7 @@
 		    make_str_n(line.data + 9, 3), 100, 599, &status);
 	t->head.len = 0;
 	t->chunked = false;
-	t->close_after = memcmp(line.data, "HTTP/1.0", 8) == 0;
+	t->close_after = line.len >= 8 && memcmp(line.data, "HTTP/1.0", 8) == 0;
 	t->length = -1;
 	f->status = (int)status;
 	f->has_outcome = false;
