http: declarations in the order of the definitions

No change of behaviour: the private functions that the checks of heads and chunks added are declared in the order in which they are defined, as elsewhere.

--- a/packages/http/http.c
+++ b/packages/http/http.c
@@ -21,18 +21,18 @@
  */
 #define PARSER_HEAD_MAX_BYTES (2 * 1024 * 1024)
 
+static enum http_event read_head(struct http_reader *r, struct str *in);
 static void raise_parser_limit(void);
 static bool skip_blank_lines(struct http_reader *r, struct str *in);
-static enum http_event read_head(struct http_reader *r, struct str *in);
-static enum http_event parse_head(struct http_reader *r);
 static enum http_event scan_head(struct http_reader *r, size_t *end);
-static bool is_chunked(const struct http_head *h);
-static enum http_event read_body(struct http_reader *r, struct str *in);
-static enum http_event read_chunked_body(struct http_reader *r, struct str *in);
 static bool matches_status(struct str s);
 static bool is_text(struct str s);
 static bool has_valid_framing(const struct http_reader *r);
+static bool is_chunked(const struct http_head *h);
 static struct str trim_blanks(struct str s);
+static enum http_event parse_head(struct http_reader *r);
+static enum http_event read_body(struct http_reader *r, struct str *in);
+static enum http_event read_chunked_body(struct http_reader *r, struct str *in);
 static int append_url(http_parser *p, const char *at, size_t len);
 static int append_header_name(http_parser *p, const char *at, size_t len);
 static int append_header_value(http_parser *p, const char *at, size_t len);
