--- a/packages/http/tests/test_http_reader.c
+++ b/packages/http/tests/test_http_reader.c
@@ -10,7 +10,10 @@
 
 #define HEAD_MAX 512
 #define BODY_MAX 64
-#define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+#define OK "HTTP/1.1 200 OK\r\n"
+#define LENGTH "Content-Length: 2\r\n\r\nok" /* and the body */
+#define CHUNKED OK "Transfer-Encoding: chunked\r\n\r\n"
+#define CHUNKS "\r\n2\r\nok\r\n0\r\n\r\n" /* after a head's lines */
 
 struct message_case {
 	const char *what;
@@ -83,28 +86,6 @@
 	"599", "no", ""},
     {"version 1.0", false, "HTTP/1.0 200 OK\r\n\r\nok", READ_MORE, READ_END,
 	"200", "ok", NULL},
-    {"status 000", false, "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"status 000 until close", false, "HTTP/1.1 000 X\r\n\r\n", READ_BAD, 0,
-	NULL, NULL, NULL},
-    {"status 099", false, "HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"status 600", false, "HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nok",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"status of two digits", false,
-	"HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nok", READ_BAD, 0, NULL,
-	NULL, NULL},
-    {"status of four digits", false,
-	"HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\nok", READ_BAD, 0, NULL,
-	NULL, NULL},
-    {"no status", false, "HTTP/1.1 OK\r\nContent-Length: 2\r\n\r\nok", READ_BAD,
-	0, NULL, NULL, NULL},
-    {"two blanks before a status", false,
-	"HTTP/1.1  200 OK\r\nContent-Length: 2\r\n\r\nok", READ_BAD, 0, NULL,
-	NULL, NULL},
-    {"control byte in a reason", false,
-	"HTTP/1.1 200 O\x01K\r\nContent-Length: 2\r\n\r\nok", READ_BAD, 0, NULL,
-	NULL, NULL},
     {"bytes above ASCII in a value", false,
 	"HTTP/1.1 200 OK\r\nA: \xc3\xa9\tb\r\nB:\r\nContent-Length: "
 	"2\r\n\r\nok",
@@ -112,55 +93,6 @@
     {"lines that end with LF only", false,
 	"HTTP/1.1 200 OK\nA: b\nContent-Length: 2\n\nok", READ_END, 0, "200",
 	"ok", ""},
-    {"blank in a name", false,
-	"HTTP/1.1 200 OK\r\nA b: c\r\nContent-Length: 2\r\n\r\nok", READ_BAD, 0,
-	NULL, NULL, NULL},
-    {"blank in a name, head not complete", false,
-	"HTTP/1.1 200 OK\r\nA b: c\r\n", READ_BAD, 0, NULL, NULL, NULL},
-    {"control byte in a name", false,
-	"HTTP/1.1 200 OK\r\nA\x01: c\r\nContent-Length: 2\r\n\r\nok", READ_BAD,
-	0, NULL, NULL, NULL},
-    {"tab in a name", false,
-	"HTTP/1.1 200 OK\r\nA\tb: c\r\nContent-Length: 2\r\n\r\nok", READ_BAD,
-	0, NULL, NULL, NULL},
-    {"DEL in a name", false,
-	"HTTP/1.1 200 OK\r\nA\x7f: c\r\nContent-Length: 2\r\n\r\nok", READ_BAD,
-	0, NULL, NULL, NULL},
-    {"blank before the colon of a length", false,
-	"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok", READ_BAD, 0, NULL,
-	NULL, NULL},
-    {"blank before the colon of a coding", false,
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n"
-	"2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"blank before the first name", false,
-	"HTTP/1.1 200 OK\r\n Content-Length: 2\r\n\r\nok", READ_BAD, 0, NULL,
-	NULL, NULL},
-    {"blank before a name after a value", false,
-	"HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 2\r\n\r\nok", READ_BAD, 0,
-	NULL, NULL, NULL},
-    {"blank before a name after an empty value", false,
-	"HTTP/1.1 200 OK\r\nA:\r\n Content-Length: 2\r\n\r\nok", READ_BAD, 0,
-	NULL, NULL, NULL},
-    {"tab before a name after an empty value", false,
-	"HTTP/1.1 200 OK\r\nA: \r\n\tContent-Length: 2\r\n\r\nok", READ_BAD, 0,
-	NULL, NULL, NULL},
-    {"length on the next line", false,
-	"HTTP/1.1 200 OK\r\nContent-Length:\r\n 2\r\n\r\nok", READ_BAD, 0, NULL,
-	NULL, NULL},
-    {"line of a blank", false,
-	"HTTP/1.1 200 OK\r\nA:\r\n \r\nContent-Length: 2\r\n\r\nok", READ_BAD,
-	0, NULL, NULL, NULL},
-    {"no name", false, "HTTP/1.1 200 OK\r\n: c\r\nContent-Length: 2\r\n\r\nok",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"no colon", false, "HTTP/1.1 200 OK\r\nAb\r\nContent-Length: 2\r\n\r\nok",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"control byte in a value", false,
-	"HTTP/1.1 200 OK\r\nA: b\x01\r\nContent-Length: 2\r\n\r\nok", READ_BAD,
-	0, NULL, NULL, NULL},
-    {"CR in a value", false,
-	"HTTP/1.1 200 OK\r\nA: b\rc\r\nContent-Length: 2\r\n\r\nok", READ_BAD,
-	0, NULL, NULL, NULL},
     {"chunked in other letters", false,
 	"HTTP/1.1 200 OK\r\nTransfer-Encoding: \tChunKed \t\r\n"
 	"\r\n2\r\nok\r\n0\r\n\r\n",
@@ -177,110 +109,6 @@
 	"HTTP/1.1 204 X\r\nContent-Length: 0\r\n"
 	"\r\n",
 	READ_END, 0, "204", "", ""},
-    {"no content, with a body", false,
-	"HTTP/1.1 204 X\r\nContent-Length: 2\r\n"
-	"\r\nok",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"no content, in chunks", false,
-	"HTTP/1.1 204 X\r\nTransfer-Encoding: chunked\r\n"
-	"\r\n2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"interim, with a body", false,
-	"HTTP/1.1 102 X\r\nContent-Length: 2\r\n"
-	"\r\nok",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"interim, in chunks", false,
-	"HTTP/1.1 102 X\r\nTransfer-Encoding: chunked\r\n"
-	"\r\n2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"coding before chunked", false,
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n"
-	"\r\n2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"coding only", false,
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"
-	"\r\n2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"identity", false,
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n"
-	"\r\n2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"coding after chunked", false,
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip\r\n"
-	"\r\n2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"chunked twice in a line", false,
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked\r\n"
-	"\r\n2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"name that ends with chunked", false,
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n"
-	"\r\n2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"name that begins with chunked", false,
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunkedx\r\n"
-	"\r\n2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"chunked with a parameter", false,
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked;q=1\r\n"
-	"\r\n2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"empty coding", false,
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding: \r\n"
-	"\r\n2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"comma before chunked", false,
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding: , chunked\r\n"
-	"\r\n2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"chunked in two lines", false,
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"
-	"\r\n2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"two codings in two lines", false,
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n"
-	"\r\n2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"coding and length", false,
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n"
-	"\r\n2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"length and coding", false,
-	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: gzip\r\n"
-	"\r\n2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"chunks in version 1.0", false,
-	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n"
-	"\r\n2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"equal lengths", false,
-	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n"
-	"\r\nok",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"list of lengths", false,
-	"HTTP/1.1 200 OK\r\nContent-Length: 2, 2\r\n"
-	"\r\nok",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"two numbers", false,
-	"HTTP/1.1 200 OK\r\nContent-Length: 2 2\r\n"
-	"\r\nok",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"negative length", false,
-	"HTTP/1.1 200 OK\r\nContent-Length: -2\r\n"
-	"\r\nok",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"length with a base", false,
-	"HTTP/1.1 200 OK\r\nContent-Length: 0x2\r\n"
-	"\r\nok",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"empty length", false,
-	"HTTP/1.1 200 OK\r\nContent-Length: \r\n"
-	"\r\nok",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"length over 64 bits", false,
-	"HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551616\r\n"
-	"\r\nok",
-	READ_BAD, 0, NULL, NULL, NULL},
     {"length over 63 bits", false,
 	"HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775808\r\n"
 	"\r\nok",
@@ -297,61 +125,107 @@
 	READ_END, 0, "200", "0123456789", ""},
     {"trailer", false, CHUNKED "2\r\nok\r\n0\r\nA: b\r\nC:\r\n\r\nX", READ_END,
 	0, "200", "ok", "X"},
-    {"chunk longer than its size", false, CHUNKED "2\r\nokXY0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"chunk longer by a byte", false, CHUNKED "2\r\nokX\r\n0\r\n\r\n", READ_BAD,
-	0, NULL, NULL, NULL},
-    {"chunk shorter than its size", false, CHUNKED "4\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"CR only after a chunk", false, CHUNKED "2\r\nok\rX0\r\n\r\n", READ_BAD, 0,
-	NULL, NULL, NULL},
-    {"LF only after a chunk", false, CHUNKED "2\r\nok\n0\r\n\r\n", READ_BAD, 0,
-	NULL, NULL, NULL},
-    {"CR only after a chunk size", false, CHUNKED "2\rXok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"LF only after a chunk size", false, CHUNKED "2\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"text after a chunk size", false, CHUNKED "2 x\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"line break in an extension", false, CHUNKED "2;\nok\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"control byte in an extension", false,
-	CHUNKED "2;a\x01\r\nok\r\n0\r\n\r\n", READ_BAD, 0, NULL, NULL, NULL},
-    {"no chunk size", false, CHUNKED "\r\nok\r\n0\r\n\r\n", READ_BAD, 0, NULL,
-	NULL, NULL},
-    {"blank before a chunk size", false, CHUNKED " 2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"negative chunk size", false, CHUNKED "-2\r\nok\r\n0\r\n\r\n", READ_BAD, 0,
-	NULL, NULL, NULL},
-    {"chunk size with a base", false, CHUNKED "0x2\r\nok\r\n0\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"chunk size over 64 bits", false,
-	CHUNKED "10000000000000002\r\nok\r\n0\r\n\r\n", READ_BAD, 0, NULL, NULL,
-	NULL},
-    {"CR only at the end", false, CHUNKED "2\r\nok\r\n0\r\n\rX", READ_BAD, 0,
-	NULL, NULL, NULL},
-    {"LF only at the end", false, CHUNKED "2\r\nok\r\n0\r\n\n", READ_BAD, 0,
-	NULL, NULL, NULL},
-    {"blank in a name of a trailer", false, CHUNKED "0\r\nA b: c\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"control byte in a name of a trailer", false,
-	CHUNKED "0\r\nA\x01: c\r\n\r\n", READ_BAD, 0, NULL, NULL, NULL},
-    {"blank before a name of a trailer", false, CHUNKED "0\r\n A: b\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"joined line in a trailer", false, CHUNKED "0\r\nA:\r\n b\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"control byte in a trailer", false, CHUNKED "0\r\nA: \x01\r\n\r\n",
-	READ_BAD, 0, NULL, NULL, NULL},
-    {"no name in a trailer", false, CHUNKED "0\r\n: b\r\n\r\n", READ_BAD, 0,
-	NULL, NULL, NULL},
-    {"no colon in a trailer", false, CHUNKED "0\r\nA\r\n\r\n", READ_BAD, 0,
-	NULL, NULL, NULL},
-    {"bytes that are no chunk", false, CHUNKED "<html>oh no</html>", READ_BAD,
-	0, NULL, NULL, NULL},
     {"folded header after an empty value", true,
 	"GET / HTTP/1.1\r\nA:\r\n b\r\n\r\n", READ_BAD, 0, NULL, NULL, NULL},
 };
 
+/* Responses that are none; the same for all read sizes. */
+static const struct {
+	const char *what;
+	const char *bytes;
+} invalid_responses[] = {
+    {"status 000", "HTTP/1.1 000 X\r\n" LENGTH},
+    {"status 000 until close", "HTTP/1.1 000 X\r\n\r\n"},
+    {"status 099", "HTTP/1.1 099 X\r\n" LENGTH},
+    {"status 600", "HTTP/1.1 600 X\r\n" LENGTH},
+    {"status of two digits", "HTTP/1.1 20 OK\r\n" LENGTH},
+    {"status of four digits", "HTTP/1.1 0200 OK\r\n" LENGTH},
+    {"no status", "HTTP/1.1 OK\r\n" LENGTH},
+    {"two blanks before a status", "HTTP/1.1  200 OK\r\n" LENGTH},
+    {"control byte in a reason", "HTTP/1.1 200 O\x01K\r\n" LENGTH},
+    {"blank in a name", OK "A b: c\r\n" LENGTH},
+    {"blank in a name, head not complete", OK "A b: c\r\n"},
+    {"control byte in a name", OK "A\x01: c\r\n" LENGTH},
+    {"tab in a name", OK "A\tb: c\r\n" LENGTH},
+    {"DEL in a name", OK "A\x7f: c\r\n" LENGTH},
+    {"blank before the colon of a length", OK "Content-Length : 2\r\n\r\nok"},
+    {"blank before the colon of a coding",
+	OK "Transfer-Encoding : chunked\r\n" CHUNKS},
+    {"blank before the first name", OK " " LENGTH},
+    {"blank before a name after a value", OK "A: b\r\n " LENGTH},
+    {"blank before a name after an empty value", OK "A:\r\n " LENGTH},
+    {"tab before a name after an empty value", OK "A: \r\n\t" LENGTH},
+    {"length on the next line", OK "Content-Length:\r\n 2\r\n\r\nok"},
+    {"line of a blank", OK "A:\r\n \r\n" LENGTH},
+    {"no name", OK ": c\r\n" LENGTH},
+    {"no colon", OK "Ab\r\n" LENGTH},
+    {"control byte in a value", OK "A: b\x01\r\n" LENGTH},
+    {"CR in a value", OK "A: b\rc\r\n" LENGTH},
+    {"no content, with a body", "HTTP/1.1 204 X\r\n" LENGTH},
+    {"no content, in chunks",
+	"HTTP/1.1 204 X\r\nTransfer-Encoding: chunked\r\n" CHUNKS},
+    {"interim, with a body", "HTTP/1.1 102 X\r\n" LENGTH},
+    {"interim, in chunks",
+	"HTTP/1.1 102 X\r\nTransfer-Encoding: chunked\r\n" CHUNKS},
+    {"coding before chunked", OK "Transfer-Encoding: gzip, chunked\r\n" CHUNKS},
+    {"coding only", OK "Transfer-Encoding: gzip\r\n" CHUNKS},
+    {"identity", OK "Transfer-Encoding: identity\r\n" CHUNKS},
+    {"coding after chunked", OK "Transfer-Encoding: chunked, gzip\r\n" CHUNKS},
+    {"chunked twice in a line",
+	OK "Transfer-Encoding: chunked, chunked\r\n" CHUNKS},
+    {"name that ends with chunked",
+	OK "Transfer-Encoding: xchunked\r\n" CHUNKS},
+    {"name that begins with chunked",
+	OK "Transfer-Encoding: chunkedx\r\n" CHUNKS},
+    {"chunked with a parameter",
+	OK "Transfer-Encoding: chunked;q=1\r\n" CHUNKS},
+    {"empty coding", OK "Transfer-Encoding: \r\n" CHUNKS},
+    {"comma before chunked", OK "Transfer-Encoding: , chunked\r\n" CHUNKS},
+    {"chunked in two lines", OK
+	"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" CHUNKS},
+    {"two codings in two lines",
+	OK "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" CHUNKS},
+    {"coding and length",
+	OK "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n" CHUNKS},
+    {"length and coding",
+	OK "Content-Length: 2\r\nTransfer-Encoding: gzip\r\n" CHUNKS},
+    {"chunks in version 1.0",
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" CHUNKS},
+    {"equal lengths", OK "Content-Length: 2\r\n" LENGTH},
+    {"list of lengths", OK "Content-Length: 2, 2\r\n\r\nok"},
+    {"two numbers", OK "Content-Length: 2 2\r\n\r\nok"},
+    {"negative length", OK "Content-Length: -2\r\n\r\nok"},
+    {"length with a base", OK "Content-Length: 0x2\r\n\r\nok"},
+    {"empty length", OK "Content-Length: \r\n\r\nok"},
+    {"length over 64 bits",
+	OK "Content-Length: 18446744073709551616\r\n\r\nok"},
+    {"chunk longer than its size", CHUNKED "2\r\nokXY0\r\n\r\n"},
+    {"chunk longer by a byte", CHUNKED "2\r\nokX\r\n0\r\n\r\n"},
+    {"chunk shorter than its size", CHUNKED "4\r\nok\r\n0\r\n\r\n"},
+    {"CR only after a chunk", CHUNKED "2\r\nok\rX0\r\n\r\n"},
+    {"LF only after a chunk", CHUNKED "2\r\nok\n0\r\n\r\n"},
+    {"CR only after a chunk size", CHUNKED "2\rXok\r\n0\r\n\r\n"},
+    {"LF only after a chunk size", CHUNKED "2\nok\r\n0\r\n\r\n"},
+    {"text after a chunk size", CHUNKED "2 x\r\nok\r\n0\r\n\r\n"},
+    {"line break in an extension", CHUNKED "2;\nok\r\nok\r\n0\r\n\r\n"},
+    {"control byte in an extension", CHUNKED "2;a\x01\r\nok\r\n0\r\n\r\n"},
+    {"no chunk size", CHUNKED "\r\nok\r\n0\r\n\r\n"},
+    {"blank before a chunk size", CHUNKED " 2\r\nok\r\n0\r\n\r\n"},
+    {"negative chunk size", CHUNKED "-2\r\nok\r\n0\r\n\r\n"},
+    {"chunk size with a base", CHUNKED "0x2\r\nok\r\n0\r\n\r\n"},
+    {"chunk size over 64 bits", CHUNKED "10000000000000002\r\nok\r\n0\r\n\r\n"},
+    {"CR only at the end", CHUNKED "2\r\nok\r\n0\r\n\rX"},
+    {"LF only at the end", CHUNKED "2\r\nok\r\n0\r\n\n"},
+    {"blank in a name of a trailer", CHUNKED "0\r\nA b: c\r\n\r\n"},
+    {"control byte in a name of a trailer", CHUNKED "0\r\nA\x01: c\r\n\r\n"},
+    {"blank before a name of a trailer", CHUNKED "0\r\n A: b\r\n\r\n"},
+    {"joined line in a trailer", CHUNKED "0\r\nA:\r\n b\r\n\r\n"},
+    {"control byte in a trailer", CHUNKED "0\r\nA: \x01\r\n\r\n"},
+    {"no name in a trailer", CHUNKED "0\r\n: b\r\n\r\n"},
+    {"no colon in a trailer", CHUNKED "0\r\nA\r\n\r\n"},
+    {"bytes that are no chunk", CHUNKED "<html>oh no</html>"},
+};
+
 /*
  * Parses bytes in reads of step bytes, up to the first event that is neither
  * READ_HEAD nor READ_MORE, and returns the last event; rest is not consumed.
@@ -426,6 +300,29 @@
 }
 END_TEST
 
+/*
+ * Guards against a response that is passed on with another status, other fields
+ * or another body than its server sent, or that is waited for.
+ */
+START_TEST(invalid_responses_are_rejected)
+{
+	const char *bytes = invalid_responses[_i].bytes;
+	size_t len = strlen(bytes);
+
+	for (size_t step = 1; step <= len + 1; step++) {
+		struct http_reader r;
+		struct str rest = {0};
+		enum http_event e;
+
+		open_http_reader(&r, false, HEAD_MAX, BODY_MAX);
+		e = feed_in_pieces(&r, bytes, step, &rest);
+		ck_assert_msg(e == READ_BAD, "%s by %zu: %d",
+		    invalid_responses[_i].what, step, e);
+		close_http_reader(&r);
+	}
+}
+END_TEST
+
 /*
  * Guards against waiting for the body that an answer to HEAD announces, and
  * against a limit on its length.
@@ -634,6 +531,8 @@
 
 	tcase_add_loop_test(t, messages_parse_equally_from_any_read_sizes, 0,
 	    sizeof(cases) / sizeof(cases[0]));
+	tcase_add_loop_test(t, invalid_responses_are_rejected, 0,
+	    sizeof(invalid_responses) / sizeof(invalid_responses[0]));
 	tcase_add_loop_test(t, answers_to_head_have_no_body, 0, 4);
 	tcase_add_loop_test(t, nul_bytes_are_rejected, 0, 3);
 	tcase_add_test(t, large_heads_are_rejected);
