node: comment of a test says why uploads are repeated

The comment beside UPLOAD_RESETS named a share that was measured. It now gives the reason only: not every reset meets send(), which the case is about, so each case sends several uploads. test_answers passes 122 of 122.

--- a/packages/node/tests/test_answers.c
+++ b/packages/node/tests/test_answers.c
@@ -12,8 +12,7 @@
 
 #define SERVER 2 /* the only node of its service */
 #define UPLOAD_BYTES (24 * 1000 * 1000) /* more than the socket buffers hold */
-/* A reset meets the node while it sends in about one of two uploads. */
-#define UPLOAD_RESETS 10
+#define UPLOAD_RESETS 10 /* uploads a case, as not every reset meets send() */
 #define DEADLINE "Deadline-Ms: 5000\r\n"
 #define ROWS                                              \
 	"short,other,1,10,0,100,500,9000,100,0,10,0,yes," \
