proxy: the check of a text after a chunk's size lands as known to fail

The check was written for, failed, and was left out of the table there because callers get the server's body. That was wrong: a check of a fault that is not fixed stays and is listed. What callers see: the older data path passes on an answer whose chunk size is "4 x", which the grammar does not allow, as a 200.

Cause: libcurl decodes chunks itself and skips everything up to the line's end; transfer.c gets only the data. Not fixed here: it takes a decoder in place of libcurl's, as the node's reader has.

--- a/packages/proxy/tests/test_faults.c
+++ b/packages/proxy/tests/test_faults.c
@@ -141,6 +141,11 @@
 	false, 504, ""},
 };
 
+/* Listed in KNOWN-RED.txt: libcurl skips what follows a chunk's size. */
+static const struct answer_case known_red_case = {"text after a chunk size",
+    OK "Transfer-Encoding: chunked\r\n\r\n4 x\r\nbody\r\n0\r\n\r\n", false, 504,
+    ""};
+
 #define ANSWER_CASES (int)(sizeof(answer_cases) / sizeof(answer_cases[0]))
 
 #define CASES (int)(sizeof(cases) / sizeof(cases[0]))
@@ -182,6 +187,13 @@
 }
 END_TEST
 
+/* Guards against a chunk whose size is not only a size; _i: over a hop. */
+START_TEST(text_after_a_chunk_size_is_no_answer)
+{
+	run_answer_case(&known_red_case, _i == 1);
+}
+END_TEST
+
 /* Guards against an unreachable server that is reported as unknown. */
 START_TEST(refused_connection_is_not_run)
 {
@@ -383,7 +395,8 @@
 main(void)
 {
 	Suite *s = suite_create("faults");
-	TCase *t = tcase_create("faults");
+	TCase *t = tcase_create("faults"), *red = tcase_create("known red");
+	bool all = getenv("GGS_KNOWN_RED") != NULL;
 	SRunner *r;
 	int failed;
 
@@ -399,9 +412,14 @@
 	tcase_add_test(t, retry_goes_to_another_endpoint);
 	tcase_add_test(t, hedge_wins_and_the_loser_is_cancelled);
 	tcase_add_loop_test(t, only_server_faults_count_towards_ejection, 0, 2);
+	tcase_set_timeout(red, 60);
+	tcase_set_tags(red, "known-red");
+	tcase_add_loop_test(red, text_after_a_chunk_size_is_no_answer, 0, 2);
 	suite_add_tcase(s, t);
+	suite_add_tcase(s, red);
 	r = srunner_create(s);
-	srunner_run_all(r, CK_NORMAL);
+	srunner_run_tagged(
+	    r, NULL, NULL, NULL, all ? NULL : "known-red", CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
 	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
