log, explain: a long id has a text of its own in log lines

Callers may choose ids of any length. What operators saw: the lines of a call whose id has more than 128 bytes bore an empty id, so such calls could not be told apart, and `explain` refused the id. Bytes that a line cannot hold became '?', so that two ids could look alike.

Cause: both sides kept ids in fields of 129 bytes, and copy_str() empties its target when a text does not fit.

Change: format_log_id() gives the id itself, or its first 64 bytes and a hash of all of it. explain takes the caller's id or that text.

Evidence: base.test_log has ids that differ in their last byte only, of 1 to 1,000,000 bytes and with bytes that a line cannot hold; explain.test_explain finds a call with an id of 200 bytes and none whose id differs at the end. Neither could pass before: open_explanation() returned ERR_INVALID above 128.

--- a/apps/greengagespurctl/explain.c
+++ b/apps/greengagespurctl/explain.c
@@ -21,8 +21,7 @@
 	int status = CTL_OK;
 
 	if (open_explanation(make_str(args[0]), &e) != 0) {
-		fprintf(
-		    stderr, "explain: give the id of a call, 1 to 128 bytes\n");
+		fprintf(stderr, "explain: the id of the call is empty\n");
 		return CTL_USAGE;
 	}
 	if (count == 1)
--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #define LOG_NAME_BYTES 64
+#define LOG_ID_START 64 /* bytes of an id before its hash */
 #define RING_BYTES (128 * 1024) /* buffers lines while the reader is slow */
 #define BATCH_BYTES (16 * 1024) /* drained from the ring at a time */
 #define BATCH_DELAY_MS 10 /* lets several lines share one write */
@@ -114,6 +115,26 @@
 	pthread_mutex_unlock(&lock);
 }
 
+/*
+ * Two ids that differ anywhere get different texts, so that the lines of their
+ * calls are not mixed up.
+ */
+const char *
+format_log_id(char *out, struct str id)
+{
+	size_t n = 0; /* bytes at the start that a line can hold */
+
+	while (n < id.len && n < LOG_ID_BYTES && id.data[n] >= ' ' &&
+	       id.data[n] < 0x7f)
+		n++;
+	if (n == id.len && copy_str(out, LOG_ID_BYTES, id) == 0)
+		return out;
+	snprintf(out, LOG_ID_BYTES, "%.*s~%016llx",
+	    (int)(n < LOG_ID_START ? n : LOG_ID_START), id.data,
+	    (unsigned long long)hash_str(id, 0));
+	return out;
+}
+
 /*
  * Truncates text to half of GGS_LOG_LINE_BYTES.
  */
--- a/packages/base/log.h
+++ b/packages/base/log.h
@@ -59,6 +59,14 @@
 void write_log(enum log_level level, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
 
+/*
+ * Text of an id that a caller chose: the id itself, or its start and a hash of
+ * all of it when it is longer or has bytes that a line cannot hold. Writes
+ * LOG_ID_BYTES at most; returns out.
+ */
+#define LOG_ID_BYTES 129 /* with NUL */
+const char *format_log_id(char *out, struct str id);
+
 /* Settings */
 void set_log_name(const char *name); /* "process" of each line */
 void set_log_level(enum log_level level); /* less severe lines are dropped */
--- a/packages/base/tests/test_log.c
+++ b/packages/base/tests/test_log.c
@@ -155,6 +155,43 @@
 }
 END_TEST
 
+static const struct {
+	size_t len;
+	char last[2]; /* bytes in which the two ids differ */
+	bool whole; /* the text is the id itself */
+} id_pairs[] = {
+    {1, {'a', 'b'}, true},
+    {128, {'a', 'b'}, true},
+    {129, {'a', 'b'}, false},
+    {1000000, {'a', 'b'}, false},
+    {16, {1, 2}, false},
+    {16, {'\x80', '\x81'}, false},
+};
+
+/*
+ * Guards against lines of two calls that bear the same id, or none, because
+ * their ids are long or have bytes that a line cannot hold.
+ */
+START_TEST(ids_that_differ_have_different_texts)
+{
+	char text[2][LOG_ID_BYTES], again[LOG_ID_BYTES];
+	size_t len = id_pairs[_i].len;
+	char *id = malloc(len);
+
+	memset(id, 'i', len);
+	for (int i = 0; i < 2; i++) {
+		id[len - 1] = id_pairs[_i].last[i];
+		(void)format_log_id(text[i], make_str_n(id, len));
+		ck_assert_str_eq(
+		    format_log_id(again, make_str(text[i])), text[i]);
+	}
+	ck_assert_str_ne(text[0], text[1]);
+	ck_assert(is_str_equal(make_str(text[1]), make_str_n(id, len)) ==
+		  id_pairs[_i].whole);
+	free(id);
+}
+END_TEST
+
 /* Guards against lines that are less severe than the configured level. */
 START_TEST(lines_below_the_level_are_dropped)
 {
@@ -313,6 +350,8 @@
 	tcase_add_loop_test(
 	    t, values_are_escaped, 0, sizeof(values) / sizeof(values[0]));
 	tcase_add_test(t, long_values_are_omitted);
+	tcase_add_loop_test(t, ids_that_differ_have_different_texts, 0,
+	    sizeof(id_pairs) / sizeof(id_pairs[0]));
 	tcase_add_test(t, lines_below_the_level_are_dropped);
 	tcase_add_test(t, stopped_reader_does_not_block_writers);
 	tcase_add_test(t, log_goes_on_after_a_full_disk);
--- a/packages/explain/explain.c
+++ b/packages/explain/explain.c
@@ -25,7 +25,8 @@
 static int render_json(struct explanation *e, struct buf *out);
 
 /*
- * Returns ERR_MEMORY, or ERR_INVALID for a call id that is empty or too long.
+ * The id is the caller's or the text of it in log lines. Returns ERR_MEMORY, or
+ * ERR_INVALID for an empty one.
  */
 int
 open_explanation(struct str call, struct explanation **out)
@@ -35,10 +36,11 @@
 	*out = NULL;
 	if (e == NULL)
 		return ERR_MEMORY;
-	if (copy_str(e->call, sizeof(e->call), call) != 0 || call.len == 0) {
+	if (call.len == 0) {
 		free(e);
 		return ERR_INVALID;
 	}
+	(void)format_log_id(e->call, call);
 	*out = e;
 	return 0;
 }
--- a/packages/explain/explain_state.h
+++ b/packages/explain/explain_state.h
@@ -11,8 +11,7 @@
 #include <jansson.h>
 
 #include "explain.h"
-
-#define EXPLAIN_CALL_ID_BYTES 129 /* with NUL */
+#include "log.h"
 
 /* Parsed lines, in input order until they are sorted. */
 struct line_list {
@@ -21,7 +20,7 @@
 };
 
 struct explanation {
-	char call[EXPLAIN_CALL_ID_BYTES];
+	char call[LOG_ID_BYTES]; /* as in log lines */
 	struct line_list lines; /* that name the call */
 	struct line_list changes; /* state changes of processes */
 	struct explain_skipped skipped;
--- a/packages/explain/tests/test_explain.c
+++ b/packages/explain/tests/test_explain.c
@@ -10,6 +10,7 @@
 #include <jansson.h>
 
 #include "explain.h"
+#include "log.h"
 
 #ifndef LINES_DIR
 #define LINES_DIR "packages/explain/tests/lines"
@@ -161,6 +162,33 @@
 }
 END_TEST
 
+/*
+ * Guards against a long id that is refused, or explained by the lines of another
+ * call whose id differs at the end.
+ */
+START_TEST(long_id_is_found)
+{
+	char id[201], text[LOG_ID_BYTES], line[512];
+	struct explanation *e;
+	struct buf out = {0};
+
+	memset(id, 'i', sizeof(id) - 1);
+	id[sizeof(id) - 1] = '\0';
+	snprintf(line, sizeof(line),
+	    LINE("entry", "call.ended", ",\"call\":\"%s\",\"status\":200"),
+	    format_log_id(text, make_str(id)));
+	for (int i = 0; i < 2; i++) {
+		id[sizeof(id) - 2] = (char)('i' + i);
+		ck_assert_int_eq(open_explanation(make_str(id), &e), 0);
+		ck_assert_int_eq(add_explanation_line(e, make_str(line)), 0);
+		ck_assert_int_eq(render_explanation(e, false, &out),
+		    i == 0 ? 0 : ERR_NOT_FOUND);
+		close_explanation(e);
+	}
+	unload_buf(&out);
+}
+END_TEST
+
 /* Guards against a crash on damaged input. */
 START_TEST(mutated_lines_are_skipped)
 {
@@ -201,6 +229,7 @@
 	tcase_add_loop_test(t, cause_follows_from_decisions, 0,
 	    sizeof(causes) / sizeof(causes[0]));
 	tcase_add_test(t, unknown_call_is_not_found);
+	tcase_add_test(t, long_id_is_found);
 	tcase_add_test(t, mutated_lines_are_skipped);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
