node: the id of a call is kept whole, whatever its length

Cause: the id was copied with copy_str(), which empties its target when a text does not fit, first into the request (129 bytes), then into the connection; the offer between nodes had the same bound. An empty id counts as none, and to a call without an id every answer is its own.

Change: no copy is bounded. A request refers to the value in its head, which lives as long as the request (a hedge uses that of its primary); an offer carries the complete id; the connection to the server has a buffer for it, and a call fails when no memory is left for that. The offer's field keeps its encoding, so builds understand each other for ids up to 128 bytes; an earlier build refuses a longer one as not run.

--- a/packages/hop/gen/hop_xdr.c
+++ b/packages/hop/gen/hop_xdr.c
@@ -138,7 +138,7 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->kind, HOP_NAME_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->id, HOP_ID_MAX))
+	 if (!xdr_bytes (xdrs, (char **)&objp->id.id_val, (u_int *) &objp->id.id_len, HOP_HEAD_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->method, HOP_NAME_MAX))
 		 return FALSE;
--- a/packages/hop/gen/hop_xdr.h
+++ b/packages/hop/gen/hop_xdr.h
@@ -14,7 +14,6 @@
 #endif
 
 #define HOP_NAME_MAX 64
-#define HOP_ID_MAX 128
 #define HOP_TARGET_MAX 1048576
 #define HOP_HEAD_MAX 2097152
 
@@ -54,7 +53,10 @@
 struct hop_offer {
 	char *service;
 	char *kind;
-	char *id;
+	struct {
+		u_int id_len;
+		char *id_val;
+	} id;
 	char *method;
 	char *caller_service;
 	struct {
--- a/packages/hop/hop.x
+++ b/packages/hop/hop.x
@@ -5,7 +5,6 @@
  */
 
 const HOP_NAME_MAX = 64;           /* bytes of a name */
-const HOP_ID_MAX = 128;            /* bytes of a call id */
 /* Bytes of a path with its query; the longest head that the table allows. */
 const HOP_TARGET_MAX = 1048576;
 /* Bytes of header lines; those that are passed on may be written longer. */
@@ -52,7 +51,7 @@
 struct hop_offer {
 	string service<HOP_NAME_MAX>;
 	string kind<HOP_NAME_MAX>; /* row of the table */
-	string id<HOP_ID_MAX>;
+	opaque id<HOP_HEAD_MAX>;   /* of the call, complete; may be empty */
 	string method<HOP_NAME_MAX>;
 	string caller_service<HOP_NAME_MAX>;
 	opaque target<HOP_TARGET_MAX>;
--- a/packages/hop/tests/test_hop.c
+++ b/packages/hop/tests/test_hop.c
@@ -196,7 +196,6 @@
 	static char none[1];
 	struct hop_offer o = {.service = none,
 	    .kind = none,
-	    .id = none,
 	    .method = none,
 	    .caller_service = none};
 	size_t got = 0;
--- a/packages/node/attempt.c
+++ b/packages/node/attempt.c
@@ -629,7 +629,7 @@
 {
 	struct job_spec spec = {
 	    .kind = make_str(q->policy.kind),
-	    .id = make_str(q->id),
+	    .id = q->id,
 	    .method = q->reader.head.method,
 	    .target = q->reader.head.target,
 	    .head = view_buf(&q->head),
--- a/packages/node/backend_conn.c
+++ b/packages/node/backend_conn.c
@@ -183,8 +183,10 @@
 	c->run = c->node->backend->run;
 	reset_http_reader(&c->reader);
 	c->reader.is_head_response = is_http_name_equal(j->spec.method, "HEAD");
-	(void)copy_str(c->id, sizeof(c->id), j->spec.id);
-	rc = encode_call_head(c, j);
+	c->id.len = 0;
+	rc = append_buf_str(&c->id, j->spec.id);
+	if (rc == 0)
+		rc = encode_call_head(c, j);
 	if (rc == 0)
 		rc = encode_call_body(c, j);
 	return rc;
@@ -459,10 +461,10 @@
 	const char *name = c->node->cfg.names.call_id;
 	struct str id;
 
-	if (name == NULL || c->id[0] == '\0')
+	if (name == NULL || c->id.len == 0)
 		return false;
 	id = find_http_header(&c->reader.head, name);
-	return id.data != NULL && !is_str_equal(id, make_str(c->id));
+	return id.data != NULL && !is_str_equal(id, view_buf(&c->id));
 }
 
 /*
@@ -522,7 +524,7 @@
 		reject_job(j);
 		return;
 	}
-	if (!a.sealed || marked || (c->id[0] != '\0' && id.data == NULL) ||
+	if (!a.sealed || marked || (c->id.len > 0 && id.data == NULL) ||
 	    (h->status < 300 &&
 		find_http_header(h, "content-encoding").data != NULL) ||
 	    copy_answer_head(c, &a.head) != 0) {
@@ -642,8 +644,9 @@
 		return;
 	}
 	unlink_conn(&n->backend->busy, c);
-	c->out.len = c->out_sent = 0;
+	c->out.len = c->out_sent = c->id.len = 0;
 	trim_buf(&c->out, IDLE_OUT_BYTES);
+	trim_buf(&c->id, IDLE_OUT_BYTES);
 	reset_http_reader(&c->reader);
 	c->state = CONN_IDLE;
 	c->idle_since = now;
@@ -678,6 +681,7 @@
 	cancel_timer(c->node->reactor, &c->timer);
 	close(c->watch.fd);
 	close_http_reader(&c->reader);
+	unload_buf(&c->id);
 	unload_buf(&c->out);
 	unload_buf(&c->head);
 	if (c->job != NULL)
--- a/packages/node/backend_state.h
+++ b/packages/node/backend_state.h
@@ -24,7 +24,7 @@
 	struct timer timer; /* connect time-out or idle time-out */
 	struct http_reader reader;
 	struct job *job; /* whose call is being sent or run; NULL: none */
-	char id[CALL_ID_BYTES]; /* call id */
+	struct buf id; /* of the call; empty: it has none */
 	struct buf out; /* head, and a short body */
 	size_t out_sent;
 	struct str body; /* of the job: what is left to send of a long body */
--- a/packages/node/call_log.c
+++ b/packages/node/call_log.c
@@ -89,15 +89,17 @@
 	int64_t now = get_reactor_now(n->reactor);
 	int64_t granted_at = j->granted_at != 0 ? j->granted_at : now;
 	struct hop_load load = get_own_load(n);
+	char id[LOG_ID_BYTES];
 	bool ok = status > 0 && status < 400;
 
 	if (!spend_log_budget(n, ok ? &n->ok_job_lines : &n->failed_job_lines,
 		ok ? OK_CALLS_MAX : FAILED_CALLS_MAX))
 		return;
 	WRITE_EVENT(ok ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE, "serve.ended",
-	    LOG_STR("call", j->spec.id), LOG_STR("kind", j->spec.kind),
-	    LOG_STR("account", j->spec.account), LOG_TEXT("outcome", outcome),
-	    LOG_TEXT("reason", reason), LOG_INT("status", status),
+	    LOG_TEXT("call", format_log_id(id, j->spec.id)),
+	    LOG_STR("kind", j->spec.kind), LOG_STR("account", j->spec.account),
+	    LOG_TEXT("outcome", outcome), LOG_TEXT("reason", reason),
+	    LOG_INT("status", status),
 	    LOG_STR("caller_service", j->spec.caller_service),
 	    LOG_TEXT("instance", get_backend_instance(n)),
 	    LOG_INT("waited_us", (granted_at - j->offered_at) / NSEC_PER_USEC),
@@ -144,7 +146,8 @@
 static void
 write_trace_event(const struct request *q, const struct trace_event *e)
 {
-	struct log_field f[10] = {LOG_TEXT("call", q->id),
+	char id[LOG_ID_BYTES];
+	struct log_field f[10] = {LOG_TEXT("call", format_log_id(id, q->id)),
 	    LOG_INT("at_us", (e->at - q->arrived) / NSEC_PER_USEC)};
 	const char *event = "";
 	size_t n = 2;
@@ -224,9 +227,10 @@
 write_end(const struct request *q, int status, const char *outcome)
 {
 	int64_t now = get_reactor_now(q->node->reactor);
+	char id[LOG_ID_BYTES];
 
 	WRITE_EVENT(status >= 400 ? LOG_LEVEL_NOTICE : LOG_LEVEL_INFO,
-	    "call.ended", LOG_TEXT("call", q->id),
+	    "call.ended", LOG_TEXT("call", format_log_id(id, q->id)),
 	    LOG_TEXT("kind", q->policy.kind),
 	    LOG_TEXT("account", q->policy.account),
 	    LOG_TEXT("service", q->service != NULL ? q->service->name : ""),
--- a/packages/node/hedge.c
+++ b/packages/node/hedge.c
@@ -174,6 +174,7 @@
 	    .primary = q,
 	    .state = REQUEST_RUNNING,
 	    .reader = q->reader,
+	    .id = q->id,
 	    .arrived = q->arrived,
 	    .complete = q->complete,
 	    .policy = q->policy,
@@ -182,7 +183,6 @@
 	    .head = q->head,
 	    .target_at = q->target_at,
 	    .deadline = q->deadline};
-	(void)copy_str(h->id, sizeof(h->id), make_str(q->id));
 	q->hedge = h;
 	q->tried[q->tried_count++] = p;
 	if (offer_attempt(h, p, true) != 0) {
--- a/packages/node/inbound.c
+++ b/packages/node/inbound.c
@@ -305,7 +305,7 @@
 	int64_t now = get_reactor_now(n->reactor);
 	struct job_spec spec = {
 	    .kind = make_str(o->kind),
-	    .id = make_str(o->id),
+	    .id = make_str_n(o->id.id_val, o->id.id_len),
 	    .method = make_str(o->method),
 	    .target = make_str_n(o->target.target_val, o->target.target_len),
 	    .head = make_str_n(o->head.head_val, o->head.head_len),
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -86,7 +86,6 @@
 	struct hop_offer o = {
 	    .service = q->service->name,
 	    .kind = q->policy.kind,
-	    .id = q->id,
 	    .rank = q->policy.rank,
 	    .repeatable = q->policy.repeatable,
 	    .target_us = (q->target_at - now) / NSEC_PER_USEC,
@@ -101,6 +100,8 @@
 		    caller, sizeof(caller), make_str(q->node->cfg.service));
 	o.method = method;
 	o.caller_service = caller;
+	o.id.id_val = (char *)(uintptr_t)q->id.data;
+	o.id.id_len = (unsigned int)q->id.len;
 	o.target.target_val = (char *)(uintptr_t)q->reader.head.target.data;
 	o.target.target_len = (unsigned int)q->reader.head.target.len;
 	o.head.head_val = q->head.data;
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -26,7 +26,6 @@
 #define REQUEST_TRIED_MAX 12 /* serving nodes that a call is offered to */
 #define REQUEST_BUSY_MAX 5 /* serving nodes found without a free slot */
 #define REQUEST_TRACE_MAX 24 /* trace events kept for a call */
-#define CALL_ID_BYTES 129 /* with NUL */
 #define NODE_ASKS_MAX 256 /* accounts in one ask for allotments */
 
 struct caller;
@@ -126,7 +125,7 @@
 	enum rollout_side side; /* version that it may use now */
 	bool trial_counted; /* in the service's credit */
 	struct kind_stats *stats;
-	char id[CALL_ID_BYTES];
+	struct str id; /* in the reader's head; empty: the caller sent none */
 	struct buf head; /* header lines that are passed on */
 	struct buf parts; /* of a long answer, as far as it has arrived */
 	uint64_t parts_total; /* bytes of its complete body; 0: no part yet */
@@ -191,7 +190,7 @@
  */
 struct job_spec {
 	struct str kind;
-	struct str id;
+	struct str id; /* empty: the caller sent none */
 	struct str method;
 	struct str target;
 	struct str head;
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -86,10 +86,8 @@
 	n->requests++;
 	n->last_call_at = get_reactor_now(n->reactor);
 	count_metric(n->metrics.calls_total, 1);
-	(void)copy_str(q->id, sizeof(q->id),
-	    n->cfg.names.call_id != NULL ?
-		find_http_header(&q->reader.head, n->cfg.names.call_id) :
-		make_str(""));
+	if (n->cfg.names.call_id != NULL)
+		q->id = find_http_header(&q->reader.head, n->cfg.names.call_id);
 }
 
 /*
@@ -165,9 +163,9 @@
 			 q->node->metrics.refused_total :
 			 q->node->metrics.failed_total,
 	    1);
-	if (q->id[0] != '\0' && q->node->cfg.names.call_id != NULL)
+	if (q->id.len > 0)
 		rc = append_http_header(
-		    &head, q->node->cfg.names.call_id, make_str(q->id));
+		    &head, q->node->cfg.names.call_id, q->id);
 	if (rc == 0 && (status == 503 || status == 429))
 		rc = append_retry_after(&head,
 		    reason == REFUSE_NO_TABLE || reason == REFUSE_NO_ENDPOINT ?
@@ -299,6 +297,7 @@
 	const char *name = q->node->cfg.names.deadline_ms;
 	struct str v = name != NULL ? find_http_header(&q->reader.head, name) :
 				      make_str("");
+	char id[LOG_ID_BYTES];
 	int64_t ms;
 
 	if (v.len == 0)
@@ -307,7 +306,8 @@
 		write_log(LOG_LEVEL_NOTICE,
 		    "call %s: deadline '%.*s' is not a number of ms; using "
 		    "the row's deadline",
-		    q->id, v.len > 20 ? 20 : (int)v.len, v.data);
+		    format_log_id(id, q->id), v.len > 20 ? 20 : (int)v.len,
+		    v.data);
 		return 0;
 	}
 	return ms > 0 ? ms * NSEC_PER_MSEC : 1;
--- a/packages/node/tests/fake_server.c
+++ b/packages/node/tests/fake_server.c
@@ -26,8 +26,8 @@
 	int64_t answer_at; /* mono ns; of a delayed answer; 0: none */
 	bool reset_on_use; /* reset when the next bytes arrive */
 	bool hangs; /* reads no more */
-	char id[64]; /* of the last call */
-	char late_id[64]; /* is answered again before the next call */
+	char *id; /* of the last call; "": none */
+	char *late_id; /* is answered again before the next call; NULL: none */
 };
 
 struct fake_server {
@@ -66,6 +66,9 @@
 static void read_upload(struct fake_conn *c, size_t len);
 static void run_behaviour(
     struct fake_server *s, struct fake_conn *c, const char *name);
+static void set_call_id(struct fake_conn *c, const char *head);
+static void clear_ids(struct fake_conn *c);
+static const char *find_header(const char *head, const char *name, size_t *len);
 static void copy_header(
     const char *head, const char *name, char *out, size_t size);
 static void send_text(struct fake_conn *c, const char *fmt, ...)
@@ -170,6 +173,7 @@
 		if (s->conns[i].fd >= 0)
 			close_fake_conn(&s->conns[i], false);
 		unload_buf(&s->conns[i].in);
+		clear_ids(&s->conns[i]);
 	}
 	close(s->listener);
 	pthread_mutex_destroy(&s->lock);
@@ -351,7 +355,7 @@
 		s->conns[i].answer_at = 0;
 		s->conns[i].hangs = false;
 		s->conns[i].reset_on_use = false;
-		s->conns[i].late_id[0] = '\0';
+		clear_ids(&s->conns[i]);
 		return;
 	}
 	close(fd);
@@ -408,7 +412,7 @@
 	snprintf(s->head, sizeof(s->head), "%s", text);
 	snprintf(
 	    s->line, sizeof(s->line), "%.*s", (int)strcspn(text, "\r\n"), text);
-	copy_header(text, "Call-Id", c->id, sizeof(c->id));
+	set_call_id(c, text);
 	memmove(c->in.data, c->in.data + head + body, c->in.len - head - body);
 	c->in.len -= head + body;
 	c->in.data[c->in.len] = '\0';
@@ -426,14 +430,14 @@
 static void
 run_behaviour(struct fake_server *s, struct fake_conn *c, const char *name)
 {
-	if (c->late_id[0] != '\0') {
-		char own[64];
+	if (c->late_id != NULL) {
+		char *own = c->id;
 
-		snprintf(own, sizeof(own), "%s", c->id);
-		snprintf(c->id, sizeof(c->id), "%s", c->late_id);
-		c->late_id[0] = '\0';
+		c->id = c->late_id;
 		send_ok(s, c);
-		snprintf(c->id, sizeof(c->id), "%s", own);
+		free(c->id);
+		c->late_id = NULL;
+		c->id = own;
 	}
 	for (size_t i = 0; i < sizeof(behaviours) / sizeof(behaviours[0]);
 	     i++) {
@@ -466,7 +470,7 @@
 
 	if (!s->script.early || path == NULL || path > strstr(head, "\r\n"))
 		return false;
-	copy_header(head, "Call-Id", c->id, sizeof(c->id));
+	set_call_id(c, head);
 	record_run(s, c);
 	c->in.len = 0;
 	answer_script(s, c);
@@ -535,36 +539,66 @@
 	}
 }
 
+static void
+set_call_id(struct fake_conn *c, const char *head)
+{
+	size_t len;
+	const char *id = find_header(head, "Call-Id", &len);
+
+	free(c->id);
+	c->id = strndup(id, len);
+}
+
+static void
+clear_ids(struct fake_conn *c)
+{
+	free(c->id);
+	free(c->late_id);
+	c->id = c->late_id = NULL;
+}
+
 static void
 copy_header(const char *head, const char *name, char *out, size_t size)
 {
-	size_t len = strlen(name);
+	size_t len;
+	const char *value = find_header(head, name, &len);
+
+	snprintf(out, size, "%.*s", (int)len, value);
+}
+
+/* Returns the value, of len bytes; "" when the head has no such line. */
+static const char *
+find_header(const char *head, const char *name, size_t *len)
+{
+	size_t name_len = strlen(name);
 
-	out[0] = '\0';
 	for (const char *p = head; p != NULL; p = strstr(p, "\r\n")) {
 		if (p != head)
 			p += 2;
-		if (strncasecmp(p, name, len) != 0 || p[len] != ':')
+		if (strncasecmp(p, name, name_len) != 0 || p[name_len] != ':')
 			continue;
-		p += len + 1;
+		p += name_len + 1;
 		p += strspn(p, " ");
-		snprintf(out, size, "%.*s", (int)strcspn(p, "\r\n"), p);
-		return;
+		*len = strcspn(p, "\r\n");
+		return p;
 	}
+	*len = 0;
+	return "";
 }
 
 static void
 send_text(struct fake_conn *c, const char *fmt, ...)
 {
-	char text[2048];
+	char *text = NULL;
 	va_list ap;
 	int n;
 
 	va_start(ap, fmt);
-	n = vsnprintf(text, sizeof(text), fmt, ap);
+	n = vasprintf(&text, fmt, ap);
 	va_end(ap);
-	if (send(c->fd, text, (size_t)n, MSG_NOSIGNAL) != n)
+	if (n < 0 || send(c->fd, text, (size_t)n, MSG_NOSIGNAL) != n)
 		close_fake_conn(c, false);
+	free(text);
 }
 
 static void
@@ -727,7 +761,7 @@
 answer_late(struct fake_server *s, struct fake_conn *c)
 {
 	send_ok(s, c);
-	snprintf(c->late_id, sizeof(c->late_id), "%s", c->id);
+	c->late_id = strdup(c->id);
 }
 
 static void
