node: a call without an id does not share a connection

What callers saw: a call without an id, or with an empty one, got the second answer to an earlier call that the server sent late on the same connection.

Cause: the id is all that tells an answer from a late one. A call without an id has nothing to compare, so the first answer that came counted as its own; and a late answer to such a call has no id either, and could be taken for a refusal of the next call.

Change: where calls have ids, one without an id is sent on a new connection, which is closed after it. The node does not make one up: an id is forwarded as the caller sent it.

Evidence: node.test_call_ids, late_answer_goes_to_no_call_without_an_id: calls with ids of 0 to 60,000 bytes by turns with calls without one, over the own node and another one, repeatable and not.

--- a/packages/node/backend_conn.c
+++ b/packages/node/backend_conn.c
@@ -38,6 +38,7 @@
 #define CONN_IDLE_MAX_NS (8 * NSEC_PER_SEC)
 #define UNACKED_MAX_MS 1000 /* TCP_USER_TIMEOUT of a connection */
 
+static bool is_unnamed_call(const struct node *n, const struct job *j);
 static struct backend_conn *reuse_idle_conn(struct node *n, bool recent_only);
 static struct backend_conn *open_conn(struct node *n);
 static int encode_call(struct backend_conn *c, const struct job *j);
@@ -64,14 +65,18 @@
 static void unlink_conn(struct backend_conn **list, struct backend_conn *c);
 
 /*
- * Sends a call on an idle connection if one is suitable, else on a new one.
- * Returns ERR_UNAVAILABLE when no connection can be opened now, ERR_MEMORY.
+ * Sends a call on an idle connection if one is suitable, else on a new one. A
+ * call without an id gets a connection of its own, since nothing tells its
+ * answer from one to an earlier call. Returns ERR_UNAVAILABLE when no connection
+ * can be opened now, ERR_MEMORY.
  */
 int
 start_backend_call(struct node *n, struct job *j)
 {
-	struct backend_conn *c = reuse_idle_conn(n, !j->spec.repeatable);
+	struct backend_conn *c = NULL;
 
+	if (!is_unnamed_call(n, j))
+		c = reuse_idle_conn(n, !j->spec.repeatable);
 	if (c == NULL)
 		c = open_conn(n);
 	if (c == NULL)
@@ -106,6 +111,16 @@
 	close_conn(c);
 }
 
+/*
+ * Says whether the caller sent no id with the call, or an empty one, although
+ * calls have ids here.
+ */
+static bool
+is_unnamed_call(const struct node *n, const struct job *j)
+{
+	return n->cfg.names.call_id != NULL && j->spec.id.len == 0;
+}
+
 /*
  * Returns the most recently used idle connection; NULL when there is none, or
  * when recent_only and it was not used within RECENT_USE_NS.
@@ -179,7 +194,8 @@
 	c->out.len = c->out_sent = 0;
 	c->sent_at = 0;
 	c->unexpected_answers = c->interim_answers = 0;
-	c->close_after_use = c->reset = false;
+	c->reset = false;
+	c->close_after_use = is_unnamed_call(c->node, j);
 	c->run = c->node->backend->run;
 	reset_http_reader(&c->reader);
 	c->reader.is_head_response = is_http_name_equal(j->spec.method, "HEAD");
--- a/packages/node/tests/test_call_ids.c
+++ b/packages/node/tests/test_call_ids.c
@@ -1,6 +1,7 @@
 /*
- * Ids of calls at each length: a backend server answers a call twice, the second
- * time where the answer to the next call is expected.
+ * Ids of calls at each length that a head may have, and calls without one: a
+ * backend server answers a call twice, the second time where the answer to the
+ * next call is expected.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -19,9 +20,9 @@
 	"unsafe,other,1,10,0,100,500,9000,100,1,10,0,no," \
 	"0,64,30,test.example,/unsafe/,,1024,1000,2000\n"
 
-/* Bytes of an id. The node kept 128 once, the links between nodes too. */
+/* Bytes of an id; 0: none. The node kept 128 once, the links between nodes too. */
 static const size_t lengths[] = {
-    1, 16, 64, 65, 127, 128, 129, 140, 255, 256, 1000, 4000, 16000, 60000};
+    0, 1, 16, 64, 65, 127, 128, 129, 140, 255, 256, 1000, 4000, 16000, 60000};
 
 static const struct {
 	const char *what;
@@ -109,6 +110,24 @@
 }
 END_TEST
 
+/*
+ * Guards against the same between a call without an id, which no answer can be
+ * compared with, and one that has an id of this length.
+ */
+START_TEST(late_answer_goes_to_no_call_without_an_id)
+{
+	size_t len = lengths[_i];
+
+	for (size_t way = 0; way < COUNT(ways); way++) {
+		check_call(way, "late", len, 'a');
+		check_call(way, "ok", 0, '-');
+		check_call(way, "late", 0, '-');
+		check_call(way, "ok", len, 'b');
+		check_call(way, "ok", 0, '-');
+	}
+}
+END_TEST
+
 /*
  * Guards against an id that is lost when a call is sent once more, after the
  * server has dropped an idle connection.
@@ -138,6 +157,8 @@
 	tcase_add_checked_fixture(t, open_nodes, close_nodes);
 	tcase_add_loop_test(
 	    t, late_answer_goes_to_no_other_call, 0, COUNT(lengths));
+	tcase_add_loop_test(
+	    t, late_answer_goes_to_no_call_without_an_id, 0, COUNT(lengths));
 	tcase_add_loop_test(
 	    t, id_is_kept_when_a_call_is_sent_again, 0, COUNT(lengths));
 	suite_add_tcase(s, t);
