node: an answer that repeats a long id is not too long

What callers saw: calls with ids of 64 KB and more, which a table may allow, ran and were answered with 502, since servers repeat the id in the answer's head, and the head was above the limit of 64 KB.

Change: the limit applies to the rest of the head; the id of the call comes on top. The frame that carries an answer between nodes has room for both.

Evidence: node.test_call_ids has ids of 66,000, 200,000 and 1,000,000 bytes, the last near the longest head that a table allows; with the product of each of them gets 502.

--- a/packages/node/backend_conn.c
+++ b/packages/node/backend_conn.c
@@ -12,10 +12,11 @@
 #include "log.h"
 #include "backend_state.h"
 
-#define ANSWER_HEAD_MAX (64 * 1024) /* bytes of an answer's head */
+#define ANSWER_HEAD_MAX (64 * 1024) /* bytes of an answer's head, but the id */
 #define ANSWER_BODY_MAX (64 * 1024 * 1024) /* bytes of an answer's body */
 /* A longer frame would close the link, with all calls on it. */
-_Static_assert(ANSWER_HEAD_MAX + ANSWER_BODY_MAX < HOP_PAYLOAD_MAX,
+_Static_assert(
+    ANSWER_HEAD_MAX + HOP_HEAD_MAX + ANSWER_BODY_MAX < HOP_PAYLOAD_MAX,
     "every answer fits into a frame");
 #define STATUS_SWITCHING_PROTOCOLS 101
 #define SHORT_BODY_BYTES (64 * 1024) /* of a call, sent with its head */
@@ -199,6 +200,7 @@
 	c->run = c->node->backend->run;
 	reset_http_reader(&c->reader);
 	c->reader.is_head_response = is_http_name_equal(j->spec.method, "HEAD");
+	c->reader.head_max = ANSWER_HEAD_MAX + j->spec.id.len;
 	c->id.len = 0;
 	rc = append_buf_str(&c->id, j->spec.id);
 	if (rc == 0)
