node: an acknowledged leaving is not undone by a late report

Cause: the only memory of a leaving was the state of the known incarnation, and whatever counted as a start of another one set it back to ready. The exit has no birth, so the late ping seemed to be a start. The same happened, without a restart, when a server exited before the first ping of its run had come, and when the node knew an earlier instance: then the exit was acknowledged and thrown away as a late one.

Change: each acknowledged report of a leaving is remembered apart from the known incarnation, with the latest birth that it covers: its own, or else the time of the acknowledgement. A report that a covered incarnation is ready is stale. A later birth or another instance is used at once. The memory ends after 30 s, when the server has exited, so that a start by a clock that was set back is not left out for good.

--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -70,10 +70,14 @@
 	int64_t now = get_reactor_now(n->reactor);
 	struct admission_changes changes = {0};
 	struct backend *b = n->backend;
+	bool stale;
 
 	if (b == NULL)
 		return;
-	if (is_stale_report(b, r, now)) {
+	stale = is_stale_report(b, r, now);
+	record_reported_leaving(
+	    b, r, now, read_wall(&n->cfg.clock) / NSEC_PER_MSEC);
+	if (stale) {
 		WRITE_EVENT(LOG_LEVEL_NOTICE, "report.stale",
 		    LOG_TEXT("instance", r->id), LOG_INT("seq", r->seq),
 		    LOG_INT("born_ms", r->start_ms),
--- a/packages/node/backend_state.h
+++ b/packages/node/backend_state.h
@@ -8,6 +8,7 @@
 #include "node_state.h"
 
 #define NO_RATE_LIMIT (-1.0)
+#define LEAVINGS_MAX 8 /* remembered; the oldest is replaced */
 
 enum conn_state {
 	CONN_OPENING,
@@ -54,6 +55,12 @@
 		uint64_t seq; /* of the first report */
 		int64_t reported_at; /* mono ns; first report */
 	} earlier; /* that has reported since the last accepted report */
+	/* Instances that leave or have left, as acknowledged or returned */
+	struct leaving {
+		char instance[NODE_ID_BYTES]; /* empty: unused */
+		int64_t born_until_ms; /* Unix ms; its latest start, at most */
+		int64_t at; /* mono ns; of the last word of it */
+	} leavings[LEAVINGS_MAX];
 	enum report_state state;
 	int slots;
 	bool announced; /* to the control processes */
@@ -86,6 +93,12 @@
 /* report_order.c */
 bool is_stale_report(
     struct backend *b, const struct backend_report *r, int64_t now);
+/* Of a report that will be acknowledged. wall_ms: the time of day, Unix ms */
+void record_reported_leaving(struct backend *b, const struct backend_report *r,
+    int64_t now, int64_t wall_ms);
+/* The instance leaves; it was started at born_until_ms or before. */
+void record_leaving(struct backend *b, const char *instance,
+    int64_t born_until_ms, int64_t now);
 
 /* notice.c */
 void apply_answer_notices(
--- a/packages/node/report_order.c
+++ b/packages/node/report_order.c
@@ -1,7 +1,8 @@
 /*
  * Order of the reports of the backend server: by the birth of its incarnation,
- * then by sequence.
+ * then by sequence; and the incarnations that have said that they leave.
  */
+#include <stdio.h>
 #include <string.h>
 
 #include "backend_state.h"
@@ -14,18 +15,28 @@
  */
 #define KNOWN_SILENT_NS (3 * NSEC_PER_SEC)
 #define EARLIER_SPAN_NS (KNOWN_SILENT_NS / 2)
+/*
+ * A server that leaves serves on for many seconds at times, and its reports may
+ * arrive seconds late. After this time it has exited, and a report that it is
+ * ready comes from a later start.
+ */
+#define LEAVING_KEPT_NS (30 * NSEC_PER_SEC)
 
+static bool is_from_leaving(
+    const struct backend *b, const struct backend_report *r, int64_t now);
 static bool has_replaced_known(
     struct backend *b, const struct backend_report *r, int64_t now);
 
 /*
- * Says whether a report belongs to an earlier incarnation of the backend server
- * or was overtaken by a newer one. A report that makes the state worse is
- * accepted even when it was overtaken.
+ * Says whether a report belongs to an earlier incarnation of the backend server,
+ * to one that has said that it leaves, or was overtaken by a newer one. A report
+ * that makes the state worse is accepted even when it was overtaken.
  */
 bool
 is_stale_report(struct backend *b, const struct backend_report *r, int64_t now)
 {
+	if (is_from_leaving(b, r, now))
+		return true;
 	if (!b->reported)
 		return false;
 	if (r->start_ms != 0 && b->start_ms != 0 && r->start_ms != b->start_ms)
@@ -37,6 +48,73 @@
 	return r->seq != 0 && r->seq <= b->seq && r->state <= b->state;
 }
 
+/*
+ * Remembers that a server leaves, as its report says, whether or not the report
+ * is applied: its acknowledgement binds. A report without a birth comes from a
+ * server that has been started by now.
+ */
+void
+record_reported_leaving(struct backend *b, const struct backend_report *r,
+    int64_t now, int64_t wall_ms)
+{
+	int64_t until = r->start_ms;
+
+	if (r->state == REPORT_READY)
+		return;
+	if (until == 0) {
+		until = wall_ms;
+		/* The time of day may have been set back since its birth. */
+		if (strcmp(b->instance, r->id) == 0 && b->start_ms > until)
+			until = b->start_ms;
+	}
+	record_leaving(b, r->id, until, now);
+}
+
+void
+record_leaving(
+    struct backend *b, const char *instance, int64_t born_until_ms, int64_t now)
+{
+	struct leaving *l = &b->leavings[0];
+
+	for (size_t i = 0; i < LEAVINGS_MAX; i++) {
+		struct leaving *at = &b->leavings[i];
+
+		if (strcmp(at->instance, instance) == 0) {
+			l = at;
+			break;
+		}
+		if (at->instance[0] == '\0' ||
+		    (l->instance[0] != '\0' && at->at < l->at))
+			l = at;
+	}
+	if (strcmp(l->instance, instance) != 0 ||
+	    born_until_ms > l->born_until_ms)
+		l->born_until_ms = born_until_ms;
+	snprintf(l->instance, sizeof(l->instance), "%s", instance);
+	l->at = now;
+}
+
+/*
+ * Says whether a report comes from an incarnation that has said that it leaves,
+ * other than the known one, whose state does not become ready again anyway.
+ */
+static bool
+is_from_leaving(
+    const struct backend *b, const struct backend_report *r, int64_t now)
+{
+	if (b->reported && strcmp(b->instance, r->id) == 0 &&
+	    (r->start_ms == 0 || r->start_ms == b->start_ms))
+		return false;
+	for (size_t i = 0; i < LEAVINGS_MAX; i++) {
+		const struct leaving *l = &b->leavings[i];
+
+		if (strcmp(l->instance, r->id) == 0)
+			return r->start_ms <= l->born_until_ms &&
+			       now - l->at < LEAVING_KEPT_NS;
+	}
+	return false;
+}
+
 /*
  * Says whether a server that was born earlier by its own account has taken the
  * place of the known one: the time of day was set back before it was started.
--- a/packages/node/tests/node_fixture.c
+++ b/packages/node/tests/node_fixture.c
@@ -231,14 +231,14 @@
 
 int
 send_report(struct fixture *r, int i, const char *instance, const char *state,
-    int seq, int start_ms)
+    int seq, int64_t start_ms)
 {
 	struct test_reply reply;
 	char path[128];
 	int status;
 
-	snprintf(path, sizeof(path), REPORT_PREFIX "%s/%s/%d/%d", instance,
-	    state, seq, start_ms);
+	snprintf(path, sizeof(path), REPORT_PREFIX "%s/%s/%d/%lld", instance,
+	    state, seq, (long long)start_ms);
 	send_test_call(
 	    r->reports[i], "POST", path, "report", "", make_str(""), &reply);
 	status = reply.status;
--- a/packages/node/tests/node_fixture.h
+++ b/packages/node/tests/node_fixture.h
@@ -60,7 +60,7 @@
  * "gone". Returns the HTTP status of the answer.
  */
 int send_report(struct fixture *r, int i, const char *instance,
-    const char *state, int seq, int start_ms);
+    const char *state, int seq, int64_t start_ms);
 
 int count_fixture_runs(struct fixture *r, const char *id); /* of one call */
 /*
--- a/packages/node/tests/test_report_order.c
+++ b/packages/node/tests/test_report_order.c
@@ -84,6 +84,72 @@
 }
 END_TEST
 
+/*
+ * "i-0", the known instance or not, was born at 100,000 ms and exits without
+ * saying so again when the time of day is exit_ms.
+ */
+static const struct {
+	const char *what;
+	bool known;
+	int64_t exit_ms;
+	int after_ms; /* a report that it is ready comes so much later */
+	int64_t start_ms;
+	bool stale;
+} exit_cases[] = {
+    {"late report", false, 130000, 9000, 100000, true},
+    {"late report of the last moment", false, 130000, 9000, 130000, true},
+    {"later start", false, 130000, 9000, 130001, false},
+    {"start by a clock that was set back", false, 130000, 29999, 40000, true},
+    {"the same, after all reports of the exited one", false, 130000, 30000,
+	40000, false},
+    {"exit by a clock that was set back", true, 60000, 9000, 99000, true},
+    {"the same, later start", true, 60000, 9000, 100001, false},
+};
+
+/*
+ * Guards against a late report that undoes an exit, against a later start that
+ * is taken for the one that has exited, and against one that is never used since
+ * the time of day was set back before it.
+ */
+START_TEST(exit_holds_for_all_starts_before_it)
+{
+	struct backend b = {.reported = exit_cases[_i].known,
+	    .start_ms = exit_cases[_i].known ? 100000 : 0};
+	struct backend_report exit = {.id = "i-0", .state = REPORT_GONE};
+	struct backend_report ready = {.id = "i-0",
+	    .start_ms = exit_cases[_i].start_ms,
+	    .seq = 8,
+	    .state = REPORT_READY};
+
+	if (b.reported)
+		snprintf(b.instance, sizeof(b.instance), "i-0");
+	record_reported_leaving(
+	    &b, &exit, NSEC_PER_SEC, exit_cases[_i].exit_ms);
+	ck_assert_msg(
+	    is_stale_report(&b, &ready,
+		NSEC_PER_SEC + exit_cases[_i].after_ms * NSEC_PER_MSEC) ==
+		exit_cases[_i].stale,
+	    "%s", exit_cases[_i].what);
+}
+END_TEST
+
+/* Guards against an exit that is forgotten for those of further instances. */
+START_TEST(latest_exits_are_remembered)
+{
+	struct backend b = {0};
+	struct backend_report r = {.start_ms = 5, .seq = 1};
+
+	for (int i = 0; i <= LEAVINGS_MAX; i++) {
+		snprintf(r.id, sizeof(r.id), "i-%d", i);
+		record_leaving(&b, r.id, 5, i);
+	}
+	for (int i = 1; i <= LEAVINGS_MAX; i++) {
+		snprintf(r.id, sizeof(r.id), "i-%d", i);
+		ck_assert(is_stale_report(&b, &r, LEAVINGS_MAX));
+	}
+}
+END_TEST
+
 int
 main(void)
 {
@@ -95,6 +161,9 @@
 	tcase_add_loop_test(t,
 	    earlier_birth_is_accepted_only_from_the_server_that_runs, 0,
 	    sizeof(order_cases) / sizeof(order_cases[0]));
+	tcase_add_loop_test(t, exit_holds_for_all_starts_before_it, 0,
+	    sizeof(exit_cases) / sizeof(exit_cases[0]));
+	tcase_add_test(t, latest_exits_are_remembered);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
