node: a restarted server's load replaces that of the one before at other nodes

What callers see: other nodes send no call to a server that has been started again, as long as the rest have room.

Trace: between the start of a server and its first accepted report (3 s where the clock was set back), its node sends it calls for the instance before, which it refuses. The share of failed calls in the node's load rises. With the accepted report the node resets its own share, but it told entry nodes only when its state changed, and the state was ready all the time. Load reports come with answers only, so an entry node that keeps the old share, from a few percent on, chooses every other server and never hears of the reset.

Change: a node sends its load to entry nodes whenever its server has started.

Evidence: node.test_leaving, restarted_server_is_used_by_other_nodes: none of 200 calls reached the server before, now it passes.

--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -70,7 +70,8 @@
 	int64_t now = get_reactor_now(n->reactor);
 	struct admission_changes changes = {0};
 	struct backend *b = n->backend;
-	bool stale;
+	enum hop_state before = n->state;
+	bool stale, started;
 
 	if (b == NULL)
 		return;
@@ -86,8 +87,9 @@
 		    LOG_INT("known_born_ms", b->start_ms));
 		return;
 	}
-	if (!b->reported || strcmp(b->instance, r->id) != 0 ||
-	    (r->start_ms != 0 && r->start_ms != b->start_ms))
+	started = !b->reported || strcmp(b->instance, r->id) != 0 ||
+		  (r->start_ms != 0 && r->start_ms != b->start_ms);
+	if (started)
 		start_instance(n, r);
 	b->seq = r->seq != 0 ? r->seq : b->seq;
 	b->reported_at = now;
@@ -102,6 +104,9 @@
 	b->down = false;
 	b->connect_failures = 0;
 	update_state(n);
+	/* Entry nodes still know the failures of the server before it. */
+	if (started && n->state == before)
+		broadcast_load(n);
 }
 
 /*
--- a/packages/node/tests/test_leaving.c
+++ b/packages/node/tests/test_leaving.c
@@ -12,6 +12,8 @@
 
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
 #define STEPS_MAX 8
+#define REFUSED_CALLS 40
+#define CALLS_AFTER 200
 #define BORN_NOW 1 /* at this step; 0: the report does not say */
 
 enum step_kind {
@@ -226,6 +228,37 @@
 }
 END_TEST
 
+/*
+ * The server crashes and is started again between two calls; until its first
+ * report the node sends calls to the one before. Guards against a server that
+ * other nodes leave out for good since the calls before its report have failed.
+ */
+START_TEST(restarted_server_is_used_by_other_nodes)
+{
+	struct test_reply reply;
+	int before, sent = 0;
+
+	for (int i = 0; i < REFUSED_CALLS; i++) {
+		send_test_call(fixture.calls[2], "GET", "/read/other", "call",
+		    "", make_str(""), &reply);
+		unload_reply(&reply);
+	}
+	add_fake_endpoint(fixture.agent, "svc", "node-1", fixture.links[1], 4,
+	    WIRE_ENDPOINT_READY);
+	for (int i = 0; i < 3; i++)
+		refresh_node(fixture.nodes[i]);
+	ck_assert_int_eq(
+	    send_report(&fixture, 0, "i-9", "ready", 1, read_wall_ms()), 200);
+	usleep(20000);
+	before = count_fake_requests(fixture.servers[0]);
+	for (int i = 0; i < CALLS_AFTER && sent == 0; i++) {
+		ck_assert_int_eq(send_call(2), 200);
+		sent = count_fake_requests(fixture.servers[0]) - before;
+	}
+	ck_assert_int_gt(sent, 0);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -237,6 +270,7 @@
 	tcase_set_timeout(t, 60);
 	tcase_add_checked_fixture(t, open_nodes, close_nodes);
 	tcase_add_loop_test(t, acknowledged_leaving_is_final, 0, COUNT(cases));
+	tcase_add_test(t, restarted_server_is_used_by_other_nodes);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
