node: a leaving acknowledged before a restart of the node is not undone after it

What callers saw: a node acknowledges that its server leaves, is started again, and a late ping makes it use the server. Calls of its own callers reach the server at once, and those of others until one of them opens a link.

Cause: entry nodes return the last notice of a server with their first message to its restarted node, but they open links when they have calls, which is after the node has announced the server again. The notice also named the birth that the node knew, so it was not applied where the node had heard only of the exit, which has no birth; and it held the known instance only.

Notices hold every leaving that is remembered, with the birth up to which it holds, and a returned one counts as if this process had acknowledged it.

Builds understand each other: an earlier one reads the first notice of several.

Evidence: node.test_leaving with four orders of a leaving, one or two restarts and late pings failed before ("1 calls sent by node 0") and passes, as do those of new servers. The fixture waits until a node uses its server before a test begins. Not covered: a node that ends within milliseconds of its acknowledgement, before others have heard of it, and one that no other node has a link to.

--- a/packages/hop/hop.x
+++ b/packages/hop/hop.x
@@ -22,9 +22,11 @@
 };
 
 /*
- * What a backend server said of itself in its answers. Its serving node appends
- * it to HOP_WELCOME and HOP_LOAD; entry nodes append the last one to HOP_HELLO,
- * in case the serving node has started again meanwhile.
+ * What a backend server said of itself, in its answers or reports. Its serving
+ * node appends it to HOP_WELCOME and HOP_LOAD, followed by one for each instance
+ * before it that leaves or has left; start_ms of these is their latest start. In
+ * case the serving node has started again meanwhile, other nodes append its last
+ * notices to their HOP_HELLO, and to HOP_WELCOME behind their own.
  */
 struct hop_notice {
 	string node<HOP_NAME_MAX>;     /* serving node */
--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -13,6 +13,7 @@
 
 static void start_instance(struct node *n, const struct backend_report *r);
 static void update_state(struct node *n);
+static void publish_notice(struct node *n);
 static void announce_state(struct node *n);
 static void leave_down_state(struct timer *t);
 
@@ -71,14 +72,16 @@
 	struct admission_changes changes = {0};
 	struct backend *b = n->backend;
 	enum hop_state before = n->state;
-	bool stale, started;
+	bool stale, started, leaves;
 
 	if (b == NULL)
 		return;
 	stale = is_stale_report(b, r, now);
-	record_reported_leaving(
+	leaves = record_reported_leaving(
 	    b, r, now, read_wall(&n->cfg.clock) / NSEC_PER_MSEC);
 	if (stale) {
+		if (leaves)
+			publish_notice(n);
 		WRITE_EVENT(LOG_LEVEL_NOTICE, "report.stale",
 		    LOG_TEXT("instance", r->id), LOG_INT("seq", r->seq),
 		    LOG_INT("born_ms", r->start_ms),
@@ -105,8 +108,8 @@
 	b->connect_failures = 0;
 	update_state(n);
 	/* Entry nodes still know the failures of the server before it. */
-	if (started && n->state == before)
-		broadcast_load(n);
+	if (n->state == before && (started || leaves))
+		publish_notice(n);
 }
 
 /*
@@ -125,6 +128,13 @@
 	update_state(n);
 }
 
+void
+refresh_backend_state(struct node *n)
+{
+	if (n->backend != NULL)
+		update_state(n);
+}
+
 int
 get_backend_slots(const struct node *n)
 {
@@ -205,7 +215,7 @@
 
 	if (b->state != REPORT_READY)
 		state = HOP_STATE_LEAVING;
-	else if (!b->reported || b->down)
+	else if (!b->reported || b->down || !are_notices_known(n, b->start_ms))
 		state = HOP_STATE_DOWN;
 	if (state != n->state) {
 		WRITE_EVENT(LOG_LEVEL_NOTICE, "backend.state",
@@ -218,12 +228,21 @@
 		n->state = state;
 		if (state == HOP_STATE_LEAVING)
 			start_leaving_timer(n);
-		update_notice(n);
-		broadcast_load(n);
+		publish_notice(n);
 	}
 	announce_state(n);
 }
 
+/*
+ * Sends the load and the notices of the server to entry nodes.
+ */
+static void
+publish_notice(struct node *n)
+{
+	update_notice(n);
+	broadcast_load(n);
+}
+
 /*
  * Announces the endpoint to the control processes when its state has changed. A
  * server that is briefly down stays listed; entry nodes are notified of that on
--- a/packages/node/backend_state.h
+++ b/packages/node/backend_state.h
@@ -93,12 +93,17 @@
 /* report_order.c */
 bool is_stale_report(
     struct backend *b, const struct backend_report *r, int64_t now);
-/* Of a report that will be acknowledged. wall_ms: the time of day, Unix ms */
-void record_reported_leaving(struct backend *b, const struct backend_report *r,
+/*
+ * Of a report that will be acknowledged; wall_ms: the time of day, Unix ms.
+ * Returns whether a leaving was not known yet.
+ */
+bool record_reported_leaving(struct backend *b, const struct backend_report *r,
     int64_t now, int64_t wall_ms);
 /* The instance leaves; it was started at born_until_ms or before. */
-void record_leaving(struct backend *b, const char *instance,
+bool record_leaving(struct backend *b, const char *instance,
     int64_t born_until_ms, int64_t now);
+bool is_leaving_kept(const struct leaving *l, int64_t now); /* not forgotten */
+bool has_leavings(const struct backend *b, int64_t now);
 
 /* notice.c */
 void apply_answer_notices(
--- a/packages/node/inbound.c
+++ b/packages/node/inbound.c
@@ -194,7 +194,8 @@
 
 /*
  * Completes the handshake: answers with WELCOME, which carries the name, the
- * service and the load of this node.
+ * service and the load of this node, the notices of its server, and those that it
+ * knows of the other node's.
  */
 static void
 handle_hello(struct inbound_link *l, struct str payload)
@@ -206,17 +207,22 @@
 		(char *)(uintptr_t)(cfg->service != NULL ? cfg->service : ""),
 	};
 	struct hop_hello h = {0};
+	struct buf notices = {0};
 	struct str rest;
 
 	if (decode_hop_message(payload, (xdrproc_t)xdr_hop_hello, &h, &rest) !=
 	    0)
 		return;
-	unload_hop_message((xdrproc_t)xdr_hop_hello, &h);
 	adopt_notice(l->node, rest);
 	w.load = get_own_load(l->node);
 	l->handshake_done = true;
+	if (append_buf_str(&notices, get_own_notice(l->node)) != 0 ||
+	    append_buf_str(&notices, get_known_notice(l->node, h.node)) != 0)
+		notices.len = 0;
 	send_hop(l->hop, HOP_WELCOME, 0, (xdrproc_t)xdr_hop_welcome, &w,
-	    get_own_notice(l->node));
+	    view_buf(&notices));
+	unload_buf(&notices);
+	unload_hop_message((xdrproc_t)xdr_hop_hello, &h);
 }
 
 /*
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -72,6 +72,12 @@
 	return 0;
 }
 
+void
+open_peer(struct peer *p)
+{
+	(void)get_link(p);
+}
+
 /*
  * Sends the offer, with the body if the call may repeat and the body fits one
  * piece. Any other body follows when the call has been granted a slot; until
@@ -303,10 +309,12 @@
 	else
 		update_peer_load(l->peer, &w.load);
 	remember_notice(l->node, w.node, rest);
+	adopt_notice(l->node, rest);
 	unload_hop_message((xdrproc_t)xdr_hop_welcome, &w);
 	if (l->handshake_done)
 		return;
 	l->handshake_done = true;
+	continue_notice_ask(l->node);
 	for (size_t i = 0; i < NODE_STREAM_SLOTS; i++) {
 		struct request *q = l->streams[i];
 
@@ -530,6 +538,7 @@
 		}
 	}
 	close_hop(l->hop);
+	continue_notice_ask(l->node);
 	free(l);
 }
 
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -146,7 +146,7 @@
 	if (rc != 0)
 		return set_fault(f, ERR_MEMORY, "out of memory");
 	set_defaults(c);
-	n->rollout_run = (uint64_t)read_wall(&c->clock);
+	n->started_wall_ns = read_wall(&c->clock);
 	seed_rng(&n->rng, cfg->seed);
 	return 0;
 }
@@ -233,6 +233,7 @@
 		release_table(n->cfg.agent, fresh);
 	}
 	refresh_services(n);
+	ask_for_notices(n);
 	if (n->cfg.trial_share > 0)
 		apply_rollouts(n);
 }
@@ -292,6 +293,7 @@
 		clear_services(n);
 		close_allotments(n);
 		clear_known_notices(n);
+		cancel_timer(n->reactor, &n->ask_timer);
 		cancel_timer(n->reactor, &n->leave_timer);
 		cancel_timer(n->reactor, &n->memory_timer);
 		cancel_timer(n->reactor, &n->rollout_timer);
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -236,6 +236,14 @@
 	bool resent; /* after the server had closed an idle connection */
 };
 
+/* Whether other nodes have been asked for the notices of this node's server */
+enum notice_ask {
+	NOTICE_ASK_WAITS, /* for the first table */
+	NOTICE_ASK_LISTS, /* waits for the endpoint sets */
+	NOTICE_ASK_SENT,
+	NOTICE_ASK_ENDED,
+};
+
 /* A serving node as this entry node sees it. */
 struct peer {
 	struct peer *next; /* in the node's list */
@@ -287,6 +295,7 @@
 	double tokens; /* retry budget: retries that are left */
 	int64_t tokens_at; /* mono ns; last refill */
 	bool in_table; /* named by the current table */
+	bool has_set; /* its endpoint set has arrived */
 	/* Version of the server that started first; used without a roll-out */
 	char base_version[NODE_VERSION_BYTES];
 	struct service_rollout {
@@ -434,6 +443,9 @@
 	struct timer outflow_timer;
 	struct known_notice *known_notices; /* of other nodes' servers */
 	size_t known_notice_count;
+	enum notice_ask ask_state;
+	struct timer ask_timer;
+	int64_t started_wall_ns; /* start of this process, Unix ns */
 	enum hop_state state; /* as a serving node */
 	int64_t service_ns; /* recent mean service time; 0: unknown */
 	/* Recent service times over those of all servers; 0: unknown */
@@ -448,7 +460,6 @@
 	bool rollout_reports; /* the timer is set */
 	uint64_t rollout_change; /* of the list in force; 0: none */
 	uint64_t rollout_seq; /* of the last report */
-	uint64_t rollout_run; /* start of this process, wall ns */
 
 	/* Stop */
 	struct task drain; /* posted by drain_node() */
@@ -559,6 +570,8 @@
 
 /* services.c */
 void refresh_services(struct node *n);
+/* Whether the endpoint set of each service of the table has arrived. */
+bool has_endpoint_sets(const struct node *n);
 void clear_services(struct node *n);
 struct service *find_node_service(struct node *n, const char *name);
 struct kind_stats *get_kind_stats(struct node *n, const char *kind);
@@ -589,6 +602,7 @@
 
 /* links.c */
 int offer_remote(struct request *q, struct peer *p);
+void open_peer(struct peer *p); /* opens a link, if there is none */
 void cancel_remote(struct request *q);
 void update_peer_load(struct peer *p, const struct hop_load *load);
 void close_links(struct node *n);
@@ -622,6 +636,7 @@
 /* Before the owner of the job's body frees it; ERR_MEMORY. */
 int keep_call_body(struct job *j);
 void apply_backend_report(struct node *n, const struct backend_report *r);
+void refresh_backend_state(struct node *n); /* of its use by entry nodes */
 int get_backend_slots(const struct node *n);
 int count_backend_connections(const struct node *n);
 const char *get_backend_instance(const struct node *n);
@@ -630,11 +645,16 @@
 double get_backend_rate(const struct node *n); /* negative: unlimited */
 
 /* notice.c */
-/* Encoded notice of this node's server, sent to entry nodes; may be empty */
+/* Encoded notices of this node's server, sent to entry nodes; may be empty */
 struct str get_own_notice(const struct node *n);
-/* Handles a notice that an entry node returned. */
+/* Handles notices that another node returned. */
 void adopt_notice(struct node *n, struct str message);
 
+/* notice_ask.c */
+void ask_for_notices(struct node *n); /* after services were refreshed */
+void continue_notice_ask(struct node *n); /* a link has opened or failed */
+bool are_notices_known(const struct node *n, int64_t start_ms);
+
 /* notice_memory.c */
 void remember_notice(struct node *n, const char *node, struct str message);
 struct str get_known_notice(const struct node *n, const char *node);
--- a/packages/node/notice.c
+++ b/packages/node/notice.c
@@ -15,6 +15,9 @@
 #define NOTICE_INTERVAL_NS (500 * NSEC_PER_MSEC) /* between changed limits */
 #define NOTICE_CHANGE 0.1 /* smaller changes of a limit are not sent */
 
+static void adopt_own_notice(struct node *n, const struct hop_notice *m);
+static void adopt_leaving(struct node *n, const struct returned_notice *r);
+static int append_leavings(struct node *n);
 static void keep_returned(struct backend *b, const struct returned_notice *r);
 static void apply_returned(struct node *n, const struct returned_notice *r);
 static bool is_stricter(double rate, double other);
@@ -62,42 +65,72 @@
 }
 
 /*
- * Handles a notice that an entry node returned: empty, or what this node sent
- * before it last started. It counts until the backend server itself answers. Of
- * several the most restrictive one counts, since entry nodes may not have heard
- * of the end of a limit.
+ * Handles notices that another node returned: what this node sent before it last
+ * started, among those of the other node itself.
  */
 void
 adopt_notice(struct node *n, struct str message)
+{
+	while (n->backend != NULL && message.len > 0) {
+		struct hop_notice m = {0};
+		struct str rest;
+
+		if (decode_hop_message(
+			message, (xdrproc_t)xdr_hop_notice, &m, &rest) != 0) {
+			write_log(LOG_LEVEL_WARNING,
+			    "a returned notice cannot be read and is ignored");
+			return;
+		}
+		if (strcmp(m.node, n->cfg.name) == 0)
+			adopt_own_notice(n, &m);
+		unload_hop_message((xdrproc_t)xdr_hop_notice, &m);
+		message = rest;
+	}
+}
+
+/*
+ * A limit counts until the backend server itself answers. Of several the most
+ * restrictive one counts, since entry nodes may not have heard of the end of a
+ * limit. A leaving is final.
+ */
+static void
+adopt_own_notice(struct node *n, const struct hop_notice *m)
 {
 	struct backend *b = n->backend;
-	struct returned_notice r;
-	struct hop_notice m = {0};
-	struct str rest;
+	struct returned_notice r = {.start_ms = m->start_ms,
+	    .rate_per_s = m->rate_per_s >= 0 ? m->rate_per_s : NO_RATE_LIMIT,
+	    .leaving = m->leaving};
 
-	if (b == NULL || b->answered || message.len == 0)
+	if (copy_str(r.instance, sizeof(r.instance), make_str(m->instance)) !=
+	    0)
 		return;
-	if (decode_hop_message(message, (xdrproc_t)xdr_hop_notice, &m, &rest) !=
-	    0) {
-		write_log(LOG_LEVEL_WARNING,
-		    "a returned notice cannot be read and is ignored");
+	if (m->leaving)
+		adopt_leaving(n, &r);
+	if (b->answered)
 		return;
-	}
-	r = (struct returned_notice){.start_ms = m.start_ms,
-	    .rate_per_s = m.rate_per_s >= 0 ? m.rate_per_s : NO_RATE_LIMIT,
-	    .leaving = m.leaving};
 	if (r.rate_per_s > RATE_PER_S_MAX)
 		r.rate_per_s = RATE_PER_S_MAX;
-	if (strcmp(m.node, n->cfg.name) == 0 &&
-	    copy_str(r.instance, sizeof(r.instance), make_str(m.instance)) ==
-		0) {
-		if (!b->reported)
-			keep_returned(b, &r);
-		else if (strcmp(r.instance, b->instance) == 0 &&
-			 r.start_ms == b->start_ms)
-			apply_returned(n, &r);
-	}
-	unload_hop_message((xdrproc_t)xdr_hop_notice, &m);
+	if (!b->reported)
+		keep_returned(b, &r);
+	else if (strcmp(r.instance, b->instance) == 0 &&
+		 r.start_ms == b->start_ms)
+		apply_returned(n, &r);
+}
+
+/*
+ * An earlier process of this node has acknowledged that the instance leaves, or
+ * has read so in an answer.
+ */
+static void
+adopt_leaving(struct node *n, const struct returned_notice *r)
+{
+	struct backend *b = n->backend;
+
+	(void)record_leaving(
+	    b, r->instance, r->start_ms, get_reactor_now(n->reactor));
+	if (b->reported && strcmp(r->instance, b->instance) == 0 &&
+	    b->start_ms <= r->start_ms)
+		mark_backend_leaving(n);
 }
 
 struct str
@@ -108,8 +141,8 @@
 }
 
 /*
- * Encodes the present notice for entry nodes. It stays empty until there is
- * something to say.
+ * Encodes the present notices for entry nodes: of the known run, and of others
+ * that leave. They stay empty until there is something to say.
  */
 void
 update_notice(struct node *n)
@@ -123,12 +156,15 @@
 	    .leaving = b->state != REPORT_READY,
 	};
 
-	if (b->notice.len == 0 && m.rate_per_s < 0 && !m.leaving)
+	if (b->notice.len == 0 && m.rate_per_s < 0 && !m.leaving &&
+	    !has_leavings(b, get_reactor_now(n->reactor)))
 		return;
 	b->notice.len = 0;
 	b->sent_rate = b->rate_per_s;
 	b->notice_at = get_reactor_now(n->reactor);
-	if (append_hop_message(&b->notice, (xdrproc_t)xdr_hop_notice, &m) == 0)
+	if (append_hop_message(&b->notice, (xdrproc_t)xdr_hop_notice, &m) ==
+		0 &&
+	    append_leavings(n) == 0)
 		return;
 	b->notice.len = 0;
 	write_log(LOG_LEVEL_ERR,
@@ -137,6 +173,34 @@
 	    b->instance);
 }
 
+/*
+ * Appends a notice for each instance that leaves or has left. Returns
+ * ERR_MEMORY.
+ */
+static int
+append_leavings(struct node *n)
+{
+	struct backend *b = n->backend;
+	int64_t now = get_reactor_now(n->reactor);
+	int rc = 0;
+
+	for (size_t i = 0; i < LEAVINGS_MAX && rc == 0; i++) {
+		struct leaving *l = &b->leavings[i];
+		struct hop_notice m = {
+		    .node = (char *)(uintptr_t)n->cfg.name,
+		    .instance = l->instance,
+		    .start_ms = l->born_until_ms,
+		    .rate_per_s = NO_RATE_LIMIT,
+		    .leaving = true,
+		};
+
+		if (is_leaving_kept(l, now))
+			rc = append_hop_message(
+			    &b->notice, (xdrproc_t)xdr_hop_notice, &m);
+	}
+	return rc;
+}
+
 /*
  * Keeps a returned notice until the first report of the backend server.
  */
--- a/packages/node/notice_memory.c
+++ b/packages/node/notice_memory.c
@@ -15,35 +15,28 @@
 struct known_notice {
 	struct known_notice *next; /* newest first */
 	char node[NODE_ID_BYTES]; /* serving node */
-	struct buf message; /* struct hop_notice as received */
+	struct buf message; /* of struct hop_notice, as received */
 };
 
+static struct str cut_own_notices(
+    const char *node, struct str message, bool *kept);
 static struct known_notice *take_notice(struct node *n, const char *node);
 static void free_notice(struct known_notice *k);
 
 /*
- * Keeps the notice behind a message of a serving node. One without a limit of a
- * server that is not leaving removes the former one. An empty one is ignored:
- * the server has said nothing yet, or the node is of an older build.
+ * Keeps the notices behind a message of a serving node. Notices that name no
+ * limit and no leaving remove the former ones. No notice is ignored: the server
+ * has said nothing yet, or the node is of an older build.
  */
 void
 remember_notice(struct node *n, const char *node, struct str message)
 {
-	struct hop_notice m = {0};
 	struct known_notice *k;
-	struct str rest;
 	bool kept;
 
+	message = cut_own_notices(node, message, &kept);
 	if (message.len == 0)
 		return;
-	if (decode_hop_message(message, (xdrproc_t)xdr_hop_notice, &m, &rest) !=
-	    0) {
-		write_log(LOG_LEVEL_WARNING,
-		    "a notice of node %s cannot be read and is ignored", node);
-		return;
-	}
-	kept = strcmp(m.node, node) == 0 && (m.rate_per_s >= 0 || m.leaving);
-	unload_hop_message((xdrproc_t)xdr_hop_notice, &m);
 	k = take_notice(n, node);
 	if (kept && k == NULL)
 		k = calloc(1, sizeof(*k));
@@ -65,7 +58,38 @@
 }
 
 /*
- * Returns the last notice of a serving node, to be sent behind HELLO; empty
+ * Returns the notices at the start of a message that are the node's own. *kept
+ * is set to whether one of them is worth returning to it.
+ */
+static struct str
+cut_own_notices(const char *node, struct str message, bool *kept)
+{
+	struct str left = message, rest;
+	bool own = true;
+
+	*kept = false;
+	while (own && left.len > 0) {
+		struct hop_notice m = {0};
+
+		if (decode_hop_message(
+			left, (xdrproc_t)xdr_hop_notice, &m, &rest) != 0) {
+			write_log(LOG_LEVEL_WARNING,
+			    "a notice of node %s cannot be read and is ignored",
+			    node);
+			break;
+		}
+		own = strcmp(m.node, node) == 0;
+		if (own) {
+			*kept = *kept || m.rate_per_s >= 0 || m.leaving;
+			left = rest;
+		}
+		unload_hop_message((xdrproc_t)xdr_hop_notice, &m);
+	}
+	return make_str_n(message.data, message.len - left.len);
+}
+
+/*
+ * Returns the last notices of a serving node, to be sent behind HELLO; empty
  * when there is none.
  */
 struct str
--- a/packages/node/report_order.c
+++ b/packages/node/report_order.c
@@ -51,30 +51,31 @@
 /*
  * Remembers that a server leaves, as its report says, whether or not the report
  * is applied: its acknowledgement binds. A report without a birth comes from a
- * server that has been started by now.
+ * server that has been started by now. Returns whether this is news.
  */
-void
+bool
 record_reported_leaving(struct backend *b, const struct backend_report *r,
     int64_t now, int64_t wall_ms)
 {
 	int64_t until = r->start_ms;
 
 	if (r->state == REPORT_READY)
-		return;
+		return false;
 	if (until == 0) {
 		until = wall_ms;
 		/* The time of day may have been set back since its birth. */
 		if (strcmp(b->instance, r->id) == 0 && b->start_ms > until)
 			until = b->start_ms;
 	}
-	record_leaving(b, r->id, until, now);
+	return record_leaving(b, r->id, until, now);
 }
 
-void
+bool
 record_leaving(
     struct backend *b, const char *instance, int64_t born_until_ms, int64_t now)
 {
 	struct leaving *l = &b->leavings[0];
+	bool news;
 
 	for (size_t i = 0; i < LEAVINGS_MAX; i++) {
 		struct leaving *at = &b->leavings[i];
@@ -87,11 +88,30 @@
 		    (l->instance[0] != '\0' && at->at < l->at))
 			l = at;
 	}
-	if (strcmp(l->instance, instance) != 0 ||
-	    born_until_ms > l->born_until_ms)
+	news = strcmp(l->instance, instance) != 0 ||
+	       born_until_ms > l->born_until_ms;
+	if (news) {
+		snprintf(l->instance, sizeof(l->instance), "%s", instance);
 		l->born_until_ms = born_until_ms;
-	snprintf(l->instance, sizeof(l->instance), "%s", instance);
+	}
 	l->at = now;
+	return news;
+}
+
+bool
+is_leaving_kept(const struct leaving *l, int64_t now)
+{
+	return l->instance[0] != '\0' && now - l->at < LEAVING_KEPT_NS;
+}
+
+bool
+has_leavings(const struct backend *b, int64_t now)
+{
+	for (size_t i = 0; i < LEAVINGS_MAX; i++) {
+		if (is_leaving_kept(&b->leavings[i], now))
+			return true;
+	}
+	return false;
 }
 
 /*
@@ -110,7 +130,7 @@
 
 		if (strcmp(l->instance, r->id) == 0)
 			return r->start_ms <= l->born_until_ms &&
-			       now - l->at < LEAVING_KEPT_NS;
+			       is_leaving_kept(l, now);
 	}
 	return false;
 }
--- a/packages/node/rollouts.c
+++ b/packages/node/rollouts.c
@@ -308,7 +308,7 @@
 	struct wire_rollout_age ages[AGENT_ROLLOUTS_MAX];
 	struct wire_rollouts_args a = {
 	    .node = (char *)(uintptr_t)n->cfg.name,
-	    .incarnation = n->rollout_run,
+	    .incarnation = (uint64_t)n->started_wall_ns,
 	    .seq = ++n->rollout_seq,
 	    .held = is_close_pending(n) ? 0 : n->rollout_change,
 	    .service = n->cfg.service != NULL ?
--- a/packages/node/services.c
+++ b/packages/node/services.c
@@ -56,6 +56,16 @@
 	remove_unlisted_peers(n);
 }
 
+bool
+has_endpoint_sets(const struct node *n)
+{
+	for (const struct service *s = n->services; s != NULL; s = s->next) {
+		if (s->in_table && !s->has_set)
+			return false;
+	}
+	return true;
+}
+
 /*
  * Frees services, peers and kinds; links to the peers are closed before.
  */
@@ -215,6 +225,7 @@
 	if (!s->in_table)
 		return;
 	set = acquire_endpoints(n->cfg.agent, make_str(s->name));
+	s->has_set = set != NULL;
 	if (set == NULL)
 		return;
 	for (size_t i = 0; i < set->count; i++) {
--- a/packages/node/tests/node_fixture.c
+++ b/packages/node/tests/node_fixture.c
@@ -33,6 +33,7 @@
 static bool is_readiness_check(const struct http_head *head);
 static void start_fixture(struct fixture *r, int nodes);
 static void wait_ready(struct fixture *r, int i);
+static void wait_in_use(struct fixture *r, int i);
 static bool is_reply_complete(const struct test_reply *r, size_t head);
 static void send_all(int fd, const void *data, size_t len);
 
@@ -118,6 +119,7 @@
 		wait_ready(r, i);
 		ck_assert_int_eq(
 		    send_report(r, i, instance, "ready", 1, 1000), 200);
+		wait_in_use(r, i);
 	}
 }
 
@@ -382,6 +384,26 @@
 	ck_abort_msg("node %d is not ready", i);
 }
 
+/* Waits until the node, which has started before its server's report, uses it. */
+static void
+wait_in_use(struct fixture *r, int i)
+{
+	struct test_reply reply;
+	bool used = false;
+
+	for (int k = 0; k < 200 && !used; k++) {
+		send_test_call(r->metrics[i], "GET", "/metrics", "q", "",
+		    make_str(""), &reply);
+		ck_assert_int_eq(append_buf(&reply.body, "", 1), 0);
+		used = strstr(reply.body.data, "\nggs_node_backend_state 1") !=
+		       NULL;
+		unload_reply(&reply);
+		if (!used)
+			usleep(10000);
+	}
+	ck_assert_msg(used, "node %d does not use its server", i);
+}
+
 /* Parses "/report/INSTANCE/STATE/SEQ/START_MS"; reports 4 slots. */
 static int
 read_report(const struct http_head *head, struct str body,
--- a/packages/node/tests/test_leaving.c
+++ b/packages/node/tests/test_leaving.c
@@ -37,6 +37,11 @@
 		RESTART, "", 0, 0 \
 	}
 
+#define CALLED                  \
+	{                       \
+		CALLS, "", 0, 0 \
+	}
+
 /* The server is "i-0"; every report is acknowledged. */
 struct leaving_case {
 	const char *what;
@@ -122,6 +127,32 @@
 	{RESTARTED, {GONE, "i-0", 0, 0}, {READY, "i-1", BORN_NOW, 1},
 	    {READY, "i-0", -9000, 8}},
 	"i-1"},
+    {"exit, restart, late ping",
+	{{READY, "i-0", -9000, 7}, CALLED, {GONE, "i-0", 0, 0}, RESTARTED,
+	    {READY, "i-0", -9000, 8}},
+	NULL},
+    {"draining, restart, late ping",
+	{{READY, "i-0", -9000, 7}, CALLED, {DRAINING, "i-0", -9000, 9},
+	    RESTARTED, {READY, "i-0", -9000, 8}},
+	NULL},
+    {"exit, two restarts, late ping",
+	{{READY, "i-0", -9000, 7}, CALLED, {GONE, "i-0", 0, 0}, RESTARTED,
+	    RESTARTED, {READY, "i-0", -9000, 8}},
+	NULL},
+    {"restart, exit, restart, late pings",
+	{CALLED, RESTARTED, {READY, "i-9", -20000, 30}, CALLED,
+	    {GONE, "i-0", 0, 0}, RESTARTED, {READY, "i-0", -9000, 8},
+	    {READY, "i-0", -9000, 9}},
+	NULL},
+    {"exit, restart, new instance",
+	{{READY, "i-0", -9000, 7}, CALLED, {GONE, "i-0", 0, 0}, RESTARTED,
+	    {READY, "i-1", BORN_NOW, 1}},
+	"i-1"},
+    {"exit, restart, new run with its id",
+	{{READY, "i-0", -9000, 7}, CALLED, {GONE, "i-0", 0, 0}, RESTARTED,
+	    {READY, "i-0", BORN_NOW, 1}},
+	"i-0"},
+    {"restart, ping", {CALLED, RESTARTED, {READY, "i-0", -9000, 8}}, "i-0"},
     {"late exit of an earlier instance",
 	{{READY, "i-0", -9000, 7}, {READY, "i-1", BORN_NOW, 1},
 	    {GONE, "i-0", 0, 0}},
@@ -197,8 +228,15 @@
 
 	for (int i = 0; i < 3; i++) {
 		int before = count_fake_requests(fixture.servers[0]);
-		int status = send_call(i);
-		int sent = count_fake_requests(fixture.servers[0]) - before;
+		int status = send_call(i), sent;
+
+		/* Entry nodes look for a restarted node every 0.5 s. */
+		for (int k = 0; k < 100 && c->want != NULL && status != 200;
+		     k++) {
+			usleep(10000);
+			status = send_call(i);
+		}
+		sent = count_fake_requests(fixture.servers[0]) - before;
 
 		ck_assert_msg(sent == (c->want != NULL ? 1 : 0) &&
 				  status == (c->want != NULL ? 200 : 503),
