proxy: a test of call ids of every kind on the older data path

No change of the product. The older data path keeps a caller's id of up to 64 bytes that is a plain token, and gives any other call an id of its own, which the answer names.

Evidence: proxy.test_calls, calls_have_ids_of_their_own: ids of 1 to 2,000 bytes, of other bytes, and none, two calls each that differ in the last byte, at the node and over a hop: 14 of 14 pass.

--- a/packages/proxy/tests/test_calls.c
+++ b/packages/proxy/tests/test_calls.c
@@ -539,6 +539,56 @@
 }
 END_TEST
 
+static const struct {
+	const char *id; /* repeated up to len bytes; empty: no header */
+	size_t len;
+	bool kept; /* else the node gives the call an id of its own */
+} call_ids[] = {
+    {"", 0, false},
+    {"a", 1, true},
+    {"a", 64, true},
+    {"a", 65, false},
+    {"a", 129, false},
+    {"a", 2000, false},
+    {"a b", 3, false},
+};
+
+/*
+ * Guards against an id that is shortened or empty, so that calls could not be
+ * told apart: two of the same length have different ones, at the node and over a
+ * hop.
+ */
+START_TEST(calls_have_ids_of_their_own)
+{
+	size_t len = call_ids[_i / 2].len;
+	struct proxy_fixture_config cfg = {.nodes = 1, .entry = _i % 2 != 0};
+	struct proxy_fixture fx;
+	struct fake_reply r[2];
+	char head[2048];
+
+	open_proxy_fixture(&fx, &cfg);
+	for (int i = 0; i < 2; i++) {
+		int n = snprintf(head, sizeof(head), "X-Ggs-Call-Id: ");
+
+		for (size_t k = 0; k < len; k++)
+			head[n + (int)k] =
+			    call_ids[_i / 2]
+				.id[k % strlen(call_ids[_i / 2].id)];
+		if (len > 0)
+			head[n + (int)len - 1] = (char)('0' + i);
+		snprintf(head + n + len, sizeof(head) - (size_t)n - len, "\n");
+		call_proxy_fixture(&fx, "read", len > 0 ? head : NULL, &r[i]);
+		ck_assert_int_eq(r[i].status, 200);
+		ck_assert_str_ne(r[i].call_id, "");
+		ck_assert(
+		    call_ids[_i / 2].kept ==
+		    (len > 0 && strncmp(r[i].call_id, head + n, len) == 0));
+	}
+	ck_assert_str_ne(r[0].call_id, r[1].call_id);
+	close_proxy_fixture(&fx);
+}
+END_TEST
+
 /* Guards against failing health checks that take out a working server. */
 START_TEST(bad_health_report_does_not_override_answers)
 {
@@ -743,6 +793,8 @@
 	tcase_add_test(t, full_row_without_a_queue_opens_no_claim);
 	tcase_add_test(t, no_table_is_not_run);
 	tcase_add_test(t, depth_grows_by_one_over_a_hop);
+	tcase_add_loop_test(t, calls_have_ids_of_their_own, 0,
+	    2 * sizeof(call_ids) / sizeof(call_ids[0]));
 	tcase_add_test(t, bad_health_report_does_not_override_answers);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
