node: log lines keep the end of a long node name

What operators saw: call.offered and the other lines of a call's decisions name a node by its first 23 bytes. Names of nodes differ at their end, so longer ones, such as those of one availability zone, looked alike.

Change: of a longer name the last 22 bytes are kept, after "~". The lines stay as short as they were, and so does the memory of a call.

Evidence: read only; no test has a node with such a name.

--- a/packages/node/call_log.c
+++ b/packages/node/call_log.c
@@ -4,6 +4,7 @@
  * only the last line. A budget limits the calls logged per time window; omitted
  * ones are counted.
  */
+#include <stdio.h>
 #include <string.h>
 
 #include "log.h"
@@ -26,13 +27,15 @@
 
 /*
  * Adds a trace event to a call; ignored when REQUEST_TRACE_MAX is reached. For
- * text, a, b and c see enum trace_kind; a longer text is cut.
+ * text, a, b and c see enum trace_kind. Of a longer text the end is kept, in
+ * which names of nodes differ.
  */
 void
 add_trace(struct request *q, enum trace_kind kind, const char *text, int a,
     int b, int c)
 {
 	struct trace_event *e;
+	size_t len;
 
 	if (q->primary != NULL)
 		q = q->primary;
@@ -44,8 +47,12 @@
 	e->a = a;
 	e->b = b;
 	e->c = c;
-	(void)copy_str(e->text, sizeof(e->text),
-	    make_str_n(text, strnlen(text, sizeof(e->text) - 1)));
+	len = strlen(text);
+	if (len < sizeof(e->text))
+		(void)copy_str(e->text, sizeof(e->text), make_str_n(text, len));
+	else
+		snprintf(e->text, sizeof(e->text), "~%s",
+		    text + len - (sizeof(e->text) - 2));
 }
 
 /*
