node: the id of a call is passed on although Connection names it

What callers saw: a call whose Connection header lists the header of the id waited until its deadline (504), or was refused on the users' platform, where a server rejects a call without an id. The id was left out as a header of the connection, while the node went on to compare answers with it.

Change: the id is passed on in any case, as the caller sent it.

Evidence: node.test_call_ids, id_that_connection_names_is_passed_on, through the own node and another one, repeatable and not; without the change it fails with a status other than 200.

--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -27,6 +27,7 @@
 static void set_deadlines(struct request *q);
 static int64_t parse_caller_timeout(struct request *q);
 static int copy_head(struct request *q);
+static bool is_call_id(const struct node *n, struct str name);
 static bool is_own_header(const struct node *n, struct str name);
 static int append_retry_after(struct buf *b, int64_t ns);
 
@@ -327,7 +328,8 @@
 	for (size_t i = 0; i < h->header_count && rc == 0; i++) {
 		struct str name = h->headers[i].name;
 
-		if (is_hop_by_hop_header(h, name) ||
+		if ((is_hop_by_hop_header(h, name) &&
+			!is_call_id(q->node, name)) ||
 		    is_http_name_equal(name, "content-length") ||
 		    is_http_name_equal(name, "expect") ||
 		    is_own_header(q->node, name))
@@ -347,6 +349,17 @@
 	return rc;
 }
 
+/*
+ * The id is passed on even where Connection names it: without it no answer could
+ * be told to be the one to this call.
+ */
+static bool
+is_call_id(const struct node *n, struct str name)
+{
+	return n->cfg.names.call_id != NULL &&
+	       is_http_name_equal(name, n->cfg.names.call_id);
+}
+
 /*
  * Says whether the node keeps this header of a request or sets it itself. The
  * header of keys is the client's and the backend server's own matter in a table
--- a/packages/node/tests/test_call_ids.c
+++ b/packages/node/tests/test_call_ids.c
@@ -128,6 +128,27 @@
 }
 END_TEST
 
+/*
+ * Guards against a call whose answer is not recognized, since the caller has
+ * listed the id among the headers of its connection and it was left out.
+ */
+START_TEST(id_that_connection_names_is_passed_on)
+{
+	struct test_reply reply;
+
+	for (size_t way = 0; way < COUNT(ways); way++) {
+		char path[32];
+
+		snprintf(path, sizeof(path), "/%s/ok", ways[way].row);
+		send_test_call(fixture.calls[ways[way].entry], "POST", path,
+		    "named", "Connection: Call-Id\r\n", make_str(""), &reply);
+		ck_assert_msg(reply.status == 200, "%s", ways[way].what);
+		ck_assert(has_header(&reply, "Call-Id: named\r\n"));
+		unload_reply(&reply);
+	}
+}
+END_TEST
+
 /*
  * Guards against an id that is lost when a call is sent once more, after the
  * server has dropped an idle connection.
@@ -161,6 +182,7 @@
 	    t, late_answer_goes_to_no_call_without_an_id, 0, COUNT(lengths));
 	tcase_add_loop_test(
 	    t, id_is_kept_when_a_call_is_sent_again, 0, COUNT(lengths));
+	tcase_add_test(t, id_that_connection_names_is_passed_on);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
