node: a leaving told in an answer outlasts reports of an earlier server

What callers saw: a server that says in an answer that it leaves could be used again. If delayed reports of an earlier server go on for 3 s while it is silent, that one counts as the running one, started by a clock that was set back; and the next report of the leaving server then counts as a start.

Change: it is remembered like a reported one.

Evidence: node.test_notices, leaving_told_in_an_answer_outlasts_other_reports, fails without the change (calls name i-0 instead of i-9) and passes with it.

--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -124,6 +124,8 @@
 
 	if (b->state != REPORT_READY)
 		return;
+	(void)record_leaving(
+	    b, b->instance, b->start_ms, get_reactor_now(n->reactor));
 	b->state = REPORT_DRAINING;
 	update_state(n);
 }
--- a/packages/node/tests/test_notices.c
+++ b/packages/node/tests/test_notices.c
@@ -106,6 +106,15 @@
 	return count;
 }
 
+static void
+check_expected_instance(const char *want)
+{
+	char got[NODE_ID_BYTES];
+
+	get_fake_header(fixture.servers[0], "Expect", got, sizeof(got));
+	ck_assert_str_eq(got, want);
+}
+
 /*
  * Guards against issue 24, LIMIT: a backend server that names 20 calls a second
  * got as many as each entry node had, some hundred a second.
@@ -267,6 +276,26 @@
     {"", "i-0", 1000, 4, CALLERS},
 };
 
+/*
+ * An earlier server with an id of its own seems to have replaced the one that
+ * said in an answer that it leaves, as its delayed reports go on for seconds.
+ * Guards against using the leaving one again when it reports itself once more.
+ */
+START_TEST(leaving_told_in_an_answer_outlasts_other_reports)
+{
+	set_fake_notices(fixture.servers[0], "Leaving: 1\r\n");
+	ck_assert_int_eq(send_call(1), 200);
+	set_fake_notices(fixture.servers[0], "");
+	ck_assert_int_eq(send_report(&fixture, 0, "i-9", "ready", 1, 500), 200);
+	usleep(3100000);
+	ck_assert_int_eq(send_report(&fixture, 0, "i-9", "ready", 2, 500), 200);
+	ck_assert_int_eq(
+	    send_report(&fixture, 0, "i-0", "ready", 9, 1000), 200);
+	(void)send_call(0);
+	check_expected_instance("i-9");
+}
+END_TEST
+
 /*
  * The node beside the server restarts, and the server reports as ready, late.
  * Guards against issue 24, LIMIT and DRAIN: a node that has forgotten the limit
@@ -401,6 +430,7 @@
 	tcase_add_loop_test(t, server_that_answers_as_leaving_gets_no_call, 0,
 	    COUNT(leaving_cases));
 	tcase_add_test(t, answer_of_an_earlier_run_says_nothing_of_the_new_one);
+	tcase_add_test(t, leaving_told_in_an_answer_outlasts_other_reports);
 	tcase_add_loop_test(t, restarted_node_learns_notices_from_entry_nodes,
 	    0, COUNT(restart_cases));
 	tcase_add_loop_test(
