node: a returned limit is not given up for another server's leaving

The leaving of an earlier server came last, so the limit that the present one had named was lost until its first answer.

Change: a limit that is kept is replaced by another limit only. Leavings are remembered apart anyway. The event leaving.returned says which came back.

Evidence: node.test_notices, notices_of_several_servers_are_returned, fails without the line ("-1, 7000") and passes with it.

--- a/packages/node/notice.c
+++ b/packages/node/notice.c
@@ -126,8 +126,11 @@
 {
 	struct backend *b = n->backend;
 
-	(void)record_leaving(
-	    b, r->instance, r->start_ms, get_reactor_now(n->reactor));
+	if (record_leaving(
+		b, r->instance, r->start_ms, get_reactor_now(n->reactor)))
+		WRITE_EVENT(LOG_LEVEL_NOTICE, "leaving.returned",
+		    LOG_TEXT("instance", r->instance),
+		    LOG_INT("born_until_ms", r->start_ms));
 	if (b->reported && strcmp(r->instance, b->instance) == 0 &&
 	    b->start_ms <= r->start_ms)
 		mark_backend_leaving(n);
@@ -211,7 +214,9 @@
 
 	if (strcmp(kept->instance, r->instance) != 0 ||
 	    kept->start_ms != r->start_ms) {
-		*kept = *r;
+		/* A limit is not given up for the leaving of another server. */
+		if (kept->rate_per_s < 0 || r->rate_per_s >= 0)
+			*kept = *r;
 		return;
 	}
 	if (is_stricter(r->rate_per_s, kept->rate_per_s))
--- a/packages/node/tests/test_notices.c
+++ b/packages/node/tests/test_notices.c
@@ -376,12 +376,12 @@
 }
 
 /*
- * Guards against a returned notice that is believed for another node, server or
- * run, or that is no notice, and against a handshake that fails without one.
+ * Opens a link to node 0 as another node, whose first message has notices behind
+ * it; returns the descriptor after the answer to it.
  */
-START_TEST(returned_notices_are_checked)
+static int
+send_hello(struct str notices)
 {
-	const struct hello_case *c = &hello_cases[_i];
 	struct hop_hello hello = {
 	    (char *)(uintptr_t) "node-5", (char *)(uintptr_t) "z1"};
 	struct buf message = {0}, frame = {0};
@@ -390,12 +390,7 @@
 
 	ck_assert_int_eq(
 	    append_hop_message(&message, (xdrproc_t)xdr_hop_hello, &hello), 0);
-	if (c->raw != NULL)
-		ck_assert_int_eq(append_buf_str(&message, make_str(c->raw)), 0);
-	else
-		ck_assert_int_eq(append_hop_message(&message,
-				     (xdrproc_t)xdr_hop_notice, &c->notice),
-		    0);
+	ck_assert_int_eq(append_buf_str(&message, notices), 0);
 	append_number(&frame, message.len);
 	append_number(&frame, HOP_HELLO);
 	append_number(&frame, 0);
@@ -404,12 +399,66 @@
 	    send(fd, frame.data, frame.len, MSG_NOSIGNAL), (ssize_t)frame.len);
 	ck_assert_int_eq(recv(fd, head, sizeof(head), MSG_WAITALL), 12);
 	ck_assert_int_eq(head[7], HOP_WELCOME);
+	unload_buf(&message);
+	unload_buf(&frame);
+	return fd;
+}
+
+/*
+ * Guards against a returned notice that is believed for another node, server or
+ * run, or that is no notice, and against a handshake that fails without one.
+ */
+START_TEST(returned_notices_are_checked)
+{
+	const struct hello_case *c = &hello_cases[_i];
+	struct buf notice = {0};
+	int fd;
+
+	if (c->raw != NULL)
+		ck_assert_int_eq(append_buf_str(&notice, make_str(c->raw)), 0);
+	else
+		ck_assert_int_eq(append_hop_message(&notice,
+				     (xdrproc_t)xdr_hop_notice, &c->notice),
+		    0);
+	fd = send_hello(view_buf(&notice));
 	ck_assert_msg(get_gauge("ggs_node_rate_limit_milli") == c->want_milli,
 	    "%s: %lld", c->name, get_gauge("ggs_node_rate_limit_milli"));
 	ck_assert_msg(send_call(0) == c->want_status, "%s", c->name);
 	close(fd);
+	unload_buf(&notice);
+}
+END_TEST
+
+/*
+ * Guards against a limit that is lost, or a leaving that is not heard, since the
+ * notices of two servers are returned together before the first report.
+ */
+START_TEST(notices_of_several_servers_are_returned)
+{
+	static const struct hop_notice notices[] = {
+	    NOTICE("node-0", "i-0", 1000, 7, false),
+	    NOTICE("node-0", "i-9", 900, -1, true),
+	    NOTICE("node-5", "i-0", 1000, 3, true),
+	};
+	struct buf message = {0};
+	int fd;
+
+	for (size_t i = 0; i < COUNT(notices); i++)
+		ck_assert_int_eq(append_hop_message(&message,
+				     (xdrproc_t)xdr_hop_notice, &notices[i]),
+		    0);
+	stop_fixture_node(&fixture, 0);
+	start_fixture_node(&fixture, 0);
+	fd = send_hello(view_buf(&message));
+	send_report(&fixture, 0, "i-9", "ready", 5, 900);
+	ck_assert_int_eq(get_gauge("ggs_node_rate_limit_milli"), -1);
+	send_report(&fixture, 0, "i-0", "ready", 5, 1000);
+	ck_assert_int_eq(get_gauge("ggs_node_rate_limit_milli"), 7000);
+	usleep(400000); /* the node has asked the other nodes */
+	ck_assert_int_eq(send_call(0), 200);
+	check_expected_instance("i-0");
+	close(fd);
 	unload_buf(&message);
-	unload_buf(&frame);
 }
 END_TEST
 
@@ -435,6 +484,7 @@
 	    0, COUNT(restart_cases));
 	tcase_add_loop_test(
 	    t, returned_notices_are_checked, 0, COUNT(hello_cases));
+	tcase_add_test(t, notices_of_several_servers_are_returned);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
