node: log lines tell a late report of a leaving server from others

report.stale says with `left` whether the report came from a server that had said that it leaves; before, reports of earlier runs, overtaken ones and those looked alike. No other change of behaviour: is_from_leaving() is shared, and a variable has its name.

--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -72,19 +72,20 @@
 	struct admission_changes changes = {0};
 	struct backend *b = n->backend;
 	enum hop_state before = n->state;
-	bool stale, started, leaves;
+	bool stale, left, started, news;
 
 	if (b == NULL)
 		return;
 	stale = is_stale_report(b, r, now);
-	leaves = record_reported_leaving(
+	left = is_from_leaving(b, r, now);
+	news = record_reported_leaving(
 	    b, r, now, read_wall(&n->cfg.clock) / NSEC_PER_MSEC);
 	if (stale) {
-		if (leaves)
+		if (news)
 			publish_notice(n);
 		WRITE_EVENT(LOG_LEVEL_NOTICE, "report.stale",
 		    LOG_TEXT("instance", r->id), LOG_INT("seq", r->seq),
-		    LOG_INT("born_ms", r->start_ms),
+		    LOG_INT("born_ms", r->start_ms), LOG_BOOL("left", left),
 		    LOG_TEXT("known_instance", b->instance),
 		    LOG_INT("known_seq", b->seq),
 		    LOG_INT("known_born_ms", b->start_ms));
@@ -108,7 +109,7 @@
 	b->connect_failures = 0;
 	update_state(n);
 	/* Entry nodes still know the failures of the server before it. */
-	if (n->state == before && (started || leaves))
+	if (n->state == before && (started || news))
 		publish_notice(n);
 }
 
--- a/packages/node/backend_conn.c
+++ b/packages/node/backend_conn.c
@@ -12,7 +12,8 @@
 #include "log.h"
 #include "backend_state.h"
 
-#define ANSWER_HEAD_MAX (64 * 1024) /* bytes of an answer's head, but the id */
+#define ANSWER_HEAD_MAX \
+	(64 * 1024) /* bytes of an answer's head without the id */
 #define ANSWER_BODY_MAX (64 * 1024 * 1024) /* bytes of an answer's body */
 /* A longer frame would close the link, with all calls on it. */
 _Static_assert(
--- a/packages/node/backend_state.h
+++ b/packages/node/backend_state.h
@@ -102,6 +102,8 @@
 /* The instance leaves; it was started at born_until_ms or before. */
 bool record_leaving(struct backend *b, const char *instance,
     int64_t born_until_ms, int64_t now);
+bool is_from_leaving(
+    const struct backend *b, const struct backend_report *r, int64_t now);
 bool is_leaving_kept(const struct leaving *l, int64_t now); /* not forgotten */
 bool has_leavings(const struct backend *b, int64_t now);
 
--- a/packages/node/report_order.c
+++ b/packages/node/report_order.c
@@ -22,8 +22,6 @@
  */
 #define LEAVING_KEPT_NS (30 * NSEC_PER_SEC)
 
-static bool is_from_leaving(
-    const struct backend *b, const struct backend_report *r, int64_t now);
 static bool has_replaced_known(
     struct backend *b, const struct backend_report *r, int64_t now);
 
@@ -118,7 +116,7 @@
  * Says whether a report comes from an incarnation that has said that it leaves,
  * other than the known one, whose state does not become ready again anyway.
  */
-static bool
+bool
 is_from_leaving(
     const struct backend *b, const struct backend_report *r, int64_t now)
 {
