node: the ask for notices does not wait for the sets of all services

Change: it subscribes to its own service's nodes before the first table, so that they come with it, and asks as soon as two nodes are known. Where there are fewer, it waits for the other sets as before.

--- a/packages/node/notice_ask.c
+++ b/packages/node/notice_ask.c
@@ -8,28 +8,37 @@
 #include "node_state.h"
 
 #define ASKED_PEERS_MAX 8 /* any node that sent calls here knows the notice */
+#define ASKED_PEERS_MIN 2 /* fewer are known: waits for all endpoint sets */
 /* From the first table on; a link opens or fails within 200 ms. */
 #define ASK_NS (300 * NSEC_PER_MSEC)
 
+static void request_own_set(struct node *n);
+static size_t count_askable(const struct node *n);
+static bool is_askable(const struct peer *p);
 static void ask_peers(struct node *n);
 static void end_ask(struct node *n);
 static void time_out_ask(struct timer *t);
 
 /*
- * Opens the links once the node has its first table and the endpoint sets that
- * it names. Called after each refresh of them.
+ * Opens the links once the node has its first table and knows enough nodes, or
+ * has all endpoint sets that the table names. Called after each refresh of them.
  */
 void
 ask_for_notices(struct node *n)
 {
-	if (n->ask_state == NOTICE_ASK_ENDED || n->table == NULL)
+	if (n->ask_state == NOTICE_ASK_ENDED)
 		return;
+	if (n->table == NULL) {
+		request_own_set(n);
+		return;
+	}
 	if (n->ask_state == NOTICE_ASK_WAITS) {
 		n->ask_state = NOTICE_ASK_LISTS;
 		set_timer(n->reactor, &n->ask_timer,
 		    get_reactor_now(n->reactor) + ASK_NS, time_out_ask);
 	}
-	if (n->ask_state == NOTICE_ASK_LISTS && has_endpoint_sets(n)) {
+	if (n->ask_state == NOTICE_ASK_LISTS &&
+	    (count_askable(n) >= ASKED_PEERS_MIN || has_endpoint_sets(n))) {
 		n->ask_state = NOTICE_ASK_SENT;
 		ask_peers(n);
 		continue_notice_ask(n);
@@ -62,6 +71,38 @@
 	       start_ms > n->started_wall_ns / NSEC_PER_MSEC;
 }
 
+/*
+ * Subscribes to the nodes of the own service, so that they arrive together with
+ * the first table.
+ */
+static void
+request_own_set(struct node *n)
+{
+	const struct endpoint_set *set;
+
+	if (n->cfg.service == NULL)
+		return;
+	set = acquire_endpoints(n->cfg.agent, make_str(n->cfg.service));
+	if (set != NULL)
+		release_endpoints(n->cfg.agent, set);
+}
+
+static size_t
+count_askable(const struct node *n)
+{
+	size_t count = 0;
+
+	for (const struct peer *p = n->peers; p != NULL; p = p->next)
+		count += is_askable(p) ? 1 : 0;
+	return count;
+}
+
+static bool
+is_askable(const struct peer *p)
+{
+	return p->listed && p->usable && !p->local;
+}
+
 /*
  * Opens links to some of the listed nodes, from a random one on.
  */
@@ -77,8 +118,7 @@
 	for (int round = 0; round < 2; round++) {
 		i = 0;
 		for (struct peer *p = n->peers; p != NULL; p = p->next, i++) {
-			if ((i >= start) != (round == 0) || p->local ||
-			    !p->listed || !p->usable)
+			if ((i >= start) != (round == 0) || !is_askable(p))
 				continue;
 			if (asked++ == ASKED_PEERS_MAX)
 				return;
