--- a/packages/node/tests/node_fixture.c
+++ b/packages/node/tests/node_fixture.c
@@ -82,6 +82,17 @@
 	start_fixture(r, nodes);
 }
 
+void
+open_fixture_with_one_server(struct fixture *r)
+{
+	open_fixture(r, 3);
+	clear_fake_endpoints(r->agent, "svc");
+	add_fake_endpoint(
+	    r->agent, "svc", "node-0", r->links[0], 4, WIRE_ENDPOINT_READY);
+	for (int i = 0; i < 3; i++)
+		refresh_node(r->nodes[i]);
+}
+
 static void
 start_fixture(struct fixture *r, int nodes)
 {
@@ -199,6 +210,17 @@
 	}
 }
 
+int
+send_read_call(struct fixture *r, int entry)
+{
+	struct test_reply reply;
+
+	send_test_call(r->calls[entry], "GET", "/read/ok", "call", "",
+	    make_str(""), &reply);
+	unload_reply(&reply);
+	return reply.status;
+}
+
 int
 count_fixture_runs(struct fixture *r, const char *id)
 {
--- a/packages/node/tests/node_fixture.h
+++ b/packages/node/tests/node_fixture.h
@@ -50,6 +50,8 @@
 void open_fixture_with_hedges(struct fixture *r, int nodes, double share);
 /* The same with nodes on links of this speed, bytes per second. */
 void open_fixture_with_link(struct fixture *r, int nodes, int64_t link_rate);
+/* Node 0 has the only server of "svc"; the other two are entry nodes. */
+void open_fixture_with_one_server(struct fixture *r);
 void close_fixture(struct fixture *r);
 void start_fixture_node(struct fixture *r, int i);
 void stop_fixture_node(struct fixture *r, int i);
@@ -62,6 +64,8 @@
 int send_report(struct fixture *r, int i, const char *instance,
     const char *state, int seq, int64_t start_ms);
 
+/* Sends a call of "svc" to node entry; returns the status. */
+int send_read_call(struct fixture *r, int entry);
 int count_fixture_runs(struct fixture *r, const char *id); /* of one call */
 /*
  * Holds the reactor of node i inside a callback, so that what happens meanwhile
--- a/packages/node/tests/test_leaving.c
+++ b/packages/node/tests/test_leaving.c
@@ -51,16 +51,10 @@
 
 static struct fixture fixture;
 
-/* Node 0 has the only server of "svc"; the other nodes are entry nodes. */
 static void
 open_nodes(void)
 {
-	open_fixture(&fixture, 3);
-	clear_fake_endpoints(fixture.agent, "svc");
-	add_fake_endpoint(fixture.agent, "svc", "node-0", fixture.links[0], 4,
-	    WIRE_ENDPOINT_READY);
-	for (int i = 0; i < 3; i++)
-		refresh_node(fixture.nodes[i]);
+	open_fixture_with_one_server(&fixture);
 }
 
 static void
@@ -167,18 +161,6 @@
 	return read_wall(&c) / NSEC_PER_MSEC;
 }
 
-/* Sends one call to an entry node; returns the status. */
-static int
-send_call(int entry)
-{
-	struct test_reply reply;
-
-	send_test_call(fixture.calls[entry], "GET", "/read/ok", "call", "",
-	    make_str(""), &reply);
-	unload_reply(&reply);
-	return reply.status;
-}
-
 static void
 restart_node(void)
 {
@@ -208,7 +190,7 @@
 	}
 	if (s->kind == CALLS) {
 		for (int i = 0; i < 3; i++)
-			(void)send_call(i);
+			(void)send_read_call(&fixture, i);
 		return;
 	}
 	if (s->born_ms == BORN_NOW) {
@@ -228,13 +210,13 @@
 
 	for (int i = 0; i < 3; i++) {
 		int before = count_fake_requests(fixture.servers[0]);
-		int status = send_call(i), sent;
+		int status = send_read_call(&fixture, i), sent;
 
 		/* Entry nodes look for a restarted node every 0.5 s. */
 		for (int k = 0; k < 100 && c->want != NULL && status != 200;
 		     k++) {
 			usleep(10000);
-			status = send_call(i);
+			status = send_read_call(&fixture, i);
 		}
 		sent = count_fake_requests(fixture.servers[0]) - before;
 
@@ -290,7 +272,7 @@
 	usleep(20000);
 	before = count_fake_requests(fixture.servers[0]);
 	for (int i = 0; i < CALLS_AFTER && sent == 0; i++) {
-		ck_assert_int_eq(send_call(2), 200);
+		ck_assert_int_eq(send_read_call(&fixture, 2), 200);
 		sent = count_fake_requests(fixture.servers[0]) - before;
 	}
 	ck_assert_int_gt(sent, 0);
--- a/packages/node/tests/test_notices.c
+++ b/packages/node/tests/test_notices.c
@@ -18,16 +18,10 @@
 
 static struct fixture fixture;
 
-/* Node 0 has the only server of "svc"; the other nodes are entry nodes. */
 static void
 open_nodes(void)
 {
-	open_fixture(&fixture, 3);
-	clear_fake_endpoints(fixture.agent, "svc");
-	add_fake_endpoint(fixture.agent, "svc", "node-0", fixture.links[0], 4,
-	    WIRE_ENDPOINT_READY);
-	for (int i = 0; i < 3; i++)
-		refresh_node(fixture.nodes[i]);
+	open_fixture_with_one_server(&fixture);
 }
 
 static void
@@ -36,18 +30,6 @@
 	close_fixture(&fixture);
 }
 
-/* Sends one call to an entry node; returns the status. */
-static int
-send_call(int entry)
-{
-	struct test_reply reply;
-
-	send_test_call(fixture.calls[entry], "GET", "/read/ok", "call", "",
-	    make_str(""), &reply);
-	unload_reply(&reply);
-	return reply.status;
-}
-
 /* Returns a gauge of node 0 from its metrics page. */
 static long long
 get_gauge(const char *name)
@@ -124,7 +106,7 @@
 	int before, sent, refused;
 
 	set_fake_notices(fixture.servers[0], "Rate: 20\r\n");
-	ck_assert_int_eq(send_call(1), 200);
+	ck_assert_int_eq(send_read_call(&fixture, 1), 200);
 	before = count_fake_requests(fixture.servers[0]);
 	refused = flood(503);
 	sent = count_fake_requests(fixture.servers[0]) - before;
@@ -168,10 +150,10 @@
 
 	ck_assert_int_eq(get_gauge("ggs_node_rate_limit_milli"), -1);
 	set_fake_notices(fixture.servers[0], "Rate: 5\r\n");
-	ck_assert_int_eq(send_call(2), 200);
+	ck_assert_int_eq(send_read_call(&fixture, 2), 200);
 	ck_assert_int_eq(get_gauge("ggs_node_rate_limit_milli"), 5000);
 	set_fake_notices(fixture.servers[0], c->lines);
-	ck_assert_int_eq(send_call(2), 200);
+	ck_assert_int_eq(send_read_call(&fixture, 2), 200);
 	ck_assert_msg(get_gauge("ggs_node_rate_limit_milli") == c->want_milli,
 	    "\"%s\": %lld", c->lines, get_gauge("ggs_node_rate_limit_milli"));
 }
@@ -181,7 +163,7 @@
 START_TEST(limit_ends_with_the_run_of_the_server)
 {
 	set_fake_notices(fixture.servers[0], "Rate: 5\r\n");
-	ck_assert_int_eq(send_call(1), 200);
+	ck_assert_int_eq(send_read_call(&fixture, 1), 200);
 	ck_assert_int_eq(get_gauge("ggs_node_rate_limit_milli"), 5000);
 	send_report(&fixture, 0, "i-0", "ready", 9, 1000);
 	ck_assert_int_eq(get_gauge("ggs_node_rate_limit_milli"), 5000);
@@ -216,18 +198,18 @@
 	int requests, want = c->want_leaving ? 503 : 200;
 
 	set_fake_notices(fixture.servers[0], c->lines);
-	ck_assert_int_eq(send_call(1), 200);
+	ck_assert_int_eq(send_read_call(&fixture, 1), 200);
 	requests = count_fake_requests(fixture.servers[0]);
 	for (int i = 0; i < 9; i++)
-		ck_assert_int_eq(send_call(i % 3), want);
+		ck_assert_int_eq(send_read_call(&fixture, i % 3), want);
 	send_report(&fixture, 0, "i-0", "ready", 9, 1000);
-	ck_assert_int_eq(send_call(2), want);
+	ck_assert_int_eq(send_read_call(&fixture, 2), want);
 	ck_assert_int_eq(count_fake_requests(fixture.servers[0]),
 	    c->want_leaving ? requests : requests + 10);
 	set_fake_notices(fixture.servers[0], "");
 	send_report(&fixture, 0, "i-0", "ready", 1, 2000);
 	/* The other nodes learn of the new run a moment later. */
-	ck_assert_int_eq(send_call(0), 200);
+	ck_assert_int_eq(send_read_call(&fixture, 0), 200);
 }
 END_TEST
 
@@ -256,7 +238,7 @@
 	close(fd);
 	ck_assert_int_eq(get_gauge("ggs_node_rate_limit_milli"), -1);
 	set_fake_notices(fixture.servers[0], "");
-	ck_assert_int_eq(send_call(2), 200);
+	ck_assert_int_eq(send_read_call(&fixture, 2), 200);
 }
 END_TEST
 
@@ -284,14 +266,14 @@
 START_TEST(leaving_told_in_an_answer_outlasts_other_reports)
 {
 	set_fake_notices(fixture.servers[0], "Leaving: 1\r\n");
-	ck_assert_int_eq(send_call(1), 200);
+	ck_assert_int_eq(send_read_call(&fixture, 1), 200);
 	set_fake_notices(fixture.servers[0], "");
 	ck_assert_int_eq(send_report(&fixture, 0, "i-9", "ready", 1, 500), 200);
 	usleep(3100000);
 	ck_assert_int_eq(send_report(&fixture, 0, "i-9", "ready", 2, 500), 200);
 	ck_assert_int_eq(
 	    send_report(&fixture, 0, "i-0", "ready", 9, 1000), 200);
-	(void)send_call(0);
+	(void)send_read_call(&fixture, 0);
 	check_expected_instance("i-9");
 }
 END_TEST
@@ -308,7 +290,7 @@
 	int fd[CALLERS], before, sent;
 
 	set_fake_notices(fixture.servers[0], c->lines);
-	ck_assert_int_eq(send_call(1), 200);
+	ck_assert_int_eq(send_read_call(&fixture, 1), 200);
 	stop_fixture_node(&fixture, 0);
 	before = count_fake_requests(fixture.servers[0]);
 	start_fixture_node(&fixture, 0);
@@ -423,7 +405,8 @@
 	fd = send_hello(view_buf(&notice));
 	ck_assert_msg(get_gauge("ggs_node_rate_limit_milli") == c->want_milli,
 	    "%s: %lld", c->name, get_gauge("ggs_node_rate_limit_milli"));
-	ck_assert_msg(send_call(0) == c->want_status, "%s", c->name);
+	ck_assert_msg(
+	    send_read_call(&fixture, 0) == c->want_status, "%s", c->name);
 	close(fd);
 	unload_buf(&notice);
 }
@@ -455,7 +438,7 @@
 	send_report(&fixture, 0, "i-0", "ready", 5, 1000);
 	ck_assert_int_eq(get_gauge("ggs_node_rate_limit_milli"), 7000);
 	usleep(400000); /* the node has asked the other nodes */
-	ck_assert_int_eq(send_call(0), 200);
+	ck_assert_int_eq(send_read_call(&fixture, 0), 200);
 	check_expected_instance("i-0");
 	close(fd);
 	unload_buf(&message);
