--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,8 +4,8 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
 for dir in review/1[1-5]; do
-	[ -f "$dir/case.c" ] || continue
+	[ -f "$dir/main.c" ] || continue
 	cc -std=c11 -D_GNU_SOURCE -O2 -Wall -Wextra -pthread \
-		-Ireview/stand-3 "$dir/case.c" review/stand-3/stand.c \
+		-Ireview/stand-3 "$dir/main.c" review/stand-3/stand.c \
 		-o "target/review-3/case-${dir##*/}"
 done
