--- a/review/stand-3/stand.c
+++ b/review/stand-3/stand.c
@@ -21,6 +21,8 @@
 #include "stand.h"
 
 #define HEAD_BYTES 65536
+#define RESERVED_HOST 250 /* its port says that a case uses the addresses */
+#define RESERVED_PORT 8619
 #define BEAT_S 1
 
 /* A connection that an upstream has accepted. */
@@ -33,6 +35,7 @@
 static pthread_mutex_t record_lock = PTHREAD_MUTEX_INITIALIZER;
 static struct timespec started;
 static struct deployment *running; /* ended by handle_alarm() */
+static int reserved_fd = -1; /* held until the case ends */
 
 static double
 read_clock(void)
@@ -164,6 +167,21 @@
 	return true;
 }
 
+/*
+ * Reserves the addresses of a net for this case, as other cases may be started
+ * in the same moment.
+ */
+static bool
+reserve_net(unsigned int net)
+{
+	char ip[48];
+
+	snprintf(ip, sizeof(ip), "127.%u.%u.%d", net >> 8, net & 255,
+	    RESERVED_HOST);
+	reserved_fd = listen_at(ip, RESERVED_PORT);
+	return reserved_fd >= 0;
+}
+
 void
 open_deployment(struct deployment *d, const char *daemon, size_t cores,
     const char *const *services, size_t nodes)
@@ -181,17 +199,24 @@
 		record("not run: no temporary folder, or no %s", daemon);
 		exit(CASE_NOT_RUN);
 	}
-	srandom((unsigned int)getpid() ^ (unsigned int)get_wall_ms());
+	srandom((unsigned int)getpid() * 2654435761U ^
+	    (unsigned int)get_wall_ms());
 	for (int tries = 0; tries < 100 && net == 0; tries++) {
 		char ip[48];
 
 		net = 16384 + (unsigned int)random() % 40000;
+		if (!reserve_net(net)) {
+			net = 0;
+			continue;
+		}
 		for (size_t i = 0; i < d->count && net != 0; i++) {
 			snprintf(ip, sizeof(ip), "127.%u.%u.%zu", net >> 8,
 			    net & 255, i + 1);
 			if (!is_free(ip))
 				net = 0;
 		}
+		if (net == 0)
+			close(reserved_fd);
 	}
 	for (size_t i = 0; i < d->count; i++) {
 		struct machine *m = &d->machines[i];
