--- a/packages/agent/agent.c
+++ b/packages/agent/agent.c
@@ -454,6 +454,7 @@
 	}
 	unload_buf(&a->rollouts.report);
 	free_agent_ask(a);
+	free_agent_leavings(a);
 	close_table_pins(a->table_pins);
 	close_set_store(a->sets);
 	pthread_cond_destroy(&a->work_ready);
@@ -551,6 +552,8 @@
 			handle_watch_outcome(a, o, now);
 		else if (o->ask != NULL)
 			handle_ask_outcome(a, o, now);
+		else if (o->leavings != NULL)
+			handle_leavings_outcome(a, o, now);
 		else
 			handle_claim_outcome(a, o, now);
 		unload_buf(&o->body);
@@ -561,6 +564,7 @@
 		start_agent_claim(a, c, now);
 	}
 	start_agent_ask(a, now);
+	start_agent_leavings(a, now);
 }
 
 static void
@@ -580,7 +584,8 @@
 
 	pthread_mutex_lock(&a->lock);
 	while (a->outcomes == NULL && a->new_claims == NULL && !a->changed &&
-	       !a->ask_is_new && !a->woken && !a->stopping) {
+	       !a->ask_is_new && !a->leavings_are_new && !a->woken &&
+	       !a->stopping) {
 		if (pthread_cond_timedwait(&a->work_ready, &a->lock, &ts) != 0)
 			break;
 	}
--- a/packages/agent/agent.h
+++ b/packages/agent/agent.h
@@ -159,6 +159,26 @@
 /* fn of an ask under way does not run after it returns. */
 void cancel_allotment(struct agent *a);
 
+/*
+ * The answer to a request of leavings, on the agent's thread: those that the
+ * control group keeps for this node, unless status is an error.
+ */
+typedef void (*leavings_fn)(
+    void *arg, int status, const struct wire_leaving *items, size_t count);
+
+/*
+ * Adds leavings to those that the control group keeps for this node, or only
+ * reads them if count is 0; does not block. The strings are copied. fn runs at
+ * most once, after timeout_ms at the latest, with 0 (a quorum has them),
+ * ERR_UNAVAILABLE, or ERR_NOT_FOUND if the control processes are of a build
+ * that keeps none. Returns ERR_LIMIT while another request is under way,
+ * ERR_CLOSED, or the errors of encode_wire(), without running fn.
+ */
+int request_leavings(struct agent *a, const struct wire_leaving *items,
+    size_t count, int timeout_ms, leavings_fn fn, void *arg);
+/* fn of a request under way does not run after it returns. */
+void cancel_leavings(struct agent *a);
+
 /* Replaces the fleet keys; see rpc.h. ERR_INVALID for a bad key. */
 int set_agent_keys(struct agent *a, struct str key, struct str next_key);
 
--- a/packages/agent/agent_core.h
+++ b/packages/agent/agent_core.h
@@ -73,12 +73,25 @@
 	void *arg;
 };
 
+/* A request of leavings that is under way. */
+struct agent_leavings {
+	struct agent *agent;
+	struct buf body;
+	int64_t deadline; /* mono ns */
+	int attempts; /* sent */
+	int first; /* index of the first one's control process in the order */
+	bool unsupported; /* by each control process that has answered */
+	leavings_fn fn; /* under ask_lock; NULL: cancelled */
+	void *arg;
+};
+
 /* The outcome of an RPC, queued for the agent's thread. */
 struct agent_outcome {
 	struct agent_outcome *next;
-	struct agent_watch *watch; /* of the three, the others are NULL */
+	struct agent_watch *watch; /* of the four, the others are NULL */
 	struct agent_claim *claim;
 	struct agent_ask *ask;
+	struct agent_leavings *leavings;
 	int status; /* of struct rpc_result */
 	struct buf body;
 	int64_t received_at; /* monotonic ns; of a watch */
@@ -175,6 +188,8 @@
 	int claim_count; /* new and started ones */
 	struct agent_ask *ask; /* under way; NULL: none */
 	bool ask_is_new; /* not sent yet */
+	struct agent_leavings *leavings; /* under way; NULL: none */
+	bool leavings_are_new; /* not sent yet */
 	struct own_endpoint self;
 	struct agent_rollouts rollouts;
 	bool changed; /* interest or own endpoint */
@@ -220,4 +235,10 @@
 void handle_ask_outcome(struct agent *a, struct agent_outcome *o, int64_t now);
 void free_agent_ask(struct agent *a); /* without running its function */
 
+/* agent_leavings.c: on the agent's thread */
+void start_agent_leavings(struct agent *a, int64_t now); /* new ones, if any */
+void handle_leavings_outcome(
+    struct agent *a, struct agent_outcome *o, int64_t now);
+void free_agent_leavings(struct agent *a); /* without running its function */
+
 #endif
--- a/packages/control/command.x
+++ b/packages/control/command.x
@@ -17,6 +17,7 @@
 const COMMAND_CLAIM_ID_BYTES = 16;
 const COMMAND_RETIRED_MAX = 4;     /* cancelled claim ids of a claim */
 const COMMAND_RESULT_MAX = 2048;   /* bytes of an encoded result */
+const COMMAND_LEAVINGS_MAX = 8;    /* leavings of one node */
 
 enum command_type {
 	COMMAND_EDIT = 1,
@@ -25,7 +26,8 @@
 	COMMAND_CLAIM = 4,
 	COMMAND_REPLACE = 5,
 	COMMAND_ROLLOUT = 6,
-	COMMAND_ROLLOUT_STEP = 7
+	COMMAND_ROLLOUT_STEP = 7,
+	COMMAND_LEAVINGS = 8
 };
 
 /* Column kind with the row's name adds a row, with no value removes it. */
@@ -88,6 +90,20 @@
 	string reason<COMMAND_TEXT_MAX>;
 };
 
+struct command_leaving {
+	string instance<COMMAND_AUTHOR_MAX>;
+	hyper born_until_ms;       /* Unix ms; covers starts up to then */
+};
+
+/*
+ * Leavings that a node is about to acknowledge to its backend server. The
+ * answer in the result is the same struct with all that are kept for the node.
+ */
+struct command_leavings {
+	string node<COMMAND_AUTHOR_MAX>;
+	command_leaving items<COMMAND_LEAVINGS_MAX>;
+};
+
 union command_body switch (command_type type) {
 case COMMAND_EDIT:
 	command_edit edit;
@@ -103,6 +119,8 @@
 	command_rollout rollout;
 case COMMAND_ROLLOUT_STEP:
 	command_rollout_step rollout_step;
+case COMMAND_LEAVINGS:
+	command_leavings leavings;
 };
 
 struct command {
@@ -136,7 +154,8 @@
 	STORED_ANSWER = 3,
 	STORED_CLAIM = 4,
 	STORED_END = 5,
-	STORED_ROLLOUT = 6
+	STORED_ROLLOUT = 6,
+	STORED_LEAVING = 7
 };
 
 struct stored_head {
@@ -201,3 +220,10 @@
 	hyper started_ns;          /* log time of the order */
 	string reason<COMMAND_TEXT_MAX>;
 };
+
+struct stored_leaving {
+	string node<COMMAND_AUTHOR_MAX>;
+	string instance<COMMAND_AUTHOR_MAX>;
+	hyper born_until_ms;
+	hyper recorded_ns;         /* log time */
+};
--- a/packages/control/control.c
+++ b/packages/control/control.c
@@ -444,6 +444,9 @@
 	case GGS_CLAIM:
 		handle_claim(c, q, reply);
 		break;
+	case GGS_LEAVINGS:
+		handle_leavings(c, q, reply);
+		break;
 	case GGS_GROUP:
 		handle_group(c, q, reply);
 		break;
--- a/packages/control/gen/command_xdr.c
+++ b/packages/control/gen/command_xdr.c
@@ -195,6 +195,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_command_leaving (XDR *xdrs, command_leaving *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->instance, COMMAND_AUTHOR_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->born_until_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_command_leavings (XDR *xdrs, command_leavings *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->node, COMMAND_AUTHOR_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, COMMAND_LEAVINGS_MAX,
+		sizeof (command_leaving), (xdrproc_t) xdr_command_leaving))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_command_body (XDR *xdrs, command_body *objp)
 {
@@ -231,6 +256,10 @@
 		 if (!xdr_command_rollout_step (xdrs, &objp->command_body_u.rollout_step))
 			 return FALSE;
 		break;
+	case COMMAND_LEAVINGS:
+		 if (!xdr_command_leavings (xdrs, &objp->command_body_u.leavings))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -433,3 +462,19 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_stored_leaving (XDR *xdrs, stored_leaving *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->node, COMMAND_AUTHOR_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->instance, COMMAND_AUTHOR_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->born_until_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->recorded_ns))
+		 return FALSE;
+	return TRUE;
+}
--- a/packages/control/gen/command_xdr.h
+++ b/packages/control/gen/command_xdr.h
@@ -26,6 +26,7 @@
 #define COMMAND_CLAIM_ID_BYTES 16
 #define COMMAND_RETIRED_MAX 4
 #define COMMAND_RESULT_MAX 2048
+#define COMMAND_LEAVINGS_MAX 8
 
 enum command_type {
 	COMMAND_EDIT = 1,
@@ -35,6 +36,7 @@
 	COMMAND_REPLACE = 5,
 	COMMAND_ROLLOUT = 6,
 	COMMAND_ROLLOUT_STEP = 7,
+	COMMAND_LEAVINGS = 8,
 };
 typedef enum command_type command_type;
 
@@ -112,6 +114,21 @@
 };
 typedef struct command_rollout_step command_rollout_step;
 
+struct command_leaving {
+	char *instance;
+	quad_t born_until_ms;
+};
+typedef struct command_leaving command_leaving;
+
+struct command_leavings {
+	char *node;
+	struct {
+		u_int items_len;
+		command_leaving *items_val;
+	} items;
+};
+typedef struct command_leavings command_leavings;
+
 struct command_body {
 	command_type type;
 	union {
@@ -122,6 +139,7 @@
 		command_replace replace;
 		command_rollout rollout;
 		command_rollout_step rollout_step;
+		command_leavings leavings;
 	} command_body_u;
 };
 typedef struct command_body command_body;
@@ -160,6 +178,7 @@
 	STORED_CLAIM = 4,
 	STORED_END = 5,
 	STORED_ROLLOUT = 6,
+	STORED_LEAVING = 7,
 };
 typedef enum stored_type stored_type;
 
@@ -252,6 +271,14 @@
 };
 typedef struct stored_rollout stored_rollout;
 
+struct stored_leaving {
+	char *node;
+	char *instance;
+	quad_t born_until_ms;
+	quad_t recorded_ns;
+};
+typedef struct stored_leaving stored_leaving;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -264,6 +291,8 @@
 extern  bool_t xdr_command_replace (XDR *, command_replace*);
 extern  bool_t xdr_command_rollout (XDR *, command_rollout*);
 extern  bool_t xdr_command_rollout_step (XDR *, command_rollout_step*);
+extern  bool_t xdr_command_leaving (XDR *, command_leaving*);
+extern  bool_t xdr_command_leavings (XDR *, command_leavings*);
 extern  bool_t xdr_command_body (XDR *, command_body*);
 extern  bool_t xdr_command (XDR *, command*);
 extern  bool_t xdr_command_result (XDR *, command_result*);
@@ -274,6 +303,7 @@
 extern  bool_t xdr_stored_claim_id (XDR *, stored_claim_id*);
 extern  bool_t xdr_stored_claim (XDR *, stored_claim*);
 extern  bool_t xdr_stored_rollout (XDR *, stored_rollout*);
+extern  bool_t xdr_stored_leaving (XDR *, stored_leaving*);
 
 #else /* K&R C */
 extern bool_t xdr_command_type ();
@@ -285,6 +315,8 @@
 extern bool_t xdr_command_replace ();
 extern bool_t xdr_command_rollout ();
 extern bool_t xdr_command_rollout_step ();
+extern bool_t xdr_command_leaving ();
+extern bool_t xdr_command_leavings ();
 extern bool_t xdr_command_body ();
 extern bool_t xdr_command ();
 extern bool_t xdr_command_result ();
@@ -295,6 +327,7 @@
 extern bool_t xdr_stored_claim_id ();
 extern bool_t xdr_stored_claim ();
 extern bool_t xdr_stored_rollout ();
+extern bool_t xdr_stored_leaving ();
 
 #endif /* K&R C */
 
--- a/packages/control/service.c
+++ b/packages/control/service.c
@@ -26,6 +26,7 @@
 			run_tick(c, now);
 			serve_watches(c, now);
 			serve_rollouts(c, now);
+			serve_leavings(c, now);
 			wait_tick(c);
 		}
 		stopping = c->stopping;
@@ -39,6 +40,7 @@
 	pthread_mutex_lock(&c->lock);
 	drop_watches(c);
 	serve_rollouts(c, read_mono(&c->cfg.clock));
+	serve_leavings(c, read_mono(&c->cfg.clock));
 	pthread_mutex_unlock(&c->lock);
 	return NULL;
 }
--- a/packages/control/service.h
+++ b/packages/control/service.h
@@ -212,6 +212,7 @@
 
 struct operator_tokens;
 struct rollout_desk; /* rollout_service.c */
+struct pending_leavings; /* leaving_service.c */
 
 struct control {
 	struct control_config cfg; /* strings used after the start are copies */
@@ -237,6 +238,7 @@
 	int64_t next_sets_ns; /* when it does so next */
 	struct read_rounds reads;
 	struct submission *submissions;
+	struct pending_leavings *pending_leavings; /* reads */
 	struct rollout_desk *rollouts;
 	struct upstream upstream;
 	struct bootstrap bootstrap;
@@ -356,6 +358,13 @@
     struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
 void handle_claim(
     struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
+int clamp_command_wait(int wait_ms); /* ms, as a caller requested */
+wire_status get_wire_status(int status); /* of an error number */
+
+/* leaving_service.c */
+void handle_leavings(
+    struct control *c, const struct rpc_request *q, struct rpc_reply *reply);
+void serve_leavings(struct control *c, int64_t now); /* lock held */
 
 /* watches.c */
 void handle_watch(
--- a/packages/control/state.c
+++ b/packages/control/state.c
@@ -19,6 +19,8 @@
 static int encode_outcome(const struct edit_outcome *o, struct buf *out);
 static int encode_status(
     const struct state *s, int status, const char *text, struct buf *out);
+static int encode_leavings(
+    const struct state *s, const char *node, struct buf *out);
 static int find_stored_answer(
     const struct state *s, const struct command *c, struct buf *out);
 static void abort_on_error(int rc);
@@ -71,6 +73,7 @@
 	clear_claims(&s->claims);
 	unload_buf(&s->source);
 	s->rollouts = (struct rollout_list){0};
+	clear_leavings(&s->leavings);
 	s->log_ns = 0;
 	if (t == NULL)
 		return;
@@ -109,6 +112,12 @@
 		apply_rollout_step(
 		    &s->rollouts, &c.body.command_body_u.rollout_step);
 		abort_on_error(encode_status(s, 0, "", result));
+	} else if (c.body.type == COMMAND_LEAVINGS) {
+		const struct command_leavings *l =
+		    &c.body.command_body_u.leavings;
+
+		abort_on_error(apply_leavings(&s->leavings, s->log_ns, l));
+		abort_on_error(encode_leavings(s, l->node, result));
 	} else {
 		apply_change(s, wall_ns, &c, result);
 	}
@@ -135,7 +144,8 @@
 		return encode_status(s, ERR_INVALID, "the command is malformed",
 			   result) == 0;
 	if (c.body.type == COMMAND_CLAIM || c.body.type == COMMAND_ROLLOUT ||
-	    c.body.type == COMMAND_ROLLOUT_STEP) {
+	    c.body.type == COMMAND_ROLLOUT_STEP ||
+	    c.body.type == COMMAND_LEAVINGS) {
 		unload_command(&c);
 		return false;
 	}
@@ -176,6 +186,8 @@
 		rc = save_claims(&s->claims, out);
 	if (rc == 0)
 		rc = save_rollouts(&s->rollouts, out);
+	if (rc == 0)
+		rc = save_leavings(&s->leavings, out);
 	if (rc == 0)
 		rc = append_stored(out, STORED_END, NULL, NULL);
 	return rc;
@@ -323,6 +335,29 @@
 	return encode_command_result(&r, out);
 }
 
+/*
+ * Appends a result whose answer holds the leavings that are kept for a node.
+ */
+static int
+encode_leavings(const struct state *s, const char *node, struct buf *out)
+{
+	struct command_leaving items[COMMAND_LEAVINGS_MAX];
+	struct command_leavings l = {.node = (char *)(uintptr_t)node};
+	struct command_result r = {.table_version = s->table->version};
+	struct buf b = {0};
+	int rc;
+
+	l.items.items_len = list_leavings(&s->leavings, node, items);
+	l.items.items_val = items;
+	rc = encode_wire((xdrproc_t)xdr_command_leavings, &l, &b);
+	r.answer.answer_val = b.data;
+	r.answer.answer_len = (unsigned int)b.len;
+	if (rc == 0)
+		rc = encode_command_result(&r, out);
+	unload_buf(&b);
+	return rc;
+}
+
 /*
  * Appends the stored answer to the command's key, or a refusal if the key was
  * used for another change. Returns ERR_NOT_FOUND: no answer; ERR_MEMORY.
@@ -398,6 +433,8 @@
 		return load_stored_claim(s, body);
 	case STORED_ROLLOUT:
 		return load_rollout(&s->rollouts, body);
+	case STORED_LEAVING:
+		return load_leaving(&s->leavings, body);
 	case STORED_END:
 		return body.len == 0 ? 0 : ERR_CORRUPT;
 	}
--- a/packages/control/state.h
+++ b/packages/control/state.h
@@ -1,6 +1,6 @@
 /*
  * The replicated state machine: the table, its history, the results of recent
- * changes and the claims. Retentions are measured in log time: the greatest
+ * changes, the claims, the roll-outs and the leavings. Retentions are measured in log time: the greatest
  * log_ns of the applied commands, which never advances faster than real time.
  * Wall time is for display only. Takes no locks and does no I/O.
  */
@@ -10,6 +10,7 @@
 #include "answers.h"
 #include "claims.h"
 #include "edits.h"
+#include "leavings.h"
 #include "rollouts.h"
 
 #define STATE_FORMAT 2 /* of snapshots */
@@ -21,6 +22,7 @@
 	struct answers answers;
 	struct claims claims;
 	struct rollout_list rollouts;
+	struct leaving_list leavings; /* acknowledged by nodes */
 	int64_t log_ns; /* log time */
 };
 
--- a/packages/control/submit.c
+++ b/packages/control/submit.c
@@ -41,8 +41,6 @@
 static void send_claim_reply(struct control *c, struct rpc_reply *reply,
     int status, const struct command_result *r);
 static int encode_claim(const struct wire_claim_args *a, struct buf *out);
-static int clamp_wait(int wait_ms);
-static wire_status get_wire_status(int status);
 
 /*
  * Queues a copy of a command and makes the first attempt. Unless an error is
@@ -157,8 +155,8 @@
 		rc = w == NULL ? ERR_LIMIT : 0;
 		if (w != NULL) {
 			*w = (struct pending_call){c, reply};
-			rc = propose_locally(c, bytes, clamp_wait(a.wait_ms),
-			    answer_proposal, w);
+			rc = propose_locally(c, bytes,
+			    clamp_command_wait(a.wait_ms), answer_proposal, w);
 		}
 		if (rc != 0) {
 			free(w);
@@ -193,8 +191,8 @@
 		rc = ERR_LIMIT;
 	if (rc == 0) {
 		*w = (struct pending_call){c, reply};
-		rc = submit_command(c, view_buf(&bytes), clamp_wait(a.wait_ms),
-		    answer_claim, w);
+		rc = submit_command(c, view_buf(&bytes),
+		    clamp_command_wait(a.wait_ms), answer_claim, w);
 	}
 	if (rc != 0) {
 		free(w);
@@ -551,8 +549,8 @@
 /*
  * Limits the timeout that a caller requested, in ms.
  */
-static int
-clamp_wait(int wait_ms)
+int
+clamp_command_wait(int wait_ms)
 {
 	if (wait_ms < 1)
 		return 1;
@@ -565,7 +563,7 @@
  * Errors without a wire form are local and transient, such as out of memory;
  * they are sent as UNAVAILABLE.
  */
-static wire_status
+wire_status
 get_wire_status(int status)
 {
 	switch (status) {
--- a/packages/control/tests/fleet_fixture.h
+++ b/packages/control/tests/fleet_fixture.h
@@ -120,7 +120,8 @@
 {
 	struct member *m = arg;
 	bool node = info->proc == GGS_WATCH || info->proc == GGS_WATCH_PACKED ||
-		    info->proc == GGS_CLAIM || info->proc == GGS_PING;
+		    info->proc == GGS_CLAIM || info->proc == GGS_LEAVINGS ||
+		    info->proc == GGS_PING;
 	int partition = atomic_load(&m->partition);
 	struct rpc_fault f = {RPC_FAULT_PASS, 0};
 
--- a/packages/node/backend.c
+++ b/packages/node/backend.c
@@ -80,6 +80,7 @@
 	left = is_from_leaving(b, r, now);
 	news = record_reported_leaving(
 	    b, r, now, read_wall(&n->cfg.clock) / NSEC_PER_MSEC);
+	record_leavings(n);
 	if (stale) {
 		if (news)
 			publish_notice(n);
@@ -127,6 +128,7 @@
 		return;
 	(void)record_leaving(
 	    b, b->instance, b->start_ms, get_reactor_now(n->reactor));
+	record_leavings(n);
 	b->state = REPORT_DRAINING;
 	update_state(n);
 }
@@ -218,7 +220,7 @@
 
 	if (b->state != REPORT_READY)
 		state = HOP_STATE_LEAVING;
-	else if (!b->reported || b->down || !are_notices_known(n, b->start_ms))
+	else if (!b->reported || b->down || !are_leavings_known(n, b->start_ms))
 		state = HOP_STATE_DOWN;
 	if (state != n->state) {
 		WRITE_EVENT(LOG_LEVEL_NOTICE, "backend.state",
--- a/packages/node/backend_state.h
+++ b/packages/node/backend_state.h
@@ -1,6 +1,6 @@
 /*
  * State of the node's backend server and of the connections to it; included by
- * backend.c, backend_conn.c, notice.c and report_order.c only.
+ * backend.c, backend_conn.c, leavings.c, notice.c and report_order.c only.
  */
 #ifndef BACKEND_STATE_H
 #define BACKEND_STATE_H
@@ -8,7 +8,6 @@
 #include "node_state.h"
 
 #define NO_RATE_LIMIT (-1.0)
-#define LEAVINGS_MAX 8 /* remembered; the oldest is replaced */
 
 enum conn_state {
 	CONN_OPENING,
@@ -55,12 +54,7 @@
 		uint64_t seq; /* of the first report */
 		int64_t reported_at; /* mono ns; first report */
 	} earlier; /* that has reported since the last accepted report */
-	/* Instances that leave or have left, as acknowledged or returned */
-	struct leaving {
-		char instance[NODE_ID_BYTES]; /* empty: unused */
-		int64_t born_until_ms; /* Unix ms; its latest start, at most */
-		int64_t at; /* mono ns; of the last word of it */
-	} leavings[LEAVINGS_MAX];
+	struct leaving leavings[LEAVINGS_MAX];
 	enum report_state state;
 	int slots;
 	bool announced; /* to the control processes */
@@ -105,9 +99,14 @@
 bool is_from_leaving(
     const struct backend *b, const struct backend_report *r, int64_t now);
 bool is_leaving_kept(const struct leaving *l, int64_t now); /* not forgotten */
+struct leaving *find_leaving(
+    struct backend *b, const char *instance); /* NULL */
 bool has_leavings(const struct backend *b, int64_t now);
 
 /* notice.c */
+/* An earlier process has acknowledged it; recorded: the control group has it. */
+void adopt_leaving(
+    struct node *n, const char *instance, int64_t born_until_ms, bool recorded);
 void apply_answer_notices(
     struct node *n, const struct http_head *h, bool sealed);
 void update_notice(struct node *n); /* encodes what entry nodes get */
--- a/packages/node/caller.c
+++ b/packages/node/caller.c
@@ -202,6 +202,7 @@
 		return;
 	cancel_timer(q->node->reactor, &q->timer);
 	return_allotment(q);
+	leave_record_queue(q);
 	cancel_hedge(q);
 	if (q->caller != NULL)
 		remove_pipeline(q->caller, q);
--- a/packages/node/links.c
+++ b/packages/node/links.c
@@ -314,7 +314,6 @@
 	if (l->handshake_done)
 		return;
 	l->handshake_done = true;
-	continue_notice_ask(l->node);
 	for (size_t i = 0; i < NODE_STREAM_SLOTS; i++) {
 		struct request *q = l->streams[i];
 
@@ -538,7 +537,6 @@
 		}
 	}
 	close_hop(l->hop);
-	continue_notice_ask(l->node);
 	free(l);
 }
 
--- a/packages/node/local_api.c
+++ b/packages/node/local_api.c
@@ -28,7 +28,8 @@
 /*
  * Applies a report of the backend server. Answering a report of a leaving
  * server with 200 promises that no new call is admitted for it. Only this node
- * sends calls to that server, so the promise holds once the report is applied.
+ * sends calls to that server, so the promise holds once the report is applied,
+ * and beyond the end of this process once the control group has recorded it.
  */
 void
 answer_report(struct node *n, struct request *q)
@@ -48,9 +49,9 @@
 		    report.service, n->cfg.service);
 	if (rc == 0) {
 		apply_backend_report(n, &report);
-		a.type = "application/json";
-		if (append_buf_str(&a.body, make_str("{}")) != 0)
-			write_log(LOG_LEVEL_ERR, "out of memory for an answer");
+		if (report.state == REPORT_READY || !wait_for_record(q))
+			finish_report(q, true);
+		return;
 	} else if (rc == ERR_NOT_FOUND) {
 		a.status = 404;
 	} else {
@@ -63,6 +64,30 @@
 	unload_buf(&a.body);
 }
 
+/*
+ * Acknowledges a report. One of a leaving that could not be recorded in time is
+ * refused, so that its sender does not rely on it; no call goes to that server
+ * all the same, and the sender's next report finds it recorded.
+ */
+void
+finish_report(struct request *q, bool recorded)
+{
+	struct local_answer a = {.status = 503};
+
+	if (recorded) {
+		a.status = 200;
+		a.type = "application/json";
+		if (append_buf_str(&a.body, make_str("{}")) != 0)
+			write_log(LOG_LEVEL_ERR, "out of memory for an answer");
+	} else {
+		count_metric(q->node->metrics.leavings_refused_total, 1);
+		WRITE_EVENT(LOG_LEVEL_WARNING, "leaving.unrecorded",
+		    LOG_TEXT("instance", get_backend_instance(q->node)));
+	}
+	send_local_answer(q, &a);
+	unload_buf(&a.body);
+}
+
 /*
  * Answers with all metrics in the Prometheus text format.
  */
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -53,6 +53,7 @@
 		    "cannot open an event loop; raise the limit of descriptors");
 	if (rc == 0) {
 		open_allotments(n);
+		open_leavings(n);
 		open_node_metrics(&n->metrics);
 		rc = open_backend(n);
 	}
@@ -233,7 +234,7 @@
 		release_table(n->cfg.agent, fresh);
 	}
 	refresh_services(n);
-	ask_for_notices(n);
+	read_leavings(n);
 	if (n->cfg.trial_share > 0)
 		apply_rollouts(n);
 }
@@ -292,8 +293,8 @@
 		close_backend(n);
 		clear_services(n);
 		close_allotments(n);
+		close_leavings(n);
 		clear_known_notices(n);
-		cancel_timer(n->reactor, &n->ask_timer);
 		cancel_timer(n->reactor, &n->leave_timer);
 		cancel_timer(n->reactor, &n->memory_timer);
 		cancel_timer(n->reactor, &n->rollout_timer);
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -98,6 +98,8 @@
 	"Bytes of long answers that wait for the link."),
     SPEC(allotment_asks_total, METRIC_COUNTER,
 	"Asks to the leader for allotments of accounts."),
+    SPEC(leavings_refused_total, METRIC_COUNTER,
+	"Reports of a leaving refused because it was not recorded in time."),
     SPEC(allotment_lost_total, METRIC_COUNTER,
 	"Asks for allotments without an answer in time."),
     SPEC(log_dropped_lines, METRIC_GAUGE,
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -27,6 +27,7 @@
 #define REQUEST_BUSY_MAX 5 /* serving nodes found without a free slot */
 #define REQUEST_TRACE_MAX 24 /* trace events kept for a call */
 #define NODE_ASKS_MAX 256 /* accounts in one ask for allotments */
+#define LEAVINGS_MAX WIRE_LEAVINGS_MAX /* remembered; the oldest goes */
 
 struct caller;
 struct request;
@@ -107,6 +108,7 @@
 	REQUEST_READING,
 	REQUEST_HELD, /* complete; starts after the answers before it */
 	REQUEST_RUNNING, /* complete; an attempt is active or is started next */
+	REQUEST_REPORTING, /* waits for the record of what it reports */
 	REQUEST_DONE, /* its answer waits for those before it */
 };
 
@@ -236,14 +238,6 @@
 	bool resent; /* after the server had closed an idle connection */
 };
 
-/* Whether other nodes have been asked for the notices of this node's server */
-enum notice_ask {
-	NOTICE_ASK_WAITS, /* for the first table */
-	NOTICE_ASK_LISTS, /* waits for the endpoint sets */
-	NOTICE_ASK_SENT,
-	NOTICE_ASK_ENDED,
-};
-
 /* A serving node as this entry node sees it. */
 struct peer {
 	struct peer *next; /* in the node's list */
@@ -375,6 +369,32 @@
 	struct ledger_grant answer[NODE_ASKS_MAX];
 };
 
+/* An instance that leaves or has left, as acknowledged or returned. */
+struct leaving {
+	char instance[NODE_ID_BYTES]; /* empty: unused */
+	int64_t born_until_ms; /* Unix ms; its latest start, at most */
+	int64_t at; /* mono ns; of the last word of it */
+	bool recorded; /* the control group has it */
+};
+
+/* What the control group keeps of them, and reports that wait for it. */
+struct node_leavings {
+	bool known; /* those of earlier processes have been read */
+	bool asking; /* a request is under way */
+	struct leaving sent[LEAVINGS_MAX]; /* in it */
+	size_t sent_count;
+	struct timer retry_timer;
+	int64_t retry_ns; /* next delay */
+	struct request *waiting, **waiting_tail; /* by their time of arrival */
+	struct timer wait_timer;
+	struct task answer_task; /* posted by the agent */
+
+	pthread_mutex_t lock; /* protects the answer */
+	int answer_status;
+	struct leaving answer[LEAVINGS_MAX];
+	size_t answer_count;
+};
+
 struct node_metrics {
 	metric_id calls_total, answers_total, refused_total, failed_total;
 	metric_id retries_total, cancelled_total, served_total, shed_total;
@@ -393,6 +413,7 @@
 	metric_id long_answers_total, long_answer_bytes;
 	metric_id key_refusals_total;
 	metric_id allotment_asks_total, allotment_lost_total;
+	metric_id leavings_refused_total;
 };
 
 struct node {
@@ -429,6 +450,7 @@
 	struct peer_link *links;
 	struct kind_stats *kinds;
 	struct node_allotments allotments;
+	struct node_leavings leavings;
 
 	struct admission *admission; /* NULL: no backend server */
 	struct timer admission_timer;
@@ -443,8 +465,6 @@
 	struct timer outflow_timer;
 	struct known_notice *known_notices; /* of other nodes' servers */
 	size_t known_notice_count;
-	enum notice_ask ask_state;
-	struct timer ask_timer;
 	int64_t started_wall_ns; /* start of this process, Unix ns */
 	enum hop_state state; /* as a serving node */
 	int64_t service_ns; /* recent mean service time; 0: unknown */
@@ -571,7 +591,6 @@
 /* services.c */
 void refresh_services(struct node *n);
 /* Whether the endpoint set of each service of the table has arrived. */
-bool has_endpoint_sets(const struct node *n);
 void clear_services(struct node *n);
 struct service *find_node_service(struct node *n, const char *name);
 struct kind_stats *get_kind_stats(struct node *n, const char *kind);
@@ -650,10 +669,14 @@
 /* Handles notices that another node returned. */
 void adopt_notice(struct node *n, struct str message);
 
-/* notice_ask.c */
-void ask_for_notices(struct node *n); /* after services were refreshed */
-void continue_notice_ask(struct node *n); /* a link has opened or failed */
-bool are_notices_known(const struct node *n, int64_t start_ms);
+/* leavings.c */
+void open_leavings(struct node *n);
+void close_leavings(struct node *n);
+void read_leavings(struct node *n); /* after a table was applied */
+void record_leavings(struct node *n); /* after one became known */
+bool are_leavings_known(const struct node *n, int64_t start_ms);
+bool wait_for_record(struct request *q); /* of a leaving; false: no need */
+void leave_record_queue(struct request *q);
 
 /* notice_memory.c */
 void remember_notice(struct node *n, const char *node, struct str message);
@@ -677,6 +700,7 @@
 /* local_api.c */
 void answer_ready(struct node *n, struct request *q);
 void answer_report(struct node *n, struct request *q);
+void finish_report(struct request *q, bool recorded); /* of a leaving */
 void answer_metrics(struct node *n, struct request *q);
 
 /* node_metrics.c */
--- a/packages/node/notice.c
+++ b/packages/node/notice.c
@@ -16,7 +16,6 @@
 #define NOTICE_CHANGE 0.1 /* smaller changes of a limit are not sent */
 
 static void adopt_own_notice(struct node *n, const struct hop_notice *m);
-static void adopt_leaving(struct node *n, const struct returned_notice *r);
 static int append_leavings(struct node *n);
 static void keep_returned(struct backend *b, const struct returned_notice *r);
 static void apply_returned(struct node *n, const struct returned_notice *r);
@@ -105,7 +104,7 @@
 	    0)
 		return;
 	if (m->leaving)
-		adopt_leaving(n, &r);
+		adopt_leaving(n, r.instance, r.start_ms, false);
 	if (b->answered)
 		return;
 	if (r.rate_per_s > RATE_PER_S_MAX)
@@ -121,19 +120,24 @@
  * An earlier process of this node has acknowledged that the instance leaves, or
  * has read so in an answer.
  */
-static void
-adopt_leaving(struct node *n, const struct returned_notice *r)
+void
+adopt_leaving(
+    struct node *n, const char *instance, int64_t born_until_ms, bool recorded)
 {
 	struct backend *b = n->backend;
 
 	if (record_leaving(
-		b, r->instance, r->start_ms, get_reactor_now(n->reactor)))
+		b, instance, born_until_ms, get_reactor_now(n->reactor))) {
 		WRITE_EVENT(LOG_LEVEL_NOTICE, "leaving.returned",
-		    LOG_TEXT("instance", r->instance),
-		    LOG_INT("born_until_ms", r->start_ms));
-	if (b->reported && strcmp(r->instance, b->instance) == 0 &&
-	    b->start_ms <= r->start_ms)
+		    LOG_TEXT("instance", instance),
+		    LOG_INT("born_until_ms", born_until_ms),
+		    LOG_BOOL("recorded", recorded));
+		find_leaving(b, instance)->recorded = recorded;
+	}
+	if (b->reported && strcmp(instance, b->instance) == 0 &&
+	    b->start_ms <= born_until_ms)
 		mark_backend_leaving(n);
+	record_leavings(n);
 }
 
 struct str
--- a/packages/node/report_order.c
+++ b/packages/node/report_order.c
@@ -91,11 +91,22 @@
 	if (news) {
 		snprintf(l->instance, sizeof(l->instance), "%s", instance);
 		l->born_until_ms = born_until_ms;
+		l->recorded = false;
 	}
 	l->at = now;
 	return news;
 }
 
+struct leaving *
+find_leaving(struct backend *b, const char *instance)
+{
+	for (size_t i = 0; i < LEAVINGS_MAX; i++) {
+		if (strcmp(b->leavings[i].instance, instance) == 0)
+			return &b->leavings[i];
+	}
+	return NULL;
+}
+
 bool
 is_leaving_kept(const struct leaving *l, int64_t now)
 {
--- a/packages/node/services.c
+++ b/packages/node/services.c
@@ -56,16 +56,6 @@
 	remove_unlisted_peers(n);
 }
 
-bool
-has_endpoint_sets(const struct node *n)
-{
-	for (const struct service *s = n->services; s != NULL; s = s->next) {
-		if (s->in_table && !s->has_set)
-			return false;
-	}
-	return true;
-}
-
 /*
  * Frees services, peers and kinds; links to the peers are closed before.
  */
--- a/packages/node/tests/test_leaving.c
+++ b/packages/node/tests/test_leaving.c
@@ -22,6 +22,7 @@
 	DRAINING,
 	GONE,
 	RESTART, /* of the node beside the server */
+	RESTART_ALL, /* nodes, none of which runs meanwhile */
 	CALLS, /* from each node; it does not matter how it ends */
 };
 
@@ -147,6 +148,33 @@
 	    {READY, "i-0", BORN_NOW, 1}},
 	"i-0"},
     {"restart, ping", {CALLED, RESTARTED, {READY, "i-0", -9000, 8}}, "i-0"},
+    {"exit, restart, late ping, without a link to the node",
+	{RESTARTED, {READY, "i-0", -9000, 7}, {GONE, "i-0", 0, 0}, RESTARTED,
+	    {READY, "i-0", -9000, 8}},
+	NULL},
+    {"draining, restart, late ping, without a link to the node",
+	{RESTARTED, {READY, "i-0", -9000, 7}, {DRAINING, "i-0", -9000, 9},
+	    RESTARTED, {READY, "i-0", -9000, 8}},
+	NULL},
+    {"exit, two restarts, late pings, without a link to the node",
+	{RESTARTED, {READY, "i-0", -9000, 7}, {GONE, "i-0", 0, 0}, RESTARTED,
+	    RESTARTED, {READY, "i-0", 0, 8}, {READY, "i-0", -9000, 9}},
+	NULL},
+    {"exit of two, restart, late pings of both, without a link to the node",
+	{RESTARTED, {READY, "i-0", -9000, 7}, {GONE, "i-0", 0, 0},
+	    {READY, "i-1", BORN_NOW, 1}, {GONE, "i-1", 0, 0}, RESTARTED,
+	    {READY, "i-0", -9000, 8}, {READY, "i-1", -1000, 2}},
+	NULL},
+    {"exit, restart of all nodes, late ping",
+	{{READY, "i-0", -9000, 7}, CALLED, {GONE, "i-0", 0, 0},
+	    {RESTART_ALL, "", 0, 0}, {READY, "i-0", -9000, 8}},
+	NULL},
+    {"exit, restart of all nodes, new run with its id",
+	{{READY, "i-0", -9000, 7}, CALLED, {GONE, "i-0", 0, 0},
+	    {RESTART_ALL, "", 0, 0}, {READY, "i-0", BORN_NOW, 1}},
+	"i-0"},
+    {"restart of all nodes, ping",
+	{CALLED, {RESTART_ALL, "", 0, 0}, {READY, "i-0", -9000, 8}}, "i-0"},
     {"late exit of an earlier instance",
 	{{READY, "i-0", -9000, 7}, {READY, "i-1", BORN_NOW, 1},
 	    {GONE, "i-0", 0, 0}},
@@ -161,20 +189,24 @@
 	return read_wall(&c) / NSEC_PER_MSEC;
 }
 
+/* Nodes 0 to count-1. */
 static void
-restart_node(void)
+restart_nodes(int count)
 {
-	struct test_reply reply = {0};
+	for (int i = 0; i < count; i++)
+		stop_fixture_node(&fixture, i);
+	for (int i = 0; i < count; i++) {
+		struct test_reply reply = {0};
 
-	stop_fixture_node(&fixture, 0);
-	start_fixture_node(&fixture, 0);
-	for (int i = 0; i < 200 && reply.status != 200; i++) {
-		send_test_call(fixture.ready[0], "GET", "/ready", "q", "",
-		    make_str(""), &reply);
-		unload_reply(&reply);
-		usleep(1000);
+		start_fixture_node(&fixture, i);
+		for (int k = 0; k < 200 && reply.status != 200; k++) {
+			send_test_call(fixture.ready[i], "GET", "/ready", "q",
+			    "", make_str(""), &reply);
+			unload_reply(&reply);
+			usleep(1000);
+		}
+		ck_assert_int_eq(reply.status, 200);
 	}
-	ck_assert_int_eq(reply.status, 200);
 }
 
 static void
@@ -184,8 +216,8 @@
 	    [READY] = "ready", [DRAINING] = "leaving", [GONE] = "gone"};
 	int64_t born = s->born_ms == 0 ? 0 : begin_ms + s->born_ms;
 
-	if (s->kind == RESTART) {
-		restart_node();
+	if (s->kind == RESTART || s->kind == RESTART_ALL) {
+		restart_nodes(s->kind == RESTART_ALL ? 3 : 1);
 		return;
 	}
 	if (s->kind == CALLS) {
@@ -279,6 +311,117 @@
 }
 END_TEST
 
+/* Waits until calls of node 0 end with a status. */
+static void
+wait_for_status(int status)
+{
+	int got = 0;
+
+	for (int i = 0; i < 300 && got != status; i++) {
+		usleep(10000);
+		got = send_read_call(&fixture, 0);
+	}
+	ck_assert_int_eq(got, status);
+}
+
+/*
+ * Guards against reviews 13 and 14: a leaving was acknowledged that one process
+ * knew. Without a quorum it is not acknowledged, but no call goes to the server;
+ * once there is one again, the next report is acknowledged.
+ */
+START_TEST(leaving_is_acknowledged_when_it_is_recorded)
+{
+	int64_t born = read_wall_ms() - 9000;
+
+	set_fake_leavings(fixture.agent, FAKE_LEAVINGS_NO_QUORUM);
+	ck_assert_int_eq(
+	    send_report(&fixture, 0, "i-0", "ready", 7, born), 200);
+	ck_assert_int_eq(
+	    send_report(&fixture, 0, "i-0", "leaving", 8, born), 503);
+	wait_for_status(503);
+	ck_assert_int_eq(send_report(&fixture, 0, "i-0", "gone", 9, born), 503);
+	set_fake_leavings(fixture.agent, FAKE_LEAVINGS_KEPT);
+	ck_assert_int_eq(send_report(&fixture, 0, "i-0", "gone", 9, born), 200);
+	restart_nodes(1);
+	ck_assert_int_eq(
+	    send_report(&fixture, 0, "i-0", "ready", 8, born), 200);
+	usleep(20000);
+	ck_assert_int_eq(send_read_call(&fixture, 0), 503);
+}
+END_TEST
+
+/*
+ * Guards against a sender that hangs up while its report waits, and against a
+ * stop of the node meanwhile.
+ */
+START_TEST(sender_of_a_waiting_report_may_leave)
+{
+	static const char report[] =
+	    "POST /report/i-0/leaving/8/1000 HTTP/1.1\r\nHost: a\r\n"
+	    "Content-Length: 0\r\n\r\n";
+
+	set_fake_leavings(fixture.agent, FAKE_LEAVINGS_NO_QUORUM);
+	for (int i = 0; i < 3; i++) {
+		int fd = connect_test_client(fixture.reports[0]);
+
+		ck_assert_int_eq(
+		    write(fd, report, sizeof(report) - 1), sizeof(report) - 1);
+		usleep(20000);
+		close(fd);
+	}
+	set_fake_leavings(fixture.agent, FAKE_LEAVINGS_KEPT);
+	ck_assert_int_eq(
+	    send_report(&fixture, 0, "i-0", "leaving", 9, 1000), 200);
+	set_fake_leavings(fixture.agent, FAKE_LEAVINGS_NO_QUORUM);
+	ck_assert_int_ge(
+	    send_report(&fixture, 0, "i-1", "leaving", 1, 2000), 503);
+	restart_nodes(1);
+}
+END_TEST
+
+/*
+ * Guards against reviews 13 and 14: a node that nobody answered at its start
+ * used a server that had left. It uses one that has been started since at once,
+ * and an older one as soon as the control group answers.
+ */
+START_TEST(started_node_waits_for_the_control_group)
+{
+	set_fake_leavings(fixture.agent, FAKE_LEAVINGS_NO_QUORUM);
+	restart_nodes(1);
+	ck_assert_int_eq(
+	    send_report(&fixture, 0, "i-0", "ready", 8, 1000), 200);
+	usleep(500000);
+	ck_assert_int_eq(send_read_call(&fixture, 0), 503);
+	usleep(2000);
+	ck_assert_int_eq(
+	    send_report(&fixture, 0, "i-1", "ready", 1, read_wall_ms()), 200);
+	ck_assert_int_eq(send_read_call(&fixture, 0), 200);
+	restart_nodes(1);
+	ck_assert_int_eq(
+	    send_report(&fixture, 0, "i-1", "ready", 2, 1000), 200);
+	ck_assert_int_eq(send_read_call(&fixture, 0), 503);
+	set_fake_leavings(fixture.agent, FAKE_LEAVINGS_KEPT);
+	wait_for_status(200);
+}
+END_TEST
+
+/*
+ * Guards against servers that are not used, or not acknowledged, beside control
+ * processes of an earlier build, which keep no leavings.
+ */
+START_TEST(earlier_build_of_control_processes_keeps_none)
+{
+	set_fake_leavings(fixture.agent, FAKE_LEAVINGS_OLD);
+	restart_nodes(1);
+	ck_assert_int_eq(
+	    send_report(&fixture, 0, "i-0", "ready", 8, 1000), 200);
+	wait_for_status(200);
+	ck_assert_int_eq(
+	    send_report(&fixture, 0, "i-0", "leaving", 9, 1000), 200);
+	wait_for_status(503);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -291,6 +434,10 @@
 	tcase_add_checked_fixture(t, open_nodes, close_nodes);
 	tcase_add_loop_test(t, acknowledged_leaving_is_final, 0, COUNT(cases));
 	tcase_add_test(t, restarted_server_is_used_by_other_nodes);
+	tcase_add_test(t, leaving_is_acknowledged_when_it_is_recorded);
+	tcase_add_test(t, sender_of_a_waiting_report_may_leave);
+	tcase_add_test(t, started_node_waits_for_the_control_group);
+	tcase_add_test(t, earlier_build_of_control_processes_keeps_none);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
--- a/packages/proxy/tests/fake_agent.c
+++ b/packages/proxy/tests/fake_agent.c
@@ -14,6 +14,7 @@
 #define FAKE_ENDPOINTS 1024
 #define FAKE_SETS 8
 #define FAKE_CLAIMS 512
+#define FAKE_LEAVINGS 64
 
 struct fake_claim {
 	char key[WIRE_KEY_MAX + 1];
@@ -68,6 +69,11 @@
 	int state; /* announced endpoint state; -1: none */
 	struct rollout_view rollouts;
 	struct buf report; /* the last one of any node */
+	enum fake_leavings_mode leavings_mode;
+	char leavings[FAKE_LEAVINGS][WIRE_NAME_MAX + 1]; /* instances */
+	int64_t born_until_ms[FAKE_LEAVINGS];
+	size_t leaving_count;
+	uint64_t leaving_requests;
 };
 
 static void *answer_claims(void *arg);
@@ -449,6 +455,71 @@
 	(void)a;
 }
 
+/*
+ * Keeps the leavings of the only node that reports any.
+ */
+int
+request_leavings(struct agent *a, const struct wire_leaving *items,
+    size_t count, int timeout_ms, leavings_fn fn, void *arg)
+{
+	struct wire_leaving kept[WIRE_LEAVINGS_MAX];
+	enum fake_leavings_mode mode;
+	size_t n = 0;
+
+	(void)timeout_ms;
+	pthread_mutex_lock(&a->lock);
+	mode = a->leavings_mode;
+	a->leaving_requests++;
+	for (size_t i = 0; i < count && mode == FAKE_LEAVINGS_KEPT; i++) {
+		size_t at = 0;
+
+		while (at < a->leaving_count &&
+		       strcmp(a->leavings[at], items[i].instance) != 0)
+			at++;
+		a->leaving_count += at == a->leaving_count;
+		snprintf(a->leavings[at], sizeof(a->leavings[at]), "%s",
+		    items[i].instance);
+		if (items[i].born_until_ms > a->born_until_ms[at])
+			a->born_until_ms[at] = items[i].born_until_ms;
+	}
+	for (size_t i = 0; i < a->leaving_count && n < WIRE_LEAVINGS_MAX; i++)
+		kept[n++] =
+		    (struct wire_leaving){a->leavings[i], a->born_until_ms[i]};
+	pthread_mutex_unlock(&a->lock);
+	if (mode == FAKE_LEAVINGS_KEPT)
+		fn(arg, 0, kept, n);
+	else
+		fn(arg,
+		    mode == FAKE_LEAVINGS_OLD ? ERR_NOT_FOUND : ERR_UNAVAILABLE,
+		    NULL, 0);
+	return 0;
+}
+
+void
+cancel_leavings(struct agent *a)
+{
+	(void)a;
+}
+
+void
+set_fake_leavings(struct agent *a, enum fake_leavings_mode mode)
+{
+	pthread_mutex_lock(&a->lock);
+	a->leavings_mode = mode;
+	pthread_mutex_unlock(&a->lock);
+}
+
+uint64_t
+count_fake_leaving_requests(struct agent *a)
+{
+	uint64_t n;
+
+	pthread_mutex_lock(&a->lock);
+	n = a->leaving_requests;
+	pthread_mutex_unlock(&a->lock);
+	return n;
+}
+
 void
 grant_fake_calls(struct agent *a, unsigned int calls)
 {
--- a/packages/proxy/tests/fake_agent.h
+++ b/packages/proxy/tests/fake_agent.h
@@ -15,6 +15,12 @@
 	FAKE_CLAIM_FULL, /* the store is full */
 };
 
+enum fake_leavings_mode {
+	FAKE_LEAVINGS_KEPT,
+	FAKE_LEAVINGS_NO_QUORUM,
+	FAKE_LEAVINGS_OLD, /* control processes of an earlier build */
+};
+
 struct agent *open_fake_agent(void);
 void close_fake_agent(struct agent *a);
 void set_fake_table(struct agent *a, const char *csv, uint64_t version);
@@ -41,5 +47,7 @@
 uint64_t count_fake_opens(struct agent *a); /* claim open requests */
 void grant_fake_calls(struct agent *a, unsigned int calls);
 uint64_t count_fake_asks(struct agent *a); /* for allotments */
+void set_fake_leavings(struct agent *a, enum fake_leavings_mode mode);
+uint64_t count_fake_leaving_requests(struct agent *a);
 
 #endif
--- a/packages/rpc/rpc_procs.c
+++ b/packages/rpc/rpc_procs.c
@@ -23,6 +23,7 @@
 	SMALL_MESSAGE_MAX},
     [GGS_WATCH] = {"watch", NODE_MESSAGE_MAX, WIRE_MESSAGE_MAX},
     [GGS_PULL] = {"pull", NODE_MESSAGE_MAX, WIRE_MESSAGE_MAX},
+    [GGS_LEAVINGS] = {"leavings", NODE_MESSAGE_MAX, NODE_MESSAGE_MAX},
     [GGS_CLAIM] = {"claim", NODE_MESSAGE_MAX, NODE_MESSAGE_MAX},
     [GGS_JOIN] = {"join", SMALL_MESSAGE_MAX, JOIN_REPLY_MAX},
     [GGS_WATCH_PACKED] = {"watch-packed", NODE_MESSAGE_MAX, WIRE_MESSAGE_MAX},
--- a/packages/wire/gen/wire_xdr.c
+++ b/packages/wire/gen/wire_xdr.c
@@ -764,3 +764,47 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_wire_leaving (XDR *xdrs, wire_leaving *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->instance))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->born_until_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_leavings_args (XDR *xdrs, wire_leavings_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_hlc (xdrs, &objp->stamp))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->node))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->leavings.leavings_val, (u_int *) &objp->leavings.leavings_len, WIRE_LEAVINGS_MAX,
+		sizeof (wire_leaving), (xdrproc_t) xdr_wire_leaving))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_leavings_reply (XDR *xdrs, wire_leavings_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_status (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_wire_hlc (xdrs, &objp->stamp))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->leavings.leavings_val, (u_int *) &objp->leavings.leavings_len, WIRE_LEAVINGS_MAX,
+		sizeof (wire_leaving), (xdrproc_t) xdr_wire_leaving))
+		 return FALSE;
+	return TRUE;
+}
--- a/packages/wire/gen/wire_xdr.h
+++ b/packages/wire/gen/wire_xdr.h
@@ -446,6 +446,34 @@
 	} grants;
 };
 typedef struct wire_allotment_reply wire_allotment_reply;
+#define WIRE_LEAVINGS_MAX 8
+
+struct wire_leaving {
+	wire_name instance;
+	quad_t born_until_ms;
+};
+typedef struct wire_leaving wire_leaving;
+
+struct wire_leavings_args {
+	wire_hlc stamp;
+	wire_name node;
+	struct {
+		u_int leavings_len;
+		wire_leaving *leavings_val;
+	} leavings;
+	int wait_ms;
+};
+typedef struct wire_leavings_args wire_leavings_args;
+
+struct wire_leavings_reply {
+	wire_status status;
+	wire_hlc stamp;
+	struct {
+		u_int leavings_len;
+		wire_leaving *leavings_val;
+	} leavings;
+};
+typedef struct wire_leavings_reply wire_leavings_reply;
 
 #define GGS_PROGRAM 0x20474753
 #define GGS_V1 1
@@ -493,6 +521,9 @@
 #define GGS_ALLOTMENT 14
 extern  wire_allotment_reply * ggs_allotment_1(wire_allotment_args , CLIENT *);
 extern  wire_allotment_reply * ggs_allotment_1_svc(wire_allotment_args , struct svc_req *);
+#define GGS_LEAVINGS 15
+extern  wire_leavings_reply * ggs_leavings_1(wire_leavings_args , CLIENT *);
+extern  wire_leavings_reply * ggs_leavings_1_svc(wire_leavings_args , struct svc_req *);
 extern int ggs_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -538,6 +569,9 @@
 #define GGS_ALLOTMENT 14
 extern  wire_allotment_reply * ggs_allotment_1();
 extern  wire_allotment_reply * ggs_allotment_1_svc();
+#define GGS_LEAVINGS 15
+extern  wire_leavings_reply * ggs_leavings_1();
+extern  wire_leavings_reply * ggs_leavings_1_svc();
 extern int ggs_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -582,6 +616,9 @@
 extern  bool_t xdr_wire_allotment_args (XDR *, wire_allotment_args*);
 extern  bool_t xdr_wire_allotment_grant (XDR *, wire_allotment_grant*);
 extern  bool_t xdr_wire_allotment_reply (XDR *, wire_allotment_reply*);
+extern  bool_t xdr_wire_leaving (XDR *, wire_leaving*);
+extern  bool_t xdr_wire_leavings_args (XDR *, wire_leavings_args*);
+extern  bool_t xdr_wire_leavings_reply (XDR *, wire_leavings_reply*);
 
 #else /* K&R C */
 extern bool_t xdr_wire_name ();
@@ -622,6 +659,9 @@
 extern bool_t xdr_wire_allotment_args ();
 extern bool_t xdr_wire_allotment_grant ();
 extern bool_t xdr_wire_allotment_reply ();
+extern bool_t xdr_wire_leaving ();
+extern bool_t xdr_wire_leavings_args ();
+extern bool_t xdr_wire_leavings_reply ();
 
 #endif /* K&R C */
 
--- a/packages/wire/wire.x
+++ b/packages/wire/wire.x
@@ -371,6 +371,31 @@
 	wire_allotment_grant grants<WIRE_ALLOTMENTS_MAX>; /* as in asks */
 };
 
+/*
+ * Leavings: what a node has acknowledged to its backend server, kept in the log
+ * of the control group for the node's next start.
+ */
+
+const WIRE_LEAVINGS_MAX = 8;       /* of one node */
+
+struct wire_leaving {
+	wire_name instance;        /* of the backend server */
+	hyper born_until_ms;       /* Unix ms; covers starts up to then */
+};
+
+struct wire_leavings_args {
+	wire_hlc stamp;
+	wire_name node;
+	wire_leaving leavings<WIRE_LEAVINGS_MAX>; /* to add; none: only read */
+	int wait_ms;
+};
+
+struct wire_leavings_reply {
+	wire_status status;        /* OK: a quorum has what was to be added */
+	wire_hlc stamp;
+	wire_leaving leavings<WIRE_LEAVINGS_MAX>; /* kept for the node */
+};
+
 program GGS_PROGRAM {
 	version GGS_V1 {
 		void GGS_PING(void) = 0;
@@ -389,5 +414,6 @@
 		/* A node's report, passed on to the leader */
 		wire_rollouts_reply GGS_ROLLOUT_REPORT(wire_rollouts_args) = 13;
 		wire_allotment_reply GGS_ALLOTMENT(wire_allotment_args) = 14;
+		wire_leavings_reply GGS_LEAVINGS(wire_leavings_args) = 15;
 	} = 1;
 } = 0x20474753;
