Tell an empty list of accounts from none

Cause: the table knew its accounts, not whether it has a list of them.

The sheet of accounts now exists or does not, apart from its count. An empty one is its header line in the CSV, "accounts": [] in JSON, a digest of its own, and an edit of account.name with an empty row in cell lists. An edit of an earlier build means what it meant, since a log may hold it; so the operators' API adds the edit of the sheet when an account is removed. "account require yes|no" says what an empty list means.

--- a/apps/greengagespurctl/account_commands.c
+++ b/apps/greengagespurctl/account_commands.c
@@ -21,6 +21,7 @@
 static int run_set(struct ctl *c, char **args, int count);
 static int run_add_key(struct ctl *c, char **args, int count);
 static int run_take_key(struct ctl *c, char **args, int count);
+static int run_require(struct ctl *c, char **args, int count);
 static json_t *fetch_table(struct ctl *c, int *status);
 static const char *find_keys(const json_t *table, const char *account);
 static void shorten_keys(const char *keys, char *out, size_t size);
@@ -41,6 +42,8 @@
 	"once",
 	1, 2, run_add_key},
     {"take-key", "NAME FINGERPRINT", "Take a key away", 2, 2, run_take_key},
+    {"require", "yes|no", "Whether calls need a key while there is no account",
+	1, 1, run_require},
     {0},
 };
 
@@ -80,6 +83,11 @@
 		}
 		json_array_append_new(list, shown);
 	}
+	if (status == CTL_OK && json_array_size(list) == 0)
+		fprintf(stderr, "%s\n",
+		    json_object_get(table, "accounts") != NULL ?
+			"no account is left: calls that need a key are refused" :
+			"no accounts: no call needs a key");
 	if (status == CTL_OK && c->json) {
 		char *text = json_dumps(list, JSON_COMPACT);
 
@@ -107,6 +115,23 @@
 	return send_cell(c, NULL, args[0], "name", "");
 }
 
+/*
+ * Edits the sheet of accounts itself, which the empty name stands for.
+ */
+static int
+run_require(struct ctl *c, char **args, int count)
+{
+	bool required = strcmp(args[0], "yes") == 0;
+
+	(void)count;
+	if (!required && strcmp(args[0], "no") != 0) {
+		fprintf(stderr, "account require: '%s' is neither yes nor no\n",
+		    args[0]);
+		return CTL_USAGE;
+	}
+	return send_cell(c, NULL, "", "name", required ? "yes" : "");
+}
+
 static int
 run_set(struct ctl *c, char **args, int count)
 {
--- a/apps/greengagespurctl/main.c
+++ b/apps/greengagespurctl/main.c
@@ -48,6 +48,7 @@
     "account set NAME rank|rate_per_s|burst VALUE\n"
     "account add-key NAME [FILE]\n"
     "account take-key NAME FINGERPRINT\n"
+    "account require yes|no\n"
     "status\n"
     "rollout start SERVICE VERSION SECONDS\n"
     "rollout status SERVICE\n"
--- a/packages/control/api_change.c
+++ b/packages/control/api_change.c
@@ -22,6 +22,7 @@
 static json_t *load_body(
     const struct api_request *q, struct api_answer *a, struct command *m);
 static int load_cells(const json_t *body, struct command_edit *out);
+static int keep_account_sheet(struct command_edit *e);
 static int load_cell(const json_t *o, struct command_cell *out);
 static void send_command(
     struct control *c, const struct command *m, struct api_answer *a);
@@ -37,18 +38,22 @@
 /*
  * Edits one cell ({row, column, value}) or several in one version ({cells:
  * [...]}). Column kind adds the named row, or removes it when the value is
- * empty.
+ * empty; column account.name does so with accounts.
  */
 void
 serve_edit(struct control *c, const struct api_request *q, struct api_answer *a)
 {
 	struct command m = {0};
 	json_t *body = load_body(q, a, &m);
+	int rc;
 
 	if (body == NULL)
 		return;
 	m.body.type = COMMAND_EDIT;
-	if (load_cells(body, &m.body.command_body_u.edit) != 0)
+	rc = load_cells(body, &m.body.command_body_u.edit);
+	if (rc == 0)
+		rc = keep_account_sheet(&m.body.command_body_u.edit);
+	if (rc != 0)
 		answer_error(a, 400, "invalid",
 		    "name row, column and value as strings, or a list of them "
 		    "as cells; a column must exist",
@@ -252,8 +257,8 @@
 }
 
 /*
- * Fills in the cells of an edit. Their strings belong to body; the caller frees
- * the array, also on an error.
+ * Fills in the cells of an edit, in an array with room for one more. Their
+ * strings belong to body; the caller frees the array, also on an error.
  */
 static int
 load_cells(const json_t *body, struct command_edit *out)
@@ -264,7 +269,7 @@
 
 	if (n == 0 || n > COMMAND_CELLS_MAX)
 		return ERR_INVALID;
-	out->cells.cells_val = calloc(n, sizeof(*out->cells.cells_val));
+	out->cells.cells_val = calloc(n + 1, sizeof(*out->cells.cells_val));
 	if (out->cells.cells_val == NULL)
 		return ERR_MEMORY;
 	out->cells.cells_len = (unsigned int)n;
@@ -275,6 +280,37 @@
 	return rc;
 }
 
+/*
+ * Adds to an edit that removes an account that the sheet of accounts stays: who
+ * takes the last account away does not open all rows by that. An edit that says
+ * itself what becomes of the sheet is left as it is. The list has room for a
+ * cell; ERR_INVALID if a command has not.
+ */
+static int
+keep_account_sheet(struct command_edit *e)
+{
+	unsigned int n = e->cells.cells_len;
+	bool removes = false;
+
+	for (unsigned int i = 0; i < n; i++) {
+		const struct command_cell *c = &e->cells.cells_val[i];
+
+		if (c->column != ACCOUNT_NAME)
+			continue;
+		if (c->row[0] == '\0')
+			return 0;
+		removes = removes || c->value[0] == '\0';
+	}
+	if (!removes)
+		return 0;
+	if (n == COMMAND_CELLS_MAX)
+		return ERR_INVALID;
+	e->cells.cells_val[n] = (struct command_cell){
+	    (char *)(uintptr_t) "", ACCOUNT_NAME, (char *)(uintptr_t) "yes"};
+	e->cells.cells_len = n + 1;
+	return 0;
+}
+
 static int
 load_cell(const json_t *o, struct command_cell *out)
 {
--- a/packages/control/tests/test_state.c
+++ b/packages/control/tests/test_state.c
@@ -100,6 +100,19 @@
     {REVERT, "bert", 9, 0, 0, 0, 1, 0, 10, 0, 0, 0},
 };
 
+/* The sheet of accounts itself, through edits, imports and reverts. */
+static const struct step sheet_steps[] = {
+    {IMPORT, "anna", 0, SAMPLE, 0, 0, 0, 0, 1, 0, 0, 0},
+    {EDIT, "anna", 1, "", ACCOUNT_NAME, "yes", 0, 0, 2, 0, 0, 0},
+    {EDIT, "bert", 1, "", ACCOUNT_NAME, "", 0, ERR_CONFLICT, 2, "", "anna", 2},
+    {EDIT, "bert", 2, "", ACCOUNT_NAME, "yes", 0, 0, 2, 0, 0, 0},
+    {EDIT, "bert", 2, "b", ACCOUNT_NAME, "b", 0, 0, 3, 0, 0, 0},
+    {EDIT, "bert", 3, "", ACCOUNT_NAME, "", 0, ERR_INVALID, 3, 0, 0, 0},
+    {REVERT, "bert", 3, 0, 0, 0, 2, 0, 4, 0, 0, 0},
+    {IMPORT, "anna", 4, SAMPLE "account.name\n", 0, 0, 0, 0, 4, 0, 0, 0},
+    {EDIT, "anna", 4, "", ACCOUNT_NAME, "", 0, 0, 5, 0, 0, 0},
+};
+
 /*
  * Applies the steps; the table of the last one is that of the first.
  */
@@ -154,6 +167,34 @@
 }
 END_TEST
 
+/*
+ * Guards against review 11: a table without an account that says that keys are
+ * needed, and one that says nothing, are different versions, also in a snapshot.
+ */
+START_TEST(sheet_of_accounts_is_kept_when_it_is_empty)
+{
+	struct state *s = open_sample(), *loaded = open_sample();
+	struct buf saved = {0};
+	struct fault f = {0};
+
+	check_steps(sheet_steps, sizeof(sheet_steps) / sizeof(sheet_steps[0]));
+	for (size_t i = 0; i < 4; i++) {
+		struct command_result r = apply_step(s, &sheet_steps[i], "");
+
+		unload_command_result(&r);
+	}
+	ck_assert(has_accounts(s->table));
+	ck_assert_int_eq(save_state(s, &saved), 0);
+	ck_assert_msg(
+	    load_state(loaded, view_buf(&saved), &f) == 0, "%s", f.text);
+	ck_assert(has_accounts(loaded->table));
+	ck_assert_uint_eq(loaded->table->digest, s->table->digest);
+	unload_buf(&saved);
+	close_state(s);
+	close_state(loaded);
+}
+END_TEST
+
 /* Guards against applying a change twice when its reply was lost. */
 START_TEST(resend_returns_first_answer)
 {
@@ -560,6 +601,7 @@
 	tcase_set_timeout(t, 60);
 	tcase_add_test(t, concurrent_edits_have_one_winner_per_cell);
 	tcase_add_test(t, accounts_are_edited_beside_rows);
+	tcase_add_test(t, sheet_of_accounts_is_kept_when_it_is_empty);
 	tcase_add_test(t, resend_returns_first_answer);
 	tcase_add_test(t, answers_are_kept_by_count_and_log_time);
 	tcase_add_test(t, log_time_never_goes_back);
--- a/packages/node/tests/test_client_keys.c
+++ b/packages/node/tests/test_client_keys.c
@@ -10,6 +10,7 @@
 
 #include "node_fixture.h"
 
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
 #define POLLS_MAX 300 /* of 10 ms */
 
 static struct fixture fixture;
@@ -32,6 +33,24 @@
 	unload_buf(&csv);
 }
 
+/* Puts a table in force whose rows say whether they need a key. */
+static void
+set_keyed_table(uint64_t version, const char *rows)
+{
+	struct buf csv = {0};
+
+	append_buf_fmt(&csv,
+	    "kind,service,rank,weight,floor_pct,limit_pct,target_ms,"
+	    "deadline_ms,queue_max,retries,retry_pct,hedge_ms,repeat,keep_s,"
+	    "body_max_kb,drain_s,host,path,split,head_max_kb,head_ms,idle_ms,"
+	    "key\nread,svc,1,10,0,100,500,2000,100,0,10,0,yes,0,64,30,"
+	    "test.example,/read/,,4,1000,2000,yes\n%s",
+	    rows);
+	set_fake_table(fixture.agent, csv.data, version);
+	refresh_node(fixture.nodes[0]);
+	unload_buf(&csv);
+}
+
 /* Waits until the node answers a call with this key as wanted. */
 static void
 wait_for_status(const char *headers, int want)
@@ -209,6 +228,64 @@
 }
 END_TEST
 
+struct empty_case {
+	const char *headers;
+	const char *path;
+	int want_status;
+};
+
+static const struct empty_case empty_cases[] = {
+    {"Key: Test key-a\r\n", "/read/ok", 401},
+    {"Key: Test key-c\r\n", "/read/ok", 401},
+    {"", "/read/ok", 401},
+    {"Account: acme\r\n", "/read/ok", 401},
+    {"Key: Test key-a\r\nAccount: acme\r\n", "/open/ok", 200},
+    {"", "/open/ok", 200},
+};
+
+/*
+ * Guards against review 11: a new version took the last account away, and calls
+ * with any key and with none ran, whose keys the backend server was shown; also
+ * on rows that need none, and after an account has come back.
+ */
+START_TEST(last_account_taken_away_leaves_rows_closed)
+{
+	static const char sheet[] =
+	    "open,svc,1,10,0,100,500,2000,100,0,10,0,yes,0,64,30,test.example,"
+	    "/open/,,4,1000,2000,no\naccount.name,account.keys\n%s";
+	static const char *const accounts[] = {"", "acme,%s\n", ""};
+	char print[KEY_PRINT_TEXT_BYTES], rows[1024], account[64];
+	struct key_print p = make_key_print(make_str("key-a"));
+
+	format_key_print(&p, print);
+	for (uint64_t i = 0; i < 3; i++) {
+		bool empty = accounts[i][0] == '\0';
+
+		snprintf(account, sizeof(account), accounts[i], print);
+		snprintf(rows, sizeof(rows), sheet, account);
+		set_keyed_table(3 + i, rows);
+		wait_for_status("Key: Test key-a\r\n", empty ? 401 : 200);
+		for (size_t k = 0; empty && k < COUNT(empty_cases); k++) {
+			const struct empty_case *c = &empty_cases[k];
+			struct test_reply r = {0};
+			char got[64], id[32];
+
+			snprintf(id, sizeof(id), "e-%d-%zu", (int)i, k);
+			send_test_call(fixture.calls[0], "GET", c->path, id,
+			    c->headers, make_str(""), &r);
+			ck_assert_msg(r.status == c->want_status,
+			    "case %zu: %d", k, r.status);
+			unload_reply(&r);
+			ck_assert_int_eq(count_fixture_runs(&fixture, id),
+			    c->want_status == 200);
+			get_fake_header(
+			    fixture.servers[0], "Key", got, sizeof(got));
+			ck_assert_str_eq(got, "");
+		}
+	}
+}
+END_TEST
+
 /*
  * Guards against 401 for a key that a newer version may hold, from a node that
  * no control process answers, and against 503 for a call without any key.
@@ -244,6 +321,7 @@
 	tcase_add_loop_test(t, unknown_key_is_refused_before_the_body, 0, 3);
 	tcase_add_test(t, keys_taken_away_are_refused_on_open_connections);
 	tcase_add_test(t, unknown_key_is_postponed_without_control);
+	tcase_add_test(t, last_account_taken_away_leaves_rows_closed);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
--- a/packages/table/account.c
+++ b/packages/table/account.c
@@ -16,6 +16,8 @@
 #define SHARE_MAX 1000000 /* weight among accounts */
 #define RANK_MAX 9 /* as in column rank */
 #define KEY_SLOTS_PER_KEY 2 /* keeps probe sequences short */
+#define EMPTY_SHEET_TEXT "account.name\n" /* whose hash is its digest */
+#define SHEET_KEPT "yes" /* edit of the sheet: it exists */
 
 _Static_assert(KEY_PRINT_TEXT_BYTES == 2 * KEY_PRINT_BYTES + 1,
     "a fingerprint's text fits");
@@ -52,13 +54,15 @@
 static int render_account_csv(const struct account *a, struct buf *out);
 static int diff_account(const struct account *from, const struct account *to,
     struct cell_list *out);
+static int apply_sheet_cell(
+    struct account_sheet *s, const char *value, struct fault *f);
 static const struct account *ref_account(const struct account *a);
 static void unref_account(const struct account *a);
 
 bool
 has_accounts(const struct table *t)
 {
-	return t->account_count > 0;
+	return t->accounts_listed;
 }
 
 /*
@@ -67,7 +71,8 @@
 const struct account *
 find_account(const struct table *t, struct str name)
 {
-	struct account_sheet s = {t->accounts, t->account_count, 0};
+	struct account_sheet s = {
+	    .accounts = t->accounts, .count = t->account_count};
 	bool found;
 	size_t at = find_position(&s, name, &found);
 
@@ -113,7 +118,7 @@
 bool
 needs_key(const struct table *t, const struct row *r)
 {
-	return t->account_count > 0 && r->values[COL_KEY] != 0;
+	return has_accounts(t) && r->values[COL_KEY] != 0;
 }
 
 /*
@@ -185,7 +190,9 @@
 int
 copy_accounts(const struct table *t, struct account_sheet *out, struct fault *f)
 {
-	*out = (struct account_sheet){0};
+	/* Without a word of the sheet, removing the last account removes it. */
+	*out = (struct account_sheet){
+	    .listed = t->accounts_listed && t->account_count == 0};
 	if (t->account_count == 0)
 		return 0;
 	out->accounts =
@@ -208,6 +215,12 @@
 	*s = (struct account_sheet){0};
 }
 
+void
+list_accounts(struct account_sheet *s)
+{
+	s->listed = true;
+}
+
 /*
  * Adds an account without keys and limits. Returns ERR_INVALID if the name is
  * no name or exists, and ERR_MEMORY.
@@ -282,7 +295,8 @@
 }
 
 /*
- * Applies an edit: of a cell, or in column account.name of the whole account.
+ * Applies an edit: of a cell, or in column account.name of the whole account or,
+ * with an empty row, of the sheet.
  */
 int
 apply_account_cell(
@@ -295,6 +309,8 @@
 	if (e->column != ACCOUNT_NAME)
 		return set_cell_of_account(
 		    s, name, e->column, make_str(e->value), f);
+	if (name.len == 0)
+		return apply_sheet_cell(s, e->value, f);
 	if (e->value[0] != '\0') {
 		if (strcmp(e->row, e->value) != 0)
 			return set_fault(f, ERR_INVALID,
@@ -324,6 +340,10 @@
 {
 	size_t rated = 0;
 
+	t->accounts_listed = s->listed || s->count > 0;
+	if (t->accounts_listed && s->count == 0)
+		t->digest +=
+		    XXH3_64bits(EMPTY_SHEET_TEXT, sizeof(EMPTY_SHEET_TEXT) - 1);
 	t->accounts = s->accounts;
 	t->account_count = s->count;
 	*s = (struct account_sheet){0};
@@ -345,7 +365,8 @@
 void
 unset_table_accounts(struct table *t)
 {
-	struct account_sheet s = {t->accounts, t->account_count, 0};
+	struct account_sheet s = {
+	    .accounts = t->accounts, .count = t->account_count};
 
 	unload_accounts(&s);
 	free(t->key_slots);
@@ -384,18 +405,26 @@
 		} else if (old != a && old->digest != a->digest)
 			rc = diff_account(old, a, out);
 	}
+	/* Earlier builds know no edit of the sheet: only where it says a thing */
+	if (rc == 0 && has_accounts(to) && to->account_count == 0 &&
+	    (!has_accounts(from) || from->account_count > 0))
+		rc = append_cell(
+		    out, make_str(""), ACCOUNT_NAME, make_str(SHEET_KEPT));
+	if (rc == 0 && !has_accounts(to) && has_accounts(from) &&
+	    from->account_count == 0)
+		rc = append_cell(out, make_str(""), ACCOUNT_NAME, make_str(""));
 	return rc;
 }
 
 /*
- * Appends the second sheet of the canonical CSV; nothing without accounts.
+ * Appends the second sheet of the canonical CSV; nothing without the sheet.
  */
 int
 render_accounts_csv(const struct table *t, struct buf *out)
 {
 	int rc = 0;
 
-	if (t->account_count == 0)
+	if (!has_accounts(t))
 		return 0;
 	for (int c = ACCOUNT_NAME; c < ACCOUNT_COLUMN_END && rc == 0; c++)
 		rc = append_buf_fmt(out, "%s%s", c > ACCOUNT_NAME ? "," : "",
@@ -433,6 +462,25 @@
 	return copy_str(out, size, make_str(text));
 }
 
+static int
+apply_sheet_cell(struct account_sheet *s, const char *value, struct fault *f)
+{
+	bool kept = strcmp(value, SHEET_KEPT) == 0;
+
+	if (!kept && value[0] != '\0')
+		return set_fault(f, ERR_INVALID,
+		    "column " ACCOUNT_COLUMN_PREFIX "name without an account: "
+		    "'%.20s'; write %s to need keys without an account, or "
+		    "nothing to need none",
+		    value, SHEET_KEPT);
+	if (!kept && s->count > 0)
+		return set_fault(f, ERR_INVALID,
+		    "there are accounts, whose keys are needed; remove them "
+		    "first");
+	s->listed = kept;
+	return 0;
+}
+
 /*
  * Returns the position of a name, or the one where it would be inserted.
  */
--- a/packages/table/builder.c
+++ b/packages/table/builder.c
@@ -76,6 +76,12 @@
 	return set_cell(&b->draft, c, make_str(text), f);
 }
 
+void
+list_table_accounts(struct table_builder *b)
+{
+	list_accounts(&b->accounts);
+}
+
 /*
  * Starts a new account. Returns ERR_INVALID when the name is no name or another
  * account has it, and ERR_MEMORY.
--- a/packages/table/schema.h
+++ b/packages/table/schema.h
@@ -56,6 +56,7 @@
 	const struct account **accounts;
 	size_t count;
 	size_t cap;
+	bool listed; /* the sheet exists even if it has no account */
 };
 
 /*
@@ -78,6 +79,7 @@
 int copy_accounts(
     const struct table *t, struct account_sheet *out, struct fault *f);
 void unload_accounts(struct account_sheet *s);
+void list_accounts(struct account_sheet *s); /* the sheet exists */
 int add_account(struct account_sheet *s, struct str name, struct fault *f);
 int set_cell_of_account(struct account_sheet *s, struct str name, enum column c,
     struct str value, struct fault *f);
--- a/packages/table/table.c
+++ b/packages/table/table.c
@@ -175,7 +175,7 @@
  * Appends the canonical CSV: columns in schema order, rows by kind, "\n" line
  * ends, quotes only around cells that contain a comma or a quote. The last
  * columns and the sheet of accounts are left out where they say nothing, so that
- * tables without them keep their bytes.
+ * tables without them keep their bytes. An empty sheet is its header line.
  */
 int
 render_table_csv(const struct table *t, struct buf *out)
@@ -342,6 +342,7 @@
 	    parser->lines_read > 0 &&
 	    is_str_equal(value, make_str(get_column_name(ACCOUNT_NAME)))) {
 		parser->in_accounts = parser->in_header = true;
+		list_table_accounts(parser->builder);
 		parser->field_count = 0;
 	}
 	if (parser->lines_read == 0) {
--- a/packages/table/table.h
+++ b/packages/table/table.h
@@ -101,7 +101,9 @@
 /*
  * An edit of one cell. In column kind, the row's own name adds the row and an
  * empty value removes it; likewise in column account.name. The column says
- * whether row names a row or an account.
+ * whether row names a row or an account. With an empty row, column account.name
+ * is the sheet itself: "yes" keeps it when no account is left, so that keys are
+ * needed all the same; an empty value removes it, when no account is left.
  */
 struct cell_edit {
 	char row[TABLE_NAME_BYTES];
@@ -121,6 +123,7 @@
 	uint64_t version;
 	uint64_t digest; /* sum of the rows' and accounts' digests */
 	size_t row_count;
+	bool accounts_listed; /* the sheet of accounts exists, perhaps empty */
 	size_t account_count;
 	const struct account **accounts; /* sorted by name; NULL: none */
 	double mean_rate_per_s; /* of the accounts with a rate; 0: none has */
@@ -154,7 +157,7 @@
 int parse_split(const struct row *r, struct split_part *out); /* count */
 
 /* Queries of accounts */
-bool has_accounts(const struct table *t);
+bool has_accounts(const struct table *t); /* their sheet, perhaps empty */
 const struct account *find_account(const struct table *t, struct str name);
 /* The account that holds the key, or NULL. The key is compared by its hash. */
 const struct account *find_key_account(const struct table *t, struct str key);
@@ -187,6 +190,8 @@
     struct fault *f); /* of the row started last */
 int set_row_number(
     struct table_builder *b, enum column c, int64_t value, struct fault *f);
+/* The sheet of accounts exists, even if none follows. */
+void list_table_accounts(struct table_builder *b);
 /* An account; start_table_account() finishes the previous one */
 int start_table_account(
     struct table_builder *b, struct str name, struct fault *f);
--- a/packages/table/tests/test_account.c
+++ b/packages/table/tests/test_account.c
@@ -243,6 +243,103 @@
 }
 END_TEST
 
+#define NO_SHEET HEADER "\n" ROW_A "\n"
+#define ONE_ACCOUNT START "x," PRINT_1 ",0,0\n"
+#define OTHER_ACCOUNT START "y," PRINT_2 ",0,0\n"
+
+static const char *const sheets[] = {
+    NO_SHEET, START, ONE_ACCOUNT, OTHER_ACCOUNT};
+
+#define SHEETS (sizeof(sheets) / sizeof(sheets[0]))
+
+/*
+ * Guards against review 11: a table whose last account was taken away was the
+ * same as one without accounts, so that no call needed a key. Each form of the
+ * table, and each way from one to another, keeps the difference.
+ */
+START_TEST(empty_sheet_differs_from_none)
+{
+	size_t from = (size_t)_i / SHEETS, to = (size_t)_i % SHEETS;
+	struct table *a = load(sheets[from]), *b = load(sheets[to]);
+	struct table *made = NULL, *read = NULL;
+	struct cell_list l = {0}, decoded = {0};
+	struct buf cells = {0}, csv = {0};
+	struct fault f = {0};
+
+	ck_assert_int_eq(has_accounts(b), to != 0);
+	ck_assert_int_eq(needs_key(b, find_row(b, make_str("a"))), to != 0);
+	ck_assert_int_eq(a->digest == b->digest, from == to);
+	ck_assert_int_eq(diff_tables(a, b, &l), 0);
+	ck_assert_int_eq(l.count == 0, from == to);
+	ck_assert_int_eq(encode_cells(&l, &cells), 0);
+	ck_assert_int_eq(decode_cells(view_buf(&cells), &decoded, &f), 0);
+	ck_assert_msg(
+	    apply_cells(a, &decoded, 2, &made, &f) == 0, "%s", f.text);
+	ck_assert_uint_eq(made->digest, b->digest);
+	ck_assert_int_eq(has_accounts(made), to != 0);
+	ck_assert_int_eq(render_table_csv(made, &csv), 0);
+	ck_assert_msg(
+	    load_table_csv(view_buf(&csv), 3, &read, &f) == 0, "%s", f.text);
+	ck_assert_uint_eq(read->digest, b->digest);
+	ck_assert_int_eq(has_accounts(read), to != 0);
+	unload_table(a);
+	unload_table(b);
+	unload_table(made);
+	unload_table(read);
+	unload_cells(&l);
+	unload_cells(&decoded);
+	unload_buf(&cells);
+	unload_buf(&csv);
+}
+END_TEST
+
+struct sheet_edit_case {
+	const char *from;
+	struct {
+		const char *account;
+		const char *value;
+	} edits[3]; /* of column account.name; NULL: end */
+	int want_rc;
+	bool want_sheet;
+};
+
+/* The log may hold the first: it means the same as for earlier builds. */
+static const struct sheet_edit_case sheet_edit_cases[] = {
+    {ONE_ACCOUNT, {{"x", ""}}, 0, false},
+    {ONE_ACCOUNT, {{"x", ""}, {"", "yes"}}, 0, true},
+    {ONE_ACCOUNT, {{"", "yes"}, {"x", ""}}, 0, true},
+    {ONE_ACCOUNT, {{"", "yes"}}, 0, true},
+    {ONE_ACCOUNT, {{"", ""}}, ERR_INVALID, true},
+    {ONE_ACCOUNT, {{"x", ""}, {"", ""}}, 0, false},
+    {ONE_ACCOUNT, {{"", "no"}}, ERR_INVALID, true},
+    {START, {{"", ""}}, 0, false},
+    {START, {{"y", "y"}, {"y", ""}}, 0, true},
+    {START, {{"x", ""}}, ERR_NOT_FOUND, true},
+    {NO_SHEET, {{"", "yes"}}, 0, true},
+    {NO_SHEET, {{"y", "y"}}, 0, true},
+};
+
+/* Guards against edits that open all rows without saying so, and the reverse. */
+START_TEST(edits_of_the_sheet_say_what_becomes_of_it)
+{
+	const struct sheet_edit_case *c = &sheet_edit_cases[_i];
+	struct table *t = load(c->from), *out = NULL;
+	struct cell_list l = {0};
+	struct fault f = {0};
+
+	for (int i = 0; i < 3 && c->edits[i].account != NULL; i++)
+		ck_assert_int_eq(append_cell(&l, make_str(c->edits[i].account),
+				     ACCOUNT_NAME, make_str(c->edits[i].value)),
+		    0);
+	ck_assert_int_eq(apply_cells(t, &l, 2, &out, &f), c->want_rc);
+	if (out != NULL)
+		ck_assert_int_eq(has_accounts(out), c->want_sheet);
+	unload_cells(&l);
+	unload_table(out);
+	unload_table(t);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -257,6 +354,10 @@
 	tcase_add_loop_test(t, edits_apply_to_accounts, 0,
 	    sizeof(edit_cases) / sizeof(edit_cases[0]));
 	tcase_add_test(t, differences_of_many_accounts_give_the_new_table);
+	tcase_add_loop_test(
+	    t, empty_sheet_differs_from_none, 0, (int)(SHEETS * SHEETS));
+	tcase_add_loop_test(t, edits_of_the_sheet_say_what_becomes_of_it, 0,
+	    sizeof(sheet_edit_cases) / sizeof(sheet_edit_cases[0]));
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
--- a/scenarios/accounts.lua
+++ b/scenarios/accounts.lua
@@ -68,6 +68,17 @@
 ctl(CTL_INVALID, "remove", "acme")
 ctl(0, "remove", "beta")
 
+-- Guards against review 11: taking the last account away opened all rows.
+fleet.check(f:ask_any("GET", "/v1/table?format=json").body:find(
+	'"accounts":[]', 1, true), "the list of accounts is gone")
+sys.sleep(500)
+fleet.check(fleet.call(n, "dossier-status").status == 503,
+	"the last account was removed, and a call without a key runs")
+ctl(CTL_USAGE, "require", "maybe")
+ctl(0, "require", "no")
+fleet.check(not f:ask_any("GET", "/v1/table?format=json").body:find(
+	'"accounts"', 1, true), "the list of accounts is still there")
+
 for _, p in ipairs(f.controls) do
 	texts[#texts + 1] = f:log(p)
 end
