Add a seeded scenario of leavings and ended processes

Real processes: a backend server leaves, by draining or by its exit, and after the acknowledgement its node, its neighbours, the core, the leader or all end, by SIGTERM or SIGKILL, 0 ms, 50 ms or 2 s later, once or twice, some with a core that is back later or has lost a disk. Then pings from before arrive. No request may reach the server; a sound server has to be used within 3 s of its node's restart, and a new instance within 1 s.

--- a/scenarios/soak.sh
+++ b/scenarios/soak.sh
@@ -10,7 +10,7 @@
 cd "$(dirname "$0")/.." || exit 1
 mode=${1:-quick} first=${2:-1} last=${3:-50} seconds=${4:-10}
 kinds="scenarios/disk platform/tests/link platform/tests/machine
-    platform/tests/member"
+    platform/tests/member platform/tests/leaving"
 logs=build/runs/soak-logs
 mkdir -p "$logs"
 
