Take a retry token for a call that is sent again to the same server

Cause: when a reused connection ends before an answer, the node beside the server takes it for one that was closed while idle and sends the call again. A server that loses answers looks the same, but has run the call; the second send took no token of the budget, and the entry node retried on its own.

The second send takes a token of the service's budget at that node. Without one the call fails and the entry node decides.

--- a/packages/node/backend_conn.c
+++ b/packages/node/backend_conn.c
@@ -627,14 +627,19 @@
 }
 
 /*
- * Sends a call once more, on a new connection. Returns ERR_UNAVAILABLE,
- * ERR_MEMORY.
+ * Sends a call once more, on a new connection. The server may have run it and
+ * lost its answer, so this is a retry and draws on the same budget. Returns
+ * ERR_LIMIT without a token, ERR_UNAVAILABLE, ERR_MEMORY.
  */
 static int
 resend_call(struct node *n, struct job *j)
 {
-	struct backend_conn *c = open_conn(n);
+	struct service *s = find_node_service(n, n->cfg.service);
+	struct backend_conn *c;
 
+	if (s == NULL || !spend_retry_token(n, s))
+		return ERR_LIMIT;
+	c = open_conn(n);
 	record_resent_call(n->admission, get_reactor_now(n->reactor));
 	j->resent = true;
 	if (c == NULL)
--- a/packages/node/tests/node_fixture.c
+++ b/packages/node/tests/node_fixture.c
@@ -74,6 +74,15 @@
 	start_fixture(r, nodes);
 }
 
+void
+open_fixture_with_budget(struct fixture *r, int nodes, double ratio)
+{
+	memset(r, 0, sizeof(*r));
+	r->stop_ns = 3 * NSEC_PER_SEC;
+	r->retry_ratio = ratio;
+	start_fixture(r, nodes);
+}
+
 void
 open_fixture_with_link(struct fixture *r, int nodes, int64_t link_rate)
 {
@@ -161,8 +170,8 @@
 	    .metrics_listen = r->metrics[i],
 	    .service = i == 2 ? "other" : "svc",
 	    .backend = get_fake_address(r->servers[i]),
-	    .retry_ratio = 10,
-	    .retry_slack = 1000,
+	    .retry_ratio = r->retry_ratio > 0 ? r->retry_ratio : 10,
+	    .retry_slack = r->retry_ratio > 0 ? 0 : 1000,
 	    .hedge_share = r->hedge_share,
 	    .drain_ns = 200 * NSEC_PER_MSEC,
 	    .leave_ns = 300 * NSEC_PER_MSEC,
--- a/packages/node/tests/node_fixture.h
+++ b/packages/node/tests/node_fixture.h
@@ -32,6 +32,7 @@
 	double trial_share; /* of roll-outs; 0: none */
 	double hedge_share; /* of nodes that are started */
 	int64_t link_rate; /* bytes per second; 0: unlimited */
+	double retry_ratio; /* 0: ample, with slack */
 };
 
 struct test_reply {
@@ -48,6 +49,8 @@
 void open_fixture_with_trial(struct fixture *r, int nodes, double share);
 /* The same with hedged sends. */
 void open_fixture_with_hedges(struct fixture *r, int nodes, double share);
+/* The same with a budget of retries per call of a service, without slack. */
+void open_fixture_with_budget(struct fixture *r, int nodes, double ratio);
 /* The same with nodes on links of this speed, bytes per second. */
 void open_fixture_with_link(struct fixture *r, int nodes, int64_t link_rate);
 /* Node 0 has the only server of "svc"; the other two are entry nodes. */
