--- a/packages/node/leavings.c
+++ b/packages/node/leavings.c
@@ -21,7 +21,7 @@
 static void post_failure(struct node *n, int status);
 static void apply_answer(struct task *t);
 static void adopt_answer(struct node *n);
-static void mark_recorded(struct node *n);
+static void mark_recorded(struct node *n, bool kept);
 static bool has_unrecorded(const struct node *n);
 static void set_retry_timer(struct node *n);
 static void run_retry(struct timer *t);
@@ -216,7 +216,7 @@
 		    "servers; upgrade them, a restart of this node forgets "
 		    "what it has acknowledged");
 	s->retry_ns = RETRY_FIRST_NS;
-	mark_recorded(n);
+	mark_recorded(n, status == 0);
 	if (!s->known)
 		adopt_answer(n);
 	if (has_unrecorded(n))
@@ -248,10 +248,12 @@
 }
 
 /*
- * A leaving that has been extended since it was sent stays unrecorded.
+ * Marks the leavings that were sent, so that their reports are acknowledged;
+ * kept: the control group has them. One that has been extended since then stays
+ * unrecorded.
  */
 static void
-mark_recorded(struct node *n)
+mark_recorded(struct node *n, bool kept)
 {
 	const struct node_leavings *s = &n->leavings;
 
@@ -262,9 +264,10 @@
 		if (l == NULL || l->born_until_ms > s->sent[i].born_until_ms)
 			continue;
 		l->recorded = true;
-		WRITE_EVENT(LOG_LEVEL_INFO, "leaving.recorded",
-		    LOG_TEXT("instance", l->instance),
-		    LOG_INT("born_until_ms", l->born_until_ms));
+		if (kept)
+			WRITE_EVENT(LOG_LEVEL_INFO, "leaving.recorded",
+			    LOG_TEXT("instance", l->instance),
+			    LOG_INT("born_until_ms", l->born_until_ms));
 	}
 }
 
