--- a/packages/control/tests/test_leaving_calls.c
+++ b/packages/control/tests/test_leaving_calls.c
@@ -60,7 +60,7 @@
 START_TEST(recorded_leavings_survive_a_restart_of_all)
 {
 	static const char *const ids[] = {"i-0", "i-1", "i-2", "i-3"};
-	struct rpc_peer *n[4];
+	struct rpc_peer *n[4] = {NULL};
 	size_t leader;
 
 	open_fleet(3, 1, NULL);
@@ -94,7 +94,7 @@
 START_TEST(no_quorum_neither_records_nor_reads)
 {
 	struct wire_leavings_reply r;
-	struct rpc_peer *n[3];
+	struct rpc_peer *n[3] = {NULL};
 	size_t leader, next;
 
 	open_fleet(3, 0, NULL);
